--- /dev/null
+++ b/coveport/__init__.py
@@ -0,0 +1,1 @@
+"""coveport: a sidecar on real sockets around the decisions of micaflow."""
--- /dev/null
+++ b/coveport/clients.py
@@ -0,0 +1,285 @@
+"""The listener and the client connections: operations in, one final answer each out."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from coveport import http1, log
+from coveport.counters import Counters
+from micaflow import interface as api
+
+HEALTH_PATH = "/_health"
+HALF_SENT_S = 5.0  # how long a request may take to come in whole
+UNREAD_S = 10.0  # how long a client may take to read an answer
+LINGER_S = 1.0  # how long to read on after a farewell, which a reset would destroy
+SWEEP_S = 0.25
+MOST_HELD = http1.MAX_HEAD + http1.MAX_BODY  # sent ahead of its turn; what is over that waits below
+
+_INBOX = memoryview(bytearray(64 * 1024))  # shared: what is read is taken out before the next read
+_ID = re.compile(r"[A-Za-z0-9._~+/=:-]{1,128}")
+_KEY = re.compile(r"[\x21-\x7e]{1,256}")
+_DEADLINE = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,9})?)(m|u)")
+_LONGEST_MS = 3_600_000.0
+
+
+@dataclass(slots=True)
+class Operation:
+    """What a client asked for, checked."""
+
+    request: http1.Request
+    id: str
+    key: str | None
+    cls: int
+    wait_ms: float  # from now on
+    repeat: bool
+    cost_ms: float
+
+
+def read_operation(request: http1.Request, classes: dict[str, tuple[int, api.Effect]]) -> Operation:
+    """Check a request for an operation; BadMessageError says what is wrong with it."""
+    name = request.target.partition("?")[0].split("/")[1]
+    if name not in classes:
+        raise http1.BadMessageError(404, "unknown path")
+    cls, effect = classes[name]
+    if request.method != ("GET" if effect is api.Effect.SAFE else "POST"):
+        raise http1.BadMessageError(405, "wrong method")
+    number = request.get("x-request-id")
+    if number is None or not _ID.fullmatch(number):
+        raise http1.BadMessageError(400, "bad X-Request-Id")
+    key = request.get("idempotency-key")
+    if (key is None and effect is api.Effect.KEYED) or (key is not None and not _KEY.fullmatch(key)):
+        raise http1.BadMessageError(400, "bad Idempotency-Key")
+    deadline = _DEADLINE.fullmatch(request.get("x-deadline") or "")
+    wait_ms = float(deadline[1]) / (1000 if deadline[2] == "u" else 1) if deadline else 0.0
+    if not 0 < wait_ms <= _LONGEST_MS:
+        raise http1.BadMessageError(400, "bad X-Deadline")
+    extras = dict(part.strip().partition("=")[::2] for part in (request.get("x-extras") or "").split(","))
+    try:
+        cost_ms = float(extras.get("cost_ms", "0"))
+    except ValueError:
+        cost_ms = 0.0
+    return Operation(request, number, key, cls, wait_ms, request.get("x-retry") == "1",
+                     cost_ms if 0 < cost_ms < math.inf else 0.0)
+
+
+class Client(asyncio.BufferedProtocol):
+    """One client connection; one operation at a time."""
+
+    def __init__(self, listener: Listener) -> None:
+        self._listener = listener
+        self._parser = http1.RequestParser()
+        self._transport: asyncio.Transport | None = None
+        self._operation: int | None = None  # the one that waits for its answer
+        self._keep = True
+        self._unsent = self._paused = self._ended = False
+        self._since = 0.0  # when it went idle, or when the request that is coming in began
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A client has connected."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=0)
+        self._since = self._listener.loop.time()
+        self._listener.came(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where to read to."""
+        return _INBOX
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take in what the client sends."""
+        if self._ended:
+            return
+        if not self._parser.begun:
+            self._since = self._listener.loop.time()
+        self._parser.feed(_INBOX[:nbytes])
+        self._advance()
+        # Guards against a client that sends ahead without end.
+        if len(self._parser.held) > MOST_HELD and not self._paused and self._transport is not None:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def _advance(self) -> None:
+        while self._operation is None and not self._unsent and not self._ended:
+            try:
+                request = self._parser.next_request()
+                if request is None:
+                    if self._parser.wants_continue and self._transport is not None:
+                        self._transport.write(http1.write_response(100))
+                    break
+                if self._paused and self._transport is not None and len(self._parser.held) <= MOST_HELD:
+                    self._paused = False
+                    self._transport.resume_reading()
+                self._since = self._listener.loop.time()
+                self._take(request)
+            except http1.BadMessageError as problem:
+                self._reject(problem)
+
+    def _take(self, request: http1.Request) -> None:
+        self._keep = request.keep_alive
+        if request.target.partition("?")[0] == HEALTH_PATH:
+            if request.method != "GET":
+                raise http1.BadMessageError(405, "wrong method")
+            self._write(200 if self._listener.ready() else 503)
+            return
+        operation = read_operation(request, self._listener.classes)
+        self._listener.counters.add("operations")
+        self._operation = self._listener.number()
+        self._listener.take(self._operation, self, operation)
+
+    def _reject(self, problem: http1.BadMessageError) -> None:
+        self._listener.counters.add(f"rejected_{problem.status}")
+        log.note("bad request", f"{problem.status}: {problem}")
+        # What was read whole leaves the connection usable, what was not doesn't.
+        self._keep = self._keep and problem.status in (404, 405)
+        self._write(problem.status, body=f"{problem}\n".encode())
+
+    def answer(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
+        """Give the one final answer to the operation that came on this connection."""
+        self._operation = None
+        self._write(status, headers, body)
+        self._listener.loop.call_soon(self._advance)
+
+    def _write(self, status: int, headers: list[tuple[str, str]] | None = None, body: bytes = b"") -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        keep = self._keep and not self._listener.closing
+        lines = [*(headers or ()), *(() if keep else (("Connection", "close"),))]
+        self._since = self._listener.loop.time()
+        self._transport.write(http1.write_response(status, lines, body))
+        if not keep:
+            self._farewell()
+
+    def _farewell(self) -> None:
+        """Close once all is written and read: bytes left unread would reset the answer away."""
+        self._ended = True
+        if self._transport is not None and not self._transport.is_closing():
+            if self._paused:
+                self._paused = False
+                self._transport.resume_reading()
+            self._transport.write_eof()
+            self._listener.loop.call_later(LINGER_S, self.close)
+
+    def pause_writing(self) -> None:
+        """The client does not read as fast as we write."""
+        self._unsent = True
+
+    def resume_writing(self) -> None:
+        """All is written."""
+        self._unsent = False
+        self._listener.loop.call_soon(self._advance)
+
+    def eof_received(self) -> bool:
+        """The client has gone away: nothing more is owed to it."""
+        self._gone()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """It is gone, whoever ended it."""
+        self._gone()
+        self._ended = True
+        self._listener.lost(self)
+
+    def _gone(self) -> None:
+        operation, self._operation = self._operation, None
+        if operation is not None:
+            self._listener.counters.add("clients_gone")
+            self._listener.gone(operation)
+
+    @property
+    def idle(self) -> bool:
+        """Whether it stands between two requests."""
+        return self._operation is None and not self._parser.begun and not self._unsent and not self._ended
+
+    def check(self, now: float) -> None:
+        """Put an end to what takes too long, and to idle connections while the program closes."""
+        if self._operation is not None or self._ended:
+            return
+        if self._unsent:
+            if now - self._since > UNREAD_S:
+                self.close()
+        elif self._parser.begun:
+            if now - self._since > HALF_SENT_S:
+                self._keep = False
+                self._reject(http1.BadMessageError(408, "the request did not come whole"))
+        elif self._listener.closing:
+            self.close()
+
+    def close(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class Listener:
+    """Takes clients in and holds their connections."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, counters: Counters,
+                 classes: tuple[api.RequestClass, ...], *, most_clients: int, ready: Callable[[], bool],
+                 take: Callable[[int, Client, Operation], None], gone: Callable[[int], None]) -> None:
+        self.loop, self.counters = loop, counters
+        self.classes = {cls.name: (number, cls.effect) for number, cls in enumerate(classes)}
+        self.ready, self.take, self.gone = ready, take, gone
+        self.closing = False
+        self._most, self._numbers = most_clients, 0
+        self._clients: dict[Client, None] = {}  # the longest connected first
+        self._server: asyncio.Server | None = None
+        self._sweeper = loop.call_later(SWEEP_S, self._sweep)
+
+    async def open(self, address: tuple[str, int]) -> int:
+        """Listen; the port that was bound."""
+        self._server = await self.loop.create_server(lambda: Client(self), *address, backlog=512)
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
+    def number(self) -> int:
+        """A fresh number for an operation."""
+        self._numbers += 1
+        return self._numbers
+
+    def came(self, client: Client) -> None:
+        """A client has connected; where there are too many, one that is idle makes room."""
+        self._clients[client] = None
+        if len(self._clients) > self._most:
+            self.shed(1)
+
+    def shed(self, count: int) -> None:
+        """Close idle connections, the oldest first; a client opens another when it wants one."""
+        # Guards against running out of descriptors.
+        newest = next(reversed(self._clients), None)
+        for client in [one for one in self._clients if one.idle and one is not newest][:count]:
+            client.close()
+
+    def lost(self, client: Client) -> None:
+        """A client connection is gone."""
+        self._clients.pop(client, None)
+
+    def _sweep(self) -> None:
+        now = self.loop.time()
+        for client in list(self._clients):
+            client.check(now)
+        self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+
+    @property
+    def count(self) -> int:
+        """How many clients are connected."""
+        return len(self._clients)
+
+    def wind_up(self) -> None:
+        """Take no new connections; close those between requests, each other one after its answer."""
+        self.closing = True
+        if self._server is not None:
+            self._server.close()
+        now = self.loop.time()
+        for client in list(self._clients):
+            client.check(now)
+
+    def close(self) -> None:
+        """Close all that is left."""
+        self._sweeper.cancel()
+        for client in list(self._clients):
+            client.close()
--- /dev/null
+++ b/coveport/config.py
@@ -0,0 +1,84 @@
+"""What the sidecar is told: the LB_* variables and the JSON file, checked before anything starts."""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from micaflow import interface as api
+from micaflow import wire
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; its text is one line."""
+
+
+@dataclass(frozen=True)
+class Config:
+    """The checked configuration."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    settings: api.Settings
+    zones: tuple[str, ...]
+    keepalive_ms: float
+    known: Any = field(default=None, repr=False)  # in discovery's form; read like its answers
+
+
+def parse_address(text: object) -> Address:
+    """Split `ip:port`, brackets around IPv6 allowed; ValueError where it is anything else."""
+    if not isinstance(text, str):
+        raise ValueError(f"address {text!r} is not a string")
+    host, colon, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    ipaddress.ip_address(host)  # there is no DNS
+    if not colon or not (port.isascii() and port.isdigit()) or not 0 <= int(port) <= 65535:
+        raise ValueError(f"address {text!r} has no valid port")
+    return host, int(port)
+
+
+def _number(section: Mapping[str, Any], key: str, default: float) -> float:
+    value = section.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
+        raise ValueError(f"{key} must be a positive number, not {value!r}")
+    return float(value)
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Read and check everything; ConfigError says in one line what is wrong."""
+    path = environ.get("LB_CONFIG")
+    if not path:
+        raise ConfigError("LB_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+        if not isinstance(told, dict):
+            raise ValueError("not an object")
+        settings = told.get("settings")
+        if not isinstance(settings, dict):
+            raise ValueError("settings: not an object")
+        limits, seed = told.get("limits") or {}, told.get("seed", "0")
+        zones = settings.get("localities") or ()
+        return Config(
+            name=environ.get("LB_NAME") or str(told.get("name", "coveport")),
+            listen=parse_address(environ.get("LB_LISTEN") or told.get("listen")),
+            discovery=parse_address(environ.get("LB_DISCOVERY") or told.get("discovery")),
+            seed=seed if isinstance(seed, int) else int(seed, 16),
+            sockets=int(_number(limits, "sockets", 1024)),
+            settings=wire.parse_settings(json.dumps(settings)),
+            zones=tuple(str(zone) for zone in zones),
+            keepalive_ms=_number(settings.get("limits") or {}, "keepalive_ms", 5000.0),
+            known=told.get("known"),
+        )
+    except (OSError, ValueError, TypeError, AttributeError) as problem:
+        text = " ".join(str(problem).split())
+        raise ConfigError(f"{path}: {text}") from problem
--- /dev/null
+++ b/coveport/http1.py
@@ -0,0 +1,266 @@
+"""HTTP/1.1 as pure bytes: incremental parsers and writers for both directions, no sockets."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import ClassVar
+
+MAX_HEAD = 16 * 1024
+MAX_BODY = 64 * 1024
+MAX_HEADERS = 100
+
+_TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_TARGET = re.compile(rb"[\x21-\x7e]+")
+_VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
+_REASONS = {
+    100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+    408: "Request Timeout", 413: "Content Too Large", 417: "Expectation Failed",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
+    503: "Service Unavailable", 505: "HTTP Version Not Supported",
+}
+
+
+class BadMessageError(Exception):
+    """What came is no message that we take; `status` is the answer to a client that sent it."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Message:
+    """What requests and responses share."""
+
+    headers: dict[str, list[str]]
+    keep_alive: bool
+    body: bytes = b""
+
+    def get(self, name: str) -> str | None:
+        """The value of a header that may stand once; BadMessageError where it is repeated."""
+        values = self.headers.get(name)
+        if values is None:
+            return None
+        if len(values) > 1:
+            raise BadMessageError(400, f"{name} is repeated")
+        return values[0]
+
+
+@dataclass(slots=True)
+class Request(Message):
+    """A whole request."""
+
+    method: str = ""
+    target: str = ""
+
+
+@dataclass(slots=True)
+class Response(Message):
+    """A whole response."""
+
+    status: int = 0
+
+
+@dataclass(slots=True)
+class _Parser:
+    """Bytes in, whole messages out; holds no more than one head and one body beyond what is asked for."""
+
+    most_body: ClassVar[int] = MAX_BODY
+    held: bytearray = field(default_factory=bytearray)
+    _message: Message | None = None  # its head is read, its body is not
+    _left: int | None = 0  # bytes of body, None: until the connection ends
+    _chunks: bytearray | None = None  # the body so far, where it comes in chunks
+
+    def feed(self, data: bytes | memoryview) -> None:
+        """Take in what has come."""
+        self.held += data
+
+    @property
+    def begun(self) -> bool:
+        """Whether a message has begun and is not whole."""
+        return bool(self.held) or self._message is not None
+
+    def next(self) -> Message | None:
+        """The next whole message, or None until more has come; BadMessageError ends the connection."""
+        if self._message is None and not self._read_head():
+            return None
+        if self._chunks is not None:
+            if not self._read_chunks(self._chunks):
+                return None
+            self._message_body(bytes(self._chunks))
+        elif self._left is None:
+            if len(self.held) > self.most_body:
+                raise BadMessageError(413, "body too large")
+            return None
+        elif len(self.held) < self._left:
+            return None
+        else:
+            body = bytes(self.held[:self._left])
+            del self.held[:self._left]
+            self._message_body(body)
+        message, self._message, self._chunks = self._message, None, None
+        return message
+
+    def _message_body(self, body: bytes) -> None:
+        assert self._message is not None
+        self._message.body = body
+
+    def _read_head(self) -> bool:
+        # Guards against an empty line sent after an earlier body, as the standard asks.
+        while self.held.startswith(b"\r\n"):
+            del self.held[:2]
+        end = self.held.find(b"\r\n\r\n", 0, MAX_HEAD + 4)
+        if end < 0:
+            if len(self.held) >= MAX_HEAD:
+                raise BadMessageError(431, "head too large")
+            return False
+        lines = bytes(self.held[:end]).split(b"\r\n")
+        del self.held[:end + 4]
+        if len(lines) > MAX_HEADERS:
+            raise BadMessageError(431, "too many headers")
+        headers: dict[str, list[str]] = {}
+        for line in lines[1:]:
+            name, colon, value = line.partition(b":")
+            value = value.strip(b" \t")
+            if not colon or not _TOKEN.fullmatch(name) or not _VALUE.fullmatch(value):
+                raise BadMessageError(400, "malformed header")
+            headers.setdefault(name.decode("ascii").lower(), []).append(value.decode("latin-1"))
+        self._message = self._start(lines[0], headers)
+        return True
+
+    def _start(self, line: bytes, headers: dict[str, list[str]]) -> Message:
+        raise NotImplementedError
+
+    def _frame(self, headers: dict[str, list[str]], default: int | None) -> None:
+        """Find out where the body ends."""
+        lengths, codings = headers.get("content-length"), headers.get("transfer-encoding")
+        self._chunks, self._left = None, default
+        if codings is not None:
+            # Guards against smuggling: a message framed in two ways is read by nobody alike.
+            if lengths is not None:
+                raise BadMessageError(400, "both Content-Length and Transfer-Encoding")
+            if [coding.lower() for coding in codings] != ["chunked"]:
+                raise BadMessageError(501, "transfer coding not known")
+            self._chunks = bytearray()
+        elif lengths is not None:
+            # Guards against smuggling: `5, 5`, `+5` and repeated lengths are malformed to us.
+            if len(lengths) > 1 or not re.fullmatch(r"[0-9]{1,18}", lengths[0]):
+                raise BadMessageError(400, "malformed Content-Length")
+            self._left = int(lengths[0])
+            if self._left > self.most_body:
+                raise BadMessageError(413, "body too large")
+
+    def _read_chunks(self, body: bytearray) -> bool:
+        while True:
+            end = self.held.find(b"\r\n", 0, 130)
+            if end < 0:
+                if len(self.held) >= 130:
+                    raise BadMessageError(400, "malformed chunk")
+                return False
+            size_text = bytes(self.held[:end]).partition(b";")[0].strip(b" \t")
+            if not re.fullmatch(rb"[0-9A-Fa-f]{1,8}", size_text):
+                raise BadMessageError(400, "malformed chunk")
+            size = int(size_text, 16)
+            if len(body) + size > self.most_body:
+                raise BadMessageError(413, "body too large")
+            if size == 0:
+                # Trailers are read over: nothing that we use may stand there.
+                stop = self.held.find(b"\r\n\r\n", end, end + MAX_HEAD)
+                if stop < 0:
+                    if len(self.held) > end + MAX_HEAD:
+                        raise BadMessageError(431, "trailers too large")
+                    return False
+                del self.held[:stop + 4]
+                return True
+            if len(self.held) < end + 2 + size + 2:
+                return False
+            body += self.held[end + 2:end + 2 + size]
+            if self.held[end + 2 + size:end + 4 + size] != b"\r\n":
+                raise BadMessageError(400, "malformed chunk")
+            del self.held[:end + 4 + size]
+
+
+def _keeps(version: bytes, headers: dict[str, list[str]]) -> bool:
+    options = {part.strip().lower() for line in headers.get("connection", ()) for part in line.split(",")}
+    return "close" not in options and (version == b"HTTP/1.1" or "keep-alive" in options)
+
+
+class RequestParser(_Parser):
+    """Reads what clients send."""
+
+    def _start(self, line: bytes, headers: dict[str, list[str]]) -> Request:
+        parts = line.split(b" ")
+        if len(parts) != 3 or not _TOKEN.fullmatch(parts[0]) or not _TARGET.fullmatch(parts[1]):
+            raise BadMessageError(400, "malformed request line")
+        method, target, version = parts
+        if version not in (b"HTTP/1.1", b"HTTP/1.0"):
+            if not re.fullmatch(rb"HTTP/[0-9]\.[0-9]", version):
+                raise BadMessageError(400, "malformed request line")
+            raise BadMessageError(505, "version not supported")
+        if not target.startswith(b"/"):
+            raise BadMessageError(400, "target is not a path")
+        if version == b"HTTP/1.1" and len(headers.get("host", ())) != 1:
+            raise BadMessageError(400, "one Host header is wanted")
+        self._frame(headers, 0)
+        return Request(headers, _keeps(version, headers), b"", method.decode("ascii"), target.decode("ascii"))
+
+    def next_request(self) -> Request | None:
+        """The next whole request."""
+        message = self.next()
+        assert message is None or isinstance(message, Request)
+        return message
+
+    @property
+    def wants_continue(self) -> bool:
+        """Whether the client waits for our word before it sends the body."""
+        return (self._message is not None and not self.held and not self._chunks
+                and [v.lower() for v in self._message.headers.get("expect", ())] == ["100-continue"])
+
+
+class ResponseParser(_Parser):
+    """Reads what ledger nodes and discovery answer."""
+
+    def _start(self, line: bytes, headers: dict[str, list[str]]) -> Response:
+        match = re.fullmatch(rb"(HTTP/1\.[01]) ([1-5][0-9][0-9])(?: [\t\x20-\x7e\x80-\xff]*)?", line)
+        if not match:
+            raise BadMessageError(400, "malformed status line")
+        version, status = match[1], int(match[2])
+        self._frame(headers, 0 if status < 200 or status in (204, 304) else None)
+        keeps = _keeps(version, headers) and (self._left is not None or self._chunks is not None)
+        return Response(headers, keeps, b"", status)
+
+    def next_response(self) -> Response | None:
+        """The next whole final response; the interim ones (1xx) are read over."""
+        while (message := self.next()) is not None:
+            assert isinstance(message, Response)
+            if message.status >= 200:
+                return message
+        return None
+
+    def end(self) -> Response | None:
+        """The connection has ended: the response that this makes whole, if any."""
+        message = self._message
+        if not isinstance(message, Response) or self._left is not None or self._chunks is not None:
+            return None
+        message.body, self._message = bytes(self.held), None
+        self.held.clear()
+        return message
+
+
+def write_request(method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes = b"") -> bytes:
+    """A request as bytes."""
+    return _write(f"{method} {target} HTTP/1.1", headers, body, bool(body) or method != "GET")
+
+
+def write_response(status: int, headers: Iterable[tuple[str, str]] = (), body: bytes = b"") -> bytes:
+    """A response as bytes."""
+    return _write(f"HTTP/1.1 {status} {_REASONS.get(status, 'Unknown')}", headers, body, status >= 200)
+
+
+def _write(start: str, headers: Iterable[tuple[str, str]], body: bytes, framed: bool) -> bytes:
+    lines = [start, *(f"{name}: {value}" for name, value in headers)]
+    if framed:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
--- /dev/null
+++ b/coveport/reducer.py
@@ -0,0 +1,328 @@
+"""The one place where state changes: (time, input) -> effects.
+
+It owns the module's Balancer, the operations and their route steps. No I/O, no clock, no HTTP: a
+second protocol would feed the same inputs and carry out the same effects.
+"""
+
+from __future__ import annotations
+
+import traceback
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+from micaflow import Balancer
+from micaflow import interface as api
+
+GUARD_SHARE = 0.25  # part of the answer slack after which an operation that nobody answered is failed
+
+
+class Verdict(Enum):
+    """How an operation is answered."""
+
+    SERVED = "served"
+    BUSY = "busy"
+    FAILED = "failed"
+
+
+# Inputs.
+
+
+@dataclass(slots=True)
+class OperationCame:
+    """A whole operation has come; from here on one final answer is owed."""
+
+    operation: int
+    cls: int
+    deadline_ms: float  # on our clock
+    repeat: bool = False
+    cost_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class ClientGone:
+    """The client has closed its connection; nothing is owed any more."""
+
+    operation: int
+
+
+@dataclass(slots=True)
+class StepEnded:
+    """How a route step ended; `answer` is what goes to the client where it was served."""
+
+    operation: int
+    step: int
+    outcome: api.Outcome
+    load: tuple[float, ...] = ()
+    answer: object = None
+
+
+@dataclass(slots=True)
+class ProbeEnded:
+    """How a probe ended."""
+
+    destination: int
+    outcome: api.Outcome
+    latency_ms: float
+    load: tuple[float, ...] = ()
+
+
+@dataclass(slots=True)
+class PoolTold:
+    """Word from discovery, or of its failure."""
+
+    update: api.ListUpdate
+
+
+@dataclass(slots=True)
+class TimerDue:
+    """A timer of the module is due."""
+
+    token: int
+
+
+@dataclass(slots=True)
+class DeadlineDue:
+    """An operation's time is over: whatever went wrong, it is answered now."""
+
+    operation: int
+
+
+Input = OperationCame | ClientGone | StepEnded | ProbeEnded | PoolTold | TimerDue | DeadlineDue
+
+
+# Effects.
+
+
+@dataclass(slots=True)
+class SendStep:
+    """Send the operation to a destination, for so long."""
+
+    operation: int
+    step: int
+    destination: int
+    timeout_ms: float
+
+
+@dataclass(slots=True)
+class CancelStep:
+    """Give a route step up."""
+
+    operation: int
+    step: int
+
+
+@dataclass(slots=True)
+class Answer:
+    """Give the client its one final answer."""
+
+    operation: int
+    verdict: Verdict
+    answer: object = None
+    retry_after_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class SetTimer:
+    """Feed `TimerDue(token)` after this long."""
+
+    delay_ms: float
+    token: int
+
+
+@dataclass(slots=True)
+class GuardDeadline:
+    """Feed `DeadlineDue` then."""
+
+    operation: int
+    at_ms: float
+
+
+@dataclass(slots=True)
+class ProbeDestination:
+    """Test a destination."""
+
+    destination: int
+
+
+@dataclass(slots=True)
+class AskPool:
+    """Ask discovery: for the whole list once, or for all changes from now on."""
+
+    whole: bool
+
+
+@dataclass(slots=True)
+class Complain:
+    """Log what should not have happened."""
+
+    text: str
+
+
+Effect = (SendStep | CancelStep | Answer | SetTimer | GuardDeadline | ProbeDestination | AskPool
+          | Complain)
+
+
+# State.
+
+
+@dataclass(slots=True)
+class _Step:
+    destination: int
+    sent_at: float
+    out: bool = True
+
+
+@dataclass(slots=True)
+class _Operation:
+    deadline_ms: float
+    answered: bool = False  # or the client is gone: nothing is owed
+    steps: list[_Step] = field(default_factory=list)
+
+    @property
+    def over(self) -> bool:
+        return self.answered and not any(step.out for step in self.steps)
+
+
+class Reducer:
+    """The state of one sidecar."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self._settings = settings
+        self._balancer = Balancer(settings, seed)
+        self._operations: dict[int, _Operation] = {}
+        self._now = 0.0
+        self._effects: list[Effect] = []
+        self._events: deque[api.Event] = deque()
+
+    @property
+    def owed(self) -> int:
+        """How many operations still wait for their answer."""
+        return sum(not operation.answered for operation in self._operations.values())
+
+    def step(self, now_ms: float, item: Input) -> list[Effect]:
+        """Take one input in and say what is to be done."""
+        self._now = max(self._now, now_ms)
+        effects: list[Effect] = []
+        self._effects = effects
+        if isinstance(item, OperationCame):
+            self._came(item)
+        elif isinstance(item, StepEnded):
+            self._step_ended(item)
+        elif isinstance(item, TimerDue):
+            self._tell(api.TimerFired(item.token))
+        elif isinstance(item, PoolTold):
+            self._tell(item.update)
+        elif isinstance(item, ProbeEnded):
+            self._tell(api.ProbeResult(item.destination, item.outcome, item.latency_ms, item.load))
+        elif isinstance(item, ClientGone):
+            self._close(item.operation, None)
+        else:
+            # Guards against a module that forgets an operation: it gets its answer within the slack.
+            operation = self._operations.get(item.operation)
+            if operation is not None and not operation.answered:
+                self._effects.append(Complain(f"operation {item.operation} was left unanswered"))
+                self._close(item.operation, Verdict.FAILED)
+        return effects
+
+    def _came(self, item: OperationCame) -> None:
+        operation = self._operations[item.operation] = _Operation(item.deadline_ms)
+        guard = item.deadline_ms + self._settings.rules.answer_slack_ms * GUARD_SHARE
+        self._effects.append(GuardDeadline(item.operation, guard))
+        told = self._tell(api.Request(item.operation, item.deadline_ms, item.cls, 0, item.cost_ms,
+                                      repeat=item.repeat))
+        self._settle(item.operation, operation, told)
+
+    def _step_ended(self, item: StepEnded) -> None:
+        operation = self._operations.get(item.operation)
+        if operation is None or not operation.steps[item.step].out:
+            return
+        step = operation.steps[item.step]
+        step.out = False
+        if item.outcome is api.Outcome.OK and not operation.answered:
+            operation.answered = True
+            self._effects.append(Answer(item.operation, Verdict.SERVED, item.answer))
+        told = self._tell(api.Reply(item.operation, item.step, step.destination, item.outcome,
+                                    self._now - step.sent_at, operation.answered, item.load))
+        self._settle(item.operation, operation, told)
+
+    def _settle(self, number: int, operation: _Operation, told: bool) -> None:
+        # Guards against a module that raised over this operation: the answer is owed all the same.
+        if not told and not operation.answered and not any(step.out for step in operation.steps):
+            self._close(number, Verdict.FAILED)
+        elif operation.over:
+            self._operations.pop(number, None)
+
+    def _close(self, number: int, verdict: Verdict | None) -> None:
+        """End an operation over the module's head: answered by us, or its client gone."""
+        operation = self._operations.get(number)
+        if operation is None or operation.answered:
+            return
+        operation.answered = True
+        if verdict is not None:
+            self._effects.append(Answer(number, verdict))
+        self._tell(api.Left(number))
+        for attempt, step in enumerate(operation.steps):
+            if step.out:  # the module's own cancel may have come already; a second one does nothing
+                self._effects.append(CancelStep(number, attempt))
+        if operation.over:
+            self._operations.pop(number, None)
+
+    def _tell(self, event: api.Event) -> bool:
+        """Let the module decide; False where it raised."""
+        fine = True
+        self._events.append(event)
+        while self._events:
+            try:
+                actions = self._balancer.handle(self._now, self._events.popleft())
+            except Exception:
+                # Guards against a fault in the module: what it had decided so far stands in its books
+                # and is carried out, the rest is answered by us.
+                fine = False
+                self._effects.append(Complain(traceback.format_exc()))
+                actions = self._balancer.out
+            for action in actions:
+                self._act(action)
+        return fine
+
+    def _act(self, action: api.Action) -> None:
+        if isinstance(action, api.Send):
+            self._send(action)
+        elif isinstance(action, api.SetTimer):
+            self._effects.append(SetTimer(action.delay_ms, action.token))
+        elif isinstance(action, api.Cancel):
+            operation = self._operations.get(action.id)
+            if operation is not None and operation.steps[action.attempt].out:
+                self._effects.append(CancelStep(action.id, action.attempt))
+        elif isinstance(action, api.Refuse | api.Fail):
+            operation = self._operations.get(action.id)
+            if operation is None or operation.answered:
+                return
+            operation.answered = True
+            if isinstance(action, api.Fail):
+                self._effects.append(Answer(action.id, Verdict.FAILED))
+            else:
+                wait = min(action.wait_ms, self._settings.limits.max_retry_after_ms)
+                self._effects.append(Answer(action.id, Verdict.BUSY, None,
+                                            wait if self._settings.limits.retry_after else 0.0))
+            if operation.over:
+                del self._operations[action.id]
+        elif isinstance(action, api.Probe):
+            self._effects.append(ProbeDestination(action.host))
+        else:
+            self._effects.append(AskPool(isinstance(action, api.FetchList)))
+
+    def _send(self, action: api.Send) -> None:
+        operation = self._operations.get(action.id)
+        if operation is None:
+            return
+        attempt = len(operation.steps)
+        operation.steps.append(_Step(action.host, self._now))
+        left = operation.deadline_ms - self._now
+        if operation.answered or left <= 0 or attempt >= self._settings.limits.max_attempts:
+            operation.steps[attempt].out = False
+            self._events.append(api.Reply(action.id, attempt, action.host, api.Outcome.MOOT, 0.0,
+                                          operation.answered))
+            return
+        timeout = min(action.timeout_ms, left) if action.timeout_ms else left
+        self._effects.append(SendStep(action.id, attempt, action.host, timeout))
