--- a/coveport/clients.py
+++ b/coveport/clients.py
@@ -45,8 +45,9 @@
     if name not in classes:
         raise http1.BadMessageError(404, "unknown path")
     cls, effect = classes[name]
-    if request.method != ("GET" if effect is api.Effect.SAFE else "POST"):
-        raise http1.BadMessageError(405, "wrong method")
+    method = "GET" if effect is api.Effect.SAFE else "POST"
+    if request.method != method:
+        raise http1.BadMessageError(405, "wrong method", Allow=method)
     number = request.get("x-request-id")
     if number is None or not _ID.fullmatch(number):
         raise http1.BadMessageError(400, "bad X-Request-Id")
@@ -123,7 +124,7 @@
         self._keep = request.keep_alive
         if request.target.partition("?")[0] == HEALTH_PATH:
             if request.method != "GET":
-                raise http1.BadMessageError(405, "wrong method")
+                raise http1.BadMessageError(405, "wrong method", Allow="GET")
             self._write(200 if self._listener.ready() else 503)
             return
         operation = read_operation(request, self._listener.classes)
@@ -136,7 +137,7 @@
         log.note("bad request", f"{problem.status}: {problem}")
         # What was read whole leaves the connection usable, what was not doesn't.
         self._keep = self._keep and problem.status in (404, 405)
-        self._write(problem.status, body=f"{problem}\n".encode())
+        self._write(problem.status, list(problem.headers.items()), f"{problem}\n".encode())
 
     def answer(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
         """Give the one final answer to the operation that came on this connection."""
@@ -162,7 +163,6 @@
                 self._paused = False
                 self._transport.resume_reading()
             self._transport.write_eof()
-            self._listener.loop.call_later(LINGER_S, self.close)
 
     def pause_writing(self) -> None:
         """The client does not read as fast as we write."""
@@ -197,10 +197,10 @@
 
     def check(self, now: float) -> None:
         """Put an end to what takes too long, and to idle connections while the program closes."""
-        if self._operation is not None or self._ended:
+        if self._operation is not None:
             return
-        if self._unsent:
-            if now - self._since > UNREAD_S:
+        if self._unsent or self._ended:
+            if now - self._since > (UNREAD_S if self._unsent else LINGER_S):
                 self.close()
         elif self._parser.begun:
             if now - self._since > HALF_SENT_S:
--- a/coveport/destinations.py
+++ b/coveport/destinations.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import select
+import socket
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -195,6 +197,10 @@
         """Close at once."""
         self._pool.forget(self)
         if self._transport is not None:
+            # Guards against a resend that overtakes the close: abort alone closes in the loop's next turn,
+            # and until then the route step given up would count as still out beside its successor.
+            with contextlib.suppress(OSError):
+                self._transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
             self._transport.abort()
 
     @property
--- a/coveport/effects.py
+++ b/coveport/effects.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -78,7 +79,13 @@
         try:
             while self._inputs:
                 for effect in self._reducer.step(self._clock.now_ms(), self._inputs.popleft()):
-                    self._carry_out(effect)
+                    try:
+                        self._carry_out(effect)
+                    except Exception:
+                        # Guards against one fault taking the other effects along; what it leaves
+                        # undone is answered at the deadline.
+                        self.counters.add("complaints")
+                        log.note("fault", traceback.format_exc())
         finally:
             self._busy = False
 
@@ -105,7 +112,9 @@
             self._place(update)
 
     def _place(self, update: PoolUpdate) -> None:
-        self.feed(core.PoolTold(update.update))  # before any later send
+        if update.update.entries or update.update.kind is not api.ListKind.DELTA or (
+                self._config.settings.must_ask):  # whoever asked waits for an answer, an empty one too
+            self.feed(core.PoolTold(update.update))  # before any later send
         self.destinations.place(update.addresses, update.update.kind is not api.ListKind.DELTA)
 
     # Effects.
--- a/coveport/http1.py
+++ b/coveport/http1.py
@@ -25,9 +25,9 @@
 class BadMessageError(Exception):
     """What came is no message that we take; `status` is the answer to a client that sent it."""
 
-    def __init__(self, status: int, text: str) -> None:
+    def __init__(self, status: int, text: str, **headers: str) -> None:
         super().__init__(text)
-        self.status = status
+        self.status, self.headers = status, headers
 
 
 @dataclass(slots=True)
--- a/coveport/pool_config.py
+++ b/coveport/pool_config.py
@@ -16,6 +16,7 @@
 
 PATH = "/catalog/members"
 WATCH_MS = 3000  # short: what discovery has to tell counts as told soon after a wait should have ended
+EMPTY_S = 0.1  # a watch that tells nothing and did not wait this long is followed by the next after it
 GRACE_S = 0.7  # how much longer than its wait a call may take; discovery goes silent without closing
 FIRST_S = 1.0  # how long a call that need not wait may take
 RETRY_S = (0.02, 0.1, 0.3)  # pauses after the first, second and further failures in a row
@@ -131,7 +132,7 @@
         self._busy = False
         self._sequence: int | None = None  # None: the whole list is wanted next
         self._watching = self._asked_whole = self._closed = False
-        self._failures = 0
+        self._failures, self._called_at = 0, 0.0
         self._bound: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -180,6 +181,7 @@
             target += f"?after={self._sequence}&wait_ms={WATCH_MS}"
             self._arm(WATCH_MS / 1000 + GRACE_S)
         self._counters.add("pool_calls")
+        self._called_at = self._loop.time()
         host = f"{self._address[0]}:{self._address[1]}"
         transport.write(http1.write_request("GET", target, [("Host", host)]))
 
@@ -219,8 +221,14 @@
             self._bound.cancel()
         self._sequence = update.update.version
         self._tell(update)
-        if not self._busy:  # what was just told may have made the module ask
+        if self._busy:  # what was just told has made the module ask
+            return
+        if update.update.entries or self._loop.time() - self._called_at > EMPTY_S:
             self._next()
+        else:
+            # Guards against a discovery that doesn't wait: asked again at once, it would keep us busy.
+            self._busy = True
+            self._loop.call_later(EMPTY_S, self._next)
 
     def _failed(self, call: _Call, text: str) -> None:
         if call is not self._call:
--- /dev/null
+++ b/tests/test_http1.py
@@ -0,0 +1,71 @@
+"""The parsers: what they read does not depend on how the bytes were cut, and no bytes break them."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coveport import http1
+
+CUTS = st.lists(st.integers(1, 40), max_size=30)
+
+def pieces(data: bytes, cuts: list[int]) -> list[bytes]:
+    found, at = [], 0
+    for cut in cuts:
+        found.append(data[at:at + cut])
+        at += cut
+    return [*found, data[at:]]
+
+
+@given(st.lists(st.tuples(st.binary(max_size=80), st.booleans()), max_size=5), CUTS)
+def test_requests_read_the_same_however_cut(bodies: list[tuple[bytes, bool]], cuts: list[int]) -> None:
+    data = b""
+    for body, chunked in bodies:
+        if chunked:
+            chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in (body[:9], body[9:]) if part)
+            data += (b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: Chunked\r\n\r\n"
+                     + chunks + b"0\r\nTrailer: t\r\n\r\n")
+        else:
+            data += http1.write_request("POST", "/a", [("Host", "x")], body) + b"\r\n" * (len(body) % 2)
+    parser, found = http1.RequestParser(), list[bytes]()
+    for piece in pieces(data, cuts):
+        parser.feed(piece)
+        while (request := parser.next_request()) is not None:
+            assert (request.method, request.target, request.keep_alive) == ("POST", "/a", True)
+            found.append(request.body)
+    assert found == [body for body, _ in bodies]
+
+
+@given(st.sampled_from([b"Content-Length: 4\r\n\r\nbody",
+                        b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                        b"Connection: close\r\n\r\nbody"]), CUTS)
+def test_responses_read_the_same_however_they_are_framed(rest: bytes, cuts: list[int]) -> None:
+    data = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Load: a=1\r\n" + rest
+    parser, found = http1.ResponseParser(), None
+    for piece in pieces(data, cuts):
+        parser.feed(piece)
+        found = found or parser.next_response()
+    found = found or parser.end()
+    assert found is not None and (found.status, found.body) == (200, b"body")
+    assert found.headers["x-load"] == ["a=1"]
+    assert found.keep_alive is (b"close" not in rest) and not parser.begun
+
+
+@given(st.binary(max_size=300), st.sampled_from([b"", b"GET / HTTP/1.1\r\n", b"HTTP/1.1 200 OK\r\n"]))
+def test_no_bytes_do_more_than_be_refused(data: bytes, start: bytes) -> None:
+    for parser in (http1.RequestParser(), http1.ResponseParser()):
+        parser.feed(start + data + b"\r\n\r\n")
+        try:
+            while parser.next() is not None:
+                pass
+        except http1.BadMessageError as problem:
+            assert problem.status in (400, 413, 431, 501, 505)
+
+
+@pytest.mark.parametrize("end", [b"Content-Length: 5\r\n\r\nbody", b"Content-Length: 4\r\n",
+                                 b"Transfer-Encoding: chunked\r\n\r\n4\r\nbo"])
+def test_half_an_answer_is_none(end: bytes) -> None:
+    parser = http1.ResponseParser()
+    parser.feed(b"HTTP/1.1 200 OK\r\n" + end)
+    assert parser.next_response() is None and parser.end() is None
--- /dev/null
+++ b/tests/test_reducer.py
@@ -0,0 +1,122 @@
+"""The reducer: one final answer per operation and one outcome per route step, whatever happens."""
+
+from __future__ import annotations
+
+import pytest
+from helpers import hosts, settings
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coveport import reducer as core
+from micaflow import Balancer
+from micaflow import interface as api
+
+FULL = api.ListUpdate(api.ListKind.FULL, hosts())
+
+
+def started(entries: api.ListUpdate = FULL) -> core.Reducer:
+    reducer = core.Reducer(settings(), 7)
+    assert reducer.step(1000.0, core.PoolTold(entries)) == []
+    return reducer
+
+
+@given(st.lists(st.tuples(st.integers(0, 9), st.integers(0, 300), st.sampled_from(api.Outcome)), max_size=60))
+def test_each_operation_gets_one_answer(script: list[tuple[int, int, api.Outcome]]) -> None:
+    reducer, now, answers, gone = started(), 1000.0, dict[int, int](), set[int]()
+    out: set[tuple[int, int]] = set()
+    timers: list[tuple[float, core.Input]] = []
+
+    def step(item: core.Input) -> None:
+        for effect in reducer.step(now, item):
+            if isinstance(effect, core.Answer):
+                answers[effect.operation] = answers.get(effect.operation, 0) + 1
+                assert effect.operation not in gone
+            elif isinstance(effect, core.SendStep):
+                assert (effect.operation, effect.step) not in out
+                assert effect.operation not in answers and effect.operation not in gone
+                out.add((effect.operation, effect.step))
+                timers.append((now + effect.timeout_ms,
+                               core.StepEnded(effect.operation, effect.step, api.Outcome.TIMEOUT)))
+            elif isinstance(effect, core.CancelStep):
+                assert (effect.operation, effect.step) in out
+                timers.append((now, core.StepEnded(effect.operation, effect.step, api.Outcome.CANCELLED)))
+            elif isinstance(effect, core.SetTimer):
+                timers.append((now + effect.delay_ms, core.TimerDue(effect.token)))
+            elif isinstance(effect, core.GuardDeadline):
+                timers.append((effect.at_ms, core.DeadlineDue(effect.operation)))
+
+    def advance(until: float) -> None:
+        nonlocal now
+        while timers and min(timers, key=lambda one: one[0])[0] <= until:
+            timer = min(timers, key=lambda one: one[0])
+            timers.remove(timer)
+            now = max(now, timer[0])
+            step(timer[1])
+        now = max(now, until)
+
+    came = 0
+    for kind, wait, outcome in script:
+        advance(now + wait)
+        if kind < 5:
+            came += 1
+            step(core.OperationCame(came, kind % 3, now + 1500.0))
+        elif kind < 9 and out:
+            operation, attempt = sorted(out)[wait % len(out)]
+            step(core.StepEnded(operation, attempt, outcome))
+        elif came and came not in answers:
+            gone.add(came)
+            step(core.ClientGone(came))
+    if not gone:
+        advance(now + 1520.0)  # the deadline and the slack
+    advance(now + 10_000.0)
+    assert answers == dict.fromkeys(set(range(1, came + 1)) - gone, 1) and reducer.owed == 0
+
+
+def test_a_module_that_raises_leaves_nothing_owed(monkeypatch: pytest.MonkeyPatch) -> None:
+    reducer, handle = started(), Balancer.handle
+
+    def fails(self: Balancer, now_ms: float, event: api.Event) -> list[api.Action]:
+        handle(self, now_ms, event)
+        raise KeyError("a fault in the module")
+
+    monkeypatch.setattr(Balancer, "handle", fails)
+    came = reducer.step(1001.0, core.OperationCame(1, 0, 3000.0))
+    sent = [effect for effect in came if isinstance(effect, core.SendStep)]
+    assert len(sent) == 1  # what was decided before the fault is carried out
+    assert any(isinstance(effect, core.Complain) for effect in came)
+    ended = reducer.step(1002.0, core.StepEnded(1, 0, api.Outcome.OK, (), "body"))
+    assert [e.answer for e in ended if isinstance(e, core.Answer)] == ["body"] and reducer.owed == 0
+
+    def raises(self: Balancer, now_ms: float, event: api.Event) -> list[api.Action]:
+        self.out = []
+        raise KeyError("a fault in the module")
+
+    monkeypatch.setattr(Balancer, "handle", raises)
+    verdicts = [e.verdict for e in reducer.step(1003.0, core.OperationCame(2, 2, 3000.0))
+                if isinstance(e, core.Answer)]
+    assert verdicts == [core.Verdict.FAILED] and reducer.owed == 0
+    monkeypatch.undo()
+    assert any(isinstance(e, core.SendStep) for e in reducer.step(1004.0, core.OperationCame(3, 0, 3000.0)))
+
+
+def test_what_the_module_forgets_is_failed_at_its_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
+    reducer = started()
+    monkeypatch.setattr(Balancer, "handle", lambda self, now, event: [])
+    (guard,) = reducer.step(1001.0, core.OperationCame(1, 0, 3000.0))
+    assert isinstance(guard, core.GuardDeadline) and 3000.0 < guard.at_ms < 3020.0
+    effects = reducer.step(guard.at_ms, core.DeadlineDue(1))
+    verdicts = [effect.verdict for effect in effects if isinstance(effect, core.Answer)]
+    assert verdicts == [core.Verdict.FAILED]
+
+
+def test_a_send_for_what_is_over_is_moot(monkeypatch: pytest.MonkeyPatch) -> None:
+    reducer, told = started(), list[api.Event]()
+
+    def sends(self: Balancer, now_ms: float, event: api.Event) -> list[api.Action]:
+        told.append(event)
+        return [api.Send(1, 100, 0.0)] if isinstance(event, api.Request) else []
+
+    monkeypatch.setattr(Balancer, "handle", sends)
+    effects = reducer.step(1001.0, core.OperationCame(1, 0, 1000.0))  # its time has passed already
+    assert not any(isinstance(effect, core.SendStep) for effect in effects)
+    assert isinstance(told[-1], api.Reply) and told[-1].outcome is api.Outcome.MOOT
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,289 @@
+"""The real program as a process, spoken to as its client, its ledger nodes and its discovery would."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from world import SILENT, Seen, Server, free_port, receive, reply, request, reset, served, wait_for, world
+
+
+def test_an_operation_passes_through_unchanged(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, node.address) as one:
+        status, _, body = one.ask("GET /balance/7?of=me", X_Request_Id="9b1f03aa")
+        assert (status, body) == (200, b"served 9b1f03aa")
+        data = bytes(range(256)) * 256  # 64 KiB: the most there may be, and more than one write takes
+        node.handler = lambda seen: reply(200, seen.body)
+        assert one.ask("POST /earn", data, Idempotency_Key="k-1")[::2] == (200, data)
+    first, second = node.seen
+    assert (first.method, first.target, first.body) == ("GET", "/balance/7?of=me", b"")
+    assert (second.headers["idempotency-key"], second.body) == ("k-1", data)
+    assert 0 < int(first.headers["x-deadline"].removesuffix("m")) <= 1000
+
+
+HOST = b"Host: a\r\nX-Request-Id: 1\r\nX-Deadline: 900m\r\n"
+
+
+@pytest.mark.parametrize(("data", "status", "closed"), [
+    (b"garbage\r\n\r\n", 400, True),
+    (b"GET /balance HTTP/1.1\r\nX-Request-Id: 1\r\nX-Deadline: 900m\r\n\r\n", 400, True),
+    (b"GET /balance HTTP/1.1\r\nHost: a\r\nX-Deadline: 900m\r\n\r\n", 400, True),
+    (b"GET /balance HTTP/1.1\r\nHost: a\r\nX-Request-Id: a b\r\nX-Deadline: 900m\r\n\r\n", 400, True),
+    (b"GET /balance HTTP/1.1\r\nHost: a\r\nX-Request-Id: 1\r\nX-Deadline: 900s\r\n\r\n", 400, True),
+    (b"GET /balance HTTP/1.1\r\nHost: a\r\nX-Request-Id: 1\r\nX-Deadline: 0m\r\n\r\n", 400, True),
+    (b"GET /balance HTTP/1.1\r\n" + HOST + b"X-Deadline: 800m\r\n\r\n", 400, True),
+    (b"POST /redeem HTTP/1.1\r\n" + HOST + b"Content-Length: 2\r\nContent-Length: 2\r\n\r\nab", 400, True),
+    (b"POST /redeem HTTP/1.1\r\n" + HOST + b"Content-Length: +2\r\n\r\nab", 400, True),
+    (b"POST /redeem HTTP/1.1\r\n" + HOST
+     + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, True),
+    (b"POST /earn HTTP/1.1\r\n" + HOST + b"Content-Length: 0\r\n\r\n", 400, True),
+    (b"POST /redeem HTTP/1.1\r\n" + HOST + b"Content-Length: 65537\r\n\r\n", 413, True),
+    (b"GET /balance HTTP/1.1\r\n" + HOST + b"X: " + b"x" * 20_000, 431, True),
+    (b"GET /nothing HTTP/1.1\r\n" + HOST + b"\r\n", 404, False),
+    (b"POST /balance HTTP/1.1\r\n" + HOST + b"Content-Length: 0\r\n\r\n", 405, False),
+    (b"GET /redeem HTTP/1.1\r\n" + HOST + b"\r\n", 405, False),
+    (b"GET /balance HTTP/1.1\r\n" + HOST + b"\r\n", 200, False),
+    (b"GET /balance HTTP/1.1\r\n" + HOST.replace(b"900m", b"900000.5u") + b"\r\n", 200, False),
+    (b"POST /redeem HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n2;x\r\nab\r\n0\r\n\r\n",
+     200, False),
+])
+def test_bad_input_is_told_from_good(shared: tuple[Server, object], data: bytes, status: int,
+                                     closed: bool) -> None:
+    before = len(shared[0].seen)
+    assert shared[1].raw(data) == (status, closed)  # type: ignore[attr-defined]
+    assert len(shared[0].seen) == before + (status == 200)
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory: pytest.TempPathFactory) -> object:
+    node = Server(served)
+    with world(tmp_path_factory.mktemp("shared"), node.address) as one:
+        yield node, one
+
+
+@pytest.mark.parametrize(("answer", "balance", "redeem"), [
+    (reply(500), True, False),  # may have run
+    (reply(503), True, False),  # the cautious reading
+    (reply(504), True, False),
+    (reply(503, X_Not_Run="1"), True, True),  # never ran
+    (None, True, False),  # a reset after the last byte
+    (b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", True, False),  # garbled
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nhalf", True, False),  # not whole
+])
+def test_what_may_have_run_is_resent_only_as_its_class_allows(
+        tmp_path: Path, answer: bytes | None, balance: bool, redeem: bool) -> None:
+    def first_fails(seen: Seen) -> bytes | None:
+        count = sum(one.headers["x-request-id"] == seen.headers["x-request-id"] for one in all_seen())
+        return answer if count == 1 else served(seen)
+
+    nodes = [Server(first_fails), Server(first_fails)]
+
+    def all_seen() -> list[Seen]:
+        return [seen for node in nodes for seen in node.seen]
+
+    with world(tmp_path, *(node.address for node in nodes)) as one:
+        status, _, _ = one.ask("GET /balance")
+        assert (status == 200) is balance and len(all_seen()) == 2
+        for node in nodes:
+            node.seen.clear()
+        time.sleep(1.0)  # until their trials are due
+        status, _, _ = one.ask("POST /redeem")
+        assert (status == 200) is redeem and len(all_seen()) == 1 + redeem
+
+
+def test_a_refused_connection_costs_nothing(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, f"127.0.0.1:{free_port()}", node.address) as one:
+        assert [one.ask("POST /redeem")[0] for _ in range(4)] == [200] * 4
+    assert len(node.seen) == 4
+
+
+def test_a_connection_is_reused_until_its_end_shows(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, node.address) as one:
+        assert [one.ask("POST /redeem")[0] for _ in range(3)] == [200] * 3
+        assert node.connections == 1
+        node.open[0].shutdown(socket.SHUT_WR)
+        wait_for(lambda: node.ended == 1)
+        assert one.ask("POST /redeem")[0] == 200
+        node.open[1].sendall(b"HTTP/1.1 200 OK\r\n")  # stray bytes
+        wait_for(lambda: node.ended == 2)
+        assert one.ask("POST /redeem")[0] == 200 and node.connections == 3
+        wait_for(lambda: node.ended == 3)  # idle: closed by us, well before the 5 s of the settings
+
+
+def test_silence_is_answered_in_time_and_its_connection_closed(tmp_path: Path) -> None:
+    node = Server(lambda seen: SILENT)
+    with world(tmp_path, node.address) as one:
+        start = time.monotonic()
+        status, _, _ = one.ask("POST /redeem", X_Deadline="400m")
+        assert status == 500 and 0.3 < time.monotonic() - start < 2
+        wait_for(lambda: node.ended == 1)
+        assert one.figures()["outcome_timeout"] == 1
+
+
+def test_a_client_that_goes_away_takes_its_route_step_along(tmp_path: Path) -> None:
+    node = Server(lambda seen: SILENT)
+    with world(tmp_path, node.address) as one:
+        conn = one.connect()
+        conn.sendall(request("POST /redeem", X_Deadline="5000m"))
+        wait_for(lambda: len(node.seen) == 1)
+        reset(conn)
+        wait_for(lambda: node.ended == 1, 2)
+        figures = one.figures()
+        assert (figures["owed"], figures["outcome_cancelled"]) == (0, 1)
+
+
+def test_operations_follow_each_other_on_a_connection(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, node.address) as one, one.connect() as conn:
+        held = bytearray()
+        conn.sendall(b"".join(request("GET /balance", X_Request_Id=str(n)) for n in range(20)))
+        assert [receive(conn, held)[2] for _ in range(20)] == [b"served %d" % n for n in range(20)]
+        data = request("POST /redeem", b"body")
+        for at in range(len(data)):  # a byte at a time
+            conn.sendall(data[at:at + 1])
+        assert receive(conn, held)[2].endswith(b"body")
+
+
+def test_a_half_sent_request_times_out(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, node.address) as one:
+        assert one.raw(request("POST /redeem", b"body")[:-1]) == (408, True)
+
+
+def test_a_destination_that_drains_is_sent_nothing_new(tmp_path: Path) -> None:
+    nodes = [Server(served), Server(served)]
+    with world(tmp_path, *(node.address for node in nodes)) as one:
+        calls = len(one.discovery.server.seen)
+        one.discovery.put("s-0", nodes[0].address, "leaving")
+        wait_for(lambda: len(one.discovery.server.seen) > calls)
+        before = len(nodes[0].seen)
+        assert {one.ask("GET /balance")[0] for _ in range(20)} == {200}
+        assert len(nodes[0].seen) == before
+
+
+def test_a_garbled_list_keeps_the_last_good_one(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, node.address) as one:
+        for garbled in (b'{"seq":9,"whole":true,"hosts":[{}]}', b"[", b'{"seq":9}', b"null"):
+            one.discovery.answer = reply(200, garbled)
+            one.discovery.put("s-9", "127.0.0.1:1")
+            calls = len(one.discovery.server.seen)
+            wait_for(lambda: len(one.discovery.server.seen) > calls + 1)  # noqa: B023
+            assert one.ask("GET /balance")[0] == 200
+        one.discovery.answer = None
+        del one.discovery.hosts["s-9"]
+        one.discovery.put("s-0", node.address)
+        wait_for(lambda: one.figures()["pool_updates"] >= 2)
+        assert "garbled" in one.log.read_text() and one.ask("GET /balance")[0] == 200
+
+
+def test_a_silent_discovery_is_dialled_again(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, node.address, answer=SILENT) as one:  # the known list has to do
+        assert one.ask("GET /balance")[0] == 200
+        wait_for(lambda: one.discovery.server.connections > 1)
+        other = Server(served)
+        one.discovery.put("s-0", other.address)
+        one.discovery.answer = None
+        wait_for(lambda: one.ask("GET /balance")[0] == 200 and len(other.seen) > 0)
+
+
+def test_ready_only_with_a_list(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, node.address, known=False, ready=False, answer=SILENT) as one:
+        time.sleep(0.8)
+        assert one.ask("GET /_health")[0] == 503
+        one.discovery.answer = None
+        wait_for(lambda: one.ask("GET /_health")[0] == 200)
+
+
+def test_a_list_that_must_be_asked_for(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, node.address, told={"registry_mode": "subscribe"}) as one:
+        other = Server(served)
+        one.discovery.put("s-0", other.address)
+        wait_for(lambda: one.ask("GET /balance")[0] == 200 and len(other.seen) > 0)
+
+
+def test_a_planned_end_loses_nothing(tmp_path: Path) -> None:
+    def slow(seen: Seen) -> bytes:
+        time.sleep(1.2)
+        return served(seen)
+
+    node = Server(slow)
+    with world(tmp_path, node.address) as one, one.connect() as busy, one.connect() as idle:
+        busy.sendall(request("POST /redeem", X_Deadline="5000m"))
+        wait_for(lambda: len(node.seen) == 1)
+        one.process.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        with one.connect() as late:  # new ones still come
+            late.sendall(request("POST /redeem", X_Deadline="5000m"))
+            assert idle.recv(1) == b""  # closed between requests, after a while
+            assert receive(busy)[0] == receive(late)[0] == 200
+        assert one.process.wait(5) == 0
+        figures = json.loads(one.log.read_text().split("counters ")[-1].splitlines()[0])
+        assert (figures["answers_served"], figures["owed"], figures["phase"]) == (2, 0, "stopped")
+
+
+def test_few_descriptors_are_survived(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, node.address, sockets=40) as one:
+        crowd = [one.connect() for _ in range(60)]
+        time.sleep(0.3)
+        assert one.ask("GET /balance")[0] == 200
+        for conn in crowd:
+            conn.close()
+        wait_for(lambda: one.ask("GET /balance")[0] == 200)
+        assert one.stop() == 0
+
+
+def test_a_probe_brings_a_destination_back(tmp_path: Path) -> None:
+    def handler(seen: Seen) -> bytes | None:
+        return reply(200) if seen.target == "/ping" else served(seen) if healthy else None
+
+    healthy = False
+    node = Server(handler)
+    with world(tmp_path, node.address, Server(served).address, probes=True) as one:
+        wait_for(lambda: one.ask("GET /balance")[0] == 200 and len(node.seen) > 0)
+        healthy = True
+        node.seen.clear()
+        wait_for(lambda: one.ask("GET /balance")[0] == 200
+                 and any(seen.target != "/ping" for seen in node.seen), 20)
+        assert node.seen[0].target == "/ping" and "x-request-id" not in node.seen[0].headers
+
+
+@pytest.mark.parametrize("text", [None, "", "[]", "{}", '{"settings":{"classes":[]}}'])
+def test_a_wrong_configuration_is_one_line_and_exit_2(tmp_path: Path, text: str | None) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    ended = subprocess.run([sys.executable, "-m", "coveport"], stderr=subprocess.PIPE, text=True, timeout=20,
+                           env={**os.environ, "LB_CONFIG": str(path)}, check=False)
+    assert ended.returncode == 2 and len(ended.stderr.splitlines()) == 1
+
+
+def test_the_example_serves(tmp_path: Path) -> None:
+    root = Path(__file__).parent.parent
+    toy = subprocess.Popen([sys.executable, "example/toy_server.py", "0"], cwd=root, text=True,
+                           stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+    assert toy.stdout is not None
+    discovery = toy.stdout.readline().split()[-1]
+    config = json.loads((root / "example" / "config.json").read_text())
+    try:
+        with world(tmp_path, config=config | {"discovery": discovery}) as one:
+            status, _, body = one.ask("POST /redeem/points", b"{}", X_Request_Id="abc")
+            assert status == 200 and json.loads(body) == {"path": "/redeem/points", "id": "abc", "bytes": 2}
+    finally:
+        toy.kill()
+        toy.wait()
+        toy.stdout.close()
