--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -426,9 +426,14 @@
 
     def _answer(self, request: _Request) -> None:
         """Close a request ourselves: refused where that is harmless to retry, failed otherwise."""
-        self.out.append(api.Refuse(request.id) if self._legal(request, None) else api.Fail(request.id))
+        refused = api.Refuse(request.id, self._come_back(request))
+        self.out.append(refused if self._legal(request, None) else api.Fail(request.id))
         self._end(request.id)
 
+    def _come_back(self, request: _Request) -> float:
+        """Advice on when to try again: once what is out now is answered or given up, an aim at the latest."""
+        return min(request.cls.aim_ms, self.limits.max_retry_after_ms) if self.limits.retry_after else 0.0
+
     def _end(self, number: int, stream: int = -1) -> None:
         request = self.open.get(number)
         if request is None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -106,6 +106,16 @@
     assert len(node.seen) == 4
 
 
+def test_a_busy_reply_says_when_to_come_back(tmp_path: Path) -> None:
+    turned_away = Server(lambda seen: reply(503, X_Not_Run="1"))
+    with world(tmp_path, turned_away.address) as one:
+        status, headers, _ = one.ask("POST /redeem", X_Deadline="600m")
+        assert (status, float(headers["retry-after"])) == (503, 2.0)  # the most that a client honours
+        turned_away.handler = lambda seen: reply(500)
+        status, headers, _ = one.ask("POST /redeem", X_Deadline="2000m")
+        assert status == 500 and "retry-after" not in headers
+
+
 def test_a_connection_is_reused_until_its_end_shows(tmp_path: Path) -> None:
     node = Server(served)
     with world(tmp_path, node.address) as one:
@@ -120,6 +130,18 @@
         wait_for(lambda: node.ended == 3)  # idle: closed by us, well before the 5 s of the settings
 
 
+def test_a_connection_that_ends_just_before_its_reuse_is_not_reused(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, node.address) as one, one.connect() as conn:
+        conn.sendall(request("POST /redeem"))
+        assert receive(conn)[0] == 200
+        one.process.send_signal(signal.SIGSTOP)
+        conn.sendall(request("POST /redeem"))  # read first, as it came first
+        node.open[0].shutdown(socket.SHUT_WR)
+        one.process.send_signal(signal.SIGCONT)
+        assert receive(conn)[0] == 200 and node.connections == 2
+
+
 def test_silence_is_answered_in_time_and_its_connection_closed(tmp_path: Path) -> None:
     node = Server(lambda seen: SILENT)
     with world(tmp_path, node.address) as one:
