A late connection to discovery asks nothing; the planned end waits 1 s for half-sent requests

Found by reading: pool_config._make_call went on after its connect had been given up for silence. When the connection came up late it asked on whatever call was on by then, a second request on a busy connection, or ended in an AttributeError where none was. It is closed now. At the planned end a half-sent request is not taken, so it is waited for 1 s, not 5.

--- a/coveport/clients.py
+++ b/coveport/clients.py
@@ -222,7 +222,7 @@
             if now - self._since > (UNREAD_S if self._unsent else LINGER_S):
                 self.close()
         elif self._parser.begun:
-            if now - self._since > HALF_SENT_S:
+            if now - self._since > (LINGER_S if self._listener.closing else HALF_SENT_S):
                 self._keep = False
                 self._reject(http1.BadMessageError(408, "the request did not come whole"))
         elif self._listener.closing and self.may_close(now):
--- a/coveport/pool_config.py
+++ b/coveport/pool_config.py
@@ -170,6 +170,11 @@
             except OSError as problem:
                 self._failed(call, f"no connection: {problem}")
                 return
+            if call is not self._call:
+                # Guards against a connection that comes up after it was given up: another call is on.
+                if call.transport is not None:
+                    call.transport.abort()
+                return
         call, transport = self._call, self._call.transport
         if transport is None or transport.is_closing():
             self._failed(call, "the connection has ended")
