A cancel that names no route step is logged and survived; failed subscriptions are tested

Found by reading: Reducer._act indexed the route steps with whatever attempt the module named, so a faulty cancel would have taken the other effects of its input along. The test fails on the old code with an IndexError.

--- a/coveport/reducer.py
+++ b/coveport/reducer.py
@@ -287,22 +287,27 @@
                 self._effects.append(Complain(traceback.format_exc()))
                 actions = self._balancer.out
             for action in actions:
-                self._act(action)
+                fine = self._act(action) and fine
         return fine
 
-    def _act(self, action: api.Action) -> None:
+    def _act(self, action: api.Action) -> bool:
+        """Do what the module says; False where it makes no sense."""
         if isinstance(action, api.Send):
             self._send(action)
         elif isinstance(action, api.SetTimer):
             self._effects.append(SetTimer(action.delay_ms, action.token))
         elif isinstance(action, api.Cancel):
             operation = self._operations.get(action.id)
+            if operation is not None and not 0 <= action.attempt < len(operation.steps):
+                # Guards against a module that cancels what it never sent.
+                self._effects.append(Complain(f"{action} names no route step"))
+                return False
             if operation is not None and operation.steps[action.attempt].out:
                 self._effects.append(CancelStep(action.id, action.attempt))
         elif isinstance(action, api.Refuse | api.Fail):
             operation = self._operations.get(action.id)
             if operation is None or operation.answered:
-                return
+                return True
             operation.answered = True
             if isinstance(action, api.Fail):
                 self._effects.append(Answer(action.id, Verdict.FAILED))
@@ -314,6 +319,7 @@
             self._effects.append(ProbeDestination(action.host))
         else:
             self._effects.append(AskPool(isinstance(action, api.FetchList)))
+        return True
 
     def _busy(self, number: int, wait_ms: float) -> Answer:
         limits = self._settings.limits
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -109,6 +109,14 @@
     assert verdicts == [core.Verdict.FAILED]
 
 
+def test_a_cancel_of_what_was_never_sent_is_survived(monkeypatch: pytest.MonkeyPatch) -> None:
+    reducer = started()
+    decided = [api.Cancel(1, 3), api.Send(1, 100, 0.0)]
+    monkeypatch.setattr(Balancer, "handle", lambda self, now, event: decided)
+    effects = reducer.step(1001.0, core.OperationCame(1, 0, 3000.0))
+    assert [type(effect) for effect in effects] == [core.GuardDeadline, core.Complain, core.SendStep]
+
+
 def test_a_send_for_what_is_over_is_moot(monkeypatch: pytest.MonkeyPatch) -> None:
     reducer, told = started(), list[api.Event]()
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -249,7 +249,10 @@
 
 def test_a_list_that_must_be_asked_for(tmp_path: Path) -> None:
     node = Server(served)
-    with world(tmp_path, node.address, told={"registry_mode": "subscribe"}) as one:
+    with world(tmp_path, node.address, told={"registry_mode": "subscribe"}, answer=reply(500)) as one:
+        wait_for(lambda: one.ask("GET /balance")[0] == 200 and len(one.discovery.server.seen) > 1)
+        assert len(one.discovery.server.seen) < 10  # each failure is told, and asked after in its own time
+        one.discovery.answer = None
         other = Server(served)
         one.discovery.put("s-0", other.address)
         wait_for(lambda: one.ask("GET /balance")[0] == 200 and len(other.seen) > 0)
