Operations sent ahead are answered at the planned end; what remains is written down

Found by reading clients._write: at the planned end the first answer closed the connection, though further whole operations could stand read behind it: taken and lost. The connection now ends once nothing is begun on it. The new test fails on the old code. Also: write_eof on a connection that the client has just reset raised into the reducer's effects, and Listener.wind_up could wait for ever where accept pauses after EMFILE.

--- a/coveport/clients.py
+++ b/coveport/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import re
 from collections.abc import Callable
@@ -17,6 +18,7 @@
 HALF_SENT_S = 5.0  # how long a request may take to come in whole
 UNREAD_S = 10.0  # how long a client may take to read an answer
 FRESH_S = 0.5  # how long a connection that has never carried a request is taken to be about to
+ACCEPT_S = 2.0  # how long the planned end takes in what waits; asyncio pauses for 1 s after EMFILE
 LINGER_S = 1.0  # how long to read on after a farewell, which a reset would destroy
 SWEEP_S = 0.25
 MOST_HELD = http1.MAX_HEAD + http1.MAX_BODY  # sent ahead of its turn; what is over that waits below
@@ -153,7 +155,8 @@
     def _write(self, status: int, headers: list[tuple[str, str]] | None = None, body: bytes = b"") -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        keep = self._keep and not self._listener.closing and not self.too_many
+        ending = (self._listener.closing or self.too_many) and not self._parser.begun  # begun: taken, or soon
+        keep = self._keep and not ending
         lines = [*(headers or ()), *(() if keep else (("Connection", "close"),))]
         self._since, self._used = self._listener.loop.time(), True
         self._transport.write(http1.write_response(status, lines, body))
@@ -167,7 +170,9 @@
             if self._paused:
                 self._paused = False
                 self._transport.resume_reading()
-            self._transport.write_eof()
+            # Guards against a client that has reset the connection meanwhile.
+            with contextlib.suppress(OSError):
+                self._transport.write_eof()
 
     def pause_writing(self) -> None:
         """The client does not read as fast as we write."""
@@ -300,7 +305,9 @@
         """Take no new connections; close those between requests, each other one after its answer."""
         if self._server is not None:
             # Guards against losing what was taken: connections may still wait to be accepted.
-            while any(not is_quiet_socket(one.fileno()) for one in self._server.sockets):
+            end = self.loop.time() + ACCEPT_S
+            while (any(not is_quiet_socket(one.fileno()) for one in self._server.sockets)
+                   and self.loop.time() < end):
                 await asyncio.sleep(0.001)
             self._server.close()
         self.closing = True
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -278,6 +278,20 @@
         assert (figures["answers_served"], figures["owed"], figures["phase"]) == (2, 0, "stopped")
 
 
+def test_operations_sent_ahead_are_answered_at_the_planned_end(tmp_path: Path) -> None:
+    def slow(seen: Seen) -> bytes:
+        time.sleep(0.5)
+        return served(seen)
+
+    node = Server(slow)
+    with world(tmp_path, node.address) as one, one.connect() as conn:
+        held = bytearray()
+        one.process.send_signal(signal.SIGTERM)
+        conn.sendall(b"".join(request("POST /redeem", X_Deadline="5000m") for _ in range(4)))
+        assert [receive(conn, held)[0] for _ in range(4)] == [200] * 4
+        assert conn.recv(1) == b"" and one.process.wait(5) == 0
+
+
 def test_a_rush_of_new_connections_loses_nothing(tmp_path: Path) -> None:
     # Found on an overloaded day with few descriptors: connections were closed to make room right after
     # they had been accepted, with their first requests unread.
