SIGHUP reads the configuration anew and moves discovery; gone nodes leave the tables

Checked: the address in the file has to beat LB_DISCOVERY after a reload (config.load, again=True); lists of the old discovery must not be taken in after the new one's whole list, as versions differ (pool_config.told). Lines also at fault, found by reading: PoolReader._hosts and _cells only grew; Destinations kept idle connections by address, so a new id at an old address got its predecessor's (destinations.place).

--- a/coveport/__main__.py
+++ b/coveport/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from collections.abc import Mapping
 from typing import Any
 
 from coveport import config as configuration
@@ -24,7 +25,7 @@
 CLIENT_SHARE = 0.5  # of the descriptors; destinations have 0.4, the rest is for all else
 
 
-async def serve(config: configuration.Config) -> int:
+async def serve(config: configuration.Config, environ: Mapping[str, str]) -> int:
     """Run until told to stop and nothing is owed."""
     loop = asyncio.get_running_loop()
     counters, life = Counters(), Lifecycle()
@@ -48,9 +49,18 @@
         if life.enter(Phase.DRAINING):
             stop.set()
 
+    def reload() -> None:
+        try:
+            effects.reload(configuration.load(environ, again=True))
+        except configuration.ConfigError as problem:
+            # Guards against a bad file, or one that is half written: we run on with what we have.
+            counters.add("reloads_bad")
+            log.say(f"{config.name}: kept the old configuration: {problem}")
+
     loop.set_exception_handler(unexpected)
     loop.add_signal_handler(signal.SIGTERM, terminate)
     loop.add_signal_handler(signal.SIGINT, terminate)
+    loop.add_signal_handler(signal.SIGHUP, reload)
     loop.add_signal_handler(signal.SIGUSR1, figures)
     life.listen(lambda phase: log.say(f"{config.name}: {phase.value}"))
 
@@ -89,12 +99,14 @@
 
 def main() -> int:
     """Start; 2 where the configuration is wrong."""
+    # Guards against a SIGHUP that comes before there is a handler: it would end us.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         config = configuration.load(os.environ)
     except configuration.ConfigError as problem:
         log.say(str(problem))
         return 2
-    return asyncio.run(serve(config))
+    return asyncio.run(serve(config, os.environ))
 
 
 if __name__ == "__main__":
--- a/coveport/config.py
+++ b/coveport/config.py
@@ -53,8 +53,12 @@
     return float(value)
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """Read and check everything; ConfigError says in one line what is wrong."""
+def load(environ: Mapping[str, str], *, again: bool = False) -> Config:
+    """Read and check everything; ConfigError says in one line what is wrong.
+
+    `again`: the file was replaced while we ran. What it says of discovery then beats the variable, which
+    dates from our start.
+    """
     path = environ.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG is not set")
@@ -71,7 +75,8 @@
         return Config(
             name=environ.get("LB_NAME") or str(told.get("name", "coveport")),
             listen=parse_address(environ.get("LB_LISTEN") or told.get("listen")),
-            discovery=parse_address(environ.get("LB_DISCOVERY") or told.get("discovery")),
+            discovery=parse_address((again and told.get("discovery")) or environ.get("LB_DISCOVERY")
+                                    or told.get("discovery")),
             seed=seed if isinstance(seed, int) else int(seed, 16),
             sockets=int(_number(limits, "sockets", 1024)),
             settings=wire.parse_settings(json.dumps(settings)),
--- a/coveport/destinations.py
+++ b/coveport/destinations.py
@@ -13,6 +13,7 @@
 from coveport import http1, log
 from coveport.config import Address
 from coveport.counters import Counters
+from coveport.pool_config import Place
 from coveport.sockets import is_quiet
 from micaflow.interface import Outcome
 
@@ -56,16 +57,17 @@
         self.over = False
         self._timers = [pool.loop.call_later(timeout_s, self._expire, Outcome.TIMEOUT)]
 
-    def connect(self, address: Address) -> None:
+    def connect(self, number: int, place: Place) -> None:
         """Open a connection for this route step."""
         self._timers.append(self._pool.loop.call_later(self._pool.connect_timeout_s, self._connect_late))
         self._pool.opening += 1
-        self.connecting = self._pool.loop.create_task(self._connect(address))
+        self.connecting = self._pool.loop.create_task(self._connect(number, place))
         self.connecting.add_done_callback(self._pool.opened)
 
-    async def _connect(self, address: Address) -> None:
+    async def _connect(self, number: int, place: Place) -> None:
+        address = place[0]
         try:
-            await self._pool.loop.create_connection(lambda: Link(self._pool, address, self), *address)
+            await self._pool.loop.create_connection(lambda: Link(self._pool, number, place, self), *address)
         except OSError as problem:
             self._pool.counters.add("connects_failed")
             if self._pool.is_exhausted(problem):
@@ -109,8 +111,8 @@
 class Link(asyncio.BufferedProtocol):
     """One connection to a destination."""
 
-    def __init__(self, pool: Destinations, address: Address, step: RouteStep) -> None:
-        self._pool, self.address = pool, address
+    def __init__(self, pool: Destinations, number: int, place: Place, step: RouteStep) -> None:
+        self._pool, self.number, self.place = pool, number, place
         self._step: RouteStep | None = step
         self._parser = http1.ResponseParser()
         self._transport: asyncio.Transport | None = None
@@ -162,7 +164,7 @@
             self._parser.feed(_INBOX[:nbytes])
             response = self._parser.next_response()
         except http1.BadMessageError as problem:
-            log.note("garbled answer", f"{self.address[0]}:{self.address[1]}: {problem}")
+            log.note("garbled answer", "{}:{}: {}".format(*self.place[0], problem))
             self._pool.counters.add("answers_garbled")
             # Guards against trusting a garbled answer: a failed route step that may have run.
             step.end(StepResult(Outcome.ERROR if step.handed else Outcome.CONNECT_FAILED))
@@ -223,31 +225,32 @@
         self.connect_timeout_s = connect_timeout_ms / 1000
         self._idle_s = keepalive_ms / 1000 * IDLE_SHARE
         self._most = most_links
-        self._addresses: dict[int, Address] = {}
-        self._idle: dict[Address, list[Link]] = {}  # the one used last at the end
+        self._places: dict[int, Place] = {}
+        self._idle: dict[int, list[Link]] = {}  # by destination; the one used last at the end
         self._by_age: OrderedDict[Link, None] = OrderedDict()  # all idle ones, the oldest first
         self.links: set[Link] = set()
         self.opening = 0
         self._sweeper = loop.call_later(SWEEP_S, self._sweep)
 
-    def place(self, addresses: Iterable[tuple[int, Address | None]], whole: bool) -> None:
+    def place(self, places: Iterable[tuple[int, Place | None]], whole: bool) -> None:
         """Take in where destinations are (None: gone); `whole`: there are no others."""
-        told = dict(addresses)
-        stale = [number for number in self._addresses if whole and number not in told]
-        for number, address in [*told.items(), *((number, None) for number in stale)]:
-            before = self._addresses.get(number)
-            if before is not None and before != address:
-                for link in list(self._idle.get(before, ())):
+        told = dict(places)
+        stale = [number for number in self._places if whole and number not in told]
+        for number, place in [*told.items(), *((number, None) for number in stale)]:
+            if self._places.get(number) != place:
+                # Guards against handing a connection on: one to a process that is gone is of no use, and
+                # whoever listens at its address now may be another destination.
+                for link in list(self._idle.get(number, ())):
                     link.drop()
-            if address is None:
-                self._addresses.pop(number, None)
+            if place is None:
+                self._places.pop(number, None)
             else:
-                self._addresses[number] = address
+                self._places[number] = place
 
     @property
     def known(self) -> bool:
         """Whether any destination is known."""
-        return bool(self._addresses)
+        return bool(self._places)
 
     @property
     def count(self) -> int:
@@ -260,16 +263,17 @@
 
     def address(self, number: int) -> Address | None:
         """Where a destination is, if it is known."""
-        return self._addresses.get(number)
+        place = self._places.get(number)
+        return place[0] if place is not None else None
 
     def send(self, number: int, request: bytes, timeout_s: float, done: Done) -> RouteStep:
         """Begin a route step; `done` is called once, never before this returns."""
         step = RouteStep(self, request, timeout_s, done)
-        address = self._addresses.get(number)
-        if address is None:
+        place = self._places.get(number)
+        if place is None:
             self.loop.call_soon(step.end, StepResult(Outcome.CONNECT_FAILED))
             return step
-        while (idle := self._idle.get(address)):
+        while (idle := self._idle.get(number)):
             link = idle[-1]
             self._take(link)
             if self.loop.time() - link.idle_since < self._idle_s and link.quiet:
@@ -284,7 +288,7 @@
             log.note("descriptors", f"{self.count} connections to destinations are all busy")
             self.loop.call_soon(step.end, StepResult(NO_ROOM))
         else:
-            step.connect(address)
+            step.connect(number, place)
         return step
 
     def is_exhausted(self, problem: OSError) -> bool:
@@ -298,8 +302,11 @@
 
     def put_idle(self, link: Link) -> None:
         """A connection waits for its next route step."""
+        if self._places.get(link.number) != link.place:
+            link.drop()  # its process is gone meanwhile
+            return
         link.idle_since = self.loop.time()
-        self._idle.setdefault(link.address, []).append(link)
+        self._idle.setdefault(link.number, []).append(link)
         self._by_age[link] = None
 
     def forget(self, link: Link) -> None:
@@ -310,10 +317,10 @@
     def _take(self, link: Link) -> None:
         if link in self._by_age:
             del self._by_age[link]
-            idle = self._idle[link.address]
+            idle = self._idle[link.number]
             idle.remove(link)
             if not idle:
-                del self._idle[link.address]
+                del self._idle[link.number]
 
     def _shed(self) -> None:
         next(iter(self._by_age)).drop()
--- a/coveport/effects.py
+++ b/coveport/effects.py
@@ -115,7 +115,17 @@
         if update.update.entries or update.update.kind is not api.ListKind.DELTA or (
                 self._config.settings.must_ask):  # whoever asked waits for an answer, an empty one too
             self.feed(core.PoolTold(update.update))  # before any later send
-        self.destinations.place(update.addresses, update.update.kind is not api.ListKind.DELTA)
+        self.destinations.place(update.places, update.update.kind is not api.ListKind.DELTA)
+
+    def reload(self, config: Config) -> None:
+        """The configuration was read anew: discovery moves, all else holds until the next start."""
+        before = self._config
+        kept = [name for name in ("name", "listen", "sockets", "settings", "zones", "keepalive_ms")
+                if getattr(before, name) != getattr(config, name)]
+        self.counters.add("reloads")
+        log.say(f"{before.name}: configuration read anew, discovery at {config.discovery[0]}:"
+                f"{config.discovery[1]}" + (f"; from the next start: {', '.join(kept)}" if kept else ""))
+        self.feed(core.Reloaded(config.discovery))
 
     # Effects.
 
@@ -138,6 +148,9 @@
             self._probe(effect.destination)
         elif isinstance(effect, core.AskPool):
             self.pool_config.ask(whole=effect.whole)
+        elif isinstance(effect, core.MovePool):
+            assert isinstance(effect.discovery, tuple)
+            self.pool_config.move(effect.discovery)
         else:
             self.counters.add("complaints")
             log.note("fault", effect.text)
--- a/coveport/pool_config.py
+++ b/coveport/pool_config.py
@@ -25,12 +25,15 @@
 _STATES = {"active": api.State.READY, "leaving": api.State.DRAINING, "left": api.State.GONE}
 
 
+Place = tuple[Address, float]  # where a destination listens, and when its process started
+
+
 @dataclass(slots=True)
 class PoolUpdate:
     """A pool config as read: for the module, and where the destinations are (None: gone)."""
 
     update: api.ListUpdate
-    addresses: list[tuple[int, Address | None]]
+    places: list[tuple[int, Place | None]]
 
 
 class PoolReader:
@@ -40,6 +43,8 @@
         self._hosts: dict[str, int] = {}
         self._zones = {zone: number for number, zone in enumerate(zones)}
         self._cells: dict[str, int] = {}
+        self._cell_of: dict[str, int] = {}  # each host's
+        self._numbers = self._cell_numbers = 0
 
     def read(self, told: Any, kind: api.ListKind | None = None) -> PoolUpdate:
         """Check and read all of it; ValueError where any of it is garbled."""
@@ -52,13 +57,28 @@
             raise ValueError(f"{type(problem).__name__}: {problem}") from problem
         if kind is None:
             kind = api.ListKind.FULL if whole else api.ListKind.DELTA
-        entries, addresses = [], list[tuple[int, Address | None]]()
+        entries, places = [], list[tuple[int, Place | None]]()
         for name, address, zone, cell, state, weight, born in rows:
-            number = self._hosts.setdefault(name, len(self._hosts) + 1)
-            entries.append(api.HostEntry(number, self._number(self._zones, zone),
-                                         self._number(self._cells, cell), state, weight, born))
-            addresses.append((number, None if state is api.State.GONE else address))
-        return PoolUpdate(api.ListUpdate(kind, tuple(entries), version), addresses)
+            number = self._hosts.setdefault(name, self._numbers + 1)
+            self._numbers = max(self._numbers, number)
+            bay = self._cell_of[name] = self._cell(cell)
+            entries.append(api.HostEntry(number, self._zone(zone), bay, state, weight, born))
+            places.append((number, None if state is api.State.GONE else (address, born)))
+        gone = {row[0] for row in rows if row[4] is api.State.GONE}
+        if kind is not api.ListKind.DELTA:
+            gone |= self._hosts.keys() - {row[0] for row in rows}
+        self._forget(gone)
+        return PoolUpdate(api.ListUpdate(kind, tuple(entries), version), places)
+
+    def _forget(self, gone: set[str]) -> None:
+        # Guards against tables that only grow: destinations are replaced all day, under new names. A
+        # number is never given twice, so one that comes back is a new one to us.
+        for name in gone:
+            self._hosts.pop(name, None)
+            self._cell_of.pop(name, None)
+        if gone:
+            used = set(self._cell_of.values())
+            self._cells = {name: number for name, number in self._cells.items() if number in used}
 
     @staticmethod
     def _check(one: Any) -> tuple[str, Address, Any, Any, api.State, float, float]:
@@ -75,9 +95,16 @@
         state = _STATES.get(one["health"], api.State.DRAINING)
         return name, parse_address(one["dial"]), one["site"], one["block"], state, float(weight), float(born)
 
-    @staticmethod
-    def _number(table: dict[str, int], value: int | str) -> int:
-        return value if isinstance(value, int) else table.setdefault(value, len(table))
+    def _zone(self, zone: int | str) -> int:
+        return zone if isinstance(zone, int) else self._zones.setdefault(zone, len(self._zones))
+
+    def _cell(self, cell: int | str) -> int:
+        if isinstance(cell, int):
+            return cell
+        if cell not in self._cells:
+            self._cell_numbers += 1
+            self._cells[cell] = self._cell_numbers
+        return self._cells[cell]
 
 
 class _Call(asyncio.BufferedProtocol):
@@ -121,8 +148,8 @@
     most_body = MOST_BYTES
 
 
-class PoolConfig:
-    """Asks discovery, watches it, and redials where it fails or goes silent."""
+class _Agent:
+    """One discovery: asks it, watches it, and redials where it fails or goes silent."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, reader: PoolReader,
                  tell: Callable[[PoolUpdate | None], None], counters: Counters, *, must_ask: bool) -> None:
@@ -135,10 +162,14 @@
         self._failures, self._called_at = 0, 0.0
         self._bound: asyncio.TimerHandle | None = None
 
-    def start(self) -> None:
-        """Begin to watch, unless the list comes only to those who ask."""
-        if not self._must_ask:
-            self.ask(whole=False)
+    def answers_asked(self) -> None:
+        """From here on it asks only when told to, where the list comes only to those who ask."""
+        self._must_ask = True
+
+    @property
+    def watching(self) -> bool:
+        """Whether all changes are wanted."""
+        return self._watching
 
     def ask(self, *, whole: bool) -> None:
         """Ask for the whole list once, or for all changes from now on."""
@@ -160,6 +191,10 @@
         self._busy = True
         self._loop.create_task(self._make_call())
 
+    @property
+    def _wants_whole(self) -> bool:
+        return self._sequence is None or self._asked_whole
+
     async def _make_call(self) -> None:
         if self._call is None:
             self._arm(FIRST_S)
@@ -180,7 +215,7 @@
             self._failed(call, "the connection has ended")
             return
         target = PATH
-        if self._sequence is None or self._asked_whole:
+        if self._wants_whole:
             self._arm(FIRST_S)
         else:
             target += f"?after={self._sequence}&wait_ms={WATCH_MS}"
@@ -214,6 +249,8 @@
             if response.status != 200:
                 raise ValueError(f"status {response.status}")
             update = self._reader.read(json.loads(response.body))
+            if self._wants_whole and update.update.kind is not api.ListKind.FULL:
+                raise ValueError("changes, where the whole list was asked for")
         except (ValueError, RecursionError) as problem:
             # Guards against a garbled list: the last good one stays, and the whole is asked for.
             self._sequence = None
@@ -226,7 +263,7 @@
             self._bound.cancel()
         self._sequence = update.update.version
         self._tell(update)
-        if self._busy:  # what was just told has made the module ask
+        if self._busy or self._closed:  # what was just told has made the module ask, or us move on
             return
         if update.update.entries or self._loop.time() - self._called_at > EMPTY_S:
             self._next()
@@ -258,3 +295,54 @@
             self._bound = None
         if call is not None and call.transport is not None:
             call.transport.abort()
+
+
+class PoolConfig:
+    """Where the pool config comes from: one discovery, and while it moves its successor beside it."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, reader: PoolReader,
+                 tell: Callable[[PoolUpdate | None], None], counters: Counters, *, must_ask: bool) -> None:
+        self._loop, self._reader, self._tell, self._counters = loop, reader, tell, counters
+        self._must_ask, self._closed = must_ask, False
+        self._agent = _Agent(loop, address, reader, tell, counters, must_ask=must_ask)
+        self._next: _Agent | None = None
+
+    def start(self) -> None:
+        """Begin to watch, unless the list comes only to those who ask."""
+        if not self._must_ask:
+            self._agent.ask(whole=False)
+
+    def ask(self, *, whole: bool) -> None:
+        """Ask for the whole list once, or for all changes from now on."""
+        self._agent.ask(whole=whole)
+
+    def move(self, address: Address) -> None:
+        """Ask there from now on; until the whole list has come from there the present one goes on."""
+        if self._closed:
+            return
+        if self._next is not None:
+            self._next.close()  # guards against several moves in a row: only the last one counts
+
+        def told(update: PoolUpdate | None) -> None:
+            if agent is self._next:
+                # Guards against news of the old one after the new one's list: their versions differ.
+                before, self._agent, self._next = self._agent, agent, None
+                before.close()
+                if self._must_ask:
+                    agent.answers_asked()
+                if before.watching:
+                    agent.ask(whole=False)
+            if agent is self._agent:
+                self._tell(update)
+
+        # It asks on until it is answered, though nobody has asked us: the list may have changed there.
+        agent = _Agent(self._loop, address, self._reader, told, self._counters, must_ask=False)
+        self._next = agent
+        agent.ask(whole=True)
+
+    def close(self) -> None:
+        """Stop asking."""
+        self._closed = True
+        self._agent.close()
+        if self._next is not None:
+            self._next.close()
--- a/coveport/reducer.py
+++ b/coveport/reducer.py
@@ -89,7 +89,14 @@
     operation: int
 
 
-Input = OperationCame | ClientGone | StepEnded | ProbeEnded | PoolTold | TimerDue | DeadlineDue
+@dataclass(slots=True)
+class Reloaded:
+    """The configuration was read anew; discovery is at this address, whatever the protocol makes of it."""
+
+    discovery: object
+
+
+Input = OperationCame | ClientGone | StepEnded | ProbeEnded | PoolTold | TimerDue | DeadlineDue | Reloaded
 
 
 # Effects.
@@ -153,6 +160,13 @@
     whole: bool
 
 
+@dataclass(slots=True)
+class MovePool:
+    """Ask another discovery from now on; the last list holds until it has spoken."""
+
+    discovery: object
+
+
 @dataclass(slots=True)
 class Complain:
     """Log what should not have happened."""
@@ -161,7 +175,7 @@
 
 
 Effect = (SendStep | CancelStep | Answer | SetTimer | GuardDeadline | ProbeDestination | AskPool
-          | Complain)
+          | MovePool | Complain)
 
 
 # State.
@@ -218,6 +232,8 @@
             self._tell(api.ProbeResult(item.destination, item.outcome, item.latency_ms, item.load))
         elif isinstance(item, ClientGone):
             self._close(item.operation, None)
+        elif isinstance(item, Reloaded):
+            self._effects.append(MovePool(item.discovery))  # operations and route steps go on
         else:
             # Guards against a module that forgets an operation: it gets its answer within the slack.
             operation = self._operations.get(item.operation)
--- a/tests/world.py
+++ b/tests/world.py
@@ -151,6 +151,12 @@
     discovery: Discovery
     address: tuple[str, int]
     log: Path
+    config: Path
+
+    def reload(self, **changes: Any) -> None:
+        """Replace entries of the configuration file and say so."""
+        self.config.write_text(json.dumps(json.loads(self.config.read_text()) | changes))
+        self.process.send_signal(signal.SIGHUP)
 
     def connect(self) -> socket.socket:
         return socket.create_connection(self.address, timeout=10)
@@ -241,7 +247,7 @@
         wait_for(lambda: "listening on" in log.read_text())
         port = re.search(r"listening on 127\.0\.0\.1:(\d+)", log.read_text())
         assert port
-        one = World(process, discovery, ("127.0.0.1", int(port[1])), log)
+        one = World(process, discovery, ("127.0.0.1", int(port[1])), log, path)
         if ready:
             wait_for(lambda: one.ask("GET /_health")[0] == 200)
         yield one
