Bad clients: silent, half-sent and huge requests end in 2 s, a crowd of them leaves room

Lines at fault: Client.check, Client.buffer_updated after the farewell, Listener.shed (used idle connections went before silent ones), create_server(backlog=512) as asyncio accepts that many in one turn, before room can be made, and after EMFILE accepts nothing for 1 s. Checked and ruled out: rejecting a flood costs little (0.31 to 0.46 CPU s in the busiest second).

--- a/coveport/clients.py
+++ b/coveport/clients.py
@@ -6,8 +6,10 @@
 import contextlib
 import math
 import re
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import islice
 
 from coveport import http1, log
 from coveport.counters import Counters
@@ -15,11 +17,18 @@
 from micaflow import interface as api
 
 HEALTH_PATH = "/_health"
-HALF_SENT_S = 5.0  # how long a request may take to come in whole
+FIRST_S = 2.0  # how long a connection may take to bring its first whole request
+HALF_SENT_S = 2.0  # how long a later request may take to come in whole
+IDLE_S = 5.0  # how long a connection is kept between requests
 UNREAD_S = 10.0  # how long a client may take to read an answer
 FRESH_S = 0.5  # how long a connection that has never carried a request is taken to be about to
+WAITING_MOST = 512  # connections that may wait to be accepted
+ACCEPT_MOST = 4  # connections accepted in one turn of the loop, so that room can be made in between
+NEWEST = 16  # connections that have brought nothing yet and are given FRESH_S in a crowd all the same
+SPARE = 4  # clients above the most that may be there at once while room is made
 ACCEPT_S = 2.0  # how long the planned end takes in what waits; asyncio pauses for 1 s after EMFILE
 LINGER_S = 1.0  # how long to read on after a farewell, which a reset would destroy
+LINGER_MOST = 256 * 1024  # how much of what comes then: who sends 60 MB must not have our time for it
 SWEEP_S = 0.25
 MOST_HELD = http1.MAX_HEAD + http1.MAX_BODY  # sent ahead of its turn; what is over that waits below
 
@@ -50,6 +59,8 @@
     if name not in classes:
         raise http1.BadMessageError(404, "unknown path")
     cls, effect = classes[name]
+    if effect is api.Effect.SAFE and request.body:
+        raise http1.BadMessageError(400, "a body, where there is none")
     method = "GET" if effect is api.Effect.SAFE else "POST"
     if request.method != method:
         raise http1.BadMessageError(405, "wrong method", Allow=method)
@@ -83,7 +94,9 @@
         self._keep, self._used = True, False
         self.extra = False  # came when there were too many already
         self._unsent = self._paused = self._ended = False
-        self._since = 0.0  # when it went idle, or when the request that is coming in began
+        self._drained = 0  # bytes that came after the farewell
+        # When it went idle, or when the request that is coming in began: the first one with the connection.
+        self._since = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A client has connected."""
@@ -100,8 +113,12 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Take in what the client sends."""
         if self._ended:
+            self._drained += nbytes
+            if self._drained > LINGER_MOST and not self._paused and self._transport is not None:
+                self._paused = True
+                self._transport.pause_reading()
             return
-        if not self._parser.begun:
+        if self._used and not self._parser.begun:
             self._since = self._listener.loop.time()
         self._parser.feed(_INBOX[:nbytes])
         self._advance()
@@ -122,6 +139,9 @@
                     self._paused = False
                     self._transport.resume_reading()
                 self._since = self._listener.loop.time()
+                if not self._used:
+                    self._used = True
+                    self._listener.used(self)
                 self._take(request)
             except http1.BadMessageError as problem:
                 self._reject(problem)
@@ -158,7 +178,7 @@
         ending = (self._listener.closing or self.too_many) and not self._parser.begun  # begun: taken, or soon
         keep = self._keep and not ending
         lines = [*(headers or ()), *(() if keep else (("Connection", "close"),))]
-        self._since, self._used = self._listener.loop.time(), True
+        self._since = self._listener.loop.time()
         self._transport.write(http1.write_response(status, lines, body))
         if not keep:
             self._farewell()
@@ -166,6 +186,7 @@
     def _farewell(self) -> None:
         """Close once all is written and read: bytes left unread would reset the answer away."""
         self._ended = True
+        self._listener.ending(self)
         if self._transport is not None and not self._transport.is_closing():
             if self._paused:
                 self._paused = False
@@ -207,30 +228,46 @@
 
     @property
     def since(self) -> float:
-        """When it went idle."""
+        """When it went idle, or when it came if it has carried nothing yet."""
         return self._since
 
-    def may_close(self, now: float) -> bool:
-        """Whether it stands between two requests, and none has come that we have not read."""
-        if (self._operation is not None or self._parser.begun or self._unsent or self._ended
-                or self._transport is None or self._transport.is_closing()):
-            return False
+    @property
+    def _nothing_open(self) -> bool:
+        return not (self._operation is not None or self._unsent or self._ended
+                    or self._transport is None or self._transport.is_closing())
+
+    def may_close(self, fresh_until: float) -> bool:
+        """Whether it stands between two requests (one that came by then: before its first)."""
         # Guards against losing what was taken: a request may wait below, or be on its way on a connection
         # just accepted, and its client sends it again only if it had used the connection before.
-        return (self._used or now - self._since > FRESH_S) and is_quiet(self._transport)
+        return (self._nothing_open and not self._parser.begun and (self._used or self._since < fresh_until)
+                and self._quiet)
+
+    def may_drop(self) -> bool:
+        """Whether it has brought no whole request yet, though all it sent is read."""
+        return self._nothing_open and not self._used and self._quiet
+
+    @property
+    def _quiet(self) -> bool:
+        # What we don't read for now is not known to be quiet.
+        return not self._paused and self._transport is not None and is_quiet(self._transport)
 
     def check(self, now: float) -> None:
         """Put an end to what takes too long, and to idle connections while the program closes."""
         if self._operation is not None:
             return
+        waited = now - self._since
         if self._unsent or self._ended:
-            if now - self._since > (UNREAD_S if self._unsent else LINGER_S):
+            if waited > (UNREAD_S if self._unsent else LINGER_S):
                 self.close()
         elif self._parser.begun:
-            if now - self._since > (LINGER_S if self._listener.closing else HALF_SENT_S):
+            closing = self._listener.closing
+            if waited > (LINGER_S if closing else HALF_SENT_S if self._used else FIRST_S):
                 self._keep = False
                 self._reject(http1.BadMessageError(408, "the request did not come whole"))
-        elif self._listener.closing and self.may_close(now):
+        # Guards against connections that say nothing: by the hundred they would leave no room for others.
+        elif ((self._listener.closing or waited > (IDLE_S if self._used else FIRST_S))
+              and self.may_close(now - FRESH_S)):
             self.close()
 
     def close(self) -> None:
@@ -252,13 +289,24 @@
         self.closing = False
         self._most, self._numbers = most_clients, 0
         self._clients: dict[Client, None] = {}  # the longest connected first
+        self._new: dict[Client, None] = {}  # those that have brought no whole request yet, likewise
+        self._ending: dict[Client, None] = {}  # those that have had their last answer
         self._server: asyncio.Server | None = None
         self._sweeper = loop.call_later(SWEEP_S, self._sweep)
 
     async def open(self, address: tuple[str, int]) -> int:
         """Listen; the port that was bound."""
-        self._server = await self.loop.create_server(lambda: Client(self), *address, backlog=512)
-        port: int = self._server.sockets[0].getsockname()[1]
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        one = socket.create_server(address, family=family)
+        try:
+            # Guards against one turn that accepts more than we have descriptors for, after which asyncio
+            # accepts nothing for a second; what waits stands in the kernel's queue.
+            self._server = await self.loop.create_server(lambda: Client(self), sock=one, backlog=ACCEPT_MOST)
+            one.listen(WAITING_MOST)
+        except BaseException:
+            one.close()
+            raise
+        port: int = one.getsockname()[1]
         return port
 
     def number(self) -> int:
@@ -267,18 +315,37 @@
         return self._numbers
 
     def came(self, client: Client) -> None:
-        """A client has connected; where there are too many, one that is idle makes room."""
-        self._clients[client] = None
+        """A client has connected; where there are too many, one that brings nothing makes room."""
+        self._clients[client] = self._new[client] = None
         if self.crowded:
             self.shed(1)
             client.extra = self.crowded
 
+    def used(self, client: Client) -> None:
+        """A client has brought its first whole request."""
+        self._new.pop(client, None)
+
+    def ending(self, client: Client) -> None:
+        """A client has had its last answer and is about to close."""
+        self._new.pop(client, None)
+        self._ending[client] = None
+
     def shed(self, count: int) -> None:
-        """Close idle connections, the oldest first; a client opens another when it wants one."""
-        # Guards against running out of descriptors.
+        """Make room: who is leaving goes first, then who has brought nothing yet, then who is idle."""
+        # Guards against running out of descriptors, and against silent or half-sent connections that
+        # crowd out those who have work; a client opens another when it wants one.
         now = self.loop.time()
-        idle = sorted((one for one in self._clients if one.may_close(now)), key=lambda one: one.since)
-        for client in idle[:count]:
+        found = list(islice(self._ending, count))
+        if len(found) < count:
+            # The newest may be about to send, unless there is no room left at all.
+            sure = len(self._new) - (0 if len(self._clients) > self._most + SPARE else NEWEST)
+            found += islice((one for place, one in enumerate(self._new)
+                             if (place < sure or one.since < now - FRESH_S) and one.may_drop()),
+                            count - len(found))
+        if len(found) < count:
+            idle = sorted((one for one in self._clients if one not in self._new), key=lambda one: one.since)
+            found += islice((one for one in idle if one.may_close(now)), count - len(found))
+        for client in found:
             client.close()
 
     @property
@@ -288,7 +355,8 @@
 
     def lost(self, client: Client) -> None:
         """A client connection is gone."""
-        self._clients.pop(client, None)
+        for table in (self._clients, self._new, self._ending):
+            table.pop(client, None)
 
     def _sweep(self) -> None:
         now = self.loop.time()
--- a/coveport/effects.py
+++ b/coveport/effects.py
@@ -93,7 +93,8 @@
         """A whole operation has come from a client."""
         self._open[number] = _Open(client, asked)
         deadline = self._clock.now_ms() + asked.wait_ms
-        self.feed(core.OperationCame(number, asked.cls, deadline, asked.repeat, asked.cost_ms, asked.room))
+        self.feed(core.OperationCame(number, asked.cls, deadline, asked.repeat, asked.cost_ms, asked.room,
+                                     asked.id))
 
     def gone(self, number: int) -> None:
         """The client of an operation has gone away."""
@@ -218,6 +219,8 @@
                 status, body = 200, effect.answer.body
                 kinds = effect.answer.headers.get("content-type", ())
                 headers.extend(("Content-Type", kind) for kind in kinds[:1])
+            elif effect.verdict is core.Verdict.DOUBLE:
+                status = 409
             elif effect.verdict is core.Verdict.BUSY:
                 status = 503
                 if effect.retry_after_ms > 0:
--- a/coveport/http1.py
+++ b/coveport/http1.py
@@ -16,7 +16,7 @@
 _VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
 _REASONS = {
     100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-    408: "Request Timeout", 413: "Content Too Large", 417: "Expectation Failed",
+    408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 417: "Expectation Failed",
     431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
     503: "Service Unavailable", 505: "HTTP Version Not Supported",
 }
--- a/coveport/reducer.py
+++ b/coveport/reducer.py
@@ -23,6 +23,7 @@
     SERVED = "served"
     BUSY = "busy"
     FAILED = "failed"
+    DOUBLE = "double"  # its id is that of an operation still open
 
 
 # Inputs.
@@ -38,6 +39,7 @@
     repeat: bool = False
     cost_ms: float = 0.0
     room: bool = True  # False: more has come than we can hold
+    id: str = ""  # what the client calls it; empty: nothing
 
 
 @dataclass(slots=True)
@@ -191,6 +193,7 @@
 @dataclass(slots=True)
 class _Operation:
     deadline_ms: float
+    id: str
     answered: bool = False  # or the client is gone: nothing is owed
     steps: list[_Step] = field(default_factory=list)
 
@@ -206,6 +209,7 @@
         self._settings = settings
         self._balancer = Balancer(settings, seed)
         self._operations: dict[int, _Operation] = {}
+        self._ids: set[str] = set()  # of the open operations
         self._now = 0.0
         self._effects: list[Effect] = []
         self._events: deque[api.Event] = deque()
@@ -247,7 +251,13 @@
             # Guards against running out of descriptors: turned away unseen, so it has never run.
             self._effects.append(self._busy(item.operation, self._settings.classes[item.cls].aim_ms))
             return
-        operation = self._operations[item.operation] = _Operation(item.deadline_ms)
+        if item.id and item.id in self._ids:
+            # Guards against a client that uses another's id: what is open keeps its one answer, and the
+            # ledger nodes never hold two of a name.
+            self._effects.append(Answer(item.operation, Verdict.DOUBLE))
+            return
+        self._ids.add(item.id)
+        operation = self._operations[item.operation] = _Operation(item.deadline_ms, item.id)
         guard = item.deadline_ms + self._settings.rules.answer_slack_ms * GUARD_SHARE
         self._effects.append(GuardDeadline(item.operation, guard))
         told = self._tell(api.Request(item.operation, item.deadline_ms, item.cls, 0, item.cost_ms,
@@ -272,7 +282,12 @@
         if not told and not operation.answered and not any(step.out for step in operation.steps):
             self._close(number, Verdict.FAILED)
         elif operation.over:
-            self._operations.pop(number, None)
+            self._pop(number)
+
+    def _pop(self, number: int) -> None:
+        operation = self._operations.pop(number, None)
+        if operation is not None:
+            self._ids.discard(operation.id)
 
     def _close(self, number: int, verdict: Verdict | None) -> None:
         """End an operation over the module's head: answered by us, or its client gone."""
@@ -287,7 +302,7 @@
             if step.out:  # the module's own cancel may have come already; a second one does nothing
                 self._effects.append(CancelStep(number, attempt))
         if operation.over:
-            self._operations.pop(number, None)
+            self._pop(number)
 
     def _tell(self, event: api.Event) -> bool:
         """Let the module decide; False where it raised."""
@@ -330,7 +345,7 @@
             else:
                 self._effects.append(self._busy(action.id, action.wait_ms))
             if operation.over:
-                del self._operations[action.id]
+                self._pop(action.id)
         elif isinstance(action, api.Probe):
             self._effects.append(ProbeDestination(action.host))
         else:
