Errors and resets put no node out at once or down as cold; a cap on what is out at a node

A trace of the module's books showed nearly all nodes taken for cold, so one request at each. Lines at fault: Balancer._judge ejected on any single error or reset; the trial came later than an aim (250 ms here), and then "down longer than an aim" made the node cold for 8.6 s though it had answered all along. A spoilt answer comes from any node alike: two in a row put a node out, and only connects that fail or silence longer than fall_ms make it cold. With it: noise is told by its first bytes (http1), a connect is given up after a quarter of the shortest aim.

--- a/coveport/effects.py
+++ b/coveport/effects.py
@@ -18,6 +18,9 @@
 from micaflow import interface as api
 
 DESTINATION_SHARE = 0.4  # of the descriptors; clients have half, the rest is for all else
+# Of the shortest aim: a connection that takes longer leaves no time for a second try, which is harmless, as
+# nothing has run. Machines that vanish refuse nothing; they only show by connections that never come up.
+CONNECT_SHARE = 0.25
 PASSED_ON = ("content-type", "accept")  # besides what the protocol names
 PROBE_PATH = "/ping"
 
@@ -45,7 +48,8 @@
         self._open: dict[int, _Open] = {}
         self.destinations = Destinations(
             loop, counters, keepalive_ms=config.keepalive_ms,
-            connect_timeout_ms=config.settings.limits.connect_timeout_ms,
+            connect_timeout_ms=min(config.settings.limits.connect_timeout_ms,
+                                   CONNECT_SHARE * min(one.aim_ms for one in config.settings.classes)),
             most_links=int(config.sockets * DESTINATION_SHARE))
         self._reader = PoolReader(config.zones)
         self.pool_config = PoolConfig(loop, config.discovery, self._reader, self.told, counters,
--- a/coveport/http1.py
+++ b/coveport/http1.py
@@ -10,6 +10,7 @@
 MAX_HEAD = 16 * 1024
 MAX_BODY = 64 * 1024
 MAX_HEADERS = 100
+OPENING = 20  # bytes
 
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _TARGET = re.compile(rb"[\x21-\x7e]+")
@@ -68,6 +69,7 @@
     """Bytes in, whole messages out; holds no more than one head and one body beyond what is asked for."""
 
     most_body: ClassVar[int] = MAX_BODY
+    opening: ClassVar[re.Pattern[bytes]]  # what the first bytes of a message match, however few there are
     held: bytearray = field(default_factory=bytearray)
     _message: Message | None = None  # its head is read, its body is not
     _left: int | None = 0  # bytes of body, None: until the connection ends
@@ -113,6 +115,9 @@
         if end < 0:
             if len(self.held) >= MAX_HEAD:
                 raise BadMessageError(431, "head too large")
+            # Guards against noise without an end: what can't become a message is told by its first bytes.
+            if not self.opening.match(bytes(self.held[:OPENING])):
+                raise BadMessageError(400, "malformed start")
             return None
         lines = bytes(self.held[:end]).split(b"\r\n")
         del self.held[:end + 4]
@@ -187,6 +192,8 @@
 class RequestParser(_Parser):
     """Reads what clients send."""
 
+    opening = re.compile(rb"\r?\Z|[!#$%&'*+\-.^_`|~0-9A-Za-z]+(?:\Z| (?:\Z|[\x21-\x7e]))")
+
     def _start(self, line: bytes, headers: dict[str, list[str]]) -> Request:
         parts = line.split(b" ")
         if len(parts) != 3 or not _TOKEN.fullmatch(parts[0]) or not _TARGET.fullmatch(parts[1]):
@@ -219,6 +226,8 @@
 class ResponseParser(_Parser):
     """Reads what ledger nodes and discovery answer."""
 
+    opening = re.compile(rb"\r?\Z|(?:HTTP/1?|HTTP?|HT?)\Z|HTTP/1\.(?:\Z|[01](?:\Z| (?:\Z|[1-5])))")
+
     def _start(self, line: bytes, headers: dict[str, list[str]]) -> Response:
         match = re.fullmatch(rb"(HTTP/1\.[01]) ([1-5][0-9][0-9])(?: [\t\x20-\x7e\x80-\xff]*)?", line)
         if not match:
--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -28,14 +28,17 @@
 LATE = 2.0  # patiences after which an answer speaks of a crowd: one patience is often one heavy request
 CUT = 0.85  # what late answers leave of a zone's limit: gentle, as one late answer may be one heavy request
 FIRST_GUESS = 10  # service times in an aim, until answers tell
+ACCIDENTS = 2  # errors or resets in a row, with no answer between, that put a host out of its level
+CROWD = 6  # requests that all copies together may have at one host: a core far behind turns slower still
+LEAST_OUT = 2  # of which each copy has at least so many
 DRAWS = 6  # tries to find two usable hosts before a level is looked through
 
 
 class _Host:
     """What one host has shown us."""
 
-    __slots__ = ("cell", "cold_at", "down_at", "heard_at", "id", "pace", "paused_until", "pending", "ready",
-                 "seen_at", "started", "strikes", "trial_at", "zone")
+    __slots__ = ("cell", "cold_at", "down_at", "failures", "heard_at", "id", "pace", "paused_until",
+                 "pending", "ready", "seen_at", "started", "strikes", "trial_at", "zone")
 
     def __init__(self, entry: api.HostEntry) -> None:
         self.id, self.zone, self.cell = entry.host, entry.zone, entry.cell
@@ -44,6 +47,7 @@
         self.cold_at = entry.started_ms if entry.started_ms > 0 else -inf
         self.ready = False  # not yet in a level
         self.pace, self.strikes = 0.0, 0
+        self.failures = 0  # that may be an accident, since the last answer
         self.heard_at = self.seen_at = self.paused_until = -inf
         self.trial_at = self.down_at = inf  # inf: in its level
 
@@ -99,6 +103,7 @@
         self.aim = min(c.aim_ms for c in settings.classes)
         self.service = self.work = self.aim / FIRST_GUESS  # mean answer time and cost hint, until they tell
         self.dear = settings.prices.cross_zone * sum(c.worth for c in settings.classes)
+        self.most_out = max(LEAST_OUT, round(CROWD / settings.peers_total))
         self.ask_at = -inf if settings.must_ask else inf
         self.ask_failures = self.answers = 0
 
@@ -194,14 +199,20 @@
     def _judge(self, host: _Host, outcome: Outcome, latency: float, sent: tuple[float, int] | None) -> None:
         if outcome is Outcome.OK:
             if host.trial_at < inf:
-                if self.now - host.down_at > self.aim and host.down_at > host.heard_at:
-                    # A host back from silence was most likely restarted: cold, though nobody said so.
+                down = self.now - host.down_at
+                if down > max(self.aim, self.rules.fall_ms) and host.down_at > host.heard_at:
+                    # A host back from long silence was most likely restarted: cold, though nobody said so.
                     host.cold_at, host.pace = self.now, 0.0
                 host.trial_at = host.down_at = inf
-            host.heard_at, host.strikes = self.now, max(0, host.strikes - 1)
+            host.heard_at, host.strikes, host.failures = self.now, max(0, host.strikes - 1), 0
         elif outcome is Outcome.FULL:  # it lives: not removed, only left alone for about one answer
             host.heard_at, host.paused_until = self.now, self.now + max(host.pace, self.service)
-        elif outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET) or (
+        elif outcome in (Outcome.ERROR, Outcome.RESET):
+            # One spoilt or broken answer comes from any host alike; a dead one refuses the next connect.
+            host.failures += 1
+            if host.failures >= ACCIDENTS or host.trial_at < inf:
+                self._eject(host, silent=False)
+        elif outcome is Outcome.CONNECT_FAILED or (
                 outcome is Outcome.TIMEOUT and host.heard_at < self.now - latency):  # silence
             self._eject(host)
         if sent is not None and outcome in (Outcome.OK, Outcome.TIMEOUT):
@@ -210,12 +221,13 @@
             # A time-out is news too: else a jammed host looks forgotten and every copy sends it another.
             host.seen_at = self.now
 
-    def _eject(self, host: _Host) -> None:
+    def _eject(self, host: _Host, silent: bool = True) -> None:
         if host.trial_at == inf or self.now >= host.trial_at:
             host.strikes += 1
             wait = self.aim * TRIAL_WAIT * 2 ** min(host.strikes - 1, MAX_DOUBLINGS)
             host.trial_at = self.now + wait * self.random.uniform(0.5, 1.5)  # copies must not try in step
-            host.down_at = min(host.down_at, self.now)
+            if silent:  # who sends errors lives: taken for restarted, it would count as cold for seconds
+                host.down_at = min(host.down_at, self.now)
 
     def _expected(self, host: _Host) -> float:
         """How long a further request would take there, by our own few answers and what is still out."""
@@ -261,7 +273,8 @@
                 self.out.append(api.Probe(host.id))
             if self.limits.probes or request.cls.effect is Effect.UNSAFE:
                 return False
-        return (host.paused_until <= self.now and self.zones[host.zone].open_to(request)
+        return (host.paused_until <= self.now and len(host.pending) < self.most_out
+                and self.zones[host.zone].open_to(request)
                 and self._expected(host) <= self._patience(request.cls.aim_ms)
                 and self._has_room(host, request, first) and self._legal(request, host))
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -69,3 +69,22 @@
     parser = http1.ResponseParser()
     parser.feed(b"HTTP/1.1 200 OK\r\n" + end)
     assert parser.next_response() is None and parser.end() is None
+
+
+@given(st.integers(0, 40))
+def test_a_message_that_has_only_begun_is_waited_for(cut: int) -> None:
+    for parser, data in ((http1.RequestParser(), b"GET /balance/7 HTTP/1.1\r\nHost: a\r\nX-Request-Id: 1"),
+                         (http1.RequestParser(), b"\r\nGET /" + b"a" * 40),
+                         (http1.ResponseParser(), b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Load: a=1")):
+        parser.feed(data[:cut])
+        assert parser.next() is None
+
+
+@pytest.mark.parametrize("noise", [b"\x00", b"HTTP/2", b"\x16\x03\x01\x02", b"HTTP/1.1 9", b"\xff" * 15])
+def test_noise_is_told_by_its_first_bytes(noise: bytes) -> None:
+    # Waited for, noise without an end would hold its route step until the time is over.
+    for parser in (http1.RequestParser(), http1.ResponseParser()):
+        parser.feed(noise)
+        if not (isinstance(parser, http1.RequestParser) and noise.startswith(b"HTTP")):
+            with pytest.raises(http1.BadMessageError):
+                parser.next()
--- a/tests/test_pool_config.py
+++ b/tests/test_pool_config.py
@@ -54,3 +54,21 @@
     assert (good.entries[0].zone, good.entries[0].cell, good.entries[0].started_ms) == (1, 3, 0)
     with pytest.raises(ValueError, match=r"."):
         reader.read({"seq": 1, "whole": True, "hosts": [line, line | {field: {}}]})
+
+
+def test_the_tables_hold_no_more_than_the_list_does() -> None:
+    # Guards against tables that only grow: on a long day all destinations are replaced, many times over.
+    def line(number: int, health: str = "active") -> dict[str, object]:
+        return {"host": f"s-{number}", "dial": "127.0.0.1:9", "site": "b", "block": f"pod-{number // 3}",
+                "health": health}
+
+    reader, numbers, cells = pool_config.PoolReader(("a", "b")), set[int](), set[int]()
+    for number in range(300):
+        hosts = [line(number), line(number - 9, "left")]
+        entries = reader.read({"seq": number, "whole": False, "hosts": hosts}).update.entries
+        numbers.add(entries[0].host)
+        cells.add(entries[0].cell)
+    assert len(numbers) == 300 and len(cells) == 100, "none is given twice"
+    assert len(reader._hosts) == 9 and len(reader._cells) <= 4
+    reader.read({"seq": 900, "whole": True, "hosts": [line(299)]})
+    assert list(reader._hosts) == ["s-299"] and len(reader._cells) == 1
