Lost requests say nothing of their node, large answers pass, held requests cost less CPU

Its trace: one unanswered request at nearly each node, which _expected took for the silence of a node that answered all others, so it was left out until that request's time was over; a print of garbled answers: whole, good ones of 200 to 330 KB, refused as over 64 KiB (322 in 20 s); a profile: 62% of the CPU in _draw, _usable and _look, for up to 270 held requests at each answer. Lines at fault: Balancer._expected and _judge (a time-out of a lost request raised the pace), Balancer._look (all of the queue, at each answer), _dispatch (a request tried once was never taken as stuck), ResponseParser.most_body (now a share of the memory limit).

--- a/coveport/config.py
+++ b/coveport/config.py
@@ -28,6 +28,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory_mb: float
     settings: api.Settings
     zones: tuple[str, ...]
     keepalive_ms: float
@@ -79,6 +80,7 @@
                                     or told.get("discovery")),
             seed=seed if isinstance(seed, int) else int(seed, 16),
             sockets=int(_number(limits, "sockets", 1024)),
+            memory_mb=_number(limits, "memory_mb", 64),
             settings=wire.parse_settings(json.dumps(settings)),
             zones=tuple(str(zone) for zone in zones),
             keepalive_ms=_number(settings.get("limits") or {}, "keepalive_ms", 5000.0),
--- a/coveport/destinations.py
+++ b/coveport/destinations.py
@@ -114,7 +114,7 @@
     def __init__(self, pool: Destinations, number: int, place: Place, step: RouteStep) -> None:
         self._pool, self.number, self.place = pool, number, place
         self._step: RouteStep | None = step
-        self._parser = http1.ResponseParser()
+        self._parser = http1.ResponseParser(pool.most_body)
         self._transport: asyncio.Transport | None = None
         self._unsent = False
         self.idle_since = 0.0
@@ -220,11 +220,11 @@
     """All destinations that the pool config names, and the connections to them."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, counters: Counters, *, keepalive_ms: float,
-                 connect_timeout_ms: float, most_links: int) -> None:
+                 connect_timeout_ms: float, most_links: int, most_body: int) -> None:
         self.loop, self.counters = loop, counters
         self.connect_timeout_s = connect_timeout_ms / 1000
         self._idle_s = keepalive_ms / 1000 * IDLE_SHARE
-        self._most = most_links
+        self._most, self.most_body = most_links, most_body
         self._places: dict[int, Place] = {}
         self._idle: dict[int, list[Link]] = {}  # by destination; the one used last at the end
         self._by_age: OrderedDict[Link, None] = OrderedDict()  # all idle ones, the oldest first
--- a/coveport/effects.py
+++ b/coveport/effects.py
@@ -21,6 +21,7 @@
 # Of the shortest aim: a connection that takes longer leaves no time for a second try, which is harmless, as
 # nothing has run. Machines that vanish refuse nothing; they only show by connections that never come up.
 CONNECT_SHARE = 0.25
+ANSWER_SHARE = 1 / 32  # of the memory: ledger nodes do answer with hundreds of KiB, but never with GB
 PASSED_ON = ("content-type", "accept")  # besides what the protocol names
 PROBE_PATH = "/ping"
 
@@ -50,7 +51,8 @@
             loop, counters, keepalive_ms=config.keepalive_ms,
             connect_timeout_ms=min(config.settings.limits.connect_timeout_ms,
                                    CONNECT_SHARE * min(one.aim_ms for one in config.settings.classes)),
-            most_links=int(config.sockets * DESTINATION_SHARE))
+            most_links=int(config.sockets * DESTINATION_SHARE),
+            most_body=int(config.memory_mb * 1024 * 1024 * ANSWER_SHARE))
         self._reader = PoolReader(config.zones)
         self.pool_config = PoolConfig(loop, config.discovery, self._reader, self.told, counters,
                                       must_ask=config.settings.must_ask)
@@ -125,7 +127,8 @@
     def reload(self, config: Config) -> None:
         """The configuration was read anew: discovery moves, all else holds until the next start."""
         before = self._config
-        kept = [name for name in ("name", "listen", "sockets", "settings", "zones", "keepalive_ms")
+        kept = [name for name in ("name", "listen", "sockets", "memory_mb", "settings", "zones",
+                                  "keepalive_ms")
                 if getattr(before, name) != getattr(config, name)]
         self.counters.add("reloads")
         log.say(f"{before.name}: configuration read anew, discovery at {config.discovery[0]}:"
--- a/coveport/http1.py
+++ b/coveport/http1.py
@@ -68,7 +68,7 @@
 class _Parser:
     """Bytes in, whole messages out; holds no more than one head and one body beyond what is asked for."""
 
-    most_body: ClassVar[int] = MAX_BODY
+    most_body: int = MAX_BODY
     opening: ClassVar[re.Pattern[bytes]]  # what the first bytes of a message match, however few there are
     held: bytearray = field(default_factory=bytearray)
     _message: Message | None = None  # its head is read, its body is not
--- a/coveport/pool_config.py
+++ b/coveport/pool_config.py
@@ -113,7 +113,8 @@
     def __init__(self, ended: Callable[[http1.Response | None], None]) -> None:
         self._ended = ended
         self._buffer = memoryview(bytearray(16 * 1024))
-        self._body = _BigParser()
+        # A list of destinations may be larger than an operation's body.
+        self._body = http1.ResponseParser(MOST_BYTES)
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -142,12 +143,6 @@
         self._ended(None)
 
 
-class _BigParser(http1.ResponseParser):
-    """A list of destinations may be larger than an operation's body."""
-
-    most_body = MOST_BYTES
-
-
 class _Agent:
     """One discovery: asks it, watches it, and redials where it fails or goes silent."""
 
--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -31,9 +31,25 @@
 ACCIDENTS = 2  # errors or resets in a row, with no answer between, that put a host out of its level
 CROWD = 6  # requests that all copies together may have at one host: a core far behind turns slower still
 LEAST_OUT = 2  # of which each copy has at least so many
+PASSED = 2  # answers to later attempts at the same host that show that one got lost there
 DRAWS = 6  # tries to find two usable hosts before a level is looked through
 
 
+class _Flight:
+    """An attempt that is out at a host."""
+
+    __slots__ = ("passed", "sent_at", "share")
+
+    def __init__(self, sent_at: float, share: int) -> None:
+        self.sent_at, self.share = sent_at, share  # how many were in flight with it, itself included
+        self.passed = 0  # how many sent there later have been answered already
+
+    @property
+    def lost(self) -> bool:
+        """Others pass it by: it got lost, or is one heavy request, and does not speak of its host."""
+        return self.passed >= PASSED
+
+
 class _Host:
     """What one host has shown us."""
 
@@ -42,7 +58,7 @@
 
     def __init__(self, entry: api.HostEntry) -> None:
         self.id, self.zone, self.cell = entry.host, entry.zone, entry.cell
-        self.pending: dict[tuple[int, int], tuple[float, int]] = {}  # attempt: sent at, in flight with it
+        self.pending: dict[tuple[int, int], _Flight] = {}  # by attempt, in the order in which they were sent
         self.started = entry.started_ms
         self.cold_at = entry.started_ms if entry.started_ms > 0 else -inf
         self.ready = False  # not yet in a level
@@ -196,7 +212,7 @@
 
     # Health: when a host leaves its level, trials, silence.
 
-    def _judge(self, host: _Host, outcome: Outcome, latency: float, sent: tuple[float, int] | None) -> None:
+    def _judge(self, host: _Host, outcome: Outcome, latency: float, sent: _Flight | None) -> None:
         if outcome is Outcome.OK:
             if host.trial_at < inf:
                 down = self.now - host.down_at
@@ -215,8 +231,11 @@
         elif outcome is Outcome.CONNECT_FAILED or (
                 outcome is Outcome.TIMEOUT and host.heard_at < self.now - latency):  # silence
             self._eject(host)
-        if sent is not None and outcome in (Outcome.OK, Outcome.TIMEOUT):
-            pace = latency / sent[1]
+        if sent is not None and outcome is Outcome.OK:
+            for other in host.pending.values():
+                other.passed += other.sent_at < sent.sent_at
+        if sent is not None and (outcome is Outcome.OK or (outcome is Outcome.TIMEOUT and not sent.lost)):
+            pace = latency / sent.share
             host.pace = pace if not host.pace else host.pace + MEMORY * (pace - host.pace)
             # A time-out is news too: else a jammed host looks forgotten and every copy sends it another.
             host.seen_at = self.now
@@ -231,11 +250,11 @@
 
     def _expected(self, host: _Host) -> float:
         """How long a further request would take there, by our own few answers and what is still out."""
-        ours = len(host.pending)
-        if not ours and self.now - host.seen_at > host.pace:
+        out = [flight for flight in host.pending.values() if not flight.lost]
+        if not out and self.now - host.seen_at > host.pace:
             return 0.0  # long unheard and nothing out there: the estimate is stale, one may look
-        oldest = next(iter(host.pending.values()))[0] if ours else self.now
-        return max(host.pace * (ours + 1), self.now - oldest)  # silence is evidence before any time-out
+        oldest = out[0].sent_at if out else self.now
+        return max(host.pace * (len(out) + 1), self.now - oldest)  # silence is evidence before any time-out
 
     def _crowding(self, zone: _Zone, outcome: Outcome, latency: float) -> None:
         """Cut a zone's limit when an answer is late, once per patience."""
@@ -368,27 +387,27 @@
         request.waiting = True
         # Newest first among equals: who has waited longest is the likeliest to be late whatever we do.
         insort_left(self.queue, request, key=lambda held: -held.cls.worth)
-        self._look()
+        self._look([request])
 
-    def _look(self) -> None:
-        """See to it that held requests are looked at again soon."""
-        at = min((at for r in self.queue for at in (r.hold_until, r.cross_at) if at > self.soon), default=inf)
+    def _look(self, requests: list[_Request]) -> None:
+        """See to it that these held requests are looked at again soon."""
+        at = min((at for r in requests for at in (r.hold_until, r.cross_at) if at > self.soon), default=inf)
         at = min(at, self.now + self._patience(self.aim))
         if at < self.look_at:
             self.look_at = at
             self._wake(at)
 
     def _dispatch(self) -> None:
-        stuck: set[tuple[int, bool]] = set()  # where one found no host, its like will not
+        stuck: set[tuple[int, bool]] = set()  # where one that may go anywhere found none, its like will not
         for request in list(self.queue):
             kind = (request.kind, self.soon < request.cross_at)
-            if request.waiting and (kind not in stuck or request.attempts or self.soon >= request.hold_until):
+            if request.waiting and (kind not in stuck or self.soon >= request.hold_until):
                 self._place(request)
-                if request.waiting:
+                if request.waiting and not request.attempts:
                     stuck.add(kind)
         self.queue = [request for request in self.queue if request.waiting]
-        if self.queue:
-            self._look()
+        if self.queue and self.look_at == inf:  # else a look is due, and was set with each of them in mind
+            self._look(self.queue)
 
     def _send(self, request: _Request, host: _Host) -> None:
         if not self._legal(request, host):
@@ -396,7 +415,7 @@
         request.waiting = False
         self.zones[host.zone].flying += 1
         self.flights[request.id, len(request.attempts)] = host
-        host.pending[request.id, len(request.attempts)] = (self.now, len(host.pending) + 1)
+        host.pending[request.id, len(request.attempts)] = _Flight(self.now, len(host.pending) + 1)
         request.attempts.append(_Attempt(host, self.now))
         timeout = max(min(request.give_up, request.deadline) - self.now, self.settings.tick_ms)
         self.out.append(api.Send(request.id, host.id, timeout))
@@ -408,11 +427,12 @@
         if host is not None:
             sent = host.pending.pop((event.id, event.attempt), None)
             # Before it is taken off: a limit of one would else look unused for ever and never grow again.
-            self._crowding(self.zones[host.zone], event.outcome, event.latency_ms)
+            if event.outcome is not Outcome.TIMEOUT or not sent or not sent.lost:
+                self._crowding(self.zones[host.zone], event.outcome, event.latency_ms)
             self.zones[host.zone].flying -= 1
             self._judge(host, event.outcome, event.latency_ms, sent)
             if event.outcome is Outcome.OK and sent:
-                pace = event.latency_ms / sent[1]
+                pace = event.latency_ms / sent.share
                 self.answers += 1  # each of the first answers weighs as much as the guess did
                 self.service += max(SERVICE_MEMORY, 1 / (1 + self.answers)) * (pace - self.service)
         self._dispatch()
