--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -23,6 +23,7 @@
 MAX_DOUBLINGS = 3
 COLD_SAFETY = 0.3  # part of a cold host's budget that is used: a zone can be asked for three times its all
 EXTRA_SHARE = 0.03  # retry budget: extra attempts that may have run before, per request
+CALM_SHARE = 0.1  # the same while no request is held: there is room to try again
 EXTRA_BURST = 2.0  # the most saved up; retries may overdraw as much, second copies may not
 GROW = 0.03  # how much of itself a small limit gains with each request; with CUT, a fifth may be late
 LATE = 2.0  # patiences after which an answer speaks of a crowd: one patience is often one heavy request
@@ -31,6 +32,7 @@
 ACCIDENTS = 2  # errors or resets in a row, with no answer between, that put a host out of its level
 CROWD = 6  # requests that all copies together may have at one host: a core far behind turns slower still
 LEAST_OUT = 2  # of which each copy has at least so many
+SWIFT = 0.15  # part of an aim: as much again may be out at a host that is expected to answer so soon
 PASSED = 2  # answers to later attempts at the same host that show that one got lost there
 DRAWS = 6  # tries to find two usable hosts before a level is looked through
 
@@ -292,9 +294,12 @@
                 self.out.append(api.Probe(host.id))
             if self.limits.probes or request.cls.effect is Effect.UNSAFE:
                 return False
-        return (host.paused_until <= self.now and len(host.pending) < self.most_out
-                and self.zones[host.zone].open_to(request)
-                and self._expected(host) <= self._patience(request.cls.aim_ms)
+        if host.paused_until > self.now or not self.zones[host.zone].open_to(request):
+            return False
+        expected = self._expected(host)
+        # Where answers come this fast, what is out is on its way rather than waiting there.
+        most = self.most_out * (2 if expected < self.aim * SWIFT else 1)
+        return (len(host.pending) < most and expected <= self._patience(request.cls.aim_ms)
                 and self._has_room(host, request, first) and self._legal(request, host))
 
     def _pick(self, request: _Request) -> _Host | None:
@@ -370,7 +375,7 @@
         request.cross_at = self.now + dear * self._patience(cls.aim_ms)
         for zone in self.zones.values():
             zone.ask()
-        self.extra = min(EXTRA_BURST, self.extra + EXTRA_SHARE)
+        self.extra = min(EXTRA_BURST, self.extra + (EXTRA_SHARE if self.queue else CALM_SHARE))
         self._place(request)
 
     def _place(self, request: _Request) -> None:
@@ -448,11 +453,10 @@
         elif not request.waiting and not any(a.pending for a in request.attempts):
             risky = any(a.may_have_run for a in request.attempts)
             if (self.soon >= request.hold_until or len(request.attempts) >= self.limits.max_attempts
-                    or (risky and (request.cls.effect is Effect.UNSAFE
-                                   or (self.queue and self.extra <= -EXTRA_BURST)))):
+                    or (risky and (request.cls.effect is Effect.UNSAFE or self.extra <= -EXTRA_BURST))):
                 self._answer(request)
                 return
-            self.extra -= risky and bool(self.queue)  # while none is held there is room to try again
+            self.extra -= risky
             if event.outcome is Outcome.FULL:
                 self._hold(request)  # others are full too: tried at once, they would only get connections
             else:
