--- a/coveport/clients.py
+++ b/coveport/clients.py
@@ -25,6 +25,8 @@
 WAITING_MOST = 512  # connections that may wait to be accepted
 ACCEPT_MOST = 4  # connections accepted in one turn of the loop, so that room can be made in between
 NEWEST = 16  # connections that have brought nothing yet and are given FRESH_S in a crowd all the same
+KEPT_SHARE = 0.5  # of the clients there may be: above that, connections at rest are closed early ...
+RESTED_S = 0.2  # ... if they have rested so long
 SPARE = 4  # clients above the most that may be there at once while room is made
 ACCEPT_S = 2.0  # how long the planned end takes in what waits; asyncio pauses for 1 s after EMFILE
 LINGER_S = 1.0  # how long to read on after a farewell, which a reset would destroy
@@ -325,6 +327,13 @@
     def used(self, client: Client) -> None:
         """A client has brought its first whole request."""
         self._new.pop(client, None)
+        # Guards against clients that ask once and keep their connection: all clients together may hold only a
+        # third of the descriptors, so those would leave none to who has something to ask.
+        if len(self._clients) - len(self._new) > self._most * KEPT_SHARE:
+            before = self.loop.time() - RESTED_S
+            idle = (one for one in self._by_age() if one.since < before and one.may_close(before))
+            for one in islice(idle, 2):
+                one.close()
 
     def ending(self, client: Client) -> None:
         """A client has had its last answer and is about to close."""
@@ -344,11 +353,14 @@
                              if (place < sure or one.since < now - FRESH_S) and one.may_drop()),
                             count - len(found))
         if len(found) < count:
-            idle = sorted((one for one in self._clients if one not in self._new), key=lambda one: one.since)
-            found += islice((one for one in idle if one.may_close(now)), count - len(found))
+            found += islice((one for one in self._by_age() if one.may_close(now)), count - len(found))
         for client in found:
             client.close()
 
+    def _by_age(self) -> list[Client]:
+        """Those that have brought a request, who rests longest first."""
+        return sorted((one for one in self._clients if one not in self._new), key=lambda one: one.since)
+
     @property
     def crowded(self) -> bool:
         """Whether there are more clients than we can hold: the last ones are turned away, at once."""
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -43,6 +43,21 @@
         assert 2 < took < 9 and said == b""
 
 
+def test_clients_that_ask_once_and_stay_do_not_use_up_the_connections(tmp_path: Path) -> None:
+    # Seen on a recorded day: all that clients may hold stood idle, and half the requests had none.
+    node = Server(served)
+    with world(tmp_path, node.address, sockets=192) as one:
+        stayed = []
+        for _ in range(90):
+            stayed.append(one.connect())
+            stayed[-1].sendall(request("GET /balance"))
+            assert receive(stayed[-1])[0] == 200
+            time.sleep(0.01)
+        assert one.figures()["clients"] < 60  # a third is 64
+        for conn in stayed:
+            conn.close()
+
+
 def test_a_huge_body_is_refused_before_it_has_come(tmp_path: Path) -> None:
     node = Server(served)
     with world(tmp_path, node.address) as one, one.connect() as conn:
