--- a/coveport/clients.py
+++ b/coveport/clients.py
@@ -26,7 +26,7 @@
 ACCEPT_MOST = 4  # connections accepted in one turn of the loop, so that room can be made in between
 NEWEST = 16  # connections that have brought nothing yet and are given FRESH_S in a crowd all the same
 KEPT_SHARE = 0.5  # of the clients there may be: above that, connections at rest are closed early ...
-RESTED_S = 0.2  # ... if they have rested so long
+RESTED_S = 0.1  # ... if they have rested so long
 SPARE = 4  # clients above the most that may be there at once while room is made
 ACCEPT_S = 2.0  # how long the planned end takes in what waits; asyncio pauses for 1 s after EMFILE
 LINGER_S = 1.0  # how long to read on after a farewell, which a reset would destroy
@@ -327,12 +327,17 @@
     def used(self, client: Client) -> None:
         """A client has brought its first whole request."""
         self._new.pop(client, None)
+        self._tidy(2)
+
+    def _tidy(self, most: int) -> None:
+        """Close connections at rest where clients hold more than is good for all."""
         # Guards against clients that ask once and keep their connection: all clients together may hold only a
         # third of the descriptors, so those would leave none to who has something to ask.
-        if len(self._clients) - len(self._new) > self._most * KEPT_SHARE:
+        many = len(self._clients) - len(self._new) - int(self._most * KEPT_SHARE)
+        if many > 0:
             before = self.loop.time() - RESTED_S
             idle = (one for one in self._by_age() if one.since < before and one.may_close(before))
-            for one in islice(idle, 2):
+            for one in islice(idle, min(many, most)):
                 one.close()
 
     def ending(self, client: Client) -> None:
@@ -375,6 +380,7 @@
         now = self.loop.time()
         for client in list(self._clients):
             client.check(now)
+        self._tidy(self._most)  # here too: where all that clients may hold is at rest, none of them comes
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
     @property
