Packages by concern: the modules move as they are, imports follow

Change: files move into core, config, discovery, http1, nodes, net, sidecar and telemetry; no line of behaviour changes.

--- a/coveport/__main__.py
+++ b/coveport/__main__.py
@@ -10,13 +10,13 @@
 from collections.abc import Mapping
 from typing import Any
 
-from coveport import config as configuration
-from coveport import log
-from coveport.clients import Listener
-from coveport.clock import Clock
-from coveport.counters import Counters
-from coveport.effects import Effects
-from coveport.phases import Lifecycle, Phase
+from coveport.config import platform as configuration
+from coveport.core.phases import Lifecycle, Phase
+from coveport.http1.clients import Listener
+from coveport.net.clock import Clock
+from coveport.sidecar.effects import Effects
+from coveport.telemetry import log
+from coveport.telemetry.counters import Counters
 
 FIRST_LIST_S = 0.5  # how long to wait for discovery before the known list has to do
 STILL_COMING_S = 0.7  # after SIGTERM new work still comes for a while
--- /dev/null
+++ b/coveport/config/__init__.py
@@ -0,0 +1,1 @@
+"""What the sidecar is told, checked before anything starts."""
--- /dev/null
+++ b/coveport/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Discovery's protocol and the reading of its lists."""
--- a/coveport/pool_config.py
+++ b/coveport/discovery/agent.py
@@ -9,9 +9,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from coveport import http1, log
-from coveport.config import Address, parse_address
-from coveport.counters import Counters
+from coveport.config.platform import Address, parse_address
+from coveport.http1 import codec as http1
+from coveport.telemetry import log
+from coveport.telemetry.counters import Counters
 from micaflow import interface as api
 
 PATH = "/catalog/members"
--- a/coveport/clients.py
+++ b/coveport/http1/clients.py
@@ -11,9 +11,10 @@
 from dataclasses import dataclass
 from itertools import islice
 
-from coveport import http1, log
-from coveport.counters import Counters
-from coveport.sockets import is_quiet, is_quiet_socket
+from coveport.http1 import codec as http1
+from coveport.net.sockets import is_quiet, is_quiet_socket
+from coveport.telemetry import log
+from coveport.telemetry.counters import Counters
 from micaflow import interface as api
 
 HEALTH_PATH = "/_health"
--- /dev/null
+++ b/coveport/net/__init__.py
@@ -0,0 +1,1 @@
+"""The seam to the outside: clock and sockets."""
--- /dev/null
+++ b/coveport/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to ledger nodes."""
--- a/coveport/destinations.py
+++ b/coveport/nodes/destinations.py
@@ -10,11 +10,12 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from coveport import http1, log
-from coveport.config import Address
-from coveport.counters import Counters
-from coveport.pool_config import Place
-from coveport.sockets import is_quiet
+from coveport.config.platform import Address
+from coveport.discovery.agent import Place
+from coveport.http1 import codec as http1
+from coveport.net.sockets import is_quiet
+from coveport.telemetry import log
+from coveport.telemetry.counters import Counters
 from micaflow.interface import Outcome
 
 IDLE_SHARE = 0.8  # part of the keep-alive limit after which we close: theirs must never come first
--- /dev/null
+++ b/coveport/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""One instance, wired."""
--- a/coveport/effects.py
+++ b/coveport/sidecar/effects.py
@@ -7,14 +7,15 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from coveport import http1, log
-from coveport import reducer as core
-from coveport.clients import Client, Operation
-from coveport.clock import Clock
-from coveport.config import Config
-from coveport.counters import Counters
-from coveport.destinations import Destinations, RouteStep, StepResult
-from coveport.pool_config import PoolConfig, PoolReader, PoolUpdate
+from coveport.config.platform import Config
+from coveport.core import reducer as core
+from coveport.discovery.agent import PoolConfig, PoolReader, PoolUpdate
+from coveport.http1 import codec as http1
+from coveport.http1.clients import Client, Operation
+from coveport.net.clock import Clock
+from coveport.nodes.destinations import Destinations, RouteStep, StepResult
+from coveport.telemetry import log
+from coveport.telemetry.counters import Counters
 from micaflow import interface as api
 
 DESTINATION_SHARE = 0.4  # of the descriptors; clients have half, the rest is for all else
--- /dev/null
+++ b/coveport/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""What operators see: log lines and counters."""
--- a/tests/test_destinations.py
+++ b/tests/test_destinations.py
@@ -8,10 +8,10 @@
 
 from world import Server, request, served
 
-from coveport import destinations
-from coveport.config import parse_address
-from coveport.counters import Counters
-from coveport.pool_config import Place
+from coveport.config.platform import parse_address
+from coveport.discovery.agent import Place
+from coveport.nodes import destinations
+from coveport.telemetry.counters import Counters
 from micaflow.interface import Outcome
 
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from coveport import http1
+from coveport.http1 import codec as http1
 
 CUTS = st.lists(st.integers(1, 40), max_size=30)
 
--- a/tests/test_pool_config.py
+++ b/tests/test_pool_config.py
@@ -8,9 +8,9 @@
 import pytest
 from world import Seen, Server, reply
 
-from coveport import pool_config
-from coveport.config import parse_address
-from coveport.counters import Counters
+from coveport.config.platform import parse_address
+from coveport.discovery import agent as pool_config
+from coveport.telemetry.counters import Counters
 
 LIST = json.dumps({"seq": 1, "whole": True, "hosts": []}).encode()
 
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from coveport import reducer as core
+from coveport.core import reducer as core
 from micaflow import Balancer
 from micaflow import interface as api
 
