--- a/coveport/lab/day.py
+++ b/coveport/lab/day.py
@@ -122,6 +122,16 @@
 }
 
 
+class Span(Struct, frozen=True):
+    """When a fault of the scenario lasts, and whom it concerns (for people: "nodes 3, 7", "zone bilbao")."""
+
+    number: int  # position in the scenario's list
+    kind: str
+    begin: float
+    end: float
+    whom: str
+
+
 class Day(Struct, frozen=True):
     """A drawn day."""
 
@@ -131,6 +141,7 @@
     sidecars: tuple[SidecarDrawn, ...]
     wishes: tuple[Wish, ...]  # in order of time
     changes: tuple[Change, ...]  # in order of time
+    spans: tuple[Span, ...]  # one for each fault, load faults included
     same_ms: float
     cross_ms: tuple[tuple[float, ...], ...]  # one way, by zones; the diagonal holds `same_ms`
     client_ms: float
--- /dev/null
+++ b/coveport/lab/playing.py
@@ -0,0 +1,22 @@
+"""A day once played: what came of it, before anybody has judged it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from coveport.lab.books import AnyRow
+from coveport.lab.day import Day
+
+
+@dataclass(slots=True)
+class Played:
+    """A day and its books."""
+
+    day: Day
+    ground: str  # "virtual" or "real"
+    rows: list[AnyRow]  # of all parties, in order of time
+    late: bool = False  # the machine was too busy: the figures are void, no sidecar is to blame
+    trace: str = ""  # a hash of all that was exchanged, in order (virtual ground)
+    wall_s: float = 0.0  # how long it took to play
+    logs: dict[int, str] = field(default_factory=dict)  # what each sidecar printed
+    notes: list[str] = field(default_factory=list)  # what the lab itself has to say of the run
--- /dev/null
+++ b/coveport/lab/ways.py
@@ -0,0 +1,70 @@
+"""What lies between two hosts: how long a message takes, what is lost on the way, who is cut off. Pure."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from coveport.lab.day import Change, Day
+
+CLIENT = -1
+"""Stands for the zone of tills, who sit beside their sidecar."""
+
+
+class Ways:
+    """The network's state, changed by the day's changes; draws come from the day's seed."""
+
+    def __init__(self, day: Day) -> None:
+        network = day.scenario.network
+        self._cross, self._client, self._jitter = day.cross_ms, day.client_ms, day.jitter
+        self._base_loss = network.loss if isinstance(network.loss, float | int) else network.loss[0]
+        self._loss_ms = network.loss_ms
+        self._random = random.Random(f"ways {day.seed}")
+        self._added: dict[int, tuple[float, bool]] = {}  # by fault
+        self._losses: dict[int, float] = {}
+        self._cut: dict[int, int] = {}  # zone by fault
+        self._opened: list[Callable[[], None]] = []
+
+    def base_ms(self, one: int, other: int) -> float:
+        """One way between two zones in calm, without jitter."""
+        return self._client if CLIENT in (one, other) else self._cross[one][other]
+
+    def delay_ms(self, one: int, other: int) -> float:
+        """One way between two zones for the next message, in ms: drawn, so call it once a message."""
+        base = self.base_ms(one, other)
+        delay = base * (1 + self._jitter * self._random.random())
+        if CLIENT in (one, other):
+            return delay
+        for added, within in self._added.values():
+            if within or one != other:
+                delay += added
+        loss = self._base_loss + sum(self._losses.values())
+        if loss:
+            while self._random.random() < loss:  # each loss is seen as a retransmission's time
+                delay += self._loss_ms
+        return delay
+
+    def held(self, one: int, other: int) -> bool:
+        """Whether nothing passes between two zones for now."""
+        return one != other and CLIENT not in (one, other) and any(
+            zone in (one, other) for zone in self._cut.values())
+
+    def on_open(self, listener: Callable[[], None]) -> None:
+        """Call `listener` whenever a cut is taken back."""
+        self._opened.append(listener)
+
+    def change(self, change: Change) -> None:
+        """Take in one of `NETWORK_CHANGES`."""
+        table: dict[int, object] = {"delay": self._added, "loss": self._losses, "cut": self._cut}[
+            change.what]  # type: ignore[assignment]
+        if not change.on:
+            table.pop(change.fault, None)
+            if change.what == "cut":
+                for listener in self._opened:
+                    listener()
+        elif change.what == "delay":
+            self._added[change.fault] = (change.value, change.share >= 1)
+        elif change.what == "loss":
+            self._losses[change.fault] = change.value
+        else:
+            self._cut[change.fault] = change.target
