--- a/coveport/__main__.py
+++ b/coveport/__main__.py
@@ -1,112 +1,15 @@
-"""The wiring: configuration, signals, phases, exit code."""
+"""Without arguments: the platform's sidecar, nothing more imported. With arguments: the command line."""
 
 from __future__ import annotations
 
-import asyncio
-import gc
-import os
-import signal
 import sys
-from collections.abc import Mapping
-from typing import Any
-
-from coveport.config import platform as configuration
-from coveport.core.phases import Lifecycle, Phase
-from coveport.http1.clients import Listener
-from coveport.net.clock import Clock
-from coveport.sidecar.effects import Effects
-from coveport.telemetry import log
-from coveport.telemetry.counters import Counters
-
-FIRST_LIST_S = 0.5  # how long to wait for discovery before the known list has to do
-STILL_COMING_S = 0.7  # after SIGTERM new work still comes for a while
-BIND_S, BIND_STEP_S = 5.0, 0.1  # the address may be held by the one before us for a moment
-STEP_S = 0.02
-CLIENT_SHARE = 0.5  # of the descriptors; destinations have 0.4, the rest is for all else
-
-
-async def serve(config: configuration.Config, environ: Mapping[str, str]) -> int:
-    """Run until told to stop and nothing is owed."""
-    loop = asyncio.get_running_loop()
-    counters, life = Counters(), Lifecycle()
-    effects = Effects(loop, config, Clock(), counters)
-    listener = Listener(loop, counters, config.settings.classes, ready=lambda: life.ready,
-                        most_clients=int(config.sockets * CLIENT_SHARE), take=effects.take, gone=effects.gone)
-
-    def unexpected(_loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-        # Guards against a fault in one connection, or EMFILE in accept: logged, and served on.
-        log.note("unexpected", f"{context.get('message')}: {context.get('exception')!r}")
-        if isinstance(context.get("exception"), OSError):
-            listener.shed(16)
-
-    def figures() -> None:
-        log.say("counters " + counters.line(phase=life.phase.value, owed=effects.owed,
-                                            clients=listener.count, links=effects.destinations.count))
-
-    stop = asyncio.Event()
-
-    def terminate() -> None:
-        if life.enter(Phase.DRAINING):
-            stop.set()
-
-    def reload() -> None:
-        try:
-            effects.reload(configuration.load(environ, again=True))
-        except configuration.ConfigError as problem:
-            # Guards against a bad file, or one that is half written: we run on with what we have.
-            counters.add("reloads_bad")
-            log.say(f"{config.name}: kept the old configuration: {problem}")
-
-    loop.set_exception_handler(unexpected)
-    loop.add_signal_handler(signal.SIGTERM, terminate)
-    loop.add_signal_handler(signal.SIGINT, terminate)
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    loop.add_signal_handler(signal.SIGUSR1, figures)
-    life.listen(lambda phase: log.say(f"{config.name}: {phase.value}"))
-
-    effects.know()
-    effects.pool_config.start()
-    give_up = loop.time() + BIND_S
-    while True:
-        try:
-            port = await listener.open(config.listen)
-            break
-        except OSError as problem:
-            if loop.time() > give_up:
-                log.say(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {problem}")
-                return 1
-            await asyncio.sleep(BIND_STEP_S)
-    log.say(f"{config.name}: listening on {config.listen[0]}:{port}")
-    known_will_do = loop.time() + FIRST_LIST_S
-    while not stop.is_set() and not effects.has_list and not (
-            effects.destinations.known and loop.time() > known_will_do):
-        await asyncio.sleep(STEP_S)
-    life.enter(Phase.SERVING)
-    gc.freeze()
-    await stop.wait()
-
-    await asyncio.sleep(STILL_COMING_S)
-    await listener.wind_up()
-    while effects.owed or listener.count:
-        await asyncio.sleep(STEP_S)
-    effects.pool_config.close()
-    effects.destinations.close()
-    listener.close()
-    life.enter(Phase.STOPPED)
-    figures()
-    return 0
 
 
 def main() -> int:
-    """Start; 2 where the configuration is wrong."""
-    # Guards against a SIGHUP that comes before there is a handler: it would end us.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    try:
-        config = configuration.load(os.environ)
-    except configuration.ConfigError as problem:
-        log.say(str(problem))
-        return 2
-    return asyncio.run(serve(config, os.environ))
+    """Start the platform's sidecar, or hand the arguments to the command line; the exit code."""
+    from coveport.sidecar.serve import main as run
+
+    return run()
 
 
 if __name__ == "__main__":
--- a/coveport/config/platform.py
+++ b/coveport/config/platform.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-import ipaddress
 import json
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
+from coveport.net.address import Address, parse_address
 from micaflow import interface as api
 from micaflow import wire
 
-Address = tuple[str, int]
-
 
 class ConfigError(Exception):
     """The configuration can't be used; its text is one line."""
@@ -35,18 +33,6 @@
     known: Any = field(default=None, repr=False)  # in discovery's form; read like its answers
 
 
-def parse_address(text: object) -> Address:
-    """Split `ip:port`, brackets around IPv6 allowed; ValueError where it is anything else."""
-    if not isinstance(text, str):
-        raise ValueError(f"address {text!r} is not a string")
-    host, colon, port = text.rpartition(":")
-    host = host.removeprefix("[").removesuffix("]")
-    ipaddress.ip_address(host)  # there is no DNS
-    if not colon or not (port.isascii() and port.isdigit()) or not 0 <= int(port) <= 65535:
-        raise ValueError(f"address {text!r} has no valid port")
-    return host, int(port)
-
-
 def _number(section: Mapping[str, Any], key: str, default: float) -> float:
     value = section.get(key, default)
     if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
--- /dev/null
+++ b/coveport/core/messages.py
@@ -0,0 +1,173 @@
+"""What passes between the reducer and the world: inputs, effects, verdicts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from coveport.core.operation import Answer
+from coveport.net.address import Address
+from micaflow import interface as api
+
+
+class Verdict(Enum):
+    """How an operation is answered."""
+
+    SERVED = "served"
+    BUSY = "busy"
+    FAILED = "failed"
+    DOUBLE = "double"  # its id is that of an operation still open
+
+
+# Inputs.
+
+
+@dataclass(slots=True)
+class OperationCame:
+    """A whole operation has come; from here on one final answer is owed."""
+
+    operation: int
+    cls: int
+    deadline_ms: float  # on our clock
+    repeat: bool = False
+    cost_ms: float = 0.0
+    room: bool = True  # False: more has come than we can hold
+    id: str = ""  # what the client calls it; empty: nothing
+
+
+@dataclass(slots=True)
+class ClientGone:
+    """The client has closed its connection; nothing is owed any more."""
+
+    operation: int
+
+
+@dataclass(slots=True)
+class StepEnded:
+    """How a route step ended; `answer` is what goes to the client where it was served."""
+
+    operation: int
+    step: int
+    outcome: api.Outcome
+    load: tuple[float, ...] = ()
+    answer: Answer | None = None
+
+
+@dataclass(slots=True)
+class ProbeEnded:
+    """How a probe ended."""
+
+    destination: int
+    outcome: api.Outcome
+    latency_ms: float
+    load: tuple[float, ...] = ()
+
+
+@dataclass(slots=True)
+class PoolTold:
+    """Word from discovery, or of its failure."""
+
+    update: api.ListUpdate
+
+
+@dataclass(slots=True)
+class TimerDue:
+    """A timer of the module is due."""
+
+    token: int
+
+
+@dataclass(slots=True)
+class DeadlineDue:
+    """An operation's time is over: whatever went wrong, it is answered now."""
+
+    operation: int
+
+
+@dataclass(slots=True)
+class Reloaded:
+    """The configuration was read anew; discovery is at this address."""
+
+    discovery: Address
+
+
+Input = OperationCame | ClientGone | StepEnded | ProbeEnded | PoolTold | TimerDue | DeadlineDue | Reloaded
+
+
+# Effects.
+
+
+@dataclass(slots=True)
+class SendStep:
+    """Send the operation to a destination, for so long."""
+
+    operation: int
+    step: int
+    destination: int
+    timeout_ms: float
+
+
+@dataclass(slots=True)
+class CancelStep:
+    """Give a route step up."""
+
+    operation: int
+    step: int
+
+
+@dataclass(slots=True)
+class GiveAnswer:
+    """Give the client its one final answer."""
+
+    operation: int
+    verdict: Verdict
+    answer: Answer | None = None
+    retry_after_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class SetTimer:
+    """Feed `TimerDue(token)` after this long."""
+
+    delay_ms: float
+    token: int
+
+
+@dataclass(slots=True)
+class GuardDeadline:
+    """Feed `DeadlineDue` then."""
+
+    operation: int
+    at_ms: float
+
+
+@dataclass(slots=True)
+class ProbeDestination:
+    """Test a destination."""
+
+    destination: int
+
+
+@dataclass(slots=True)
+class AskPool:
+    """Ask discovery: for the whole list once, or for all changes from now on."""
+
+    whole: bool
+
+
+@dataclass(slots=True)
+class MovePool:
+    """Ask another discovery from now on; the last list holds until it has spoken."""
+
+    discovery: Address
+
+
+@dataclass(slots=True)
+class Complain:
+    """Log what should not have happened."""
+
+    text: str
+
+
+Effect = (SendStep | CancelStep | GiveAnswer | SetTimer | GuardDeadline | ProbeDestination | AskPool
+          | MovePool | Complain)
--- a/coveport/core/reducer.py
+++ b/coveport/core/reducer.py
@@ -8,181 +8,36 @@
 
 import traceback
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
 
+from coveport.core.messages import (
+    AskPool,
+    CancelStep,
+    ClientGone,
+    Complain,
+    Effect,
+    GiveAnswer,
+    GuardDeadline,
+    Input,
+    MovePool,
+    OperationCame,
+    PoolTold,
+    ProbeDestination,
+    ProbeEnded,
+    Reloaded,
+    SendStep,
+    SetTimer,
+    StepEnded,
+    TimerDue,
+    Verdict,
+)
 from micaflow import Balancer
 from micaflow import interface as api
 
 GUARD_SHARE = 0.25  # part of the answer slack after which an operation that nobody answered is failed
 
 
-class Verdict(Enum):
-    """How an operation is answered."""
-
-    SERVED = "served"
-    BUSY = "busy"
-    FAILED = "failed"
-    DOUBLE = "double"  # its id is that of an operation still open
-
-
-# Inputs.
-
-
-@dataclass(slots=True)
-class OperationCame:
-    """A whole operation has come; from here on one final answer is owed."""
-
-    operation: int
-    cls: int
-    deadline_ms: float  # on our clock
-    repeat: bool = False
-    cost_ms: float = 0.0
-    room: bool = True  # False: more has come than we can hold
-    id: str = ""  # what the client calls it; empty: nothing
-
-
-@dataclass(slots=True)
-class ClientGone:
-    """The client has closed its connection; nothing is owed any more."""
-
-    operation: int
-
-
-@dataclass(slots=True)
-class StepEnded:
-    """How a route step ended; `answer` is what goes to the client where it was served."""
-
-    operation: int
-    step: int
-    outcome: api.Outcome
-    load: tuple[float, ...] = ()
-    answer: object = None
-
-
-@dataclass(slots=True)
-class ProbeEnded:
-    """How a probe ended."""
-
-    destination: int
-    outcome: api.Outcome
-    latency_ms: float
-    load: tuple[float, ...] = ()
-
-
-@dataclass(slots=True)
-class PoolTold:
-    """Word from discovery, or of its failure."""
-
-    update: api.ListUpdate
-
-
-@dataclass(slots=True)
-class TimerDue:
-    """A timer of the module is due."""
-
-    token: int
-
-
-@dataclass(slots=True)
-class DeadlineDue:
-    """An operation's time is over: whatever went wrong, it is answered now."""
-
-    operation: int
-
-
-@dataclass(slots=True)
-class Reloaded:
-    """The configuration was read anew; discovery is at this address, whatever the protocol makes of it."""
-
-    discovery: object
-
-
-Input = OperationCame | ClientGone | StepEnded | ProbeEnded | PoolTold | TimerDue | DeadlineDue | Reloaded
-
-
-# Effects.
-
-
-@dataclass(slots=True)
-class SendStep:
-    """Send the operation to a destination, for so long."""
-
-    operation: int
-    step: int
-    destination: int
-    timeout_ms: float
-
-
-@dataclass(slots=True)
-class CancelStep:
-    """Give a route step up."""
-
-    operation: int
-    step: int
-
-
-@dataclass(slots=True)
-class Answer:
-    """Give the client its one final answer."""
-
-    operation: int
-    verdict: Verdict
-    answer: object = None
-    retry_after_ms: float = 0.0
-
-
-@dataclass(slots=True)
-class SetTimer:
-    """Feed `TimerDue(token)` after this long."""
-
-    delay_ms: float
-    token: int
-
-
-@dataclass(slots=True)
-class GuardDeadline:
-    """Feed `DeadlineDue` then."""
-
-    operation: int
-    at_ms: float
-
-
-@dataclass(slots=True)
-class ProbeDestination:
-    """Test a destination."""
-
-    destination: int
-
-
-@dataclass(slots=True)
-class AskPool:
-    """Ask discovery: for the whole list once, or for all changes from now on."""
-
-    whole: bool
-
-
-@dataclass(slots=True)
-class MovePool:
-    """Ask another discovery from now on; the last list holds until it has spoken."""
-
-    discovery: object
-
-
-@dataclass(slots=True)
-class Complain:
-    """Log what should not have happened."""
-
-    text: str
-
-
-Effect = (SendStep | CancelStep | Answer | SetTimer | GuardDeadline | ProbeDestination | AskPool
-          | MovePool | Complain)
-
-
-# State.
-
-
 @dataclass(slots=True)
 class _Step:
     destination: int
@@ -205,9 +60,10 @@
 class Reducer:
     """The state of one sidecar."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int,
+                 balancer: Callable[[api.Settings, int], Balancer] = Balancer) -> None:
         self._settings = settings
-        self._balancer = Balancer(settings, seed)
+        self._balancer = balancer(settings, seed)
         self._operations: dict[int, _Operation] = {}
         self._ids: set[str] = set()  # of the open operations
         self._now = 0.0
@@ -254,7 +110,7 @@
         if item.id and item.id in self._ids:
             # Guards against a client that uses another's id: what is open keeps its one answer, and the
             # ledger nodes never hold two of a name.
-            self._effects.append(Answer(item.operation, Verdict.DOUBLE))
+            self._effects.append(GiveAnswer(item.operation, Verdict.DOUBLE))
             return
         self._ids.add(item.id)
         operation = self._operations[item.operation] = _Operation(item.deadline_ms, item.id)
@@ -272,7 +128,7 @@
         step.out = False
         if item.outcome is api.Outcome.OK and not operation.answered:
             operation.answered = True
-            self._effects.append(Answer(item.operation, Verdict.SERVED, item.answer))
+            self._effects.append(GiveAnswer(item.operation, Verdict.SERVED, item.answer))
         told = self._tell(api.Reply(item.operation, item.step, step.destination, item.outcome,
                                     self._now - step.sent_at, operation.answered, item.load))
         self._settle(item.operation, operation, told)
@@ -296,7 +152,7 @@
             return
         operation.answered = True
         if verdict is not None:
-            self._effects.append(Answer(number, verdict))
+            self._effects.append(GiveAnswer(number, verdict))
         self._tell(api.Left(number))
         for attempt, step in enumerate(operation.steps):
             if step.out:  # the module's own cancel may have come already; a second one does nothing
@@ -341,7 +197,7 @@
                 return True
             operation.answered = True
             if isinstance(action, api.Fail):
-                self._effects.append(Answer(action.id, Verdict.FAILED))
+                self._effects.append(GiveAnswer(action.id, Verdict.FAILED))
             else:
                 self._effects.append(self._busy(action.id, action.wait_ms))
             if operation.over:
@@ -352,10 +208,10 @@
             self._effects.append(AskPool(isinstance(action, api.FetchList)))
         return True
 
-    def _busy(self, number: int, wait_ms: float) -> Answer:
+    def _busy(self, number: int, wait_ms: float) -> GiveAnswer:
         limits = self._settings.limits
         wait_ms = min(wait_ms, limits.max_retry_after_ms) if limits.retry_after else 0.0
-        return Answer(number, Verdict.BUSY, None, wait_ms)
+        return GiveAnswer(number, Verdict.BUSY, None, wait_ms)
 
     def _send(self, action: api.Send) -> None:
         operation = self._operations.get(action.id)
--- a/coveport/discovery/agent.py
+++ b/coveport/discovery/agent.py
@@ -1,18 +1,17 @@
-"""The pool config: discovery's list of destinations, from the one known at the start to the newest."""
+"""The pool config: asks discovery, watches it, redials it, and follows it where it moves."""
 
 from __future__ import annotations
 
 import asyncio
 import json
-import math
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any
 
-from coveport.config.platform import Address, parse_address
+from coveport.discovery.reader import PoolReader, PoolUpdate
 from coveport.http1 import codec as http1
-from coveport.telemetry import log
+from coveport.net.address import Address
+from coveport.net.transport import Net
 from coveport.telemetry.counters import Counters
+from coveport.telemetry.log import Log
 from micaflow import interface as api
 
 PATH = "/catalog/members"
@@ -23,96 +22,12 @@
 RETRY_S = (0.02, 0.1, 0.3)  # pauses after the first, second and further failures in a row
 MOST_BYTES = 4 * 1024 * 1024
 
-_STATES = {"active": api.State.READY, "leaving": api.State.DRAINING, "left": api.State.GONE}
-
-
-Place = tuple[Address, float]  # where a destination listens, and when its process started
-
-
-@dataclass(slots=True)
-class PoolUpdate:
-    """A pool config as read: for the module, and where the destinations are (None: gone)."""
-
-    update: api.ListUpdate
-    places: list[tuple[int, Place | None]]
-
-
-class PoolReader:
-    """Reads discovery's form; gives destinations, zones and cells their numbers."""
-
-    def __init__(self, zones: tuple[str, ...]) -> None:
-        self._hosts: dict[str, int] = {}
-        self._zones = {zone: number for number, zone in enumerate(zones)}
-        self._cells: dict[str, int] = {}
-        self._cell_of: dict[str, int] = {}  # each host's
-        self._numbers = self._cell_numbers = 0
-
-    def read(self, told: Any, kind: api.ListKind | None = None) -> PoolUpdate:
-        """Check and read all of it; ValueError where any of it is garbled."""
-        try:
-            hosts, version, whole = told["hosts"], told["seq"], told["whole"]
-            if not isinstance(hosts, list) or type(version) is not int or type(whole) is not bool:
-                raise ValueError("hosts, seq or whole is not what it should be")
-            rows = [self._check(one) for one in hosts]
-        except (KeyError, TypeError, AttributeError) as problem:
-            raise ValueError(f"{type(problem).__name__}: {problem}") from problem
-        if kind is None:
-            kind = api.ListKind.FULL if whole else api.ListKind.DELTA
-        entries, places = [], list[tuple[int, Place | None]]()
-        for name, address, zone, cell, state, weight, born in rows:
-            number = self._hosts.setdefault(name, self._numbers + 1)
-            self._numbers = max(self._numbers, number)
-            bay = self._cell_of[name] = self._cell(cell)
-            entries.append(api.HostEntry(number, self._zone(zone), bay, state, weight, born))
-            places.append((number, None if state is api.State.GONE else (address, born)))
-        gone = {row[0] for row in rows if row[4] is api.State.GONE}
-        if kind is not api.ListKind.DELTA:
-            gone |= self._hosts.keys() - {row[0] for row in rows}
-        self._forget(gone)
-        return PoolUpdate(api.ListUpdate(kind, tuple(entries), version), places)
-
-    def _forget(self, gone: set[str]) -> None:
-        # Guards against tables that only grow: destinations are replaced all day, under new names. A
-        # number is never given twice, so one that comes back is a new one to us.
-        for name in gone:
-            self._hosts.pop(name, None)
-            self._cell_of.pop(name, None)
-        if gone:
-            used = set(self._cell_of.values())
-            self._cells = {name: number for name, number in self._cells.items() if number in used}
-
-    @staticmethod
-    def _check(one: Any) -> tuple[str, Address, Any, Any, api.State, float, float]:
-        name, weight, born = one["host"], one.get("share", 1.0), one.get("born_ms", 0)
-        if not isinstance(name, str) or not name:
-            raise ValueError(f"host {name!r} is no name")
-        for value in (weight, born):
-            if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < math.inf:
-                raise ValueError(f"{name}: {value!r} is no figure")
-        for value in (one["site"], one["block"]):
-            if isinstance(value, bool) or not isinstance(value, int | str):
-                raise ValueError(f"{name}: {value!r} is no site or block")
-        # A state that is not known is treated as draining: nothing new goes there.
-        state = _STATES.get(one["health"], api.State.DRAINING)
-        return name, parse_address(one["dial"]), one["site"], one["block"], state, float(weight), float(born)
-
-    def _zone(self, zone: int | str) -> int:
-        return zone if isinstance(zone, int) else self._zones.setdefault(zone, len(self._zones))
-
-    def _cell(self, cell: int | str) -> int:
-        if isinstance(cell, int):
-            return cell
-        if cell not in self._cells:
-            self._cell_numbers += 1
-            self._cells[cell] = self._cell_numbers
-        return self._cells[cell]
-
 
 class _Call(asyncio.BufferedProtocol):
     """A connection to discovery, which carries one call at a time."""
 
-    def __init__(self, ended: Callable[[http1.Response | None], None]) -> None:
-        self._ended = ended
+    def __init__(self, ended: Callable[[http1.Response | None], None], log: Log) -> None:
+        self._ended, self._log = ended, log
         self._buffer = memoryview(bytearray(16 * 1024))
         # A list of destinations may be larger than an operation's body.
         self._body = http1.ResponseParser(MOST_BYTES)
@@ -130,7 +45,7 @@
             self._body.feed(self._buffer[:nbytes])
             response = self._body.next_response()
         except http1.BadMessageError as problem:
-            log.note("pool config", f"garbled answer: {problem}")
+            self._log.note("pool config", f"garbled answer: {problem}")
             self._ended(None)
             return
         if response is not None:
@@ -147,10 +62,11 @@
 class _Agent:
     """One discovery: asks it, watches it, and redials where it fails or goes silent."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, reader: PoolReader,
-                 tell: Callable[[PoolUpdate | None], None], counters: Counters, *, must_ask: bool) -> None:
-        self._loop, self._address, self._reader = loop, address, reader
-        self._tell, self._counters, self._must_ask = tell, counters, must_ask
+    def __init__(self, net: Net, address: Address, reader: PoolReader,
+                 tell: Callable[[PoolUpdate | None], None], counters: Counters, log: Log, *,
+                 must_ask: bool) -> None:
+        self._net, self._address, self._reader = net, address, reader
+        self._tell, self._counters, self._log, self._must_ask = tell, counters, log, must_ask
         self._call: _Call | None = None
         self._busy = False
         self._sequence: int | None = None  # None: the whole list is wanted next
@@ -185,7 +101,7 @@
         if self._closed or not (self._watching or self._asked_whole):
             return
         self._busy = True
-        self._loop.create_task(self._make_call())
+        self._net.loop.create_task(self._make_call())
 
     @property
     def _wants_whole(self) -> bool:
@@ -194,10 +110,10 @@
     async def _make_call(self) -> None:
         if self._call is None:
             self._arm(FIRST_S)
-            call = _Call(lambda response: self._ended(call, response))
+            call = _Call(lambda response: self._ended(call, response), self._log)
             self._call = call
             try:
-                await self._loop.create_connection(lambda: call, *self._address)
+                await self._net.dial(lambda: call, self._address)
             except OSError as problem:
                 self._failed(call, f"no connection: {problem}")
                 return
@@ -217,7 +133,7 @@
             target += f"?after={self._sequence}&wait_ms={WATCH_MS}"
             self._arm(WATCH_MS / 1000 + GRACE_S)
         self._counters.add("pool_calls")
-        self._called_at = self._loop.time()
+        self._called_at = self._net.now_s()
         host = f"{self._address[0]}:{self._address[1]}"
         transport.write(http1.write_request("GET", target, [("Host", host)]))
 
@@ -225,7 +141,7 @@
         if self._bound is not None:
             self._bound.cancel()
         # Guards against a discovery that goes silent without closing: no wait is open-ended.
-        self._bound = self._loop.call_later(seconds, self._silent)
+        self._bound = self._net.loop.call_later(seconds, self._silent)
 
     def _silent(self) -> None:
         if self._call is not None:
@@ -261,17 +177,17 @@
         self._tell(update)
         if self._busy or self._closed:  # what was just told has made the module ask, or us move on
             return
-        if update.update.entries or self._loop.time() - self._called_at > EMPTY_S:
+        if update.update.entries or self._net.now_s() - self._called_at > EMPTY_S:
             self._next()
         else:
             # Guards against a discovery that doesn't wait: asked again at once, it would keep us busy.
             self._busy = True
-            self._loop.call_later(EMPTY_S, self._next)
+            self._net.loop.call_later(EMPTY_S, self._next)
 
     def _failed(self, call: _Call, text: str) -> None:
         if call is not self._call:
             return
-        log.note("pool config", text)
+        self._log.note("pool config", text)
         self._counters.add("pool_failures")
         self._hang_up()
         pause = RETRY_S[min(self._failures, len(RETRY_S) - 1)]
@@ -282,7 +198,7 @@
             self._watching = self._asked_whole = self._busy = False
             self._tell(None)
         elif not self._closed:
-            self._loop.call_later(pause, self._next)
+            self._net.loop.call_later(pause, self._next)
 
     def _hang_up(self) -> None:
         call, self._call = self._call, None
@@ -296,11 +212,12 @@
 class PoolConfig:
     """Where the pool config comes from: one discovery, and while it moves its successor beside it."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, reader: PoolReader,
-                 tell: Callable[[PoolUpdate | None], None], counters: Counters, *, must_ask: bool) -> None:
-        self._loop, self._reader, self._tell, self._counters = loop, reader, tell, counters
+    def __init__(self, net: Net, address: Address, reader: PoolReader,
+                 tell: Callable[[PoolUpdate | None], None], counters: Counters, log: Log, *,
+                 must_ask: bool) -> None:
+        self._net, self._reader, self._tell, self._counters, self._log = net, reader, tell, counters, log
         self._must_ask, self._closed = must_ask, False
-        self._agent = _Agent(loop, address, reader, tell, counters, must_ask=must_ask)
+        self._agent = _Agent(net, address, reader, tell, counters, log, must_ask=must_ask)
         self._next: _Agent | None = None
 
     def start(self) -> None:
@@ -332,7 +249,7 @@
                 self._tell(update)
 
         # It asks on until it is answered, though nobody has asked us: the list may have changed there.
-        agent = _Agent(self._loop, address, self._reader, told, self._counters, must_ask=False)
+        agent = _Agent(self._net, address, self._reader, told, self._counters, self._log, must_ask=False)
         self._next = agent
         agent.ask(whole=True)
 
--- /dev/null
+++ b/coveport/discovery/reader.py
@@ -0,0 +1,92 @@
+"""Reads discovery's lists; gives destinations, zones and cells their numbers. No I/O."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import Any
+
+from coveport.core.places import Place
+from coveport.net.address import Address, parse_address
+from micaflow import interface as api
+
+_STATES = {"active": api.State.READY, "leaving": api.State.DRAINING, "left": api.State.GONE}
+
+
+@dataclass(slots=True)
+class PoolUpdate:
+    """A pool config as read: for the module, and where the destinations are (None: gone)."""
+
+    update: api.ListUpdate
+    places: list[tuple[int, Place | None]]
+
+
+class PoolReader:
+    """Reads discovery's form; gives destinations, zones and cells their numbers."""
+
+    def __init__(self, zones: tuple[str, ...]) -> None:
+        self._hosts: dict[str, int] = {}
+        self._zones = {zone: number for number, zone in enumerate(zones)}
+        self._cells: dict[str, int] = {}
+        self._cell_of: dict[str, int] = {}  # each host's
+        self._numbers = self._cell_numbers = 0
+
+    def read(self, told: Any, kind: api.ListKind | None = None) -> PoolUpdate:
+        """Check and read all of it; ValueError where any of it is garbled."""
+        try:
+            hosts, version, whole = told["hosts"], told["seq"], told["whole"]
+            if not isinstance(hosts, list) or type(version) is not int or type(whole) is not bool:
+                raise ValueError("hosts, seq or whole is not what it should be")
+            rows = [self._check(one) for one in hosts]
+        except (KeyError, TypeError, AttributeError) as problem:
+            raise ValueError(f"{type(problem).__name__}: {problem}") from problem
+        if kind is None:
+            kind = api.ListKind.FULL if whole else api.ListKind.DELTA
+        entries, places = [], list[tuple[int, Place | None]]()
+        for name, address, zone, cell, state, weight, born in rows:
+            number = self._hosts.setdefault(name, self._numbers + 1)
+            self._numbers = max(self._numbers, number)
+            bay = self._cell_of[name] = self._cell(cell)
+            entries.append(api.HostEntry(number, self._zone(zone), bay, state, weight, born))
+            places.append((number, None if state is api.State.GONE else (address, born)))
+        gone = {row[0] for row in rows if row[4] is api.State.GONE}
+        if kind is not api.ListKind.DELTA:
+            gone |= self._hosts.keys() - {row[0] for row in rows}
+        self._forget(gone)
+        return PoolUpdate(api.ListUpdate(kind, tuple(entries), version), places)
+
+    def _forget(self, gone: set[str]) -> None:
+        # Guards against tables that only grow: destinations are replaced all day, under new names. A
+        # number is never given twice, so one that comes back is a new one to us.
+        for name in gone:
+            self._hosts.pop(name, None)
+            self._cell_of.pop(name, None)
+        if gone:
+            used = set(self._cell_of.values())
+            self._cells = {name: number for name, number in self._cells.items() if number in used}
+
+    @staticmethod
+    def _check(one: Any) -> tuple[str, Address, Any, Any, api.State, float, float]:
+        name, weight, born = one["host"], one.get("share", 1.0), one.get("born_ms", 0)
+        if not isinstance(name, str) or not name:
+            raise ValueError(f"host {name!r} is no name")
+        for value in (weight, born):
+            if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < math.inf:
+                raise ValueError(f"{name}: {value!r} is no figure")
+        for value in (one["site"], one["block"]):
+            if isinstance(value, bool) or not isinstance(value, int | str):
+                raise ValueError(f"{name}: {value!r} is no site or block")
+        # A state that is not known is treated as draining: nothing new goes there.
+        state = _STATES.get(one["health"], api.State.DRAINING)
+        return name, parse_address(one["dial"]), one["site"], one["block"], state, float(weight), float(born)
+
+    def _zone(self, zone: int | str) -> int:
+        return zone if isinstance(zone, int) else self._zones.setdefault(zone, len(self._zones))
+
+    def _cell(self, cell: int | str) -> int:
+        if isinstance(cell, int):
+            return cell
+        if cell not in self._cells:
+            self._cell_numbers += 1
+            self._cells[cell] = self._cell_numbers
+        return self._cells[cell]
--- a/coveport/http1/clients.py
+++ b/coveport/http1/clients.py
@@ -4,17 +4,17 @@
 
 import asyncio
 import contextlib
-import math
-import re
-import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 from itertools import islice
 
-from coveport.http1 import codec as http1
-from coveport.net.sockets import is_quiet, is_quiet_socket
-from coveport.telemetry import log
+from coveport.core.messages import Verdict
+from coveport.core.operation import Answer, Operation
+from coveport.http1 import codec
+from coveport.http1.operations import read_operation
+from coveport.net.address import Address
+from coveport.net.transport import Listening, Net
 from coveport.telemetry.counters import Counters
+from coveport.telemetry.log import Log
 from micaflow import interface as api
 
 HEALTH_PATH = "/_health"
@@ -33,57 +33,12 @@
 LINGER_S = 1.0  # how long to read on after a farewell, which a reset would destroy
 LINGER_MOST = 256 * 1024  # how much of what comes then: who sends 60 MB must not have our time for it
 SWEEP_S = 0.25
-MOST_HELD = http1.MAX_HEAD + http1.MAX_BODY  # sent ahead of its turn; what is over that waits below
+MOST_HELD = codec.MAX_HEAD + codec.MAX_BODY  # sent ahead of its turn; what is over that waits below
 
 _INBOX = memoryview(bytearray(64 * 1024))  # shared: what is read is taken out before the next read
-_ID = re.compile(r"[A-Za-z0-9._~+/=:-]{1,128}")
-_KEY = re.compile(r"[\x21-\x7e]{1,256}")
-_DEADLINE = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,9})?)(m|u)")
-_LONGEST_MS = 3_600_000.0
-
-
-@dataclass(slots=True)
-class Operation:
-    """What a client asked for, checked."""
-
-    request: http1.Request
-    id: str
-    key: str | None
-    cls: int
-    wait_ms: float  # from now on
-    repeat: bool
-    cost_ms: float
-    room: bool = True  # False: there are more clients than we can hold
-
-
-def read_operation(request: http1.Request, classes: dict[str, tuple[int, api.Effect]]) -> Operation:
-    """Check a request for an operation; BadMessageError says what is wrong with it."""
-    name = request.target.partition("?")[0].split("/")[1]
-    if name not in classes:
-        raise http1.BadMessageError(404, "unknown path")
-    cls, effect = classes[name]
-    if effect is api.Effect.SAFE and request.body:
-        raise http1.BadMessageError(400, "a body, where there is none")
-    method = "GET" if effect is api.Effect.SAFE else "POST"
-    if request.method != method:
-        raise http1.BadMessageError(405, "wrong method", Allow=method)
-    number = request.get("x-request-id")
-    if number is None or not _ID.fullmatch(number):
-        raise http1.BadMessageError(400, "bad X-Request-Id")
-    key = request.get("idempotency-key")
-    if (key is None and effect is api.Effect.KEYED) or (key is not None and not _KEY.fullmatch(key)):
-        raise http1.BadMessageError(400, "bad Idempotency-Key")
-    deadline = _DEADLINE.fullmatch(request.get("x-deadline") or "")
-    wait_ms = float(deadline[1]) / (1000 if deadline[2] == "u" else 1) if deadline else 0.0
-    if not 0 < wait_ms <= _LONGEST_MS:
-        raise http1.BadMessageError(400, "bad X-Deadline")
-    extras = dict(part.strip().partition("=")[::2] for part in (request.get("x-extras") or "").split(","))
-    try:
-        cost_ms = float(extras.get("cost_ms", "0"))
-    except ValueError:
-        cost_ms = 0.0
-    return Operation(request, number, key, cls, wait_ms, request.get("x-retry") == "1",
-                     cost_ms if 0 < cost_ms < math.inf else 0.0)
+
+
+_STATUS = {Verdict.SERVED: 200, Verdict.BUSY: 503, Verdict.FAILED: 500, Verdict.DOUBLE: 409}
 
 
 class Client(asyncio.BufferedProtocol):
@@ -91,7 +46,7 @@
 
     def __init__(self, listener: Listener) -> None:
         self._listener = listener
-        self._parser = http1.RequestParser()
+        self._parser = codec.RequestParser()
         self._transport: asyncio.Transport | None = None
         self._operation: int | None = None  # the one that waits for its answer
         self._keep, self._used = True, False
@@ -106,7 +61,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=0)
-        self._since = self._listener.loop.time()
+        self._since = self._listener.net.now_s()
         self._listener.came(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -122,7 +77,7 @@
                 self._transport.pause_reading()
             return
         if self._used and not self._parser.begun:
-            self._since = self._listener.loop.time()
+            self._since = self._listener.net.now_s()
         self._parser.feed(_INBOX[:nbytes])
         self._advance()
         # Guards against a client that sends ahead without end.
@@ -136,24 +91,24 @@
                 request = self._parser.next_request()
                 if request is None:
                     if self._parser.wants_continue and self._transport is not None:
-                        self._transport.write(http1.write_response(100))
+                        self._transport.write(codec.write_response(100))
                     break
                 if self._paused and self._transport is not None and len(self._parser.held) <= MOST_HELD:
                     self._paused = False
                     self._transport.resume_reading()
-                self._since = self._listener.loop.time()
+                self._since = self._listener.net.now_s()
                 if not self._used:
                     self._used = True
                     self._listener.used(self)
                 self._take(request)
-            except http1.BadMessageError as problem:
+            except codec.BadMessageError as problem:
                 self._reject(problem)
 
-    def _take(self, request: http1.Request) -> None:
+    def _take(self, request: codec.Request) -> None:
         self._keep = request.keep_alive
         if request.target.partition("?")[0] == HEALTH_PATH:
             if request.method != "GET":
-                raise http1.BadMessageError(405, "wrong method", Allow="GET")
+                raise codec.BadMessageError(405, "wrong method", Allow="GET")
             self._write(200 if self._listener.ready() else 503)
             return
         operation = read_operation(request, self._listener.classes)
@@ -162,19 +117,27 @@
         self._operation = self._listener.number()
         self._listener.take(self._operation, self, operation)
 
-    def _reject(self, problem: http1.BadMessageError) -> None:
+    def _reject(self, problem: codec.BadMessageError) -> None:
         self._listener.counters.add(f"rejected_{problem.status}")
-        log.note("bad request", f"{problem.status}: {problem}")
+        self._listener.log.note("bad request", f"{problem.status}: {problem}")
         # What was read whole leaves the connection usable, what was not doesn't.
         self._keep = self._keep and problem.status in (404, 405)
         self._write(problem.status, list(problem.headers.items()), f"{problem}\n".encode())
 
-    def answer(self, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
+    def answer(self, verdict: Verdict, answer: Answer | None, retry_after_ms: float) -> None:
         """Give the one final answer to the operation that came on this connection."""
         self._operation = None
+        status, body, headers = _STATUS[verdict], b"", list[tuple[str, str]]()
+        if verdict is Verdict.SERVED:
+            assert answer is not None
+            body = answer.body
+            if answer.content_type is not None:
+                headers.append(("Content-Type", answer.content_type))
+        elif verdict is Verdict.BUSY and retry_after_ms > 0:
+            headers.append(("Retry-After", f"{retry_after_ms / 1000:.3f}"))
         self._write(status, headers, body)
         if self._parser.begun:
-            self._listener.loop.call_soon(self._advance)
+            self._listener.net.loop.call_soon(self._advance)
 
     def _write(self, status: int, headers: list[tuple[str, str]] | None = None, body: bytes = b"") -> None:
         if self._transport is None or self._transport.is_closing():
@@ -182,8 +145,8 @@
         ending = (self._listener.closing or self.too_many) and not self._parser.begun  # begun: taken, or soon
         keep = self._keep and not ending
         lines = [*(headers or ()), *(() if keep else (("Connection", "close"),))]
-        self._since = self._listener.loop.time()
-        self._transport.write(http1.write_response(status, lines, body))
+        self._since = self._listener.net.now_s()
+        self._transport.write(codec.write_response(status, lines, body))
         if not keep:
             self._farewell()
 
@@ -206,7 +169,7 @@
     def resume_writing(self) -> None:
         """All is written."""
         self._unsent = False
-        self._listener.loop.call_soon(self._advance)
+        self._listener.net.loop.call_soon(self._advance)
 
     def eof_received(self) -> bool:
         """The client has gone away: nothing more is owed to it."""
@@ -254,7 +217,8 @@
     @property
     def _quiet(self) -> bool:
         # What we don't read for now is not known to be quiet.
-        return not self._paused and self._transport is not None and is_quiet(self._transport)
+        return (not self._paused and self._transport is not None
+                and self._listener.net.is_quiet(self._transport))
 
     def check(self, now: float) -> None:
         """Put an end to what takes too long, and to idle connections while the program closes."""
@@ -268,7 +232,7 @@
             closing = self._listener.closing
             if waited > (LINGER_S if closing else HALF_SENT_S if self._used else FIRST_S):
                 self._keep = False
-                self._reject(http1.BadMessageError(408, "the request did not come whole"))
+                self._reject(codec.BadMessageError(408, "the request did not come whole"))
         # Guards against connections that say nothing: by the hundred they would leave no room for others.
         elif ((self._listener.closing or waited > (IDLE_S if self._used else FIRST_S))
               and self.may_close(now - FRESH_S)):
@@ -284,10 +248,10 @@
 class Listener:
     """Takes clients in and holds their connections."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, counters: Counters,
+    def __init__(self, net: Net, counters: Counters, log: Log,
                  classes: tuple[api.RequestClass, ...], *, most_clients: int, ready: Callable[[], bool],
                  take: Callable[[int, Client, Operation], None], gone: Callable[[int], None]) -> None:
-        self.loop, self.counters = loop, counters
+        self.net, self.counters, self.log = net, counters, log
         self.classes = {cls.name: (number, cls.effect) for number, cls in enumerate(classes)}
         self.ready, self.take, self.gone = ready, take, gone
         self.closing = False
@@ -295,23 +259,14 @@
         self._clients: dict[Client, None] = {}  # the longest connected first
         self._new: dict[Client, None] = {}  # those that have brought no whole request yet, likewise
         self._ending: dict[Client, None] = {}  # those that have had their last answer
-        self._server: asyncio.Server | None = None
-        self._sweeper = loop.call_later(SWEEP_S, self._sweep)
+        self._server: Listening | None = None
+        self._sweeper = net.loop.call_later(SWEEP_S, self._sweep)
 
-    async def open(self, address: tuple[str, int]) -> int:
+    async def open(self, address: Address) -> int:
         """Listen; the port that was bound."""
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        one = socket.create_server(address, family=family)
-        try:
-            # Guards against one turn that accepts more than we have descriptors for, after which asyncio
-            # accepts nothing for a second; what waits stands in the kernel's queue.
-            self._server = await self.loop.create_server(lambda: Client(self), sock=one, backlog=ACCEPT_MOST)
-            one.listen(WAITING_MOST)
-        except BaseException:
-            one.close()
-            raise
-        port: int = one.getsockname()[1]
-        return port
+        self._server = await self.net.listen(lambda: Client(self), address, accept_most=ACCEPT_MOST,
+                                             waiting_most=WAITING_MOST)
+        return self._server.port
 
     def number(self) -> int:
         """A fresh number for an operation."""
@@ -336,7 +291,7 @@
         # third of the descriptors, so those would leave none to who has something to ask.
         many = len(self._clients) - len(self._new) - int(self._most * KEPT_SHARE)
         if many > 0:
-            before = self.loop.time() - RESTED_S
+            before = self.net.now_s() - RESTED_S
             idle = (one for one in self._by_age() if one.since < before and one.may_close(before))
             for one in islice(idle, min(many, most)):
                 one.close()
@@ -350,7 +305,7 @@
         """Make room: who is leaving goes first, then who has brought nothing yet, then who is idle."""
         # Guards against running out of descriptors, and against silent or half-sent connections that
         # crowd out those who have work; a client opens another when it wants one.
-        now = self.loop.time()
+        now = self.net.now_s()
         found = list(islice(self._ending, count))
         if len(found) < count:
             # The newest may be about to send, unless there is no room left at all.
@@ -378,11 +333,11 @@
             table.pop(client, None)
 
     def _sweep(self) -> None:
-        now = self.loop.time()
+        now = self.net.now_s()
         for client in list(self._clients):
             client.check(now)
         self._tidy(self._most)  # here too: where all that clients may hold is at rest, none of them comes
-        self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+        self._sweeper = self.net.loop.call_later(SWEEP_S, self._sweep)
 
     @property
     def count(self) -> int:
@@ -393,13 +348,12 @@
         """Take no new connections; close those between requests, each other one after its answer."""
         if self._server is not None:
             # Guards against losing what was taken: connections may still wait to be accepted.
-            end = self.loop.time() + ACCEPT_S
-            while (any(not is_quiet_socket(one.fileno()) for one in self._server.sockets)
-                   and self.loop.time() < end):
+            end = self.net.now_s() + ACCEPT_S
+            while not self._server.quiet and self.net.now_s() < end:
                 await asyncio.sleep(0.001)
             self._server.close()
         self.closing = True
-        now = self.loop.time()
+        now = self.net.now_s()
         for client in list(self._clients):
             client.check(now)
 
--- /dev/null
+++ b/coveport/http1/links.py
@@ -0,0 +1,180 @@
+"""HTTP/1.1 to ledger nodes: one connection, one route step on it at a time."""
+
+from __future__ import annotations
+
+import asyncio
+
+from coveport.core.operation import Answer
+from coveport.core.places import Place
+from coveport.http1 import codec
+from coveport.nodes.link import Pool
+from coveport.nodes.steps import RouteStep, StepResult
+from micaflow.interface import Outcome
+
+PROBE_PATH = "/ping"
+
+# One buffer for all connections: what is read is taken out of it before the next read begins.
+_INBOX = memoryview(bytearray(64 * 1024))
+
+
+def outcome_of(response: codec.Response) -> Outcome:
+    """What a whole answer says."""
+    if response.status == 200:
+        return Outcome.OK
+    if response.status in (503, 504) and response.headers.get("x-not-run") == ["1"]:
+        return Outcome.FULL
+    return Outcome.ERROR  # the cautious reading of all else: it may have run
+
+
+def load_of(response: codec.Response, fields: tuple[str, ...]) -> tuple[float, ...]:
+    """The load report that came along, in the order of `fields`; empty where it is not whole."""
+    lines = response.headers.get("x-load")
+    if not lines:
+        return ()
+    told = dict(part.strip().partition("=")[::2] for part in lines[0].split(","))
+    try:
+        return tuple(float(told[name]) for name in fields)
+    except (KeyError, ValueError):
+        return ()
+
+
+def request_of(step: RouteStep, place: Place) -> bytes:
+    """A route step as bytes."""
+    host = "{}:{}".format(*place[0])
+    operation = step.operation
+    if operation is None:
+        return codec.write_request("GET", PROBE_PATH, [("Host", host)])
+    headers = [("Host", host), ("X-Request-Id", operation.id),
+               ("X-Deadline", f"{max(1, round(step.timeout_s * 1000))}m")]
+    if operation.key is not None:
+        headers.append(("Idempotency-Key", operation.key))
+    headers.extend(("content-type", value) for value in operation.content_type)
+    headers.extend(("accept", value) for value in operation.accept)
+    return codec.write_request(operation.method, operation.target, headers, operation.body)
+
+
+class Link(asyncio.BufferedProtocol):
+    """One connection to a destination."""
+
+    def __init__(self, pool: Pool, number: int, place: Place, step: RouteStep, fields: tuple[str, ...],
+                 most_body: int) -> None:
+        self._pool, self.number, self.place, self._fields = pool, number, place, fields
+        self._step: RouteStep | None = step
+        self._parser = codec.ResponseParser(most_body)
+        self._transport: asyncio.Transport | None = None
+        self._unsent = False
+        self.idle_since = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the route step that the connection was opened for."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        # With no room below, a pause says that bytes are still ours, and resume that all are handed over.
+        transport.set_write_buffer_limits(high=0)
+        step, self._step = self._step, None
+        if step is None or step.over:  # guards against a late connect for what is over
+            transport.abort()
+            return
+        self._pool.joined(self)
+        self._pool.counters.add("connects")
+        self.carry(step)
+
+    def carry(self, step: RouteStep) -> None:
+        """Send a route step on this connection."""
+        assert self._transport is not None
+        self._step, step.link, self._unsent = step, self, False
+        self._transport.write(request_of(step, self.place))
+        step.handed = not self._unsent and not self._transport.is_closing()
+
+    def pause_writing(self) -> None:
+        """Not all is handed to the connection yet."""
+        self._unsent = True
+
+    def resume_writing(self) -> None:
+        """The last byte has been handed over."""
+        self._unsent = False
+        if self._step is not None:
+            self._step.handed = True
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where to read to."""
+        return _INBOX
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Read on in the answer."""
+        step = self._step
+        if step is None:  # guards against stray bytes: nobody knows what they would answer
+            self.drop()
+            return
+        try:
+            self._parser.feed(_INBOX[:nbytes])
+            response = self._parser.next_response()
+        except codec.BadMessageError as problem:
+            self._pool.log.note("garbled answer", "{}:{}: {}".format(*self.place[0], problem))
+            self._pool.counters.add("answers_garbled")
+            step.garbled()
+            return
+        if response is not None:
+            keep = response.keep_alive and step.handed and not self._parser.begun
+            step.end(self._result(response), keep)
+
+    def _result(self, response: codec.Response) -> StepResult:
+        kinds = response.headers.get("content-type")
+        return StepResult(outcome_of(response), Answer(response.body, kinds[0] if kinds else None),
+                          load_of(response, self._fields))
+
+    def eof_received(self) -> bool:
+        """The destination ends; what was only waiting for that is whole now."""
+        step = self._step
+        if step is not None:
+            response = self._parser.end()
+            if response is not None:
+                step.end(self._result(response))
+            else:
+                step.broken()
+        self.drop()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """It is gone, whoever ended it."""
+        self._pool.forget(self)
+        if self._step is not None:
+            self._step.broken()
+
+    def release(self, keep: bool) -> None:
+        """The route step is over: wait for the next one, or close."""
+        self._step = None
+        if keep and self._transport is not None and not self._transport.is_closing():
+            self._pool.put_idle(self)
+        else:
+            self.drop()
+
+    def drop(self) -> None:
+        """Close at once."""
+        self._pool.forget(self)
+        if self._transport is not None:
+            # Guards against a resend that overtakes the close: abort alone closes in the loop's next turn,
+            # and until then the route step given up would count as still out beside its successor.
+            self._pool.net.shut_down(self._transport)
+            self._transport.abort()
+
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing has come since the last answer: neither an end nor stray bytes."""
+        # Guards against a connection that has just been closed: a reset would cost the operation.
+        return self._transport is not None and self._pool.net.is_quiet(self._transport)
+
+
+class Dialer:
+    """Opens connections by HTTP/1.1 over TCP; see `coveport.nodes.link.Dial`.
+
+    `fields`: the names of a load report's figures, in the settings' order. `most_body`: bytes of the largest
+    answer that is read.
+    """
+
+    def __init__(self, fields: tuple[str, ...], most_body: int) -> None:
+        self._fields, self._most_body = fields, most_body
+
+    async def __call__(self, pool: Pool, number: int, place: Place, step: RouteStep) -> None:
+        """Connect; the link that comes up sends the step."""
+        await pool.net.dial(lambda: Link(pool, number, place, step, self._fields, self._most_body), place[0])
--- a/coveport/lab/ground.py
+++ b/coveport/lab/ground.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from coveport.net.transport import Address, Factory, Net
+from coveport.net.address import Address
+from coveport.net.transport import Factory, Net
 
 Accept = Callable[[int], asyncio.BaseProtocol]
 """Makes the protocol of a new connection; its argument is the number of the sidecar that opened it."""
--- a/coveport/net/clock.py
+++ b/coveport/net/clock.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import time
+from coveport.net.transport import Net
 
 
 class Clock:
     """Unix milliseconds at the start, monotonic from there on."""
 
-    def __init__(self) -> None:
-        self._offset_ms = time.time() * 1000 - time.monotonic() * 1000
+    def __init__(self, net: Net) -> None:
+        self._now_s = net.now_s
+        self._offset_ms = (net.unix_s() - net.now_s()) * 1000
 
     def now_ms(self) -> float:
         """The time in milliseconds."""
-        return time.monotonic() * 1000 + self._offset_ms
+        return self._now_s() * 1000 + self._offset_ms
--- a/coveport/net/transport.py
+++ b/coveport/net/transport.py
@@ -14,11 +14,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from coveport.net.address import Address
 from coveport.net.sockets import is_quiet, is_quiet_socket
 
-Address = tuple[str, int]
-"""An IP address and a port."""
-
 Factory = Callable[[], asyncio.BaseProtocol]
 
 
--- /dev/null
+++ b/coveport/nodes/steps.py
@@ -0,0 +1,106 @@
+"""One route step: from the connect to its end, whatever the protocol."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from coveport.core.operation import Answer, Operation
+from coveport.core.places import Place
+from coveport.nodes.link import Link
+from micaflow.interface import Outcome
+
+if TYPE_CHECKING:
+    from coveport.nodes.destinations import Destinations
+
+TURNS_S = 0.01  # for what has come already to be looked at
+# It has never run, and that we are short of descriptors must not count against the destination's health.
+NO_ROOM = Outcome.FULL
+
+
+@dataclass(slots=True)
+class StepResult:
+    """How a route step ended, and what came back where a whole answer did."""
+
+    outcome: Outcome
+    answer: Answer | None = None
+    load: tuple[float, ...] = ()  # the load report that came along, in the order of the settings
+
+
+Done = Callable[[StepResult], None]
+
+
+class RouteStep:
+    """One route step (or probe): from the connect to its end, which is told exactly once."""
+
+    def __init__(self, pool: Destinations, operation: Operation | None, timeout_s: float, done: Done) -> None:
+        self._pool, self._done = pool, done
+        self.operation = operation  # None: a probe
+        self.timeout_s = timeout_s
+        self.link: Link | None = None
+        self.connecting: asyncio.Task[object] | None = None
+        self.handed = False  # the last byte was handed to an accepted connection: it may run from here on
+        self.over = False
+        self._timers = [pool.net.loop.call_later(timeout_s, self._expire, Outcome.TIMEOUT)]
+
+    def connect(self, number: int, place: Place) -> None:
+        """Open a connection for this route step."""
+        loop = self._pool.net.loop
+        self._timers.append(loop.call_later(self._pool.connect_timeout_s, self._connect_late))
+        self._pool.opening += 1
+        self.connecting = loop.create_task(self._connect(number, place))
+        self.connecting.add_done_callback(self._pool.opened)
+
+    async def _connect(self, number: int, place: Place) -> None:
+        try:
+            await self._pool.dial(self._pool, number, place, self)
+        except OSError as problem:
+            self._pool.counters.add("connects_failed")
+            if self._pool.is_exhausted(problem):
+                host, port = place[0]
+                self._pool.log.note("descriptors", f"no connection to {host}:{port}: {problem}")
+                self.end(StepResult(NO_ROOM))
+            else:
+                self.end(StepResult(Outcome.CONNECT_FAILED))
+
+    def _connect_late(self) -> None:
+        # Guards against taking our own lag for theirs: it may be up, and be seen in a few turns.
+        self._timers.append(self._pool.net.loop.call_later(TURNS_S, self._connect_given_up))
+
+    def _connect_given_up(self) -> None:
+        if self.link is None:
+            self._pool.counters.add("connects_late")
+            self.end(StepResult(Outcome.CONNECT_FAILED))
+
+    def _expire(self, outcome: Outcome) -> None:
+        # Nothing whole was handed over: it can't have run, however the wait ended.
+        self.end(StepResult(outcome if self.handed else Outcome.CONNECT_FAILED))
+
+    def cancel(self) -> None:
+        """Give it up; the connection goes with it."""
+        self.end(StepResult(Outcome.CANCELLED))
+
+    def broken(self) -> None:
+        """The connection has broken before a whole answer came."""
+        self.end(StepResult(Outcome.RESET if self.handed else Outcome.CONNECT_FAILED))
+
+    def garbled(self) -> None:
+        """What came makes no sense."""
+        # Guards against trusting a garbled answer: a failed route step that may have run.
+        self.end(StepResult(Outcome.ERROR if self.handed else Outcome.CONNECT_FAILED))
+
+    def end(self, result: StepResult, keep: bool = False) -> None:
+        """Say once how it ended; the connection is dropped unless it may be kept."""
+        if self.over:
+            return
+        self.over = True
+        for timer in self._timers:
+            timer.cancel()
+        if self.connecting is not None and self.link is None:
+            self.connecting.cancel()  # a late connect must not send for an operation that is over
+        link, self.link = self.link, None
+        if link is not None:
+            link.release(keep)
+        self._done(result)
--- a/tests/test_destinations.py
+++ b/tests/test_destinations.py
@@ -6,12 +6,17 @@
 import time
 from typing import cast
 
-from world import Server, request, served
+from world import Server, served
 
-from coveport.config.platform import parse_address
-from coveport.discovery.agent import Place
+from coveport.core.operation import Operation
+from coveport.core.places import Place
+from coveport.http1.links import Dialer
+from coveport.net.address import parse_address
+from coveport.net.transport import Net
 from coveport.nodes import destinations
+from coveport.nodes.steps import RouteStep, StepResult
 from coveport.telemetry.counters import Counters
+from coveport.telemetry.log import Log
 from micaflow.interface import Outcome
 
 
@@ -31,9 +36,15 @@
     def __init__(self, name: str, place: Place) -> None:
         self.name, self.number, self.place, self.idle_since = name, 1, place, 0.0
 
-    def carry(self, step: destinations.RouteStep) -> None:
+    def carry(self, step: RouteStep) -> None:
         _carried.append(self.name)
 
+    def release(self, keep: bool) -> None:
+        raise NotImplementedError
+
+    def drop(self) -> None:
+        raise NotImplementedError
+
 
 _carried = list[str]()
 
@@ -41,15 +52,15 @@
 def test_a_connection_that_has_just_had_its_answer_is_taken_last() -> None:
     # Many ledger nodes close right behind an answer; a request written meanwhile may have run.
     loop, place = _Loop(), (("127.0.0.1", 9), 0.0)
-    pool = destinations.Destinations(cast(asyncio.AbstractEventLoop, loop), Counters(), keepalive_ms=5000,
-                                     connect_timeout_ms=250, most_links=9, most_body=99)
+    pool = destinations.Destinations(Net(cast(asyncio.AbstractEventLoop, loop)), Counters(), Log(loop.time),
+                                     Dialer((), 99), keepalive_ms=5000, connect_timeout_ms=250, most_links=9)
     pool.place([(1, place)], whole=True)
     for name in ("old", "young", "fresh"):
-        pool.put_idle(cast(destinations.Link, _Link(name, place)))
+        pool.put_idle(_Link(name, place))
         loop.now += 0.5
     loop.now -= 0.4995  # the last one was put a moment ago
     for _ in range(3):
-        pool.send(1, b"", 1.0, lambda result: None)
+        pool.send(1, None, 1.0, lambda result: None)
     assert _carried == ["young", "old", "fresh"]
 
 
@@ -59,16 +70,16 @@
 
     async def run() -> Outcome:
         loop, ended = asyncio.get_running_loop(), asyncio.Event()
-        results = list[destinations.StepResult]()
-        pool = destinations.Destinations(loop, Counters(), keepalive_ms=5000, connect_timeout_ms=100,
-                                         most_links=9, most_body=9999)
+        results = list[StepResult]()
+        pool = destinations.Destinations(Net(loop), Counters(), Log(loop.time), Dialer((), 9999),
+                                         keepalive_ms=5000, connect_timeout_ms=100, most_links=9)
         pool.place([(1, (parse_address(server.address), 0.0))], whole=True)
 
-        def done(result: destinations.StepResult) -> None:
+        def done(result: StepResult) -> None:
             results.append(result)
             ended.set()
 
-        pool.send(1, request("GET /balance"), 5.0, done)
+        pool.send(1, Operation("GET", "/balance", b"", "a1", None, 0, 5000.0), 5.0, done)
         await asyncio.sleep(0)  # the connect is on its way ...
         time.sleep(0.3)  # ... and up, but we are not there to see it
         await asyncio.wait_for(ended.wait(), 10)
--- a/tests/test_pool_config.py
+++ b/tests/test_pool_config.py
@@ -8,9 +8,12 @@
 import pytest
 from world import Seen, Server, reply
 
-from coveport.config.platform import parse_address
 from coveport.discovery import agent as pool_config
+from coveport.discovery.reader import PoolReader
+from coveport.net.address import parse_address
+from coveport.net.transport import Net
 from coveport.telemetry.counters import Counters
+from coveport.telemetry.log import Log
 
 LIST = json.dumps({"seq": 1, "whole": True, "hosts": []}).encode()
 
@@ -29,8 +32,8 @@
 
         monkeypatch.setattr(loop, "create_connection", late)
         loop.set_exception_handler(lambda _, context: errors.append(context))
-        one = pool_config.PoolConfig(loop, parse_address(server.address), pool_config.PoolReader(("a",)),
-                                     lambda update: told.set(), Counters(), must_ask=False)
+        one = pool_config.PoolConfig(Net(loop), parse_address(server.address), PoolReader(("a",)),
+                                     lambda update: told.set(), Counters(), Log(loop.time), must_ask=False)
         one.start()
         await asyncio.wait_for(told.wait(), 5)
         await asyncio.sleep(0.4)  # until the late one is up
@@ -49,7 +52,7 @@
 def test_a_line_with_a_garbled_field_is_garbled(field: str) -> None:
     line = {"host": "s-1", "dial": "127.0.0.1:9", "site": "b", "class": "m2", "block": 3, "health": "active",
             "share": 1.0, "born_ms": 0}
-    reader = pool_config.PoolReader(("a", "b"))
+    reader = PoolReader(("a", "b"))
     good = reader.read({"seq": 1, "whole": True, "hosts": [line]}).update
     assert (good.entries[0].zone, good.entries[0].cell, good.entries[0].started_ms) == (1, 3, 0)
     with pytest.raises(ValueError, match=r"."):
@@ -62,7 +65,7 @@
         return {"host": f"s-{number}", "dial": "127.0.0.1:9", "site": "b", "block": f"pod-{number // 3}",
                 "health": health}
 
-    reader, numbers, cells = pool_config.PoolReader(("a", "b")), set[int](), set[int]()
+    reader, numbers, cells = PoolReader(("a", "b")), set[int](), set[int]()
     for number in range(300):
         hosts = [line(number), line(number - 9, "left")]
         entries = reader.read({"seq": number, "whole": False, "hosts": hosts}).update.entries
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -7,15 +7,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from coveport.core import reducer as core
+from coveport.core import messages as core
+from coveport.core.operation import Answer
+from coveport.core.reducer import Reducer
 from micaflow import Balancer
 from micaflow import interface as api
 
 FULL = api.ListUpdate(api.ListKind.FULL, hosts())
 
 
-def started(entries: api.ListUpdate = FULL) -> core.Reducer:
-    reducer = core.Reducer(settings(), 7)
+def started(entries: api.ListUpdate = FULL) -> Reducer:
+    reducer = Reducer(settings(), 7)
     assert reducer.step(1000.0, core.PoolTold(entries)) == []
     return reducer
 
@@ -28,7 +30,7 @@
 
     def step(item: core.Input) -> None:
         for effect in reducer.step(now, item):
-            if isinstance(effect, core.Answer):
+            if isinstance(effect, core.GiveAnswer):
                 answers[effect.operation] = answers.get(effect.operation, 0) + 1
                 assert effect.operation not in gone
             elif isinstance(effect, core.SendStep):
@@ -84,8 +86,9 @@
     sent = [effect for effect in came if isinstance(effect, core.SendStep)]
     assert len(sent) == 1  # what was decided before the fault is carried out
     assert any(isinstance(effect, core.Complain) for effect in came)
-    ended = reducer.step(1002.0, core.StepEnded(1, 0, api.Outcome.OK, (), "body"))
-    assert [e.answer for e in ended if isinstance(e, core.Answer)] == ["body"] and reducer.owed == 0
+    ended = reducer.step(1002.0, core.StepEnded(1, 0, api.Outcome.OK, (), Answer(b"body")))
+    assert [e.answer for e in ended if isinstance(e, core.GiveAnswer)] == [Answer(b"body")]
+    assert reducer.owed == 0
 
     def raises(self: Balancer, now_ms: float, event: api.Event) -> list[api.Action]:
         self.out = []
@@ -93,7 +96,7 @@
 
     monkeypatch.setattr(Balancer, "handle", raises)
     verdicts = [e.verdict for e in reducer.step(1003.0, core.OperationCame(2, 2, 3000.0))
-                if isinstance(e, core.Answer)]
+                if isinstance(e, core.GiveAnswer)]
     assert verdicts == [core.Verdict.FAILED] and reducer.owed == 0
     monkeypatch.undo()
     assert any(isinstance(e, core.SendStep) for e in reducer.step(1004.0, core.OperationCame(3, 0, 3000.0)))
@@ -105,7 +108,7 @@
     (guard,) = reducer.step(1001.0, core.OperationCame(1, 0, 3000.0))
     assert isinstance(guard, core.GuardDeadline) and 3000.0 < guard.at_ms < 3020.0
     effects = reducer.step(guard.at_ms, core.DeadlineDue(1))
-    verdicts = [effect.verdict for effect in effects if isinstance(effect, core.Answer)]
+    verdicts = [effect.verdict for effect in effects if isinstance(effect, core.GiveAnswer)]
     assert verdicts == [core.Verdict.FAILED]
 
 
