--- /dev/null
+++ b/coveport/lab/virtual/hosts.py
@@ -0,0 +1,52 @@
+"""A stand-in's place on simulated ground; see `coveport.lab.ground.Host`."""
+
+from __future__ import annotations
+
+from coveport.lab.ground import Accept
+from coveport.lab.virtual.wires import Network, Place, VirtualNet, _Listening
+from coveport.lab.virtual.world import Process
+from coveport.net.address import Address
+from coveport.net.transport import Factory, Net
+
+
+class VirtualHost:
+    """One machine of a stand-in."""
+
+    def __init__(self, process: Process, network: Network, place: Place, port: int, start_s: float) -> None:
+        self.place = place
+        self.net: Net = VirtualNet(process, network, place)
+        self._network, self._port, self._start_s = network, port, start_s
+        self._listening: _Listening | None = None
+
+    def day_ms(self) -> float:
+        """Milliseconds since the day began."""
+        return (self._network.world.now - self._start_s) * 1000
+
+    async def listen(self, accept: Accept) -> None:
+        """Take connections from sidecars."""
+        self.open(accept)
+
+    def open(self, accept: Accept) -> None:
+        """The same, at once."""
+        assert isinstance(self.net, VirtualNet)
+        self._listening = self.net.accept(accept, (self.place.address, self._port))
+
+    def refuse(self) -> None:
+        """Stop listening."""
+        if self._listening is not None:
+            self._listening.close()
+            self._listening = None
+
+    def silence(self, on: bool) -> None:
+        """Let nothing in or out."""
+        self.place.silent = on
+        if not on:
+            self._network.release()
+
+    def address(self, sidecar: int) -> Address:
+        """Where that sidecar reaches this party: the same for all."""
+        return self.place.address, self._port
+
+    async def dial(self, factory: Factory, address: Address) -> None:
+        """Connect."""
+        await self.net.dial(factory, address)
--- /dev/null
+++ b/coveport/lab/virtual/wires.py
@@ -0,0 +1,616 @@
+"""Connections kept in memory: what TCP shows its users, between processes of one world.
+
+What is modelled, and what asyncio's users see of it: messages of one direction arrive in order, each after
+the way's delay; what is sent but not read is bounded by a window, and what does not fit stays in the
+sender's buffer, of which it is told; an end of one direction leaves the other open (RFC 9293, 3.6); a reset
+overtakes nothing, and bytes for a connection that its process has closed are answered with one (RFC 9293,
+3.10.7.4); a process that dies closes what it held, with a reset where something was unread; a silent host
+or a cut holds everything up, and connections that were waiting to come up meanwhile are reset.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import hashlib
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from coveport.lab.virtual.world import Process, World
+from coveport.lab.ways import Ways
+from coveport.net.address import Address
+from coveport.net.transport import Factory, Listening, Net
+
+WINDOW = 256 * 1024  # bytes of one direction that are sent and not read
+RETRY_ACCEPT_S = 1.0  # how long asyncio takes no connections after it ran out of descriptors
+_END, _RESET = object(), object()
+
+
+class Place:
+    """A machine: an address, a zone, and whether anything gets in or out."""
+
+    __slots__ = ("address", "number", "silent", "zone")
+
+    def __init__(self, address: str, zone: int, number: int = -1) -> None:
+        self.address, self.zone, self.number = address, zone, number
+        self.silent = False
+
+
+class Network:
+    """Who listens where, what is held up, and a hash of all that was exchanged."""
+
+    def __init__(self, world: World, ways: Ways) -> None:
+        self.world, self.ways = world, ways
+        self.listening: dict[Address, _Listening] = {}
+        self.places: dict[str, Place] = {}
+        self.connections = 0
+        self._held: dict[Side, None] = {}  # sides with something that can't go out for now
+        self._dials: dict[_Dial, None] = {}  # connects that wait for a way
+        self._hash = hashlib.blake2b(digest_size=16)
+        ways.on_open(self.release)
+
+    def place(self, address: str, zone: int, number: int = -1) -> Place:
+        """A new machine."""
+        one = self.places[address] = Place(address, zone, number)
+        return one
+
+    @property
+    def trace(self) -> str:
+        """A hash of all bytes that arrived so far, with their times and connections."""
+        return self._hash.hexdigest()
+
+    def note(self, text: bytes) -> None:
+        """Take something into the trace."""
+        self._hash.update(text)
+
+    def held(self, one: Place, other: Place) -> bool:
+        """Whether nothing passes between two machines for now."""
+        return one.silent or other.silent or self.ways.held(one.zone, other.zone)
+
+    def delay_s(self, one: Place, other: Place) -> float:
+        """How long the next message takes from one to the other."""
+        return self.ways.delay_ms(one.zone, other.zone) / 1000
+
+    def release(self) -> None:
+        """A way may be open again: what was held goes out, and connects that waited are reset."""
+        for dial in list(self._dials):
+            if not self.held(dial.here, dial.there):
+                dial.lost(ConnectionResetError(errno.ECONNRESET, "the way was shut"))
+        for side in list(self._held):
+            if not self.held(side.here, side.there):
+                del self._held[side]
+                side.flush()
+
+
+class _Listening:
+    """A listening socket: what has come and is not accepted yet waits here."""
+
+    def __init__(self, net: VirtualNet, address: Address, factory: Factory | None,
+                 accept: Callable[[int], asyncio.BaseProtocol] | None, most: int) -> None:
+        self.net, self.address, self.most = net, address, most
+        self._factory, self._accept = factory, accept
+        self.waiting: deque[Side] = deque()
+        self.open = True
+        self._pausing = False
+
+    @property
+    def port(self) -> int:
+        return self.address[1]
+
+    @property
+    def quiet(self) -> bool:
+        return not self.waiting
+
+    def close(self) -> None:
+        if not self.open:
+            return
+        self.open = False
+        self.net.network.listening.pop(self.address, None)
+        waiting, self.waiting = self.waiting, deque()
+        for side in waiting:
+            side.send_reset()
+
+    def came(self, side: Side) -> None:
+        """A connection is up, seen from the system."""
+        if not self.open:
+            side.send_reset()
+            return
+        self.waiting.append(side)
+        process = self.net.process
+        if process.idle and not self._pausing:
+            self.net.world.enter(process)
+            self.take()
+        else:
+            process.call_soon(self.take)
+
+    def take(self) -> None:
+        """Accept what waits, as far as there are descriptors."""
+        while self.waiting and self.open and not self._pausing:
+            if not self.net.has_room:
+                # As asyncio does: it says so, and takes nothing for a second.
+                self._pausing = True
+                problem = OSError(errno.EMFILE, "Too many open files")
+                self.net.process.call_exception_handler(
+                    {"message": "socket.accept() out of system resource", "exception": problem})
+                self.net.process.call_later(RETRY_ACCEPT_S, self._resume)
+                return
+            side = self.waiting.popleft()
+            if side.dead:
+                continue
+            assert self._factory is not None or self._accept is not None
+            protocol = (self._factory() if self._factory is not None
+                        else self._accept(side.there.number))  # type: ignore[misc]
+            side.begin(protocol)
+
+    def _resume(self) -> None:
+        self._pausing = False
+        self.take()
+
+
+class _Dial:
+    """A connect on its way."""
+
+    def __init__(self, network: Network, here: Place, there: Place, done: asyncio.Future[None]) -> None:
+        self.network, self.here, self.there, self.done = network, here, there, done
+        self.side: Side | None = None  # our end, once the other machine has answered
+
+    def lost(self, problem: OSError) -> None:
+        """It came to nothing."""
+        self.network._dials.pop(self, None)
+        if not self.done.done():
+            self.done.set_exception(problem)
+
+
+class Side(asyncio.Transport):
+    """One end of a connection, as the protocol at this end sees it."""
+
+    def __init__(self, net: VirtualNet, here: Place, there: Place, number: int) -> None:
+        super().__init__()
+        self._net, self.network, self.world = net, net.network, net.network.world
+        self.here, self.there, self.number = here, there, number
+        self.peer: Side | None = None
+        self._protocol: asyncio.BaseProtocol | None = None
+        self._buffered: asyncio.BufferedProtocol | None = None
+        # Sending.
+        self._unsent: deque[bytes] = deque()  # with us, as the window is full
+        self._unsent_bytes = self._out_bytes = 0  # out: sent and not read by the other end
+        self._high, self._told_pause = 64 * 1024, False
+        self._last_at = 0.0  # when the last message of this direction arrives
+        self._held: deque[tuple[object, float]] = deque()  # sent, but the way is shut
+        self._ending = self._ended = False  # write_eof or close was asked for; the end is sent
+        # Receiving.
+        self._inbox: deque[tuple[object, float]] = deque()  # arrived and not read
+        self._paused = False
+        self._reading = False
+        self._handed_s = 0.0  # when what is being read now was handed over at the other end
+        # Life.
+        self._closing = False
+        self.dead = False  # nothing can be sent or read any more
+        self._lost = False  # connection_lost is told, or about to be
+
+    # As a transport.
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """`peername`, and `handed_ms`: when what is being read was handed over, in the world's ms."""
+        if name == "handed_ms":
+            return self._handed_s * 1000
+        if name == "peername":
+            return (self.there.address, self.number)
+        return default
+
+    def is_closing(self) -> bool:
+        """Whether it is closed, or will be."""
+        return self._closing or self.dead
+
+    def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
+        """Read into another protocol from now on."""
+        self._protocol = protocol
+        self._buffered = protocol if isinstance(protocol, asyncio.BufferedProtocol) else None
+
+    def get_protocol(self) -> asyncio.BaseProtocol:
+        """Who reads here."""
+        assert self._protocol is not None
+        return self._protocol
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """How much may stand with us before the protocol is told to pause."""
+        self._high = 64 * 1024 if high is None else high
+
+    def get_write_buffer_size(self) -> int:
+        """Bytes that still stand with us."""
+        return self._unsent_bytes
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Send; what the window has no room for stands with us."""
+        if self._closing or self._ending or self.dead or not data:
+            return
+        self._unsent.append(bytes(data))
+        self._unsent_bytes += len(data)
+        self._push()
+        if self._unsent_bytes > self._high and not self._told_pause:
+            self._told_pause = True
+            if self._protocol is not None:
+                self._protocol.pause_writing()
+
+    def writelines(self, list_of_data: Iterable[Any]) -> None:
+        """Send all of them."""
+        self.write(b"".join(list_of_data))
+
+    def can_write_eof(self) -> bool:
+        """One direction can be ended alone."""
+        return True
+
+    def write_eof(self) -> None:
+        """End our direction once all is sent."""
+        if not self._ending:
+            self._ending = True
+            self._push()
+
+    def close(self) -> None:
+        """End our direction once all is sent, read nothing more, and be gone."""
+        if self._closing:
+            return
+        self._closing = True
+        self._ending = True
+        self._push()
+        if not self._unsent:
+            self._finish(None)
+
+    def abort(self) -> None:
+        """Close now; what stands with us is thrown away."""
+        self._closing = True
+        if not self.dead:
+            self._unsent.clear()
+            self._unsent_bytes = 0
+            self._shut()
+        self._finish(None)
+
+    def shut_down(self) -> None:
+        """End both directions now."""
+        if not self._ended and not self.dead:
+            self._ended = True
+            self._send(_END)
+
+    def send_reset(self) -> None:
+        """Close with a reset."""
+        self._closing = True
+        if not self.dead:
+            self._send(_RESET)
+            self.dead = True
+        self._finish(None)
+
+    def pause_reading(self) -> None:
+        """Read nothing for now."""
+        self._paused = True
+
+    def resume_reading(self) -> None:
+        """Read on."""
+        if self._paused:
+            self._paused = False
+            if self._inbox:
+                self._net.process.call_soon(self._read)
+
+    def is_reading(self) -> bool:
+        """Whether it reads."""
+        return not self._paused and not self._closing
+
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing has come that is not read."""
+        return not self._inbox and not self.is_closing()
+
+    # Below.
+
+    def begin(self, protocol: asyncio.BaseProtocol) -> None:
+        """The process has the connection now."""
+        self._net.took(self)
+        self.set_protocol(protocol)
+        protocol.connection_made(self)
+        if self._inbox and not self._closing:
+            self._net.process.call_soon(self._read)
+
+    def _push(self) -> None:
+        """Send what the window takes, then the end if it is asked for."""
+        while self._unsent and self._out_bytes < WINDOW:
+            data = self._unsent.popleft()
+            room = WINDOW - self._out_bytes
+            if len(data) > room:
+                self._unsent.appendleft(data[room:])
+                data = data[:room]
+            self._unsent_bytes -= len(data)
+            self._out_bytes += len(data)
+            self._send(data)
+        if self._ending and not self._unsent and not self._ended and not self.dead:
+            self._ended = True
+            self._send(_END)
+
+    def _room_made(self, amount: int) -> None:
+        """The other end has read."""
+        self._out_bytes -= amount
+        if self.dead or not (self._unsent or self._told_pause):
+            return
+        self._push()
+        if not self._unsent_bytes and self._told_pause:
+            self._told_pause = False
+            if self._protocol is not None and not self._lost:
+                self._net.process.call_soon(self._protocol.resume_writing)
+        if self._closing and not self._unsent:
+            self._finish(None)
+
+    def _send(self, what: object) -> None:
+        network = self.network
+        now = self.world.now
+        if self._held or network.held(self.here, self.there):
+            self._held.append((what, now))
+            network._held[self] = None
+            return
+        at = now + network.delay_s(self.here, self.there)
+        if at < self._last_at:
+            at = self._last_at
+        self._last_at = at
+        assert self.peer is not None
+        self.world.at(at, self.peer._arrive, what, now)
+
+    def flush(self) -> None:
+        """The way is open again."""
+        held, self._held = self._held, deque()
+        for what, handed in held:
+            at = max(self.world.now + self.network.delay_s(self.here, self.there), self._last_at)
+            self._last_at = at
+            assert self.peer is not None
+            self.world.at(at, self.peer._arrive, what, handed)
+
+    def _arrive(self, what: object, handed: float) -> None:
+        """Something has come to this machine."""
+        if self.here.silent:  # it vanished while this was on its way
+            assert self.peer is not None
+            self.peer._held.append((what, handed))
+            self.network._held[self.peer] = None
+            return
+        if type(what) is bytes:
+            self.network.note(b"%.6f %d " % (self.world.now, self.number) + what)
+        else:
+            self.network.note(b"%.6f %d %s" % (self.world.now, self.number,
+                                               b"end" if what is _END else b"reset"))
+        if self.dead or self._lost:
+            if type(what) is bytes and self.peer is not None and not self.peer.dead:
+                self._answer_reset()
+            return
+        if self._closing and type(what) is bytes:
+            assert self.peer is not None
+            self.peer._room_made(len(what))  # thrown away: nobody reads here any more
+            return
+        if what is _RESET:
+            self.dead = True
+        self._inbox.append((what, handed))
+        if self._protocol is None or self._paused:
+            return
+        process = self._net.process
+        if process.idle:
+            self.world.enter(process)
+            process.wakes += 1
+            self._read()
+            if process.cost_s:
+                process.busy(process.cost_s)
+        else:
+            process.call_soon(self._read)
+
+    def _answer_reset(self) -> None:
+        """What came for a connection that is closed here gets a reset."""
+        assert self.peer is not None
+        self.world.at(self.world.now + self.network.delay_s(self.here, self.there), self.peer._arrive, _RESET,
+                      self.world.now)
+
+    def _read(self) -> None:
+        """Give the process what has come."""
+        if self._reading:
+            return
+        self._reading = True
+        try:
+            while self._inbox and not self._lost and not self._closing:
+                what, handed = self._inbox[0]
+                if self._paused and what is not _RESET:
+                    return
+                self._inbox.popleft()
+                self._handed_s = handed
+                if type(what) is bytes:
+                    assert self.peer is not None
+                    self.peer._room_made(len(what))
+                    self._give(what)
+                elif what is _END:
+                    keep = False
+                    if isinstance(self._protocol, asyncio.Protocol | asyncio.BufferedProtocol):
+                        keep = bool(self._protocol.eof_received())
+                    if not keep:
+                        self.close()
+                else:
+                    self._closing = True
+                    self._finish(ConnectionResetError(errno.ECONNRESET, "Connection reset by peer"))
+        except (SystemExit, KeyboardInterrupt):
+            raise
+        except BaseException as problem:
+            self._net.process.call_exception_handler(
+                {"message": "Fatal error: protocol failed", "exception": problem, "transport": self})
+            self.abort()
+        finally:
+            self._reading = False
+
+    def _give(self, data: bytes) -> None:
+        buffered = self._buffered
+        if buffered is None:
+            assert isinstance(self._protocol, asyncio.Protocol)
+            self._protocol.data_received(data)
+            return
+        while data and not self._closing:
+            room = memoryview(buffered.get_buffer(-1))
+            count = min(len(room), len(data))
+            room[:count] = data[:count]
+            buffered.buffer_updated(count)
+            data = data[count:]
+
+    def _shut(self) -> None:
+        """The system closes our end: with a reset where something is unread, else with an end."""
+        if any(type(what) is bytes for what, _ in self._inbox):
+            if not self.dead:
+                self._send(_RESET)
+        elif not self._ended:
+            self._ended = True
+            self._send(_END)
+        self.dead = True
+
+    def _finish(self, problem: OSError | None) -> None:
+        """Tell the protocol, once, in a later turn."""
+        if self._lost:
+            return
+        if not self.dead:
+            self._shut()
+        self._lost = True
+        self._net.gave(self)
+        if self._protocol is not None:
+            self._net.process.call_soon(self._protocol.connection_lost, problem)
+
+    def died(self) -> None:
+        """Its process is dead: the system closes what it held."""
+        self._closing = self._lost = True
+        if not self.dead:
+            self._unsent.clear()
+            self._shut()
+
+
+class VirtualNet(Net):
+    """The outside as one simulated process sees it."""
+
+    def __init__(self, process: Process, network: Network, place: Place, descriptors: int = 1 << 30) -> None:
+        self.loop = process
+        self.process, self.network, self.world, self.place = process, network, network.world, place
+        self.descriptors = descriptors
+        self._sides: dict[Side, None] = {}
+        self._listening: list[_Listening] = []
+        process.at_death.append(self._died)
+
+    def now_s(self) -> float:
+        """The world's seconds."""
+        return self.world.now
+
+    def unix_s(self) -> float:
+        """Unix time, as wrong as this process' clock is."""
+        return self.world.unix_s() + self.process.clock_step_s
+
+    @property
+    def open_sides(self) -> int:
+        """Connections that this process holds."""
+        return len(self._sides)
+
+    @property
+    def has_room(self) -> bool:
+        """Whether there is a descriptor left."""
+        return len(self._sides) + len(self._listening) < self.descriptors
+
+    def took(self, side: Side) -> None:
+        """A connection is the process' now."""
+        self._sides[side] = None
+
+    def gave(self, side: Side) -> None:
+        """A connection is closed."""
+        self._sides.pop(side, None)
+
+    def _died(self) -> None:
+        for one in list(self._listening):
+            one.close()
+        for side in list(self._sides):
+            side.died()
+        self._sides.clear()
+
+    async def listen(self, factory: Factory, address: Address, *, accept_most: int,
+                     waiting_most: int) -> Listening:
+        """Listen at an address of this machine; port 0: any."""
+        return self._open(address, factory, None, waiting_most)
+
+    def accept(self, accept: Callable[[int], asyncio.BaseProtocol], address: Address) -> _Listening:
+        """Listen, and tell the factory the number of the machine that calls."""
+        return self._open(address, None, accept, 1 << 30)
+
+    def _open(self, address: Address, factory: Factory | None,
+              accept: Callable[[int], asyncio.BaseProtocol] | None, most: int) -> _Listening:
+        host, port = address
+        if port == 0:
+            port = next(one for one in range(20_000, 60_000) if (host, one) not in self.network.listening)
+        if (host, port) in self.network.listening:
+            raise OSError(errno.EADDRINUSE, f"address {host}:{port} is in use")
+        one = _Listening(self, (host, port), factory, accept, most)
+        self.network.listening[host, port] = one
+        self._listening.append(one)
+        return one
+
+    async def dial(self, factory: Factory, address: Address) -> None:
+        """Connect; the protocol has the connection once this returns."""
+        if not self.has_room:
+            raise OSError(errno.EMFILE, "Too many open files")
+        network, here = self.network, self.place
+        found = network.listening.get(address)
+        there = (found.net.place if found is not None
+                 else network.places.get(address[0]) or Place(address[0], 0))
+        done: asyncio.Future[None] = self.process.create_future()
+        dial = _Dial(network, here, there, done)
+        if network.held(here, there):
+            network._dials[dial] = None
+        else:
+            self.world.at(self.world.now + network.delay_s(here, there), self._knock, dial, address)
+        try:
+            await done
+        except asyncio.CancelledError:
+            network._dials.pop(dial, None)
+            if dial.side is not None and not dial.side.dead:
+                dial.side.send_reset()  # it came up, but nobody waits for it any more
+            raise
+        assert dial.side is not None
+        dial.side.begin(factory())
+
+    def _knock(self, dial: _Dial, address: Address) -> None:
+        """A connect has reached the machine it is for."""
+        network = self.network
+        if dial.done.done() or not self.process.alive:
+            return
+        if network.held(dial.here, dial.there):
+            network._dials[dial] = None
+            return
+        found = network.listening.get(address)
+        back = self.world.now + network.delay_s(dial.there, dial.here)
+        if found is None or len(found.waiting) >= found.most:
+            if found is None:
+                self.world.at(back, dial.lost, ConnectionRefusedError(
+                    errno.ECONNREFUSED, f"connect to {address[0]}:{address[1]} was refused"))
+            return  # else: a full queue drops it, and the caller waits in vain
+        network.connections += 1
+        ours = Side(self, dial.here, dial.there, network.connections * 2)
+        theirs = Side(found.net, dial.there, dial.here, network.connections * 2 + 1)
+        ours.peer, theirs.peer = theirs, ours
+        dial.side = ours
+        self.took(ours)
+        # The caller's word that it is up takes one more way; what it sends can't arrive before.
+        theirs_at = back + network.delay_s(dial.here, dial.there)
+        ours._last_at = theirs_at
+        theirs._last_at = back
+        self.world.at(back, self._up, dial)
+        self.world.at(theirs_at, found.came, theirs)
+
+    def _up(self, dial: _Dial) -> None:
+        if not dial.done.done() and self.process.alive:
+            dial.done.set_result(None)
+
+    def is_quiet(self, transport: asyncio.Transport) -> bool:
+        """Whether nothing has come that we have not read."""
+        assert isinstance(transport, Side)
+        return transport.quiet
+
+    def shut_down(self, transport: asyncio.Transport) -> None:
+        """End both directions now."""
+        assert isinstance(transport, Side)
+        transport.shut_down()
+
+    def reset(self, transport: asyncio.Transport) -> None:
+        """Close with a reset."""
+        assert isinstance(transport, Side)
+        transport.send_reset()
+
