--- a/coveport/config/platform.py
+++ b/coveport/config/platform.py
@@ -40,18 +40,15 @@
     return float(value)
 
 
-def load(environ: Mapping[str, str], *, again: bool = False) -> Config:
-    """Read and check everything; ConfigError says in one line what is wrong.
+def read(text: str, environ: Mapping[str, str], *, again: bool = False,
+         where: str = "configuration") -> Config:
+    """Read and check a configuration's JSON; ConfigError says in one line what is wrong `where`.
 
     `again`: the file was replaced while we ran. What it says of discovery then beats the variable, which
     dates from our start.
     """
-    path = environ.get("LB_CONFIG")
-    if not path:
-        raise ConfigError("LB_CONFIG is not set")
     try:
-        with open(path, encoding="utf-8") as file:
-            told = json.load(file)
+        told = json.loads(text)
         if not isinstance(told, dict):
             raise ValueError("not an object")
         settings = told.get("settings")
@@ -72,6 +69,18 @@
             keepalive_ms=_number(settings.get("limits") or {}, "keepalive_ms", 5000.0),
             known=told.get("known"),
         )
-    except (OSError, ValueError, TypeError, AttributeError) as problem:
-        text = " ".join(str(problem).split())
-        raise ConfigError(f"{path}: {text}") from problem
+    except (ValueError, TypeError, AttributeError, RecursionError) as problem:
+        raise ConfigError(f"{where}: {' '.join(str(problem).split())}") from problem
+
+
+def load(environ: Mapping[str, str], *, again: bool = False) -> Config:
+    """Read the file that LB_CONFIG names, as `read` does."""
+    path = environ.get("LB_CONFIG")
+    if not path:
+        raise ConfigError("LB_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, ValueError) as problem:
+        raise ConfigError(f"{path}: {' '.join(str(problem).split())}") from problem
+    return read(text, environ, again=again, where=path)
--- a/coveport/http1/clients.py
+++ b/coveport/http1/clients.py
@@ -260,7 +260,7 @@
         self._new: dict[Client, None] = {}  # those that have brought no whole request yet, likewise
         self._ending: dict[Client, None] = {}  # those that have had their last answer
         self._server: Listening | None = None
-        self._sweeper = net.loop.call_later(SWEEP_S, self._sweep)
+        self._sweeper: asyncio.TimerHandle | None = None  # set while any client is connected
 
     async def open(self, address: Address) -> int:
         """Listen; the port that was bound."""
@@ -276,6 +276,8 @@
     def came(self, client: Client) -> None:
         """A client has connected; where there are too many, one that brings nothing makes room."""
         self._clients[client] = self._new[client] = None
+        if self._sweeper is None:
+            self._sweeper = self.net.loop.call_later(SWEEP_S, self._sweep)
         if self.crowded:
             self.shed(1)
             client.extra = self.crowded
@@ -337,7 +339,7 @@
         for client in list(self._clients):
             client.check(now)
         self._tidy(self._most)  # here too: where all that clients may hold is at rest, none of them comes
-        self._sweeper = self.net.loop.call_later(SWEEP_S, self._sweep)
+        self._sweeper = self.net.loop.call_later(SWEEP_S, self._sweep) if self._clients else None
 
     @property
     def count(self) -> int:
@@ -359,6 +361,7 @@
 
     def close(self) -> None:
         """Close all that is left."""
-        self._sweeper.cancel()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
         for client in list(self._clients):
             client.close()
--- /dev/null
+++ b/coveport/lab/broken.py
@@ -0,0 +1,257 @@
+"""Sidecars that are broken on purpose, to show that the oracle sees it, and legal ones of another policy.
+
+Each is the real program with one part replaced. They run on simulated ground only.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
+
+from coveport.core import messages as core
+from coveport.core.operation import Answer, Operation
+from coveport.core.reducer import Reducer
+from coveport.discovery.reader import PoolUpdate
+from coveport.sidecar.effects import Asker, Effects
+from micaflow import Balancer, decide
+from micaflow import interface as api
+
+EVERY = 40  # of so many operations, one meets the fault where it is not a matter of circumstances
+
+MakeReducer = Callable[[api.Settings, int], Reducer]
+
+
+@dataclass(frozen=True)
+class Variant:
+    """A sidecar that differs from the shipped one."""
+
+    name: str
+    about: str
+    rule: str = ""  # what the oracle must find broken; empty: it breaks none
+    reducer: MakeReducer = Reducer
+    effects: type[Effects] = Effects
+    scenario: tuple[str, ...] = ()  # settings under which the fault shows, where it needs some
+
+
+def _lied(change: Callable[[api.Settings], api.Settings]) -> MakeReducer:
+    """Everything that decides is told something else than what holds."""
+    return lambda settings, seed: Reducer(change(settings), seed)
+
+
+def _decides(balancer: type[Balancer]) -> MakeReducer:
+    return lambda settings, seed: Reducer(settings, seed, balancer)
+
+
+def _classes(settings: api.Settings, kind: api.Effect, **changed: object) -> api.Settings:
+    return dataclasses.replace(settings, classes=tuple(
+        dataclasses.replace(cls, **changed) if cls.effect is kind else cls  # type: ignore[arg-type]
+        for cls in settings.classes))
+
+
+def _limits(settings: api.Settings, **changed: object) -> api.Settings:
+    return dataclasses.replace(
+        settings, limits=dataclasses.replace(settings.limits, **changed))  # type: ignore[arg-type]
+
+
+# Deciders.
+
+
+class _DeafToDrains(Balancer):
+    def _list(self, event: api.ListUpdate) -> None:
+        entries = tuple(dataclasses.replace(one, state=api.State.READY) for one in event.entries)
+        super()._list(api.ListUpdate(event.kind, entries, event.version))
+
+
+class _FloodsTheCold(Balancer):
+    def _has_room(self, host: decide._Host, request: decide._Request, first: bool) -> bool:
+        return True
+
+    def _draw(self, level: list[decide._Host], request: decide._Request) -> decide._Host | None:
+        usable = [host for host in level if host.trial_at == inf and self._legal(request, host)]
+        return max(usable, key=lambda host: (host.cold_at, -host.id), default=None)
+
+
+class _RefusesAll(Balancer):
+    def _answer(self, request: decide._Request) -> None:
+        self.out.append(api.Refuse(request.id, 0.0))
+        self._end(request.id)
+
+
+class _RandomPick(Balancer):
+    def _draw(self, level: list[decide._Host], request: decide._Request) -> decide._Host | None:
+        tried = [attempt.host for attempt in request.attempts]
+        usable = [host for host in level if host not in tried and self._usable(host, request, True)]
+        return self.random.choice(usable) if usable else None
+
+
+# Hands.
+
+
+class _Hands(Effects):
+    """Meets its fault at one operation in `EVERY`."""
+
+    def struck(self, number: int) -> bool:
+        return number % EVERY == EVERY - 1
+
+
+class _AnswersTwice(_Hands):
+    def _answer(self, effect: core.GiveAnswer) -> None:
+        client = self._open[effect.operation].client
+        super()._answer(effect)
+        if client is not None and self.struck(effect.operation):
+            client.answer(effect.verdict, effect.answer, effect.retry_after_ms)
+
+
+class _ForgetsAnswers(_Hands):
+    def _answer(self, effect: core.GiveAnswer) -> None:
+        if not self.struck(effect.operation):
+            super()._answer(effect)
+
+
+class _MixesBodies(_Hands):
+    _last: Answer | None = None
+
+    def _answer(self, effect: core.GiveAnswer) -> None:
+        if effect.answer is not None:
+            mine, self._last = effect.answer, effect.answer if self._last is None else self._last
+            if self.struck(effect.operation):
+                effect.answer = self._last
+            self._last = mine
+        super()._answer(effect)
+
+
+class _CutsBodies(_Hands):
+    def _answer(self, effect: core.GiveAnswer) -> None:
+        if effect.answer is not None and self.struck(effect.operation):
+            effect.answer = Answer(effect.answer.body[:-1], effect.answer.content_type)
+        super()._answer(effect)
+
+
+class _AnswersLate(_Hands):
+    def take(self, number: int, client: Asker, asked: Operation) -> None:
+        if self.struck(number):
+            wait_s = asked.wait_ms / 1000 + 0.2
+            client = _Later(lambda call: self._net.loop.call_later(wait_s, call), client)
+        super().take(number, client, asked)
+
+
+class _HoldsBack(_Hands):
+    """What it gives up is answered only when the client's time is nearly over, to spare a retry."""
+
+    def take(self, number: int, client: Asker, asked: Operation) -> None:
+        until = self._net.now_s() + 0.95 * asked.wait_ms / 1000
+        loop = self._net.loop
+        held = _Later(lambda call: loop.call_later(max(0.0, until - loop.time()), call), client, served=False)
+        super().take(number, held, asked)
+
+
+class _Later:
+    def __init__(self, later: Callable[[Callable[[], None]], object], client: Asker,
+                 served: bool = True) -> None:
+        self._later, self._client, self._served = later, client, served
+
+    def answer(self, verdict: core.Verdict, answer: Answer | None, retry_after_ms: float) -> None:
+        if verdict is core.Verdict.SERVED and not self._served:
+            self._client.answer(verdict, answer, retry_after_ms)
+        else:
+            self._later(lambda: self._client.answer(verdict, answer, retry_after_ms))
+
+
+class _LosesCancels(Effects):
+    def _carry_out(self, effect: core.Effect) -> None:
+        if not isinstance(effect, core.CancelStep):
+            super()._carry_out(effect)
+
+
+class _ChangesKeys(_Hands):
+    def _send(self, effect: core.SendStep) -> None:
+        asked = self._open[effect.operation].asked
+        if asked.key is not None and effect.step:
+            asked.key = asked.key[::-1]
+        super()._send(effect)
+
+
+class _SendsOn(_Hands):
+    """Sends once more what has its answer already."""
+
+    def _answer(self, effect: core.GiveAnswer) -> None:
+        asked = self._open[effect.operation].asked
+        super()._answer(effect)
+        if self.struck(effect.operation) and self.destinations._places:
+            number = next(iter(self.destinations._places))
+            self._net.loop.call_later(
+                0.3, lambda: self.destinations.send(number, asked, 1.0, lambda result: None))
+
+
+class _KeepsTheGone(Effects):
+    """Sends where the list said, and goes on where it says no more."""
+
+    def _place(self, update: PoolUpdate) -> None:
+        update.places = [(number, place) for number, place in update.places if place is not None]
+        entries = tuple(one for one in update.update.entries if one.state is api.State.READY)
+        update.update = api.ListUpdate(api.ListKind.DELTA, entries, update.update.version)
+        super()._place(update)
+
+
+class _Dies(Effects):
+    def take(self, number: int, client: Asker, asked: Operation) -> None:
+        super().take(number, client, asked)
+        if number == 2 * EVERY:
+            raise SystemExit(3)
+
+
+class _NeverEnds(Effects):
+    @property
+    def owed(self) -> int:
+        return 1
+
+
+_ALL = (
+    Variant("redeem-resent", "a redeem is tried again though it may have run", "resent",
+            _lied(lambda s: _classes(s, api.Effect.UNSAFE, effect=api.Effect.SAFE))),
+    Variant("earn-elsewhere", "an earn is tried again in another cell", "resent",
+            _lied(lambda s: _classes(s, api.Effect.KEYED, group=api.Group.ALL))),
+    Variant("earn-past-window", "an earn is tried again when its window is over", "resent",
+            _lied(lambda s: _classes(s, api.Effect.KEYED, window_ms=1e6)),
+            scenario=("classes.1.window_ms=300",)),
+    Variant("answers-twice", "a second final answer", "answer-twice", effects=_AnswersTwice),
+    Variant("answers-none", "no final answer", "answer-none", effects=_ForgetsAnswers),
+    Variant("mixes-bodies", "the body of another operation", "body", effects=_MixesBodies),
+    Variant("cuts-bodies", "a body that is not whole", "body", effects=_CutsBodies),
+    Variant("answers-late", "an answer after the client's time", "answer-late", effects=_AnswersLate),
+    Variant("holds-back", "what is given up is answered late, to spare a retry", "answer-held",
+            effects=_HoldsBack),
+    Variant("deaf-to-drains", "goes on sending to what drains", "drained", _decides(_DeafToDrains)),
+    Variant("floods-cold", "sends all to the node that has just started", "cold", _decides(_FloodsTheCold)),
+    Variant("fourth-attempt", "more attempts than allowed", "attempts",
+            _lied(lambda s: _limits(s, max_attempts=9))),
+    Variant("loses-cancels", "attempts go on when their operation is over", "cancel-lost",
+            effects=_LosesCancels),
+    Variant("second-copy", "a second copy where none is allowed", "second-copy",
+            _lied(lambda s: _limits(s, second_copies=True)), scenario=("rules.second_copies=false",)),
+    Variant("refuses-all", "a busy reply for what may have run", "refused", _decides(_RefusesAll)),
+    Variant("changes-keys", "another key at a further attempt", "changed", effects=_ChangesKeys),
+    Variant("sends-on", "an attempt after the final answer", "after-end", effects=_SendsOn),
+    Variant("keeps-the-gone", "never forgets a node", "drained", effects=_KeepsTheGone),
+    Variant("dies", "ends by itself", "process", effects=_Dies),
+    Variant("never-ends", "hangs at its planned end", "process", effects=_NeverEnds),
+    Variant("random-pick", "picks at random among the usable", reducer=_decides(_RandomPick)),
+    Variant("no-retries", "one attempt, no second copies",
+            reducer=_lied(lambda s: _limits(s, max_attempts=1, second_copies=False))),
+)
+
+VARIANTS = {one.name: one for one in _ALL}
+"""All of them by name."""
+
+SHIPPED = Variant("", "the sidecar as it is shipped")
+
+
+def variant_named(name: str) -> Variant:
+    """The variant of that name, the shipped one for an empty name; ValueError with the names there are."""
+    if not name:
+        return SHIPPED
+    if name not in VARIANTS:
+        raise ValueError(f"no variant {name!r}; one of {', '.join(VARIANTS)}")
+    return VARIANTS[name]
--- /dev/null
+++ b/coveport/lab/run.py
@@ -0,0 +1,51 @@
+"""From a scenario to its outcome: drawn, played on a ground, judged and measured."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+from coveport.lab import measures, oracle
+from coveport.lab.drawing import draw
+from coveport.lab.outcome import Broken, Outcome
+from coveport.lab.playing import Played
+from coveport.lab.scenario import Scenario
+
+GROUNDS = ("virtual", "real")
+
+
+def play(scenario: Scenario, *, seed: int, ground: str, variant: str = "", logs: Path | None = None,
+         progress: Callable[[float], None] | None = None) -> Played:
+    """Draw and play a day; ValueError where there is no such ground or variant."""
+    day = draw(scenario, seed)
+    if ground == "virtual":
+        from coveport.lab.virtual.play import play_day as virtual
+
+        return virtual(day, variant=variant, logs=logs, progress=progress)
+    if ground == "real":
+        from coveport.lab.real import play_day as real
+
+        if variant:
+            raise ValueError("variants run on virtual ground only")
+        return real(day, logs=logs, progress=progress)
+    raise ValueError(f"no ground {ground!r}; one of {', '.join(GROUNDS)}")
+
+
+def judge(played: Played, *, name: str = "", variant: str = "") -> Outcome:
+    """What a played day comes to: figures, broken rules, and whether expectations are met."""
+    grace = oracle.Grace.virtual() if played.ground == "virtual" else oracle.Grace.real()
+    breaches = oracle.judge(played.day, played.rows, grace=grace)
+    outcome = measures.measure(played)
+    outcome.name, outcome.variant = name, variant
+    outcome.broken = [Broken(one.rule, one.at_ms, one.operation, one.what) for one in breaches]
+    outcome.kept = not breaches
+    outcome.expectations = measures.judge_expectations(outcome, played.day.scenario)
+    return outcome
+
+
+def play_and_judge(scenario: Scenario, *, name: str, seed: int, ground: str, variant: str = "",
+                   logs: Path | None = None,
+                   progress: Callable[[float], None] | None = None) -> tuple[Played, Outcome]:
+    """Both; what the command line and the experiments call."""
+    played = play(scenario, seed=seed, ground=ground, variant=variant, logs=logs, progress=progress)
+    return played, judge(played, name=name, variant=variant)
--- /dev/null
+++ b/coveport/lab/virtual/play.py
@@ -0,0 +1,331 @@
+"""Plays a drawn day on simulated ground: the real program, any number of instances, in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import signal
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from coveport.config import platform as configuration
+from coveport.lab.books import Books, Life, Sample
+from coveport.lab.broken import Variant, variant_named
+from coveport.lab.conductor import (
+    OF_DISCOVERY,
+    OF_NETWORK,
+    OF_NODES,
+    OF_SIDECARS,
+    conduct,
+    write_faults,
+)
+from coveport.lab.day import Change, Day, SidecarDrawn, Wish, sidecar_settings
+from coveport.lab.model import KeyMemory
+from coveport.lab.playing import Played
+from coveport.lab.standins.discovery import Discovery
+from coveport.lab.standins.health import wait_until_ready
+from coveport.lab.standins.nodes import LedgerNode, WorkBook
+from coveport.lab.standins.tills import Tills
+from coveport.lab.virtual.hosts import VirtualHost
+from coveport.lab.virtual.wires import Network, VirtualNet
+from coveport.lab.virtual.world import Process, World
+from coveport.lab.ways import CLIENT, Ways
+from coveport.net.address import Address
+from coveport.sidecar.serve import serve
+from coveport.telemetry.log import Log
+
+PORT = 9000
+BEFORE_S = 2.0  # the sidecars start so long before the day begins
+SLICE_S = 0.25  # how often it is looked whether all is over
+SAMPLE_S = 1.0
+END_S = 12.0  # how long the planned end may take before it counts as hung
+RELOAD_SIGNAL, STOP_SIGNAL = int(signal.SIGHUP), int(signal.SIGTERM)
+
+
+def _ip(block: int, number: int) -> str:
+    return f"10.{block}.{number // 250}.{number % 250 + 1}"
+
+
+@dataclass(slots=True)
+class _Running:
+    """A sidecar's process."""
+
+    process: Process
+    net: VirtualNet
+    generation: int
+    ended: bool = False
+    wanted: bool = False  # its end was asked for
+
+
+class _Sidecars:
+    """All sidecars: started, told, killed, and started again."""
+
+    def __init__(self, play: _Play, variant: Variant) -> None:
+        self._play, self._variant = play, variant
+        self._running: dict[int, _Running] = {}
+        self._discovery_at: dict[int, Address] = {}
+        self._moves = 0
+        self.logs: dict[int, list[str]] = {}
+        self._again: set[int] = set()  # those to start again once they have ended
+
+    def address(self, number: int) -> Address:
+        return _ip(0, number), PORT
+
+    def launch(self, drawn: SidecarDrawn) -> None:
+        play, number = self._play, drawn.number
+        before = self._running.get(number)
+        generation = before.generation + 1 if before is not None else 0
+        process = Process.start(play.world, f"{drawn.name}.{generation}")
+        place = play.network.place(self.address(number)[0], drawn.zone, number)
+        net = VirtualNet(process, play.network, place, int(play.day.scenario.limits.descriptors))
+        running = self._running[number] = _Running(process, net, generation)
+        lines = self.logs.setdefault(number, [])
+        log = Log(process.time, lambda line: lines.append(f"{play.day_ms() / 1000:9.3f} {line}"))
+        self._write(number, "start", str(generation))
+        play.discovery.told_known(number)
+        try:
+            config = self._config(drawn, generation)
+        except configuration.ConfigError as problem:
+            log.say(str(problem))
+            running.ended = True
+            self._write(number, "exit", "2")
+            return
+
+        async def run() -> int:
+            return await serve(config, net, log, reread=lambda: self._config(drawn, generation),
+                               reducer=self._variant.reducer, effects_type=self._variant.effects)
+
+        def ended(task: asyncio.Task[int]) -> None:
+            problem = None if task.cancelled() else task.exception()
+            if problem is not None:
+                log.say(f"ended by {problem!r}")
+            self._ended(number, running, 1 if problem is not None else task.result())
+
+        process.call_soon(lambda: process.create_task(run()).add_done_callback(ended))
+        play.lab.call_soon(lambda: wait_until_ready(
+            play.host_of_tills(number), self.address(number), lambda: self._ready(number, running)))
+
+    def _config(self, drawn: SidecarDrawn, generation: int) -> configuration.Config:
+        play, number = self._play, drawn.number
+        limits, (host, port) = play.day.scenario.limits, self.address(number)
+        discovery = self._discovery_at.setdefault(number, play.agents[number].address(number))
+        told = {
+            "name": drawn.name, "listen": f"{host}:{port}", "discovery": "{}:{}".format(*discovery),
+            "seed": f"{(drawn.seed * 1_000_003 + generation) % (1 << 64):x}",
+            "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.descriptors},
+            "known": play.discovery.known(number), "settings": sidecar_settings(play.day, drawn),
+        }
+        return configuration.read(json.dumps(told), {})
+
+    def _write(self, number: int, what: str, detail: str = "") -> None:
+        self._play.books.write(Life(self._play.day_ms(), number, what, detail))
+
+    def _ready(self, number: int, running: _Running) -> None:
+        if self._running.get(number) is running and not running.ended:
+            self._write(number, "ready")
+
+    def _ended(self, number: int, running: _Running, code: int) -> None:
+        if running.ended:
+            return
+        running.ended = True
+        self._write(number, "exit", str(code))
+        running.process.kill()
+        if number in self._again:
+            self._again.discard(number)
+            self._play.lab.call_later(0.05, self.launch, self._play.day.sidecars[number])
+
+    def change(self, change: Change) -> None:
+        """Carry out one of `SIDECAR_CHANGES`."""
+        number = change.target
+        running = self._running[number]
+        if change.what == "launch":
+            if running.ended:
+                self.launch(self._play.day.sidecars[number])
+        elif running.ended:
+            return
+        elif change.what == "kill":
+            running.ended = True
+            self._write(number, "kill")
+            running.process.kill()
+        elif change.what == "stall":
+            self._write(number, "stall")
+            running.process.stall(change.value / 1000)
+            self._play.lab.call_later(change.value / 1000, self._write, number, "resume")
+        else:
+            self._write(number, "term")
+            self._again.add(number)
+            running.process.deliver(STOP_SIGNAL)
+
+    def move(self, number: int) -> None:
+        """Its discovery is to be found elsewhere from now on."""
+        play = self._play
+        self._moves += 1
+        place = play.network.place(f"10.3.{self._moves // 250}.{self._moves % 250 + 1}", CLIENT, number)
+        host = VirtualHost(play.lab, play.network, place, PORT, play.start_s)
+        play.discovery.move(number, host)
+        self._discovery_at[number] = host.address(number)
+        running = self._running[number]
+        if not running.ended:
+            self._write(number, "reload")
+            running.process.deliver(RELOAD_SIGNAL)
+
+    def sample(self) -> None:
+        """Note what each holds."""
+        for number, running in self._running.items():
+            if not running.ended:
+                self._play.books.write(Sample(self._play.day_ms(), number, 0.0, running.net.open_sides, 0.0))
+
+    def stop(self) -> None:
+        """Tell all to stop."""
+        for number, running in self._running.items():
+            self._again.discard(number)
+            if not running.ended:
+                self._write(number, "term")
+                running.process.deliver(STOP_SIGNAL)
+
+    @property
+    def all_ended(self) -> bool:
+        return all(running.ended for running in self._running.values())
+
+    @property
+    def wakes(self) -> int:
+        """Callbacks run by those that run now."""
+        return sum(running.process.wakes for running in self._running.values())
+
+    def kill(self) -> None:
+        """Leave none."""
+        for running in self._running.values():
+            running.process.kill()
+
+    def faults(self) -> list[str]:
+        """What went wrong in their loops and was not taken."""
+        return [f"sidecar {number}: {context}" for number, running in self._running.items()
+                for context in running.process.problems]
+
+
+class _Play:
+    """One run."""
+
+    def __init__(self, day: Day, variant: Variant) -> None:
+        self.day, self.books = day, Books()
+        self.world = World()
+        self.start_s = self.world.now + BEFORE_S
+        self.ways = Ways(day)
+        self.network = Network(self.world, self.ways)
+        self.lab = Process.start(self.world, "lab")
+        self.lab_net = VirtualNet(self.lab, self.network, self.network.place("10.9.0.1", CLIENT))
+        keys, works = KeyMemory(), WorkBook(day)
+        self._hosts: list[VirtualHost] = []
+        self.nodes: list[LedgerNode] = []
+        for drawn in day.nodes:
+            host = self._host(1, drawn.number, drawn.zone)
+            self._hosts.append(host)
+            self.nodes.append(LedgerNode(host, self.books, day, drawn, keys, works,
+                                         rtt_ms=self._rtt(drawn.zone)))
+        unix_offset_ms = (self.world.unix_s() - self.world.now + self.start_s) * 1000
+        self.discovery = Discovery(day, self.books, self.lab_net, self.day_ms,
+                                   lambda node, sidecar: self._hosts[node].address(sidecar),
+                                   unix_ms_of=lambda at: at + unix_offset_ms, on_move=self._moved)
+        self.agents = [self._host(2, one.number, CLIENT, one.number) for one in day.sidecars]
+        self._till_hosts = [self._host(4, one.number, CLIENT, one.number) for one in day.sidecars]
+        self.sidecars = _Sidecars(self, variant)
+        wishes: list[list[Wish]] = [[] for _ in day.sidecars]
+        for wish in day.wishes:
+            wishes[wish.sidecar].append(wish)
+        self.tills = [Tills(self._till_hosts[one.number], self.books, day, one, wishes[one.number],
+                            lambda number=one.number: self.sidecars.address(number))
+                      for one in day.sidecars]
+
+    def _rtt(self, zone: int) -> Callable[[int], float]:
+        zones = [one.zone for one in self.day.sidecars]
+        return lambda sidecar: 2 * self.ways.base_ms(zones[sidecar], zone)
+
+    def _host(self, block: int, number: int, zone: int, sidecar: int = -1) -> VirtualHost:
+        place = self.network.place(_ip(block, number), zone, sidecar)
+        return VirtualHost(self.lab, self.network, place, PORT, self.start_s)
+
+    def host_of_tills(self, number: int) -> VirtualHost:
+        return self._till_hosts[number]
+
+    def day_ms(self) -> float:
+        return (self.world.now - self.start_s) * 1000
+
+    def _moved(self, sidecar: int) -> None:
+        self.sidecars.move(sidecar)
+
+    def _start(self) -> None:
+        for node in self.nodes:
+            if node.drawn.born:
+                self.lab.create_task(node.start())
+        for drawn in self.day.sidecars:
+            self.discovery.agent(drawn.number, self.agents[drawn.number])
+        for drawn in self.day.sidecars:
+            self.sidecars.launch(drawn)
+        for till in self.tills:
+            till.start()
+        conduct(self.day.changes, self.lab_net, self.day_ms, (
+            (OF_NODES, self._node_change), (OF_NODES | OF_DISCOVERY, self.discovery.change),
+            (OF_NETWORK, self.ways.change), (OF_SIDECARS, self.sidecars.change)))
+        self._sample()
+
+    def _node_change(self, change: Change) -> None:
+        for node in self.nodes if change.target < 0 else (self.nodes[change.target],):
+            node.change(change)
+
+    def _sample(self) -> None:
+        self.sidecars.sample()
+        self.lab.call_later(SAMPLE_S, self._sample)
+
+    def run(self, progress: Callable[[float], None] | None) -> None:
+        """Play it to its end."""
+        scenario, world = self.day.scenario, self.world
+        self.lab.call_soon(self._start)
+        over = self.start_s + scenario.length_s
+        latest = over + scenario.tail_s
+        while world.now < latest:
+            world.run(min(world.now + SLICE_S, latest))
+            if progress is not None:
+                progress(min(1.0, max(0.0, (world.now - self.start_s) / scenario.length_s)))
+            if world.now >= over and all(till.done for till in self.tills):
+                break
+        self.sidecars.stop()
+        latest = world.now + END_S
+        while world.now < latest and not self.sidecars.all_ended:
+            world.run(world.now + SLICE_S)
+        for till in self.tills:
+            till.close()
+        world.run(world.now + 1.0)
+
+
+def play_day(day: Day, *, variant: str = "", logs: Path | None = None,
+             progress: Callable[[float], None] | None = None) -> Played:
+    """Play a day; `variant` names a deliberately different sidecar (see `coveport.lab.broken`).
+
+    `logs`: a folder that gets what each sidecar printed. ValueError where no such variant is known.
+    """
+    began = time.perf_counter()
+    play = _Play(day, variant_named(variant))
+    write_faults(day, play.books)
+    # A day makes no garbage in circles that matters, and looking for some costs a tenth of the time.
+    gc.collect()
+    gc.freeze()
+    thresholds = gc.get_threshold()
+    gc.set_threshold(100_000, 50, 100)
+    try:
+        play.run(progress)
+    finally:
+        play.sidecars.kill()
+        play.lab.kill()
+        gc.set_threshold(*thresholds)
+        gc.unfreeze()
+    rows = sorted(play.books.rows, key=lambda row: row.at)
+    said = {number: "\n".join(lines) for number, lines in play.sidecars.logs.items()}
+    if logs is not None:
+        logs.mkdir(parents=True, exist_ok=True)
+        for number, text in said.items():
+            (logs / f"{day.sidecars[number].name}.log").write_text(text + "\n")
+    notes = play.sidecars.faults() + [f"the lab: {context}" for context in play.lab.problems]
+    return Played(day, "virtual", rows, False, play.network.trace, time.perf_counter() - began, said, notes)
--- a/coveport/lab/virtual/world.py
+++ b/coveport/lab/virtual/world.py
@@ -146,6 +146,11 @@
         self.problems: list[dict[str, Any]] = []  # faults that nobody took
         self.at_death: list[Callable[[], None]] = []  # what the system does when it dies
 
+    @classmethod
+    def start(cls, world: World, name: str) -> Process:
+        """A new process."""
+        return cls(world, name)
+
     # Life.
 
     def free(self, handle: Handle) -> bool:
--- a/coveport/nodes/destinations.py
+++ b/coveport/nodes/destinations.py
@@ -19,7 +19,7 @@
 
 IDLE_SHARE = 0.8  # part of the keep-alive limit after which we close: theirs must never come first
 RIPE_S = 0.003  # an idle connection that has stood so long is taken before one that has just had its answer
-SWEEP_S = 0.25
+SWEEP_S = 0.25  # idle connections are looked through no more often than this
 
 
 class Destinations:
@@ -36,7 +36,7 @@
         self._by_age: OrderedDict[Link, None] = OrderedDict()  # all idle ones, the oldest first
         self.links: dict[Link, None] = {}
         self.opening = 0
-        self._sweeper = net.loop.call_later(SWEEP_S, self._sweep)
+        self._sweeper: asyncio.TimerHandle | None = None  # set while any connection is idle
 
     def place(self, places: Iterable[tuple[int, Place | None]], whole: bool) -> None:
         """Take in where destinations are (None: gone); `whole`: there are no others."""
@@ -116,6 +116,8 @@
         link.idle_since = self.net.now_s()
         self._idle.setdefault(link.number, []).append(link)
         self._by_age[link] = None
+        if self._sweeper is None:
+            self._sweeper = self.net.loop.call_later(self._idle_s, self._sweep)
 
     def joined(self, link: Link) -> None:
         """A connection has come up."""
@@ -143,10 +145,14 @@
             if self.net.now_s() - oldest.idle_since < self._idle_s:
                 break
             oldest.drop()
-        self._sweeper = self.net.loop.call_later(SWEEP_S, self._sweep)
+        self._sweeper = None
+        if self._by_age:
+            due = next(iter(self._by_age)).idle_since + self._idle_s - self.net.now_s()
+            self._sweeper = self.net.loop.call_later(max(due, SWEEP_S), self._sweep)
 
     def close(self) -> None:
         """Close all."""
-        self._sweeper.cancel()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
         for link in list(self.links):
             link.drop()
