--- a/coveport/lab/standins/nodes.py
+++ b/coveport/lab/standins/nodes.py
@@ -179,7 +179,7 @@
         self._silent: dict[int, float] = {}
         self._leaving: dict[int, float] = {}
         self._troubles: dict[tuple[int, str], Change] = {}
-        # A share of attempts (summed up), what becomes of those that run, and of those that don't, and how many run.
+        # Shares of attempts (summed up), what becomes of those that run and the others, how many run.
         self._fates: list[tuple[float, Fate, Fate, float]] = []
         self._fate_random = random.Random(f"fates {drawn.seed}")
         self._report_random = random.Random(f"reports {drawn.seed}")
