--- a/coveport/lab/standins/nodes.py
+++ b/coveport/lab/standins/nodes.py
@@ -398,7 +398,7 @@
         self._settle(now)
 
     def _read(self, link: _Link, now: float) -> None:
-        while not link.gone:
+        while True:
             busy = link.attempt is not None or link.unwhole is not None
             try:
                 request = link.parser.next_request()
@@ -417,9 +417,10 @@
                 return
             link.last = not request.keep_alive
             self._take(link, request, now)
-            if link.parser.begun and not link.gone:  # what is left came with what is taken
-                link.began = link.handed = now
-                self._idle.pop(link, None)
+            if not link.parser.begun or link.gone:
+                return
+            link.began = link.handed = now  # what is left came with what is taken
+            self._idle.pop(link, None)
 
     def ended(self, link: _Link, how: str) -> None:
         """A connection ended, or the sidecar ended its sending, which says that it waits no more."""
@@ -527,7 +528,8 @@
         self._attempts = number = self._attempts + 1
         key = _only(request, "idempotency-key")
         work_ms = self._wishes.work_ms(wish, op, drawn.number)
-        attempt = Attempt(number, op, key, cls, work_ms, now + _patience_ms(request), link)
+        expires_at = now + _patience_ms(request) if drawn.drops_expired else inf
+        attempt = Attempt(number, op, key, cls, work_ms, expires_at, link)
         attempt.fate = fate = self._draw_fate()
         if link.surplus:
             took = core.FULL
--- a/tests/lab/test_nodes.py
+++ b/tests/lab/test_nodes.py
@@ -105,18 +105,21 @@
     return response
 
 
-def scene(test: Callable[[Scene], Awaitable[None]], **drawn: Any) -> Scene:
-    async def play() -> Scene:
-        one = Scene(drawn)
-        await one.node.start()
-        try:
-            await asyncio.wait_for(test(one), 5)
-        finally:
-            one.node.close()
-            await asyncio.sleep(0)
-        return one
+def scene(**drawn: Any) -> Callable[[Callable[[Scene], Awaitable[None]]], Callable[[], None]]:
+    """Makes a test of what is done with a node that is up."""
+    def make(test: Callable[[Scene], Awaitable[None]]) -> Callable[[], None]:
+        async def play() -> None:
+            one = Scene(drawn)
+            await one.node.start()
+            try:
+                await asyncio.wait_for(test(one), 5)
+            finally:
+                one.node.close()
+                await asyncio.sleep(0)
 
-    return asyncio.run(play())
+        return lambda: asyncio.run(play())
+
+    return make
 
 
 def test_ids_number_the_tries_of_a_wish() -> None:
@@ -125,166 +128,149 @@
     assert [try_number(op) for op in (QUICK, last, last.upper(), last[1:])] == [0, 255, -1, -1]
 
 
-def test_an_operation_is_answered_with_a_body_of_its_own_and_entered() -> None:
-    async def test(one: Scene) -> None:
-        first, second = await one.get(QUICK), await one.get(try_id(QUICK, 1))
-        assert first.status == 200 and len(first.body) == 300 and first.body != second.body
-        assert first.body.startswith(f"{QUICK} s-3 run ".encode())
-        assert "busy=" in first.headers["x-load"][0]
-        repeat = "Idempotency-Key: k\r\n"
-        assert (await one.get(KEYED, repeat)).body == (await one.get(try_id(KEYED, 1), repeat)).body
-        arrived, replied = one.rows(b.Arrived), one.rows(b.Replied)
-        assert [row.took for row in arrived] == ["work", "work", "work", "repeat"]
-        assert arrived[0].digest == b.digest_of_request("GET", "/balance/1?x=2", QUICK, "", b"")
-        assert arrived[0].sidecar == 7 and arrived[0].at > arrived[0].began == arrived[0].handed
-        assert [row.digest for row in replied][:2] == [b.digest_of_body(x.body) for x in (first, second)]
-        assert [row.attempt for row in one.rows(b.Ran)] == [row.attempt for row in arrived[:3]]
-        assert one.rows(b.NodeIs)[0].state == "up" and one.rows(b.NodeIs)[0].born == -1
-
-    scene(test)
-
-
-def test_what_no_till_may_send_is_bad() -> None:
-    async def test(one: Scene) -> None:
-        assert (await one.get("")).status == 404
-        for op, change in (("dddddddddddddd00", {}), (try_id(QUICK, 3), {}), (QUICK, {"path": "/earn"}),
-                           (QUICK, {"method": "HEAD"})):
-            assert (await one.get(op, **change)).status == 400
-        reader, writer = await one.send(LONG)
-        writer.write(ask(QUICK))  # a second one on the same connection
-        with pytest.raises((EOFError, ConnectionResetError)):
-            await answer(reader)
-        assert [row.took for row in one.rows(b.Arrived)] == ["bad"] * 5 + ["work", "bad"]
-        assert [row.how for row in one.rows(b.Ended)] == ["cut"]
-
-    scene(test)
-
-
-def test_who_is_turned_away_has_not_run() -> None:
-    async def test(one: Scene) -> None:
-        held = [await one.send(LONG) for _ in range(3)]
-        await one.seen(b.Arrived, 3)
-        for took in ("full", "drain"):
-            response = await one.get(QUICK)
-            assert (response.status, response.headers["x-not-run"]) == (503, ["1"])
-            assert one.rows(b.Arrived)[-1].took == took
-            one.change("leaving")
-        assert one.rows(b.NodeIs)[-1].state == "draining"
-        assert (await one.get("", path="/ping")).status == 503
-        one.change("leaving", on=False)
-        for _, writer in held:
-            writer.close()
-        assert [row.how for row in await one.seen(b.Ended, 3)] == ["end"] * 3
-        assert (await one.get("", path="/ping")).status == 200
-        assert (await one.get(QUICK, "X-Deadline: 0m\r\n")).status == 504
-
-    scene(test)
-
-
-def test_too_many_connections_are_turned_away_at_their_first_operation() -> None:
-    async def test(one: Scene) -> None:
-        await one.send(LONG)
-        await one.seen(b.Arrived, 1)
+@scene()
+async def test_an_operation_is_answered_with_a_body_of_its_own_and_entered(one: Scene) -> None:
+    first, second = await one.get(QUICK), await one.get(try_id(QUICK, 1))
+    assert first.status == 200 and len(first.body) == 300 and first.body != second.body
+    assert first.body.startswith(f"{QUICK} s-3 run ".encode())
+    assert "busy=" in first.headers["x-load"][0]
+    repeat = "Idempotency-Key: k\r\n"
+    assert (await one.get(KEYED, repeat)).body == (await one.get(try_id(KEYED, 1), repeat)).body
+    arrived, replied = one.rows(b.Arrived), one.rows(b.Replied)
+    assert [row.took for row in arrived] == ["work", "work", "work", "repeat"]
+    assert arrived[0].digest == b.digest_of_request("GET", "/balance/1?x=2", QUICK, "", b"")
+    assert arrived[0].sidecar == 7 and arrived[0].at > arrived[0].began == arrived[0].handed
+    assert [row.digest for row in replied][:2] == [b.digest_of_body(x.body) for x in (first, second)]
+    assert [row.attempt for row in one.rows(b.Ran)] == [row.attempt for row in arrived[:3]]
+    assert one.rows(b.NodeIs)[0].state == "up" and one.rows(b.NodeIs)[0].born == -1
+
+
+@scene()
+async def test_what_no_till_may_send_is_bad(one: Scene) -> None:
+    assert (await one.get("")).status == 404
+    for op, change in (("dddddddddddddd00", {}), (try_id(QUICK, 3), {}), (QUICK, {"path": "/earn"}),
+                       (QUICK, {"method": "HEAD"})):
+        assert (await one.get(op, **change)).status == 400
+    reader, writer = await one.send(LONG)
+    writer.write(ask(QUICK))  # a second one on the same connection
+    with pytest.raises((EOFError, ConnectionResetError)):
+        await answer(reader)
+    assert [row.took for row in one.rows(b.Arrived)] == ["bad"] * 5 + ["work", "bad"]
+    assert [row.how for row in one.rows(b.Ended)] == ["cut"]
+
+
+@scene()
+async def test_who_is_turned_away_has_not_run(one: Scene) -> None:
+    held = [await one.send(LONG) for _ in range(3)]
+    await one.seen(b.Arrived, 3)
+    for took in ("full", "drain"):
         response = await one.get(QUICK)
-        assert (response.status, response.keep_alive, response.headers["x-not-run"]) == (503, False, ["1"])
-
-    scene(test, connections=1)
-
-
-def test_a_death_resets_refuses_and_comes_back_cold() -> None:
-    async def test(one: Scene) -> None:
-        reader, _ = await one.send(LONG)
-        await one.seen(b.Arrived, 1)
-        one.change("die")
+        assert (response.status, response.headers["x-not-run"]) == (503, ["1"])
+        assert one.rows(b.Arrived)[-1].took == took
+        one.change("leaving")
+    assert one.rows(b.NodeIs)[-1].state == "draining"
+    assert (await one.get("", path="/ping")).status == 503
+    one.change("leaving", on=False)
+    for _, writer in held:
+        writer.close()
+    assert [row.how for row in await one.seen(b.Ended, 3)] == ["end"] * 3
+    assert (await one.get("", path="/ping")).status == 200
+    assert (await one.get(QUICK, "X-Deadline: 0m\r\n")).status == 504
+
+
+@scene(connections=1)
+async def test_too_many_connections_are_turned_away_at_their_first_operation(one: Scene) -> None:
+    await one.send(LONG)
+    await one.seen(b.Arrived, 1)
+    response = await one.get(QUICK)
+    assert (response.status, response.keep_alive, response.headers["x-not-run"]) == (503, False, ["1"])
+
+
+@scene()
+async def test_a_death_resets_refuses_and_comes_back_cold(one: Scene) -> None:
+    reader, _ = await one.send(LONG)
+    await one.seen(b.Arrived, 1)
+    one.change("die")
+    with pytest.raises(ConnectionResetError):
+        await reader.read(1)
+    with pytest.raises(ConnectionRefusedError):
+        await one.get(QUICK)
+    one.change("start")
+    while not one.host.listening:
+        await asyncio.sleep(0.002)
+    assert (await one.get(QUICK)).status == 200
+    one.change("silent")
+    one.change("slow", 4)
+    assert one.host.silences == [True]
+    assert [(row.state, row.born >= 0, row.cold_from, row.speed) for row in one.rows(b.NodeIs)] == [
+        ("up", False, 1, 1), ("down", False, 1, 1), ("up", True, 0.4, 1), ("silent", True, 0.4, 1),
+        ("silent", True, 0.4, 0.25)]
+    assert one.rows(b.Ended)[0].how == "down" and not one.rows(b.Linked)[1].up
+
+
+@scene(idle_ms=60.0)
+async def test_a_connection_that_rests_is_closed(one: Scene) -> None:
+    reader, _ = await one.send(QUICK)
+    assert (await answer(reader)).keep_alive and await reader.read() == b""
+    assert one.rows(b.Linked)[1].at - one.rows(b.Replied)[0].at >= 59 and not one.rows(b.Ended)
+
+
+@scene(closes_behind=1.0)
+async def test_a_connection_may_be_closed_right_behind_an_answer(one: Scene) -> None:
+    reader, _ = await one.send(QUICK)
+    assert (await answer(reader)).keep_alive and await reader.read() == b""
+    assert one.rows(b.Linked)[1].at == one.rows(b.Replied)[0].at and not one.rows(b.Ended)
+
+
+@scene()
+async def test_errors_and_resets_come_before_or_after_the_work(one: Scene) -> None:
+    for ran in (0, 1):
+        one.change("errors", 1.0, ran)
+        assert (await one.get(QUICK)).status == 500 and len(one.rows(b.Ran)) == ran
+        one.change("errors", on=False)
+        one.change("resets", 1.0, ran)
         with pytest.raises(ConnectionResetError):
-            await reader.read(1)
-        with pytest.raises(ConnectionRefusedError):
             await one.get(QUICK)
-        one.change("start")
-        while not one.host.listening:
-            await asyncio.sleep(0.002)
-        assert (await one.get(QUICK)).status == 200
-        one.change("silent")
-        one.change("slow", 4)
-        assert one.host.silences == [True]
-        assert [(row.state, row.born >= 0, row.cold_from, row.speed) for row in one.rows(b.NodeIs)] == [
-            ("up", False, 1, 1), ("down", False, 1, 1), ("up", True, 0.4, 1), ("silent", True, 0.4, 1),
-            ("silent", True, 0.4, 0.25)]
-        assert one.rows(b.Ended)[0].how == "down" and not one.rows(b.Linked)[1].up
-
-    scene(test)
-
-
-def test_connections_that_rest_are_closed_and_some_right_behind_their_answer() -> None:
-    async def test(one: Scene) -> None:
-        reader, _ = await one.send(QUICK)
-        assert (await answer(reader)).keep_alive
-        assert await reader.read() == b""
-        assert [row.up for row in one.rows(b.Linked)] == [True, False] and not one.rows(b.Ended)
-
-    waited, behind = ([row.at for row in scene(test, **drawn).books.rows
-                       if isinstance(row, (b.Replied, b.Linked))]
-                      for drawn in ({"idle_ms": 60.0}, {"closes_behind": 1.0}))
-    assert 59 < waited[2] - waited[1] < 1000 and behind[2] == behind[1]
-
-
-@pytest.mark.parametrize(("what", "status", "ran"), [("errors", 500, 0), ("errors", 500, 1), ("resets", 0, 0),
-                                                     ("resets", 0, 1)])
-def test_errors_and_resets_come_before_or_after_the_work(what: str, status: int, ran: int) -> None:
-    async def test(one: Scene) -> None:
-        one.change(what, 1.0, ran)
-        if status:
-            assert (await one.get(QUICK)).status == status
+        assert len(one.rows(b.Ran)) == 2 * ran and len(one.rows(b.Ended)) == ran + 1
+        one.change("resets", on=False)
+    assert (await one.get(QUICK)).status == 200
+
+
+@scene()
+async def test_spoilt_answers_are_of_all_kinds_and_only_junk_behind_leaves_one_whole(one: Scene) -> None:
+    one.change("spoilt", 1.0)
+    seen = set()
+    for _ in range(60):
+        reader, writer = await one.send(QUICK)
+        data = await reader.read(4096)
+        head, _, body = data.partition(b"\r\n\r\n")
+        whole = one.rows(b.Replied)[-1].whole
+        if not head.startswith(b"HTTP/1.1 200"):
+            kind = "noise"
+        elif b"chunked" in head:
+            kind = "chunks"
         else:
-            with pytest.raises(ConnectionResetError):
-                await one.get(QUICK)
-        assert len(one.rows(b.Ran)) == ran and len(one.rows(b.Arrived)) == 1
-        assert [row.how for row in one.rows(b.Ended)] == ["cut"] * (not status)
-        one.change(what, on=False)
-        assert (await one.get(QUICK)).status == 200
-
-    scene(test)
-
-
-def test_spoilt_answers_are_of_all_kinds_and_only_junk_behind_leaves_one_whole() -> None:
-    async def test(one: Scene) -> None:
-        one.change("spoilt", 1.0)
-        seen = set()
-        for _ in range(60):
-            reader, writer = await one.send(QUICK)
-            data = await reader.read(4096)
-            head, _, body = data.partition(b"\r\n\r\n")
-            whole = one.rows(b.Replied)[-1].whole
-            if not head.startswith(b"HTTP/1.1 200"):
-                kind = "noise"
-            elif b"chunked" in head:
-                kind = "chunks"
-            else:
-                length = int(head.rpartition(b"Content-Length: ")[2])
-                kind = ("junk" if length < len(body) else "drip" if length > 10**9 else
-                        "short" if len(body) < 300 else "long")
-            assert whole == (kind == "junk")
-            if kind == "short":
-                assert await reader.read() == b""
-            if kind == "drip" and kind not in seen:
-                assert await reader.read(1) == b"."
-            seen.add(kind)
-            writer.close()
-        assert seen == set(SPOILT)
-        spoilt = sum(not row.whole for row in one.rows(b.Replied))
-        assert len(await one.seen(b.Ended, spoilt)) == spoilt
-        assert len(one.rows(b.Ran)) == 60
-
-    scene(test)
-
-
-def test_an_end_within_the_handshake_is_no_work_but_is_entered() -> None:
-    async def test(one: Scene) -> None:
-        _, writer = await one.send(QUICK)
-        writer.write_eof()
-        assert [row.took for row in await one.seen(b.Arrived, 1)] == ["over"] and len(one.rows(b.Ended)) == 1
-        reader, _ = await one.send(QUICK)
-        up = one.rows(b.Linked)[-1].at
-        assert (await answer(reader)).status == 200 and one.rows(b.Arrived)[-1].at >= up + 300
-
-    scene(test, handshake_trips=500.0)
+            length = int(head.rpartition(b"Content-Length: ")[2])
+            kind = ("junk" if length < len(body) else "drip" if length > 10**9 else
+                    "short" if len(body) < 300 else "long")
+        assert whole == (kind == "junk")
+        if kind == "short":
+            assert await reader.read() == b""
+        if kind == "drip" and kind not in seen:
+            assert await reader.read(1) == b"."
+        seen.add(kind)
+        writer.close()
+    assert seen == set(SPOILT)
+    spoilt = sum(not row.whole for row in one.rows(b.Replied))
+    assert len(await one.seen(b.Ended, spoilt)) == spoilt
+    assert len(one.rows(b.Ran)) == 60
+
+
+@scene(handshake_trips=500.0)
+async def test_an_end_within_the_handshake_is_no_work_but_is_entered(one: Scene) -> None:
+    _, writer = await one.send(QUICK)
+    writer.write_eof()
+    assert [row.took for row in await one.seen(b.Arrived, 1)] == ["over"] and len(one.rows(b.Ended)) == 1
+    reader, _ = await one.send(QUICK)
+    up = one.rows(b.Linked)[-1].at
+    assert (await answer(reader)).status == 200 and one.rows(b.Arrived)[-1].at >= up + 300
