--- a/coveport/lab/measures.py
+++ b/coveport/lab/measures.py
@@ -248,10 +248,7 @@
 
 
 def faults(played: Played) -> list[Span]:
-    """The day's faults as the books have them, in order; one without a length ends where it begins.
-
-    Without a length is one whose `for_s` is 0 and whose end is the day's (a crash that nobody mends).
-    """
+    """The day's faults as the books have them, in order."""
     spans: dict[int, Span] = {span.number: span for span in played.day.spans}
     for row in played.rows:
         if isinstance(row, books.Fault):
@@ -261,14 +258,17 @@
             elif row.number in spans:
                 one = spans[row.number]
                 spans[row.number] = Span(one.number, one.kind, one.begin, row.at, one.whom)
-    listed: tuple[FaultBase, ...] = played.day.scenario.faults
-    for number, one in spans.items():
-        lasting = number >= len(listed) or listed[number].for_s != 0
-        if not lasting and one.end >= played.day.scenario.length_s * 1000:
-            spans[number] = Span(number, one.kind, one.begin, one.begin, one.whom)
     return [spans[number] for number in sorted(spans)]
 
 
+def is_mended(played: Played, span: Span) -> bool:
+    """Whether a fault ends of itself; one with no `for_s` that lasts until the day's end does not."""
+    scenario = played.day.scenario
+    listed: tuple[FaultBase, ...] = scenario.faults
+    return (span.number >= len(listed) or listed[span.number].for_s != 0
+            or abs(span.end - scenario.length_s * 1000) > 1e-6)
+
+
 def _worst_class(wishes: _Wishes, scenario: Scenario, whole: float) -> ClassService:
     worst = ClassService("", whole)
     for number, one in enumerate(scenario.classes):
@@ -289,7 +289,7 @@
 
 def _recoveries(played: Played, wishes: _Wishes, spans: list[Span], notes: list[str]
                 ) -> dict[str, float | None]:
-    """Seconds from each fault's end until service is back, by steps of 0.5 s.
+    """Seconds from each fault's end (where nobody mends it, its begin) until service is back, by 0.5 s.
 
     Back is the first moment from which on, for 2 s, what is due within the 3 s ahead is served at 98% or
     more of the service before the fault; windows ahead see no more of the trouble than there still is.
@@ -304,6 +304,8 @@
     scenario = played.day.scenario
     settle, length = scenario.settle_s * 1000, scenario.length_s * 1000
     worth = _Worth(wishes)
+    spans = [one if is_mended(played, one) else Span(one.number, one.kind, one.begin, one.begin, one.whom)
+             for one in spans]
     slots: Floats = np.arange(settle, length, _STEP_MS)
     slot_ends = np.minimum(slots + _STEP_MS, length)
     asked, served = worth.between(slots, slot_ends)
--- a/tests/lab/test_measures.py
+++ b/tests/lab/test_measures.py
@@ -12,7 +12,7 @@
 
 from coveport.lab import books
 from coveport.lab.day import Wish
-from coveport.lab.measures import KINDS, faults, judge_expectations, measure, series
+from coveport.lab.measures import KINDS, faults, is_mended, judge_expectations, measure, series
 from coveport.lab.outcome import Broken, decode, encode
 from coveport.lab.scenario import Crash, Expect
 
@@ -75,9 +75,9 @@
 
 def test_worst_10s_slides_by_the_second() -> None:
     day = Builder(length_s=30.0)
-    day.steady(0, 13_000)
-    day.steady(13_000, 16_000, good=False)
-    day.steady(16_000, 30_000)
+    day.steady(0, 8500)
+    day.steady(8500, 11_500, good=False)
+    day.steady(11_500, 30_000)
     assert measure(day.played()).worst_10s == pytest.approx(0.7)
     day = Builder(length_s=9.0)
     day.steady(0, 8000)
@@ -92,18 +92,18 @@
 
 def test_recovery_is_counted_from_a_faults_end_and_must_hold() -> None:
     day = Builder(length_s=60.0)
-    bad = [(20_000, 27_000), (28_000, 29_000), (58_000, 60_000)]
+    bad = [(20_000, 27_000), (31_000, 32_000), (58_000, 60_000)]
     edge = 0
     for begin, end in bad:
         day.steady(edge, begin)
         day.steady(begin, end, good=False)
         edge = end
-    day.fault("slow", 20_000, 25_000)  # back at 27 s, but not to stay: until 29 s
+    day.fault("slow", 20_000, 25_000)  # back at 27 s, but not to stay
     day.fault("burst", 40_000, 45_000)  # never felt
     day.fault("cut", 57_000, 58_000)  # never got over
     day.fault("crash", 59_500, 60_000)
     figures = measure(day.played())
-    assert figures.recovery_s == {"0 slow": 4.0, "1 burst": 0.0, "2 cut": None, "3 crash": None}
+    assert figures.recovery_s == {"0 slow": 7.0, "1 burst": 0.0, "2 cut": None, "3 crash": None}
     assert figures.notes == ["fault 3 crash ends too close to the day's end to see a recovery"]
 
 
@@ -126,7 +126,7 @@
     day.fault("crash", 10_000, 30_000)
     day.fault("crash", 10_000, 30_000)
     played = day.played()
-    assert [one.end for one in faults(played)] == [10_000, 30_000]
+    assert [is_mended(played, one) for one in faults(played)] == [False, True]
     assert measure(played).recovery_s == {"0 crash": 2.0, "1 crash": None}
 
 
@@ -139,7 +139,8 @@
     day.attempt("away", 60.0, 0, replied=110.0)  # useful; sent after the first's end: no second copy
     day.served("twice", 0.0, 100.0, 1, sidecar=1)
     day.attempt("twice", 5.0, 1, sidecar=1, key="k", work=40.0, replied=90.0)  # useful
-    day.attempt("twice", 50.0, 0, sidecar=1, key="k", took="repeat", replied=120.0)  # a second copy, no work
+    # A second copy, without work: it was on its way for 5 ms, so it was sent before the answer had come.
+    day.attempt("twice", 92.0, 0, sidecar=1, key="k", took="repeat", replied=120.0)
     day.ask("gone", 0.0)
     day.attempt("gone", 5.0, 1, work=20.0, ended=("end", 1000.0))  # waste; it was ended 5 ms before
     day.attempt("gone", 995.5, 0, took="full", status=503, replied=996.0)
@@ -158,6 +159,15 @@
     assert (figures.probes, figures.discovery_calls) == (1, 1)
 
 
+def test_work_ends_with_its_node() -> None:
+    day = Builder(length_s=5.0)
+    day.served("good", 0.0)
+    day.attempt("good", 5.0, work=60.0, replied=45.0)
+    day.ask("dead", 0.0)
+    day.attempt("dead", 5.0, work=40.0, ended=("down", 25.0))
+    assert measure(day.played()).waste == pytest.approx(20 / 80)
+
+
 def test_work_that_served_through_a_repeat_is_no_waste() -> None:
     day = Builder(length_s=5.0)
     day.served("keyed", 0.0, 900.0, 1)
