--- a/tests/lab/test_report.py
+++ b/tests/lab/test_report.py
@@ -7,6 +7,7 @@
 import sys
 from pathlib import Path
 
+import msgspec
 import pytest
 from measure_books import CLASSES, Builder
 
@@ -20,7 +21,9 @@
 
 
 def eventful(title: str = "A Saturday") -> Builder:
-    day = Builder(title=title, length_s=40.0, settle_s=1.0, expect=Expect(service=0.9, recovery_s=1.0))
+    classes = (msgspec.structs.replace(CLASSES[0], name="$x_{$ <i>"),)
+    day = Builder(title=title, classes=classes, length_s=40.0, settle_s=1.0,
+                  expect=Expect(service=0.9, recovery_s=1.0))
     day.steady(0, 20_000)
     day.steady(20_000, 26_000, good=False)
     day.steady(26_000, 40_000)
@@ -77,6 +80,7 @@
 def test_hostile_text_stays_text_and_breaches_are_listed_up_to_a_point(tmp_path: Path) -> None:
     text = page(tmp_path, eventful(HOSTILE), 230, command=HOSTILE)
     assert "<script" not in text.lower() and text.count("</title>") == 1
+    assert "$x_{$ &lt;i&gt;: latency</text>" in text
     assert text.count("&lt;script&gt;alert(1)") == 204  # title twice, a fault, 200 breaches, the command
     assert "1 rule was broken (ran-twice; 230 breaches, the first after 1.0 s)" in text
     assert text.count("<code>ran-twice</code>") == 200 and "230 in all; the first 200 are listed" in text
