--- a/coveport/lab/report/text.py
+++ b/coveport/lab/report/text.py
@@ -32,7 +32,7 @@
 
 def expectation(name: str, figure: float | None) -> tuple[str, str, str]:
     """(what is expected, "at least" or "at most", the figure) for an expectation of that name."""
-    what, way = EXPECTED.get(name, (f"99% of {name.removeprefix('p99_ms ')} answered within", "at most"))
+    what, way = EXPECTED.get(name, (f"p99 latency of {name.removeprefix('p99_ms ')}", "at most"))
     if name == "recovery_s":
         shown = "never" if figure is None else f"{figure:.1f} s"
     elif name == "attempts":
