--- a/coveport/lab/virtual/play.py
+++ b/coveport/lab/virtual/play.py
@@ -165,7 +165,7 @@
         self._moves += 1
         place = play.network.place(f"10.3.{self._moves // 250}.{self._moves % 250 + 1}", CLIENT, number)
         host = VirtualHost(play.lab, play.network, place, PORT, play.start_s)
-        play.discovery.move(number, host)
+        play.lab.create_task(play.discovery.move(number, host))
         self._discovery_at[number] = host.address(number)
         running = self._running[number]
         if not running.ended:
@@ -261,7 +261,7 @@
             if node.drawn.born:
                 self.lab.create_task(node.start())
         for drawn in self.day.sidecars:
-            self.discovery.agent(drawn.number, self.agents[drawn.number])
+            self.lab.create_task(self.discovery.agent(drawn.number, self.agents[drawn.number]))
         for drawn in self.day.sidecars:
             self.sidecars.launch(drawn)
         for till in self.tills:
