--- a/coveport/lab/real/hosts.py
+++ b/coveport/lab/real/hosts.py
@@ -48,8 +48,8 @@
 class Door:
     """One address: it refuses, waits, is open, or clogged.
 
-    While it waits, connections come up that are taken once it is open; while it is clogged, none comes up. It is
-    one socket all day, so that the port stays ours while nobody listens.
+    While it waits, connections come up that are taken once it is open; while it is clogged, none comes up.
+    It is one socket all day, so that the port stays ours while nobody listens.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, ip: str,
@@ -184,8 +184,9 @@
         if accept is None:
             connection.close()
             return
-        wire = Wire(self.net.loop, accept(sidecar), partial(self._delay_s, sidecar),
-                    held=partial(self._held, sidecar), wanted=lambda: self._accept is accept, gone=self._gone)
+        wire = Wire(self.net, accept(sidecar), partial(self._delay_s, sidecar), gone=self._gone,
+                    held=partial(self._held, sidecar), wanted=lambda: self._accept is accept,
+                    day_ms_of=self._clock.day_ms_of)
         self._wires[wire] = sidecar
         task = self.net.loop.create_task(self._come(wire, connection))
         self._coming.add(task)
--- a/coveport/lab/real/orchestrator.py
+++ b/coveport/lab/real/orchestrator.py
@@ -192,7 +192,7 @@
             await one.settled.wait()
         self._sample()
         t0 = asyncio.get_running_loop().time() + LEAD_S
-        clock.begin(t0)
+        clock.begin(t0, self.books)
         for worker in self._workers:
             worker.send(control.Begin(t0))
         write_faults(day, self.books)
--- a/coveport/lab/real/parts.py
+++ b/coveport/lab/real/parts.py
@@ -76,8 +76,8 @@
         self._ways = Ways(day)
         self._hosts = {drawn.number: self._host(drawn) for drawn in day.nodes}
         self._nodes = {
-            drawn.number: nodes.LedgerNode(self._hosts[drawn.number], place.books, day, drawn, keys, wishes)
-            for drawn in day.nodes}
+            drawn.number: nodes.LedgerNode(self._hosts[drawn.number], place.books, day, drawn, keys, wishes,
+                                           self._rtt_ms(drawn.zone)) for drawn in day.nodes}
         self._discovery = discovery.Discovery(
             day, place.books, net, clock.day_ms, lambda node, sidecar: self._hosts[node].address(sidecar),
             unix_ms_of=clock.unix_ms,
@@ -96,6 +96,10 @@
             delay_s=lambda sidecar: ways.delay_ms(zones[sidecar], drawn.zone) / 1000,
             held=lambda sidecar: ways.held(zones[sidecar], drawn.zone))
 
+    def _rtt_ms(self, zone: int) -> Callable[[int], float]:
+        zones = {one.number: one.zone for one in self._place.day.sidecars}
+        return lambda sidecar: 2 * self._ways.base_ms(zones[sidecar], zone)
+
     def _agent(self, sidecar: int) -> RealHost:
         return RealHost(self._place.net, self._place.clock, [(sidecar, address_of(AGENTS, sidecar))])
 
--- a/coveport/lab/real/shaping.py
+++ b/coveport/lab/real/shaping.py
@@ -27,9 +27,9 @@
         self.bytes = 0  # under way
         self.put_s = 0.0  # loop time at which what is being handed on was put in
 
-    def not_before(self, when: float) -> None:
-        """Nothing arrives before that loop time."""
-        self._last = max(self._last, when)
+    def wait(self, seconds: float) -> None:
+        """What comes next arrives so much later at the earliest than what is under way."""
+        self._last += seconds
 
     def put(self, carry: Carry, what: Any, size: int = 0) -> None:
         """Call `carry(what)` when it has come through, after all that was put before."""
@@ -77,8 +77,8 @@
 class Shaped(asyncio.Transport):
     """What a stand-in holds of a connection; its bytes, ends and resets take the way's time, in order.
 
-    Extra information beside the socket's: `handed_s`, the loop time at which the other side handed over what
-    is being delivered.
+    Extra information beside the socket's: `handed_ms`, the time of the day at which the other side handed
+    over what is being delivered.
     """
 
     def __init__(self, wire: Wire) -> None:
@@ -86,9 +86,9 @@
         self._wire = wire
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
-        """As a socket transport's, and `handed_s`."""
-        if name == "handed_s":
-            return self._wire.inward.put_s
+        """As a socket transport's, and `handed_ms`."""
+        if name == "handed_ms":
+            return self._wire.day_ms_of(self._wire.inward.put_s)
         return self._wire.real.get_extra_info(name, default)
 
     def is_closing(self) -> bool:
@@ -149,18 +149,19 @@
 
     real: asyncio.Transport
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, protocol: asyncio.BaseProtocol,
-                 delay_s: Callable[[], float], *, held: Callable[[], bool] = lambda: False,
-                 wanted: Callable[[], bool] = lambda: True,
-                 gone: Callable[[Wire], object] = lambda _: None) -> None:
+    def __init__(self, net: Net, protocol: asyncio.BaseProtocol, delay_s: Callable[[], float], *,
+                 held: Callable[[], bool] = lambda: False, wanted: Callable[[], bool] = lambda: True,
+                 gone: Callable[[Wire], object] = lambda _: None,
+                 day_ms_of: Callable[[float], float] = lambda s: s * 1000) -> None:
         """As the connection comes up: `held` tells whether nothing passes, `wanted` whether it is taken.
 
-        `gone` is told when it is no more.
+        `gone` is told when it is no more. `day_ms_of` turns loop time into the day's.
         """
-        self._loop, self.protocol, self._delay_s = loop, protocol, delay_s
+        self._net, self.protocol, self._delay_s, self.day_ms_of = net, protocol, delay_s, day_ms_of
         self._is_held, self._is_wanted, self._gone = held, wanted, gone
-        self.inward, self.outward = Way(loop, delay_s), Way(loop, delay_s)
+        self.inward, self.outward = Way(net.loop, delay_s), Way(net.loop, delay_s)
         self.shaped = Shaped(self)
+        self._up = False  # the stand-in knows of it
         self.over = False  # for the stand-in: it has closed, or was told of the end
         self.paused = False  # by the stand-in
         self._made = False
@@ -171,17 +172,12 @@
     # The real connection.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """It came up, on this machine at once: the way there, back and there again is made up for here."""
+        """It came up, on this machine at once: the ways there, back and there again are made up for here."""
         assert isinstance(transport, asyncio.Transport)
         self.real, self._made = transport, True
-        if not self._is_wanted():
-            # Guards against a process that dies between our accept and this: it can't be told any more.
-            self.over = True
-            self.real.abort()
-            return
-        self.inward.not_before(self._loop.time() + self._delay_s() + self._delay_s() + self._delay_s())
         self.hold(self._is_held())
-        self.protocol.connection_made(self.shaped)
+        self.inward.put(self._come_up, None)
+        self.inward.wait(self._delay_s() + self._delay_s())
 
     def data_received(self, data: bytes) -> None:
         """Bytes came out of the socket."""
@@ -202,16 +198,23 @@
 
     def pause_writing(self) -> None:
         """The other side does not read."""
-        if not self.over:
+        if self._up and not self.over:
             self.protocol.pause_writing()
 
     def resume_writing(self) -> None:
         """It does again."""
-        if not self.over:
+        if self._up and not self.over:
             self.protocol.resume_writing()
 
     # What has come through, to the stand-in.
 
+    def _come_up(self, _: None) -> None:
+        if self._is_wanted():
+            self._up = True
+            self.protocol.connection_made(self.shaped)
+        else:  # its process died meanwhile, and can't reset what it never knew of
+            self._net.reset(self.shaped)
+
     def _arrive(self, data: bytes) -> None:
         if self.over:
             return
@@ -259,7 +262,8 @@
         self._flow()
         if not self._broken:
             self.outward.put(self._send_abort if abort else self._send_close, None)
-        self._loop.call_soon(self.protocol.connection_lost, None)
+        if self._up:
+            self._net.loop.call_soon(self.protocol.connection_lost, None)
 
     def pause(self, on: bool) -> None:
         """See Shaped."""
--- a/coveport/lab/real/timing.py
+++ b/coveport/lab/real/timing.py
@@ -18,21 +18,28 @@
 class DayClock:
     """Milliseconds since the day began, by the system's monotonic clock, which all processes share.
 
-    Until it is known when the day begins, the time is negative; `begin` then moves it forward, never back.
+    Until it is known when the day begins, the time is far below 0; `begin` sets it right.
     """
 
     def __init__(self, t0: float, unix_s: float) -> None:
         """`t0`: when the day begins at the latest, monotonic seconds. `unix_s`: Unix time at monotonic 0."""
         self.t0, self._unix_s = t0, unix_s
 
-    def begin(self, t0: float) -> None:
-        """Set when the day begins, now that it is known."""
+    def begin(self, t0: float, books: Books) -> None:
+        """Set when the day begins, now that it is known, and the rows written so far right."""
+        shift = (self.t0 - t0) * 1000
+        for row in books.rows:
+            row.at += shift
         self.t0 = t0
 
     def day_ms(self) -> float:
         """Milliseconds since the day began."""
         return (time.monotonic() - self.t0) * 1000
 
+    def day_ms_of(self, loop_s: float) -> float:
+        """The time of the day at that loop time."""
+        return (loop_s - self.t0) * 1000
+
     def unix_ms(self, day_ms: float) -> float:
         """Unix time in milliseconds of a time of the day."""
         return (self.t0 + self._unix_s) * 1000 + day_ms
--- a/coveport/lab/real/worker.py
+++ b/coveport/lab/real/worker.py
@@ -60,7 +60,7 @@
         """Do as one frame says."""
         match frame:
             case control.Begin():
-                self._clock.begin(frame.t0)
+                self._clock.begin(frame.t0, self._books)
                 if self._world is not None:
                     await self._world.begin()
                 if self._clients is not None:
