--- a/tests/lab/real_helpers.py
+++ b/tests/lab/real_helpers.py
@@ -18,20 +18,30 @@
 TROUBLE = "LAB_TEST_TROUBLE"  # variable: what goes wrong
 
 SIDECAR = (sys.executable, "-S", "-c", """
-import json, os, signal, socket, sys
+import json, os, signal, socket, sys, time
 def told():
     return json.load(open(os.environ["LB_CONFIG"]))
 open(os.path.join(os.environ["LAB_TEST_FOLDER"], str(os.getpid())), "w").close()
 trouble = os.environ.get("LAB_TEST_TROUBLE")
 print("started", told()["name"], "known", told()["known"]["seq"], flush=True)
 if trouble == "dies at its start":
-    sys.exit("nothing goes")
+    if left := os.fork():
+        open(os.path.join(os.environ["LAB_TEST_FOLDER"], str(left)), "w").close()
+        sys.exit("nothing goes")
+    time.sleep(60)
 signal.signal(signal.SIGTERM, signal.SIG_IGN if trouble == "hangs" else lambda *_: sys.exit(0))
 signal.signal(signal.SIGHUP, lambda *_: print("moved to", told()["discovery"], flush=True))
 ip, _, port = told()["listen"].rpartition(":")
 server = socket.create_server((ip, int(port)))
+server.settimeout(0.01)
 while True:
-    one = server.accept()[0]
+    before = time.monotonic()
+    try:
+        one = server.accept()[0]
+    except TimeoutError:
+        if time.monotonic() > before + 0.08:
+            print("stood still", flush=True)
+        continue
     one.recv(1000)
     one.sendall(b"HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n")
     one.close()
