--- /dev/null
+++ b/coveport/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: `coveport run`, `check` and `lab`."""
--- /dev/null
+++ b/coveport/cli/main.py
@@ -0,0 +1,17 @@
+"""The entry point. What it needs beside the standard library is loaded only when it is called."""
+
+from __future__ import annotations
+
+import sys
+
+
+def main() -> int:
+    """Carry out `sys.argv` and exit with its code; returns 2 only where click is not there."""
+    try:
+        from coveport.cli.root import root
+    except ModuleNotFoundError as problem:
+        if problem.name != "click":
+            raise
+        print("coveport: the command line needs click: pip install 'coveport[cli]'", file=sys.stderr)
+        return 2
+    return int(root.main(prog_name="coveport"))
--- /dev/null
+++ b/coveport/cli/run.py
@@ -0,0 +1,24 @@
+"""`coveport run`: one sidecar."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import click
+
+
+@click.command(epilog="Example: coveport run --config example/config.json")
+@click.option("--config", type=click.Path(exists=True, dir_okay=False, path_type=Path),
+              help="The platform's JSON file; beats LB_CONFIG.")
+def run(config: Path | None) -> int:
+    """Run a sidecar until SIGTERM, as the platform would.
+
+    Its configuration is the file in LB_CONFIG; LB_NAME, LB_LISTEN and LB_DISCOVERY beat what the file says.
+    SIGTERM ends it once nothing is owed, SIGHUP reads the file anew, SIGUSR1 prints the counters.
+    """
+    if config is not None:
+        os.environ["LB_CONFIG"] = str(config)
+    from coveport.sidecar.serve import main
+
+    return main()
