--- a/coveport/cli/lab.py
+++ b/coveport/cli/lab.py
@@ -35,13 +35,28 @@
 
 
 @contextlib.contextmanager
-def _one_line() -> Iterator[None]:
+def _one_line(ground: str = "virtual", variants: Sequence[str] = ()) -> Iterator[None]:
     """Turns what the lab says of a file or a call into the end of the verb."""
     from coveport.lab.scenario import ScenarioError
 
+    expected: tuple[type[Exception], ...] = (ScenarioError,)
+    if ground == "real":
+        from coveport.lab.real import GroundError
+
+        expected += (GroundError,)
+        if any(variants):
+            raise Unusable("variants of the sidecar run on virtual ground only")
+    elif any(variants):
+        from coveport.lab.broken import variant_named
+
+        try:
+            for name in variants:
+                variant_named(name)
+        except ValueError as problem:
+            raise Unusable(str(problem)) from problem
     try:
         yield
-    except ScenarioError as problem:
+    except expected as problem:
         raise Unusable(str(problem)) from problem
 
 
@@ -114,7 +129,7 @@
     Exit code 0 where rules and expectations hold, 1 where not, 2 where the file or the call can't be used,
     3 where the machine ran late and the run is void.
     """
-    with _one_line():
+    with _one_line(ground, [variant]):
         from coveport.lab.catalog import find
         from coveport.lab.outcome import encode
         from coveport.lab.report import summary_text, write
@@ -173,7 +188,8 @@
     Exit code 0 where rules and expectations held on all days, 1 where not or where a day could not be played,
     2 where the file or the call can't be used, 3 where days were void.
     """
-    with _one_line():
+    several = list(dict.fromkeys(variants.split(",")))
+    with _one_line(ground, several):
         from coveport.lab import sweep as sweeping
         from coveport.lab.catalog import find
 
@@ -181,7 +197,7 @@
             raise Unusable("--ground real plays one day at a time: days at once would make each other late")
         try:
             plan = sweeping.plan(find(day), sweeping.parse_seeds(seeds), sweeping.parse_grid(grids),
-                                 list(dict.fromkeys(variants.split(","))), ground)
+                                 several, ground)
             with _sweep_progress(out) as told:
                 swept = sweeping.sweep(plan, out, play=sweeping.play_day, told=told,
                                        jobs=jobs or (1 if ground == "real" else os.cpu_count() or 1))
--- a/tests/outcomes.py
+++ b/tests/outcomes.py
@@ -59,7 +59,13 @@
             raise played["raises"]
         return "played", msgspec.convert(played, sweep.Judged)
 
+    def variant_named(name: str) -> None:
+        if len(name) > 1:
+            raise ValueError(f"no variant {name!r}")
+
     parts: dict[str, dict[str, Any]] = {
+        "broken": {"variant_named": variant_named},
+        "real": {"GroundError": type("GroundError", (Exception,), {})},
         "catalog": {"find": Path, "names": lambda: [("calm", "A calm day"), ("try", "A first look")]},
         "run": {"play_and_judge": play_and_judge},
         "outcome": {"encode": lambda _: json.dumps(played).encode()},
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -78,6 +78,8 @@
     said(call(*sweeping, "5-1"), 2, "seeds '5-1'")
     said(call(*sweeping, "1", "--grid", "wrong=1"), 2, "wrong: no such key")
     said(call(*sweeping, "1", "--ground", "real", "--jobs", 2), 2, "one day at a time")
+    said(call(*sweeping, "1", "--ground", "real", "--variant", "a"), 2, "virtual ground only")
+    said(call("lab", "run", day, "--variant", "xx"), 2, "no variant 'xx'")
     said(call("lab", "compare", tmp_path / "a", tmp_path / "b"), 2, "No such file")
     assert not lab[0]
 
