Arguments go to the command line; outcomes are judged by the oracle

Need: python -m coveport without arguments stays the platform's sidecar; with arguments it is the command line, loaded only then.

--- a/coveport/__main__.py
+++ b/coveport/__main__.py
@@ -7,6 +7,10 @@
 
 def main() -> int:
     """Start the platform's sidecar, or hand the arguments to the command line; the exit code."""
+    if len(sys.argv) > 1:
+        from coveport.cli.main import main as command_line
+
+        return command_line()
     from coveport.sidecar.serve import main as run
 
     return run()
--- a/coveport/lab/run.py
+++ b/coveport/lab/run.py
@@ -35,11 +35,9 @@
     """What a played day comes to: figures, broken rules, and whether expectations are met."""
     grace = oracle.Grace.virtual() if played.ground == "virtual" else oracle.Grace.real()
     breaches = oracle.judge(played.day, played.rows, grace=grace)
-    outcome = measures.measure(played)
-    outcome.name, outcome.variant = name, variant
-    outcome.broken = [Broken(one.rule, one.at_ms, one.operation, one.what) for one in breaches]
-    outcome.kept = not breaches
-    outcome.expectations = measures.judge_expectations(outcome, played.day.scenario)
+    outcome = measures.measure(played, name=name, variant=variant)
+    outcome.break_rules(Broken(one.rule, one.at_ms, one.operation, one.what) for one in breaches)
+    measures.judge_expectations(outcome, played.day.scenario)
     return outcome
 
 
