--- a/coveport/lab/broken.py
+++ b/coveport/lab/broken.py
@@ -132,8 +132,9 @@
 class _AnswersLate(_Hands):
     def take(self, number: int, client: Asker, asked: Operation) -> None:
         if self.struck(number):
-            wait_s = asked.wait_ms / 1000 + 0.2
-            client = _Later(lambda call: self._net.loop.call_later(wait_s, call), client)
+            loop = self._net.loop
+            at = loop.time() + asked.wait_ms / 1000 + 0.04
+            client = _Later(lambda call: loop.call_at(at, call), client)
         super().take(number, client, asked)
 
 
--- a/coveport/lab/standins/discovery.py
+++ b/coveport/lab/standins/discovery.py
@@ -24,7 +24,8 @@
 from coveport.lab.day import Change, Day, NodeDrawn
 from coveport.lab.ground import Host
 from coveport.lab.scenario import Figure
-from coveport.net.transport import Address, Net
+from coveport.net.address import Address
+from coveport.net.transport import Net
 
 PATH = "/catalog/members"
 MOST_WAIT_MS = 60_000.0
--- a/coveport/lab/standins/tills.py
+++ b/coveport/lab/standins/tills.py
@@ -42,7 +42,7 @@
 from coveport.lab.day import Day, SidecarDrawn, Wish
 from coveport.lab.ground import Host
 from coveport.lab.ids import try_id
-from coveport.net.transport import Address
+from coveport.net.address import Address
 
 LAG_MS = 5.0  # the lab being later than this is written down
 CROSSED_MS = 20.0  # an end later than this after the request's last byte did not cross it
--- a/coveport/lab/virtual/play.py
+++ b/coveport/lab/virtual/play.py
@@ -7,8 +7,10 @@
 import json
 import signal
 import time
+import warnings
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 from coveport.config import platform as configuration
@@ -82,6 +84,7 @@
         place = play.network.place(self.address(number)[0], drawn.zone, number)
         net = VirtualNet(process, play.network, place, int(play.day.scenario.limits.descriptors))
         running = self._running[number] = _Running(process, net, generation)
+        process.on_exit = lambda code: self._ended(number, running, code)
         lines = self.logs.setdefault(number, [])
         log = Log(process.time, lambda line: lines.append(f"{play.day_ms() / 1000:9.3f} {line}"))
         self._write(number, "start", str(generation))
@@ -214,7 +217,7 @@
         self.world = World()
         self.start_s = self.world.now + BEFORE_S
         self.ways = Ways(day)
-        self.network = Network(self.world, self.ways)
+        self.network = Network(self.world, self.ways, self.start_s)
         self.lab = Process.start(self.world, "lab")
         self.lab_net = VirtualNet(self.lab, self.network, self.network.place("10.9.0.1", CLIENT))
         keys, works = KeyMemory(), WorkBook(day)
@@ -236,8 +239,7 @@
         for wish in day.wishes:
             wishes[wish.sidecar].append(wish)
         self.tills = [Tills(self._till_hosts[one.number], self.books, day, one, wishes[one.number],
-                            lambda number=one.number: self.sidecars.address(number))
-                      for one in day.sidecars]
+                            partial(self.sidecars.address, one.number)) for one in day.sidecars]
 
     def _rtt(self, zone: int) -> Callable[[int], float]:
         zones = [one.zone for one in self.day.sidecars]
@@ -315,7 +317,12 @@
     thresholds = gc.get_threshold()
     gc.set_threshold(100_000, 50, 100)
     try:
-        play.run(progress)
+        with warnings.catch_warnings():
+            # What a killed process had just begun is thrown away unstarted, as it should be.
+            warnings.filterwarnings("ignore", "coroutine .* was never awaited", RuntimeWarning)
+            play.run(progress)
+            play.sidecars.kill()
+            gc.collect()
     finally:
         play.sidecars.kill()
         play.lab.kill()
--- a/coveport/lab/virtual/wires.py
+++ b/coveport/lab/virtual/wires.py
@@ -40,8 +40,8 @@
 class Network:
     """Who listens where, what is held up, and a hash of all that was exchanged."""
 
-    def __init__(self, world: World, ways: Ways) -> None:
-        self.world, self.ways = world, ways
+    def __init__(self, world: World, ways: Ways, start_s: float = 0.0) -> None:
+        self.world, self.ways, self.start_s = world, ways, start_s
         self.listening: dict[Address, _Listening] = {}
         self.places: dict[str, Place] = {}
         self.connections = 0
@@ -119,8 +119,7 @@
         self.waiting.append(side)
         process = self.net.process
         if process.idle and not self._pausing:
-            self.net.world.enter(process)
-            self.take()
+            process.run(self.take, ())
         else:
             process.call_soon(self.take)
 
@@ -192,9 +191,9 @@
     # As a transport.
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
-        """`peername`, and `handed_ms`: when what is being read was handed over, in the world's ms."""
+        """`peername`, and `handed_ms`: when what is being read was handed over, in ms of the day."""
         if name == "handed_ms":
-            return self._handed_s * 1000
+            return (self._handed_s - self.network.start_s) * 1000
         if name == "peername":
             return (self.there.address, self.number)
         return default
@@ -388,11 +387,7 @@
             return
         process = self._net.process
         if process.idle:
-            self.world.enter(process)
-            process.wakes += 1
-            self._read()
-            if process.cost_s:
-                process.busy(process.cost_s)
+            process.run(self._read, ())
         else:
             process.call_soon(self._read)
 
--- a/coveport/lab/virtual/world.py
+++ b/coveport/lab/virtual/world.py
@@ -114,19 +114,11 @@
             return
         handle.gone = True
         self.calls += 1
-        self.enter(process)
         if process is None:
+            self.enter(None)
             handle._call(*handle._args)
-            return
-        process.wakes += 1
-        try:
-            handle._call(*handle._args)
-        except (SystemExit, KeyboardInterrupt):
-            raise
-        except BaseException as problem:
-            process.call_exception_handler({"message": "a callback failed", "exception": problem})
-        if process.cost_s:
-            process.busy(process.cost_s)
+        else:
+            process.run(handle._call, handle._args)
 
 
 class Process(asyncio.AbstractEventLoop):
@@ -145,6 +137,7 @@
         self._on_problem: Callable[[asyncio.AbstractEventLoop, dict[str, Any]], object] | None = None
         self.problems: list[dict[str, Any]] = []  # faults that nobody took
         self.at_death: list[Callable[[], None]] = []  # what the system does when it dies
+        self.on_exit: Callable[[int], None] | None = None  # who hears that it ended by itself
 
     @classmethod
     def start(cls, world: World, name: str) -> Process:
@@ -162,6 +155,27 @@
             return False
         return True
 
+    def run(self, call: Callable[..., object], args: tuple[object, ...]) -> None:
+        """Let it run this now."""
+        self.wakes += 1
+        self.world.enter(self)
+        try:
+            call(*args)
+        except SystemExit as problem:
+            self.exited(problem.code if isinstance(problem.code, int) else 1)
+        except KeyboardInterrupt:
+            raise
+        except BaseException as problem:
+            self.call_exception_handler({"message": "a callback failed", "exception": problem})
+        if self.cost_s:
+            self.busy(self.cost_s)
+
+    def exited(self, code: int) -> None:
+        """It has ended by itself, in the middle of whatever it did."""
+        self.kill()
+        if self.on_exit is not None:
+            self.on_exit(code)
+
     @property
     def idle(self) -> bool:
         """Whether it could take something up at once."""
--- a/tests/lab/test_tills.py
+++ b/tests/lab/test_tills.py
@@ -18,7 +18,7 @@
 from coveport.lab.day import Wish
 from coveport.lab.scenario import Class, Load, Retries, Rules, Scenario
 from coveport.lab.standins.tills import SOCKETS_MS, Tills
-from coveport.net.transport import Address
+from coveport.net.address import Address
 
 CLASSES = (
     Class("balance", 1, 50, "safe", 200, 300),
--- a/tests/lab/test_virtual.py
+++ b/tests/lab/test_virtual.py
@@ -103,7 +103,7 @@
 
 def test_messages_take_their_way_and_keep_their_order() -> None:
     ground = Ground(server_zone=1)
-    ground.listen(on_data=lambda peer, data: peer.transport.write(b"x" * 150))  # type: ignore[union-attr]
+    ground.listen(on_data=lambda peer, data: peer.transport.write(b"x" * 150))
     peer = ground.connect()
     ground.run(25)
     assert peer.seen == [(20.0, "up")] and peer.transport is not None
