--- a/coveport/lab/books.py
+++ b/coveport/lab/books.py
@@ -190,7 +190,7 @@
     """What happened to a sidecar's process."""
 
     sidecar: int
-    what: str  # "start", "ready", "reload", "term", "kill", "stall", "resume", "exit"
+    what: str  # "start", "ready", "unready" (given up), "reload", "term", "kill", "stall", "resume", "exit"
     detail: str = ""  # exit: its code; start: the generation
 
 
