--- a/coveport/config/platform.py
+++ b/coveport/config/platform.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-import ipaddress
 import json
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
+from coveport.net.address import Address, parse_address
 from micaflow import interface as api
 from micaflow import wire
 
-Address = tuple[str, int]
-
 
 class ConfigError(Exception):
     """The configuration can't be used; its text is one line."""
@@ -35,18 +33,6 @@
     known: Any = field(default=None, repr=False)  # in discovery's form; read like its answers
 
 
-def parse_address(text: object) -> Address:
-    """Split `ip:port`, brackets around IPv6 allowed; ValueError where it is anything else."""
-    if not isinstance(text, str):
-        raise ValueError(f"address {text!r} is not a string")
-    host, colon, port = text.rpartition(":")
-    host = host.removeprefix("[").removesuffix("]")
-    ipaddress.ip_address(host)  # there is no DNS
-    if not colon or not (port.isascii() and port.isdigit()) or not 0 <= int(port) <= 65535:
-        raise ValueError(f"address {text!r} has no valid port")
-    return host, int(port)
-
-
 def _number(section: Mapping[str, Any], key: str, default: float) -> float:
     value = section.get(key, default)
     if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
@@ -54,18 +40,15 @@
     return float(value)
 
 
-def load(environ: Mapping[str, str], *, again: bool = False) -> Config:
-    """Read and check everything; ConfigError says in one line what is wrong.
+def read(text: str, environ: Mapping[str, str], *, again: bool = False,
+         where: str = "configuration") -> Config:
+    """Read and check a configuration's JSON; ConfigError says in one line what is wrong `where`.
 
     `again`: the file was replaced while we ran. What it says of discovery then beats the variable, which
     dates from our start.
     """
-    path = environ.get("LB_CONFIG")
-    if not path:
-        raise ConfigError("LB_CONFIG is not set")
     try:
-        with open(path, encoding="utf-8") as file:
-            told = json.load(file)
+        told = json.loads(text)
         if not isinstance(told, dict):
             raise ValueError("not an object")
         settings = told.get("settings")
@@ -86,6 +69,18 @@
             keepalive_ms=_number(settings.get("limits") or {}, "keepalive_ms", 5000.0),
             known=told.get("known"),
         )
-    except (OSError, ValueError, TypeError, AttributeError) as problem:
-        text = " ".join(str(problem).split())
-        raise ConfigError(f"{path}: {text}") from problem
+    except (ValueError, TypeError, AttributeError, RecursionError) as problem:
+        raise ConfigError(f"{where}: {' '.join(str(problem).split())}") from problem
+
+
+def load(environ: Mapping[str, str], *, again: bool = False) -> Config:
+    """Read the file that LB_CONFIG names, as `read` does."""
+    path = environ.get("LB_CONFIG")
+    if not path:
+        raise ConfigError("LB_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, ValueError) as problem:
+        raise ConfigError(f"{path}: {' '.join(str(problem).split())}") from problem
+    return read(text, environ, again=again, where=path)
