--- a/coveport/lab/real/control.py
+++ b/coveport/lab/real/control.py
@@ -8,8 +8,7 @@
 import msgspec
 from msgspec import Struct
 
-Address = tuple[str, int]
-"""An IP address and a port."""
+from coveport.net.address import Address
 
 
 class Frame(Struct, tag=True, frozen=True):
--- a/coveport/lab/real/hosts.py
+++ b/coveport/lab/real/hosts.py
@@ -10,9 +10,9 @@
 from functools import partial
 
 from coveport.lab.ground import Accept
-from coveport.lab.real.control import Address
 from coveport.lab.real.shaping import Wire
 from coveport.lab.real.timing import DayClock
+from coveport.net.address import Address
 from coveport.net.transport import Factory, Net
 
 WAITING = 1024  # connections that may wait to be accepted
--- a/coveport/lab/real/parts.py
+++ b/coveport/lab/real/parts.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-import importlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any, Protocol
 
 from coveport.lab.books import Books
 from coveport.lab.conductor import OF_DISCOVERY, OF_NETWORK, OF_NODES, conduct
 from coveport.lab.day import Change, Day, NodeDrawn
-from coveport.lab.real.control import Address
+from coveport.lab.model import KeyMemory
 from coveport.lab.real.hosts import AGENTS, NODES, CallerHost, RealHost, address_of
 from coveport.lab.real.timing import DayClock
+from coveport.lab.standins.discovery import Discovery
+from coveport.lab.standins.nodes import LedgerNode, WorkBook
+from coveport.lab.standins.tills import Tills
 from coveport.lab.ways import Ways
+from coveport.net.address import Address
 from coveport.net.transport import Net
 
 
@@ -68,17 +72,13 @@
     def __init__(self, place: Place) -> None:
         self._place = place
         day, net, clock = place.day, place.net, place.clock
-        # Loaded here so that a tills' process goes without them.
-        discovery = importlib.import_module("coveport.lab.standins.discovery")
-        nodes = importlib.import_module("coveport.lab.standins.nodes")
-        keys = importlib.import_module("coveport.lab.model").KeyMemory()
-        wishes = nodes.WorkBook(day)
+        keys, wishes = KeyMemory(), WorkBook(day)
         self._ways = Ways(day)
         self._hosts = {drawn.number: self._host(drawn) for drawn in day.nodes}
         self._nodes = {
-            drawn.number: nodes.LedgerNode(self._hosts[drawn.number], place.books, day, drawn, keys, wishes,
-                                           self._rtt_ms(drawn.zone)) for drawn in day.nodes}
-        self._discovery = discovery.Discovery(
+            drawn.number: LedgerNode(self._hosts[drawn.number], place.books, day, drawn, keys, wishes,
+                                     self._rtt_ms(drawn.zone)) for drawn in day.nodes}
+        self._discovery = Discovery(
             day, place.books, net, clock.day_ms, lambda node, sidecar: self._hosts[node].address(sidecar),
             unix_ms_of=clock.unix_ms,
             on_move=lambda sidecar: self._moving.append(net.loop.create_task(self._move(sidecar))))
@@ -141,8 +141,7 @@
 
     def known(self, sidecar: int) -> dict[str, Any]:
         self._discovery.told_known(sidecar)
-        known: dict[str, Any] = self._discovery.known(sidecar)
-        return known
+        return self._discovery.known(sidecar)
 
     def close(self) -> None:
         for node in self._nodes.values():
@@ -154,12 +153,11 @@
 
 class _Clients:
     def __init__(self, place: Place) -> None:
-        tills = importlib.import_module("coveport.lab.standins.tills")
         host = CallerHost(place.net, place.clock)
         self._tills = [
-            tills.Tills(host, place.books, place.day, one,
-                        [wish for wish in place.day.wishes if wish.sidecar == one.number],
-                        lambda number=one.number: place.addresses[number])
+            Tills(host, place.books, place.day, one,
+                  [wish for wish in place.day.wishes if wish.sidecar == one.number],
+                  partial(place.addresses.__getitem__, one.number))
             for one in place.day.sidecars if one.number in place.sidecars]
 
     def begin(self) -> None:
--- a/coveport/lab/real/sidecars.py
+++ b/coveport/lab/real/sidecars.py
@@ -15,10 +15,11 @@
 
 from coveport.lab.books import Books, Life, Sample
 from coveport.lab.day import Change, Day, SidecarDrawn, sidecar_settings
-from coveport.lab.real.control import Address, Known
+from coveport.lab.real.control import Known
 from coveport.lab.real.hosts import SIDECARS, address_of, bound
 from coveport.lab.real.processes import Brood, Child
 from coveport.lab.real.timing import DayClock
+from coveport.net.address import Address
 
 READY_S = 10.0  # how long it may take until it says that it is ready
 POLL_S = 0.03
