--- a/tests/lab/loopback_host.py
+++ b/tests/lab/loopback_host.py
@@ -8,7 +8,8 @@
 from coveport.lab.day import Day, NodeDrawn, SidecarDrawn
 from coveport.lab.ground import Accept
 from coveport.lab.scenario import Scenario
-from coveport.net.transport import Address, Factory, Listening, Net
+from coveport.net.address import Address
+from coveport.net.transport import Factory, Listening, Net
 
 
 class LoopbackHost:
