--- a/coveport/lab/standins/tills.py
+++ b/coveport/lab/standins/tills.py
@@ -242,7 +242,7 @@
         now = self.host.day_ms()
         if now - self._armed > LAG_MS:
             self._write(Lag(now, f"tills of sidecar {self._sidecar.number}", now - self._armed))
-        self._armed = -math.inf  # what is entered meanwhile is looked at below
+        self._timer, self._armed = None, -math.inf  # what is entered meanwhile is looked at below
         until, agenda, wishes = now + SOON_MS, self._agenda, self._wishes
         while True:
             due = wishes[self._begun].due if self._begun < len(wishes) else math.inf
@@ -310,15 +310,18 @@
         body = b"" if safe else (wish.op.encode() * (wish.body // len(wish.op) + 1))[:wish.body]
         key = wish.key if cls.repeats == "keyed" else ""
         ip, port = self._address()
-        headers = [("Host", f"{ip}:{port}"), ("X-Request-Id", one.op), ("X-Deadline", f"{one.patience}m")]
+        head = (f"{method} {target} HTTP/1.1\r\nHost: {ip}:{port}\r\nX-Request-Id: {one.op}\r\n"
+                f"X-Deadline: {one.patience}m\r\n")
         if key:
-            headers.append(("Idempotency-Key", key))
+            head += f"Idempotency-Key: {key}\r\n"
         if one.number:
-            headers.append(("X-Retry", "1"))
+            head += "X-Retry: 1\r\n"
         if body:
-            headers.append(("Content-Type", "application/octet-stream"))
+            head += "Content-Type: application/octet-stream\r\n"
+        if not safe:
+            head += f"Content-Length: {len(body)}\r\n"
         one.digest = digest_of_request(method, target, one.op, key, body)
-        connection.carry(one, http1.write_request(method, target, headers, body))
+        connection.carry(one, head.encode() + b"\r\n" + body)
 
     def handed(self, connection: _Connection, one: _Try) -> None:
         """The last byte of a request is handed over."""
