--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(BIN)/coveport lab run try --ground real --report out/try.html --json out/try.json
 
 test: $(MADE)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -q -n auto --dist worksteal
 
 check: $(MADE)
 	$(BIN)/ruff check .
