--- a/coveport/cli/lab.py
+++ b/coveport/cli/lab.py
@@ -198,7 +198,7 @@
         try:
             plan = sweeping.plan(find(day), sweeping.parse_seeds(seeds), sweeping.parse_grid(grids),
                                  several, ground)
-            with _sweep_progress(out) as told:
+            with _sweep_progress(out, plan.total) as told:
                 swept = sweeping.sweep(plan, out, play=sweeping.play_day, told=told,
                                        jobs=jobs or (1 if ground == "real" else os.cpu_count() or 1))
         except sweeping.SweepError as problem:
@@ -224,7 +224,7 @@
 
 
 @contextlib.contextmanager
-def _sweep_progress(out: Path) -> Iterator[Callable[[Told], None]]:
+def _sweep_progress(out: Path, total: int) -> Iterator[Callable[[Told], None]]:
     """A bar on a terminal, a line a day elsewhere; says how to go on where it is interrupted."""
     try:
         if not sys.stderr.isatty():
@@ -235,10 +235,10 @@
 
         with Progress(TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(),
                       TimeRemainingColumn(), console=Console(stderr=True)) as progress:
-            task = progress.add_task("days", total=None)
+            task = progress.add_task("days", total=total)
 
             def bar(told: Told) -> None:
-                progress.update(task, completed=told.done, total=told.total)
+                progress.update(task, completed=told.done)
                 if told.judged is None or not told.judged.lawful:
                     progress.console.print(_told_line(told), markup=False, highlight=False)
 
@@ -329,10 +329,10 @@
             return OK
     _print(_compare_table(told))
     for letter, side in (("A", told.a), ("B", told.b)):
-        click.echo(f"{letter}: {side.name}: {side.days} days, rules kept on {side.kept}, "
+        click.echo(f"{letter}: {side.name}; days: {side.days}, rules kept on {side.kept}, "
                    f"expectations met on {side.met}")
     click.echo(f"Paired by {told.paired}." if told.paired else "Not paired: no common scenarios and seeds.")
-    if any(one.p is not None for one in told.differences):
+    if any(one.p_holm is not None for one in told.differences):
         click.echo(told.method)
     click.echo()
     for line in told.verdict:
@@ -353,8 +353,8 @@
         bounds = "-" if one.low is None or one.high is None else f"[{signed(one.low)}, {signed(one.high)}]"
         table.add_row(*(_plain(text) for text in (
             one.figure, str(one.days), _figure(one.a), _figure(one.b), signed(one.difference), bounds,
-            _figure(one.p_holm), f"{one.better} is better" if one.beyond else "no" if one.p is not None
-            else "can't tell")))
+            _figure(one.p_holm), f"{one.better} is better" if one.beyond else "equal" if one.equal
+            else "can't tell" if one.p is None else "no")))
     return table
 
 
--- a/coveport/lab/sweep.py
+++ b/coveport/lab/sweep.py
@@ -21,7 +21,7 @@
 import signal
 import threading
 from collections.abc import Callable, Iterable, Iterator, Sequence
-from concurrent.futures import FIRST_COMPLETED, CancelledError, Future, ProcessPoolExecutor, wait
+from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
 from concurrent.futures.process import BrokenProcessPool
 from dataclasses import dataclass
 from pathlib import Path
@@ -266,6 +266,11 @@
         """Names the sweep in its cells' files."""
         return hashlib.sha256(msgspec.json.encode(self.manifest, order="deterministic")).hexdigest()
 
+    @property
+    def total(self) -> int:
+        """How many days it is."""
+        return len(self.seeds) * len(self.scenarios) * len(self.manifest.variants)
+
     def jobs(self) -> Iterator[Job]:
         """All days, seed by seed: a sweep that is stopped has about as many seeds everywhere."""
         places = list(zip(points(self.manifest.grid), self.scenarios, strict=True))
@@ -389,15 +394,14 @@
 
     def stop(self) -> None:
         """End at once where it rests; else SIGTERM, and SIGKILL where that does not help."""
-        self.shutdown(wait=False, cancel_futures=True)
-        # Whatever is wrong with the number, there is no process to end then.
-        with contextlib.suppress(OSError, BrokenProcessPool, CancelledError, TimeoutError):
-            number = self._number.result(UNWIND_S)
+        # Guards against a process that has died already: there is no number, or nobody of that number.
+        with contextlib.suppress(BrokenProcessPool, ProcessLookupError):
             for how in (signal.SIGTERM, signal.SIGKILL):
                 if self._last is not None and not self._last.done():
-                    os.kill(number, how)
+                    os.kill(self._number.result(), how)
                     wait([self._last], UNWIND_S)
-        self.shutdown(wait=True)
+        # Once, and to its end: an executor that winds up while the interpreter exits prints a traceback.
+        self.shutdown(wait=True, cancel_futures=True)
 
 
 def play_day(job: Job) -> bytes:
--- a/tests/outcomes.py
+++ b/tests/outcomes.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import signal
 import sys
 import time
 from pathlib import Path
@@ -80,6 +81,8 @@
 
 def command_line() -> None:
     """What a process of the tests runs: the command line with days that sleep."""
+    # Guards against tests in the background of a shell, where SIGINT is ignored and stays so.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     stand_in({}, {})
     sweep.play_day = sleep
     from coveport.cli.main import main
