--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -10,11 +10,11 @@
 from __future__ import annotations
 
 import random
-from bisect import insort_left
 from heapq import heappop, heappush
 from math import inf, sqrt
 
 from micaflow import interface as api
+from micaflow.held import Held
 from micaflow.interface import Effect, Group, ListKind, Outcome, State
 
 MEMORY = 0.25  # weight of the newest answer in a host's pace: about four answers, a copy sees few
@@ -32,6 +32,9 @@
 ACCIDENTS = 2  # errors or resets in a row, with no answer between, that put a host out of its level
 CROWD = 4  # requests that all copies together may have at one host: a core far behind turns slower still
 LEAST_OUT = 1  # of which each copy has at least so many: with two, six copies are three times a crowd
+FULL_OUT = 0.6  # part of a crowd at each host that all copies together have out while anything is held
+LATELY = 0.1  # weight of the newest answer in what says whether hosts are crowded
+LAST_CALL = 2.0  # service times before its aim at which a held request is given up: sent later, it is late
 SWIFT = 0.15  # part of an aim: as much again may be out at a host that is expected to answer so soon
 PASSED = 2  # answers to later attempts at the same host that show that one got lost there
 DRAWS = 6  # tries to find two usable hosts before a level is looked through
@@ -99,7 +102,7 @@
         self.luck = chance.random()  # where less than one may be in flight, its chance to be that one
         self.chill = chance.random()  # which cold hosts it may go to
         self.attempts: list[_Attempt] = []
-        self.streaming = self.waiting = False
+        self.streaming = self.waiting = self.far = False
 
 
 class Balancer:
@@ -113,14 +116,18 @@
         self.local: list[_Host] = []
         self.all: list[_Host] = []
         self.open: dict[int, _Request] = {}
-        self.queue: list[_Request] = []  # held requests, the most worth first
-        self.stuck: set[tuple[int, bool]] = set()  # of which kinds none found a host when last looked at
+        self.aim = min(c.aim_ms for c in settings.classes)
+        self.longest = max(c.aim_ms for c in settings.classes)
+        self.took = [self.aim / FIRST_GUESS for _ in settings.classes]  # mean answer time by class
+        self.queue = Held[_Request](len(settings.classes))
+        self.stuck: set[tuple[int, bool]] = set()  # of which sorts none found a host when last looked at
+        self.full = False  # whether no host could take anything then
         self.zones: dict[int, _Zone] = {}
         self.flights: dict[tuple[int, int], _Host] = {}
         self.due: list[tuple[float, int]] = []  # heap: when to look at which request (-1: at all)
         self.wake_at = self.look_at = inf  # the soonest timer that is set; when held requests are looked at
-        self.aim = min(c.aim_ms for c in settings.classes)
         self.service = self.work = self.aim / FIRST_GUESS  # mean answer time and cost hint, until they tell
+        self.lately = 0.0  # mean answer time of the last few
         self.dear = settings.prices.cross_zone * sum(c.worth for c in settings.classes)
         self.most_out = max(LEAST_OUT, round(CROWD / settings.peers_total))
         self.ask_at = -inf if settings.must_ask else inf
@@ -304,6 +311,8 @@
                 and self._has_room(host, request, first) and self._legal(request, host))
 
     def _pick(self, request: _Request) -> _Host | None:
+        if self._has_its_part():
+            return None
         home = self.zones.get(self.settings.zone)
         host = self._draw(self.local, request) if home is not None and home.open_to(request) else None
         if host or (self.soon < request.cross_at and any(h.trial_at == inf for h in self.local)):
@@ -316,6 +325,16 @@
             host = self._draw(self.local or self.all, request)
         return host
 
+    def _has_its_part(self) -> bool:
+        """Whether this copy has its part out, while any are held and answers take long."""
+        # Guards against copies that fill each host as far as they may: what all of them have waiting there
+        # makes it slower, and is late. What is lost, or out at hosts that are out, holds up nobody.
+        part = max(1.0, FULL_OUT * CROWD * len(self.all) / self.settings.peers_total)
+        if not self.queue or len(self.flights) < part or self.lately < SWIFT * self.aim:
+            return False
+        return sum(host.trial_at == inf and self.now - host.pending[key].sent_at < self.aim
+                   for key, host in self.flights.items()) >= part
+
     def _draw(self, level: list[_Host], request: _Request) -> _Host | None:
         """The less busy of two random usable hosts of a level; looks through it only where draws fail."""
         tried = [attempt.host for attempt in request.attempts]
@@ -367,7 +386,8 @@
         wait = cls.deadline_ms if cls.late_share else good
         request.give_up = min(event.deadline_ms, self.now + wait) - 2 * self.settings.tick_ms
         # However slow all hosts seem a new one has its time: else nothing would tell when they no longer are.
-        request.hold_until = min(request.give_up, self.now + good - min(self.service, self.aim / 2))
+        last_call = min(LAST_CALL * self.service, self.aim / 2)
+        request.hold_until = min(request.give_up, self.now + good - last_call)
         # Crossing costs a part of a mean request's worth: what is worth less waits longer for its zone.
         hint = event.cost_ms if self.settings.worth_by_work and 0 < event.cost_ms <= cls.deadline_ms else 0.0
         self.work += ((hint or self.work) - self.work) * SERVICE_MEMORY
@@ -377,7 +397,7 @@
         for zone in self.zones.values():
             zone.ask()
         self.extra = min(EXTRA_BURST, self.extra + (EXTRA_SHARE if self.queue else CALM_SHARE))
-        if self._sort(request) in self.stuck and self.soon < request.hold_until:
+        if (self.full or self._sort(request) in self.stuck) and self.soon < request.hold_until:
             self._hold(request)  # its like wait already: to look for each that comes costs too much
         else:
             self._place(request)
@@ -393,38 +413,64 @@
             self._hold(request)
 
     def _hold(self, request: _Request) -> None:
-        request.waiting = True
         # Newest first among equals: who has waited longest is the likeliest to be late whatever we do.
-        insort_left(self.queue, request, key=lambda held: -held.cls.worth)
-        self._look([request])
+        self.queue.add(request, self.soon)
+        self._look(min((at for at in (request.hold_until, request.cross_at) if at > self.soon), default=inf))
 
-    def _look(self, requests: list[_Request]) -> None:
-        """See to it that these held requests are looked at again soon."""
-        at = min((at for r in requests for at in (r.hold_until, r.cross_at) if at > self.soon), default=inf)
+    def _look(self, at: float) -> None:
+        """See to it that held requests are looked at again then, and soon in any case."""
         at = min(at, self.now + self._patience(self.aim))
         if at < self.look_at:
             self.look_at = at
             self._wake(at)
 
+    def _order(self) -> list[int]:
+        """Which class of held requests goes first: worth for the time that it takes and that it can wait."""
+        classes, took = self.settings.classes, self.took
+        return sorted(range(len(took)),
+                      key=lambda kind: -classes[kind].worth / (took[kind] * classes[kind].aim_ms))
+
+    def _any_room(self) -> bool:
+        """Whether any host might take any request: else there is no use in drawing for each sort."""
+        if self._has_its_part():
+            return False
+        patience, all_out = self._patience(self.longest), True
+        for host in self.all:
+            if host.trial_at < inf:
+                if self.now >= host.trial_at and not host.pending:
+                    return True
+            else:
+                all_out = False
+                if (host.paused_until <= self.now and len(host.pending) < 2 * self.most_out
+                        and self._expected(host) <= patience):
+                    return True
+        return all_out  # then they are all given a chance
+
     def _sort(self, request: _Request) -> tuple[int, bool]:
         """Where one that may go anywhere finds no host, others of its sort will not."""
         return request.kind, self.soon < request.cross_at
 
     def _dispatch(self) -> None:
-        self.stuck = set()
-        for request in list(self.queue):
-            if request.waiting and (self._sort(request) not in self.stuck or self.soon >= request.hold_until):
+        self.stuck, self.full = set(), False
+        for request in self.queue.ended(self.soon):
+            if request.waiting:  # one that was held twice stands there twice
+                self._place(request)
+        for sort, line in self.queue.lines(self.soon, self._order()):
+            for request in line:
+                self.full = self.full or not self._any_room()
+                if self.full:
+                    break
                 self._place(request)
                 if request.waiting and not request.attempts:
-                    self.stuck.add(self._sort(request))
-        self.queue = [request for request in self.queue if request.waiting]
+                    self.stuck.add(sort)
+                    break
         if self.queue and self.look_at == inf:  # else a look is due, and was set with each of them in mind
-            self._look(self.queue)
+            self._look(self.queue.next_at(self.soon))
 
     def _send(self, request: _Request, host: _Host) -> None:
         if not self._legal(request, host):
             return
-        request.waiting = False
+        self.queue.remove(request)
         self.zones[host.zone].flying += 1
         self.flights[request.id, len(request.attempts)] = host
         host.pending[request.id, len(request.attempts)] = _Flight(self.now, len(host.pending) + 1)
@@ -445,6 +491,9 @@
             self._judge(host, event.outcome, event.latency_ms, sent)
             if event.outcome is Outcome.OK and sent:
                 pace = event.latency_ms / sent.share
+                if (known := self.open.get(event.id)) is not None:
+                    self.took[known.kind] += SERVICE_MEMORY * (pace - self.took[known.kind])
+                self.lately += LATELY * (pace - self.lately)
                 self.answers += 1  # each of the first answers weighs as much as the guess did
                 self.service += max(SERVICE_MEMORY, 1 / (1 + self.answers)) * (pace - self.service)
         self._dispatch()
@@ -483,7 +532,8 @@
         request = self.open.get(number)
         if request is None:
             return
-        request.waiting, request.streaming = False, stream >= 0
+        self.queue.remove(request)
+        request.streaming = stream >= 0
         if not request.streaming:
             del self.open[number]
         for attempt, one in enumerate(request.attempts):
--- /dev/null
+++ b/tests/test_crowd.py
@@ -0,0 +1,159 @@
+"""A full house: what all copies together have out at the hosts, who goes first, what a look at it costs."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import pytest
+from helpers import KEYED, SAFE, UNSAFE, Driver, hosts, settings
+
+from micaflow import Balancer
+from micaflow import interface as api
+from micaflow.held import Held
+from micaflow.interface import Outcome
+
+FAST = dataclasses.replace(SAFE, aim_ms=1000)
+SLOW = dataclasses.replace(UNSAFE, aim_ms=2500)
+
+
+def crowded(*classes: api.RequestClass, peers: int = 4, took: float = 300.0, each: int = 5) -> Driver:
+    """A copy that has seen answers take so long, nothing in flight."""
+    driver = Driver(settings(*classes, peers=peers, second_copies=False), hosts(local=each, remote=each))
+    for _ in range(30):
+        sent = driver.of(driver.request())[0]
+        driver.advance(took, tick=took)
+        driver.reply(sent)
+    return driver
+
+
+def out(driver: Driver) -> int:
+    return len(driver.flying)
+
+
+@pytest.mark.parametrize(("took", "most"), [(300.0, 7), (60.0, 10)])
+def test_a_copy_keeps_to_its_part_while_answers_take_long_and_some_are_held(took: float, most: int) -> None:
+    # Four copies, ten hosts: 0.6 of a crowd of four at each is six for each copy. What finds nothing held may
+    # go (the first that is held came on top); where answers are swift the hosts alone say when they are full.
+    driver = crowded(FAST, took=took)
+    for _ in range(30):
+        driver.request(deadline=1e9)
+    driver.advance(took, tick=took)
+    for sent in list(driver.flying.values()):
+        driver.reply(sent)
+    assert (out(driver) <= most) if took > 150 else (out(driver) >= most), out(driver)
+
+
+def test_what_is_lost_holds_up_nobody() -> None:
+    # Guards against a copy that waits a whole time-out for hosts that have vanished with its part at them.
+    driver = crowded(SLOW, SAFE, each=7)
+    for _ in range(60):
+        driver.request(0, deadline=20_000)
+    driver.advance(300, tick=300)
+    first = len(driver.log)
+    for sent in list(driver.flying.values())[:-9]:
+        driver.reply(sent)
+    assert len(driver.log) == first and len(driver.flying) == 9, "its part of fourteen hosts is 8.4"
+    driver.advance(900)  # longer than the shortest aim: nobody counts on the nine any more
+    assert len(driver.log) > first
+
+
+def test_the_class_that_is_worth_most_for_its_time_goes_first() -> None:
+    # Worth 3 for 150 ms that may wait 2.5 s goes after worth 1 for 60 ms that may wait 1 s.
+    dear = dataclasses.replace(KEYED, worth=5, aim_ms=1200)
+    small, large = dataclasses.replace(SAFE, worth=1, aim_ms=1000), dataclasses.replace(SLOW, worth=3)
+    driver = Driver(settings(small, dear, large, peers=1, second_copies=False), hosts(local=1, remote=0))
+    for _ in range(150):
+        for cls, took in ((0, 60.0), (1, 120.0), (2, 150.0)):
+            sent = driver.of(driver.request(cls))[0]
+            driver.advance(took, tick=took)
+            driver.reply(sent)
+    order: list[int] = []
+    for _ in range(12):
+        for cls in (2, 0, 1):
+            driver.request(cls, deadline=60_000)
+    held = {cls: sum(driver.requests[one.id].cls == cls for one in driver.balancer.queue) for cls in range(3)}
+    assert all(held.values())
+    before = len(driver.log)
+    while len(driver.log) < before + sum(held.values()) and driver.flying:
+        driver.advance(1, tick=1)
+        driver.reply(next(iter(driver.flying.values())))
+    order = [driver.requests[sent.id].cls for sent in driver.log[before:]]
+    assert order[:held[1]] == [1] * held[1]
+    assert order[held[1]:held[1] + held[0]] == [0] * held[0]
+
+
+@pytest.mark.parametrize("held", [100, 4000])
+def test_an_answer_costs_the_same_however_many_are_held(held: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    # 660 held made an answer eight times as dear, 3,700 twenty-three times: the fuller, the less was served.
+    driver = Driver(settings(FAST, KEYED, SLOW, peers=4), hosts(local=5, remote=5))
+    for number in range(held + 30):
+        driver.request(number % 3, deadline=1e9)
+    looked = 0
+    expected = Balancer._expected
+
+    def counted(*arguments: Any) -> float:
+        nonlocal looked
+        looked += 1
+        return expected(*arguments)
+
+    monkeypatch.setattr(Balancer, "_expected", counted)
+    for _ in range(20):
+        sent = next(iter(driver.flying.values()))
+        driver.advance(1, tick=1)
+        driver.reply(sent)
+    assert len(driver.balancer.queue) > held / 2 and looked < 20 * 60, looked
+
+
+class One:
+    """What `Held` holds."""
+
+    def __init__(self, kind: int, until: float, cross: float) -> None:
+        self.kind, self.hold_until, self.cross_at = kind, until, cross
+        self.waiting = self.far = False
+
+
+def test_lines_stand_by_kind_the_newest_first_and_those_that_may_go_further_last() -> None:
+    held = Held[One](2)
+    old, young, other = One(0, 100, 10), One(0, 100, 50), One(1, 90, 5)
+    for one in (old, young, other):
+        held.add(one, 0)
+    assert len(held) == 3 and held.next_at(0) == 5
+
+    def lines(now: float) -> list[tuple[tuple[int, bool], list[One]]]:
+        return [(sort, list(line)) for sort, line in held.lines(now, (1, 0))]
+
+    assert lines(0) == [((1, True), [other]), ((0, True), [young, old])]
+    assert lines(20) == [((1, False), [other]), ((0, True), [young]), ((0, False), [old])]
+    held.remove(young)
+    held.remove(young)
+    assert len(held) == 2 and lines(60) == [((1, False), [other]), ((0, False), [old])]
+    assert held.ended(90) == [other] and held.ended(90) == [] and held.next_at(90) == 100
+    held.add(young, 95)
+    assert set(held) == {old, other, young}
+
+
+def test_one_that_is_held_again_stands_in_front() -> None:
+    held = Held[One](1)
+    first, second = One(0, 100, 0), One(0, 100, 0)
+    for one in (first, second):
+        held.add(one, 1)
+    held.remove(first)
+    held.add(first, 2)
+    ((_, line),) = held.lines(2, (0,))
+    assert next(line) is first and len(held) == 2
+
+
+def test_full_hosts_are_left_alone_and_a_free_one_is_found_again() -> None:
+    driver = Driver(settings(FAST, peers=1, second_copies=False), hosts(local=1, remote=0))
+    for _ in range(20):
+        driver.request(deadline=1e9)
+    sent = next(iter(driver.flying.values()))
+    before = len(driver.log)
+    driver.reply(sent, Outcome.FULL)
+    assert len(driver.log) == before, "what was turned away is not tried at once where nobody else has room"
+    driver.advance(300)
+    for sent in list(driver.flying.values()):
+        driver.reply(sent)
+    driver.advance(300)
+    assert len(driver.log) > before
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -109,7 +109,7 @@
     driver.serve(20)
     for _ in range(200):
         driver.request()
-    for held in driver.balancer.queue[50:]:  # these have been tried once
+    for held in list(driver.balancer.queue)[50:]:  # these have been tried once
         held.attempts.append(decide._Attempt(driver.balancer.hosts[100], driver.now))
         held.attempts[0].pending = held.attempts[0].may_have_run = False
     looked = 0
