--- a/coveport/lab/virtual/wires.py
+++ b/coveport/lab/virtual/wires.py
@@ -87,12 +87,12 @@
     """A listening socket: what has come and is not accepted yet waits here."""
 
     def __init__(self, net: VirtualNet, address: Address, factory: Factory | None,
-                 accept: Callable[[int], asyncio.BaseProtocol] | None, most: int) -> None:
-        self.net, self.address, self.most = net, address, most
+                 accept: Callable[[int], asyncio.BaseProtocol] | None, most: int, in_turn: int) -> None:
+        self.net, self.address, self.most, self._in_turn = net, address, most, in_turn
         self._factory, self._accept = factory, accept
         self.waiting: deque[Side] = deque()
         self.open = True
-        self._pausing = False
+        self._due = self._pausing = False
 
     @property
     def port(self) -> int:
@@ -107,6 +107,7 @@
             return
         self.open = False
         self.net.network.listening.pop(self.address, None)
+        self.net.listens.remove(self)
         waiting, self.waiting = self.waiting, deque()
         for side in waiting:
             side.send_reset()
@@ -118,14 +119,20 @@
             return
         self.waiting.append(side)
         process = self.net.process
-        if process.idle and not self._pausing:
+        if self._due or self._pausing:
+            return
+        self._due = True
+        if process.idle:
             process.run(self.take, ())
         else:
             process.call_soon(self.take)
 
     def take(self) -> None:
-        """Accept what waits, as far as there are descriptors."""
-        while self.waiting and self.open and not self._pausing:
+        """Accept what waits, as far as there are descriptors, and no more than may be in one turn."""
+        self._due = False
+        for _ in range(self._in_turn):
+            if not (self.waiting and self.open):
+                return
             if not self.net.has_room:
                 # As asyncio does: it says so, and takes nothing for a second.
                 self._pausing = True
@@ -135,12 +142,17 @@
                 self.net.process.call_later(RETRY_ACCEPT_S, self._resume)
                 return
             side = self.waiting.popleft()
-            if side.dead:
-                continue
-            assert self._factory is not None or self._accept is not None
-            protocol = (self._factory() if self._factory is not None
-                        else self._accept(side.there.number))  # type: ignore[misc]
-            side.begin(protocol)
+            self.net.took(side)
+            # As with asyncio, the protocol has it two turns later.
+            self.net.process.call_soon(self.net.process.call_soon, self._begin, side)
+        if self.waiting:
+            self._due = True
+            self.net.process.call_soon(self.take)
+
+    def _begin(self, side: Side) -> None:
+        assert self._factory is not None or self._accept is not None
+        side.begin(self._factory() if self._factory is not None
+                   else self._accept(side.there.number))  # type: ignore[misc]
 
     def _resume(self) -> None:
         self._pausing = False
@@ -303,7 +315,6 @@
 
     def begin(self, protocol: asyncio.BaseProtocol) -> None:
         """The process has the connection now."""
-        self._net.took(self)
         self.set_protocol(protocol)
         protocol.connection_made(self)
         if self._inbox and not self._closing:
@@ -481,7 +492,8 @@
         self.process, self.network, self.world, self.place = process, network, network.world, place
         self.descriptors = descriptors
         self._sides: dict[Side, None] = {}
-        self._listening: list[_Listening] = []
+        self._dials = 0  # connects on their way, which hold descriptors too
+        self.listens: list[_Listening] = []
         process.at_death.append(self._died)
 
     def now_s(self) -> float:
@@ -500,7 +512,7 @@
     @property
     def has_room(self) -> bool:
         """Whether there is a descriptor left."""
-        return len(self._sides) + len(self._listening) < self.descriptors
+        return len(self._sides) + self._dials + len(self.listens) < self.descriptors
 
     def took(self, side: Side) -> None:
         """A connection is the process' now."""
@@ -511,7 +523,7 @@
         self._sides.pop(side, None)
 
     def _died(self) -> None:
-        for one in list(self._listening):
+        for one in list(self.listens):
             one.close()
         for side in list(self._sides):
             side.died()
@@ -520,22 +532,22 @@
     async def listen(self, factory: Factory, address: Address, *, accept_most: int,
                      waiting_most: int) -> Listening:
         """Listen at an address of this machine; port 0: any."""
-        return self._open(address, factory, None, waiting_most)
+        return self._open(address, factory, None, waiting_most, accept_most)
 
     def accept(self, accept: Callable[[int], asyncio.BaseProtocol], address: Address) -> _Listening:
         """Listen, and tell the factory the number of the machine that calls."""
-        return self._open(address, None, accept, 1 << 30)
+        return self._open(address, None, accept, 1 << 30, 1 << 30)
 
     def _open(self, address: Address, factory: Factory | None,
-              accept: Callable[[int], asyncio.BaseProtocol] | None, most: int) -> _Listening:
+              accept: Callable[[int], asyncio.BaseProtocol] | None, most: int, in_turn: int) -> _Listening:
         host, port = address
         if port == 0:
             port = next(one for one in range(20_000, 60_000) if (host, one) not in self.network.listening)
         if (host, port) in self.network.listening:
             raise OSError(errno.EADDRINUSE, f"address {host}:{port} is in use")
-        one = _Listening(self, (host, port), factory, accept, most)
+        one = _Listening(self, (host, port), factory, accept, most, in_turn)
         self.network.listening[host, port] = one
-        self._listening.append(one)
+        self.listens.append(one)
         return one
 
     async def dial(self, factory: Factory, address: Address) -> None:
@@ -552,13 +564,20 @@
             network._dials[dial] = None
         else:
             self.world.at(self.world.now + network.delay_s(here, there), self._knock, dial, address)
+        self._dials += 1
         try:
             await done
+            # As with asyncio, the protocol has it two turns later: timers that are due are called before.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
         except asyncio.CancelledError:
             network._dials.pop(dial, None)
-            if dial.side is not None and not dial.side.dead:
-                dial.side.send_reset()  # it came up, but nobody waits for it any more
+            if dial.side is not None:
+                dial.side.abort()  # it came up, but nobody waits for it any more
             raise
+        finally:
+            if dial.side is None:
+                self._dials -= 1
         assert dial.side is not None
         dial.side.begin(factory())
 
@@ -582,6 +601,7 @@
         theirs = Side(found.net, dial.there, dial.here, network.connections * 2 + 1)
         ours.peer, theirs.peer = theirs, ours
         dial.side = ours
+        self._dials -= 1
         self.took(ours)
         # The caller's word that it is up takes one more way; what it sends can't arrive before.
         theirs_at = back + network.delay_s(dial.here, dial.there)
--- a/coveport/lab/virtual/world.py
+++ b/coveport/lab/virtual/world.py
@@ -44,6 +44,12 @@
         return self._at
 
 
+class Timer(Handle):
+    """One that was put for a time, not for this instant."""
+
+    __slots__ = ()
+
+
 def _nothing() -> None:
     pass
 
@@ -67,7 +73,7 @@
     def at(self, when: float, call: Callable[..., object], *args: object,
            process: Process | None = None) -> Handle:
         """Call then (now at the soonest), on behalf of a process, or of the world itself."""
-        handle = Handle(process, when, call, args)
+        handle = Timer(process, when, call, args)
         self._count += 1
         heapq.heappush(self._heap, (when, self._count, handle))
         return handle
@@ -132,6 +138,7 @@
         self.clock_step_s = 0.0  # how wrong its wall clock is
         self._until = 0.0  # busy or stalled until then
         self._waiting: deque[Handle] = deque()  # due meanwhile
+        self._turn: deque[Handle] = deque()  # of those, what it is at
         self._waking = False
         self._signals: dict[int, tuple[Callable[..., object], tuple[object, ...]]] = {}
         self._on_problem: Callable[[asyncio.AbstractEventLoop, dict[str, Any]], object] | None = None
@@ -150,7 +157,7 @@
         """Whether it can run this now; if not it keeps it (or drops it, being dead)."""
         if not self.alive:
             return False
-        if self._until > self.world.now or (self._waiting and not self._waking):
+        if self._until > self.world.now or ((self._turn or self._waiting) and not self._waking):
             self._waiting.append(handle)
             return False
         return True
@@ -179,7 +186,7 @@
     @property
     def idle(self) -> bool:
         """Whether it could take something up at once."""
-        return self.alive and self._until <= self.world.now and not self._waiting
+        return self.alive and self._until <= self.world.now and not (self._turn or self._waiting)
 
     def busy(self, seconds: float) -> None:
         """Let it run nothing for so long from now."""
@@ -198,8 +205,12 @@
             return
         self._waking = True
         try:
-            while self._waiting and self._until <= self.world.now and self.alive:
-                handle = self._waiting.popleft()
+            while (self._turn or self._waiting) and self._until <= self.world.now and self.alive:
+                if not self._turn:
+                    # As asyncio does: what has come is read before the timers that are due are called.
+                    self._turn.extend(sorted(self._waiting, key=lambda one: type(one) is Timer))
+                    self._waiting.clear()
+                handle = self._turn.popleft()
                 if not handle.gone:
                     self.world._call(handle)
         finally:
@@ -211,6 +222,7 @@
             return
         self.alive = False
         self._waiting.clear()
+        self._turn.clear()
         for call in self.at_death:
             call()
 
--- a/tests/simulated.py
+++ b/tests/simulated.py
@@ -2,9 +2,9 @@
 
 The program runs as one process of a `coveport.lab.virtual` world, servers and clients in another one. The
 test's own thread drives time: what blocks on a socket (`recv`, `sendall`, `connect`), `sleep` and `wait_for`
-let it pass until there is something, or the wait is over. Between two such calls nothing happens. All that one
-test makes (servers, discoveries, `world`) stands on the same ground; `world` leaves it, so that each test
-begins at the same instant.
+let it pass until there is something, or the wait is over. Between two such calls nothing happens. All that
+one test makes (servers, discoveries, `world`) stands on the same ground; `world` leaves it, so that each
+test begins at the same instant.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-from world import SILENT, Message, Pool, Seen, Stream, configuration, receive, request, take_message
+from world import SILENT, Message, Pool, Seen, configuration, receive, request, take_message
 
 from coveport.config import platform
 from coveport.lab.day import Day
@@ -219,7 +219,7 @@
 
 
 class Server:
-    """Answers each request by a handler: bytes to send, None to reset the connection, or either in a while."""
+    """Answers each request by a handler: bytes to send, None to reset the connection, either in a while."""
 
     def __init__(self, handler: Callable[[Seen], Answer | Awaitable[Answer]]) -> None:
         self.handler, self.seen, self.connections, self.ended = handler, list[Seen](), 0, 0
@@ -385,6 +385,18 @@
         return figures
 
 
+@contextmanager
+def program(config: Path, sockets: int = 1024) -> Iterator[tuple[Program, Printed]]:
+    """The program with so many descriptors, and what it prints; at the end the ground is left."""
+    process = Program(config, sockets)
+    try:
+        yield process, process.log
+        assert not ground().lab.problems
+    finally:
+        process.process.kill()
+        _leave()
+
+
 @contextmanager
 def world(folder: Path, *dials: str, sockets: int = 1024, ready: bool = True, answer: bytes | None = None,
           **how: Any) -> Iterator[World]:
@@ -397,19 +409,14 @@
         discovery.put(f"s-{number}", dial)
     path = folder / "config.json"
     path.write_text(configuration(discovery, discovery.server.address, sockets=sockets, **how))
-    process = Program(path, sockets)
-    try:
-        wait_for(lambda: "listening on" in process.log.read_text() or process.poll())
-        port = int(process.log.read_text().partition("listening on 127.0.0.1:")[2].split()[0])
-        one = World(process, discovery, (HOST, port), process.log, path)
+    with program(path, sockets) as (process, log):
+        wait_for(lambda: "listening on" in log.read_text())
+        port = int(log.read_text().partition("listening on 127.0.0.1:")[2].split()[0])
+        one = World(process, discovery, (HOST, port), log, path)
         if ready:
             wait_for(lambda: one.ask("GET /_health")[0] == 200)
         yield one
-        assert process.poll() in (None, 0), process.log.read_text()
-        assert not ground().lab.problems
-    finally:
-        process.process.kill()
-        _leave()
+        assert process.poll() in (None, 0), log.read_text()
 
 
 def run(main: Callable[[wires.VirtualNet], Coroutine[Any, Any, T]], seconds: float = 60) -> T:
--- /dev/null
+++ b/tests/test_plain_start.py
@@ -0,0 +1,68 @@
+"""`python -m coveport` without arguments loads what is written here, and nothing more.
+
+A sidecar stands beside every till, and its memory and its start are counted: what the command line and the
+lab need stays out of it. A module that the sidecar itself comes to need is added to the list; one of the
+command line, of the lab or of somebody else's never is.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from world import Server, served, world
+
+LOADED = """
+coveport coveport.config coveport.config.platform
+coveport.core coveport.core.messages coveport.core.operation coveport.core.phases coveport.core.places
+coveport.core.reducer
+coveport.discovery coveport.discovery.agent coveport.discovery.reader
+coveport.http1 coveport.http1.clients coveport.http1.codec coveport.http1.links coveport.http1.operations
+coveport.net coveport.net.address coveport.net.clock coveport.net.sockets coveport.net.transport
+coveport.nodes coveport.nodes.destinations coveport.nodes.link coveport.nodes.steps
+coveport.sidecar coveport.sidecar.effects coveport.sidecar.serve
+coveport.telemetry coveport.telemetry.counters coveport.telemetry.log
+micaflow micaflow.decide micaflow.interface micaflow.wire
+"""
+HELD_MIB = 40  # the whole process, once it has served; it was 23 when this was written
+
+
+def run(*command: str) -> str:
+    """What a process says of its imports."""
+    return subprocess.run([sys.executable, "-X", "importtime", *command], stderr=subprocess.PIPE, text=True,
+                          timeout=20, check=False).stderr
+
+
+def loaded(said: str) -> set[str]:
+    """The modules that were imported from outside the standard library."""
+    names = {line.rpartition("|")[2].strip() for line in said.splitlines() if line.startswith("import time:")}
+    return {name for name in names if name.partition(".")[0] not in sys.stdlib_module_names} - {
+        "imported package"}
+
+
+@pytest.fixture(scope="module")
+def usual() -> set[str]:
+    """What the environment and the standard library import, or try to."""
+    return loaded(run("-c", "import copy"))
+
+
+def test_a_wrong_configuration_loads_no_more(usual: set[str], monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("LB_CONFIG", "")
+    said = run("-m", "coveport")
+    assert "LB_CONFIG is not set" in said and loaded(said) - usual == set(LOADED.split())
+
+
+def test_a_sidecar_that_serves_loads_no_more(usual: set[str], tmp_path: Path,
+                                             monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("PYTHONPROFILEIMPORTTIME", "1")
+    node = Server(served)
+    with world(tmp_path, node.address) as one:
+        assert one.ask("GET /balance")[0] == 200
+        status = Path(f"/proc/{one.process.pid}/status")
+        if status.exists():
+            held = next(line for line in status.read_text().splitlines() if line.startswith("VmHWM"))
+            assert int(held.split()[1]) < HELD_MIB * 1024
+        assert one.stop() == 0
+        assert loaded(one.log.read_text()) - usual == set(LOADED.split())
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -86,6 +86,17 @@
         wait_for(lambda: one.ask("POST /redeem")[0] == 200 and len(nodes[0].seen) > before)
 
 
+def test_a_reload_before_there_is_any_list(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, known=False, ready=False, answer=SILENT) as one:
+        assert one.ask("GET /_health")[0] == 503
+        after = Discovery()
+        after.put("s-0", node.address)
+        one.reload(discovery=after.server.address)
+        wait_for(lambda: one.ask("GET /_health")[0] == 200)
+        assert one.ask("POST /redeem")[0] == 200
+
+
 def test_a_reload_during_the_planned_end(tmp_path: Path) -> None:
     node = Server(served)
     with world(tmp_path, node.address) as one, one.connect() as conn:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -9,9 +9,8 @@
 from pathlib import Path
 
 import pytest
-from simulated import Server, free_port, now, reset, sleep, wait_for, world
-from world import SILENT, Seen, receive, reply, request, served
-
+from simulated import Discovery, Server, free_port, now, program, reset, sleep, wait_for, world
+from world import SILENT, Seen, configuration, receive, reply, request, served
 
 HOST = b"Host: a\r\nX-Request-Id: 1\r\nX-Deadline: 900m\r\n"
 
@@ -235,6 +234,14 @@
         wait_for(lambda: one.ask("GET /balance")[0] == 200 and len(other.seen) > 0)
 
 
+def test_an_address_that_stays_taken_ends_it(tmp_path: Path) -> None:
+    discovery, path, start = Discovery(), tmp_path / "config.json", now()
+    path.write_text(configuration(discovery, "127.0.0.1:1", listen=discovery.server.address))
+    with program(path) as (process, log):
+        assert process.wait(10) == 1 and now() - start > 5
+        assert "cannot listen on" in log.read_text()
+
+
 def test_a_planned_end_loses_nothing(tmp_path: Path) -> None:
     async def slow(seen: Seen) -> bytes:
         await asyncio.sleep(1.2)
--- a/tests/world.py
+++ b/tests/world.py
@@ -133,8 +133,8 @@
                   config: dict[str, Any] | None = None, **limits: Any) -> str:
     """The program's configuration file.
 
-    `known`: the list that it last had is the pool's. `told`, `limits`: instead of what the settings are usually.
-    `config`: instead of all but the address it listens at.
+    `known`: the list that it last had is the pool's. `told`, `limits`: instead of the usual settings.
+    `config`: instead of all but the address that it listens at.
     """
     return json.dumps((config or {
         "name": "n0", "discovery": discovery, "seed": "8c1f30d2",
@@ -175,6 +175,7 @@
         self._socket.close()
 
 
+@dataclass
 class Discovery(Pool):
     """Tells a list that never changes."""
 
@@ -221,6 +222,12 @@
         time.sleep(0.01)
 
 
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as one:
+        port: int = one.getsockname()[1]
+        return port
+
+
 @contextmanager
 def program(config: Path, sockets: int = 1024) -> Iterator[tuple[subprocess.Popen[str], Path]]:
     """The program as a process with so many descriptors, and where it writes to."""
@@ -231,7 +238,6 @@
                                    env={**os.environ, "LB_CONFIG": str(config)})
     try:
         yield process, log
-        assert process.poll() in (None, 0), log.read_text()
     finally:
         process.kill()
         process.wait()
@@ -253,5 +259,6 @@
             one = World(process, discovery, ("127.0.0.1", int(port[1])), log)
             wait_for(lambda: one.ask("GET /_health")[0] == 200)
             yield one
+            assert process.poll() in (None, 0), log.read_text()
     finally:
         discovery.server.close()
