--- a/coveport/lab/virtual/wires.py
+++ b/coveport/lab/virtual/wires.py
@@ -324,7 +324,8 @@
         self.set_protocol(protocol)
         protocol.connection_made(self)
         if self._inbox and not self._closing:
-            self._net.process.call_soon(self._read)
+            # As with asyncio, which reads after it has called what waits: what was accepted next is up by then.
+            self._net.process.call_soon(self._net.process.call_soon, self._read)
 
     def _push(self) -> None:
         """Send what the window takes, then the end if it is asked for."""
