Model checker of reducer and module: all orders of small worlds

Need: faults of order (a close that crosses a send, a word from discovery between two tries) are drawn by chance at best. The real Reducer and Balancer are explored together, states told apart by value, draws branched on, breadth first, and a breach is printed as a test.

--- /dev/null
+++ b/coveport/cli/check_model.py
@@ -0,0 +1,60 @@
+"""`coveport lab check-model`: all orders of small worlds, through the real reducer and module."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Sequence
+
+import click
+
+from coveport.cli.errors import NOT_HELD, OK, Unusable
+
+EPILOG = """\b
+Examples:
+  coveport lab check-model
+  coveport lab check-model drain restart
+  coveport lab check-model large-drain --states 1000000
+"""
+
+
+@click.command("check-model", short_help="Explore all orders of small worlds.", epilog=EPILOG)
+@click.argument("worlds", nargs=-1)
+@click.option("--states", type=click.IntRange(min=1), default=200_000, show_default=True, metavar="N",
+              help="Stop a world at so many states.")
+@click.option("--list", "list_", is_flag=True, help="Show the worlds that there are, a line each.")
+def check_model(worlds: Sequence[str], states: int, list_: bool) -> int:
+    """Explore WORLDS (by default all small ones): whatever may come, in all orders.
+
+    A world is a few operations, nodes, faults and words from discovery; the reducer and the module in it are
+    the shipped ones. Where an order breaks a rule, the shortest one is printed as a test.
+
+    Exit code 0 where no order breaks a rule, 1 where one does, 2 where the call can't be used.
+    """
+    from coveport.lab.check import check, printed
+    from coveport.lab.check.worlds import SMALL, WORLDS
+
+    if list_:
+        for world in WORLDS.values():
+            click.echo(f"{world.name:18} {world.about}")
+        return OK
+    for name in worlds:
+        if name not in WORLDS:
+            raise Unusable(f"no world '{name}' (coveport lab check-model --list shows them)")
+    found = False
+    for world in [WORLDS[name] for name in worlds] or SMALL:
+        told = None
+        if sys.stderr.isatty():
+            def told(states: int, paths: int, depth: int, name: str = world.name) -> None:
+                click.echo(f"\r{name}: {states} states, {paths} paths, depth {depth} ", err=True, nl=False)
+        report = check(world, most_states=states, clock=time.perf_counter, told=told)
+        if told is not None:
+            click.echo("\r\033[K", err=True, nl=False)
+        end = "all orders" if report.whole else f"BOUNDED: stopped at {states} states"
+        broken = f"; broken: {', '.join(one.breach.rule for one in report.found)}" if report.found else ""
+        click.echo(f"{world.name:18} {report.states:8} states {report.paths:8} paths  depth {report.depth:3} "
+                   f"{report.seconds:6.1f} s  {end}{broken}")
+        for one in report.found:
+            found = True
+            click.echo(f"\n{printed(world, one)}")
+    return NOT_HELD if found else OK
--- a/coveport/cli/root.py
+++ b/coveport/cli/root.py
@@ -13,6 +13,7 @@
 
 from coveport.cli import errors
 from coveport.cli.check import check
+from coveport.cli.check_model import check_model
 from coveport.cli.lab import lab
 from coveport.cli.run import run
 
@@ -101,3 +102,4 @@
 root.add_command(run)
 root.add_command(check)
 root.add_command(lab)
+lab.add_command(check_model)
