What a parser says does not depend on how the bytes were cut

Cause: a head of 16 KiB but for its last bytes was refused (431) when it came in pieces, and taken when it came at once. Noise of more than that was 431 at once and 400 in pieces, and noise in front of a hundred lines likewise.

Mend: a head is too large only once no end can follow within the limit, and noise is told first in all cases.

--- a/coveport/http1/codec.py
+++ b/coveport/http1/codec.py
@@ -118,18 +118,23 @@
             del self.held[:2]
         end = self.held.find(b"\r\n\r\n", 0, MAX_HEAD + 4)
         if end < 0:
-            if len(self.held) >= MAX_HEAD:
+            self._check_opening()
+            if len(self.held) >= MAX_HEAD + 4:
                 raise BadMessageError(431, "head too large")
-            # Guards against noise without an end: what can't become a message is told by its first bytes.
-            if not self.opening.match(bytes(self.held[:OPENING])):
-                raise BadMessageError(400, "malformed start")
             return None
         lines = bytes(self.held[:end]).split(b"\r\n")
-        del self.held[:end + 4]
         if len(lines) > MAX_HEADERS:
+            self._check_opening()
             raise BadMessageError(431, "too many headers")
+        del self.held[:end + 4]
         return self._start(lines[0], _read_fields(lines[1:], "header"))
 
+    def _check_opening(self) -> None:
+        # Guards against noise without an end: what can't become a message is told by its first bytes. Where it
+        # is too large as well, it is still noise, however it was cut.
+        if not self.opening.match(bytes(self.held[:OPENING])):
+            raise BadMessageError(400, "malformed start")
+
     def _start(self, line: bytes, headers: dict[str, list[str]]) -> Message:
         raise NotImplementedError
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -99,8 +99,9 @@
     return parser.next()
 
 
-@pytest.mark.parametrize("trailers", [b"hello\r\n", b"X : y\r\n", b" X: y\r\n", b"X: y\r\n folded\r\n", b"X: \x00\r\n",
-                                      b": y\r\n", b"X: y\nZ: w\r\n", b"X: y\r\n" * 101, b"X: " + b"y" * 17000])
+@pytest.mark.parametrize("trailers", [
+    b"hello\r\n", b"X : y\r\n", b" X: y\r\n", b"X: y\r\n folded\r\n", b"X: \x00\r\n", b": y\r\n",
+    b"X: y\nZ: w\r\n", b"X: y\r\n" * 101, b"X: " + b"y" * 17000])
 def test_trailers_are_checked_as_headers_are(trailers: bytes) -> None:
     # Seen beside h11, which refuses them: whoever stands in front of us may see a second message there.
     with pytest.raises(http1.BadMessageError, match="trailer"):
@@ -126,3 +127,21 @@
     else:
         with pytest.raises(http1.BadMessageError, match="malformed chunk"):
             read(data)
+
+
+HEAD = b"GET / HTTP/1.1\r\nHost: a\r\nX: "
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    (HEAD + b"y" * (http1.MAX_HEAD - len(HEAD)) + b"\r\n\r\n", 0),
+    (HEAD + b"y" * (http1.MAX_HEAD + 1 - len(HEAD)) + b"\r\n\r\n", 431),
+    (b"\x00" + HEAD + b"y" * http1.MAX_HEAD, 400), (b"\x00" * 30 + HEAD + b"\r\nX: y" * 101 + b"\r\n\r\n", 400),
+    (HEAD + b"\r\nX: y" * 97 + b"\r\n\r\n", 0), (HEAD + b"\r\nX: y" * 98 + b"\r\n\r\n", 431)])
+def test_limits_do_not_depend_on_how_the_bytes_were_cut(data: bytes, status: int) -> None:
+    for pieces in ([data], [data[:-4], data[-4:]], [data[:25], data[25:]]):
+        parser, got = http1.RequestParser(), 0
+        try:
+            whole = [read(piece, parser) for piece in pieces][-1]
+        except http1.BadMessageError as problem:
+            got = problem.status
+        assert got == status and (got or whole is not None)
