A parser reads nothing behind an error

Cause: a message that is refused was partly taken out of what is held, and the next call read on behind it: the body of a request too large, say, was read as a request. Today's callers stop at the first error, so nothing came of it; nothing but their care kept it so. An answer too large that lasts until the connection ends could become whole at its end.

Mend: an error is remembered and raised again at each call, and no end makes an answer whole behind it.

--- a/coveport/http1/codec.py
+++ b/coveport/http1/codec.py
@@ -78,6 +78,7 @@
     _message: Message | None = None  # its head is read, its body is not
     _left: int | None = 0  # bytes of body, None: until the connection ends
     _chunks: bytearray | None = None  # the body so far, where it comes in chunks
+    _wrong: tuple[int, str] | None = None  # what came, as errors have it; nothing is read behind that
 
     def feed(self, data: bytes | memoryview) -> None:
         """Take in what has come."""
@@ -89,9 +90,18 @@
         return bool(self.held) or self._message is not None
 
     def next(self) -> Message | None:
-        """The next whole message, or None until more has come; BadMessageError ends the connection."""
-        message = self._message or self._read_head()
-        body = self._read_body() if message is not None else None
+        """The next whole message, or None until more has come; BadMessageError ends the connection.
+
+        After an error it raises the same at every call: where the next message would begin is not known.
+        """
+        if self._wrong is not None:
+            raise BadMessageError(*self._wrong)
+        try:
+            message = self._message or self._read_head()
+            body = self._read_body() if message is not None else None
+        except BadMessageError as problem:
+            self._wrong = problem.status, str(problem)
+            raise
         self._message = message if body is None else None
         if message is None or body is None:
             return None
@@ -130,8 +140,8 @@
         return self._start(lines[0], _read_fields(lines[1:], "header"))
 
     def _check_opening(self) -> None:
-        # Guards against noise without an end: what can't become a message is told by its first bytes. Where it
-        # is too large as well, it is still noise, however it was cut.
+        # Guards against noise without an end: what can't become a message is told by its first bytes. Where
+        # it is too large as well, it is still noise, however it was cut.
         if not self.opening.match(bytes(self.held[:OPENING])):
             raise BadMessageError(400, "malformed start")
 
@@ -268,7 +278,8 @@
     def end(self) -> Response | None:
         """The connection has ended: the response that this makes whole, if any."""
         message = self._message
-        if not isinstance(message, Response) or self._left is not None or self._chunks is not None:
+        if (not isinstance(message, Response) or self._left is not None or self._chunks is not None
+                or self._wrong is not None):
             return None
         message.body, self._message = bytes(self.held), None
         self.held.clear()
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -93,7 +93,10 @@
 CHUNKED = b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-def read(data: bytes, parser: http1.RequestParser | http1.ResponseParser | None = None) -> http1.Message | None:
+Parser = http1.RequestParser | http1.ResponseParser
+
+
+def read(data: bytes, parser: Parser | None = None) -> http1.Message | None:
     parser = parser or http1.RequestParser()
     parser.feed(data)
     return parser.next()
@@ -135,7 +138,8 @@
 @pytest.mark.parametrize(("data", "status"), [
     (HEAD + b"y" * (http1.MAX_HEAD - len(HEAD)) + b"\r\n\r\n", 0),
     (HEAD + b"y" * (http1.MAX_HEAD + 1 - len(HEAD)) + b"\r\n\r\n", 431),
-    (b"\x00" + HEAD + b"y" * http1.MAX_HEAD, 400), (b"\x00" * 30 + HEAD + b"\r\nX: y" * 101 + b"\r\n\r\n", 400),
+    (b"\x00" + HEAD + b"y" * http1.MAX_HEAD, 400),
+    (b"\x00" * 30 + HEAD + b"\r\nX: y" * 101 + b"\r\n\r\n", 400),
     (HEAD + b"\r\nX: y" * 97 + b"\r\n\r\n", 0), (HEAD + b"\r\nX: y" * 98 + b"\r\n\r\n", 431)])
 def test_limits_do_not_depend_on_how_the_bytes_were_cut(data: bytes, status: int) -> None:
     for pieces in ([data], [data[:-4], data[-4:]], [data[:25], data[25:]]):
@@ -145,3 +149,27 @@
         except http1.BadMessageError as problem:
             got = problem.status
         assert got == status and (got or whole is not None)
+
+
+@pytest.mark.parametrize("bad", [
+    b"GET / HTTP/1.1\r\n\r\n", b"GET / HTTP/3.0\r\n\r\n", b"GET / HTTP/1.1\r\nHost : a\r\n\r\n",
+    b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 600000\r\n\r\n", CHUNKED + b"0\r\nbad\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1, 1\r\n\r\n", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: x\r\n\r\n"])
+def test_nothing_is_read_behind_an_error(bad: bytes) -> None:
+    data, parser = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", http1.RequestParser()  # type: bytes, Parser
+    if bad.startswith(b"HTTP"):
+        data, parser = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", http1.ResponseParser()
+    assert read(data, parser) is not None
+    with pytest.raises(http1.BadMessageError) as first:
+        read(bad + data, parser)
+    for _ in range(2):
+        with pytest.raises(http1.BadMessageError) as again:
+            read(data, parser)
+        assert again.value.status == first.value.status
+
+
+def test_an_answer_that_is_too_large_does_not_become_whole_at_the_end() -> None:
+    parser = http1.ResponseParser(9)
+    with pytest.raises(http1.BadMessageError):
+        read(b"HTTP/1.1 200 OK\r\n\r\n0123456789", parser)
+    assert parser.end() is None
