Answers 1xx, 204 and 304 have no body, whatever their headers say

Cause: a Content-Length or Transfer-Encoding on them was believed.

Mend: they end at the empty line; what they say of a body is not looked at.

--- a/coveport/http1/codec.py
+++ b/coveport/http1/codec.py
@@ -263,7 +263,12 @@
         if not match:
             raise BadMessageError(400, "malformed status line")
         version, status = match[1], int(match[2])
-        self._frame(headers, 0 if status < 200 or status in (204, 304) else None)
+        if status < 200 or status in (204, 304):
+            # Guards against what its headers say of a body: it has none (RFC 9112, 6.3), and what follows would
+            # be taken for it.
+            self._chunks, self._left = None, 0
+        else:
+            self._frame(headers, None)
         keeps = _keeps(version, headers) and (self._left is not None or self._chunks is not None)
         return Response(headers, keeps, b"", status)
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -173,3 +173,16 @@
     with pytest.raises(http1.BadMessageError):
         read(b"HTTP/1.1 200 OK\r\n\r\n0123456789", parser)
     assert parser.end() is None
+
+
+@pytest.mark.parametrize("status", [b"103", b"199", b"204", b"304"])
+@pytest.mark.parametrize("framing", [b"Content-Length: 3", b"Content-Length: 90000000", b"Content-Length: ?",
+                                     b"Transfer-Encoding: chunked", b"Transfer-Encoding: x"])
+def test_answers_without_a_body_end_at_the_empty_line(status: bytes, framing: bytes) -> None:
+    parser = http1.ResponseParser()
+    parser.feed(b"HTTP/1.1 " + status + b" x\r\n" + framing + b"\r\n\r\n"
+                b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    found = []
+    while (response := parser.next_response()) is not None:
+        found.append((response.status, response.body))
+    assert found == [(int(status), b"")] * (status >= b"200") + [(200, b"ok")]
