HTTP/1.0 with chunks closes, and only blanks are white space in Connection

Cause: an HTTP/1.0 message with Transfer-Encoding and keep-alive kept its connection, though such framing counts as faulty and the connection must be closed behind it (RFC 9112, 6.1): whoever reads it without chunks sees other messages. And Connection's options were stripped after they were decoded, so that the bytes 0x85 and 0xA0 counted as white space there; h11 reads another option.

Mend: both as the standard has them.

--- a/coveport/http1/codec.py
+++ b/coveport/http1/codec.py
@@ -215,8 +215,12 @@
 
 
 def _keeps(version: bytes, headers: dict[str, list[str]]) -> bool:
-    options = {part.strip().lower() for line in headers.get("connection", ()) for part in line.split(",")}
-    return "close" not in options and (version == b"HTTP/1.1" or "keep-alive" in options)
+    # Spaces and tabs alone are white space: decoded, some bytes above 127 would count as such, too.
+    options = {part.strip(" \t").lower()
+               for line in headers.get("connection", ()) for part in line.split(",")}
+    # HTTP/1.0 knows no chunks: what of it says so may be framed otherwise for others (RFC 9112, 6.1).
+    return "close" not in options and (version == b"HTTP/1.1" or (
+        "keep-alive" in options and "transfer-encoding" not in headers))
 
 
 class RequestParser(_Parser):
@@ -264,8 +268,8 @@
             raise BadMessageError(400, "malformed status line")
         version, status = match[1], int(match[2])
         if status < 200 or status in (204, 304):
-            # Guards against what its headers say of a body: it has none (RFC 9112, 6.3), and what follows would
-            # be taken for it.
+            # Guards against what its headers say of a body: it has none (RFC 9112, 6.3), and what follows
+            # would be taken for it.
             self._chunks, self._left = None, 0
         else:
             self._frame(headers, None)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -186,3 +186,18 @@
     while (response := parser.next_response()) is not None:
         found.append((response.status, response.body))
     assert found == [(int(status), b"")] * (status >= b"200") + [(200, b"ok")]
+
+
+@pytest.mark.parametrize(("version", "lines", "keeps"), [
+    (b"1.1", b"", True), (b"1.1", b"Connection: close\r\n", False),
+    (b"1.1", b"Connection: x , Close\r\n", False), (b"1.0", b"", False),
+    (b"1.0", b"Connection: Keep-Alive\r\n", True),
+    (b"1.1", b"Connection: \xa0close\r\n", True), (b"1.0", b"Connection: \x85keep-alive\r\n", False),
+    (b"1.1", b"Transfer-Encoding: chunked\r\n", True),
+    (b"1.0", b"Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n", False)])
+def test_whether_a_connection_is_kept(version: bytes, lines: bytes, keeps: bool) -> None:
+    request = read(b"POST / HTTP/" + version + b"\r\nHost: a\r\n" + lines + b"\r\n0\r\n\r\n")
+    response = read(b"HTTP/" + version + b" 200 OK\r\n" + lines + (
+        b"\r\n0\r\n\r\n" if b"Transfer" in lines else b"Content-Length: 0\r\n\r\n"), http1.ResponseParser())
+    assert request is not None and response is not None
+    assert request.keep_alive is response.keep_alive is keeps
