--- a/coveport/http1/codec.py
+++ b/coveport/http1/codec.py
@@ -226,6 +226,7 @@
 class RequestParser(_Parser):
     """Reads what clients send."""
 
+    _old = False  # whether the message is of HTTP/1.0, whose clients wait for nothing (RFC 9110, 10.1.1)
     opening = re.compile(rb"\r?\Z|[!#$%&'*+\-.^_`|~0-9A-Za-z]+(?:\Z| (?:\Z|[\x21-\x7e]))")
 
     def _start(self, line: bytes, headers: dict[str, list[str]]) -> Request:
@@ -239,8 +240,10 @@
             raise BadMessageError(505, "version not supported")
         if not target.startswith(b"/"):
             raise BadMessageError(400, "target is not a path")
-        if version == b"HTTP/1.1" and len(headers.get("host", ())) != 1:
+        hosts = len(headers.get("host", ()))
+        if hosts > 1 or (not hosts and version == b"HTTP/1.1"):
             raise BadMessageError(400, "one Host header is wanted")
+        self._old = version == b"HTTP/1.0"
         self._frame(headers, 0)
         return Request(headers, _keeps(version, headers), b"", method.decode("ascii"), target.decode("ascii"))
 
@@ -253,7 +256,7 @@
     @property
     def wants_continue(self) -> bool:
         """Whether the client waits for our word before it sends the body."""
-        return (self._message is not None and not self.held and not self._chunks
+        return (self._message is not None and not self.held and not self._chunks and not self._old
                 and [v.lower() for v in self._message.headers.get("expect", ())] == ["100-continue"])
 
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -201,3 +201,25 @@
         b"\r\n0\r\n\r\n" if b"Transfer" in lines else b"Content-Length: 0\r\n\r\n"), http1.ResponseParser())
     assert request is not None and response is not None
     assert request.keep_alive is response.keep_alive is keeps
+
+
+@pytest.mark.parametrize(("start", "good"), [
+    (b"GET / HTTP/1.1\r\n", False), (b"GET / HTTP/1.1\r\nHost: a\r\n", True), (b"GET / HTTP/1.0\r\n", True),
+    (b"GET / HTTP/1.1\r\nHost: a\r\nHost: a\r\n", False),
+    (b"GET / HTTP/1.0\r\nHost: a\r\nHost: b\r\n", False)])
+def test_no_request_names_two_hosts(start: bytes, good: bool) -> None:
+    if good:
+        assert read(start + b"\r\n") is not None
+    else:
+        with pytest.raises(http1.BadMessageError, match="Host"):
+            read(start + b"\r\n")
+
+
+@pytest.mark.parametrize(("version", "expects"), [(b"1.1", True), (b"1.0", False)])
+def test_http_1_0_expects_no_word_before_its_body(version: bytes, expects: bool) -> None:
+    parser = http1.RequestParser()
+    head = b" HTTP/" + version + b"\r\nHost: a\r\nConnection: keep-alive\r\nExpect: 100-continue\r\n"
+    for number in b"12":
+        assert read(b"POST /%d" % number + head + b"Content-Length: 1\r\n\r\n", parser) is None
+        assert parser.wants_continue is expects
+        assert read(b"x", parser) is not None and not parser.wants_continue
