A figure beyond all floats makes a list garbled, not the reader fail

Cause: JSON holds whole numbers of any size. A share or birth of 10**400 is below infinity and failed only when it was made a float, with an OverflowError that nobody expects: the connection to discovery broke down with a traceback instead of a list called garbled. A name with a line's end in it broke the log's line in two.

Mend: figures end where floats do; names are quoted in errors.

--- a/coveport/discovery/reader.py
+++ b/coveport/discovery/reader.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import math
+import sys
 from dataclasses import dataclass
 from typing import Any
 
@@ -71,11 +71,13 @@
         if not isinstance(name, str) or not name:
             raise ValueError(f"host {name!r} is no name")
         for value in (weight, born):
-            if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < math.inf:
-                raise ValueError(f"{name}: {value!r} is no figure")
+            # Guards against whole numbers beyond all floats, which JSON may hold.
+            if (isinstance(value, bool) or not isinstance(value, int | float)
+                    or not 0 <= value <= sys.float_info.max):
+                raise ValueError(f"{name!r}: {value!r} is no figure")
         for value in (one["site"], one["block"]):
             if isinstance(value, bool) or not isinstance(value, int | str):
-                raise ValueError(f"{name}: {value!r} is no site or block")
+                raise ValueError(f"{name!r}: {value!r} is no site or block")
         # A state that is not known is treated as draining: nothing new goes there.
         state = _STATES.get(one["health"], api.State.DRAINING)
         return name, parse_address(one["dial"]), one["site"], one["block"], state, float(weight), float(born)
--- a/tests/test_pool_config.py
+++ b/tests/test_pool_config.py
@@ -75,3 +75,20 @@
     assert len(reader._hosts) == 9 and len(reader._cells) <= 4
     reader.read({"seq": 900, "whole": True, "hosts": [line(299)]})
     assert list(reader._hosts) == ["s-299"] and len(reader._cells) == 1
+
+
+def listed(name: str = "s-1", **changes: object) -> dict[str, object]:
+    return {"host": name, "dial": "127.0.0.1:9", "site": "b", "block": 3, "health": "active"} | changes
+
+
+def told(seq: int, *hosts: dict[str, object], whole: bool = False) -> dict[str, object]:
+    return {"seq": seq, "whole": whole, "hosts": list(hosts)}
+
+
+@pytest.mark.parametrize("changes", [{"share": 10 ** 400}, {"born_ms": 10 ** 400}, {"share": float("inf")},
+                                     {"share": float("nan")}, {"host": "a\nb", "share": -1}])
+def test_figures_too_large_are_garbled_and_said_in_one_line(changes: dict[str, object]) -> None:
+    # Seen in fuzzing: an OverflowError went past all who expect a ValueError.
+    with pytest.raises(ValueError, match="figure") as problem:
+        PoolReader(()).read(told(1, listed(**changes)))
+    assert "\n" not in str(problem.value)
