--- a/coveport/discovery/reader.py
+++ b/coveport/discovery/reader.py
@@ -37,7 +37,8 @@
             hosts, version, whole = told["hosts"], told["seq"], told["whole"]
             if not isinstance(hosts, list) or type(version) is not int or type(whole) is not bool:
                 raise ValueError("hosts, seq or whole is not what it should be")
-            rows = [self._check(one) for one in hosts]
+            # Guards against a destination listed twice: its last line counts, as for all that read in order.
+            rows = list({row[0]: row for row in map(self._check, hosts)}.values())
         except (KeyError, TypeError, AttributeError) as problem:
             raise ValueError(f"{type(problem).__name__}: {problem}") from problem
         if kind is None:
--- a/tests/test_pool_config.py
+++ b/tests/test_pool_config.py
@@ -14,6 +14,7 @@
 from coveport.net.transport import Net
 from coveport.telemetry.counters import Counters
 from coveport.telemetry.log import Log
+from micaflow import interface as api
 
 LIST = json.dumps({"seq": 1, "whole": True, "hosts": []}).encode()
 
@@ -92,3 +93,16 @@
     with pytest.raises(ValueError, match="figure") as problem:
         PoolReader(()).read(told(1, listed(**changes)))
     assert "\n" not in str(problem.value)
+
+
+@pytest.mark.parametrize("last", ["active", "left"])
+def test_of_a_destination_listed_twice_the_last_line_counts(last: str) -> None:
+    reader = PoolReader(("a", "b"))
+    first = reader.read(told(1, listed(), whole=True)).update.entries[0].host
+    both = [listed(health={"active": "left", "left": "active"}[last]), listed(dial="127.0.0.1:10", health=last)]
+    update = reader.read(told(2, *both))
+    assert [(one.host, one.state is api.State.GONE) for one in update.update.entries] == [(first, last == "left")]
+    assert update.places == [(first, None if last == "left" else (("127.0.0.1", 10), 0.0))]
+    # Where it is there its number stays: under another one, its drain would not be heard of.
+    again = reader.read(told(3, listed(health="leaving"))).update.entries[0].host
+    assert (again == first) is (last == "active")
