Zones and cells that nobody is in are forgotten, however they were left

Cause: the reader kept the name of every zone it ever read, and a cell that a destination moved out of until some destination left the list. Names come from outside: both tables grew as long as new ones came.

Mend: zones are counted on like cells (never the same number twice: who keeps repeats apart by zone must not take a new one for an old one), and both tables are looked through when a destination leaves or when they hold more than there are destinations. Zones of the configuration stay.

--- a/coveport/discovery/reader.py
+++ b/coveport/discovery/reader.py
@@ -26,10 +26,12 @@
 
     def __init__(self, zones: tuple[str, ...]) -> None:
         self._hosts: dict[str, int] = {}
-        self._zones = {zone: number for number, zone in enumerate(zones)}
+        self._own = {zone: number for number, zone in enumerate(zones)}  # those that are configured
+        self._zones = dict(self._own)
         self._cells: dict[str, int] = {}
-        self._cell_of: dict[str, int] = {}  # each host's
+        self._where: dict[str, tuple[int, int]] = {}  # each host's zone and cell
         self._numbers = self._cell_numbers = 0
+        self._zone_numbers = len(zones)
 
     def read(self, told: Any, kind: api.ListKind | None = None) -> PoolUpdate:
         """Check and read all of it; ValueError where any of it is garbled."""
@@ -47,8 +49,8 @@
         for name, address, zone, cell, state, weight, born in rows:
             number = self._hosts.setdefault(name, self._numbers + 1)
             self._numbers = max(self._numbers, number)
-            bay = self._cell_of[name] = self._cell(cell)
-            entries.append(api.HostEntry(number, self._zone(zone), bay, state, weight, born))
+            there = self._where[name] = self._zone(zone), self._cell(cell)
+            entries.append(api.HostEntry(number, *there, state, weight, born))
             places.append((number, None if state is api.State.GONE else (address, born)))
         gone = {row[0] for row in rows if row[4] is api.State.GONE}
         if kind is not api.ListKind.DELTA:
@@ -61,10 +63,12 @@
         # number is never given twice, so one that comes back is a new one to us.
         for name in gone:
             self._hosts.pop(name, None)
-            self._cell_of.pop(name, None)
-        if gone:
-            used = set(self._cell_of.values())
-            self._cells = {name: number for name, number in self._cells.items() if number in used}
+            self._where.pop(name, None)
+        # One that stays may move from cell to cell: looked through once there are more than there can be.
+        if gone or max(len(self._cells), len(self._zones) - len(self._own)) > len(self._where):
+            zones, cells = ({at[part] for at in self._where.values()} for part in (0, 1))
+            self._zones = self._own | {name: at for name, at in self._zones.items() if at in zones}
+            self._cells = {name: at for name, at in self._cells.items() if at in cells}
 
     @staticmethod
     def _check(one: Any) -> tuple[str, Address, Any, Any, api.State, float, float]:
@@ -84,7 +88,12 @@
         return name, parse_address(one["dial"]), one["site"], one["block"], state, float(weight), float(born)
 
     def _zone(self, zone: int | str) -> int:
-        return zone if isinstance(zone, int) else self._zones.setdefault(zone, len(self._zones))
+        if isinstance(zone, int):
+            return zone
+        if zone not in self._zones:
+            self._zones[zone] = self._zone_numbers
+            self._zone_numbers += 1
+        return self._zones[zone]
 
     def _cell(self, cell: int | str) -> int:
         if isinstance(cell, int):
--- a/tests/test_pool_config.py
+++ b/tests/test_pool_config.py
@@ -91,7 +91,7 @@
 def test_figures_too_large_are_garbled_and_said_in_one_line(changes: dict[str, object]) -> None:
     # Seen in fuzzing: an OverflowError went past all who expect a ValueError.
     with pytest.raises(ValueError, match="figure") as problem:
-        PoolReader(()).read(told(1, listed(**changes)))
+        PoolReader(()).read(told(1, listed() | changes))
     assert "\n" not in str(problem.value)
 
 
@@ -99,10 +99,25 @@
 def test_of_a_destination_listed_twice_the_last_line_counts(last: str) -> None:
     reader = PoolReader(("a", "b"))
     first = reader.read(told(1, listed(), whole=True)).update.entries[0].host
-    both = [listed(health={"active": "left", "left": "active"}[last]), listed(dial="127.0.0.1:10", health=last)]
-    update = reader.read(told(2, *both))
-    assert [(one.host, one.state is api.State.GONE) for one in update.update.entries] == [(first, last == "left")]
+    other = {"active": "left", "left": "active"}[last]
+    update = reader.read(told(2, listed(health=other), listed(dial="127.0.0.1:10", health=last)))
+    (entry,) = update.update.entries
+    assert (entry.host, entry.state is api.State.GONE) == (first, last == "left")
     assert update.places == [(first, None if last == "left" else (("127.0.0.1", 10), 0.0))]
     # Where it is there its number stays: under another one, its drain would not be heard of.
     again = reader.read(told(3, listed(health="leaving"))).update.entries[0].host
     assert (again == first) is (last == "active")
+
+
+def test_zones_and_cells_that_nobody_is_in_are_forgotten() -> None:
+    # As above, for destinations that stay and move, and for zones.
+    reader, zones = PoolReader(("a", "b")), set[int]()
+    for number in range(50):
+        moved = listed(site=f"z-{number}", block=f"pod-{number}")
+        entries = reader.read(told(number, moved, listed("s-2"))).update.entries
+        zones.add(entries[0].zone)
+        assert entries[1].zone == 1
+    assert len(zones) == 50 and min(zones) == 2, "none is given twice, nor one that is configured"
+    assert len(reader._zones) <= 2 + 2 and len(reader._cells) <= 2
+    reader.read(told(99, whole=True))
+    assert reader._zones == {"a": 0, "b": 1} and not reader._cells
