An IPv6 scope is an interface's name, and nothing else

Cause: ipaddress takes any text behind the %. A destination at fe80::1%a CR LF X: y put a line of its own into our requests to it, and one with a scope that IDNA refuses made its dial end in a UnicodeError, which nobody expects: the route step was told of it only when its time to connect was over.

--- a/tests/test_pool_config.py
+++ b/tests/test_pool_config.py
@@ -121,3 +121,16 @@
     assert len(reader._zones) <= 2 + 2 and len(reader._cells) <= 2
     reader.read(told(99, whole=True))
     assert reader._zones == {"a": 0, "b": 1} and not reader._cells
+
+
+@pytest.mark.parametrize(("scope", "good"), [
+    ("eth0", True), ("eth0.100", True), ("2", True), ("a\r\nX: y", False), ("a..b", False), ("\ud800", False),
+    ("a" * 16, False), ("\x00", False), ("\xe9", False)])
+def test_an_address_has_no_scope_that_no_interface_has(scope: str, good: bool) -> None:
+    # Seen in fuzzing: it went into the Host header as it was, or the dial ended in a UnicodeError.
+    text = f"[fe80::1%{scope}]:9000"
+    if good:
+        assert parse_address(text) == (f"fe80::1%{scope}", 9000)
+    else:
+        with pytest.raises(ValueError, match="scope"):
+            parse_address(text)
