--- a/coveport/http1/links.py
+++ b/coveport/http1/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import isfinite
 
 from coveport.core.operation import Answer
 from coveport.core.places import Place
@@ -27,15 +28,16 @@
 
 
 def load_of(response: codec.Response, fields: tuple[str, ...]) -> tuple[float, ...]:
-    """The load report that came along, in the order of `fields`; empty where it is not whole."""
+    """The load report that came along, in the order of `fields`; empty where it is not whole or not finite."""
     lines = response.headers.get("x-load")
     if not lines:
         return ()
     told = dict(part.strip().partition("=")[::2] for part in lines[0].split(","))
     try:
-        return tuple(float(told[name]) for name in fields)
+        load = tuple(float(told[name]) for name in fields)
     except (KeyError, ValueError):
         return ()
+    return load if all(map(isfinite, load)) else ()
 
 
 def request_of(step: RouteStep, place: Place) -> bytes:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from coveport.http1 import codec as http1
+from coveport.http1.links import load_of
 
 CUTS = st.lists(st.integers(1, 40), max_size=30)
 
@@ -223,3 +224,11 @@
         assert read(b"POST /%d" % number + head + b"Content-Length: 1\r\n\r\n", parser) is None
         assert parser.wants_continue is expects
         assert read(b"x", parser) is not None and not parser.wants_continue
+
+
+@pytest.mark.parametrize(("values", "load"), [
+    (["queue=2, inflight=7,x=y"], (7.0, 2.0)), (["inflight=7"], ()), (["inflight=7,queue="], ()), ([], ()),
+    (["inflight=7,queue=nan"], ()), (["inflight=7,queue=inf"], ()), (["inflight=1e999,queue=2"], ())])
+def test_a_load_report_is_whole_and_finite_or_none(values: list[str], load: tuple[float, ...]) -> None:
+    response = http1.Response({"x-load": values}, True, b"", 200)
+    assert load_of(response, ("inflight", "queue")) == load
