What would fail after the start is refused in the configuration

Cause: JSON holds whole numbers beyond all floats; they are below infinity, and passed as figures until an OverflowError at the start or at the first operation. A class's name, a load report's field or a zone that is no text or number failed likewise, and half a socket became none.

Mend: figures end where floats do (interface and platform), limits.sockets is at least 1, names are texts and a zone is a whole number.

--- a/coveport/config/platform.py
+++ b/coveport/config/platform.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-import math
+import sys
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -33,13 +33,29 @@
     known: Any = field(default=None, repr=False)  # in discovery's form; read like its answers
 
 
-def _number(section: Mapping[str, Any], key: str, default: float) -> float:
+def _number(section: Mapping[str, Any], key: str, default: float, *, least: float = 0) -> float:
     value = section.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
-        raise ValueError(f"{key} must be a positive number, not {value!r}")
+    # Guards against whole numbers beyond all floats, which JSON may hold.
+    if (isinstance(value, bool) or not isinstance(value, int | float)
+            or not 0 < value <= sys.float_info.max or value < least):
+        wanted = f"a number of at least {least:g}" if least else "a positive number"
+        raise ValueError(f"{key} must be {wanted}, not {value!r}")
     return float(value)
 
 
+def _settings(told: Mapping[str, Any]) -> api.Settings:
+    settings = wire.parse_settings(json.dumps(told))
+    if type(settings.zone) is not int:
+        raise ValueError(f"zone must be a whole number, not {settings.zone!r}")
+    # Guards against names that are no texts: nothing that comes by HTTP could be one of them.
+    for key, names in (("classes: name", [one.name for one in settings.classes]),
+                       ("telemetry: fields", settings.load_fields)):
+        for name in names:
+            if not isinstance(name, str):
+                raise ValueError(f"{key} must be a text, not {name!r}")
+    return settings
+
+
 def read(text: str, environ: Mapping[str, str], *, again: bool = False,
          where: str = "configuration") -> Config:
     """Read and check a configuration's JSON; ConfigError says in one line what is wrong `where`.
@@ -62,9 +78,9 @@
             discovery=parse_address((again and told.get("discovery")) or environ.get("LB_DISCOVERY")
                                     or told.get("discovery")),
             seed=seed if isinstance(seed, int) else int(seed, 16),
-            sockets=int(_number(limits, "sockets", 1024)),
+            sockets=int(_number(limits, "sockets", 1024, least=1)),
             memory_mb=_number(limits, "memory_mb", 64),
-            settings=wire.parse_settings(json.dumps(settings)),
+            settings=_settings(settings),
             zones=tuple(str(zone) for zone in zones),
             keepalive_ms=_number(settings.get("limits") or {}, "keepalive_ms", 5000.0),
             known=told.get("known"),
--- a/coveport/http1/links.py
+++ b/coveport/http1/links.py
@@ -28,7 +28,7 @@
 
 
 def load_of(response: codec.Response, fields: tuple[str, ...]) -> tuple[float, ...]:
-    """The load report that came along, in the order of `fields`; empty where it is not whole or not finite."""
+    """The load report that came along, in the order of `fields`; empty where it is not whole and finite."""
     lines = response.headers.get("x-load")
     if not lines:
         return ()
--- a/micaflow/interface.py
+++ b/micaflow/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import sys
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 
@@ -60,15 +61,18 @@
 """The outcomes that prove that the attempt had no effect."""
 
 
+_MOST = sys.float_info.max  # guards against whole numbers beyond all floats, which JSON may hold
+
+
 def _positive(**values: float) -> None:
     for key, value in values.items():
-        if not 0 < value < float("inf"):
+        if not 0 < value <= _MOST:
             raise ValueError(f"{key} must be positive and finite, not {value!r}")
 
 
 def _not_negative(**values: float) -> None:
     for key, value in values.items():
-        if not 0 <= value < float("inf"):
+        if not 0 <= value <= _MOST:
             raise ValueError(f"{key} must be finite and not negative, not {value!r}")
 
 
