--- a/tests/test_reducer_scripted.py
+++ b/tests/test_reducer_scripted.py
@@ -9,6 +9,7 @@
 import pytest
 from helpers import SAFE, settings
 from hypothesis import given
+from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
 from coveport.core import messages as core
@@ -250,6 +251,7 @@
     assert timer == core.SetTimer(5.0, 0) and answer == GiveAnswer(1, Verdict.FAILED), "still told as failed"
 
 
+@hypothesis_settings(max_examples=40)
 @given(st.data())
 def test_any_script_leaves_one_answer_each_and_nothing_behind(data: st.DataObject) -> None:
     """A module that says anything at all: what the world is told stays in order."""
