--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -160,6 +160,18 @@
         return self.feed(api.Reply(sent.id, sent.attempt, sent.host, outcome, self.now - sent.at,
                                    over if closed is None else closed, load))
 
+    def end(self, sent: Sent, took: float, outcome: api.Outcome = api.Outcome.OK) -> None:
+        """An attempt ends now and is said to have taken so long."""
+        sent.at = self.now - took
+        self.reply(sent, outcome)
+
+    def warm(self, took: float, answers: int = 80, apart: float = 0.0) -> None:
+        """So many answers, one after the other, each after `took`; saves up for extra attempts as well."""
+        for _ in range(answers):
+            self.now += apart
+            self.end(self.history[self.request()][0][0], took)
+        self.now += 1
+
     def of(self, request: int) -> list[Sent]:
         return [sent for sent in self.log if sent.id == request]
 
