--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -5,7 +5,7 @@
     python benchmarks/mutants.py --only ID [--only ID]...   these alone
 
 It draws `--count` places by `--seed` (0: all places) and one change for each, makes the change in a
-throw-away copy of the repository, and runs there the tests without processes that concern the two files. A
+throw-away copy of the repository, and runs there the tests without processes that concern these files. A
 change is *killed* when a test fails, a *time-out* when the tests take longer than the limit (as good as
 killed), and *survived* when all pass. Survivors are shown as diffs. A change that can make no difference is
 judged by hand and listed with the reason in `mutants_equivalent.toml`; it is run all the same, and one that
@@ -44,8 +44,9 @@
 from queue import SimpleQueue
 
 ROOT = Path(__file__).resolve().parents[1]
-FILES = ("micaflow/decide.py", "coveport/core/reducer.py")
-TESTS = ("tests/test_decide_*.py", "tests/test_reducer*.py", "tests/test_trouble.py", "tests/test_rules.py")
+FILES = ("micaflow/decide.py", "micaflow/held.py", "coveport/core/reducer.py")
+TESTS = ("tests/test_decide_*.py", "tests/test_reducer*.py", "tests/test_trouble.py", "tests/test_crowd.py",
+         "tests/test_rules.py")
 COPIED = ("micaflow", "coveport", "tests", "pyproject.toml")
 EQUIVALENT = ROOT / "benchmarks" / "mutants_equivalent.toml"
 MEMORY = 2 << 30  # bytes a run of the tests may take: a change may make a list grow for ever
