More than a hundred empty lines in front of a message are refused

Cause: empty lines are passed over, as RFC 9112, 2.2 asks, and there was no end to that: each made the time of rest begin anew, so a client that sent nothing else kept its connection for good.

Mend: a hundred are enough; then 400 and the end.

--- a/coveport/http1/codec.py
+++ b/coveport/http1/codec.py
@@ -78,6 +78,7 @@
     _message: Message | None = None  # its head is read, its body is not
     _left: int | None = 0  # bytes of body, None: until the connection ends
     _chunks: bytearray | None = None  # the body so far, where it comes in chunks
+    _empty: int = 0  # lines in front of the next message
     _wrong: tuple[int, str] | None = None  # what came, as errors have it; nothing is read behind that
 
     def feed(self, data: bytes | memoryview) -> None:
@@ -123,9 +124,13 @@
         return body
 
     def _read_head(self) -> Message | None:
-        # Guards against an empty line sent after an earlier body, as the standard asks.
+        # Guards against an empty line sent after an earlier body, as the standard asks (RFC 9112, 2.2), and
+        # against those that never end: who sends nothing else is never at rest.
         while self.held.startswith(b"\r\n"):
             del self.held[:2]
+            self._empty += 1
+            if self._empty > MAX_HEADERS:
+                raise BadMessageError(400, "too many empty lines")
         end = self.held.find(b"\r\n\r\n", 0, MAX_HEAD + 4)
         if end < 0:
             self._check_opening()
@@ -136,6 +141,7 @@
         if len(lines) > MAX_HEADERS:
             self._check_opening()
             raise BadMessageError(431, "too many headers")
+        self._empty = 0
         del self.held[:end + 4]
         return self._start(lines[0], _read_fields(lines[1:], "header"))
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -232,3 +232,14 @@
 def test_a_load_report_is_whole_and_finite_or_none(values: list[str], load: tuple[float, ...]) -> None:
     response = http1.Response({"x-load": values}, True, b"", 200)
     assert load_of(response, ("inflight", "queue")) == load
+
+
+@pytest.mark.parametrize("step", [2, 3, 400])
+def test_empty_lines_without_end_are_no_message(step: int) -> None:
+    # A client that sends nothing else is never at rest, and would keep its connection for good.
+    request, parser = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", http1.RequestParser()
+    for _ in range(3):
+        assert read(b"\r\n" * 100 + request, parser) is not None
+    with pytest.raises(http1.BadMessageError, match="empty"):
+        for piece in pieces(b"\r\n" * 101, [step] * 90):
+            assert read(piece, parser) is None
