An outcome nested too deep is called none, as all others that can't be read

Cause: msgspec gives up on a hundred thousand brackets with a RecursionError, which went past those who expect a ValueError or CompareError.

--- a/coveport/lab/compare.py
+++ b/coveport/lab/compare.py
@@ -92,7 +92,7 @@
         judged = msgspec.json.decode(told.outcome if bytes(told.outcome) else data, type=Judged)
     except OSError as problem:
         raise CompareError(f"{path}: {problem.strerror}") from problem
-    except (msgspec.MsgspecError, UnicodeDecodeError) as problem:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as problem:
         raise CompareError(f"{path}: not an outcome: {problem}") from problem
     return Day(judged, told.cell.params if told.cell else {}, str(path))
 
--- a/coveport/lab/outcome.py
+++ b/coveport/lab/outcome.py
@@ -149,5 +149,5 @@
     """An outcome from its JSON; unknown keys are passed over. ValueError where it is none."""
     try:
         return msgspec.json.decode(data, type=Outcome)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise ValueError(f"not a lab's outcome: {error}") from error
