coveport lab fuzz: eleven targets, a seeded mutator, guided runs, and h11 beside our parsers

Need: whatever comes from outside may be anything. Each reader of bytes gets a target with its invariants (only documented errors, the same however cut, nothing read behind an error, bounded tables, what is written reads back), played on a small corpus and on mutations drawn by a seed; guided by coverage where atheris is there. Two targets hold the HTTP parsers against h11: what ours takes and h11 refuses or reads otherwise is a find, unless a row of a table says by which section of the standards; what ours refuses and h11 takes must have such a row, too. Each row has an example that needs it.

--- a/coveport/cli/lab.py
+++ b/coveport/cli/lab.py
@@ -12,6 +12,7 @@
 import click
 
 from coveport.cli.errors import NOT_HELD, OK, VOID, Unusable
+from coveport.cli.fuzz import fuzz
 
 if TYPE_CHECKING:
     from rich.table import Table
@@ -358,3 +359,4 @@
     return table
 
 
+lab.add_command(fuzz)
--- /dev/null
+++ b/coveport/lab/fuzz/__init__.py
@@ -0,0 +1,20 @@
+"""Fuzzing of everything that reads bytes: targets with their invariants, mutation, comparison with h11.
+
+Nothing is imported here: a guided run instruments the modules under test while it imports them.
+"""
+
+HTTP = ("coveport.http1.codec",)
+UNDER_TEST: dict[str, tuple[str, ...]] = {
+    "requests": HTTP,
+    "responses": HTTP,
+    "operations": (*HTTP, "coveport.http1.operations", "coveport.http1.links"),
+    "loads": ("coveport.http1.links",),
+    "lists": ("coveport.discovery.reader", "coveport.net.address"),
+    "config": ("coveport.config.platform", "micaflow.wire", "micaflow.interface", "coveport.net.address"),
+    "batches": ("micaflow.wire",),
+    "scenarios": ("coveport.lab.scenario", "coveport.lab.tables"),
+    "outcomes": ("coveport.lab.outcome",),
+    "requests-h11": (*HTTP, "h11"),
+    "responses-h11": (*HTTP, "h11"),
+}
+"""The modules under test by target: their coverage guides, and a corpus is minimised by it."""
