--- a/tests/test_decide_health.py
+++ b/tests/test_decide_health.py
@@ -147,6 +147,12 @@
 @pytest.mark.parametrize("seed", range(6))
 def test_all_hosts_out_are_distrusted_but_only_where_none_is_due(seed: int) -> None:
     driver = quiet(2, 2, seed)
+    known(driver, Outcome.FULL, 100, 101, 102, 103)
+    held = driver.request()
+    known(driver, Outcome.CONNECT_FAILED, 100, 101, 102, 103)
+    driver.now += 110.0  # longer than they are full
+    driver.feed(api.TimerFired(0))
+    driver.reply(driver.of(held)[0])  # what was held is given a chance too
     known(driver, Outcome.CONNECT_FAILED, 100, 101, 102, 103)
     due = 100 + seed % 3
     driver.balancer.hosts[due].trial_at = driver.now
--- a/tests/test_decide_life.py
+++ b/tests/test_decide_life.py
@@ -10,6 +10,7 @@
 from helpers import KEYED, SAFE, UNSAFE, Driver, Sent, hosts, settings
 
 from micaflow import interface as api
+from micaflow.held import Held
 from micaflow.interface import Effect, Group, Outcome
 
 AIM, TICK = SAFE.aim_ms, 5.0
@@ -133,6 +134,47 @@
     assert not driver.of(here.id)[1:] and driver.of(other)[0].host == 101
 
 
+def test_a_copy_keeps_to_its_part_only_while_any_are_held() -> None:
+    driver = Driver(site(SAFE, peers=4, second_copies=False), hosts(10, 0))
+    driver.warm(50.0)
+    for answers in range(1, 9):
+        driver.warm(300.0, 1, apart=AIM)
+        assert driver.balancer.lately == pytest.approx(300 - 250 * 0.9 ** answers, rel=0.02)
+    driver.warm(300.0, 100, apart=AIM)
+    out = [go(driver) for _ in range(10)]  # one at each host, as a second one would wait there too long
+    held = [driver.request() for _ in range(2)]
+    for sent in out[:4]:
+        driver.end(sent, 300.0)
+        assert not driver.of(held[1]), "four at each of ten hosts, six tenths of that, by four copies: six"
+    driver.end(out[4], 300.0)
+    assert len(driver.of(held[1])) == 1 and not driver.of(held[0])
+
+
+def test_a_class_that_may_wait_finds_the_room_that_is_none_for_others() -> None:
+    classes = [dataclasses.replace(SAFE, aim_ms=aim) for aim in (2000, 400)]
+    driver = Driver(site(*classes, peers=1, second_copies=False), LONE)
+    driver.warm(200.0, 3, apart=2 * AIM)
+    driver.warm(300.0, apart=2 * AIM)
+    out = [go(driver), go(driver)]
+    third = driver.request()
+    assert not driver.of(third)
+    driver.end(out[0], 300.0)
+    assert driver.of(third)
+
+
+def test_what_is_due_by_now_is_no_longer_to_come() -> None:
+    driver = Driver(site(SAFE), ())
+    near, far = (driver.balancer.open[driver.request()] for _ in range(2))
+    held = Held[Any](1)
+    near.cross_at, near.hold_until, far.cross_at, far.hold_until = 20.0, 30.0, 10.0, 40.0
+    held.add(near, 10.0)
+    held.add(far, 10.0)
+    assert (near.far, far.far) == (False, True)
+    assert [held.next_at(now) for now in (10, 20, 30)] == [20, 30, 40]
+    held.remove(far)
+    assert held.next_at(30) == math.inf and list(held) == [near]
+
+
 def test_a_held_request_goes_when_its_host_is_free_again_though_nothing_else_happens() -> None:
     driver = Driver(site(SAFE, second_copies=False), LONE)
     driver.warm(50.0)
@@ -167,6 +209,10 @@
         assert driver.timers == [(100_090.0, 0)]
         driver.feed(api.TimerFired(0))
     assert (one in driver.answers) is answered
+    if answered:
+        later = driver.request(0, 300.0)
+        driver.advance(400)
+        assert later in driver.answers, "the next one has its timer"
 
 
 @pytest.mark.parametrize(("silent", "far"), [(False, False), (True, True)])
@@ -230,8 +276,9 @@
     ({"group": Group.ZONE}, 102, 0.0, True), ({"group": Group.CELL}, 102, 0.0, False),
     ({"group": Group.CELL}, 101, 0.0, True),
     # Two ticks are kept back: what is sent within the window must come within it.
-    ({"group": Group.ALL}, 101, 1989.0, True), ({"group": Group.ALL}, 101, 1991.0, False),
-    ({"effect": Effect.SAFE}, 103, 2500.0, True), ({"effect": Effect.UNSAFE}, 101, 0.0, False)])
+    ({"group": Group.ALL}, 101, 1989.0, True), ({"group": Group.ALL}, 101, 1990.0, False),
+    ({"effect": Effect.SAFE}, 103, 2999.0, True), ({"effect": Effect.SAFE}, 103, 3000.0, False),
+    ({"effect": Effect.UNSAFE}, 101, 0.0, False)])
 def test_where_and_until_when_a_request_may_run_again(cls: dict[str, Any], host: int, after: float,
                                                       again: bool) -> None:
     driver = Driver(site(dataclasses.replace(KEYED, late_share=0.2, **cls)), hosts(3, 2))
@@ -243,6 +290,16 @@
     assert driver.balancer._legal(request, driver.balancer.hosts[host]) is again
 
 
+def test_each_earlier_attempt_must_still_be_known_where_a_request_runs_again() -> None:
+    driver = Driver(site(dataclasses.replace(KEYED, window_ms=300), second_copies=False), hosts(3, 0))
+    one = go(driver)
+    driver.advance(200)
+    driver.reply(one, Outcome.RESET)
+    driver.advance(100)
+    driver.reply(driver.of(one.id)[1], Outcome.RESET)
+    assert len(driver.of(one.id)) == 2
+
+
 def test_extra_attempts_are_a_tenth_of_the_requests_while_nothing_is_held() -> None:
     driver = Driver(site(SAFE, peers=1, second_copies=False, max_attempts=2), hosts(3, 0))
     for _ in range(300):
@@ -498,15 +555,19 @@
 
 @pytest.mark.parametrize(("trouble", "most"), [
     ("none", 2), ("closed", 0),  # a zone that is full is not looked through
-    ("busy", 106)])  # a few draws, then the level once
+    ("busy", 106),  # a few draws, then the level once
+    ("held", 0)])  # while all are full no sort of what is held is looked for
 def test_a_look_for_a_host_is_short(trouble: str, most: int, monkeypatch: pytest.MonkeyPatch) -> None:
-    driver = Driver(site(SAFE, second_copies=False), hosts(100, 0))
+    driver = Driver(site(SAFE, KEYED, UNSAFE, second_copies=False), hosts(100, 0))
     driver.warm(50.0)
     if trouble == "closed":
         driver.balancer.zones[0].limit = 1e-6
-    if trouble == "busy":
+    if trouble in ("busy", "held"):
         for host in range(100, 200):
-            driver.feed(api.ProbeResult(host, Outcome.FULL, 1.0))
+            tell(driver, Outcome.FULL, host)
+    if trouble == "held":
+        for cls in (0, 1, 2):
+            driver.request(cls)
     looked, usable = 0, driver.balancer._usable
 
     def counted(*arguments: Any) -> bool:
@@ -515,5 +576,7 @@
         return usable(*arguments)
 
     monkeypatch.setattr(driver.balancer, "_usable", counted)
+    if trouble == "held":
+        driver.feed(api.TimerFired(0))
     driver.request()
     assert looked <= most
