--- a/coveport/cli/lab.py
+++ b/coveport/cli/lab.py
@@ -65,7 +65,7 @@
     if str(path) == "-":
         click.echo(data.rstrip())
         return
-    from coveport.lab.sweep import write_whole
+    from coveport.lab.lanes import write_whole
 
     write_whole(path, data.rstrip() + b"\n")
 
@@ -114,15 +114,14 @@
 
 @lab.command("run", epilog=RUN_EPILOG)
 @click.argument("day")
-@click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True,
-              help="All chance comes of it.")
+@click.option("--seed", type=click.IntRange(min=0), help="All chance comes of it; by default the file's.")
 @GROUND
 @click.option("--json", "json_", type=OUT_FILE, metavar="OUT", help="Write the outcome there (-: print it).")
 @click.option("--report", type=OUT_FILE, metavar="OUT.html", help="Write a report with plots there.")
 @click.option("--set", "sets", multiple=True, metavar="KEY=VALUE", help="Change a figure of the day's file.")
 @click.option("--variant", default="", metavar="NAME", help="Which variant of the sidecar.")
 @click.option("--logs", type=OUT_FOLDER, metavar="DIR", help="Keep what each sidecar printed there.")
-def run(day: str, seed: int, ground: str, json_: Path | None, report: Path | None, sets: Sequence[str],
+def run(day: str, seed: int | None, ground: str, json_: Path | None, report: Path | None, sets: Sequence[str],
         variant: str, logs: Path | None) -> int:
     """Play DAY once, judge it, and print what came of it.
 
@@ -138,6 +137,7 @@
 
         path = find(day)
         scenario = load(path, sets)
+        seed = scenario.seed if seed is None else seed
         _make_room(json_, report)
         if logs is not None:
             logs.mkdir(parents=True, exist_ok=True)
--- a/coveport/lab/scenario.py
+++ b/coveport/lab/scenario.py
@@ -363,6 +363,7 @@
 
     title: Title
     about: str = ""
+    seed: Annotated[int, Bounds(0, 2**53)] = 1  # played where none is asked for
     length_s: Annotated[float, Bounds(0, 86_400, above=True)] = 20.0
     settle_s: From0 = 1.0  # of the start that does not count
     tail_s: Annotated[float, Bounds(0, 3600)] = 8.0  # how long after the last arrival it runs on at most
--- a/coveport/lab/sweep.py
+++ b/coveport/lab/sweep.py
@@ -14,27 +14,21 @@
 import io
 import itertools
 import math
-import multiprocessing
-import os
 import platform
 import re
-import signal
-import threading
 from collections.abc import Callable, Iterable, Iterator, Sequence
-from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
-from concurrent.futures.process import BrokenProcessPool
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 from msgspec import Struct, field
 
 import coveport
 import micaflow
+from coveport.lab.lanes import Lane, Worker, each, said, write_whole
 
 FORMAT = 1
-UNWIND_S = 5.0  # how long a worker that is told to stop may take before it is killed
 
 
 class SweepError(Exception):
@@ -298,19 +292,6 @@
 # Files.
 
 
-def write_whole(path: Path, data: bytes) -> None:
-    """Write a file so that it is there whole or as it was (aside, renamed); OSError where it can't be."""
-    aside = path.with_name(f".{path.name}.{os.getpid()}.part")
-    try:
-        with aside.open("wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(aside, path)
-    finally:
-        aside.unlink(missing_ok=True)
-
-
 def _open(out: Path, manifest: Manifest) -> None:
     """Make the folder, or see that it holds this sweep; SweepError where it holds anything else."""
     path = out / "manifest.json"
@@ -340,68 +321,7 @@
         return None
 
 
-# Workers.
-
-
-class Lane(Protocol):
-    """Where one job at a time is played."""
-
-    def submit(self, fn: Callable[..., Any], /, *args: Any, **kwargs: Any) -> Future[Any]:
-        """Begin."""
-
-    def stop(self) -> None:
-        """Give up what is played, and end."""
-
-
-def _unwind(*_: object) -> None:
-    raise SystemExit(128 + signal.SIGTERM)
-
-
-def _begin() -> None:
-    """Start a worker: SIGINT is its parent's matter, SIGTERM unwinds the day, and it ends with its parent."""
-    # A handler, not SIG_IGN: what a day starts by exec would inherit that, and so it gets the default.
-    signal.signal(signal.SIGINT, lambda *_: None)
-    signal.signal(signal.SIGTERM, _unwind)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGINT})
-    parent = multiprocessing.parent_process()
-
-    def watch() -> None:
-        # Guards against a parent that was killed: a worker would wait for its next job for ever.
-        if parent is not None:
-            parent.join()
-            os._exit(1)
-
-    threading.Thread(target=watch, daemon=True).start()
-
-
-class Worker(ProcessPoolExecutor):
-    """A lane with one process of its own: who breaks it is known, and nobody else is hit."""
-
-    def __init__(self) -> None:
-        super().__init__(1, mp_context=multiprocessing.get_context("spawn"), initializer=_begin)
-        self._last: Future[Any] | None = None
-        self._number = self.submit(os.getpid)
-
-    def submit(self, fn: Callable[..., Any], /, *args: Any, **kwargs: Any) -> Future[Any]:
-        """As any executor; the first call starts the process."""
-        # Guards against a Ctrl-C that meets the process before `_begin`, and makes it print a traceback.
-        before = signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGINT})
-        try:
-            self._last = super().submit(fn, *args, **kwargs)
-            return self._last
-        finally:
-            signal.pthread_sigmask(signal.SIG_SETMASK, before)
-
-    def stop(self) -> None:
-        """End at once where it rests; else SIGTERM, and SIGKILL where that does not help."""
-        # Guards against a process that has died already: there is no number, or nobody of that number.
-        with contextlib.suppress(BrokenProcessPool, ProcessLookupError):
-            for how in (signal.SIGTERM, signal.SIGKILL):
-                if self._last is not None and not self._last.done():
-                    os.kill(self._number.result(), how)
-                    wait([self._last], UNWIND_S)
-        # Once, and to its end: an executor that winds up while the interpreter exits prints a traceback.
-        self.shutdown(wait=True, cancel_futures=True)
+# Playing.
 
 
 def play_day(job: Job) -> bytes:
@@ -431,56 +351,25 @@
         if judged is not None and not judged.late:
             done[name] = judged
     swept = Swept([], resumed=len(done))
-    waiting = iter([job for job in every if job.cell.file not in done])
+    waiting = [job for job in every if job.cell.file not in done]
     count = len(done)
-    playing: dict[Future[bytes], tuple[Job, Lane]] = {}
-    lanes: list[Lane] = []
-    idle: list[Lane] = []
-
-    def fill() -> None:
-        while len(playing) < jobs:
-            job = next(waiting, None)
-            if job is None:
-                return
-            if not idle:
-                idle.append(lane())
-                lanes.append(idle[-1])
-            here = idle.pop()
-            playing[here.submit(play, job)] = job, here
-
-    try:
-        fill()
-        while playing:
-            for future in wait(playing, return_when=FIRST_COMPLETED).done:
-                job, here = playing.pop(future)
-                count += 1
-                judged, problem = None, ""
+    with contextlib.closing(each(waiting, play, jobs, lane)) as played:
+        for job, data, problem in played:
+            count += 1
+            judged = None
+            if data is not None:
                 try:
-                    data = future.result()
                     judged = msgspec.json.decode(data, type=Judged)
-                except BrokenProcessPool:
-                    problem = "the worker that played it died"
-                    lanes.remove(here)
-                    here.stop()
-                except Exception as raised:
-                    problem = " ".join(f"{type(raised).__name__}: {raised}".split())
-                    idle.append(here)
-                else:
-                    idle.append(here)
-                    write_whole(paths[job.cell.file], msgspec.json.encode(
-                        Kept(job.cell, digest, msgspec.Raw(data))))
-                    done[job.cell.file] = judged
-                if problem:
-                    swept.problems.append((job.cell, problem))
-                if told is not None:
-                    told(Told(count, len(every), job.cell, judged, problem))
-            fill()
-    finally:
-        stopping = [threading.Thread(target=one.stop) for one in lanes]
-        for one in stopping:
-            one.start()
-        for one in stopping:
-            one.join()
+                except msgspec.MsgspecError as raised:
+                    problem = said(raised)
+            if judged is not None and data is not None:
+                write_whole(paths[job.cell.file], msgspec.json.encode(
+                    Kept(job.cell, digest, msgspec.Raw(data))))
+                done[job.cell.file] = judged
+            else:
+                swept.problems.append((job.cell, problem))
+            if told is not None:
+                told(Told(count, len(every), job.cell, judged, problem))
     swept.lines = table((job.cell, done.get(job.cell.file)) for job in every)
     write_whole(out / "table.json", msgspec.json.format(msgspec.json.encode(swept.lines), indent=2))
     write_whole(out / "table.csv", table_csv(swept.lines).encode())
--- a/tests/outcomes.py
+++ b/tests/outcomes.py
@@ -46,10 +46,14 @@
     pass
 
 
-def load(path: Path, sets: list[str]) -> list[str]:
+class Read(list[str]):
+    seed = 1
+
+
+def load(path: Path, sets: list[str]) -> Read:
     if "wrong=1" in sets or not path.exists():
         raise ScenarioError("wrong: no such key")
-    return list(sets)
+    return Read(sets)
 
 
 def stand_in(made: dict[str, Any], played: dict[str, Any]) -> None:
