--- /dev/null
+++ b/benchmarks/search.py
@@ -0,0 +1,54 @@
+"""How many schedules it takes a search to see each sidecar that is broken on purpose, from the calm day.
+
+    python -m benchmarks.search [--most 200] [--seed 1] [VARIANT ...]
+
+For each variant schedules are played one by one until one shows the rule that it breaks. Nothing tells the
+search which variant it plays, and the settings that help a variant to show are not laid over the day.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+
+from coveport.lab.broken import VARIANTS
+from coveport.lab.catalog import find
+from coveport.lab.scenario import load
+from coveport.lab.search.finds import RULE
+from coveport.lab.search.hunt import look
+from coveport.lab.search.schedules import draw_schedule
+
+MOST = 200
+
+
+def runs_until(variant: str, seed: int, most: int = MOST) -> int | None:
+    """The number of schedules it took from `seed`, counted from 1; None where `most` were not enough."""
+    base, rule = load(find("calm")), VARIANTS[variant].rule
+    for run in range(most):
+        schedule = draw_schedule(base, seed, run)
+        found, _ = look(schedule, schedule.seed, variant)
+        if any(one.kind == RULE and one.signature.startswith(f"rule {rule}:") for one in found):
+            return run + 1
+    return None
+
+
+def main() -> int:
+    """Print a line for each variant; 1 where one was not found."""
+    call = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    call.add_argument("variants", nargs="*", metavar="VARIANT")
+    call.add_argument("--most", type=int, default=MOST)
+    call.add_argument("--seed", type=int, default=1)
+    told = call.parse_args()
+    missed = 0
+    for name in told.variants or [one.name for one in VARIANTS.values() if one.rule]:
+        began = time.perf_counter()
+        runs = runs_until(name, told.seed, told.most)
+        missed += runs is None
+        print(f"{name:18} {VARIANTS[name].rule:12} {runs or f'not in {told.most}':>12} "
+              f"{time.perf_counter() - began:7.1f} s", flush=True)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/coveport/cli/lab.py
+++ b/coveport/cli/lab.py
@@ -35,7 +35,7 @@
 
 
 @contextlib.contextmanager
-def _one_line(ground: str = "virtual", variants: Sequence[str] = ()) -> Iterator[None]:
+def one_line(ground: str = "virtual", variants: Sequence[str] = ()) -> Iterator[None]:
     """Turns what the lab says of a file or a call into the end of the verb."""
     from coveport.lab.scenario import ScenarioError
 
@@ -80,7 +80,7 @@
 @lab.command("list")
 def list_() -> int:
     """Show the days that come with the lab, a line each."""
-    with _one_line():
+    with one_line():
         from coveport.lab import catalog
 
         names = catalog.names()
@@ -128,7 +128,7 @@
     Exit code 0 where rules and expectations hold, 1 where not, 2 where the file or the call can't be used,
     3 where the machine ran late and the run is void.
     """
-    with _one_line(ground, [variant]):
+    with one_line(ground, [variant]):
         from coveport.lab.catalog import find
         from coveport.lab.outcome import encode
         from coveport.lab.report import summary_text, write
@@ -189,7 +189,7 @@
     2 where the file or the call can't be used, 3 where days were void.
     """
     several = list(dict.fromkeys(variants.split(",")))
-    with _one_line(ground, several):
+    with one_line(ground, several):
         from coveport.lab import sweep as sweeping
         from coveport.lab.catalog import find
 
--- a/coveport/cli/root.py
+++ b/coveport/cli/root.py
@@ -15,6 +15,7 @@
 from coveport.cli.check import check
 from coveport.cli.lab import lab
 from coveport.cli.run import run
+from coveport.cli.search import search, shrink
 
 
 def version() -> str:
@@ -73,6 +74,7 @@
   coveport lab run try --report try.html      play one and look at it
   coveport lab sweep try --seeds 1-20 --grid load.level=0.3,0.5 --out out/levels
   coveport lab compare out/before out/after   is the difference beyond chance?
+  coveport lab search calm --runs 500 --out out/calm   what breaks that nobody drew?
 
 \b
 Exit codes:
@@ -98,6 +100,8 @@
     """
 
 
+lab.add_command(search)
+lab.add_command(shrink)
 root.add_command(run)
 root.add_command(check)
 root.add_command(lab)
--- a/coveport/lab/scenario.py
+++ b/coveport/lab/scenario.py
@@ -423,6 +423,13 @@
     return tables.value
 
 
+def nonsense(day: Scenario) -> str:
+    """What makes no sense first in a scenario that no file was read for; empty where all does."""
+    said: list[str] = []
+    _check_day(day, lambda place, text, *needs: said.append(f"{'.'.join(map(str, place))}: {text}"))
+    return said[0] if said else ""
+
+
 def portions(shares: Sequence[float], total: int) -> list[int]:
     """Split `total` by shares (their sum above 0): whole parts first, the rest to the largest remainders."""
     exact = [share * total / sum(shares) for share in shares]
