--- a/coveport/lab/search/shrink.py
+++ b/coveport/lab/search/shrink.py
@@ -257,10 +257,10 @@
             yield replace(fault, **{one.name: one.default})
         if isinstance(value, float) and not isinstance(value, bool) and value:
             times = one.name.endswith("_s")
-            for less in ((1.0, round(max(value, 2) / 2, 1), float(math.floor(value)), round(value, 1)) if times
+            for less in ((1.0, round(max(value, 2) / 2, 1), math.floor(value), round(value, 1)) if times
                          else (_rounder(value),)):
                 if less != value and less:
-                    yield replace(fault, **{one.name: less})
+                    yield replace(fault, **{one.name: float(less)})
 
 
 def _rounder(value: float) -> float:
