--- a/coveport/cli/root.py
+++ b/coveport/cli/root.py
@@ -13,6 +13,7 @@
 
 from coveport.cli import errors
 from coveport.cli.check import check
+from coveport.cli.check_model import check_model
 from coveport.cli.lab import lab
 from coveport.cli.run import run
 from coveport.cli.search import search, shrink
@@ -105,3 +106,4 @@
 root.add_command(run)
 root.add_command(check)
 root.add_command(lab)
+lab.add_command(check_model)
