--- a/coveport/lab/virtual/wires.py
+++ b/coveport/lab/virtual/wires.py
@@ -324,7 +324,7 @@
         self.set_protocol(protocol)
         protocol.connection_made(self)
         if self._inbox and not self._closing:
-            # As with asyncio, which reads after it has called what waits: what was accepted next is up by then.
+            # As with asyncio, which reads once what waits was called: who was accepted next is up by then.
             self._net.process.call_soon(self._net.process.call_soon, self._read)
 
     def _push(self) -> None:
--- a/tests/simulated.py
+++ b/tests/simulated.py
@@ -40,6 +40,15 @@
 BELOW = 6  # descriptors that a process has open before any connection: standard ones, poll, its own signals
 HELD_MOST = 64 * 1024  # what a client takes in before its test reads it
 STOPPED_S = 1.0
+HANGS_S = 20.0  # real seconds: any wait here is over in a fraction of one
+
+
+class HungError(KeyboardInterrupt):
+    """The program goes round in circles; as an interrupt, since loops take all else for their own matter."""
+
+
+def _hung(*_: object) -> None:
+    raise HungError
 
 
 class Ground:
@@ -51,13 +60,20 @@
         self._place = self._network.place(HOST, CLIENT)
         self.lab = Process.start(self.time, "lab")
         self.net = self.net_of(self.lab)
+        signal.signal(signal.SIGALRM, _hung)
 
     def net_of(self, process: Process, descriptors: int = 1 << 30) -> wires.VirtualNet:
         return wires.VirtualNet(process, self._network, self._place, descriptors)
 
     def until(self, condition: Callable[[], object], seconds: float) -> bool:
         """Let time pass until it holds; False where that takes longer."""
-        return self.time.run(self.time.now + seconds, lambda: bool(condition()))
+        signal.setitimer(signal.ITIMER_REAL, HANGS_S)
+        try:
+            return self.time.run(self.time.now + seconds, lambda: bool(condition()))
+        except HungError:
+            raise AssertionError("it goes round in circles") from None
+        finally:
+            signal.setitimer(signal.ITIMER_REAL, 0)
 
     def run(self, coro: Coroutine[Any, Any, T], seconds: float, process: Process | None = None) -> T:
         """Run a coroutine to its end; TimeoutError where that takes longer."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -100,12 +100,12 @@
         assert [one.ask("POST /redeem")[0] for _ in range(3)] == [200] * 3
         assert node.connections == 1
         node.open[0].shutdown(socket.SHUT_WR)
-        wait_for(lambda: node.ended == 1)
+        wait_for(lambda: node.ended == 1, 1)
         assert one.ask("POST /redeem")[0] == 200
         node.open[1].sendall(b"HTTP/1.1 200 OK\r\n")  # stray bytes
-        wait_for(lambda: node.ended == 2)
+        wait_for(lambda: node.ended == 2, 1)
         assert one.ask("POST /redeem")[0] == 200 and node.connections == 3
-        wait_for(lambda: node.ended == 3)  # idle: closed by us, well before the 5 s of the settings
+        wait_for(lambda: node.ended == 3, 4.5)  # idle: closed by us, well before the 5 s of the settings
 
 
 def test_a_good_answer_survives_what_does_not_belong_to_it(tmp_path: Path) -> None:
@@ -119,7 +119,7 @@
             before = node.ended
             assert one.ask("POST /redeem", b"-a", X_Request_Id="7")[::2] == (200, b"served 7-a")
             if extra:
-                wait_for(lambda: node.ended > before)  # noqa: B023
+                wait_for(lambda: node.ended > before, 1)  # noqa: B023
 
 
 def test_a_new_destination_at_an_old_address_gets_a_connection_of_its_own(tmp_path: Path) -> None:
@@ -128,7 +128,7 @@
         assert [one.ask("POST /redeem")[0] for _ in range(2)] == [200] * 2 and node.connections == 1
         del one.discovery.hosts["s-0"]
         one.discovery.put("s-1", node.address)
-        wait_for(lambda: node.ended == 1)  # the idle one goes with the destination it was opened for
+        wait_for(lambda: node.ended == 1, 1)  # the idle one goes with the destination it was opened for
         assert one.ask("POST /redeem")[0] == 200 and node.connections == 2
 
 
@@ -138,7 +138,7 @@
         start = now()
         status, _, _ = one.ask("POST /redeem", X_Deadline="400m")
         assert status == 500 and 0.3 < now() - start < 5
-        wait_for(lambda: node.ended == 1)
+        wait_for(lambda: node.ended == 1, 1)
         assert one.figures()["outcome_timeout"] == 1
 
 
@@ -149,7 +149,7 @@
         conn.sendall(request("POST /redeem", X_Deadline="5000m"))
         wait_for(lambda: len(node.seen) == 1)
         reset(conn)
-        wait_for(lambda: node.ended == 1)
+        wait_for(lambda: node.ended == 1, 1)
         figures = one.figures()
         assert (figures["owed"], figures["outcome_cancelled"]) == (0, 1)
 
@@ -195,6 +195,7 @@
             one.discovery.put("s-9", "127.0.0.1:1")
             calls = len(one.discovery.server.seen)
             wait_for(lambda: len(one.discovery.server.seen) > calls + 1)  # noqa: B023
+            assert "after" not in one.discovery.server.seen[-1].target  # the whole list is asked for
             assert one.ask("GET /balance")[0] == 200
         one.discovery.answer = None
         del one.discovery.hosts["s-9"]
@@ -262,6 +263,19 @@
         assert (figures["answers_served"], figures["owed"], figures["phase"]) == (2, 0, "stopped")
 
 
+def test_connections_that_wait_to_be_accepted_are_served_at_the_planned_end(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, node.address) as one:
+        one.process.send_signal(signal.SIGTERM)
+        sleep(0.3)
+        with one.stopped():  # until no new ones would be taken
+            late = [one.connect() for _ in range(30)]
+            for conn in late:
+                conn.sendall(request("GET /balance", X_Deadline="4000m"))
+        assert [receive(conn)[0] for conn in late] == [200] * 30
+        assert one.process.wait(5) == 0
+
+
 def test_operations_sent_ahead_are_answered_at_the_planned_end(tmp_path: Path) -> None:
     async def slow(seen: Seen) -> bytes:
         await asyncio.sleep(0.5)
