--- a/coveport/http1/codec.py
+++ b/coveport/http1/codec.py
@@ -15,6 +15,10 @@
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _TARGET = re.compile(rb"[\x21-\x7e]+")
 _VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
+_CHUNK = re.compile(  # RFC 9112, 7.1.1; white space at the end is sent by some, and harmless
+    rb"([0-9A-Fa-f]{1,8})(?:[ \t]*;[ \t]*%(token)s(?:[ \t]*=[ \t]*(?:%(token)s|%(quoted)s))?)*[ \t]*"
+    % {b"token": _TOKEN.pattern,
+       b"quoted": rb'"(?:[\t\x20\x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t\x20-\x7e\x80-\xff])*"'})
 _REASONS = {
     100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
     408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 417: "Expectation Failed",
@@ -74,6 +78,8 @@
     _message: Message | None = None  # its head is read, its body is not
     _left: int | None = 0  # bytes of body, None: until the connection ends
     _chunks: bytearray | None = None  # the body so far, where it comes in chunks
+    _empty: int = 0  # lines in front of the next message
+    _wrong: tuple[int, str] | None = None  # what came, as errors have it; nothing is read behind that
 
     def feed(self, data: bytes | memoryview) -> None:
         """Take in what has come."""
@@ -85,9 +91,18 @@
         return bool(self.held) or self._message is not None
 
     def next(self) -> Message | None:
-        """The next whole message, or None until more has come; BadMessageError ends the connection."""
-        message = self._message or self._read_head()
-        body = self._read_body() if message is not None else None
+        """The next whole message, or None until more has come; BadMessageError ends the connection.
+
+        After an error it raises the same at every call: where the next message would begin is not known.
+        """
+        if self._wrong is not None:
+            raise BadMessageError(*self._wrong)
+        try:
+            message = self._message or self._read_head()
+            body = self._read_body() if message is not None else None
+        except BadMessageError as problem:
+            self._wrong = problem.status, str(problem)
+            raise
         self._message = message if body is None else None
         if message is None or body is None:
             return None
@@ -109,29 +124,32 @@
         return body
 
     def _read_head(self) -> Message | None:
-        # Guards against an empty line sent after an earlier body, as the standard asks.
+        # Guards against an empty line sent after an earlier body, as the standard asks (RFC 9112, 2.2), and
+        # against those that never end: who sends nothing else is never at rest.
         while self.held.startswith(b"\r\n"):
             del self.held[:2]
+            self._empty += 1
+            if self._empty > MAX_HEADERS:
+                raise BadMessageError(400, "too many empty lines")
         end = self.held.find(b"\r\n\r\n", 0, MAX_HEAD + 4)
         if end < 0:
-            if len(self.held) >= MAX_HEAD:
+            self._check_opening()
+            if len(self.held) >= MAX_HEAD + 4:
                 raise BadMessageError(431, "head too large")
-            # Guards against noise without an end: what can't become a message is told by its first bytes.
-            if not self.opening.match(bytes(self.held[:OPENING])):
-                raise BadMessageError(400, "malformed start")
             return None
         lines = bytes(self.held[:end]).split(b"\r\n")
-        del self.held[:end + 4]
         if len(lines) > MAX_HEADERS:
+            self._check_opening()
             raise BadMessageError(431, "too many headers")
-        headers: dict[str, list[str]] = {}
-        for line in lines[1:]:
-            name, colon, value = line.partition(b":")
-            value = value.strip(b" \t")
-            if not colon or not _TOKEN.fullmatch(name) or not _VALUE.fullmatch(value):
-                raise BadMessageError(400, "malformed header")
-            headers.setdefault(name.decode("ascii").lower(), []).append(value.decode("latin-1"))
-        return self._start(lines[0], headers)
+        self._empty = 0
+        del self.held[:end + 4]
+        return self._start(lines[0], _read_fields(lines[1:], "header"))
+
+    def _check_opening(self) -> None:
+        # Guards against noise without an end: what can't become a message is told by its first bytes. Where
+        # it is too large as well, it is still noise, however it was cut.
+        if not self.opening.match(bytes(self.held[:OPENING])):
+            raise BadMessageError(400, "malformed start")
 
     def _start(self, line: bytes, headers: dict[str, list[str]]) -> Message:
         raise NotImplementedError
@@ -162,19 +180,24 @@
                 if len(self.held) >= 130:
                     raise BadMessageError(400, "malformed chunk")
                 return False
-            size_text = bytes(self.held[:end]).partition(b";")[0].strip(b" \t")
-            if not re.fullmatch(rb"[0-9A-Fa-f]{1,8}", size_text):
+            match = _CHUNK.fullmatch(bytes(self.held[:end]))
+            if not match:
                 raise BadMessageError(400, "malformed chunk")
-            size = int(size_text, 16)
+            size = int(match[1], 16)
             if len(body) + size > self.most_body:
                 raise BadMessageError(413, "body too large")
             if size == 0:
-                # Trailers are read over: nothing that we use may stand there.
                 stop = self.held.find(b"\r\n\r\n", end, end + MAX_HEAD)
                 if stop < 0:
                     if len(self.held) > end + MAX_HEAD:
                         raise BadMessageError(431, "trailers too large")
                     return False
+                if stop > end:
+                    # Guards against smuggling: what others refuse must not pass, though it is thrown away.
+                    trailers = bytes(self.held[end + 2:stop]).split(b"\r\n")
+                    if len(trailers) > MAX_HEADERS:
+                        raise BadMessageError(431, "too many trailers")
+                    _read_fields(trailers, "trailer")
                 del self.held[:stop + 4]
                 return True
             if len(self.held) < end + 2 + size + 2:
@@ -185,14 +208,31 @@
             del self.held[:end + 4 + size]
 
 
+def _read_fields(lines: list[bytes], what: str) -> dict[str, list[str]]:
+    """The values of header or trailer lines by name."""
+    fields: dict[str, list[str]] = {}
+    for line in lines:
+        name, colon, value = line.partition(b":")
+        value = value.strip(b" \t")
+        if not colon or not _TOKEN.fullmatch(name) or not _VALUE.fullmatch(value):
+            raise BadMessageError(400, f"malformed {what}")
+        fields.setdefault(name.decode("ascii").lower(), []).append(value.decode("latin-1"))
+    return fields
+
+
 def _keeps(version: bytes, headers: dict[str, list[str]]) -> bool:
-    options = {part.strip().lower() for line in headers.get("connection", ()) for part in line.split(",")}
-    return "close" not in options and (version == b"HTTP/1.1" or "keep-alive" in options)
+    # Spaces and tabs alone are white space: decoded, some bytes above 127 would count as such, too.
+    options = {part.strip(" \t").lower()
+               for line in headers.get("connection", ()) for part in line.split(",")}
+    # HTTP/1.0 knows no chunks: what of it says so may be framed otherwise for others (RFC 9112, 6.1).
+    return "close" not in options and (version == b"HTTP/1.1" or (
+        "keep-alive" in options and "transfer-encoding" not in headers))
 
 
 class RequestParser(_Parser):
     """Reads what clients send."""
 
+    _old = False  # whether the message is of HTTP/1.0, whose clients wait for nothing (RFC 9110, 10.1.1)
     opening = re.compile(rb"\r?\Z|[!#$%&'*+\-.^_`|~0-9A-Za-z]+(?:\Z| (?:\Z|[\x21-\x7e]))")
 
     def _start(self, line: bytes, headers: dict[str, list[str]]) -> Request:
@@ -206,8 +246,10 @@
             raise BadMessageError(505, "version not supported")
         if not target.startswith(b"/"):
             raise BadMessageError(400, "target is not a path")
-        if version == b"HTTP/1.1" and len(headers.get("host", ())) != 1:
+        hosts = len(headers.get("host", ()))
+        if hosts > 1 or (not hosts and version == b"HTTP/1.1"):
             raise BadMessageError(400, "one Host header is wanted")
+        self._old = version == b"HTTP/1.0"
         self._frame(headers, 0)
         return Request(headers, _keeps(version, headers), b"", method.decode("ascii"), target.decode("ascii"))
 
@@ -220,7 +262,7 @@
     @property
     def wants_continue(self) -> bool:
         """Whether the client waits for our word before it sends the body."""
-        return (self._message is not None and not self.held and not self._chunks
+        return (self._message is not None and not self.held and not self._chunks and not self._old
                 and [v.lower() for v in self._message.headers.get("expect", ())] == ["100-continue"])
 
 
@@ -234,7 +276,12 @@
         if not match:
             raise BadMessageError(400, "malformed status line")
         version, status = match[1], int(match[2])
-        self._frame(headers, 0 if status < 200 or status in (204, 304) else None)
+        if status < 200 or status in (204, 304):
+            # Guards against what its headers say of a body: it has none (RFC 9112, 6.3), and what follows
+            # would be taken for it.
+            self._chunks, self._left = None, 0
+        else:
+            self._frame(headers, None)
         keeps = _keeps(version, headers) and (self._left is not None or self._chunks is not None)
         return Response(headers, keeps, b"", status)
 
@@ -249,7 +296,8 @@
     def end(self) -> Response | None:
         """The connection has ended: the response that this makes whole, if any."""
         message = self._message
-        if not isinstance(message, Response) or self._left is not None or self._chunks is not None:
+        if (not isinstance(message, Response) or self._left is not None or self._chunks is not None
+                or self._wrong is not None):
             return None
         message.body, self._message = bytes(self.held), None
         self.held.clear()
--- a/tests/test_pool_config.py
+++ b/tests/test_pool_config.py
@@ -15,6 +15,7 @@
 from coveport.net.transport import Factory, Net
 from coveport.telemetry.counters import Counters
 from coveport.telemetry.log import Log
+from micaflow import interface as api
 
 LIST = json.dumps({"seq": 1, "whole": True, "hosts": []}).encode()
 
@@ -73,3 +74,61 @@
     assert len(reader._hosts) == 9 and len(reader._cells) <= 4
     reader.read({"seq": 900, "whole": True, "hosts": [line(299)]})
     assert list(reader._hosts) == ["s-299"] and len(reader._cells) == 1
+
+
+def listed(name: str = "s-1", **changes: object) -> dict[str, object]:
+    return {"host": name, "dial": "127.0.0.1:9", "site": "b", "block": 3, "health": "active"} | changes
+
+
+def told(seq: int, *hosts: dict[str, object], whole: bool = False) -> dict[str, object]:
+    return {"seq": seq, "whole": whole, "hosts": list(hosts)}
+
+
+@pytest.mark.parametrize("changes", [{"share": 10 ** 400}, {"born_ms": 10 ** 400}, {"share": float("inf")},
+                                     {"share": float("nan")}, {"host": "a\nb", "share": -1}])
+def test_figures_too_large_are_garbled_and_said_in_one_line(changes: dict[str, object]) -> None:
+    # Seen in fuzzing: an OverflowError went past all who expect a ValueError.
+    with pytest.raises(ValueError, match="figure") as problem:
+        PoolReader(()).read(told(1, listed() | changes))
+    assert "\n" not in str(problem.value)
+
+
+@pytest.mark.parametrize("last", ["active", "left"])
+def test_of_a_destination_listed_twice_the_last_line_counts(last: str) -> None:
+    reader = PoolReader(("a", "b"))
+    first = reader.read(told(1, listed(), whole=True)).update.entries[0].host
+    other = {"active": "left", "left": "active"}[last]
+    update = reader.read(told(2, listed(health=other), listed(dial="127.0.0.1:10", health=last)))
+    (entry,) = update.update.entries
+    assert (entry.host, entry.state is api.State.GONE) == (first, last == "left")
+    assert update.places == [(first, None if last == "left" else (("127.0.0.1", 10), 0.0))]
+    # Where it is there its number stays: under another one, its drain would not be heard of.
+    again = reader.read(told(3, listed(health="leaving"))).update.entries[0].host
+    assert (again == first) is (last == "active")
+
+
+def test_zones_and_cells_that_nobody_is_in_are_forgotten() -> None:
+    # As above, for destinations that stay and move, and for zones.
+    reader, zones = PoolReader(("a", "b")), set[int]()
+    for number in range(50):
+        moved = listed(site=f"z-{number}", block=f"pod-{number}")
+        entries = reader.read(told(number, moved, listed("s-2"))).update.entries
+        zones.add(entries[0].zone)
+        assert entries[1].zone == 1
+    assert len(zones) == 50 and min(zones) == 2, "none is given twice, nor one that is configured"
+    assert len(reader._zones) <= 2 + 2 and len(reader._cells) <= 2
+    reader.read(told(99, whole=True))
+    assert reader._zones == {"a": 0, "b": 1} and not reader._cells
+
+
+@pytest.mark.parametrize(("scope", "good"), [
+    ("eth0", True), ("eth0.100", True), ("2", True), ("a\r\nX: y", False), ("a..b", False), ("\ud800", False),
+    ("a" * 16, False), ("\x00", False), ("\xe9", False)])
+def test_an_address_has_no_scope_that_no_interface_has(scope: str, good: bool) -> None:
+    # Seen in fuzzing: it went into the Host header as it was, or the dial ended in a UnicodeError.
+    text = f"[fe80::1%{scope}]:9000"
+    if good:
+        assert parse_address(text) == (f"fe80::1%{scope}", 9000)
+    else:
+        with pytest.raises(ValueError, match="scope"):
+            parse_address(text)
