Where a sidecar is short of CPU the limits of a full house hold back less; lost attempts take no room

Change: nothing is walked where nothing is held, slots are counted only at the limit and without lost attempts, CROWD 5 and rounded half up, the part holds from 0.3 of an aim on. Ruled out: deadlines after a stall (turned off: no change).

--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -30,10 +30,11 @@
 CUT = 0.85  # what late answers leave of a zone's limit: gentle, as one late answer may be one heavy request
 FIRST_GUESS = 10  # service times in an aim, until answers tell
 ACCIDENTS = 2  # errors or resets in a row, with no answer between, that put a host out of its level
-CROWD = 4  # requests that all copies together may have at one host: a core far behind turns slower still
+CROWD = 5  # requests that all copies together may have at one host: a core far behind turns slower still
 LEAST_OUT = 1  # of which each copy has at least so many: with two, six copies are three times a crowd
-FULL_OUT = 0.6  # part of a crowd at each host that all copies together have out while anything is held
-LATELY = 0.1  # weight of the newest answer in what says whether hosts are crowded
+FULL_OUT = 0.5  # part of a crowd at each host that all copies together have out while anything is held
+CROWDED = 0.3  # part of an aim: hosts are taken to be crowded while answers took longer, lately
+LATELY = 0.1  # weight of the newest answer in that
 LAST_CALL = 2.0  # service times before its aim at which a held request is given up: sent later, it is late
 SWIFT = 0.15  # part of an aim: as much again may be out at a host that is expected to answer so soon
 PASSED = 2  # answers to later attempts at the same host that show that one got lost there
@@ -72,6 +73,10 @@
         self.heard_at = self.seen_at = self.paused_until = -inf
         self.trial_at = self.down_at = inf  # inf: in its level
 
+    def has_room(self, most: int) -> bool:
+        """Whether it has fewer of ours to answer; what got lost takes no room there."""
+        return sum(flight.passed < PASSED for flight in self.pending.values()) < most
+
 
 class _Zone:
     """How much we may have in flight in one zone: a copy sees too little of a single host to tell a jam."""
@@ -129,7 +134,7 @@
         self.service = self.work = self.aim / FIRST_GUESS  # mean answer time and cost hint, until they tell
         self.lately = 0.0  # mean answer time of the last few
         self.dear = settings.prices.cross_zone * sum(c.worth for c in settings.classes)
-        self.most_out = max(LEAST_OUT, round(CROWD / settings.peers_total))
+        self.most_out = max(LEAST_OUT, int(CROWD / settings.peers_total + 0.5))
         self.ask_at = -inf if settings.must_ask else inf
         self.ask_failures = self.answers = 0
 
@@ -307,11 +312,12 @@
         expected = self._expected(host)
         # Where answers come this fast, what is out is on its way rather than waiting there.
         most = self.most_out * (2 if expected < self.aim * SWIFT else 1)
-        return (len(host.pending) < most and expected <= self._patience(request.cls.aim_ms)
+        room = len(host.pending) < most or host.has_room(most)
+        return (room and expected <= self._patience(request.cls.aim_ms)
                 and self._has_room(host, request, first) and self._legal(request, host))
 
     def _pick(self, request: _Request) -> _Host | None:
-        if self._has_its_part():
+        if self.queue.count and self._has_its_part():
             return None
         home = self.zones.get(self.settings.zone)
         host = self._draw(self.local, request) if home is not None and home.open_to(request) else None
@@ -330,10 +336,10 @@
         # Guards against copies that fill each host as far as they may: what all of them have waiting there
         # makes it slower, and is late. What is lost, or out at hosts that are out, holds up nobody.
         part = max(1.0, FULL_OUT * CROWD * len(self.all) / self.settings.peers_total)
-        if not self.queue or len(self.flights) < part or self.lately < SWIFT * self.aim:
+        if len(self.flights) < part or self.lately < CROWDED * self.aim:
             return False
-        return sum(host.trial_at == inf and self.now - host.pending[key].sent_at < self.aim
-                   for key, host in self.flights.items()) >= part
+        return sum(host.trial_at == inf and not (flight := host.pending[key]).lost
+                   and self.now - flight.sent_at < self.aim for key, host in self.flights.items()) >= part
 
     def _draw(self, level: list[_Host], request: _Request) -> _Host | None:
         """The less busy of two random usable hosts of a level; looks through it only where draws fail."""
@@ -397,7 +403,7 @@
         request.cross_at = self.now + dear * self._patience(cls.aim_ms)
         for zone in self.zones.values():
             zone.ask()
-        self.extra = min(EXTRA_BURST, self.extra + (EXTRA_SHARE if self.queue else CALM_SHARE))
+        self.extra = min(EXTRA_BURST, self.extra + (EXTRA_SHARE if self.queue.count else CALM_SHARE))
         if (self.full or self._sort(request) in self.stuck) and self.soon < request.hold_until:
             self._hold(request)  # its like wait already: to look for each that comes costs too much
         else:
@@ -442,7 +448,7 @@
                     return True
             else:
                 all_out = False
-                if (host.paused_until <= self.now and len(host.pending) < 2 * self.most_out
+                if (host.paused_until <= self.now and host.has_room(2 * self.most_out)
                         and self._expected(host) <= patience):
                     return True
         return all_out  # then they are all given a chance
@@ -453,6 +459,8 @@
 
     def _dispatch(self) -> None:
         self.stuck, self.full = set(), False
+        if not self.queue.count:
+            return
         for request in self.queue.ended(self.soon):
             if request.waiting:  # one that was held twice stands there twice
                 self._place(request)
@@ -465,13 +473,14 @@
                 if request.waiting and not request.attempts:
                     self.stuck.add(sort)
                     break
-        if self.queue and self.look_at == inf:  # else a look is due, and was set with each of them in mind
+        if self.look_at == inf:  # else a look is due, and was set with each of them in mind
             self._look(self.queue.next_at(self.soon))
 
     def _send(self, request: _Request, host: _Host) -> None:
         if not self._legal(request, host):
             return
-        self.queue.remove(request)
+        if request.waiting:
+            self.queue.remove(request)
         self.zones[host.zone].flying += 1
         self.flights[request.id, len(request.attempts)] = host
         host.pending[request.id, len(request.attempts)] = _Flight(self.now, len(host.pending) + 1)
@@ -533,7 +542,8 @@
         request = self.open.get(number)
         if request is None:
             return
-        self.queue.remove(request)
+        if request.waiting:
+            self.queue.remove(request)
         request.streaming = stream >= 0
         if not request.streaming:
             del self.open[number]
@@ -545,7 +555,7 @@
         """A second copy, where the class allows one, once the first is later than a host may be."""
         request = self.open.get(number)
         # While others are held there is no room to spare for second copies.
-        if request is None or self.queue or self.extra < 1 or len(request.attempts) != 1:
+        if request is None or self.queue.count or self.extra < 1 or len(request.attempts) != 1:
             return
         host = None if request.cls.effect is Effect.UNSAFE else self._pick(request)
         if host is not None and host is not request.attempts[0].host:
--- a/micaflow/held.py
+++ b/micaflow/held.py
@@ -43,11 +43,12 @@
             (kind, near): deque() for kind in range(kinds) for near in (True, False)}
         self._ends: list[tuple[float, int, W]] = []
         self._crossings: list[tuple[float, int, W]] = []
-        self._count = self._entries = 0
+        self.count = 0  # how many are held
+        self._entries = 0
 
     def __len__(self) -> int:
         """How many are held."""
-        return self._count
+        return self.count
 
     def __iter__(self) -> Iterator[W]:
         """All that are held, by kind, and of each the newest first."""
@@ -57,7 +58,7 @@
     def add(self, one: W, now: float) -> None:
         """Hold it, in front of its like."""
         one.waiting, one.far = True, one.cross_at <= now
-        self._count += 1
+        self.count += 1
         self._entries += 1  # tells entries of one moment apart
         self._lines[one.kind, not one.far].appendleft(one)
         heappush(self._ends, (one.hold_until, self._entries, one))
@@ -68,7 +69,7 @@
         """Hold it no more; its places are cleared when they are next come by."""
         if one.waiting:
             one.waiting = False
-            self._count -= 1
+            self.count -= 1
 
     def ended(self, now: float) -> list[W]:
         """Those whose time is over by now; they stay held until they are removed."""
