--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -33,8 +33,8 @@
 
 @pytest.mark.parametrize(("took", "most"), [(400.0, 7), (60.0, 10)])
 def test_a_copy_keeps_to_its_part_while_answers_take_long_and_some_are_held(took: float, most: int) -> None:
-    # Four copies, ten hosts: half of a crowd of five at each is six for each copy. What finds nothing held may
-    # go (the first that is held came on top); where answers are swift the hosts alone say when they are full.
+    # Four copies, ten hosts: half of a crowd of five at each is six for each copy. What finds nothing held
+    # may go (the first that is held came on top); where answers are swift only hosts say when they are full.
     driver = crowded(FAST, took=took)
     for _ in range(30):
         driver.request(deadline=1e9)
--- a/tests/test_decide_life.py
+++ b/tests/test_decide_life.py
@@ -145,7 +145,7 @@
     held = [driver.request() for _ in range(2)]
     for sent in out[:3]:
         driver.end(sent, 400.0)
-        assert not driver.of(held[1]), "five at each of ten hosts, half of that, by four copies: six and a bit"
+        assert not driver.of(held[1]), "five at each of ten hosts, half of that, by four copies: over six"
     driver.end(out[3], 400.0)
     assert len(driver.of(held[1])) == 1 and not driver.of(held[0])
 
