A request that is held again stands in one place, under its own number

Cause, found by the model checker ('held twice: 1, and should be 0' after a FULL): a request held again had an old place in its line that counted as one, so it was looked at twice. Change: places carry the number under which they were taken.

--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -107,7 +107,8 @@
         self.luck = chance.random()  # where less than one may be in flight, its chance to be that one
         self.chill = chance.random()  # which cold hosts it may go to
         self.attempts: list[_Attempt] = []
-        self.streaming = self.waiting = self.far = False
+        self.streaming = self.waiting = False
+        self.held_as = self.stands_as = 0
 
 
 class Balancer:
@@ -462,8 +463,7 @@
         if not self.queue.count:
             return
         for request in self.queue.ended(self.soon):
-            if request.waiting:  # one that was held twice stands there twice
-                self._place(request)
+            self._place(request)
         for sort, line in self.queue.lines(self.soon, self._order()):
             for request in line:
                 self.full = self.full or not self._any_room()
--- a/micaflow/held.py
+++ b/micaflow/held.py
@@ -25,7 +25,8 @@
     hold_until: float  # then it is answered
     cross_at: float  # from then on it may go anywhere
     waiting: bool  # it is held
-    far: bool  # it may go anywhere
+    held_as: int  # the number under which it is held: a place with another one is an old one
+    stands_as: int  # the same for its place in a line
 
 
 Sort = tuple[int, bool]
@@ -39,7 +40,7 @@
 
     def __init__(self, kinds: int) -> None:
         """Begin with none, of so many kinds."""
-        self._lines: dict[Sort, deque[W]] = {
+        self._lines: dict[Sort, deque[tuple[int, W]]] = {
             (kind, near): deque() for kind in range(kinds) for near in (True, False)}
         self._ends: list[tuple[float, int, W]] = []
         self._crossings: list[tuple[float, int, W]] = []
@@ -52,18 +53,24 @@
 
     def __iter__(self) -> Iterator[W]:
         """All that are held, by kind, and of each the newest first."""
-        for (_, near), line in self._lines.items():
-            yield from (one for one in line if one.waiting and one.far is not near)
+        for line in self._lines.values():
+            yield from (one for number, one in line if one.waiting and one.stands_as == number)
 
     def add(self, one: W, now: float) -> None:
         """Hold it, in front of its like."""
-        one.waiting, one.far = True, one.cross_at <= now
         self.count += 1
-        self._entries += 1  # tells entries of one moment apart
-        self._lines[one.kind, not one.far].appendleft(one)
+        self._entries += 1
+        one.waiting, one.held_as = True, self._entries
         heappush(self._ends, (one.hold_until, self._entries, one))
-        if not one.far:
-            heappush(self._crossings, (one.cross_at, self._entries, one))
+        near = one.cross_at > now
+        self._stand(one, near)
+        if near:
+            heappush(self._crossings, (one.cross_at, one.held_as, one))
+
+    def _stand(self, one: W, near: bool) -> None:
+        self._entries += 1
+        one.stands_as = self._entries
+        self._lines[one.kind, near].appendleft((self._entries, one))
 
     def remove(self, one: W) -> None:
         """Hold it no more; its places are cleared when they are next come by."""
@@ -75,8 +82,8 @@
         """Those whose time is over by now; they stay held until they are removed."""
         found, ends = list[W](), self._ends
         while ends and ends[0][0] <= now:
-            one = heappop(ends)[2]
-            if one.waiting:
+            _, number, one = heappop(ends)
+            if one.waiting and one.held_as == number:
                 found.append(one)
         return found
 
@@ -87,18 +94,17 @@
         """
         crossings = self._crossings
         while crossings and crossings[0][0] <= now:
-            one = heappop(crossings)[2]
-            if one.waiting and not one.far:
-                one.far = True
-                self._lines[one.kind, False].appendleft(one)
+            _, number, one = heappop(crossings)
+            if one.waiting and one.held_as == number:
+                self._stand(one, near=False)
         for kind, near in ((kind, near) for kind in kinds for near in (True, False)):
             line = self._lines[kind, near]
-            while line and not (line[0].waiting and line[0].far is not near):
+            while line and not (line[0][1].waiting and line[0][1].stands_as == line[0][0]):
                 line.popleft()
-            while line and not (line[-1].waiting and line[-1].far is not near):
+            while line and not (line[-1][1].waiting and line[-1][1].stands_as == line[-1][0]):
                 line.pop()
             if line:
-                yield (kind, near), (one for one in line if one.waiting and one.far is not near)
+                yield (kind, near), (one for number, one in line if one.waiting and one.stands_as == number)
 
     def next_at(self, now: float) -> float:
         """When the next of them may go anywhere or is answered, after `now`; infinity where none is.
@@ -106,6 +112,6 @@
         To be asked once those that are due by `now` have been taken care of.
         """
         for heap in (self._ends, self._crossings):
-            while heap and (heap[0][0] <= now or not heap[0][2].waiting):
+            while heap and (heap[0][0] <= now or not heap[0][2].waiting or heap[0][2].held_as != heap[0][1]):
                 heappop(heap)
         return min((heap[0][0] for heap in (self._ends, self._crossings) if heap), default=inf)
