--- a/coveport/core/reducer.py
+++ b/coveport/core/reducer.py
@@ -75,6 +75,14 @@
         """How many operations still wait for their answer."""
         return sum(not operation.answered for operation in self._operations.values())
 
+    @property
+    def tables(self) -> dict[str, int]:
+        """How many entries each table has, the module's included; all but `hosts` come back to nothing."""
+        module = self._balancer
+        return {"operations": len(self._operations), "ids": len(self._ids), "requests": len(module.open),
+                "queue": len(module.queue), "flights": len(module.flights), "due": len(module.due),
+                "hosts": len(module.hosts)}
+
     def step(self, now_ms: float, item: Input) -> list[Effect]:
         """Take one input in and say what is to be done."""
         self._now = max(self._now, now_ms)
--- a/coveport/lab/books.py
+++ b/coveport/lab/books.py
@@ -191,7 +191,8 @@
 
     sidecar: int
     what: str  # "start", "ready", "unready" (given up), "reload", "term", "kill", "stall", "resume", "exit"
-    detail: str = ""  # exit: its code; start: the generation
+    # exit: its code; start: the generation; stall and resume: "starve" where it has only a part of a core.
+    detail: str = ""
 
 
 class Sample(Row):
--- a/coveport/lab/conductor.py
+++ b/coveport/lab/conductor.py
@@ -9,7 +9,9 @@
     DISCOVERY_CHANGES,
     NETWORK_CHANGES,
     NODE_CHANGES,
+    QUEUE_CHANGES,
     SIDECAR_CHANGES,
+    TILL_CHANGES,
     Change,
     Day,
 )
@@ -18,9 +20,11 @@
 Take = Callable[[Change], None]
 
 OF_NODES = frozenset(NODE_CHANGES)
+OF_QUEUES = frozenset(QUEUE_CHANGES)
 OF_NETWORK = frozenset(NETWORK_CHANGES)
 OF_DISCOVERY = frozenset(DISCOVERY_CHANGES)
 OF_SIDECARS = frozenset(SIDECAR_CHANGES)
+OF_TILLS = frozenset(TILL_CHANGES)
 
 
 def conduct(changes: Iterable[Change], net: Net, day_ms: Callable[[], float],
--- a/coveport/lab/day.py
+++ b/coveport/lab/day.py
@@ -102,6 +102,9 @@
     "resets": "`value` of its attempts end in a reset; `share` of them have run",
     "spoilt": "`value` of its answers are spoilt",
 }
+QUEUE_CHANGES = {
+    "full-queue": "has no room for connections that wait to be accepted",
+}
 NETWORK_CHANGES = {
     "cut": "zone `target` is cut off from all others",
     "delay": "ways between zones take `value` ms longer; with `share` 1 those within a zone too",
@@ -119,6 +122,12 @@
     "launch": "starts (again) with an empty memory",
     "stall": "gets no CPU for `value` ms",
     "term": "SIGTERM; starts again once it has ended",
+    "clock": "the machine's wall clock is `value` ms off",
+    "starve": "gets `value` of a core",
+    "descriptors": "may hold `value` descriptors",
+}
+TILL_CHANGES = {
+    "slow-reader": "`share` of the sidecar's tills read nothing for up to `value` ms once they have asked",
 }
 
 
--- a/coveport/lab/oracle/reach.py
+++ b/coveport/lab/oracle/reach.py
@@ -14,6 +14,7 @@
 from coveport.lab.day import Change, Day
 from coveport.lab.oracle.grace import Grace
 from coveport.lab.oracle.lives import Span
+from coveport.lab.scenario import Figure
 
 _NEVER_LOST = 1e-9  # chance below which so many losses in a row are taken as impossible
 _PIECE = 16_384  # bytes that may need a round trip of their own, at the least
@@ -35,10 +36,14 @@
         self._day, self._margin = day, grace.fault_ms
         self._node_zone = {node.number: node.zone for node in day.nodes}
         self._sidecar_zone = {sidecar.number: sidecar.zone for sidecar in day.sidecars}
-        self.client_ms = day.client_ms * (1 + day.jitter)  # till to sidecar at the most
+        # What segments and merged messages may add to any way, and what fits into a window at the least.
+        self.harsh_ms = (_high(network.split_ms) if network.split else 0.0) + (
+            _high(network.merge_ms) if network.merge else 0.0)
+        self._piece = min(_PIECE, int(_low(network.window)))
+        self.client_ms = day.client_ms * (1 + day.jitter) + self.harsh_ms  # till to sidecar at the most
         base_loss = max(network.loss) if isinstance(network.loss, tuple) else network.loss
         losses = _spans(day.changes, "loss")
-        self._lost_ms = _lost_ms(base_loss, network.loss_ms)
+        self._lost_ms = _lost_ms(base_loss, network.loss_ms) + self.harsh_ms
         lost_ms = _lost_ms(base_loss + sum(change.value for _, _, change in losses), network.loss_ms)
         self._slower = [self._after(begin, end, lost_ms, True) for begin, end, _ in losses]
         self._slower += [self._after(begin, end, change.value, change.share >= 1)
@@ -114,7 +119,21 @@
 
     def trips_ms(self, node: int, sidecar: int, at: float, size: int) -> float:
         """What a body of so many bytes may need on top: windows that fill make it wait for round trips."""
-        return size // _PIECE * 2 * self.most_ms(node, sidecar, at)
+        return size // self._piece * 2 * self.most_ms(node, sidecar, at)
+
+    def asking_ms(self, size: int) -> float:
+        """What a harsh network may add to the ways of a till's request and answer, so large together."""
+        if not self.harsh_ms and self._piece == _PIECE:
+            return 0.0
+        return 2 * self.harsh_ms + size // self._piece * 2 * self.client_ms
+
+
+def _low(figure: Figure) -> float:
+    return figure[0] if isinstance(figure, tuple) else figure
+
+
+def _high(figure: Figure) -> float:
+    return figure[1] if isinstance(figure, tuple) else figure
 
 
 def _lost_ms(loss: float, each_ms: float) -> float:
--- a/coveport/lab/real/orchestrator.py
+++ b/coveport/lab/real/orchestrator.py
@@ -33,6 +33,7 @@
 from coveport.lab.real.processes import Brood, Child
 from coveport.lab.real.sidecars import READY_S, Setting, Sidecar, last_line
 from coveport.lab.real.timing import DayClock
+from coveport.lab.scenario import needs_simulation
 from coveport.net.transport import Net
 
 PARTS = "coveport.lab.real.parts"
@@ -139,7 +140,8 @@
     def most_s(self) -> float:
         """The whole run takes no longer."""
         longest = max((one.deadline_ms for one in self.day.scenario.classes), default=0.0)
-        return START_S + READY_S + (self.end_ms + longest) / 1000 + BOOKS_S + SPARE_S
+        quiet_s = self.day.scenario.quiet_s
+        return START_S + READY_S + (self.end_ms + longest) / 1000 + quiet_s + BOOKS_S + SPARE_S
 
     async def play(self) -> list[bytes]:
         """Play the day; the books of all parties."""
@@ -229,6 +231,7 @@
             await asyncio.sleep(min(0.1, max(0.005, clock.left_s(length_ms) or 0.02)))
         if self._progress is not None:
             self._progress(1.0)
+        await asyncio.sleep(day.scenario.quiet_s)
 
     def _change(self, change: Change) -> None:
         for one in self.sidecars:
@@ -303,6 +306,8 @@
     """
     if variant:
         raise ValueError("variants run on virtual ground only")
+    if key := needs_simulation(day.scenario):
+        raise GroundError(f"{key}: simulated ground alone can do this; leave it out, or --ground virtual")
     check_fits(day, resource.getrlimit(resource.RLIMIT_NOFILE)[1])
     began = time.monotonic()
     with (own_folder() as folder, Brood(asyncio.get_running_loop()) as brood, _ended_by_signals()):
--- a/coveport/lab/report/page.py
+++ b/coveport/lab/report/page.py
@@ -114,7 +114,7 @@
     again: set[int] = set()  # those to whom something has happened
     events = []
     for row in played.rows:
-        if isinstance(row, books.Life):
+        if isinstance(row, books.Life) and row.detail != "starve":
             if row.what not in ("start", "ready"):
                 again.add(row.sidecar)
             if row.sidecar in again:
--- a/coveport/lab/scenario.py
+++ b/coveport/lab/scenario.py
@@ -25,6 +25,9 @@
 FigurePart = Annotated[Figure, Bounds(0, 1, above=True)]
 FigureLoss = Annotated[Figure, Bounds(0, 0.9)]  # were all lost, a message would be sent again for ever
 FigureBytes = Annotated[Figure, Bounds(1, 65536)]  # a body holds 64 KiB at most
+FigureWindow = Annotated[Figure, Bounds(512, 1 << 24)]  # a head fits into one
+FigureClock = Annotated[Figure, Bounds(-86_400, 86_400)]
+FigureDescriptors = Annotated[Figure, Bounds(4, 1_000_000)]
 Title = Annotated[str, Spelt(r"[^\n]*\S[^\n]*", "a text of one line")]
 Name = Annotated[str, Spelt(r"[\w.-]{1,40}", "up to 40 letters, digits, dots, dashes and underscores")]
 ClassName = Annotated[str, Spelt(
@@ -162,6 +165,22 @@
     loss: Annotated[float, Bounds(0, 0.9)] = 0.0  # share of messages delayed by a retransmission
     loss_ms: From0 = 200.0  # which takes this
 
+    # Harsher, on simulated ground only; off where nothing is said.
+    split: Share = 0.0  # share of messages that come in up to four segments, cut at drawn bytes ...
+    split_ms: FigureFrom0 = (0, 3)  # ... the last of them so much later
+    merge: Share = 0.0  # share of messages that wait (Nagle against delayed acknowledgements) ...
+    merge_ms: FigureFrom0 = (5, 40)  # ... so long, or for the next one, and come together with it
+    # Bytes of one direction sent and not read; a range is drawn for each connection, all magnitudes alike.
+    window: FigureWindow = 262_144
+    # Between sidecars and nodes or discovery; tills sit beside their sidecar.
+    reset_mid: Share = 0.0  # share of messages at a drawn byte of which the network resets the connection
+    end_mid: Share = 0.0  # the same with an end in both directions
+    late_connect: Share = 0.0  # share of connects that come up late ...
+    late_connect_ms: FigureAbove0 = (100, 3000)  # ... by this, all magnitudes alike
+    backlog: Annotated[int, Bounds(0, 65_536)] = 0  # connections that may wait to be accepted; 0: any number
+    accept_ms: FigureFrom0 = 0.0  # from one accept to the next, drawn for each party
+    read_chunk: Annotated[int, Bounds(0, 1 << 20)] = 0  # bytes that a sidecar reads at once; 0: all there are
+
 
 class DiscoveryService(Strict, frozen=True):
     """How the list of nodes is told."""
@@ -198,7 +217,7 @@
     descriptors: Annotated[int, Bounds(16, 1_000_000)] = 512
 
 
-# Faults. `at_s` and `for_s` place each in the day; `whom` picks nodes, or sidecars for the last three.
+# Faults. `at_s` and `for_s` place each in the day; `whom` picks nodes, or sidecars for those from `Kill` on.
 
 
 class Whom(Strict, frozen=True):
@@ -282,6 +301,12 @@
     size: FigureShare = 0.05
 
 
+class FullQueue(FaultBase, frozen=True, tag="full_queue"):
+    """Nodes have no room for connections that wait to be accepted: connects are dropped and sent again."""
+
+    whom: Whom = Whom(share=0.2)
+
+
 class Cut(FaultBase, frozen=True, tag="cut"):
     """A zone is cut off from the others: silence both ways, and what is open stays open."""
 
@@ -342,8 +367,38 @@
     every_s: From0 = 0.0
 
 
-AnyFault = (Crash | Slow | Silent | Drain | Rolling | Errors | Resets | Spoilt | Cut | Delay | Loss | Burst
-            | HeavyTail | DiscoveryFault | Kill | Stall | Restart)
+class Clock(FaultBase, frozen=True, tag="clock"):
+    """The wall clock of sidecars' machines steps by `size` seconds, and back at the end."""
+
+    whom: Whom = Whom(all=True)
+    size: FigureClock = (-60, 60)
+
+
+class Starve(FaultBase, frozen=True, tag="starve"):
+    """Sidecars get `size` of a core: of each tenth of a second the rest is without CPU."""
+
+    whom: Whom = Whom(count=1)
+    size: FigurePart = (0.3, 0.8)
+
+
+class Descriptors(FaultBase, frozen=True, tag="descriptors"):
+    """Sidecars may hold `size` descriptors, whatever they were told at their start."""
+
+    whom: Whom = Whom(count=1)
+    size: FigureDescriptors = (24, 48)
+
+
+class SlowReader(FaultBase, frozen=True, tag="slow_reader"):
+    """A share of tills reads nothing for up to `size` seconds once it has asked."""
+
+    whom: Whom = Whom(all=True)
+    size: FigureAbove0 = (0.2, 2)
+    share: FigureShare = 0.1
+
+
+AnyFault = (Crash | Slow | Silent | Drain | Rolling | Errors | Resets | Spoilt | FullQueue | Cut | Delay
+            | Loss | Burst | HeavyTail | DiscoveryFault | Kill | Stall | Restart | Clock | Starve
+            | Descriptors | SlowReader)
 
 
 class Expect(Strict, frozen=True):
@@ -366,6 +421,7 @@
     length_s: Annotated[float, Bounds(0, 86_400, above=True)] = 20.0
     settle_s: From0 = 1.0  # of the start that does not count
     tail_s: Annotated[float, Bounds(0, 3600)] = 8.0  # how long after the last arrival it runs on at most
+    quiet_s: Annotated[float, Bounds(0, 3600)] = 0.0  # after that, until sidecars are told to stop
     fleet: Fleet = Fleet()
     classes: tuple[Class, ...] = field(default_factory=_classes)
     load: Load = Load()
@@ -383,7 +439,12 @@
 STAND_INS: dict[str, Any] = {"title": "?", "name": "x", "share": 1.0, "work_ms": 1.0, "repeats": "safe",
                              "aim_ms": 1.0, "deadline_ms": 1.0, "at_s": 0.0}
 
-OF_SIDECARS = (Kill, Stall, Restart)
+OF_SIDECARS = (Kill, Stall, Restart, Clock, Starve, Descriptors, SlowReader)
+
+SIMULATED_FAULTS = (FullQueue, Clock, Starve, Descriptors, SlowReader)
+SIMULATED_FIGURES = ("split", "merge", "window", "reset_mid", "end_mid", "late_connect", "backlog",
+                     "accept_ms", "read_chunk")
+"""Faults, and figures of the network, that simulated ground alone can do."""
 
 
 class ScenarioError(Exception):
@@ -422,6 +483,16 @@
     return tables.value
 
 
+def needs_simulation(day: Scenario) -> str:
+    """The first key that simulated ground alone can do; empty where there is none."""
+    calm = Network()
+    for name in SIMULATED_FIGURES:
+        if getattr(day.network, name) != getattr(calm, name):
+            return f"network.{name}"
+    return next((f"faults[{number}].kind" for number, fault in enumerate(day.faults)
+                 if isinstance(fault, SIMULATED_FAULTS)), "")
+
+
 def portions(shares: Sequence[float], total: int) -> list[int]:
     """Split `total` by shares (their sum above 0): whole parts first, the rest to the largest remainders."""
     exact = [share * total / sum(shares) for share in shares]
--- a/coveport/lab/standins/discovery.py
+++ b/coveport/lab/standins/discovery.py
@@ -340,14 +340,21 @@
             body = (body[:view.noise.randrange(len(body))] if view.noise.random() < 0.5
                     else view.noise.randbytes(view.noise.randrange(1, 400)))
         else:
-            for row in rows:
-                self._write(row)
-                if row.state == "left":
-                    view.told.pop(row.node, None)
-                else:
-                    view.told[row.node] = None
+            caller.write(200, body)
+            # Guards against word that counts as told though the network has cut it short.
+            if caller.transport is None or not caller.transport.get_extra_info("cut_short"):
+                self._note(view, rows)
+            return
         caller.write(200, body)
 
+    def _note(self, view: _View, rows: list[Told]) -> None:
+        for row in rows:
+            self._write(row)
+            if row.state == "left":
+                view.told.pop(row.node, None)
+            else:
+                view.told[row.node] = None
+
     def _list(self, view: _View, after: int | None) -> tuple[bytes, list[Told]]:
         """An answer, and what it tells."""
         if after is None or not view.floor <= after <= view.seq or view.seq - after > MOST_BEHIND:
--- a/coveport/lab/standins/tills.py
+++ b/coveport/lab/standins/tills.py
@@ -16,6 +16,9 @@
 The try has then failed, but its connection is held for the answer slack and `SOCKETS_MS` more, so that an
 answer that is late can be told from one that never comes; only then `GaveUp` "late" is written and the
 connection closed. What comes in between is written down and decides nothing.
+
+A till that reads slowly (a fault of the day) has its rows at the times at which what it reads came to its
+machine, as far as the ground can tell; and it reads on before it gives up or leaves.
 """
 
 from __future__ import annotations
@@ -39,7 +42,7 @@
     digest_of_body,
     digest_of_request,
 )
-from coveport.lab.day import Day, SidecarDrawn, Wish
+from coveport.lab.day import Change, Day, SidecarDrawn, Wish
 from coveport.lab.ground import Host
 from coveport.lab.ids import try_id
 from coveport.net.address import Address
@@ -99,6 +102,7 @@
         self.opening: asyncio.Task[None] | None = None
         self.used = False  # has carried an operation to its answer
         self.unsent = False
+        self.slow = False  # its till reads slowly; from then on what it reads may have come earlier
         self.seen, self.began = 0, 0.0  # of the answer: bytes, and when the first of them came
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -181,7 +185,7 @@
         self._linger_ms = scenario.rules.answer_slack_ms + SOCKETS_MS
         self._begun = 0  # wishes, from the front
         self._open = 0
-        self._agenda: list[tuple[float, int, Callable[..., None], _Try | _Errand]] = []
+        self._agenda: list[tuple[float, int, Callable[..., object], _Try | _Errand]] = []
         self._entries = self._connections = 0
         self._timer: asyncio.TimerHandle | None = None
         self._armed = math.inf
@@ -190,6 +194,17 @@
         self._idle: list[_Connection] = []  # the one used last at the end
         self._staying: dict[_Connection, None] = {}  # used once and left open, the oldest first
         self._waiting: deque[_Try] = deque()  # for a connection
+        self._slow: dict[int, Change] = {}  # by fault
+        self._slow_random = random.Random(f"slow readers {day.seed} {sidecar.number}")
+
+    def change(self, change: Change) -> None:
+        """Take in one of `day.TILL_CHANGES`; those for other sidecars' tills are passed over."""
+        if change.target not in (-1, self._sidecar.number):
+            return
+        if change.on:
+            self._slow[change.fault] = change
+        else:
+            self._slow.pop(change.fault, None)
 
     def start(self) -> None:
         """Begin; wishes that are due already are asked in the loop's next turn."""
@@ -215,7 +230,7 @@
 
     # Time.
 
-    def _enter(self, at: float, do: Callable[..., None], what: _Try | _Errand) -> None:
+    def _enter(self, at: float, do: Callable[..., object], what: _Try | _Errand) -> None:
         self._entries += 1  # tells entries of one instant apart, in their order
         heapq.heappush(self._agenda, (at, self._entries, do, what))
         if at < self._armed:
@@ -335,6 +350,26 @@
         if wish.half and connection.transport is not None:
             connection.transport.write_eof()
             self._write(GaveUp(now, one.op, "half"))
+        if self._slow:
+            self._read_slowly(connection, one, now)
+
+    def _read_slowly(self, connection: _Connection, one: _Try, now: float) -> None:
+        chance, waits = self._slow_random, 0.0
+        for change in self._slow.values():
+            if chance.random() < change.share:
+                waits = max(waits, chance.random() * change.value)
+        if waits and connection.transport is not None:
+            connection.slow = True
+            connection.transport.pause_reading()
+            self._enter(now + waits, self._read_on, one)
+
+    def _read_on(self, one: _Try) -> bool:
+        """Read what has come; whether the till had not been reading."""
+        transport = one.connection.transport if one.connection is not None else None
+        if transport is None or transport.is_reading() or transport.is_closing():
+            return False
+        transport.resume_reading()
+        return True
 
     def _end(self, one: _Try) -> None:
         one.over, one.connection = True, None
@@ -373,6 +408,9 @@
 
     def _give_up(self, one: _Try) -> None:
         """No answer came even in the slack."""
+        if self._read_on(one):
+            self._enter(self.host.day_ms() + SOCKETS_MS, self._give_up, one)
+            return
         self._write(GaveUp(self.host.day_ms(), one.op, "late"))
         self._hang_up(one)
         self._end(one)
@@ -384,6 +422,10 @@
         if one.over:
             return
         now = self.host.day_ms()
+        if self._read_on(one):
+            errand.over = False
+            self._enter(now + SOCKETS_MS, self._leave, errand)
+            return
         if one.asked != math.inf:
             self._write(GaveUp(now, one.op, "impatient"))
         elif one.due <= now + SOON_MS:
@@ -458,7 +500,9 @@
         connection.one, connection.used = None, True
         now, status = self.host.day_ms(), response.status
         after_ms = _retry_after_ms(response)
-        self._write(Answered(now, one.op, status, digest_of_body(response.body), after_ms, connection.began))
+        came = self._came(connection, now)
+        self._write(Answered(came, one.op, status, digest_of_body(response.body), after_ms,
+                             min(connection.began, came)))
         self._end(one)
         wish = one.errand.wish
         if connection.parser.held:
@@ -476,6 +520,12 @@
                 self._again(one, now, ran=status not in (429, 503), after_ms=after_ms)
         self._serve_waiting()
 
+    def _came(self, connection: _Connection, now: float) -> float:
+        """When what is read now came, ms."""
+        told = (connection.transport.get_extra_info("came_ms")
+                if connection.slow and connection.transport is not None else None)
+        return told if isinstance(told, float) else now
+
     def stray(self, connection: _Connection, count: int) -> None:
         """Bytes came that nobody waits for."""
         if connection in self._links:
@@ -489,7 +539,7 @@
         if self._closed:
             return
         if one is not None:
-            now, handed = self.host.day_ms(), one.asked != math.inf
+            now, handed = self._came(connection, self.host.day_ms()), one.asked != math.inf
             # An end in answer to our own half close says nothing of a close that crossed.
             if (connection.used and not connection.seen and not one.late and not one.errand.wish.half
                     and (not handed or now - one.asked <= CROSSED_MS)):
--- a/coveport/lab/virtual/hosts.py
+++ b/coveport/lab/virtual/hosts.py
@@ -17,6 +17,7 @@
         self.net: Net = VirtualNet(process, network, place)
         self._network, self._port, self._start_s = network, port, start_s
         self._listening: _Listening | None = None
+        self._clogs: dict[int, None] = {}  # faults by which its queue is full
 
     def day_ms(self) -> float:
         """Milliseconds since the day began."""
@@ -30,6 +31,7 @@
         """The same, at once."""
         assert isinstance(self.net, VirtualNet)
         self._listening = self.net.accept(accept, (self.place.address, self._port))
+        self._listening.clogged = bool(self._clogs)
 
     def refuse(self) -> None:
         """Stop listening."""
@@ -37,6 +39,15 @@
             self._listening.close()
             self._listening = None
 
+    def clog(self, fault: int, on: bool) -> None:
+        """Have no room for connections that wait to be accepted, by a fault of the day; or again."""
+        if on:
+            self._clogs[fault] = None
+        else:
+            self._clogs.pop(fault, None)
+        if self._listening is not None:
+            self._listening.clogged = bool(self._clogs)
+
     def silence(self, on: bool) -> None:
         """Let nothing in or out."""
         self.place.silent = on
--- a/coveport/lab/virtual/world.py
+++ b/coveport/lab/virtual/world.py
@@ -78,6 +78,11 @@
         self._ready.append(handle)
         return handle
 
+    def timers(self, process: Process) -> int:
+        """How many callbacks of a process are still to come, those of this instant included."""
+        waiting = (*self._ready, *(handle for _, _, handle in self._heap), *process._waiting)
+        return sum(handle._process is process and not handle.gone for handle in waiting)
+
     def enter(self, process: Process | None) -> None:
         """Make asyncio believe that this process' loop is the one that runs."""
         if process is not self._current:
@@ -192,6 +197,11 @@
 
     stall = busy
 
+    @property
+    def busy_until(self) -> float:
+        """Until when it runs nothing; a time that has passed where it is free."""
+        return self._until
+
     def _wake(self) -> None:
         if self.world.now < self._until:
             self.world.at(self._until, self._wake)
--- a/coveport/nodes/destinations.py
+++ b/coveport/nodes/destinations.py
@@ -63,6 +63,12 @@
         """How many connections there are, the ones being opened included."""
         return len(self.links) + self.opening
 
+    @property
+    def tables(self) -> dict[str, int]:
+        """How many entries each table has."""
+        return {"links": len(self.links), "idle": len(self._by_age), "opening": self.opening,
+                "places": len(self._places)}
+
     def opened(self, _task: asyncio.Task[object]) -> None:
         """An attempt to connect has ended, however it did."""
         self.opening -= 1
--- a/coveport/sidecar/effects.py
+++ b/coveport/sidecar/effects.py
@@ -85,6 +85,11 @@
         """How many operations wait for their answer."""
         return self._reducer.owed
 
+    @property
+    def tables(self) -> dict[str, int]:
+        """How many entries each table has, for whoever looks whether one only grows."""
+        return {**self._reducer.tables, "open": len(self._open), **self.destinations.tables}
+
     # Inputs.
 
     def feed(self, item: core.Input) -> None:
--- a/coveport/sidecar/serve.py
+++ b/coveport/sidecar/serve.py
@@ -53,7 +53,8 @@
 
     def figures() -> None:
         log.say("counters " + counters.line(phase=life.phase.value, owed=effects.owed,
-                                            clients=listener.count, links=effects.destinations.count))
+                                            clients=listener.count, links=effects.destinations.count,
+                                            tables={"clients": listener.count, **effects.tables}))
 
     stop = asyncio.Event()
 
