--- a/coveport/lab/standins/tills.py
+++ b/coveport/lab/standins/tills.py
@@ -102,7 +102,8 @@
         self.opening: asyncio.Task[None] | None = None
         self.used = False  # has carried an operation to its answer
         self.unsent = False
-        self.slow = False  # its till reads slowly; from then on what it reads may have come earlier
+        self.slow = False  # its till has read slowly: what it reads may have come earlier
+        self.paused = False  # its till reads nothing for now
         self.seen, self.began = 0, 0.0  # of the answer: bytes, and when the first of them came
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -359,16 +360,17 @@
             if chance.random() < change.share:
                 waits = max(waits, chance.random() * change.value)
         if waits and connection.transport is not None:
-            connection.slow = True
+            connection.slow = connection.paused = True
             connection.transport.pause_reading()
             self._enter(now + waits, self._read_on, one)
 
     def _read_on(self, one: _Try) -> bool:
         """Read what has come; whether the till had not been reading."""
-        transport = one.connection.transport if one.connection is not None else None
-        if transport is None or transport.is_reading() or transport.is_closing():
+        connection = one.connection
+        if connection is None or connection.transport is None or not connection.paused:
             return False
-        transport.resume_reading()
+        connection.paused = False
+        connection.transport.resume_reading()
         return True
 
     def _end(self, one: _Try) -> None:
