--- a/coveport/lab/playing.py
+++ b/coveport/lab/playing.py
@@ -21,5 +21,6 @@
     logs: dict[int, str] = field(default_factory=dict)  # what each sidecar printed
     notes: list[str] = field(default_factory=list)  # what the lab itself has to say of the run
     # What each sidecar that ran still held just before SIGTERM, `quiet_s` after its tills were done (virtual
-    # ground): "connections", "tasks", "timers", and the sizes of its tables, as it prints them on SIGUSR1.
+    # ground): "connections", "connecting", "tasks", "timers", and the sizes of its tables by name, as
+    # it prints them on SIGUSR1.
     held: dict[int, dict[str, int]] = field(default_factory=dict)
--- a/coveport/lab/virtual/play.py
+++ b/coveport/lab/virtual/play.py
@@ -238,7 +238,8 @@
         play = self._play
         running = {number: one for number, one in self._running.items() if not one.ended}
         said = {number: len(self.logs[number]) for number in running}
-        held = {number: {"connections": one.net.open_sides, "tasks": len(asyncio.all_tasks(one.process)),
+        held = {number: {"connections": one.net.open_sides, "connecting": one.net.dialing,
+                         "tasks": len(asyncio.all_tasks(one.process)),
                          "timers": play.world.timers(one.process)} for number, one in running.items()}
         for one in running.values():
             one.process.deliver(TELL_SIGNAL)
--- a/coveport/lab/virtual/wires.py
+++ b/coveport/lab/virtual/wires.py
@@ -657,7 +657,7 @@
         self.loop = process
         self.process, self.network, self.world, self.place = process, network, network.world, place
         self.descriptors, self.read_chunk = descriptors, read_chunk
-        self._dialing = 0  # connects that no machine has answered yet
+        self.dialing = 0  # connects that no machine has answered yet
         self._sides: dict[Side, None] = {}
         self._listening: list[_Listening] = []
         process.at_death.append(self._died)
@@ -678,7 +678,7 @@
     @property
     def has_room(self) -> bool:
         """Whether there is a descriptor left."""
-        return len(self._sides) + len(self._listening) + self._dialing < self.descriptors
+        return len(self._sides) + len(self._listening) + self.dialing < self.descriptors
 
     def took(self, side: Side) -> None:
         """A connection is the process' now."""
@@ -729,7 +729,7 @@
                  else network.places.get(address[0]) or Place(address[0], 0))
         done: asyncio.Future[None] = self.process.create_future()
         dial = _Dial(network, here, there, done)
-        self._dialing += 1
+        self.dialing += 1
         late_s = 0.0
         if network.harsh is not None and there.far:
             late_s, back = network.harsh.late_s()
@@ -750,7 +750,7 @@
             raise
         finally:
             if dial.side is None:
-                self._dialing -= 1
+                self.dialing -= 1
         assert dial.side is not None
         dial.side.begin(factory())
 
@@ -778,7 +778,7 @@
         theirs = Side(found.net, dial.there, dial.here, network.connections * 2 + 1)
         ours.peer, theirs.peer = theirs, ours
         dial.side = ours
-        self._dialing -= 1
+        self.dialing -= 1
         self.took(ours)
         # The caller's word that it is up takes one more way; what it sends can't arrive before.
         theirs_at = back + network.delay_s(dial.here, dial.there)
--- a/coveport/lab/ways.py
+++ b/coveport/lab/ways.py
@@ -6,11 +6,43 @@
 from collections.abc import Callable
 
 from coveport.lab.day import Change, Day
+from coveport.lab.scenario import Figure
 
 CLIENT = -1
 """Stands for the zone of tills, who sit beside their sidecar."""
 
 
+PIECE = 16_384
+"""Bytes that may need a round trip of their own, at the least, where windows are as large as usual."""
+
+
+def harsh_ms(day: Day) -> float:
+    """What segments and merged messages may add to any one way, at the most."""
+    network = day.scenario.network
+    return (_high(network.split_ms) if network.split else 0.0) + (
+        _high(network.merge_ms) if network.merge else 0.0)
+
+
+def piece(day: Day) -> int:
+    """Bytes that may need a round trip of their own, at the least."""
+    window = day.scenario.network.window
+    return min(PIECE, int(window[0] if isinstance(window, tuple) else window))
+
+
+def asking_ms(day: Day, cls: int) -> float:
+    """What a harsh network may add to the ways of a class's request and answer, till to sidecar and back."""
+    harsh = harsh_ms(day)
+    if not harsh and piece(day) == PIECE:
+        return 0.0
+    one, network = day.scenario.classes[cls], day.scenario.network
+    trip_ms = 2 * day.client_ms * (1 + day.jitter) + (_high(network.split_ms) if network.split else 0.0)
+    return 2 * harsh + (_high(one.body) + _high(one.answer)) // piece(day) * trip_ms
+
+
+def _high(figure: Figure) -> float:
+    return figure[1] if isinstance(figure, tuple) else figure
+
+
 class Ways:
     """The network's state, changed by the day's changes; draws come from the day's seed."""
 
