--- a/benchmarks/model_check.py
+++ b/benchmarks/model_check.py
@@ -1,6 +1,6 @@
 """How many states the large worlds of the model checker have, and how long it takes to explore them.
 
-    python -m benchmarks.model_check [--states N] [--jobs N] [--audit] [--small] [WORLD]...
+    python -m benchmarks.model_check [--states N] [--jobs N] [--seed N] [--audit] [--small] [WORLD]...
 
 Run from the repository's root. Each world is explored in a process of its own, and ends as a line of a
 Markdown table; breaches follow, each as a test. Seconds are those of the CPU, so other work on the machine
@@ -25,10 +25,10 @@
 HEAD = ("world", "states", "paths", "depth", "timers", "seconds", "paths/s", "explored", "doubts", "broken")
 
 
-def explore(name: str, most_states: int, audit: bool) -> Report:
+def explore(name: str, most_states: int, audit: bool, seed: int | None) -> Report:
     """Explore one world, in a process that does nothing else."""
     gc.disable()  # states hold no cycles, and there are many of them to look through
-    return check(WORLDS[name], most_states=most_states, audit=audit, clock=time.process_time)
+    return check(WORLDS[name], most_states=most_states, audit=audit, seed=seed, clock=time.process_time)
 
 
 def line(report: Report, audit: bool) -> str:
@@ -46,6 +46,7 @@
     parser.add_argument("worlds", nargs="*", choices=[[], *WORLDS], metavar="WORLD")
     parser.add_argument("--states", type=int, default=300_000, help="stop a world at so many (%(default)s)")
     parser.add_argument("--jobs", type=int, default=os.cpu_count() or 1, help="worlds at once (%(default)s)")
+    parser.add_argument("--seed", type=int, help="go at random, path after path to its end")
     parser.add_argument("--audit", action="store_true", help="check the keys of states too")
     parser.add_argument("--small", action="store_true", help="the worlds of the tests instead")
     told = parser.parse_args()
@@ -57,7 +58,7 @@
     print(f"| {' | '.join(HEAD)} |\n| {' | '.join(['---'] + ['---:'] * (len(HEAD) - 3) + ['---'] * 2)} |")
     tests, doubts = [], 0
     with ProcessPoolExecutor(told.jobs) as pool:
-        for done in [pool.submit(explore, name, told.states, told.audit) for name in names]:
+        for done in [pool.submit(explore, name, told.states, told.audit, told.seed) for name in names]:
             report = done.result()
             print(line(report, told.audit), flush=True)
             tests += [printed(report.world, one) for one in report.found]
--- a/coveport/cli/check_model.py
+++ b/coveport/cli/check_model.py
@@ -22,8 +22,10 @@
 @click.argument("worlds", nargs=-1)
 @click.option("--states", type=click.IntRange(min=1), default=200_000, show_default=True, metavar="N",
               help="Stop a world at so many states.")
+@click.option("--seed", type=int, metavar="N",
+              help="Go at random, path after path to its end: for worlds with more states than that.")
 @click.option("--list", "list_", is_flag=True, help="Show the worlds that there are, a line each.")
-def check_model(worlds: Sequence[str], states: int, list_: bool) -> int:
+def check_model(worlds: Sequence[str], states: int, seed: int | None, list_: bool) -> int:
     """Explore WORLDS (by default all small ones): whatever may come, in all orders.
 
     A world is a few operations, nodes, faults and words from discovery; the reducer and the module in it are
@@ -47,7 +49,7 @@
         if sys.stderr.isatty():
             def told(states: int, paths: int, depth: int, name: str = world.name) -> None:
                 click.echo(f"\r{name}: {states} states, {paths} paths, depth {depth} ", err=True, nl=False)
-        report = check(world, most_states=states, clock=time.perf_counter, told=told)
+        report = check(world, most_states=states, seed=seed, clock=time.perf_counter, told=told)
         if told is not None:
             click.echo("\r\033[K", err=True, nl=False)
         end = "all orders" if report.whole else f"BOUNDED: stopped at {states} states"
--- a/coveport/lab/check/explore.py
+++ b/coveport/lab/check/explore.py
@@ -1,11 +1,16 @@
-"""Explores all orders of a small world, breadth first: the first path to a breach is a shortest one. Pure."""
+"""Explores all orders of a small world, breadth first: the first path to a breach is a shortest one. Pure.
+
+A world too large to be explored whole can be explored at random instead, path after path to its end; a path
+found so is shortened as far as single moves can be left out.
+"""
 
 from __future__ import annotations
 
 from array import array
 from collections import deque
 from collections.abc import Callable, Collection, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from random import Random
 
 from coveport.core.reducer import Reducer
 from coveport.lab.check.chance import Chooser, watched
@@ -57,35 +62,53 @@
 
 
 def check(world: World, *, reducer: type[Reducer] = Reducer, balancer: type[Balancer] = Balancer,
-          most_states: int = 200_000, exact: bool = False, fold: bool = True,
+          most_states: int = 200_000, seed: int | None = None, exact: bool = False, fold: bool = True,
           audit: bool = False, clock: Callable[[], float] | None = None,
           told: Callable[[int, int, int], None] | None = None) -> Report:
     """Explore a world from its start, until nothing new is found or there are so many states.
 
+    With a `seed` states are not met in the order of their depth: a path is gone at random to its end, then
+    another from a state drawn at random. Use it where `most_states` would end the search far from any end.
     `fold` off or `exact` on tell states apart that need not be (see `states`); `audit` goes on from states
     met before too, and counts those from which something else follows: all of them check the checker. `clock`
     gives seconds for the report; `told` is called with states, paths and depth now and then.
     """
     began = clock() if clock else 0.0
-    search = _Search(world, reducer, balancer, Keys(world, exact, fold), told)
+    search = _Search(world, reducer, balancer, Keys(world, exact, fold), told, seed)
     search.run(most_states, audit)
     found = search.found
-    if fold:
+    if seed is not None:
+        found = {rule: _shortened(world, one, reducer, balancer) for rule, one in found.items()}
+    elif fold:
         sure = {rule: one for rule, one in found.items() if any(
             breach.rule == rule
             for breach in replay(world, one.path, one.draws, reducer=reducer, balancer=balancer))}
         if len(sure) < len(found):
             # A path through states that count as one may need nodes in two orders: look for one in one order.
-            again = _Search(world, reducer, balancer, Keys(world, exact, False), told)
+            again = _Search(world, reducer, balancer, Keys(world, exact, False), told, None)
             again.run(2 * most_states, False, found.keys() - sure.keys())
             found = {rule: sure.get(rule) or again.found.get(rule, one) for rule, one in found.items()}
     return Report(world, len(search.edges), search.paths, search.depth, search.most_timers,
                   not search.waiting, tuple(found.values()), search.doubts, clock() - began if clock else 0.0)
 
 
+def _shortened(world: World, found: Found, reducer: type[Reducer], balancer: type[Balancer]) -> Found:
+    """The same with each move left out that can be."""
+    length = len(found.path) + 1
+    while len(found.path) < length:
+        length = len(found.path)
+        for place in reversed(range(length)):
+            less = replace(found, path=(*found.path[:place], *found.path[place + 1:]))
+            for breach in replay(world, less.path, less.draws, reducer=reducer, balancer=balancer):
+                if breach.rule == found.breach.rule:
+                    found = replace(less, breach=breach)
+                    break
+    return found
+
+
 class _Search:
     def __init__(self, world: World, reducer: type[Reducer], balancer: type[Balancer], keys: Keys,
-                 told: Callable[[int, int, int], None] | None) -> None:
+                 told: Callable[[int, int, int], None] | None, seed: int | None) -> None:
         self._world, self._reducer, self._balancer = world, reducer, watched(balancer, keys.kinds)
         settings = world.settings
         self._keeper = Keeper([world, settings, settings.limits, settings.rules, *settings.classes],
@@ -95,6 +118,7 @@
         # Of each state: where it came from, and which choices were made there.
         self._parents, self.edges = array("l"), list[bytes]()
         self.waiting: deque[_State] = deque()
+        self._random = None if seed is None else Random(seed)
         self.found: dict[str, Found] = {}
         self.paths = self.depth = self.most_timers = self.doubts = 0
 
@@ -107,10 +131,12 @@
             return
         self._meet(play, b"", -1, 0)
         ends: dict[bytes, frozenset[bytes]] = {}  # of states by key: what follows
+        before = 0
         while self.waiting and len(self.edges) < most_states:
             if sought and self.found.keys() >= set(sought):
                 return
-            state = self.waiting.popleft()
+            state = self._next(len(self.waiting) - before)
+            before = len(self.waiting)
             after = set[bytes]()
             for edge, play, broken in self._follow(state):
                 self.paths += 1
@@ -124,6 +150,16 @@
             if audit:
                 self.doubts += ends.setdefault(state.key, frozenset(after)) != after
 
+    def _next(self, fresh: int) -> _State:
+        """The state to go on from; `fresh`: how many were met from the last one."""
+        waiting = self.waiting
+        if self._random is not None:
+            # The end of the queue: what was just met, or else anything.
+            place = self._random.randrange(fresh or len(waiting))
+            waiting[-1 - place], waiting[-1] = waiting[-1], waiting[-1 - place]
+            return waiting.pop()
+        return waiting.popleft()
+
     def _follow(self, state: _State) -> Iterator[tuple[bytes, Play, list[Breach]]]:
         """Each move from a state, with each way that chance may go."""
         for place, (at, move) in enumerate(state.moves):
--- a/coveport/lab/check/replay.py
+++ b/coveport/lab/check/replay.py
@@ -83,6 +83,8 @@
         module = "api." if type(value).__module__ == "micaflow.interface" else ""
         told, by_place = [], True
         for one in fields(value):
+            if not one.compare:
+                continue
             default = one.default_factory() if one.default_factory is not MISSING else one.default
             has = getattr(value, one.name)
             if has == default:
--- a/coveport/lab/check/rules.py
+++ b/coveport/lab/check/rules.py
@@ -30,7 +30,7 @@
     "attempts": "more route steps than allowed, or a number given twice",
     "after-end": "a route step sent after the final answer, or after the client had gone",
     "span": "a route step with no time, or with more than its operation has",
-    "drained": "a route step or probe to a node that has drained or been gone for longer than the grace",
+    "drained": "a route step or probe to a node that drains, or is gone, for longer than the grace",
     "unnamed": "a route step or probe to a node that was never named",
     "cancel-lost": "a route step left out, and not cancelled, after its operation was over",
     "cancel-wrong": "a cancel that names nothing sent, or one of an operation that goes on",
--- a/tests/lab/test_model_check.py
+++ b/tests/lab/test_model_check.py
@@ -7,7 +7,9 @@
 from typing import Any
 
 import pytest
+from click.testing import CliRunner, Result
 
+from coveport.cli.root import root
 from coveport.core import messages as core
 from coveport.core.reducer import Reducer
 from coveport.lab.check import check, printed
@@ -208,6 +210,29 @@
     assert report == check(WORLDS["two"], most_states=100) and not report.whole and report.states >= 100
 
 
+def test_at_random_it_goes_deep_and_shortens_what_it_finds() -> None:
+    broad, deep = (check(WORLDS["large-drain"], most_states=400, seed=seed, balancer=_DeafToDrains)
+                   for seed in (None, 1))
+    assert deep.depth > 2 * broad.depth
+    assert [(one.breach.rule, len(one.path)) for one in deep.found] == [("drained", 2)]
+    assert "operation 1 " in deep.found[0].breach.text
+    everything = check(WORLDS["leaves"], seed=1)
+    assert everything.whole and everything.states == check(WORLDS["leaves"]).states
+
+
+def test_the_verb_ends_with_its_verdict(monkeypatch: pytest.MonkeyPatch) -> None:
+    def call(*args: str) -> Result:
+        return CliRunner().invoke(root, ["lab", "check-model", *args])
+
+    held = call("redeem")
+    assert held.exit_code == 0 and "all orders" in held.stdout and "310 states" in held.stdout
+    assert "BOUNDED" in call("redeem", "--states", "9").stdout
+    assert call("redeem", "nonsense").exit_code == 2 and "large-drain " in call("--list").stdout
+    monkeypatch.setitem(WORLDS, "two", dataclasses.replace(WORLDS["two"], most_timers=1))
+    broken = call("two")
+    assert broken.exit_code == 1 and "def test_timers_in_two(" in broken.stdout
+
+
 def test_a_draw_is_explored_on_both_sides_of_every_limit() -> None:
     chooser, ends = Chooser(), set[tuple[bool, bool, int]]()
     script: list[int] | None = []
