A number of thousands of digits in a scenario is a mistake like any other

Cause: Python makes no number of more than 4,300 digits and writes none; in a file, a set or an error's text that was a ValueError past all who expect a ScenarioError. Found by a guided run of the scenarios target.

Mend: such a file is told to have a number too long, a set is taken as a text, a position is one of at most nine digits.

--- a/coveport/lab/tables.py
+++ b/coveport/lab/tables.py
@@ -183,7 +183,10 @@
 
 def shown(value: object) -> str:
     """A value as errors show it, cut where it is long."""
-    text = json.dumps(value, ensure_ascii=False, default=str)
+    try:
+        text = json.dumps(value, ensure_ascii=False, default=str)
+    except ValueError:  # a number of thousands of digits in it, which Python does not write
+        text = "what is there"
     return text if len(text) <= SHOWN else text[:SHOWN - 3] + "..."
 
 
@@ -206,6 +209,8 @@
         what = told.split(" (at ")[0]
         raise TablesError(f"line {line}, column {column}: {what[:1].lower()}{what[1:]}; "
                           "TOML, each KEY = VALUE on a line") from problem
+    except ValueError as problem:  # thousands of digits, which Python makes no number of
+        raise TablesError("file: a number is too long; numbers as the schema has them") from problem
 
 
 def _lay(raw: dict[str, Any], given: str, default: Any) -> Place:
@@ -217,7 +222,7 @@
     try:
         read = tomllib.loads(f"x = {value}")
         new = read["x"] if len(read) == 1 else value
-    except (tomllib.TOMLDecodeError, RecursionError):
+    except (ValueError, RecursionError):
         new = value
     here: Any = raw
     place: Place = ()
@@ -240,7 +245,7 @@
         return part
     if not isinstance(here, list):
         raise TablesError(f"set {given}: {_written(place)} is no table; a value for it as a whole")
-    if not part.isdecimal() or int(part) > len(here):
+    if not part.isdecimal() or len(part) > 9 or int(part) > len(here):
         raise TablesError(f"set {given}: {_written(place)} has no {part}; a position from 0 to {len(here)}, "
                           "the last one to add one")
     if int(part) == len(here):
--- a/tests/lab/test_fuzz.py
+++ b/tests/lab/test_fuzz.py
@@ -19,7 +19,7 @@
 from coveport.lab import compare, outcome
 from coveport.lab.fuzz import UNDER_TEST, run, writers
 from coveport.lab.fuzz.mutate import Mutator, read_dictionary
-from coveport.lab.scenario import load, parse
+from coveport.lab.scenario import ScenarioError, load, parse
 
 MUTATIONS = {"scenarios": 300}  # the others are cheap
 REQUEST = b"GET /balance/7 HTTP/1.1\r\nHost: a\r\nX-Request-Id: 1\r\nX-Deadline: 9m\r\n\r\n"
@@ -153,6 +153,17 @@
         compare.read(str(tmp_path / "deep.json"))
 
 
+@pytest.mark.parametrize(("text", "sets", "said"), [
+    ("length_s = " + "9" * 5000, [], "day: file: a number is too long"),
+    ("length_s = 0x" + "f" * 5000, [], "day: length_s: what is there will not do"),
+    ("", ["length_s=" + "9" * 5000], "day: length_s"), ("", [f"faults.{'9' * 5000}=1"], "day: set faults.")])
+def test_a_number_of_thousands_of_digits_is_a_mistake(text: str, sets: list[str], said: str) -> None:
+    # Seen in fuzzing: Python makes no number of them, and that went past those who expect a ScenarioError.
+    with pytest.raises(ScenarioError) as problem:
+        parse('title = "t"\n' + text, "day", sets)
+    assert str(problem.value).startswith(said) and "\n" not in str(problem.value)
+
+
 def call(*args: object) -> Result:
     return CliRunner().invoke(root, ["lab", "fuzz", *map(str, args)])
 
