Behind an error a parser gives nothing, rather than the error again

Cause: raised at every call, the error would keep a caller's loop busy for ever where the connection is closing and the loop looks for nothing else, as the clients' does.

Mend: None from then on, which ends every such loop. Guided runs resolve their folders, as they run elsewhere.

--- a/coveport/http1/codec.py
+++ b/coveport/http1/codec.py
@@ -79,7 +79,7 @@
     _left: int | None = 0  # bytes of body, None: until the connection ends
     _chunks: bytearray | None = None  # the body so far, where it comes in chunks
     _empty: int = 0  # lines in front of the next message
-    _wrong: tuple[int, str] | None = None  # what came, as errors have it; nothing is read behind that
+    _wrong: bool = False  # there was an error; nothing is read behind that
 
     def feed(self, data: bytes | memoryview) -> None:
         """Take in what has come."""
@@ -93,15 +93,15 @@
     def next(self) -> Message | None:
         """The next whole message, or None until more has come; BadMessageError ends the connection.
 
-        After an error it raises the same at every call: where the next message would begin is not known.
+        After an error there is no message any more: where the next one would begin is not known.
         """
-        if self._wrong is not None:
-            raise BadMessageError(*self._wrong)
+        if self._wrong:
+            return None
         try:
             message = self._message or self._read_head()
             body = self._read_body() if message is not None else None
-        except BadMessageError as problem:
-            self._wrong = problem.status, str(problem)
+        except BadMessageError:
+            self._wrong = True
             raise
         self._message = message if body is None else None
         if message is None or body is None:
@@ -297,7 +297,7 @@
         """The connection has ended: the response that this makes whole, if any."""
         message = self._message
         if (not isinstance(message, Response) or self._left is not None or self._chunks is not None
-                or self._wrong is not None):
+                or self._wrong):
             return None
         message.body, self._message = bytes(self.held), None
         self.held.clear()
--- a/coveport/lab/fuzz/run.py
+++ b/coveport/lab/fuzz/run.py
@@ -137,6 +137,7 @@
     FuzzError where the process fails for another reason than a find.
     """
     target, told, start = named(name), Told(guided=True), time.monotonic()
+    corpus, out = corpus.resolve(), out.resolve()  # the process runs elsewhere
     inputs, crashes = out / "inputs", out / "crashes"
     for folder in (inputs, crashes):
         folder.mkdir(parents=True, exist_ok=True)
