--- a/coveport/http1/codec.py
+++ b/coveport/http1/codec.py
@@ -78,7 +78,8 @@
     _message: Message | None = None  # its head is read, its body is not
     _left: int | None = 0  # bytes of body, None: until the connection ends
     _chunks: bytearray | None = None  # the body so far, where it comes in chunks
-    _wrong: tuple[int, str] | None = None  # what came, as errors have it; nothing is read behind that
+    _empty: int = 0  # lines in front of the next message
+    _wrong: bool = False  # there was an error; nothing is read behind that
 
     def feed(self, data: bytes | memoryview) -> None:
         """Take in what has come."""
@@ -92,15 +93,15 @@
     def next(self) -> Message | None:
         """The next whole message, or None until more has come; BadMessageError ends the connection.
 
-        After an error it raises the same at every call: where the next message would begin is not known.
+        After an error there is no message any more: where the next one would begin is not known.
         """
-        if self._wrong is not None:
-            raise BadMessageError(*self._wrong)
+        if self._wrong:
+            return None
         try:
             message = self._message or self._read_head()
             body = self._read_body() if message is not None else None
-        except BadMessageError as problem:
-            self._wrong = problem.status, str(problem)
+        except BadMessageError:
+            self._wrong = True
             raise
         self._message = message if body is None else None
         if message is None or body is None:
@@ -123,9 +124,13 @@
         return body
 
     def _read_head(self) -> Message | None:
-        # Guards against an empty line sent after an earlier body, as the standard asks.
+        # Guards against an empty line sent after an earlier body, as the standard asks (RFC 9112, 2.2), and
+        # against those that never end: who sends nothing else is never at rest.
         while self.held.startswith(b"\r\n"):
             del self.held[:2]
+            self._empty += 1
+            if self._empty > MAX_HEADERS:
+                raise BadMessageError(400, "too many empty lines")
         end = self.held.find(b"\r\n\r\n", 0, MAX_HEAD + 4)
         if end < 0:
             self._check_opening()
@@ -136,6 +141,7 @@
         if len(lines) > MAX_HEADERS:
             self._check_opening()
             raise BadMessageError(431, "too many headers")
+        self._empty = 0
         del self.held[:end + 4]
         return self._start(lines[0], _read_fields(lines[1:], "header"))
 
@@ -291,7 +297,7 @@
         """The connection has ended: the response that this makes whole, if any."""
         message = self._message
         if (not isinstance(message, Response) or self._left is not None or self._chunks is not None
-                or self._wrong is not None):
+                or self._wrong):
             return None
         message.body, self._message = bytes(self.held), None
         self.held.clear()
