--- a/coveport/lab/search/finds.py
+++ b/coveport/lab/search/finds.py
@@ -22,7 +22,7 @@
 from coveport.lab.oracle.grace import Grace
 from coveport.lab.outcome import Broken, Outcome
 from coveport.lab.playing import Played
-from coveport.lab.search.aftermath import GAP, Aftermath, aftermath, ratio
+from coveport.lab.search.aftermath import GAP, LEAST, Aftermath, aftermath, ratio
 from coveport.lab.search.reach import Reach, reachable
 
 RULE, PROCESS, HELD, NO_RETURN, DIP = "rule", "process", "held", "no-return", "dip"
@@ -84,7 +84,11 @@
     if below is None:
         return False
     end = control.day.scenario.length_s * 1000
-    return ratio(reachable(control.day, control.rows), below, end) >= ratio(here.reach, below, end) + GAP
+    better = reachable(control.day, control.rows)
+    worths = [control.day.scenario.classes[one.cls].worth for one in control.day.wishes if one.due >= below]
+    gained = better.between(below, end)[1] - here.reach.between(below, end)[1]
+    return (ratio(better, below, end) >= ratio(here.reach, below, end) + GAP
+            and gained >= LEAST * sum(worths) / max(1, len(worths)))
 
 
 def unplayed(problem: str) -> Find:
