--- a/coveport/lab/lanes.py
+++ b/coveport/lab/lanes.py
@@ -7,11 +7,9 @@
 import os
 import signal
 import threading
-import time
 from collections.abc import Callable, Generator, Iterable
 from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
 from concurrent.futures.process import BrokenProcessPool
-from math import inf
 from pathlib import Path
 from typing import Any, Protocol, TypeVar
 
@@ -113,16 +111,15 @@
     return " ".join(f"{type(raised).__name__}: {raised}".split())
 
 
-def each(jobs: Iterable[J], play: Callable[[J], R], at_once: int, lane: Callable[[], Lane] = Worker,
-         limit_s: float = inf) -> Generator[tuple[J, R | None, str], None, None]:
+def each(jobs: Iterable[J], play: Callable[[J], R], at_once: int, lane: Callable[[], Lane] = Worker
+         ) -> Generator[tuple[J, R | None, str], None, None]:
     """Play jobs, so many at a time; each with its result, or None and why there is none, as they end.
 
-    A job that raises, whose worker dies, or that takes longer than `limit_s` (its worker is ended then) does
-    not stop the others. Jobs are taken one by one as there is room. Close it to end early: whatever leaves
-    it, its workers are gone by then.
+    A job that raises, or whose worker dies, does not stop the others. Jobs are taken one by one as there is
+    room. Close it to end early: whatever leaves it, its workers are gone by then.
     """
     waiting = iter(jobs)
-    playing: dict[Future[R], tuple[J, Lane, float]] = {}
+    playing: dict[Future[R], tuple[J, Lane]] = {}
     lanes: list[Lane] = []
     idle: list[Lane] = []
 
@@ -136,24 +133,18 @@
                 idle.append(lane())
                 lanes.append(idle[-1])
             here = idle.pop()
-            playing[here.submit(play, job)] = job, here, time.monotonic() + limit_s
-
-    def over(here: Lane) -> None:
-        lanes.remove(here)
-        here.stop()
+            playing[here.submit(play, job)] = job, here
 
     try:
         fill()
         while playing:
-            soonest = min(until for _, _, until in playing.values())
-            done = wait(playing, None if soonest == inf else max(0.0, soonest - time.monotonic()),
-                        FIRST_COMPLETED).done
-            for future in [one for one in playing if one in done]:
-                job, here, _ = playing.pop(future)
+            for future in wait(playing, return_when=FIRST_COMPLETED).done:
+                job, here = playing.pop(future)
                 try:
                     result = future.result()
                 except BrokenProcessPool:
-                    over(here)
+                    lanes.remove(here)
+                    here.stop()
                     yield job, None, "the worker that played it died"
                 except Exception as raised:
                     idle.append(here)
@@ -161,10 +152,6 @@
                 else:
                     idle.append(here)
                     yield job, result, ""
-            for future in [one for one, (_, _, until) in playing.items() if until <= time.monotonic()]:
-                job, here, _ = playing.pop(future)
-                over(here)
-                yield job, None, f"took more than {limit_s:g} s"
             fill()
     finally:
         stopping = [threading.Thread(target=one.stop) for one in lanes]
--- a/coveport/lab/search/hunt.py
+++ b/coveport/lab/search/hunt.py
@@ -9,6 +9,8 @@
 
 import contextlib
 import hashlib
+import signal
+import threading
 import time
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
@@ -30,7 +32,7 @@
 from coveport.lab.sweep import SweepError, code_hash
 
 FORMAT = 1
-LIMIT_S = 120.0  # a run that takes longer hangs
+LIMIT_S = 60.0  # of CPU time: a day that takes more hangs
 
 
 class Manifest(Struct, frozen=True):
@@ -115,16 +117,49 @@
 Play = Callable[[Job], bytes]
 
 
+class HangsError(Exception):
+    """A day does not get on: its processes keep calling, and no time passes."""
+
+
+class _Enough(KeyboardInterrupt):  # which simulated ground lets through, whoever runs
+    pass
+
+
+@contextlib.contextmanager
+def _bounded(seconds: float) -> Iterator[None]:
+    """End what takes more CPU time, by HangsError; time in which this process is stopped does not count."""
+    def enough(*_: object) -> None:
+        raise _Enough
+
+    if threading.current_thread() is not threading.main_thread():
+        yield  # signals come to the main thread alone
+        return
+    before = signal.signal(signal.SIGPROF, enough)
+    signal.setitimer(signal.ITIMER_PROF, seconds)
+    try:
+        yield
+    except _Enough:
+        raise HangsError(f"took more than {seconds:g} s of CPU time") from None
+    finally:
+        signal.setitimer(signal.ITIMER_PROF, 0)
+        signal.signal(signal.SIGPROF, before)
+
+
 def look(scenario: Scenario, seed: int, variant: str = "") -> tuple[list[Find], Result]:
-    """Play a scenario and say what it shows; a service that stays low counts only where its faults did it."""
+    """Play a scenario and say what it shows; a service that stays low counts only where its faults did it.
+
+    HangsError where it does not get on; ValueError where it can't be drawn.
+    """
     began = time.perf_counter()
-    played, outcome = play_and_judge(scenario, name="schedule", seed=seed, ground="virtual", variant=variant)
-    here = finds(played, outcome)
-    found = here.finds
-    if any(one.kind == NO_RETURN for one in found):
-        control = play(without_faults(scenario, seed), seed=seed, ground="virtual", variant=variant)
-        if not stands(here, control):
-            found = [one for one in found if one.kind != NO_RETURN]
+    with _bounded(LIMIT_S):
+        played, outcome = play_and_judge(scenario, name="schedule", seed=seed, ground="virtual",
+                                         variant=variant)
+        here = finds(played, outcome)
+        found = here.finds
+        if any(one.kind == NO_RETURN for one in found):
+            control = play(without_faults(scenario, seed), seed=seed, ground="virtual", variant=variant)
+            if not stands(here, control):
+                found = [one for one in found if one.kind != NO_RETURN]
     return found, Result(
         0, "", seed, _kinds(scenario), found, outcome.service, here.after.short, here.after.seen,
         here.after.back_s, time.perf_counter() - began, outcome.simulated_s)
@@ -161,7 +196,7 @@
                 yield Job(base, seed, run, variant)
 
     try:
-        with contextlib.closing(each(waiting(), play, jobs, lane, LIMIT_S)) as played:
+        with contextlib.closing(each(waiting(), play, jobs, lane)) as played:
             for job, data, problem in played:
                 result = (msgspec.json.decode(data, type=Result) if data is not None
                           else _failed(job, problem))
--- a/coveport/lab/search/schedules.py
+++ b/coveport/lab/search/schedules.py
@@ -96,7 +96,7 @@
     "fleet.closes_behind": (0.1, _log(0.02, 1)),
     "fleet.handshake_trips": (0.1, _even(0, 6)),
     "fleet.jam.at": (0.06, _log(2, 20)),
-    "classes.1.window_ms": (0.2, _log(300, 6000)),
+    "classes.1.window_ms": (0.35, _log(150, 6000)),
     "classes.1.scope": (0.2, _of("all", "zone", "cell")),
     "load.shape": (0.1, _of("wave")),
     "load.skew": (0.1, _even(0, 1)),
--- a/tests/lab/test_search.py
+++ b/tests/lab/test_search.py
@@ -29,6 +29,7 @@
 from coveport.lab.search.aftermath import aftermath, ratio, troubles_of, without_faults
 from coveport.lab.search.files import laid, to_toml
 from coveport.lab.search.schedules import draw_schedule
+from coveport.lab.search.shrink import look_at
 
 CALM = load(catalog.find("calm"))
 
@@ -214,6 +215,13 @@
     assert hunted(tmp_path, again, 5).runs == 5 and again.runs == [1]
 
 
+def test_a_day_that_does_not_get_on_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(hunt, "LIMIT_S", 0.05)
+    with pytest.raises(hunt.HangsError, match="more than 0"):
+        hunt.look(laid(CALM, ["length_s=3000"]), 1)
+    assert [one.signature for one in look_at(CALM, 1, "")] == ["process: not played: HangsError"]
+
+
 def test_the_command_line_finds_and_stops_clean(tmp_path: Path) -> None:
     call = [sys.executable, "-m", "coveport", "lab", "search", "calm", "--jobs", "2", "--out",
             str(tmp_path / "out"), "--variant", "answers-none"]
