--- a/coveport/lab/search/shrink.py
+++ b/coveport/lab/search/shrink.py
@@ -29,7 +29,8 @@
 
 MOST_PLAYS = 300
 OTHER_SEEDS = (1, 2, 3)  # tried where a step deals everything anew
-OWN = ("title", "about", "seed", "length_s", "settle_s", "tail_s", "quiet_s")  # not told apart as pieces
+OWN = ("title", "about", "seed", "length_s", "settle_s", "tail_s", "quiet_s")  # no pieces
+PARTIES = (("fleet", "sidecars"), ("fleet", "nodes"))  # nor are these: without them there might be more
 
 Look = Callable[[Scenario, int, str], list[Find]]
 
@@ -162,7 +163,7 @@
                 split(value, (*place, key))
             elif (*place, key) == ("faults",):
                 found.extend((("faults",), one) for one in value)
-            elif place or key not in OWN:
+            elif (place or key not in OWN) and (*place, key) not in PARTIES:
                 found.append(((*place, key), value))
 
     split(sparse(scenario), ())
@@ -170,8 +171,9 @@
 
 
 def _built(scenario: Scenario, pieces: list[Piece]) -> Scenario:
-    """A scenario of these pieces alone, with the title, seed and times of the other."""
+    """A scenario of these pieces alone, with the title, seed, times and parties of the other."""
     tables = {key: value for key, value in sparse(scenario).items() if key in OWN}
+    tables["fleet"] = {party: getattr(scenario.fleet, party) for _, party in PARTIES}
     for place, value in pieces:
         if place == ("faults",):
             tables.setdefault("faults", []).append(value)
