--- a/tests/lab/test_search.py
+++ b/tests/lab/test_search.py
@@ -12,6 +12,7 @@
 import time
 from itertools import pairwise
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any, Literal
 
 import msgspec
@@ -172,6 +173,19 @@
         "process: unexpected: Fatal error #: OSError(#, 'Too many open files') (# like it left out)": 2}
 
 
+def test_what_is_left_over_in_quiet_is_a_find() -> None:
+    rest = {"connections": 1, "tasks": 1, "timers": 2, "hosts": 10, "requests": 0}
+    left = {0: rest, 1: rest | {"requests": 2}, 2: rest | {"timers": 9, "requests": 1}}
+    day: Any = SimpleNamespace(scenario=SimpleNamespace(quiet_s=8.0))
+    over: Any = SimpleNamespace(day=day, held=left)
+    assert [(one.signature, one.what) for one in finds._held(over)] == [
+        ("held: requests", "sidecar 1 held 2 requests in quiet"),
+        ("held: timers", "sidecar 2 held 9 timers in quiet"),
+        ("held: requests", "sidecar 2 held 1 requests in quiet")]
+    day.scenario.quiet_s = 0.0
+    assert list(finds._held(over)) == []
+
+
 # Folders.
 
 
