--- a/tests/test_decide_life.py
+++ b/tests/test_decide_life.py
@@ -441,6 +441,10 @@
         driver.reply(keyed, Outcome.RESET if why == "held" else Outcome.OK)
         assert len(driver.balancer.queue) == (why == "held")
     one = driver.request(2 if why == "unsafe" else 0)
+    if why == "alone":
+        for _ in range(2):  # others pass it by, so its host may well be used
+            driver.advance(10)
+            driver.end(go(driver), 5.0)
     if why == "answered":
         driver.reply(driver.of(one)[0])
     if why == "tried again":
@@ -559,7 +563,9 @@
     driver.advance(20_000, 50)
     assert asked() == 2
     driver.feed(api.ListUpdate(api.ListKind.FAILED))
-    driver.advance(1900, 50)
+    driver.advance(600, 50)
+    assert asked() == 2
+    driver.advance(1300, 50)
     assert asked() == 3, "the first failure since"
 
 
