What was measured over a stall of ours says nothing of the nodes: service is back at once

Change: while anything is open we beat every 250 ms; a beat that is late becomes an input, and the reducer takes that time off what is measured of the steps that are out. Ruled out: the limits of a full house (no operation was held; the nodes' pace was at fault).

--- a/coveport/core/messages.py
+++ b/coveport/core/messages.py
@@ -91,7 +91,15 @@
     discovery: Address
 
 
-Input = OperationCame | ClientGone | StepEnded | ProbeEnded | PoolTold | TimerDue | DeadlineDue | Reloaded
+@dataclass(slots=True)
+class Stalled:
+    """We had no CPU for so long, up to now: what was measured over it says nothing of the destinations."""
+
+    lasted_ms: float
+
+
+Input = (Stalled | OperationCame | ClientGone | StepEnded | ProbeEnded | PoolTold | TimerDue | DeadlineDue
+         | Reloaded)
 
 
 # Effects.
--- a/coveport/core/reducer.py
+++ b/coveport/core/reducer.py
@@ -28,6 +28,7 @@
     Reloaded,
     SendStep,
     SetTimer,
+    Stalled,
     StepEnded,
     TimerDue,
     Verdict,
@@ -100,6 +101,8 @@
             self._tell(api.ProbeResult(item.destination, item.outcome, item.latency_ms, item.load))
         elif isinstance(item, ClientGone):
             self._close(item.operation, None)
+        elif isinstance(item, Stalled):
+            self._discount(item.lasted_ms)
         elif isinstance(item, Reloaded):
             self._effects.append(MovePool(item.discovery))  # operations and route steps go on
         else:
@@ -141,6 +144,13 @@
                                     self._now - step.sent_at, operation.answered, item.load))
         self._settle(item.operation, operation, told)
 
+    def _discount(self, lasted_ms: float) -> None:
+        # Guards against a sidecar that takes its own stall for slow nodes, and refuses for seconds after it.
+        for operation in self._operations.values():
+            for step in operation.steps:
+                if step.out:
+                    step.sent_at = min(self._now, step.sent_at + lasted_ms)
+
     def _settle(self, number: int, operation: _Operation, told: bool) -> None:
         # Guards against a module that raised over this operation: the answer is owed all the same.
         if not told and not operation.answered and not any(step.out for step in operation.steps):
--- a/coveport/sidecar/effects.py
+++ b/coveport/sidecar/effects.py
@@ -27,6 +27,8 @@
 # Of the shortest aim: a connection that takes longer leaves no time for a second try, which is harmless, as
 # nothing has run. Machines that vanish refuse nothing; they only show by connections that never come up.
 CONNECT_SHARE = 0.25
+BEAT_MS = 250.0  # while anything is open we do something at least so often ...
+LAG_MS = 50.0  # ... and where that is later by more than this, we had no CPU
 REST_SHARE, REST_LEAST = 0.1, 16  # of the descriptors, for all else: a listener, discovery, the loop's own
 CLIENT_PART = 5 / 9  # of what is left; destinations have the others
 
@@ -68,6 +70,8 @@
         self._inputs: deque[core.Input] = deque()
         self._busy = False
         self._open: dict[int, _Open] = {}
+        self._beat_ms = self._clock.now_ms()
+        self._beating: asyncio.TimerHandle | None = None  # set while anything is open
         self.destinations = Destinations(
             net, counters, log, dial, keepalive_ms=config.keepalive_ms,
             connect_timeout_ms=min(config.settings.limits.connect_timeout_ms,
@@ -103,6 +107,7 @@
 
     def feed(self, item: core.Input) -> None:
         """Give the reducer one input and carry out what it asks; what that feeds in turn waits."""
+        self._beat()
         self._inputs.append(item)
         if self._busy:
             return
@@ -120,9 +125,24 @@
         finally:
             self._busy = False
 
+    def _beat(self) -> None:
+        """Note that we are awake, and for how long we were not."""
+        now = self._clock.now_ms()
+        missed, self._beat_ms = now - self._beat_ms, now
+        if missed > BEAT_MS + LAG_MS and self._beating is not None:
+            self.counters.add("stalls_measured")
+            self._inputs.append(core.Stalled(missed))
+
+    def _pulse(self) -> None:
+        self._beat()
+        self._beating = self._net.loop.call_later(BEAT_MS / 1000, self._pulse) if self._open else None
+
     def take(self, number: int, client: Asker, asked: Operation) -> None:
         """A whole operation has come from a client."""
         self._open[number] = _Open(client, asked)
+        if self._beating is None:
+            self._beat_ms = self._clock.now_ms()
+            self._beating = self._net.loop.call_later(BEAT_MS / 1000, self._pulse)
         deadline = self._clock.now_ms() + asked.wait_ms
         self.feed(core.OperationCame(number, asked.cls, deadline, asked.repeat, asked.cost_ms, asked.room,
                                      asked.id))
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -131,3 +131,22 @@
     effects = reducer.step(1001.0, core.OperationCame(1, 0, 1000.0))  # its time has passed already
     assert not any(isinstance(effect, core.SendStep) for effect in effects)
     assert isinstance(told[-1], api.Reply) and told[-1].outcome is api.Outcome.MOOT
+
+
+def test_what_was_measured_over_a_stall_of_ours_says_nothing_of_a_destination(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    # A sidecar without CPU for 7 s took its nodes for that slow, and refused for 6 s more while they idled.
+    reducer, told = started(), list[api.Event]()
+    handle = Balancer.handle
+
+    def listens(self: Balancer, now_ms: float, event: api.Event) -> list[api.Action]:
+        told.append(event)
+        return handle(self, now_ms, event)
+
+    monkeypatch.setattr(Balancer, "handle", listens)
+    for number in (1, 2):
+        reducer.step(1000.0, core.OperationCame(number, 0, 9000.0))
+    reducer.step(1040.0, core.StepEnded(1, 0, api.Outcome.OK, (), Answer(b"early")))
+    reducer.step(8060.0, core.Stalled(7000.0))
+    reducer.step(8060.0, core.StepEnded(2, 0, api.Outcome.OK, (), Answer(b"late")))
+    assert [event.latency_ms for event in told if isinstance(event, api.Reply)] == [40.0, 60.0]
