--- a/tests/lab/test_search.py
+++ b/tests/lab/test_search.py
@@ -12,6 +12,7 @@
 import time
 from itertools import pairwise
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any, Literal
 
 import msgspec
@@ -29,6 +30,7 @@
 from coveport.lab.search.aftermath import aftermath, ratio, troubles_of, without_faults
 from coveport.lab.search.files import laid, to_toml
 from coveport.lab.search.schedules import draw_schedule
+from coveport.lab.search.shrink import look_at
 
 CALM = load(catalog.find("calm"))
 
@@ -171,6 +173,19 @@
         "process: unexpected: Fatal error #: OSError(#, 'Too many open files') (# like it left out)": 2}
 
 
+def test_what_is_left_over_in_quiet_is_a_find() -> None:
+    rest = {"connections": 1, "tasks": 1, "timers": 2, "hosts": 10, "requests": 0}
+    left = {0: rest, 1: rest | {"requests": 2}, 2: rest | {"timers": 9, "requests": 1}}
+    day: Any = SimpleNamespace(scenario=SimpleNamespace(quiet_s=8.0))
+    over: Any = SimpleNamespace(day=day, held=left)
+    assert [(one.signature, one.what) for one in finds._held(over)] == [
+        ("held: requests", "sidecar 1 held 2 requests in quiet"),
+        ("held: timers", "sidecar 2 held 9 timers in quiet"),
+        ("held: requests", "sidecar 2 held 1 requests in quiet")]
+    day.scenario.quiet_s = 0.0
+    assert list(finds._held(over)) == []
+
+
 # Folders.
 
 
@@ -214,6 +229,13 @@
     assert hunted(tmp_path, again, 5).runs == 5 and again.runs == [1]
 
 
+def test_a_day_that_does_not_get_on_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(hunt, "LIMIT_S", 0.05)
+    with pytest.raises(hunt.HangsError, match="more than 0"):
+        hunt.look(laid(CALM, ["length_s=3000"]), 1)
+    assert [one.signature for one in look_at(CALM, 1, "")] == ["process: not played: HangsError"]
+
+
 def test_the_command_line_finds_and_stops_clean(tmp_path: Path) -> None:
     call = [sys.executable, "-m", "coveport", "lab", "search", "calm", "--jobs", "2", "--out",
             str(tmp_path / "out"), "--variant", "answers-none"]
