--- a/coveport/lab/search/aftermath.py
+++ b/coveport/lab/search/aftermath.py
@@ -29,6 +29,7 @@
 MOST_LEVEL = 0.85  # of the capacity; who is asked for more falls behind for that alone
 NEWS_MS = 2000.0  # on top: for what is known to travel, and trials to be made
 GAP = 0.1  # by which the same day without faults must be served better, as a share of its reach,
+LOW_GAP = 0.25  # where that is low as well,
 LEAST = 10  # and by so many wishes of middling worth: a few more or less are chance
 
 
--- a/coveport/lab/search/finds.py
+++ b/coveport/lab/search/finds.py
@@ -22,7 +22,7 @@
 from coveport.lab.oracle.grace import Grace
 from coveport.lab.outcome import Broken, Outcome
 from coveport.lab.playing import Played
-from coveport.lab.search.aftermath import GAP, LEAST, Aftermath, aftermath, ratio
+from coveport.lab.search.aftermath import GAP, LEAST, LOW_GAP, Aftermath, aftermath, is_low, ratio
 from coveport.lab.search.reach import Reach, reachable
 
 RULE, PROCESS, HELD, NO_RETURN, DIP = "rule", "process", "held", "no-return", "dip"
@@ -87,7 +87,8 @@
     better = reachable(control.day, control.rows)
     worths = [control.day.scenario.classes[one.cls].worth for one in control.day.wishes if one.due >= below]
     gained = better.between(below, end)[1] - here.reach.between(below, end)[1]
-    return (ratio(better, below, end) >= ratio(here.reach, below, end) + GAP
+    gap = LOW_GAP if is_low(better, below, end) else GAP
+    return (ratio(better, below, end) >= ratio(here.reach, below, end) + gap
             and gained >= LEAST * sum(worths) / max(1, len(worths)))
 
 
