--- a/coveport/lab/search/schedules.py
+++ b/coveport/lab/search/schedules.py
@@ -81,7 +81,8 @@
     ("heavy_tail", "share"): _log(0.005, 0.5), ("heavy_tail", "size"): _log(3, 60),
     ("discovery", "size"): _log(0.3, 10), ("starve", "size"): _log(0.02, 0.9),
     ("clock", "size"): _of(-3600, -60, -1, -0.05, 0.05, 1, 60, 3600),
-    ("descriptors", "size"): _whole(40, 300), ("slow_reader", "size"): _log(0.05, 10), ("slow_reader", "share"): _log(0.01, 1),
+    ("descriptors", "size"): _whole(40, 300), ("slow_reader", "size"): _log(0.05, 10),
+    ("slow_reader", "share"): _log(0.01, 1),
 }
 """By kind and key; what is not there is drawn by its type and bounds."""
 
