--- a/tests/test_decide_health.py
+++ b/tests/test_decide_health.py
@@ -323,6 +323,32 @@
     assert (host.pace == pace, zone.limit == limit) == (lost, lost), "speaks of its host and zone, or not"
 
 
+def test_what_got_lost_takes_no_room() -> None:
+    driver = quiet(peers=500)
+    driver.warm(20.0)
+    go(driver)
+    for _ in range(2):
+        driver.now += 10
+        driver.end(go(driver), 5.0)
+    assert go(driver) and go(driver) and not tried(driver), "two, where answers come so soon"
+
+
+def test_a_held_request_is_a_trial_where_no_other_host_has_room() -> None:
+    driver = quiet(2)
+    driver.warm(50.0)
+    while (sent := tried(driver)) and sent.host != 101:
+        driver.end(sent, 50.0)
+    known(driver, Outcome.CONNECT_FAILED, 100)
+    driver.now += 240  # a patience and more
+    held = driver.request()
+    driver.balancer.hosts[100].trial_at = driver.now + 50
+    driver.feed(api.TimerFired(0))
+    assert not driver.of(held)
+    driver.now += 60
+    driver.feed(api.TimerFired(0))
+    assert driver.of(held)[0].host == 100
+
+
 def test_a_time_out_counts_as_word_of_a_jammed_host() -> None:
     driver = quiet(1, 1)
     driver.warm(50.0)
