--- a/coveport/config/platform.py
+++ b/coveport/config/platform.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from coveport.config import retuning
 from coveport.net.address import Address, parse_address
 from micaflow import interface as api
 from micaflow import wire
@@ -30,7 +31,9 @@
     settings: api.Settings
     zones: tuple[str, ...]
     keepalive_ms: float
+    console: Address | None = None  # where staff call; None: nothing is opened
     known: Any = field(default=None, repr=False)  # in discovery's form; read like its answers
+    told: Mapping[str, Any] = field(default_factory=dict, repr=False, compare=False)  # the file
 
 
 def _number(section: Mapping[str, Any], key: str, default: float, *, least: float = 0) -> float:
@@ -57,11 +60,11 @@
 
 
 def read(text: str, environ: Mapping[str, str], *, again: bool = False,
-         where: str = "configuration") -> Config:
+         running: Config | None = None, where: str = "configuration") -> Config:
     """Read and check a configuration's JSON; ConfigError says in one line what is wrong `where`.
 
     `again`: the file was replaced while we ran. What it says of discovery then beats the variable, which
-    dates from our start.
+    dates from our start. `running`: what the file replaces, of which it may leave out nothing.
     """
     try:
         told = json.loads(text)
@@ -70,7 +73,10 @@
         settings = told.get("settings")
         if not isinstance(settings, dict):
             raise ValueError("settings: not an object")
+        if running is not None:
+            retuning.check(told, running.told)
         limits, seed = told.get("limits") or {}, told.get("seed", "0")
+        console = environ.get("LB_CONSOLE") or told.get("console")
         zones = settings.get("localities") or ()
         return Config(
             name=environ.get("LB_NAME") or str(told.get("name", "coveport")),
@@ -83,13 +89,15 @@
             settings=_settings(settings),
             zones=tuple(str(zone) for zone in zones),
             keepalive_ms=_number(settings.get("limits") or {}, "keepalive_ms", 5000.0),
+            console=parse_address(console) if console else None,
             known=told.get("known"),
+            told=told,
         )
     except (ValueError, TypeError, AttributeError, RecursionError) as problem:
         raise ConfigError(f"{where}: {' '.join(str(problem).split())}") from problem
 
 
-def load(environ: Mapping[str, str], *, again: bool = False) -> Config:
+def load(environ: Mapping[str, str], *, running: Config | None = None, again: bool = False) -> Config:
     """Read the file that LB_CONFIG names, as `read` does."""
     path = environ.get("LB_CONFIG")
     if not path:
@@ -99,4 +107,4 @@
             text = file.read()
     except (OSError, ValueError) as problem:
         raise ConfigError(f"{path}: {' '.join(str(problem).split())}") from problem
-    return read(text, environ, again=again, where=path)
+    return read(text, environ, again=again, running=running, where=path)
--- /dev/null
+++ b/coveport/console/__init__.py
@@ -0,0 +1,1 @@
+"""The second address, for staff: one line in, one answer out."""
--- /dev/null
+++ b/coveport/console/server.py
@@ -0,0 +1,145 @@
+"""The console's listener: a few callers at a time, one line each, an answer and a close."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterable, Mapping
+
+from coveport.console import codec
+from coveport.console.codec import Call
+from coveport.net.address import Address
+from coveport.net.transport import Listening, Net
+from coveport.telemetry.counters import Counters
+from coveport.telemetry.log import Log
+
+SILENT_S = 2.0  # how long a caller may take to send its line
+LINGER_S = 0.5  # how long a caller may take to take its answer and go
+WAITING_MOST = 64  # callers that may wait to be accepted
+ACCEPT_MOST = 8  # callers accepted in one turn of the loop
+
+_INBOX = memoryview(bytearray(4096))  # shared: what is read is taken out before the next read
+
+Done = str | Iterable[str] | None
+"""What came of a call: a reason why not, rows that it tells, or None: done."""
+
+
+class _Caller(asyncio.BufferedProtocol):
+    """One caller's connection."""
+
+    def __init__(self, console: Console) -> None:
+        self._console = console
+        self._held = bytearray()
+        self._transport: asyncio.Transport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self.answered = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._timer = self._console.net.loop.call_later(SILENT_S, self._silent)
+        self._console.came(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return _INBOX
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if not self.answered:  # what comes behind the line is read and thrown away
+            self._held += _INBOX[:nbytes]
+            self._look(ended=False)
+
+    def eof_received(self) -> bool:
+        if self.answered:
+            return False
+        self._look(ended=True)
+        return True  # a caller that has sent its line and ended still reads
+
+    def _look(self, ended: bool) -> None:
+        try:
+            call = codec.read_call(self._held, ended)
+        except codec.BadCallError as problem:
+            self._answer(codec.write_no(str(problem)))
+            return
+        if call is not None:
+            self._answer(self._console.answer(call))
+
+    def _silent(self) -> None:
+        self._answer(codec.write_no("no line came"))
+
+    def _answer(self, data: bytes) -> None:
+        self.answered = True
+        self._console.answered(self)
+        assert self._timer is not None and self._transport is not None
+        self._timer.cancel()
+        self._timer = self._console.net.loop.call_later(LINGER_S, self.close)
+        # Guards against a caller that has gone meanwhile.
+        with contextlib.suppress(OSError):
+            self._transport.write(data)
+            self._transport.write_eof()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._console.gone(self)
+
+    def close(self) -> None:
+        """Close at once."""
+        self._console.gone(self)
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class Console:
+    """Takes callers in, and has each call done by who can; decides nothing.
+
+    `most`: callers at a time. `calls`: what does each call; an exception there is answered with a no.
+    """
+
+    def __init__(self, net: Net, counters: Counters, log: Log, *, most: int,
+                 calls: Mapping[Call, Callable[[], Done]]) -> None:
+        self.net, self._counters, self._log = net, counters, log
+        self._most, self._calls = most, calls
+        self._silent: dict[_Caller, None] = {}  # who has not asked yet, the longest connected first
+        self._leaving: dict[_Caller, None] = {}  # who has its answer
+        self._server: Listening | None = None
+
+    async def open(self, address: Address) -> int:
+        """Listen; the port that was bound. OSError where that can't be."""
+        self._server = await self.net.listen(lambda: _Caller(self), address, accept_most=ACCEPT_MOST,
+                                             waiting_most=WAITING_MOST)
+        return self._server.port
+
+    def came(self, caller: _Caller) -> None:
+        """Somebody calls; where there are too many, one goes: who has its answer, or the longest silent."""
+        # Guards against callers that stay without a word: they would keep others waiting.
+        if len(self._silent) + len(self._leaving) >= self._most:
+            next(iter(self._leaving or self._silent)).close()
+        self._silent[caller] = None
+
+    def answered(self, caller: _Caller) -> None:
+        """A caller has its answer."""
+        self._silent.pop(caller, None)
+        self._leaving[caller] = None
+
+    def gone(self, caller: _Caller) -> None:
+        """A caller's connection is gone."""
+        self._silent.pop(caller, None)
+        self._leaving.pop(caller, None)
+
+    def answer(self, call: Call) -> bytes:
+        """Have a call done."""
+        self._counters.add(f"console_{call.value.lower()}")
+        try:
+            done = self._calls[call]()
+        except Exception as problem:
+            # Guards against a fault in a figure: the caller hears of it, and everything else goes on.
+            self._log.note("console", f"{call.value}: {problem!r}")
+            return codec.write_no(f"a fault: {type(problem).__name__}")
+        return codec.write_no(done) if isinstance(done, str) else codec.write_yes(done)
+
+    def close(self) -> None:
+        """Stop listening; who is there is cut off."""
+        if self._server is not None:
+            self._server.close()
+        for caller in [*self._silent, *self._leaving]:
+            caller.close()
--- a/coveport/core/messages.py
+++ b/coveport/core/messages.py
@@ -86,9 +86,10 @@
 
 @dataclass(slots=True)
 class Reloaded:
-    """The configuration was read anew; discovery is at this address."""
+    """The configuration was read anew: discovery is at this address; `settings`: None where none differ."""
 
     discovery: Address
+    settings: api.Settings | None = None
 
 
 @dataclass(slots=True)
--- a/coveport/core/phases.py
+++ b/coveport/core/phases.py
@@ -11,13 +11,15 @@
 
     STARTING = "starting"  # no list yet: not ready
     SERVING = "serving"
+    LAMEDUCK = "lameduck"  # drained by staff: takes no new clients, serves those it has; there is a way back
     DRAINING = "draining"  # told to stop: serves on, then closes what is idle and ends what it owes
     STOPPED = "stopped"
 
 
 _NEXT = {
     Phase.STARTING: {Phase.SERVING, Phase.DRAINING},
-    Phase.SERVING: {Phase.DRAINING},
+    Phase.SERVING: {Phase.LAMEDUCK, Phase.DRAINING},
+    Phase.LAMEDUCK: {Phase.SERVING, Phase.DRAINING},
     Phase.DRAINING: {Phase.STOPPED},
     Phase.STOPPED: set[Phase](),
 }
--- a/coveport/core/reducer.py
+++ b/coveport/core/reducer.py
@@ -50,6 +50,7 @@
 class _Operation:
     deadline_ms: float
     id: str
+    most_attempts: int  # as of when it came
     answered: bool = False  # or the client is gone: nothing is owed
     steps: list[_Step] = field(default_factory=list)
 
@@ -76,6 +77,11 @@
         """How many operations still wait for their answer."""
         return sum(not operation.answered for operation in self._operations.values())
 
+    @property
+    def members(self) -> tuple[int, int]:
+        """How many destinations are listed, and how many of them the module avoids now."""
+        return len(self._balancer.hosts), self._balancer.avoided()
+
     @property
     def tables(self) -> dict[str, int]:
         """How many entries each table has, the module's included; all but `hosts` come back to nothing."""
@@ -105,6 +111,9 @@
             self._discount(item.lasted_ms)
         elif isinstance(item, Reloaded):
             self._effects.append(MovePool(item.discovery))  # operations and route steps go on
+            if item.settings is not None:
+                self._settings = item.settings
+                self._tell(api.Retuned(item.settings))
         else:
             # Guards against a module that forgets an operation: it gets its answer within the slack.
             operation = self._operations.get(item.operation)
@@ -124,7 +133,8 @@
             self._effects.append(GiveAnswer(item.operation, Verdict.DOUBLE))
             return
         self._ids.add(item.id)
-        operation = self._operations[item.operation] = _Operation(item.deadline_ms, item.id)
+        operation = self._operations[item.operation] = _Operation(item.deadline_ms, item.id,
+                                                                   self._settings.limits.max_attempts)
         guard = item.deadline_ms + self._settings.rules.answer_slack_ms * GUARD_SHARE
         self._effects.append(GuardDeadline(item.operation, guard))
         told = self._tell(api.Request(item.operation, item.deadline_ms, item.cls, 0, item.cost_ms,
@@ -238,7 +248,7 @@
         attempt = len(operation.steps)
         operation.steps.append(_Step(action.host, self._now))
         left = operation.deadline_ms - self._now
-        if operation.answered or left <= 0 or attempt >= self._settings.limits.max_attempts:
+        if operation.answered or left <= 0 or attempt >= operation.most_attempts:
             operation.steps[attempt].out = False
             self._events.append(api.Reply(action.id, attempt, action.host, api.Outcome.MOOT, 0.0,
                                           operation.answered))
--- a/coveport/http1/clients.py
+++ b/coveport/http1/clients.py
@@ -30,6 +30,7 @@
 KEPT_SHARE = 0.5  # of the clients there may be: above that, connections at rest are closed early ...
 RESTED_S = 0.1  # ... if they have rested so long
 SPARE = 4  # clients above the most that may be there at once while room is made
+STILL_COMING_S = 0.7  # a front that has heard our no sends new connections for a while
 ACCEPT_S = 2.0  # how long the planned end takes in what waits; asyncio pauses for 1 s after EMFILE
 LINGER_S = 1.0  # how long to read on after a farewell, which a reset would destroy
 LINGER_MOST = 256 * 1024  # how much of what comes then: who sends 60 MB must not have our time for it
@@ -155,7 +156,7 @@
     def _write(self, status: int, headers: list[tuple[str, str]] | None = None, body: bytes = b"") -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        ending = (self._listener.closing or self.too_many) and not self._parser.begun  # begun: taken, or soon
+        ending = (self._listener.leaving or self.too_many) and not self._parser.begun  # begun: taken, or soon
         keep = self._keep and not ending
         lines = [*(headers or ()), *(() if keep else (("Connection", "close"),))]
         self._since = self._listener.net.now_s()
@@ -247,7 +248,8 @@
                 self._keep = False
                 self._reject(codec.BadMessageError(408, "the request did not come whole"))
         # Guards against connections that say nothing: by the hundred they would leave no room for others.
-        elif ((self._listener.closing or waited > (IDLE_S if self._used else FIRST_S))
+        elif ((self._listener.closing or not self._listener.resting
+               or waited > (IDLE_S if self._used else FIRST_S))
               and self.may_close(now - FRESH_S)):
             self.close()
 
@@ -265,9 +267,11 @@
                  classes: tuple[api.RequestClass, ...], *, most_clients: int, ready: Callable[[], bool],
                  take: Callable[[int, Client, Operation], None], gone: Callable[[int], None]) -> None:
         self.net, self.counters, self.log = net, counters, log
-        self.classes = {cls.name: (number, cls.effect) for number, cls in enumerate(classes)}
+        self.retune(classes)
         self.ready, self.take, self.gone = ready, take, gone
-        self.closing = False
+        self.closing = False  # the planned end: takes no new connections
+        self._draining: asyncio.TimerHandle | None = None  # drained by staff: answers close connections
+        self.resting = True  # connections at rest are kept
         self._most, self._numbers = most_clients, 0
         self._clients: dict[Client, None] = {}  # the longest connected first
         self._new: dict[Client, None] = {}  # those that have brought no whole request yet, likewise
@@ -278,10 +282,37 @@
         self._stalled_from: float | None = None  # set while what came during a stall is being read
         self._stall_seen = 0.0
 
+    def retune(self, classes: tuple[api.RequestClass, ...]) -> None:
+        """Take operations of these classes from now on."""
+        self.classes = {cls.name: (number, cls.effect) for number, cls in enumerate(classes)}
+
+    def drain(self, on: bool) -> None:
+        """Drain, or take clients again: whoever comes is served either way, but its connection is not kept.
+
+        Connections at rest are closed once new ones have stopped coming.
+        """
+        if self._draining is not None:
+            self._draining.cancel()
+            self._draining = None
+        self.resting = True
+        if on:
+            self._draining = self.net.loop.call_later(STILL_COMING_S, self._rest_no_more)
+
+    def _rest_no_more(self) -> None:
+        self.resting = False
+        now = self.net.now_s()
+        for client in list(self._clients):
+            client.check(now)
+
+    @property
+    def leaving(self) -> bool:
+        """Whether connections close after their answer."""
+        return self.closing or self._draining is not None
+
     async def open(self, address: Address) -> int:
         """Listen; the port that was bound."""
         self._server = await self.net.listen(lambda: Client(self), address, accept_most=ACCEPT_MOST,
-                                             waiting_most=WAITING_MOST)
+                                             waiting_most=WAITING_MOST, shared=True)
         return self._server.port
 
     def number(self) -> int:
--- a/coveport/http1/links.py
+++ b/coveport/http1/links.py
@@ -86,7 +86,8 @@
         assert self._transport is not None
         self._step, step.link, self._unsent = step, self, False
         self._transport.write(request_of(step, self.place))
-        step.handed = not self._unsent and not self._transport.is_closing()
+        if not self._unsent and not self._transport.is_closing():
+            step.hand()
 
     def pause_writing(self) -> None:
         """Not all is handed to the connection yet."""
@@ -96,7 +97,7 @@
         """The last byte has been handed over."""
         self._unsent = False
         if self._step is not None:
-            self._step.handed = True
+            self._step.hand()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where to read to."""
--- a/coveport/lab/fuzz/writers.py
+++ b/coveport/lab/fuzz/writers.py
@@ -59,6 +59,8 @@
     match item:
         case wire.Attach():
             return struct.pack("<HQI", 1, item.seed, len(item.info)) + item.info
+        case api.Retuned():
+            raise AssertionError("the wire does not know it")
         case wire.Halt():
             return struct.pack("<H", 10)
         case api.ListUpdate():
--- a/coveport/lab/virtual/play.py
+++ b/coveport/lab/virtual/play.py
@@ -109,7 +109,7 @@
             return
 
         async def run() -> int:
-            return await serve(config, net, log, reread=lambda: self._config(drawn, generation),
+            return await serve(config, net, log, reread=lambda _: self._config(drawn, generation),
                                reducer=self._variant.reducer, effects_type=self._variant.effects)
 
         def ended(task: asyncio.Task[int]) -> None:
--- a/coveport/lab/virtual/wires.py
+++ b/coveport/lab/virtual/wires.py
@@ -730,10 +730,14 @@
             side.close_socket()
 
     async def listen(self, factory: Factory, address: Address, *, accept_most: int,
-                     waiting_most: int) -> Listening:
-        """Listen at an address of this machine; port 0: any."""
+                     waiting_most: int, shared: bool = False) -> Listening:
+        """Listen at an address of this machine; port 0: any. Nothing is shared here."""
         return self._open(address, factory, None, waiting_most, accept_most, 0.0)
 
+    def is_taken(self, address: Address) -> bool:
+        """Whether somebody listens there."""
+        return address in self.network.listening
+
     def accept(self, accept: Callable[[int], asyncio.BaseProtocol], address: Address) -> _Listening:
         """Listen, and tell the factory the number of the machine that calls."""
         harsh = self.network.harsh
--- a/coveport/net/transport.py
+++ b/coveport/net/transport.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 import struct
 import time
@@ -66,13 +67,14 @@
         return time.time()
 
     async def listen(self, factory: Factory, address: Address, *, accept_most: int,
-                     waiting_most: int) -> Listening:
+                     waiting_most: int, shared: bool = False) -> Listening:
         """Listen on TCP; OSError where that can't be.
 
         `accept_most`: connections taken in one turn of the loop. `waiting_most`: those that may wait below.
+        `shared`: beside others that share it (SO_REUSEPORT); the system deals new connections out.
         """
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        one = socket.create_server(address, family=family)
+        one = socket.create_server(address, family=family, reuse_port=shared)
         try:
             # Guards against one turn that accepts more than we have descriptors for, after which asyncio
             # accepts nothing for a second; what waits stands in the kernel's queue.
@@ -83,6 +85,17 @@
             raise
         return _Listening(server, one.getsockname()[1])
 
+    def is_taken(self, address: Address) -> bool:
+        """Whether somebody listens there already, shared or not."""
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        with socket.socket(family, socket.SOCK_STREAM) as one:
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # connections just closed are nobody
+            try:
+                one.bind(address)
+            except OSError as problem:
+                return problem.errno == errno.EADDRINUSE
+        return False
+
     async def dial(self, factory: Factory, address: Address) -> None:
         """Connect by TCP; OSError where it is refused or can't be. Cancelled, it leaves nothing behind."""
         await self.loop.create_connection(factory, *address)
--- a/coveport/nodes/steps.py
+++ b/coveport/nodes/steps.py
@@ -78,6 +78,12 @@
         # Nothing whole was handed over: it can't have run, however the wait ended.
         self.end(StepResult(outcome if self.handed else Outcome.CONNECT_FAILED))
 
+    def hand(self) -> None:
+        """The last byte was handed to an accepted connection: it may run from here on."""
+        if not self.handed and self.operation is not None:
+            self._pool.counters.add("upstream_requests")
+        self.handed = True
+
     def cancel(self) -> None:
         """Give it up; the connection goes with it."""
         self.end(StepResult(Outcome.CANCELLED))
--- a/coveport/sidecar/effects.py
+++ b/coveport/sidecar/effects.py
@@ -6,7 +6,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 from coveport.config.platform import Config
@@ -20,7 +20,7 @@
 from coveport.nodes.destinations import Destinations
 from coveport.nodes.link import Dial
 from coveport.nodes.steps import RouteStep, StepResult
-from coveport.telemetry.counters import Counters
+from coveport.telemetry.counters import Counters, ended
 from coveport.telemetry.log import Log
 from micaflow import interface as api
 
@@ -41,6 +41,15 @@
     return max(2, int(free * CLIENT_PART)), max(2, int(free * (1 - CLIENT_PART)))
 
 
+def callers(most: int) -> int:
+    """How many callers the console holds at a time: a third of the descriptors for all else."""
+    return max(2, int(max(REST_SHARE * most, REST_LEAST) / 3))
+
+
+_ENDS = {core.Verdict.SERVED: "completed", core.Verdict.BUSY: "rejected", core.Verdict.FAILED: "failed",
+         core.Verdict.DOUBLE: "failed"}
+
+
 class Asker(Protocol):
     """The client side of a protocol: whoever has brought an operation and waits for its answer."""
 
@@ -54,9 +63,11 @@
 
     client: Asker | None
     asked: Operation
+    cls: str  # the name of its class when it came
     guard: asyncio.TimerHandle | None = None
     steps: dict[int, RouteStep] = field(default_factory=dict)
     answered: bool = False
+    ended: bool = False  # counted under how it ended
 
 
 class Effects:
@@ -81,6 +92,12 @@
         self.pool_config = PoolConfig(net, config.discovery, self._reader, self.told, counters, log,
                                       must_ask=config.settings.must_ask, seed=config.seed)
         self.has_list = False
+        self.pending = 0  # operations taken and not ended
+        counters.gauge("pending", lambda: self.pending)
+        counters.gauge("members", lambda: self._reducer.members[0])
+        counters.gauge("members_unavailable", lambda: self._reducer.members[1])
+        for one in config.settings.classes:
+            counters.name_class(one.name)
 
     def know(self) -> None:
         """Start from the list that the sidecar last had."""
@@ -141,7 +158,8 @@
 
     def take(self, number: int, client: Asker, asked: Operation) -> None:
         """A whole operation has come from a client."""
-        self._open[number] = _Open(client, asked)
+        self._open[number] = _Open(client, asked, self._config.settings.classes[asked.cls].name)
+        self.pending += 1
         if self._beating is None:
             self._beat_ms = self._clock.now_ms()
             self._beating = self._net.loop.call_later(BEAT_MS / 1000, self._pulse)
@@ -153,6 +171,7 @@
         """The client of an operation has gone away."""
         if number in self._open:
             self._open[number].client = None
+            self._ended(self._open[number], "failed")
         self.feed(core.ClientGone(number))
         self._forget(number, answered=True)
 
@@ -172,15 +191,19 @@
         self.destinations.place(update.places, update.update.kind is not api.ListKind.DELTA)
 
     def reload(self, config: Config) -> None:
-        """The configuration was read anew: discovery moves, all else holds until the next start."""
-        before = self._config
-        kept = [name for name in ("name", "listen", "sockets", "memory_mb", "settings", "zones",
+        """The configuration was read anew: discovery moves, other settings hold, the rest waits."""
+        before, settings = self._config, config.settings
+        kept = [name for name in ("name", "listen", "console", "sockets", "memory_mb", "zones",
                                   "keepalive_ms")
                 if getattr(before, name) != getattr(config, name)]
-        self.counters.add("reloads")
+        self.counters.add("config_reloads")
         self._log.say(f"{before.name}: configuration read anew, discovery at {config.discovery[0]}:"
                 f"{config.discovery[1]}" + (f"; from the next start: {', '.join(kept)}" if kept else ""))
-        self.feed(core.Reloaded(config.discovery))
+        for one in settings.classes:
+            self.counters.name_class(one.name)
+        changed = settings != before.settings
+        self._config = replace(before, settings=settings)
+        self.feed(core.Reloaded(config.discovery, settings if changed else None))
 
     # Effects.
 
@@ -240,10 +263,18 @@
         opened = self._open[effect.operation]
         client, opened.client = opened.client, None
         self.counters.add(f"answers_{effect.verdict.value}")
+        self._ended(opened, _ENDS[effect.verdict])
         if client is not None:
             client.answer(effect.verdict, effect.answer, effect.retry_after_ms)
         self._forget(effect.operation, answered=True)
 
+    def _ended(self, opened: _Open, how: str) -> None:
+        """An operation has ended; it is counted once, whatever comes after that."""
+        if not opened.ended:
+            opened.ended = True
+            self.pending -= 1
+            self.counters.add(ended(opened.cls, how))
+
     def _forget(self, number: int, answered: bool = False) -> None:
         opened = self._open.get(number)
         if opened is None:
--- a/coveport/sidecar/serve.py
+++ b/coveport/sidecar/serve.py
@@ -7,35 +7,38 @@
 import os
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from coveport.config import platform as configuration
+from coveport.console.codec import Call
+from coveport.console.server import Console, Done
 from coveport.core.phases import Lifecycle, Phase
 from coveport.core.reducer import Reducer
-from coveport.http1.clients import Listener
+from coveport.http1.clients import STILL_COMING_S, Listener
 from coveport.http1.links import Dialer
+from coveport.net.address import Address
 from coveport.net.transport import Net
-from coveport.sidecar.effects import Effects, descriptors
+from coveport.sidecar.effects import Effects, callers, descriptors
 from coveport.telemetry.counters import Counters
 from coveport.telemetry.log import Log
 from micaflow import interface as api
 
 FIRST_LIST_S = 0.5  # how long to wait for discovery before the known list has to do
-STILL_COMING_S = 0.7  # after SIGTERM new work still comes for a while
 BIND_S, BIND_STEP_S = 5.0, 0.1  # the address may be held by the one before us for a moment
 STEP_S = 0.02
 ANSWER_SHARE = 1 / 32  # of the memory: ledger nodes do answer with hundreds of KiB, but never with GB
 
 
 async def serve(config: configuration.Config, net: Net, log: Log, *,
-                reread: Callable[[], configuration.Config], on_phase: Callable[[Phase], None] | None = None,
+                reread: Callable[[configuration.Config], configuration.Config],
+                on_phase: Callable[[Phase], None] | None = None,
                 reducer: Callable[[api.Settings, int], Reducer] = Reducer,
                 effects_type: type[Effects] = Effects) -> int:
     """Run until told to stop and nothing is owed; the exit code.
 
-    `reread` gives the configuration anew, or raises ConfigError. `reducer` and `effects_type` are there to be
-    replaced by variants that are held against each other.
+    `reread` gives the configuration anew, checked against the one that runs, or raises ConfigError. `reducer`
+    and `effects_type` are there to be replaced by variants that are held against each other.
     """
     loop = net.loop
     counters, life = Counters(), Lifecycle()
@@ -55,18 +58,40 @@
                                             clients=listener.count, links=effects.destinations.count,
                                             tables={"clients": listener.count, **effects.tables}))
 
-    stop = asyncio.Event()
+    stop, running = asyncio.Event(), config
 
     def terminate() -> None:
         if life.enter(Phase.DRAINING):
             stop.set()
 
+    def ping() -> Done:
+        return None if life.ready else f"not ready: {life.phase.value}"
+
+    def info() -> Done:
+        return counters.told()
+
+    def lameduck() -> Done:
+        if life.phase is Phase.LAMEDUCK or life.enter(Phase.LAMEDUCK):
+            return None
+        return f"not serving: {life.phase.value}"
+
+    def rejoin() -> Done:
+        if life.phase is Phase.SERVING or (life.phase is Phase.LAMEDUCK and life.enter(Phase.SERVING)):
+            return None
+        return f"no way back: {life.phase.value}"
+
+    console = Console(net, counters, log, most=callers(config.sockets), calls={
+        Call.PING: ping, Call.INFO: info, Call.LAMEDUCK: lameduck, Call.REJOIN: rejoin})
+
     def reload() -> None:
         try:
-            effects.reload(reread())
+            nonlocal running
+            running = told = reread(running)
+            effects.reload(told)
+            listener.retune(told.settings.classes)
         except configuration.ConfigError as problem:
             # Guards against a bad file, or one that is half written: we run on with what we have.
-            counters.add("reloads_bad")
+            counters.add("config_reload_errors")
             log.say(f"{config.name}: kept the old configuration: {problem}")
 
     loop.set_exception_handler(unexpected)
@@ -75,27 +100,25 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     loop.add_signal_handler(signal.SIGUSR1, figures)
     life.listen(lambda phase: log.say(f"{config.name}: {phase.value}"))
+    life.listen(lambda phase: listener.drain(phase is Phase.LAMEDUCK))
     if on_phase is not None:
         life.listen(on_phase)
 
     effects.know()
     effects.pool_config.start()
-    give_up = net.now_s() + BIND_S
-    while True:
-        try:
-            port = await listener.open(config.listen)
-            break
-        except OSError as problem:
-            if net.now_s() > give_up:
-                log.say(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {problem}")
-                return 1
-            await asyncio.sleep(BIND_STEP_S)
-    log.say(f"{config.name}: listening on {config.listen[0]}:{port}")
+    if config.console is not None and await _open(net, log, console.open, config.console) is not None:
+        log.say(f"{config.name}: staff call at {config.console[0]}:{config.console[1]}")
+    # Where another serves here already, it goes on until we are ready: clients would find us with no list.
+    beside = net.is_taken(config.listen)
+    if not beside and not await _listen(config, net, log, listener):
+        return 1
     # Who must ask asks in its own time, as all that start together ask a small service: none waits for it.
     known_will_do = net.now_s() + (0.0 if config.settings.must_ask else FIRST_LIST_S)
     while not stop.is_set() and not effects.has_list and not (
             effects.destinations.known and net.now_s() >= known_will_do):
         await asyncio.sleep(STEP_S)
+    if beside and not stop.is_set() and not await _listen(config, net, log, listener):
+        return 1
     life.enter(Phase.SERVING)
     await stop.wait()
 
@@ -106,18 +129,40 @@
     effects.pool_config.close()
     effects.destinations.close()
     listener.close()
+    console.close()
     life.enter(Phase.STOPPED)
     figures()
     return 0
 
 
+async def _listen(config: configuration.Config, net: Net, log: Log, listener: Listener) -> bool:
+    port = await _open(net, log, listener.open, config.listen)
+    if port is not None:
+        log.say(f"{config.name}: listening on {config.listen[0]}:{port}")
+    return port is not None
+
+
+async def _open(net: Net, log: Log, listen: Callable[[Address], Awaitable[int]], address: Address
+                ) -> int | None:
+    """Listen there, and the port; None, with a line that says so, where that can't be."""
+    give_up = net.now_s() + BIND_S
+    while True:
+        try:
+            return await listen(address)
+        except OSError as problem:
+            if net.now_s() > give_up:
+                log.say(f"cannot listen on {address[0]}:{address[1]}: {problem}")
+                return None
+            await asyncio.sleep(BIND_STEP_S)
+
+
 async def _serve(config: configuration.Config, log: Log) -> int:
     def settled(phase: Phase) -> None:
         if phase is Phase.SERVING:
             gc.freeze()  # what is there by now stays: no collection need look at it again
 
     return await serve(config, Net(asyncio.get_running_loop()), log, on_phase=settled,
-                       reread=lambda: configuration.load(os.environ, again=True))
+                       reread=lambda running: configuration.load(os.environ, again=True, running=running))
 
 
 def main() -> int:
--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -76,8 +76,9 @@
 
 
 class _Request(Waiter):
-    def __init__(self, event: api.Request, cls: api.RequestClass, chance: random.Random) -> None:
-        self.id, self.kind, self.deadline, self.cls = event.id, event.cls, event.deadline_ms, cls
+    def __init__(self, event: api.Request, settings: api.Settings, chance: random.Random) -> None:
+        self.cls, self.limits = settings.classes[event.cls], settings.limits  # the rules under which it came
+        self.id, self.kind, self.deadline = event.id, self.cls.name, event.deadline_ms
         self.give_up = self.hold_until = self.cross_at = event.deadline_ms
         self.luck = chance.random()  # where less than one may be in flight, its chance to be that one
         self.chill = chance.random()  # which cold hosts it may go to
@@ -89,25 +90,28 @@
     """One copy's decisions, from its settings, its own events and its own random draws."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings, self.rules, self.limits = settings, settings.rules, settings.limits
         self.random, self.out = random.Random(seed), list[api.Action]()
         self.now, self.soon, self.extra, self.lately = 0.0, 0.0, 0.0, 0.0  # lately: mean answer time
         self.hosts, self.open = dict[int, _Host](), dict[int, _Request]()
-        self.local, self.all = list[_Host](), list[_Host]()
-        self.aim, *_, self.longest = sorted([c.aim_ms for c in settings.classes] * 2)
-        self.took = [self.aim / FIRST_GUESS for _ in settings.classes]  # mean answer time by class
-        self.queue = Held[_Request](len(settings.classes))
-        self.stuck, self.full = set[tuple[int, bool]](), False  # sorts none of which found a host; no room
-        self.zones, self.flights = dict[int, _Zone](), dict[tuple[int, int], _Attempt]()
+        self.local, self.all, self.flights = list[_Host](), list[_Host](), dict[tuple[int, int], _Attempt]()
+        self.queue, self.took, self.zones = Held[_Request](), dict[str, float](), dict[int, _Zone]()
+        self.stuck, self.full = set[tuple[str, bool]](), False  # sorts none of which found a host; no room
         self.due: list[tuple[float, int]] = []  # heap: when to look at which request (-1: at all)
         self.wake_at = self.look_at = inf  # the soonest timer that is set; when held requests are looked at
+        self.ask_at, self.ask_failures, self.answers = -inf if settings.must_ask else inf, 0, 0
+        self._retune(settings)
         self.service = self.work = self.aim / FIRST_GUESS  # mean answer time and cost hint, until they tell
+
+    def _retune(self, settings: api.Settings) -> None:  # what came before keeps its kind and its limits
+        self.settings, self.rules, self.limits = settings, settings.rules, settings.limits
+        self.aim, *_, self.longest = sorted([c.aim_ms for c in settings.classes] * 2)
+        self.took = {c.name: self.took.get(c.name, self.aim / FIRST_GUESS) for c in settings.classes}
+        self.local = [host for host in self.all if host.zone == settings.zone]
         self.dear = settings.prices.cross_zone * sum(c.worth for c in settings.classes)
         self.most_out = max(1, int(CROWD / settings.peers_total + 0.5))
         full, crowded, self.calm = ((FULL_OUT, CROWDED, CALM_SHARE) if settings.peers_total < MANY
                                     else (THIN_OUT, THIN_CROWDED, EXTRA_SHARE))
         self.part, self.slow = full * CROWD / settings.peers_total, crowded * self.aim
-        self.ask_at, self.ask_failures, self.answers = -inf if settings.must_ask else inf, 0, 0
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         """Take one event and say what to do now."""
@@ -122,6 +126,8 @@
             self._dispatch()
         elif isinstance(event, api.ProbeResult) and event.host in self.hosts:
             self._judge(self.hosts[event.host], event.outcome, event.latency_ms, None)
+        elif isinstance(event, api.Retuned):
+            self._retune(event.settings)
         elif isinstance(event, api.Left | api.StreamStarted):
             self._end(event.id, event.attempt if isinstance(event, api.StreamStarted) else -1)
         if self.soon >= self.ask_at:
@@ -130,6 +136,10 @@
             self.out.append(api.Subscribe())
         return self.out
 
+    def avoided(self) -> int:
+        """How many listed hosts get nothing for now."""
+        return sum(host.trial_at < inf or not host.ready for host in self.hosts.values())
+
     def _wake(self, at: float, request: int = -1) -> None:  # one timer, for the soonest
         heappush(self.due, (at, request))
         if at < self.wake_at:
@@ -137,8 +147,7 @@
             self.out.append(api.SetTimer(max(at - self.now, self.settings.tick_ms), 0))
 
     def _run_due(self) -> None:
-        self.wake_at = inf if self.soon >= self.wake_at else self.wake_at
-        self.look_at = inf if self.soon >= self.look_at else self.look_at
+        self.wake_at, self.look_at = (inf if self.soon >= at else at for at in (self.wake_at, self.look_at))
         while self.due and self.due[0][0] <= self.soon:
             self._hedge(heappop(self.due)[1])
         if self.due and self.due[0][0] < self.wake_at:
@@ -159,28 +168,19 @@
         if event.kind is not ListKind.DELTA:
             named = {entry.host for entry in event.entries}
             for gone in [host for host in self.hosts if host not in named]:
-                self._leave(self.hosts.pop(gone))
+                self.hosts.pop(gone).ready = False
         for entry in event.entries:
             host = self.hosts.get(entry.host)
             if host is not None and (entry.state is not State.READY or entry.started_ms > host.started):
-                self._leave(host)  # drains count from the moment we are told
+                host.ready = False  # drains count from the moment we are told
                 if entry.state is not State.DRAINING:
                     del self.hosts[entry.host]  # gone, or a new process, of which nothing known holds
-            if entry.state is not State.READY:
-                continue
-            host = self.hosts.setdefault(entry.host, _Host(entry))
-            if not host.ready:
+            if entry.state is State.READY:
+                host = self.hosts.setdefault(entry.host, _Host(entry))
                 host.ready = True
-                self.all.append(host)
                 self.zones.setdefault(host.zone, _Zone())
-                if host.zone == self.settings.zone:
-                    self.local.append(host)
-
-    def _leave(self, host: _Host) -> None:
-        host.ready = False
-        for level in (self.all, self.local):
-            if host in level:
-                level.remove(host)
+        self.all = [host for host in self.hosts.values() if host.ready]
+        self.local = [host for host in self.all if host.zone == self.settings.zone]
 
     def _ask_at(self, at: float) -> None:
         self.ask_at = at
@@ -205,9 +205,8 @@
         elif outcome is Outcome.CONNECT_FAILED or (
                 outcome is Outcome.TIMEOUT and host.heard_at < self.now - latency):  # silence
             self._eject(host)
-        if sent is not None and outcome is Outcome.OK:
-            for other in host.pending.values():
-                other.passed += other.sent_at < sent.sent_at
+        for other in host.pending.values():
+            other.passed += sent is not None and outcome is Outcome.OK and other.sent_at < sent.sent_at
         if sent is not None and (outcome is Outcome.OK or (outcome is Outcome.TIMEOUT and not sent.lost)):
             pace = latency / sent.share
             host.pace = pace if not host.pace else host.pace + MEMORY * (pace - host.pace)
@@ -303,8 +302,7 @@
         else:
             usable = [host for host in level if self._usable(host, request, False)]
             found = [host for host in usable if host not in tried] or usable or found
-            if len(found) > 2:
-                found = self.random.sample(found, 2)
+            found = self.random.sample(found, 2) if len(found) > 2 else found
         # Found in random order: ties fall at random.
         return min(found, key=lambda host: len(host.pending), default=None)
 
@@ -316,8 +314,8 @@
             return not risky or cls.effect is Effect.SAFE or (
                 cls.effect is Effect.KEYED and cls.group is Group.ALL)
         if (not host.ready or request.streaming or self.now >= request.deadline
-                or len(request.attempts) >= self.limits.max_attempts
-                or (not self.limits.second_copies and any(a.pending for a in request.attempts))):
+                or len(request.attempts) >= request.limits.max_attempts
+                or (not request.limits.second_copies and any(a.pending for a in request.attempts))):
             return False
         if not risky or cls.effect is not Effect.KEYED:
             return not risky or cls.effect is Effect.SAFE
@@ -330,13 +328,13 @@
     def _arrive(self, event: api.Request) -> None:
         if not 0 <= event.cls < len(self.settings.classes):
             return
-        request = self.open[event.id] = _Request(event, cls := self.settings.classes[event.cls], self.random)
-        good = cls.aim_ms + cls.aim_stretch * event.cost_ms
-        wait = cls.deadline_ms if cls.late_share else good  # none for what earns nothing: it is priced
-        request.give_up = min(event.deadline_ms, self.now + wait) - 2 * self.settings.tick_ms
+        request = self.open[event.id] = _Request(event, self.settings, self.random)
+        cls = request.cls
+        good = self.now + cls.aim_ms + cls.aim_stretch * event.cost_ms
+        wait = self.now + cls.deadline_ms if cls.late_share else good  # none where it earns nothing
+        request.give_up = min(event.deadline_ms, wait) - 2 * self.settings.tick_ms
         # However slow all hosts seem a new one has its time: else nothing would tell when they no longer are.
-        last_call = min(LAST_CALL * self.service, self.aim / 2)
-        request.hold_until = min(request.give_up, self.now + good - last_call)
+        request.hold_until = min(request.give_up, good - min(LAST_CALL * self.service, self.aim / 2))
         # Crossing costs a part of a mean request's worth: what is worth less waits longer for its zone.
         hint = event.cost_ms if self.settings.worth_by_work and 0 < event.cost_ms <= cls.deadline_ms else 0.0
         self.work += ((hint or self.work) - self.work) * SERVICE_MEMORY
@@ -388,9 +386,8 @@
         for request in self.queue.ended(self.soon):
             self._place(request)
         # First goes the class that is worth most for the time that it takes and that it can wait.
-        order = sorted(range(len(self.took)), key=lambda kind: -self.settings.classes[kind].worth / (
-            self.took[kind] * self.settings.classes[kind].aim_ms))
-        for sort, line in self.queue.lines(self.soon, order):
+        for sort, line in self.queue.lines(self.soon, lambda one: -one.cls.worth / (
+                self.took.get(one.kind, one.cls.aim_ms) * one.cls.aim_ms)):
             for request in line:
                 self.full = self.full or self._has_its_part() or not self._any_room()
                 if self.full:
@@ -420,6 +417,7 @@
         if sent is not None:
             host = sent.host
             del host.pending[event.id, event.attempt]
+            sent.pending, sent.may_have_run = False, event.outcome not in api.NEVER_RAN
             # Before it is taken off: a limit of one would else look unused for ever and never grow again.
             if event.outcome is not Outcome.TIMEOUT or not sent.lost:
                 self._crowding(self.zones[host.zone], event.outcome, event.latency_ms)
@@ -427,7 +425,7 @@
             self._judge(host, event.outcome, event.latency_ms, sent)
             if event.outcome is Outcome.OK:
                 pace = event.latency_ms / sent.share
-                if (known := self.open.get(event.id)) is not None:
+                if (known := self.open.get(event.id)) is not None and known.kind in self.took:
                     self.took[known.kind] += SERVICE_MEMORY * (pace - self.took[known.kind])
                 self.lately += LATELY * (pace - self.lately)
                 self.answers += 1  # each of the first answers weighs as much as the guess did
@@ -435,14 +433,11 @@
         self._dispatch()
         if (request := self.open.get(event.id)) is None:
             return
-        if event.attempt < len(request.attempts):
-            attempt = request.attempts[event.attempt]
-            attempt.pending, attempt.may_have_run = False, event.outcome not in api.NEVER_RAN
         if event.closed or event.outcome is Outcome.OK:
             self._end(request.id)
         elif not request.waiting and not any(a.pending for a in request.attempts):
             risky = any(a.may_have_run for a in request.attempts)
-            if (self.soon >= request.hold_until or len(request.attempts) >= self.limits.max_attempts
+            if (self.soon >= request.hold_until or len(request.attempts) >= request.limits.max_attempts
                     or (risky and (request.cls.effect is Effect.UNSAFE or self.extra <= -EXTRA_BURST))):
                 self._answer(request)
                 return
--- a/micaflow/held.py
+++ b/micaflow/held.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterator
 from heapq import heappop, heappush
 from math import inf
 from typing import Generic, TypeVar
@@ -17,7 +17,7 @@
 class Waiter:
     """What is held. A place under another number than its own is an old one."""
 
-    kind: int  # its class
+    kind: str  # its class
     hold_until: float  # then it is answered
     cross_at: float  # from then on it may go anywhere
     waiting, held_as, stands_as = False, 0, 0  # whether it is held; its number on the heaps and in its line
@@ -29,9 +29,8 @@
 class Held(Generic[W]):
     """All that is held, by sort: a kind, and whether it waits for its own zone. Times in ms."""
 
-    def __init__(self, kinds: int) -> None:
-        self._lines = {(kind, near): deque[tuple[int, W]]()
-                       for kind in range(kinds) for near in (True, False)}
+    def __init__(self) -> None:
+        self._lines = dict[tuple[str, bool], deque[tuple[int, W]]]()
         self._ends, self._crossings = list[tuple[float, int, W]](), list[tuple[float, int, W]]()
         self.count = self._entries = 0  # how many are held
 
@@ -55,12 +54,14 @@
     def _stand(self, one: W, near: bool) -> None:
         self._entries += 1
         one.stands_as = self._entries
-        self._lines[one.kind, near].appendleft((self._entries, one))
+        self._lines.setdefault((one.kind, near), deque()).appendleft((self._entries, one))
 
     def remove(self, one: W) -> None:
         """Hold it no more; its places are cleared when they are next come by."""
         self.count -= one.waiting
         one.waiting = False
+        if not self.count:  # nothing of a class that is gone stays behind
+            self._lines, self._ends, self._crossings = {}, [], []
 
     def ended(self, now: float) -> list[W]:
         """Those whose time is over by now; they stay held until they are removed."""
@@ -73,17 +74,18 @@
             if one.waiting and one.held_as == number:
                 yield one
 
-    def lines(self, now: float, kinds: Iterable[int]) -> Iterator[tuple[tuple[int, bool], Iterator[W]]]:
-        """The lines of these kinds, in their order, from the front; while one is walked none may be added."""
+    def lines(self, now: float, rank: Callable[[W], float]) -> Iterator[tuple[tuple[str, bool], Iterator[W]]]:
+        """The lines by the rank of their front, each from there; while one is walked none may be added."""
         for one in self._due(self._crossings, now):
             self._stand(one, near=False)
-        for kind, near in ((kind, near) for kind in kinds for near in (True, False)):
-            line = self._lines[kind, near]
+        order = sorted((rank(line[0][1]), not near, kind, line)
+                       for (kind, near), line in self._lines.items() if line)
+        for _, far, kind, line in order:
             for end, pop in ((0, line.popleft), (-1, line.pop)):
                 while line and not (line[end][1].waiting and line[end][1].stands_as == line[end][0]):
                     pop()
             if line:
-                yield (kind, near), (one for number, one in line if one.waiting and one.stands_as == number)
+                yield (kind, not far), (one for at, one in line if one.waiting and one.stands_as == at)
 
     def next_at(self, now: float) -> float:
         """When the next may go anywhere or is answered, past what is due by now; infinity where none is."""
--- a/micaflow/interface.py
+++ b/micaflow/interface.py
@@ -259,7 +259,14 @@
     data: bytes
 
 
-Event = ListUpdate | Request | StreamStarted | Reply | Left | TimerFired | ProbeResult | PeerMessage
+@dataclass(slots=True)
+class Retuned:
+    """Other settings hold from now on; what came before keeps its class and its limits."""
+
+    settings: Settings
+
+
+Event = Retuned | ListUpdate | Request | StreamStarted | Reply | Left | TimerFired | ProbeResult | PeerMessage
 
 
 @dataclass(slots=True)
--- a/tests/lab/test_model_check.py
+++ b/tests/lab/test_model_check.py
@@ -57,7 +57,8 @@
 
     def __init__(self, given: api.Settings, seed: int) -> None:
         super().__init__(given, seed)
-        self.limits = dataclasses.replace(self.limits, max_attempts=self.limits.max_attempts + 1)
+        limits = dataclasses.replace(given.limits, max_attempts=given.limits.max_attempts + 1)
+        self.settings = dataclasses.replace(given, limits=limits)
 
 
 # Faults planted in the module.
--- a/tests/simulated.py
+++ b/tests/simulated.py
@@ -327,7 +327,7 @@
         net = self._here.net_of(self.process, sockets - BELOW)
         self._task = self.process.create_task(serve(
             platform.load(environ), net, Log(self.process.time, self.log.write),
-            reread=lambda: platform.load(environ, again=True)))
+            reread=lambda running: platform.load(environ, again=True, running=running)))
 
     def poll(self) -> int | None:
         """The exit code, once it has ended; raises what it died of."""
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -133,38 +133,38 @@
 class One(Waiter):
     """What `Held` holds."""
 
-    def __init__(self, kind: int, until: float, cross: float) -> None:
+    def __init__(self, kind: str, until: float, cross: float) -> None:
         self.kind, self.hold_until, self.cross_at = kind, until, cross
 
 
 def test_lines_stand_by_kind_the_newest_first_and_those_that_may_go_further_last() -> None:
-    held = Held[One](2)
-    old, young, other = One(0, 100, 10), One(0, 100, 50), One(1, 90, 5)
+    held = Held[One]()
+    old, young, other = One("a", 100, 10), One("a", 100, 50), One("b", 90, 5)
     for one in (old, young, other):
         held.add(one, 0)
     assert len(held) == 3 and held.next_at(0) == 5
 
-    def lines(now: float) -> list[tuple[tuple[int, bool], list[One]]]:
-        return [(sort, list(line)) for sort, line in held.lines(now, (1, 0))]
+    def lines(now: float) -> list[tuple[tuple[str, bool], list[One]]]:
+        return [(sort, list(line)) for sort, line in held.lines(now, lambda one: -ord(one.kind))]
 
-    assert lines(0) == [((1, True), [other]), ((0, True), [young, old])]
-    assert lines(20) == [((1, False), [other]), ((0, True), [young]), ((0, False), [old])]
+    assert lines(0) == [(("b", True), [other]), (("a", True), [young, old])]
+    assert lines(20) == [(("b", False), [other]), (("a", True), [young]), (("a", False), [old])]
     held.remove(young)
     held.remove(young)
-    assert len(held) == 2 and lines(60) == [((1, False), [other]), ((0, False), [old])]
+    assert len(held) == 2 and lines(60) == [(("b", False), [other]), (("a", False), [old])]
     assert held.ended(90) == [other] and held.ended(90) == [] and held.next_at(90) == 100
     held.add(young, 95)
     assert set(held) == {old, other, young}
 
 
 def test_one_that_is_held_again_stands_in_front() -> None:
-    held = Held[One](1)
-    first, second = One(0, 100, 0), One(0, 100, 0)
+    held = Held[One]()
+    first, second = One("a", 100, 0), One("a", 100, 0)
     for one in (first, second):
         held.add(one, 1)
     held.remove(first)
     held.add(first, 2)
-    ((_, line),) = held.lines(2, (0,))
+    ((_, line),) = held.lines(2, lambda _: 0.0)
     assert next(line) is first and len(held) == 2
 
 
--- a/tests/test_decide_life.py
+++ b/tests/test_decide_life.py
@@ -165,12 +165,12 @@
 def test_of_what_is_held_each_stands_in_one_line_and_what_is_due_is_no_longer_to_come() -> None:
     driver = Driver(site(SAFE, second_copies=False), hosts(3, 0))
     one, two, three = (driver.balancer.open[go(driver).id] for _ in range(3))
-    held = Held[Any](1)
+    held = Held[Any]()
     for request, cross, end in ((one, 20.0, 30.0), (two, 10.0, 40.0), (three, 20.0, 50.0), (two, 15.0, 40.0)):
         request.cross_at, request.hold_until = cross, end
         held.remove(request)  # may be held anew
         held.add(request, 10.0)
-    lines = [[list(line) for _, line in held.lines(now, (0,))] for now in (14, 15, 20)]
+    lines = [[list(line) for _, line in held.lines(now, lambda _: 0.0)] for now in (14, 15, 20)]
     assert lines[:2] == [[[two, three, one]], [[three, one], [two]]] and set(lines[2][0]) == {one, two, three}
     assert len(lines[2][0]) == 3 and set(held) == {one, two, three}
     assert [held.next_at(now) for now in (20, 30, 40)] == [30, 40, 50]
--- a/tests/test_plain_start.py
+++ b/tests/test_plain_start.py
@@ -15,7 +15,8 @@
 from world import Server, served, world
 
 LOADED = """
-coveport coveport.config coveport.config.platform
+coveport coveport.config coveport.config.platform coveport.config.retuning
+coveport.console coveport.console.codec coveport.console.server
 coveport.core coveport.core.messages coveport.core.operation coveport.core.phases coveport.core.places
 coveport.core.reducer
 coveport.discovery coveport.discovery.agent coveport.discovery.reader
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -31,7 +31,7 @@
         assert receive(conn, held)[0] == 200  # its destination is gone meanwhile, its connection is not
         conn.sendall(request("POST /redeem"))
         assert receive(conn, held)[0] == 200 and len(new.seen) == 1
-        assert one.figures()["reloads"] == 1
+        assert one.figures()["config_reloads"] == 1
 
 
 def test_a_reload_keeps_the_old_discovery_until_the_new_one_speaks(tmp_path: Path) -> None:
@@ -69,7 +69,7 @@
         del one.discovery.hosts["s-0"]
         one.discovery.put("s-1", other.address)
         wait_for(lambda: one.ask("POST /redeem")[0] == 200 and len(other.seen) > 0)
-        assert one.figures()["reloads_bad"] == 3
+        assert one.figures()["config_reload_errors"] == 3
 
 
 def test_a_reload_where_the_list_must_be_asked_for(tmp_path: Path) -> None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -237,6 +237,7 @@
 
 def test_an_address_that_stays_taken_ends_it(tmp_path: Path) -> None:
     discovery, path, start = Discovery(), tmp_path / "config.json", now()
+    discovery.put("s-0", discovery.server.address)  # it has a list, so it would be ready
     path.write_text(configuration(discovery, "127.0.0.1:1", listen=discovery.server.address))
     with program(path) as (process, log):
         assert process.wait(10) == 1 and now() - start > 5
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -244,7 +244,7 @@
 
 
 def test_overload_sheds_the_least_worth_and_early() -> None:
-    cheap = api.RequestClass(aim_ms=500, deadline_ms=2000, worth=1, effect=api.Effect.SAFE)
+    cheap = api.RequestClass(name="cheap", aim_ms=500, deadline_ms=2000, worth=1, effect=api.Effect.SAFE)
     dear = api.RequestClass(aim_ms=500, deadline_ms=2000, worth=9, effect=api.Effect.SAFE)
     driver = Driver(settings(cheap, dear), hosts(local=2, remote=0))
     queues: dict[int, float] = {100: 0.0, 101: 0.0}
--- a/tests/world.py
+++ b/tests/world.py
@@ -130,18 +130,19 @@
 
 def configuration(pool: Pool, discovery: str, *, sockets: int = 1024, known: bool = True,
                   listen: str = "127.0.0.1:0", told: dict[str, Any] | None = None,
-                  config: dict[str, Any] | None = None, **limits: Any) -> str:
+                  config: dict[str, Any] | None = None, staff: str = "", **limits: Any) -> str:
     """The program's configuration file.
 
     `known`: the list that it last had is the pool's. `told`, `limits`: instead of the usual settings.
-    `config`: instead of all but the address that it listens at.
+    `config`: instead of all but the address that it listens at. `staff`: the console's address.
     """
     return json.dumps((config or {
         "name": "n0", "discovery": discovery, "seed": "8c1f30d2",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
         "known": pool.text() if known else {"seq": 0, "whole": True, "hosts": []},
         "settings": {"classes": CLASSES, "limits": LIMITS | limits, "localities": ["bilbao"], "round_ms": 5,
-                     "registry_mode": "automatic", "zone": 0} | (told or {})}) | {"listen": listen})
+                     "registry_mode": "automatic", "zone": 0} | (told or {})})
+        | {"listen": listen} | ({"console": staff} if staff else {}))
 
 
 class Server:
