--- a/coveport/core/messages.py
+++ b/coveport/core/messages.py
@@ -33,6 +33,32 @@
     cost_ms: float = 0.0
     room: bool = True  # False: more has come than we can hold
     id: str = ""  # what the client calls it; empty: nothing
+    long: bool = False  # its body is still coming: no deadline holds until `BodyCame`
+
+
+@dataclass(slots=True)
+class BodyCame:
+    """The last byte of a long operation has come: from here on its time counts."""
+
+    operation: int
+    deadline_ms: float  # on our clock
+
+
+@dataclass(slots=True)
+class StepHanded:
+    """The last byte of a long operation was handed over: from here on the destination's time counts."""
+
+    operation: int
+    step: int
+
+
+@dataclass(slots=True)
+class AnswerBegan:
+    """A long answer begins to come: a good one, as far as can be told."""
+
+    operation: int
+    step: int
+    answer: Answer
 
 
 @dataclass(slots=True)
@@ -99,7 +125,8 @@
     lasted_ms: float
 
 
-Input = (Stalled | OperationCame | ClientGone | StepEnded | ProbeEnded | PoolTold | TimerDue | DeadlineDue
+Input = (Stalled | OperationCame | BodyCame | StepHanded | AnswerBegan
+         | ClientGone | StepEnded | ProbeEnded | PoolTold | TimerDue | DeadlineDue
          | Reloaded)
 
 
@@ -134,6 +161,23 @@
     retry_after_ms: float = 0.0
 
 
+@dataclass(slots=True)
+class BeginAnswer:
+    """Pass a long answer on to the client as it comes: it is the final one."""
+
+    operation: int
+    step: int
+    answer: Answer
+
+
+@dataclass(slots=True)
+class EndAnswer:
+    """The long answer that was passed on has ended; not `whole`: the client must be able to tell."""
+
+    operation: int
+    whole: bool
+
+
 @dataclass(slots=True)
 class SetTimer:
     """Feed `TimerDue(token)` after this long."""
@@ -178,5 +222,6 @@
     text: str
 
 
-Effect = (SendStep | CancelStep | GiveAnswer | SetTimer | GuardDeadline | ProbeDestination | AskPool
+Effect = (SendStep | CancelStep | GiveAnswer | BeginAnswer | EndAnswer
+          | SetTimer | GuardDeadline | ProbeDestination | AskPool
           | MovePool | Complain)
--- a/coveport/core/operation.py
+++ b/coveport/core/operation.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from coveport.core.streams import Upload
+
 
 @dataclass(slots=True)
 class Operation:
@@ -21,11 +23,13 @@
     content_type: tuple[str, ...] = ()
     accept: tuple[str, ...] = ()
     room: bool = True  # False: there are more clients than we can hold
+    upload: Upload | None = None  # its body, where that is long; `body` is empty then
 
 
 @dataclass(slots=True)
 class Answer:
-    """A whole answer that a ledger node made for an operation."""
+    """An answer that a ledger node made for an operation: all of it, or the beginning of a long one."""
 
     body: bytes
     content_type: str | None = None
+    length: int | None = None  # of a long one, in bytes, where it was declared
--- a/coveport/core/reducer.py
+++ b/coveport/core/reducer.py
@@ -12,11 +12,15 @@
 from dataclasses import dataclass, field
 
 from coveport.core.messages import (
+    AnswerBegan,
     AskPool,
+    BeginAnswer,
+    BodyCame,
     CancelStep,
     ClientGone,
     Complain,
     Effect,
+    EndAnswer,
     GiveAnswer,
     GuardDeadline,
     Input,
@@ -30,6 +34,7 @@
     SetTimer,
     Stalled,
     StepEnded,
+    StepHanded,
     TimerDue,
     Verdict,
 )
@@ -44,6 +49,7 @@
     destination: int
     sent_at: float
     out: bool = True
+    began_at: float | None = None  # when its answer, a long one, began
 
 
 @dataclass(slots=True)
@@ -53,6 +59,7 @@
     most_attempts: int  # as of when it came
     answered: bool = False  # or the client is gone: nothing is owed
     steps: list[_Step] = field(default_factory=list)
+    stream: int = -1  # the route step whose answer is being passed on
 
     @property
     def over(self) -> bool:
@@ -75,7 +82,8 @@
     @property
     def owed(self) -> int:
         """How many operations still wait for their answer."""
-        return sum(not operation.answered for operation in self._operations.values())
+        return sum(not operation.answered or operation.stream >= 0
+                   for operation in self._operations.values())
 
     @property
     def members(self) -> tuple[int, int]:
@@ -107,6 +115,14 @@
             self._tell(api.ProbeResult(item.destination, item.outcome, item.latency_ms, item.load))
         elif isinstance(item, ClientGone):
             self._close(item.operation, None)
+        elif isinstance(item, BodyCame):
+            self._body_came(item)
+        elif isinstance(item, StepHanded):
+            operation = self._operations.get(item.operation)
+            if operation is not None:
+                operation.steps[item.step].sent_at = self._now
+        elif isinstance(item, AnswerBegan):
+            self._began(item)
         elif isinstance(item, Stalled):
             self._discount(item.lasted_ms)
         elif isinstance(item, Reloaded):
@@ -135,12 +151,32 @@
         self._ids.add(item.id)
         operation = self._operations[item.operation] = _Operation(item.deadline_ms, item.id,
                                                                    self._settings.limits.max_attempts)
-        guard = item.deadline_ms + self._settings.rules.answer_slack_ms * GUARD_SHARE
-        self._effects.append(GuardDeadline(item.operation, guard))
+        if not item.long:
+            self._guard(item.operation, operation)
         told = self._tell(api.Request(item.operation, item.deadline_ms, item.cls, 0, item.cost_ms,
-                                      repeat=item.repeat))
+                                      repeat=item.repeat, long=item.long))
         self._settle(item.operation, operation, told)
 
+    def _guard(self, number: int, operation: _Operation) -> None:
+        guard = operation.deadline_ms + self._settings.rules.answer_slack_ms * GUARD_SHARE
+        self._effects.append(GuardDeadline(number, guard))
+
+    def _body_came(self, item: BodyCame) -> None:
+        operation = self._operations.get(item.operation)
+        if operation is not None and not operation.answered:
+            operation.deadline_ms = item.deadline_ms
+            self._guard(item.operation, operation)
+
+    def _began(self, item: AnswerBegan) -> None:
+        operation = self._operations.get(item.operation)
+        if operation is None or operation.answered or not operation.steps[item.step].out:
+            self._effects.append(CancelStep(item.operation, item.step))  # somebody else's answer was first
+            return
+        step = operation.steps[item.step]
+        operation.answered, operation.stream, step.began_at = True, item.step, self._now
+        self._effects.append(BeginAnswer(item.operation, item.step, item.answer))
+        self._tell(api.StreamStarted(item.operation, item.step, step.destination))
+
     def _step_ended(self, item: StepEnded) -> None:
         operation = self._operations.get(item.operation)
         if operation is None or not operation.steps[item.step].out:
@@ -150,8 +186,15 @@
         if item.outcome is api.Outcome.OK and not operation.answered:
             operation.answered = True
             self._effects.append(GiveAnswer(item.operation, Verdict.SERVED, item.answer))
-        told = self._tell(api.Reply(item.operation, item.step, step.destination, item.outcome,
-                                    self._now - step.sent_at, operation.answered, item.load))
+        elif operation.stream == item.step:
+            operation.stream = -1
+            self._effects.append(EndAnswer(item.operation, item.outcome is api.Outcome.OK))
+        # Of a long answer its first bytes alone speak of the destination's pace: the rest is its client's.
+        took = (self._now if step.began_at is None else step.began_at) - step.sent_at
+        # Guards against a module that takes one over whose answer is still passed on: it would call that off.
+        closed = operation.answered and operation.stream < 0
+        told = self._tell(api.Reply(item.operation, item.step, step.destination, item.outcome, took, closed,
+                                    item.load))
         self._settle(item.operation, operation, told)
 
     def _discount(self, lasted_ms: float) -> None:
@@ -176,9 +219,9 @@
     def _close(self, number: int, verdict: Verdict | None) -> None:
         """End an operation over the module's head: answered by us, or its client gone."""
         operation = self._operations.get(number)
-        if operation is None or operation.answered:
+        if operation is None or (operation.answered and operation.stream < 0):
             return
-        operation.answered = True
+        operation.answered, operation.stream = True, -1
         if verdict is not None:
             self._effects.append(GiveAnswer(number, verdict))
         self._tell(api.Left(number))
@@ -217,7 +260,8 @@
                 # Guards against a module that cancels what it never sent.
                 self._effects.append(Complain(f"{action} names no route step"))
                 return False
-            if operation is not None and operation.steps[action.attempt].out:
+            if (operation is not None and operation.steps[action.attempt].out
+                    and operation.stream != action.attempt):  # what is passed on is the client's
                 self._effects.append(CancelStep(action.id, action.attempt))
         elif isinstance(action, api.Refuse | api.Fail):
             operation = self._operations.get(action.id)
--- a/coveport/http1/clients.py
+++ b/coveport/http1/clients.py
@@ -10,19 +10,23 @@
 
 from coveport.core.messages import Verdict
 from coveport.core.operation import Answer, Operation
+from coveport.core.streams import MOST_BODY, Budget, Upload
 from coveport.http1 import codec
 from coveport.http1.operations import read_operation
 from coveport.net.address import Address
 from coveport.net.transport import Listening, Net
+from coveport.nodes.steps import RouteStep
 from coveport.telemetry.counters import Counters
 from coveport.telemetry.log import Log
 from micaflow import interface as api
 
 HEALTH_PATH = "/_health"
-FIRST_S = 2.0  # how long a connection may take to bring its first whole request
-HALF_SENT_S = 2.0  # how long a later request may take to come in whole
+FIRST_S = 2.0  # how long a connection may say nothing before its first request
+HEAD_S = 2.6  # how long a request's head may take; the first one from the connect on
+SLOWEST = 32 * 1024  # bytes a second of a body: who brings fewer for as long as a head may take is given up
+STILL_S = 10.0  # how long no byte of a long body may come
 IDLE_S = 5.0  # how long a connection is kept between requests
-UNREAD_S = 10.0  # how long a client may take to read an answer
+UNREAD_S = 20.0  # how long a client may leave an answer that is not all sent where it is
 FRESH_S = 0.5  # how long a connection that has never carried a request is taken to be about to
 WAITING_MOST = 512  # connections that may wait to be accepted
 ACCEPT_MOST = 4  # connections accepted in one turn of the loop, so that room can be made in between
@@ -51,7 +55,14 @@
 
     def __init__(self, listener: Listener) -> None:
         self._listener = listener
-        self._parser = codec.RequestParser()
+        self._parser = codec.RequestParser(MOST_BODY, codec.MAX_BODY)
+        self._upload: Upload | None = None  # the long body that is coming in
+        self._stood_s = 0.0  # how long that one was not read, as nobody took it
+        self._stands_from: float | None = None
+        self._read_at = inf  # when bytes of it last came
+        self._source: RouteStep | None = None  # where the long answer that is passed on comes from
+        self._chunked = False  # how that one is framed
+        self._left = 0  # bytes that were unsent when last looked at
         self._transport: asyncio.Transport | None = None
         self._operation: int | None = None  # the one that waits for its answer
         self._keep, self._used = True, False
@@ -72,7 +83,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where to read to."""
-        return _INBOX
+        return _INBOX[:self._listener.budget.read_most()] if self._upload is not None else _INBOX
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take in what the client sends."""
@@ -87,7 +98,11 @@
         elif self.stalled_from is not None and self._listener.net.now_s() > self._since + FIRST_TURNS_S:
             self.stalled_from = None  # it came up with nothing to read
         self._parser.feed(_INBOX[:nbytes])
-        self._advance()
+        if self._upload is not None:
+            self._read_at = self._listener.net.now_s()
+            self._take_in(self._upload)
+        else:
+            self._advance()
         # Guards against a client that sends ahead without end.
         if len(self._parser.held) > MOST_HELD and not self._paused and self._transport is not None:
             self._paused = True
@@ -119,12 +134,68 @@
                 raise codec.BadMessageError(405, "wrong method", Allow="GET")
             self._write(200 if self._listener.ready() else 503)
             return
+        if request.long:
+            self._keep = False  # until it has come whole: an error leaves the rest of it behind
         operation = read_operation(request, self._listener.classes)
         operation.room = not self.too_many
         operation.wait_ms -= max(self._listener.waited_s(), self._waited_s()) * 1000
         self._listener.counters.add("operations")
         self._operation = self._listener.number()
+        if not request.long:
+            self._listener.take(self._operation, self, operation)
+            return
+        self._upload = upload = operation.upload = Upload(self._listener.budget, request.length, self._room)
+        self._stood_s, self._stands_from, self._read_at = 0.0, None, self._listener.net.now_s()
+        if self._parser.wants_continue and self._transport is not None:
+            self._transport.write(codec.write_response(100))
         self._listener.take(self._operation, self, operation)
+        if self._upload is upload:
+            self._take_in(upload)
+
+    def _take_in(self, upload: Upload) -> None:
+        """Read on in a long body."""
+        try:
+            data, over = self._parser.next_data()
+        except codec.BadMessageError as problem:
+            self._give_up(problem)
+            return
+        if data:
+            upload.push(data)
+        if self._upload is not upload:
+            return  # it has had its answer meanwhile
+        if over:
+            self._upload, self._keep = None, self._parser.keeps
+            upload.finish()
+            assert self._operation is not None
+            self._since = self._listener.net.now_s()
+            self._listener.whole(self._operation, self._listener.waited_s() * 1000)
+        elif upload.full and not self._paused and self._transport is not None:
+            self._paused, self._stands_from = True, self._listener.net.now_s()
+            self._transport.pause_reading()
+
+    def _room(self) -> None:
+        """Whoever passes a long body on takes more of it."""
+        if self._upload is not None and self._paused and self._transport is not None:
+            if self._stands_from is not None:
+                self._stood_s += self._listener.net.now_s() - self._stands_from
+                self._stands_from, self._read_at = None, self._listener.net.now_s()
+            self._paused = False
+            self._transport.resume_reading()
+
+    def _give_up(self, problem: codec.BadMessageError) -> None:
+        """A long body can't be read on: nobody has had its last byte, so nothing runs."""
+        self._gone()
+        self._keep = False
+        self._reject(problem)
+
+    def _is_slow(self, now: float) -> bool:
+        """Whether a request takes longer to come in than one may."""
+        if self._listener.closing and self._upload is None:
+            return now - self._since > LINGER_S
+        stood = self._stood_s + (now - self._stands_from if self._stands_from is not None else 0.0)
+        waited = now - self._since - (stood if self._upload is not None else 0.0)
+        return (waited > HEAD_S + self._parser.come / SLOWEST
+                or (self._upload is not None and self._stands_from is None and now - self._read_at > STILL_S))
 
     def _waited_s(self) -> float:
         """How long a request may have stood below a connection that we took up after a stall."""
@@ -141,6 +212,7 @@
     def answer(self, verdict: Verdict, answer: Answer | None, retry_after_ms: float) -> None:
         """Give the one final answer to the operation that came on this connection."""
         self._operation = None
+        self._drop_upload()
         status, body, headers = _STATUS[verdict], b"", list[tuple[str, str]]()
         if verdict is Verdict.SERVED:
             assert answer is not None
@@ -153,11 +225,71 @@
         if self._parser.begun:
             self._listener.net.loop.call_soon(self._advance)
 
+    def _drop_upload(self) -> None:
+        upload, self._upload = self._upload, None
+        if upload is not None:
+            upload.close()
+            if self._paused and self._transport is not None and not self._transport.is_closing():
+                self._paused = False
+                self._transport.resume_reading()
+
+    def begin(self, answer: Answer, source: RouteStep) -> None:
+        """The one final answer begins: a long one, passed on as it comes."""
+        self._source, self._chunked = source, answer.length is None and not self._parser.old
+        headers = [("Content-Type", answer.content_type)] if answer.content_type is not None else []
+        if answer.length is not None:
+            headers.append(("Content-Length", str(answer.length)))
+        elif self._chunked:
+            headers.append(codec.CHUNKED)
+        else:
+            self._keep = False  # its end is the connection's
+        self._keep = self._keep and not self._ending
+        if not self._keep:
+            headers.append(("Connection", "close"))
+        self._since = self._listener.net.now_s()
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(codec.write_head("HTTP/1.1 200 OK", headers))
+
+    def more(self, data: bytes) -> None:
+        """More of the long answer has come."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._since = self._listener.net.now_s()
+        self._transport.write(codec.write_chunk(data) if self._chunked else data)
+        self._weigh()
+        if self._unsent and self._source is not None:
+            self._source.pause()
+
+    def _weigh(self) -> None:
+        """Tell the budget how much of a long answer is unsent."""
+        left = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        self._listener.budget.take(left - self._left)
+        self._left = left
+
+    def finish(self, whole: bool) -> None:
+        """The long answer has ended; where it is not whole the client must be able to tell."""
+        self._operation = self._source = None
+        if self._transport is None or self._transport.is_closing():
+            return
+        if not whole:
+            self._listener.net.reset(self._transport)
+            return
+        if self._chunked:
+            self._transport.write(codec.LAST_CHUNK)
+        self._since = self._listener.net.now_s()
+        if not self._keep or self._ending:
+            self._farewell()
+        elif self._parser.begun:
+            self._listener.net.loop.call_soon(self._advance)
+
+    @property
+    def _ending(self) -> bool:
+        return (self._listener.leaving or self.too_many) and not self._parser.begun  # begun: taken, or soon
+
     def _write(self, status: int, headers: list[tuple[str, str]] | None = None, body: bytes = b"") -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        ending = (self._listener.leaving or self.too_many) and not self._parser.begun  # begun: taken, or soon
-        keep = self._keep and not ending
+        keep = self._keep and not self._ending
         lines = [*(headers or ()), *(() if keep else (("Connection", "close"),))]
         self._since = self._listener.net.now_s()
         self._transport.write(codec.write_response(status, lines, body))
@@ -183,6 +315,11 @@
     def resume_writing(self) -> None:
         """All is written."""
         self._unsent = False
+        self._weigh()
+        if self._source is not None:
+            self._since = self._listener.net.now_s()
+            self._source.resume()
+            return
         self._listener.net.loop.call_soon(self._advance)
 
     def eof_received(self) -> bool:
@@ -194,10 +331,14 @@
         """It is gone, whoever ended it."""
         self._gone()
         self._ended = True
+        self._transport = None
+        self._weigh()
         self._listener.lost(self)
 
     def _gone(self) -> None:
         operation, self._operation = self._operation, None
+        self._source = None
+        self._drop_upload()
         if operation is not None:
             self._listener.counters.add("clients_gone")
             self._listener.gone(operation)
@@ -236,15 +377,23 @@
 
     def check(self, now: float) -> None:
         """Put an end to what takes too long, and to idle connections while the program closes."""
-        if self._operation is not None:
+        if self._unsent and self._transport is not None:
+            left = self._transport.get_write_buffer_size()
+            if left != self._left:
+                self._since = now  # it reads, however slowly
+                self._weigh()
+        if self._upload is not None:
+            if self._is_slow(now):
+                self._give_up(codec.BadMessageError(408, "the request did not come whole"))
+            return
+        if self._operation is not None and not (self._source is not None and self._unsent):
             return
         waited = now - self._since
         if self._unsent or self._ended:
             if waited > (UNREAD_S if self._unsent else LINGER_S):
                 self.close()
         elif self._parser.begun:
-            closing = self._listener.closing
-            if waited > (LINGER_S if closing else HALF_SENT_S if self._used else FIRST_S):
+            if self._is_slow(now):
                 self._keep = False
                 self._reject(codec.BadMessageError(408, "the request did not come whole"))
         # Guards against connections that say nothing: by the hundred they would leave no room for others.
@@ -265,10 +414,11 @@
 
     def __init__(self, net: Net, counters: Counters, log: Log,
                  classes: tuple[api.RequestClass, ...], *, most_clients: int, ready: Callable[[], bool],
-                 take: Callable[[int, Client, Operation], None], gone: Callable[[int], None]) -> None:
+                 take: Callable[[int, Client, Operation], None], gone: Callable[[int], None],
+                 whole: Callable[[int, float], None], budget: Budget) -> None:
         self.net, self.counters, self.log = net, counters, log
         self.retune(classes)
-        self.ready, self.take, self.gone = ready, take, gone
+        self.ready, self.take, self.gone, self.whole, self.budget = ready, take, gone, whole, budget
         self.closing = False  # the planned end: takes no new connections
         self._draining: asyncio.TimerHandle | None = None  # drained by staff: answers close connections
         self.resting = True  # connections at rest are kept
--- a/coveport/http1/codec.py
+++ b/coveport/http1/codec.py
@@ -41,7 +41,10 @@
 
     headers: dict[str, list[str]]
     keep_alive: bool
-    body: bytes = b""
+    body: bytes = b""  # all of it, or of a long one what came with the head
+    # The body is a stream: the parser's `next_data` tells the rest; and its length in bytes, if declared.
+    long: bool = field(default=False, kw_only=True)
+    length: int | None = field(default=None, kw_only=True)
 
     def get(self, name: str) -> str | None:
         """The value of a header that may stand once; BadMessageError where it is repeated."""
@@ -70,14 +73,23 @@
 
 @dataclass(slots=True)
 class _Parser:
-    """Bytes in, whole messages out; holds no more than one head and one body beyond what is asked for."""
+    """Bytes in, messages out; holds no more than one head and one whole body beyond what is asked for.
+
+    `most_body`: bytes of the largest body. `whole_most`: bytes of the largest that is handed out whole; of a
+    longer one the head is handed out once it shows to be long, and its data after that. None: all are whole.
+    """
 
     most_body: int = MAX_BODY
+    whole_most: int | None = None
     opening: ClassVar[re.Pattern[bytes]]  # what the first bytes of a message match, however few there are
     held: bytearray = field(default_factory=bytearray)
     _message: Message | None = None  # its head is read, its body is not
     _left: int | None = 0  # bytes of body, None: until the connection ends
-    _chunks: bytearray | None = None  # the body so far, where it comes in chunks
+    _chunks: bytearray | None = None  # the body so far, where it comes in chunks; of a long one what is new
+    _chunk: int = 0  # bytes of a chunk's data, and of the line end behind them, that are still to come
+    got: int = 0  # bytes of the present body that have been read
+    long: bool = False  # the present body is a stream
+    _over: bool = False  # ... and all of it has been read, if not handed out
     _empty: int = 0  # lines in front of the next message
     _wrong: bool = False  # there was an error; nothing is read behind that
 
@@ -97,18 +109,67 @@
         """
         if self._wrong:
             return None
+        if self.long:
+            return None  # its data come first
         try:
             message = self._message or self._read_head()
             body = self._read_body() if message is not None else None
         except BadMessageError:
             self._wrong = True
             raise
-        self._message = message if body is None else None
-        if message is None or body is None:
+        self._message = message
+        if message is None:
+            return None
+        if self.whole_most is not None and self._present(body) > self.whole_most:
+            # From here on `next_data` reads; where all has come already it only hands that out.
+            self.long, message.long, message.length = True, True, self._left
+            if self._chunks is not None:
+                message.length, self._over = None, body is not None
+            return message
+        if body is None:
             return None
+        self._message = None
         message.body = body
         return message
 
+    def _present(self, body: bytes | None) -> int:
+        """How long the present body is, as far as is known."""
+        if body is not None or self._chunks is not None:
+            return len(body or self._chunks or b"")
+        return len(self.held) if self._left is None else self._left
+
+    def next_data(self) -> tuple[bytes, bool]:
+        """What has come of a long body since the last call, and whether it ends there; raises as `next`."""
+        if self._wrong or not self.long:
+            return b"", False
+        try:
+            if self._chunks is not None:
+                over = self._over or self._read_chunks(self._chunks)
+                data = bytes(self._chunks)
+                self._chunks.clear()
+            else:
+                most = len(self.held) if self._left is None else min(self._left, len(self.held))
+                if most == len(self.held):
+                    data = bytes(self.held)
+                    self.held = bytearray()
+                else:
+                    data = bytes(self.held[:most])
+                    del self.held[:most]
+                self.got += most
+                if self._left is None:
+                    if self.got > self.most_body:
+                        raise BadMessageError(413, "body too large")
+                    over = False
+                else:
+                    self._left -= most
+                    over = not self._left
+        except BadMessageError:
+            self._wrong = True
+            raise
+        if over:
+            self.long, self._message, self._over = False, None, False
+        return data, over
+
     def _read_body(self) -> bytes | None:
         if self._chunks is not None:
             return bytes(self._chunks) if self._read_chunks(self._chunks) else None
@@ -116,13 +177,18 @@
             if len(self.held) > self.most_body:
                 raise BadMessageError(413, "body too large")
             return None
-        if len(self.held) < self._left:
+        if len(self.held) < self._left or (self.whole_most is not None and self._left > self.whole_most):
             return None
         with memoryview(self.held) as held:
             body = bytes(held[:self._left])
         del self.held[:self._left]
         return body
 
+    @property
+    def come(self) -> int:
+        """How many bytes of the present body have come."""
+        return 0 if self._message is None else self.got + (len(self.held) if self._chunks is None else 0)
+
     def _read_head(self) -> Message | None:
         # Guards against an empty line sent after an earlier body, as the standard asks (RFC 9112, 2.2), and
         # against those that never end: who sends nothing else is never at rest.
@@ -157,7 +223,7 @@
     def _frame(self, headers: dict[str, list[str]], default: int | None) -> None:
         """Find out where the body ends."""
         lengths, codings = headers.get("content-length"), headers.get("transfer-encoding")
-        self._chunks, self._left = None, default
+        self._chunks, self._left, self._chunk, self.got = None, default, 0, 0
         if codings is not None:
             # Guards against smuggling: a message framed in two ways is read by nobody alike.
             if lengths is not None:
@@ -175,6 +241,19 @@
 
     def _read_chunks(self, body: bytearray) -> bool:
         while True:
+            if self._chunk > 2:
+                most = min(self._chunk - 2, len(self.held))
+                body += self.held[:most] if most < len(self.held) else self.held
+                del self.held[:most]
+                self._chunk -= most
+                self.got += most
+            if self._chunk > 2 or (self._chunk and len(self.held) < 2):
+                return False
+            if self._chunk:
+                if self.held[:2] != b"\r\n":
+                    raise BadMessageError(400, "malformed chunk")
+                del self.held[:2]
+                self._chunk = 0
             end = self.held.find(b"\r\n", 0, 130)
             if end < 0:
                 if len(self.held) >= 130:
@@ -184,7 +263,7 @@
             if not match:
                 raise BadMessageError(400, "malformed chunk")
             size = int(match[1], 16)
-            if len(body) + size > self.most_body:
+            if self.got + size > self.most_body:
                 raise BadMessageError(413, "body too large")
             if size == 0:
                 stop = self.held.find(b"\r\n\r\n", end, end + MAX_HEAD)
@@ -200,12 +279,8 @@
                     _read_fields(trailers, "trailer")
                 del self.held[:stop + 4]
                 return True
-            if len(self.held) < end + 2 + size + 2:
-                return False
-            body += self.held[end + 2:end + 2 + size]
-            if self.held[end + 2 + size:end + 4 + size] != b"\r\n":
-                raise BadMessageError(400, "malformed chunk")
-            del self.held[:end + 4 + size]
+            del self.held[:end + 2]
+            self._chunk = size + 2
 
 
 def _read_fields(lines: list[bytes], what: str) -> dict[str, list[str]]:
@@ -232,6 +307,7 @@
 class RequestParser(_Parser):
     """Reads what clients send."""
 
+    _keeps = False
     _old = False  # whether the message is of HTTP/1.0, whose clients wait for nothing (RFC 9110, 10.1.1)
     opening = re.compile(rb"\r?\Z|[!#$%&'*+\-.^_`|~0-9A-Za-z]+(?:\Z| (?:\Z|[\x21-\x7e]))")
 
@@ -251,7 +327,8 @@
             raise BadMessageError(400, "one Host header is wanted")
         self._old = version == b"HTTP/1.0"
         self._frame(headers, 0)
-        return Request(headers, _keeps(version, headers), b"", method.decode("ascii"), target.decode("ascii"))
+        self._keeps = _keeps(version, headers)
+        return Request(headers, self._keeps, b"", method.decode("ascii"), target.decode("ascii"))
 
     def next_request(self) -> Request | None:
         """The next whole request."""
@@ -259,10 +336,20 @@
         assert message is None or isinstance(message, Request)
         return message
 
+    @property
+    def old(self) -> bool:
+        """Whether the present message is of HTTP/1.0, which knows no chunks."""
+        return self._old
+
+    @property
+    def keeps(self) -> bool:
+        """Whether the message whose long body has just ended leaves the connection usable."""
+        return self._keeps
+
     @property
     def wants_continue(self) -> bool:
         """Whether the client waits for our word before it sends the body."""
-        return (self._message is not None and not self.held and not self._chunks and not self._old
+        return (self._message is not None and not self.held and not self.got and not self._old
                 and [v.lower() for v in self._message.headers.get("expect", ())] == ["100-continue"])
 
 
@@ -300,10 +387,26 @@
                 or self._wrong):
             return None
         message.body, self._message = bytes(self.held), None
-        self.held.clear()
+        self.held = bytearray()
+        self.long = False
         return message
 
 
+CHUNKED = ("Transfer-Encoding", "chunked")
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def write_chunk(data: bytes) -> bytes:
+    """A piece of a body as a chunk; empty where there is nothing, as an empty chunk would end the body."""
+    return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
+
+
+def write_head(start: str, headers: Iterable[tuple[str, str]]) -> bytes:
+    """A head as bytes: what frames the body is among the headers."""
+    lines = [start, *(f"{name}: {value}" for name, value in headers)]
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+
+
 def write_request(method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes = b"") -> bytes:
     """A request as bytes."""
     return _write(f"{method} {target} HTTP/1.1", headers, body, bool(body) or method != "GET")
@@ -315,7 +418,4 @@
 
 
 def _write(start: str, headers: Iterable[tuple[str, str]], body: bytes, framed: bool) -> bytes:
-    lines = [start, *(f"{name}: {value}" for name, value in headers)]
-    if framed:
-        lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+    return write_head(start, [*headers, *([("Content-Length", str(len(body)))] if framed else ())]) + body
--- a/coveport/http1/links.py
+++ b/coveport/http1/links.py
@@ -7,6 +7,7 @@
 
 from coveport.core.operation import Answer
 from coveport.core.places import Place
+from coveport.core.streams import MOST_BODY, Budget, Upload
 from coveport.http1 import codec
 from coveport.nodes.link import Pool
 from coveport.nodes.steps import RouteStep, StepResult
@@ -52,6 +53,10 @@
         headers.append(("Idempotency-Key", operation.key))
     headers.extend(("content-type", value) for value in operation.content_type)
     headers.extend(("accept", value) for value in operation.accept)
+    if operation.upload is not None:  # its body follows
+        length = operation.upload.length
+        headers.append(codec.CHUNKED if length is None else ("Content-Length", str(length)))
+        return codec.write_head(f"{operation.method} {operation.target} HTTP/1.1", headers)
     return codec.write_request(operation.method, operation.target, headers, operation.body)
 
 
@@ -59,10 +64,15 @@
     """One connection to a destination."""
 
     def __init__(self, pool: Pool, number: int, place: Place, step: RouteStep, fields: tuple[str, ...],
-                 most_body: int) -> None:
+                 budget: Budget) -> None:
+        self._budget = budget
         self._pool, self.number, self.place, self._fields = pool, number, place, fields
         self._step: RouteStep | None = step
-        self._parser = codec.ResponseParser(most_body)
+        self._parser = codec.ResponseParser(MOST_BODY, codec.MAX_BODY)
+        self._upload: Upload | None = None  # the long body that is being sent
+        self._answer: codec.Response | None = None  # the long answer that is being passed on
+        self._paused = False
+        self._left = 0  # bytes of a long body that were unsent when last looked at
         self._transport: asyncio.Transport | None = None
         self._unsent = False
         self.idle_since = 0.0
@@ -85,10 +95,70 @@
         """Send a route step on this connection."""
         assert self._transport is not None
         self._step, step.link, self._unsent = step, self, False
+        if step.long:
+            # Held until this returns: a step never ends before its caller has it.
+            self._pool.net.loop.call_soon(self._send_long, step)
+            return
         self._transport.write(request_of(step, self.place))
         if not self._unsent and not self._transport.is_closing():
             step.hand()
 
+    def _send_long(self, step: RouteStep) -> None:
+        if step.over or self._transport is None or step.operation is None or step.operation.upload is None:
+            return
+        if not step.operation.upload.join(self):
+            step.end(StepResult(Outcome.MOOT), keep=True)  # what has been sent elsewhere is gone
+            return
+        self._upload = step.operation.upload
+        self._transport.write(request_of(step, self.place))
+        self.more()
+
+    def more(self) -> None:
+        """Send on what has come of a long body."""
+        upload, transport, step = self._upload, self._transport, self._step
+        if upload is None or transport is None or step is None:
+            return
+        while not self._unsent and not transport.is_closing() and (piece := upload.next(self)) is not None:
+            transport.write(piece if upload.length is not None else codec.write_chunk(piece))
+            self._weigh()
+            step.moved_at = self._pool.net.now_s()
+            upload.took()
+        if not upload.ended(self) or self._unsent or transport.is_closing():
+            return
+        self._leave()
+        if upload.length is None:
+            transport.write(codec.LAST_CHUNK)
+        if not self._unsent and not transport.is_closing():
+            step.hand()
+
+    def _weigh(self) -> None:
+        """Tell the budget how much of a long body is unsent."""
+        left = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        self._budget.take(left - self._left)
+        self._left = left
+
+    def _leave(self) -> None:
+        upload, self._upload = self._upload, None
+        if upload is not None:
+            upload.leave(self)
+
+    @property
+    def waits(self) -> bool:
+        """Whether a long body stands still because the client's side does."""
+        return self._paused or (self._upload is not None and not self._unsent)
+
+    def pause(self) -> None:
+        """Read no more for now."""
+        if not self._paused and self._transport is not None and not self._transport.is_closing():
+            self._paused = True
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self._paused and self._transport is not None and not self._transport.is_closing():
+            self._paused = False
+            self._transport.resume_reading()
+
     def pause_writing(self) -> None:
         """Not all is handed to the connection yet."""
         self._unsent = True
@@ -96,12 +166,15 @@
     def resume_writing(self) -> None:
         """The last byte has been handed over."""
         self._unsent = False
-        if self._step is not None:
+        if self._upload is not None:
+            self._weigh()
+            self._pool.net.loop.call_soon(self.more)
+        elif self._step is not None:
             self._step.hand()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where to read to."""
-        return _INBOX
+        return _INBOX[:self._budget.read_most()] if self._answer is not None else _INBOX
 
     def buffer_updated(self, nbytes: int) -> None:
         """Read on in the answer."""
@@ -111,16 +184,52 @@
             return
         try:
             self._parser.feed(_INBOX[:nbytes])
+            if self._answer is not None:
+                self._pass_on(step, self._answer)
+                return
             response = self._parser.next_response()
         except codec.BadMessageError as problem:
-            self._pool.log.note("garbled answer", "{}:{}: {}".format(*self.place[0], problem))
-            self._pool.counters.add("answers_garbled")
-            step.garbled()
+            self._garbled(step, problem)
             return
-        if response is not None:
+        if response is not None and response.long:
+            self._begin(step, response)
+        elif response is not None:
             keep = response.keep_alive and step.handed and not self._parser.begun
             step.end(self._result(response), keep)
 
+    def _begin(self, step: RouteStep, response: codec.Response) -> None:
+        """A long answer begins to come."""
+        outcome = outcome_of(response)
+        kinds = response.headers.get("content-type")
+        if outcome is not Outcome.OK or not step.handed:
+            step.end(StepResult(outcome if step.handed else Outcome.CONNECT_FAILED))  # its body is nobody's
+            return
+        self._answer = response
+        if not step.begin(Answer(b"", kinds[0] if kinds else None, response.length)):
+            step.end(StepResult(Outcome.CANCELLED))
+            return
+        try:
+            self._pass_on(step, response)
+        except codec.BadMessageError as problem:
+            self._garbled(step, problem)
+
+    def _pass_on(self, step: RouteStep, response: codec.Response) -> None:
+        data, over = self._parser.next_data()
+        step.moved_at = self._pool.net.now_s()
+        if data and step.sink is not None:
+            step.sink.more(data)
+        if over:
+            self._finish(step, response, response.keep_alive and not self._parser.begun)
+
+    def _finish(self, step: RouteStep, response: codec.Response, keep: bool) -> None:
+        self._answer = None
+        step.end(StepResult(Outcome.OK, None, load_of(response, self._fields)), keep)
+
+    def _garbled(self, step: RouteStep, problem: codec.BadMessageError) -> None:
+        self._pool.log.note("garbled answer", "{}:{}: {}".format(*self.place[0], problem))
+        self._pool.counters.add("answers_garbled")
+        step.garbled()
+
     def _result(self, response: codec.Response) -> StepResult:
         kinds = response.headers.get("content-type")
         return StepResult(outcome_of(response), Answer(response.body, kinds[0] if kinds else None),
@@ -131,7 +240,9 @@
         step = self._step
         if step is not None:
             response = self._parser.end()
-            if response is not None:
+            if response is not None and self._answer is not None:
+                self._finish(step, response, False)
+            elif response is not None:
                 step.end(self._result(response))
             else:
                 step.broken()
@@ -140,13 +251,18 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """It is gone, whoever ended it."""
+        self._transport = None
+        self._weigh()
         self._pool.forget(self)
         if self._step is not None:
             self._step.broken()
 
     def release(self, keep: bool) -> None:
         """The route step is over: wait for the next one, or close."""
-        self._step = None
+        self._step = self._answer = None
+        self._leave()
+        if keep:
+            self.resume()
         if keep and self._transport is not None and not self._transport.is_closing():
             self._pool.put_idle(self)
         else:
@@ -171,13 +287,12 @@
 class Dialer:
     """Opens connections by HTTP/1.1 over TCP; see `coveport.nodes.link.Dial`.
 
-    `fields`: the names of a load report's figures, in the settings' order. `most_body`: bytes of the largest
-    answer that is read.
+    `fields`: the names of a load report's figures, in the settings' order. `budget`: of bytes of long bodies.
     """
 
-    def __init__(self, fields: tuple[str, ...], most_body: int) -> None:
-        self._fields, self._most_body = fields, most_body
+    def __init__(self, fields: tuple[str, ...], budget: Budget) -> None:
+        self._fields, self._budget = fields, budget
 
     async def __call__(self, pool: Pool, number: int, place: Place, step: RouteStep) -> None:
         """Connect; the link that comes up sends the step."""
-        await pool.net.dial(lambda: Link(pool, number, place, step, self._fields, self._most_body), place[0])
+        await pool.net.dial(lambda: Link(pool, number, place, step, self._fields, self._budget), place[0])
--- a/coveport/lab/broken.py
+++ b/coveport/lab/broken.py
@@ -14,6 +14,7 @@
 from coveport.core.operation import Answer, Operation
 from coveport.core.reducer import Reducer
 from coveport.discovery.reader import PoolUpdate
+from coveport.nodes.steps import RouteStep
 from coveport.sidecar.effects import Asker, Effects
 from micaflow import Balancer, decide
 from micaflow import interface as api
@@ -162,6 +163,15 @@
         else:
             self._later(lambda: self._client.answer(verdict, answer, retry_after_ms))
 
+    def begin(self, answer: Answer, source: RouteStep) -> None:
+        self._client.begin(answer, source)
+
+    def more(self, data: bytes) -> None:
+        self._client.more(data)
+
+    def finish(self, whole: bool) -> None:
+        self._client.finish(whole)
+
 
 class _LosesCancels(Effects):
     def _carry_out(self, effect: core.Effect) -> None:
--- a/coveport/nodes/destinations.py
+++ b/coveport/nodes/destinations.py
@@ -5,14 +5,14 @@
 import asyncio
 import errno
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from coveport.core.operation import Operation
 from coveport.core.places import Place
 from coveport.net.address import Address
 from coveport.net.transport import Net
 from coveport.nodes.link import Dial, Link
-from coveport.nodes.steps import NO_ROOM, Done, RouteStep, StepResult
+from coveport.nodes.steps import NO_ROOM, Began, Done, RouteStep, StepResult
 from coveport.telemetry.counters import Counters
 from coveport.telemetry.log import Log
 from micaflow.interface import Outcome
@@ -78,9 +78,13 @@
         place = self._places.get(number)
         return place[0] if place is not None else None
 
-    def send(self, number: int, operation: Operation | None, timeout_s: float, done: Done) -> RouteStep:
-        """Begin a route step (None: a probe); `done` is called once, never before this returns."""
-        step = RouteStep(self, operation, timeout_s, done)
+    def send(self, number: int, operation: Operation | None, timeout_s: float, done: Done,
+             began: Began | None = None, handed: Callable[[], None] | None = None) -> RouteStep:
+        """Begin a route step (None: a probe); `done` is called once, never before this returns.
+
+        `began`: a long answer begins. `handed`: the last byte of a long operation was handed over.
+        """
+        step = RouteStep(self, operation, timeout_s, done, began, handed)
         place = self._places.get(number)
         if place is None:
             self.net.loop.call_soon(step.end, StepResult(Outcome.CONNECT_FAILED))
--- a/coveport/nodes/link.py
+++ b/coveport/nodes/link.py
@@ -30,6 +30,16 @@
     def drop(self) -> None:
         """Close at once: the destination must see the end before anything sent elsewhere later."""
 
+    def pause(self) -> None:
+        """Read no more of a long answer for now."""
+
+    def resume(self) -> None:
+        """Read on."""
+
+    @property
+    def waits(self) -> bool:
+        """Whether a long body stands still because the client's side does."""
+
     @property
     def quiet(self) -> bool:
         """Whether nothing has come since the last answer: neither an end nor stray bytes."""
--- a/coveport/nodes/steps.py
+++ b/coveport/nodes/steps.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from coveport.core.operation import Answer, Operation
 from coveport.core.places import Place
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from coveport.nodes.destinations import Destinations
 
+STALLED_S = 20.0  # how long a long body may stand still where it is the destination that is waited for
 TURNS_S = 0.01  # for what has come already to be looked at
 # It has never run, and that we are short of descriptors must not count against the destination's health.
 NO_ROOM = Outcome.FULL
@@ -32,18 +33,39 @@
 Done = Callable[[StepResult], None]
 
 
+class Sink(Protocol):
+    """Where a long answer goes."""
+
+    def more(self, data: bytes) -> None:
+        """Pass on what has come; where it can't take more for now it pauses the source."""
+
+
+Began = Callable[["RouteStep", Answer], Sink | None]
+"""A long answer begins; None where nobody wants it. The step is its source: it can be paused and resumed."""
+
+
 class RouteStep:
     """One route step (or probe): from the connect to its end, which is told exactly once."""
 
-    def __init__(self, pool: Destinations, operation: Operation | None, timeout_s: float, done: Done) -> None:
-        self._pool, self._done = pool, done
+    def __init__(self, pool: Destinations, operation: Operation | None, timeout_s: float, done: Done,
+                 began: Began | None = None, handed: Callable[[], None] | None = None) -> None:
+        self._pool, self._done, self._began, self._handed = pool, done, began, handed
         self.operation = operation  # None: a probe
         self.timeout_s = timeout_s
         self.link: Link | None = None
         self.connecting: asyncio.Task[object] | None = None
         self.handed = False  # the last byte was handed to an accepted connection: it may run from here on
         self.over = False
-        self._timers = [pool.net.loop.call_later(timeout_s, self._expire, Outcome.TIMEOUT)]
+        self.sink: Sink | None = None  # set once a long answer has begun
+        self.moved_at = pool.net.now_s()  # when bytes of a long body last went on
+        # A long operation takes its client's time until its last byte is handed over.
+        self._timers = [pool.net.loop.call_later(STALLED_S, self._watch) if self.long else
+                        pool.net.loop.call_later(timeout_s, self._expire, Outcome.TIMEOUT)]
+
+    @property
+    def long(self) -> bool:
+        """Whether the operation's body is long."""
+        return self.operation is not None and self.operation.upload is not None
 
     def connect(self, number: int, place: Place) -> None:
         """Open a connection for this route step."""
@@ -80,9 +102,53 @@
 
     def hand(self) -> None:
         """The last byte was handed to an accepted connection: it may run from here on."""
-        if not self.handed and self.operation is not None:
-            self._pool.counters.add("upstream_requests")
+        if self.handed:
+            return
         self.handed = True
+        if self.operation is None:
+            return
+        self._pool.counters.add("upstream_requests")
+        if self.long and not self.over:
+            self._stop_timers()
+            wait_s = min(self.timeout_s, self.operation.wait_ms / 1000)
+            self._timers = [self._pool.net.loop.call_later(wait_s, self._expire, Outcome.TIMEOUT)]
+            if self._handed is not None:
+                self._handed()
+
+    def begin(self, answer: Answer) -> bool:
+        """A long answer has begun, and no time-out holds but that it goes on; False where nobody wants it."""
+        self.sink = self._began(self, answer) if self._began is not None and not self.over else None
+        if self.sink is None or self.over:
+            return False
+        self._stop_timers()
+        self.moved_at = self._pool.net.now_s()
+        self._timers = [self._pool.net.loop.call_later(STALLED_S, self._watch)]
+        return True
+
+    def _watch(self) -> None:
+        """Put an end to a long body that stands still for no reason of ours or our client's."""
+        stood = self._pool.net.now_s() - self.moved_at
+        if self.link is not None and self.link.waits:
+            stood = 0.0
+        if stood >= STALLED_S:
+            self.broken()
+        else:
+            self._timers = [self._pool.net.loop.call_later(STALLED_S - stood, self._watch)]
+
+    def pause(self) -> None:
+        """The client does not take more for now."""
+        if self.link is not None:
+            self.link.pause()
+
+    def resume(self) -> None:
+        """The client takes more."""
+        self.moved_at = self._pool.net.now_s()
+        if self.link is not None:
+            self.link.resume()
+
+    def _stop_timers(self) -> None:
+        for timer in self._timers:
+            timer.cancel()
 
     def cancel(self) -> None:
         """Give it up; the connection goes with it."""
@@ -102,8 +168,7 @@
         if self.over:
             return
         self.over = True
-        for timer in self._timers:
-            timer.cancel()
+        self._stop_timers()
         if self.connecting is not None and self.link is None:
             self.connecting.cancel()  # a late connect must not send for an operation that is over
         link, self.link = self.link, None
--- a/coveport/sidecar/effects.py
+++ b/coveport/sidecar/effects.py
@@ -27,6 +27,7 @@
 # Of the shortest aim: a connection that takes longer leaves no time for a second try, which is harmless, as
 # nothing has run. Machines that vanish refuse nothing; they only show by connections that never come up.
 CONNECT_SHARE = 0.25
+LONGEST_MS = 3_600_000.0  # stands for the deadline of a long operation until its last byte has come
 BEAT_MS = 250.0  # while anything is open we do something at least so often ...
 LAG_MS = 50.0  # ... and where that is later by more than this, we had no CPU
 REST_SHARE, REST_LEAST = 0.1, 16  # of the descriptors, for all else: a listener, discovery, the loop's own
@@ -53,6 +54,15 @@
 class Asker(Protocol):
     """The client side of a protocol: whoever has brought an operation and waits for its answer."""
 
+    def begin(self, answer: Answer, source: RouteStep) -> None:
+        """The one final answer begins: a long one, passed on as it comes from the source."""
+
+    def more(self, data: bytes) -> None:
+        """More of the long answer."""
+
+    def finish(self, whole: bool) -> None:
+        """The long answer has ended; not `whole`: the client must be able to tell."""
+
     def answer(self, verdict: core.Verdict, answer: Answer | None, retry_after_ms: float) -> None:
         """Give the one final answer."""
 
@@ -67,6 +77,8 @@
     guard: asyncio.TimerHandle | None = None
     steps: dict[int, RouteStep] = field(default_factory=dict)
     answered: bool = False
+    passing: bool = False  # a long answer is being passed on
+    taken: bool = True  # its last byte has come
     ended: bool = False  # counted under how it ended
 
 
@@ -159,13 +171,24 @@
     def take(self, number: int, client: Asker, asked: Operation) -> None:
         """A whole operation has come from a client."""
         self._open[number] = _Open(client, asked, self._config.settings.classes[asked.cls].name)
-        self.pending += 1
+        if asked.upload is None:
+            self.pending += 1
+        else:
+            self._open[number].taken = False
         if self._beating is None:
             self._beat_ms = self._clock.now_ms()
             self._beating = self._net.loop.call_later(BEAT_MS / 1000, self._pulse)
-        deadline = self._clock.now_ms() + asked.wait_ms
+        deadline = self._clock.now_ms() + (asked.wait_ms if asked.upload is None else LONGEST_MS)
         self.feed(core.OperationCame(number, asked.cls, deadline, asked.repeat, asked.cost_ms, asked.room,
-                                     asked.id))
+                                     asked.id, asked.upload is not None))
+
+    def whole(self, number: int, waited_ms: float) -> None:
+        """The last byte of a long operation has come; it may have stood below us for so long."""
+        opened = self._open.get(number)
+        if opened is not None and not opened.taken:
+            opened.taken = True
+            self.pending += not opened.ended
+            self.feed(core.BodyCame(number, self._clock.now_ms() + opened.asked.wait_ms - waited_ms))
 
     def gone(self, number: int) -> None:
         """The client of an operation has gone away."""
@@ -212,6 +235,10 @@
             self._send(effect)
         elif isinstance(effect, core.GiveAnswer):
             self._answer(effect)
+        elif isinstance(effect, core.BeginAnswer):
+            self._begin_answer(effect)
+        elif isinstance(effect, core.EndAnswer):
+            self._end_answer(effect)
         elif isinstance(effect, core.SetTimer):
             self._net.loop.call_later(effect.delay_ms / 1000, self.feed, core.TimerDue(effect.token))
         elif isinstance(effect, core.GuardDeadline):
@@ -243,8 +270,15 @@
                                      result.load, result.answer))
             self._forget(effect.operation)
 
+        def began(_step: RouteStep, answer: Answer) -> Asker | None:
+            self.feed(core.AnswerBegan(effect.operation, effect.step, answer))
+            return opened.client if opened.passing else None
+
+        def handed() -> None:
+            self.feed(core.StepHanded(effect.operation, effect.step))
+
         opened.steps[effect.step] = self.destinations.send(
-            effect.destination, opened.asked, effect.timeout_ms / 1000, done)
+            effect.destination, opened.asked, effect.timeout_ms / 1000, done, began, handed)
 
     def _probe(self, destination: int) -> None:
         started = self._clock.now_ms()
@@ -272,9 +306,26 @@
         """An operation has ended; it is counted once, whatever comes after that."""
         if not opened.ended:
             opened.ended = True
-            self.pending -= 1
+            self.pending -= opened.taken
             self.counters.add(ended(opened.cls, how))
 
+    def _begin_answer(self, effect: core.BeginAnswer) -> None:
+        opened = self._open[effect.operation]
+        opened.passing = opened.client is not None
+        if opened.client is not None:
+            opened.client.begin(effect.answer, opened.steps[effect.step])
+        if opened.guard is not None:
+            opened.guard.cancel()
+
+    def _end_answer(self, effect: core.EndAnswer) -> None:
+        opened = self._open[effect.operation]
+        client, opened.client = opened.client, None
+        self.counters.add("answers_long" if effect.whole else "answers_long_broken")
+        self._ended(opened, "completed" if effect.whole else "failed")
+        if client is not None:
+            client.finish(effect.whole)
+        self._forget(effect.operation, answered=True)
+
     def _forget(self, number: int, answered: bool = False) -> None:
         opened = self._open.get(number)
         if opened is None:
@@ -285,3 +336,5 @@
                 opened.guard.cancel()
             if not opened.steps:
                 del self._open[number]
+                if opened.asked.upload is not None:
+                    opened.asked.upload.close()
--- a/coveport/sidecar/serve.py
+++ b/coveport/sidecar/serve.py
@@ -15,6 +15,7 @@
 from coveport.console.server import Console, Done
 from coveport.core.phases import Lifecycle, Phase
 from coveport.core.reducer import Reducer
+from coveport.core.streams import Budget
 from coveport.http1.clients import STILL_COMING_S, Listener
 from coveport.http1.links import Dialer
 from coveport.net.address import Address
@@ -27,7 +28,9 @@
 FIRST_LIST_S = 0.5  # how long to wait for discovery before the known list has to do
 BIND_S, BIND_STEP_S = 5.0, 0.1  # the address may be held by the one before us for a moment
 STEP_S = 0.02
-ANSWER_SHARE = 1 / 32  # of the memory: ledger nodes do answer with hundreds of KiB, but never with GB
+NEED_MB = 30.0  # what a process needs that holds no long body: 22 to 26 MB on the operators' days
+LONG_SHARE = 0.5  # of the memory beyond that: the other half is for small bodies and what is made of bytes
+LONG_LEAST_MB = 1.0
 
 
 async def serve(config: configuration.Config, net: Net, log: Log, *,
@@ -42,10 +45,14 @@
     """
     loop = net.loop
     counters, life = Counters(), Lifecycle()
-    dial = Dialer(config.settings.load_fields, int(config.memory_mb * 1024 * 1024 * ANSWER_SHARE))
+    budget = Budget(int(max(LONG_LEAST_MB, (config.memory_mb - NEED_MB) * LONG_SHARE) * 1024 * 1024))
+    dial = Dialer(config.settings.load_fields, budget)
+    counters.gauge("long_bytes", lambda: budget.held)
+    counters.gauge("long_bytes_peak", lambda: budget.peak)
     effects = effects_type(net, config, counters, log, dial, reducer)
     listener = Listener(net, counters, log, config.settings.classes, ready=lambda: life.ready,
-                        most_clients=descriptors(config.sockets)[0], take=effects.take, gone=effects.gone)
+                        most_clients=descriptors(config.sockets)[0], take=effects.take, gone=effects.gone,
+                        whole=effects.whole, budget=budget)
 
     def unexpected(_loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         # Guards against a fault in one connection, or EMFILE in accept: logged, and served on.
--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -36,11 +36,11 @@
 class _Attempt:
     """An attempt at a host."""
 
-    __slots__ = ("host", "may_have_run", "passed", "pending", "sent_at", "share")
+    __slots__ = ("flies", "host", "may_have_run", "passed", "pending", "sent_at", "share")
 
     def __init__(self, host: _Host, sent_at: float) -> None:
         self.host, self.sent_at = host, sent_at
-        self.pending = self.may_have_run = True
+        self.pending = self.may_have_run = self.flies = True  # flies: counts in its zone
         self.share = len(host.pending) + 1  # how many of ours were in flight with it, itself included
         self.passed = 0  # how many sent there later have been answered already
 
@@ -78,7 +78,7 @@
 class _Request(Waiter):
     def __init__(self, event: api.Request, settings: api.Settings, chance: random.Random) -> None:
         self.cls, self.limits = settings.classes[event.cls], settings.limits  # the rules under which it came
-        self.id, self.kind, self.deadline = event.id, self.cls.name, event.deadline_ms
+        self.id, self.kind, self.deadline, self.long = event.id, self.cls.name, event.deadline_ms, event.long
         self.give_up = self.hold_until = self.cross_at = event.deadline_ms
         self.luck = chance.random()  # where less than one may be in flight, its chance to be that one
         self.chill = chance.random()  # which cold hosts it may go to
@@ -403,8 +403,9 @@
         if not self._legal(request, host):
             return
         self.queue.remove(request)
-        self.zones[host.zone].flying += 1
         key, one = (request.id, len(request.attempts)), _Attempt(host, self.now)
+        one.flies, one.passed = not request.long, PASSED * request.long  # silence there is its client's
+        self.zones[host.zone].flying += one.flies
         self.flights[key] = host.pending[key] = one
         request.attempts.append(one)
         timeout = max(min(request.give_up, request.deadline) - self.now, self.settings.tick_ms)
@@ -419,9 +420,9 @@
             del host.pending[event.id, event.attempt]
             sent.pending, sent.may_have_run = False, event.outcome not in api.NEVER_RAN
             # Before it is taken off: a limit of one would else look unused for ever and never grow again.
-            if event.outcome is not Outcome.TIMEOUT or not sent.lost:
+            if event.outcome is Outcome.FULL or not sent.lost:
                 self._crowding(self.zones[host.zone], event.outcome, event.latency_ms)
-            self.zones[host.zone].flying -= 1
+            self.zones[host.zone].flying -= sent.flies
             self._judge(host, event.outcome, event.latency_ms, sent)
             if event.outcome is Outcome.OK:
                 pace = event.latency_ms / sent.share
@@ -459,7 +460,10 @@
         if not request.streaming:
             del self.open[number]
         for attempt, one in enumerate(request.attempts):
-            if one.pending and attempt != stream and self.limits.cancel:
+            if attempt == stream:
+                self.zones[one.host.zone].flying -= one.flies
+                one.flies, one.passed = False, PASSED  # from its first bytes on it takes its client's time
+            elif one.pending and self.limits.cancel:
                 self.out.append(api.Cancel(number, attempt))
 
     def _hedge(self, number: int) -> None:  # a second copy, once the first is later than a host may be
--- a/micaflow/interface.py
+++ b/micaflow/interface.py
@@ -203,6 +203,7 @@
     tenant: int = 0
     repeat: bool = False
     write: bool = False
+    long: bool = False  # it is sent while it comes: an attempt takes its client's time before a host has it
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/test_long_bodies.py
@@ -0,0 +1,254 @@
+"""Bodies over 64 KiB: passed on as they come, under one budget of bytes, and never cut for a deadline."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from simulated import Conn, Server, World, now, sleep, wait_for, world
+from world import Seen, receive, reply, request, served
+
+from coveport.core.streams import READ_LEAST, READ_MOST, Budget, Upload
+from coveport.http1 import codec
+
+MIB = 1024 * 1024
+LONG = bytes(range(256)) * (MIB // 256)
+
+
+class Taker:
+    """Reads an upload on, when it is told to."""
+
+    def __init__(self, upload: Upload) -> None:
+        self.upload, self.got = upload, bytearray()
+
+    def more(self) -> None:
+        while (piece := self.upload.next(self)) is not None:
+            self.got += piece
+            self.upload.took()
+
+
+def test_the_budget_gives_small_reads_where_it_is_used_up() -> None:
+    budget = Budget(MIB)
+    assert budget.read_most() == READ_MOST and budget.may_keep
+    budget.take(MIB)
+    assert budget.read_most() == READ_LEAST and not budget.may_keep and budget.peak == MIB
+
+
+def test_an_upload_is_read_again_only_while_its_bytes_are_kept() -> None:
+    budget, room = Budget(1000), list[int]()
+    upload = Upload(budget, None, lambda: room.append(1))
+    upload.push(b"a" * 400)
+    first, second = Taker(upload), Taker(upload)
+    assert upload.join(first)
+    first.more()
+    upload.leave(first)
+    assert upload.join(second)  # its first bytes are kept
+    second.more()
+    upload.push(b"b" * 400)  # over half of the budget: what has been read is gone
+    assert bytes(second.got) == b"a" * 400 + b"b" * 400 and not upload.join(first) and budget.held == 0
+    upload.finish()
+    assert upload.ended(second) and not upload.full
+    upload.push(b"c" * (70 * 1024))
+    assert not upload.full
+    upload.leave(second)
+    assert upload.full  # nobody reads
+    upload.close()
+    assert budget.held == 0
+
+
+def in_events(parser: codec.RequestParser, pieces: Iterator[bytes]) -> tuple[bool, bytes, bool]:
+    """Whether the first message is long, its data, and whether it ended."""
+    found, data, over = None, b"", False
+    for piece in pieces:
+        parser.feed(piece)
+        if found is None:
+            found = parser.next_request()
+            data += found.body if found else b""
+        while not over:
+            more, over = parser.next_data()
+            data += more
+            if not more:
+                break
+    assert found is not None
+    return found.long, data, over
+
+
+@pytest.mark.parametrize("size", [1, 1000, 65536, 1 << 20])
+@pytest.mark.parametrize("chunk", [0, 10, 100_000])
+def test_long_bodies_are_read_the_same_however_cut(size: int, chunk: int) -> None:
+    body = LONG[:200_000]
+    framed = b"Transfer-Encoding: chunked" if chunk else b"Content-Length: %d" % len(body)
+    coded = body if not chunk else b"".join(
+        codec.write_chunk(body[at:at + chunk]) for at in range(0, len(body), chunk)) + b"0\r\nT: x\r\n\r\n"
+    data = (b"POST /a HTTP/1.1\r\nHost: a\r\n" + framed + b"\r\n\r\n" + coded
+            + b"GET /b HTTP/1.1\r\nHost: a\r\n\r\n")
+    parser = codec.RequestParser(MIB, codec.MAX_BODY)
+    pieces = (data[at:at + size] for at in range(0, len(data), size))
+    assert in_events(parser, pieces) == (True, body, True)
+    following = parser.next_request()
+    assert following is not None and following.target == "/b" and not following.long
+
+
+def test_a_long_body_that_grows_too_large_or_is_malformed_is_told() -> None:
+    for bad in (b"fffff\r\n" + bytes(70_000), b"10000\r\n" + bytes(65_536) + b"\r\n9\r\n123456789xx"):
+        parser = codec.RequestParser(100_000, 1000)
+        parser.feed(b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + bad)
+        with pytest.raises(codec.BadMessageError):
+            assert parser.next_request() is not None
+            for _ in range(9):
+                parser.next_data()
+        assert parser.next_data() == (b"", False) and parser.next_request() is None
+
+
+# On simulated ground.
+
+
+def read_some(conn: Conn, size: int) -> bytes:
+    held = b""
+    while len(held) < size:
+        data = conn.recv(65536)
+        assert data, "the connection has ended"
+        held += data
+    return held
+
+
+def test_a_long_answer_is_passed_on_from_its_first_bytes_and_not_cut_at_a_deadline(tmp_path: Path) -> None:
+    node = Server(lambda seen: None)
+
+    async def slowly(seen: Seen) -> bytes:
+        conn = node.open[-1]
+        whole = reply(200, LONG)
+        for at in range(0, 8):
+            conn.send(whole[at * 100_000:(at + 1) * 100_000])
+            await asyncio.sleep(0.7)
+        return whole[800_000:]
+
+    node.handler = slowly
+    with world(tmp_path, node.address) as one, one.connect() as conn:
+        start = now()
+        conn.sendall(request("POST /redeem", X_Deadline="1000m"))
+        first = read_some(conn, 1000)
+        assert now() - start < 0.1
+        held = bytearray(first)
+        status, _, body = receive(conn, held)
+        assert (status, body == LONG) == (200, True) and now() - start > 5
+        assert one.figures()["downstream_requests.redeem.completed"] == 1
+        conn.sendall(request("POST /redeem"))  # the connection is good for more
+        assert read_some(conn, 10)
+
+
+def test_a_long_answer_that_breaks_is_told_to_the_client(tmp_path: Path) -> None:
+    def breaks(seen: Seen) -> bytes:
+        return reply(200, LONG, Connection="close")[:-1]
+
+    with world(tmp_path, Server(breaks).address) as one, one.connect() as conn:
+        conn.sendall(request("GET /balance"))
+        with pytest.raises((AssertionError, OSError)):
+            receive(conn)
+        figures = one.figures()
+        assert figures["downstream_requests.balance.failed"] == 1 and figures["pending"] == 0
+        assert figures["route_steps"] == 1  # what has begun is the client's
+
+
+def test_an_answer_without_a_length_is_passed_on_in_chunks_or_until_the_end(tmp_path: Path) -> None:
+    def until_end(seen: Seen) -> bytes:
+        return b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + LONG
+
+    with world(tmp_path, Server(until_end).address) as one:
+        for old in (False, True):
+            with one.connect() as conn:
+                asked = request("GET /balance")
+                conn.sendall(asked.replace(b"HTTP/1.1", b"HTTP/1.0") if old else asked)
+                parser, found, held = codec.ResponseParser(2 * MIB), None, b""
+                while found is None:
+                    data = conn.recv(65536)
+                    held += data
+                    parser.feed(data)
+                    found = parser.next_response() if data else parser.end()
+                assert found.body == LONG and (b"chunked" in held[:200]) != old
+
+
+def test_a_reader_that_pauses_holds_up_its_node_and_nothing_else(tmp_path: Path) -> None:
+    node = Server(lambda seen: reply(200, LONG * 8))
+    with world(tmp_path, node.address) as one:
+        conns = [one.connect() for _ in range(12)]
+        for conn in conns:
+            conn.sendall(request("GET /balance", X_Deadline="1000m"))
+        sleep(8)
+        figures = one.figures()
+        assert 0 < figures["long_bytes"] <= figures["long_bytes_peak"] < 12 * 2 * READ_MOST
+        for conn in conns:
+            assert receive(conn)[2] == LONG * 8
+            conn.close()
+        assert one.figures()["long_bytes"] == 0
+
+
+def upload(conn: Conn, body: bytes, pieces: int = 10, pause: float = 0.0, **headers: str) -> None:
+    asked = request("POST /redeem", body, **headers)
+    size = len(asked) // pieces + 1
+    for at in range(0, len(asked), size):
+        conn.sendall(asked[at:at + size])
+        sleep(pause)
+
+
+def test_a_long_request_is_sent_while_it_comes_and_its_time_counts_from_its_last_byte(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, node.address) as one, one.connect() as conn:
+        upload(conn, LONG[:400_000], pause=0.7, X_Deadline="500m")  # 64 kB a second
+        assert node.connections == 1
+        status, _, body = receive(conn)
+        assert status == 200 and body.endswith(LONG[:400_000]) and node.seen[0].body == LONG[:400_000]
+        figures = one.figures()
+        assert figures["upstream_requests"] == 1 and figures["pending"] == figures["long_bytes"] == 0
+
+
+def test_a_long_request_goes_elsewhere_while_its_bytes_are_kept_redeem_never_twice(tmp_path: Path) -> None:
+    dead, good = Server(served), Server(served)
+    with world(tmp_path, dead.address, good.address) as one, one.connect() as conn:
+        dead.close()
+        for _ in range(4):
+            upload(conn, LONG)
+            assert receive(conn)[0] == 200
+        assert len(good.seen) == 4 and one.figures()["connects_failed"] >= 1
+    breaks, other = Server(lambda seen: None), Server(served)
+    with world(tmp_path, breaks.address, other.address) as one:
+        for _ in range(6):
+            with one.connect() as conn:
+                upload(conn, LONG)
+                receive(conn)
+        assert len(breaks.seen) >= 1 and len(breaks.seen) + len(other.seen) == 6
+
+
+def test_a_long_request_that_stands_still_is_given_up_and_runs_nowhere(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, node.address) as one, one.connect() as conn:
+        begun = now()
+        conn.settimeout(60)
+        conn.sendall(request("POST /redeem", LONG)[:-1000])
+        assert receive(conn)[0] == 408 and now() - begun < 13
+        assert node.seen == [] and one.figures()["pending"] == 0
+    with world(tmp_path, Server(served).address) as one, one.connect() as conn:
+        begun = now()
+        conn.sendall(request("POST /redeem", LONG)[:300])
+        assert receive(conn)[0] == 408 and now() - begun < 3
+
+
+def gives(one: World) -> Iterator[Any]:
+    figures = one.figures()
+    yield from (figures["pending"], figures["long_bytes"], figures["tables"]["open"])
+
+
+def test_a_client_that_leaves_in_the_middle_leaves_nothing_behind(tmp_path: Path) -> None:
+    node = Server(lambda seen: reply(200, LONG * 8))
+    with world(tmp_path, node.address) as one:
+        with one.connect() as conn:
+            conn.sendall(request("POST /redeem", LONG)[:200_000])
+            sleep(0.2)
+        with one.connect() as conn:
+            conn.sendall(request("GET /balance"))
+            read_some(conn, 1000)
+        wait_for(lambda: list(gives(one)) == [0, 0, 0])
+        wait_for(lambda: node.ended == node.connections)
