--- a/coveport/lab/virtual/wires.py
+++ b/coveport/lab/virtual/wires.py
@@ -56,6 +56,7 @@
     def __init__(self, world: World, ways: Ways, start_s: float = 0.0, harsh: Harsh | None = None) -> None:
         self.world, self.ways, self.start_s, self.harsh = world, ways, start_s, harsh
         self.listening: dict[Address, _Listening] = {}
+        self._beside: dict[Address, list[_Listening]] = {}  # further ones that share an address
         self.places: dict[str, Place] = {}
         self.connections = 0
         self._held: dict[Side, None] = {}  # sides with something that can't go out for now
@@ -63,6 +64,35 @@
         self._hash = hashlib.blake2b(digest_size=16)
         ways.on_open(self.release)
 
+    def find(self, address: Address) -> _Listening | None:
+        """Who a new connection goes to: those that share an address are dealt them in turn."""
+        found = self.listening.get(address)
+        if found is None or address not in self._beside:
+            return found
+        all_of_them = [found, *self._beside[address]]
+        return all_of_them[self.connections % len(all_of_them)]
+
+    def listens(self, one: _Listening) -> None:
+        """Somebody listens; OSError where another does that does not share its address."""
+        found = self.listening.setdefault(one.address, one)
+        if found is one:
+            return
+        if not (found.shared and one.shared):
+            raise OSError(errno.EADDRINUSE, "address {}:{} is in use".format(*one.address))
+        self._beside.setdefault(one.address, []).append(one)
+
+    def listens_no_more(self, one: _Listening) -> None:
+        """Whoever shares its address goes on."""
+        beside = self._beside.pop(one.address, [])
+        if one in beside:
+            beside.remove(one)
+        elif beside:
+            self.listening[one.address] = beside.pop(0)
+        else:
+            del self.listening[one.address]
+        if beside:
+            self._beside[one.address] = beside
+
     def place(self, address: str, zone: int, number: int = -1, *, far: bool = False) -> Place:
         """A new machine; `far`: the network may break connections to it, and let them come up late."""
         one = self.places[address] = Place(address, zone, number, far)
@@ -105,7 +135,8 @@
 
     def __init__(self, net: VirtualNet, address: Address, factory: Factory | None,
                  accept: Callable[[int], asyncio.BaseProtocol] | None, most: int, in_turn: int,
-                 pace_s: float) -> None:
+                 pace_s: float, shared: bool = False) -> None:
+        self.shared = shared
         self.net, self.address, self.most, self._in_turn, self._pace_s = net, address, most, in_turn, pace_s
         self._factory, self._accept = factory, accept
         self.waiting: deque[Side] = deque()
@@ -131,8 +162,13 @@
     def close(self) -> None:
         if not self.open:
             return
+        if self.net.process.alive:  # by itself: what waits is taken in first, as on sockets
+            while self.waiting and self.net.has_room:
+                side = self.waiting.popleft()
+                self.net.took(side)
+                self.net.process.call_soon(self.net.process.call_soon, self._begin, side)
         self.open = False
-        self.net.network.listening.pop(self.address, None)
+        self.net.network.listens_no_more(self)
         self.net.listens.remove(self)
         waiting, self.waiting = self.waiting, deque()
         for side in waiting:
@@ -731,8 +767,8 @@
 
     async def listen(self, factory: Factory, address: Address, *, accept_most: int,
                      waiting_most: int, shared: bool = False) -> Listening:
-        """Listen at an address of this machine; port 0: any. Nothing is shared here."""
-        return self._open(address, factory, None, waiting_most, accept_most, 0.0)
+        """Listen at an address of this machine; port 0: any."""
+        return self._open(address, factory, None, waiting_most, accept_most, 0.0, shared)
 
     def is_taken(self, address: Address) -> bool:
         """Whether somebody listens there."""
@@ -747,14 +783,12 @@
 
     def _open(self, address: Address, factory: Factory | None,
               accept: Callable[[int], asyncio.BaseProtocol] | None, most: int, in_turn: int,
-              pace_s: float) -> _Listening:
+              pace_s: float, shared: bool = False) -> _Listening:
         host, port = address
         if port == 0:
             port = next(one for one in range(20_000, 60_000) if (host, one) not in self.network.listening)
-        if (host, port) in self.network.listening:
-            raise OSError(errno.EADDRINUSE, f"address {host}:{port} is in use")
-        one = _Listening(self, (host, port), factory, accept, most, in_turn, pace_s)
-        self.network.listening[host, port] = one
+        one = _Listening(self, (host, port), factory, accept, most, in_turn, pace_s, shared)
+        self.network.listens(one)
         self.listens.append(one)
         return one
 
@@ -763,7 +797,7 @@
         if not self.has_room:
             raise OSError(errno.EMFILE, "Too many open files")
         network, here = self.network, self.place
-        found = network.listening.get(address)
+        found = network.find(address)
         there = (found.net.place if found is not None
                  else network.places.get(address[0]) or Place(address[0], 0))
         done: asyncio.Future[None] = self.process.create_future()
@@ -802,7 +836,7 @@
         if network.held(dial.here, dial.there):
             network._dials[dial] = None
             return
-        found = network.listening.get(address)
+        found = network.find(address)
         back = self.world.now + network.delay_s(dial.there, dial.here) + dial.late_s
         if found is None:
             self.world.at(back, dial.lost, ConnectionRefusedError(
