The lab plays upgrades, staff drains, retunings and scrapes; fresh callers keep their place

Found by the first plays: with 40 silent callers in a burst an INFO was cut off, as the console sent the longest silent one away although its line was on the way. Ruled out: the listener's queue (64) and descriptors. Who has come in the last 0.1 s, or has something to be read, is let be now, up to twice as many callers.

--- a/coveport/console/server.py
+++ b/coveport/console/server.py
@@ -14,6 +14,7 @@
 from coveport.telemetry.log import Log
 
 SILENT_S = 2.0  # how long a caller may take to send its line
+FRESH_S = 0.1  # how long who has just come, or has just been answered, is not taken for somebody who stays
 LINGER_S = 0.5  # how long a caller may take to take its answer and go
 WAITING_MOST = 64  # callers that may wait to be accepted
 ACCEPT_MOST = 8  # callers accepted in one turn of the loop
@@ -33,10 +34,12 @@
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self.answered = False
+        self.since = 0.0  # when it came, or had its answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self.since = self._console.net.now_s()
         self._timer = self._console.net.loop.call_later(SILENT_S, self._silent)
         self._console.came(self)
 
@@ -67,7 +70,7 @@
         self._answer(codec.write_no("no line came"))
 
     def _answer(self, data: bytes) -> None:
-        self.answered = True
+        self.answered, self.since = True, self._console.net.now_s()
         self._console.answered(self)
         assert self._timer is not None and self._transport is not None
         self._timer.cancel()
@@ -82,6 +85,11 @@
             self._timer.cancel()
         self._console.gone(self)
 
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing of it waits to be read."""
+        return self._transport is not None and self._console.net.is_quiet(self._transport)
+
     def close(self) -> None:
         """Close at once."""
         self._console.gone(self)
@@ -92,7 +100,8 @@
 class Console:
     """Takes callers in, and has each call done by who can; decides nothing.
 
-    `most`: callers at a time. `calls`: what does each call; an exception there is answered with a no.
+    `most`: callers at a time, not counting those of the last moment. `calls`: what does each call; an
+    exception there is answered with a no.
     """
 
     def __init__(self, net: Net, counters: Counters, log: Log, *, most: int,
@@ -111,9 +120,17 @@
 
     def came(self, caller: _Caller) -> None:
         """Somebody calls; where there are too many, one goes: who has its answer, or the longest silent."""
-        # Guards against callers that stay without a word: they would keep others waiting.
-        if len(self._silent) + len(self._leaving) >= self._most:
-            next(iter(self._leaving or self._silent)).close()
+        # Guards against callers that stay without a word: they would keep others waiting. Of those that have
+        # just come the line is on its way, so they are let be up to twice as many.
+        count = len(self._silent) + len(self._leaving)
+        if count >= self._most:
+            before = self.net.now_s() - FRESH_S
+            going = next((one for one in (*self._leaving, *self._silent)
+                          if one.since < before and one.quiet), None)
+            if going is None and count >= 2 * self._most:
+                going = next(iter(self._silent or self._leaving))
+            if going is not None:
+                going.close()
         self._silent[caller] = None
 
     def answered(self, caller: _Caller) -> None:
--- a/coveport/lab/books.py
+++ b/coveport/lab/books.py
@@ -190,7 +190,10 @@
     """What happened to a sidecar's process."""
 
     sidecar: int
-    what: str  # "start", "ready", "unready" (given up), "reload", "term", "kill", "stall", "resume", "exit"
+    # "start", "ready", "unready" (given up), "reload", "term", "kill", "stall", "resume", "exit"; of staff:
+    # "replace" (a second process began), "replaced" (the first ended), "lameduck", "rejoin", "yes", "no",
+    # "asked" (for its figures), "info" (they came, as JSON).
+    what: str
     # exit: its code; start: the generation; stall and resume: "starve" where it has only a part of a core.
     detail: str = ""
 
--- a/coveport/lab/day.py
+++ b/coveport/lab/day.py
@@ -126,6 +126,10 @@
     "clock": "the machine's wall clock is `value` ms off",
     "starve": "gets `value` of a core",
     "descriptors": "may hold `value` descriptors",
+    "upgrade": "a second process starts beside it, and it is told to stop once that one is ready",
+    "lameduck": "staff drain it, and take it back",
+    "retune": "its file allows `value` attempts, and it is told so",
+    "scrape": "staff ask for its figures every `value` ms, beside `share` callers who say nothing",
 }
 TILL_CHANGES = {
     "slow-reader": "`share` of the sidecar's tills read nothing for up to `value` ms once they have asked",
--- a/coveport/lab/oracle/__init__.py
+++ b/coveport/lab/oracle/__init__.py
@@ -18,6 +18,7 @@
 from coveport.lab.oracle.grace import RULES, Breach, Grace
 from coveport.lab.oracle.nodes import judge_nodes
 from coveport.lab.oracle.processes import judge_processes
+from coveport.lab.oracle.staff import judge_staff
 
 __all__ = ["RULES", "Breach", "Grace", "judge"]
 
@@ -31,7 +32,8 @@
     `rows` may come in any order that keeps each party's own; they are not changed. `grace`: by the ground.
     """
     case = Case(day, rows, grace)
-    for judge_group in (judge_answers, judge_attempts, judge_nodes, judge_processes):
+    for judge_group in (judge_answers, judge_attempts, judge_nodes, judge_processes,
+                        judge_staff):
         judge_group(case)
     case.found.sort(key=lambda breach: (breach.at_ms, breach.rule, breach.operation, breach.what))
     return case.found
--- a/coveport/lab/oracle/case.py
+++ b/coveport/lab/oracle/case.py
@@ -26,7 +26,7 @@
 )
 from coveport.lab.day import Day
 from coveport.lab.oracle.grace import Breach, Grace
-from coveport.lab.oracle.lives import Lives
+from coveport.lab.oracle.lives import STAFF, Lives
 from coveport.lab.oracle.reach import Reach
 from coveport.lab.scenario import Class
 
@@ -111,6 +111,7 @@
             if take is not None:
                 take(row)
         self.end = ordered[-1].at if ordered else 0.0  # of the books
+        self.by_staff = [row for row in self._lives if row.what in STAFF]
         self.lives = Lives(self._lives, self._lags, grace)
         self.reach = Reach(day, self.nodes, grace)
         self.drawn = {node.number: node for node in day.nodes}
--- a/coveport/lab/oracle/grace.py
+++ b/coveport/lab/oracle/grace.py
@@ -69,6 +69,7 @@
     "drained": "something new sent to a node after the grace, counted from the first byte handed over",
     "unnamed": "something sent to a node that discovery never named to that sidecar",
     "cold": "more work sent to a cold node, by all sidecars together, than its budget in any window",
+    "staff": "a drain that does not show, figures late or untrue, a replaced process that does not end",
     "process": "a sidecar that died, hung at its end, or ended with another code than 0",
 }
 """Each rule in a sentence, as in the design note's table."""
--- a/coveport/lab/oracle/lives.py
+++ b/coveport/lab/oracle/lives.py
@@ -9,6 +9,8 @@
 from coveport.lab.books import Lag, Life
 from coveport.lab.oracle.grace import Grace
 
+STAFF = frozenset({"replace", "replaced", "lameduck", "rejoin", "yes", "no", "asked", "info"})
+
 Span = tuple[float, float]
 """From, until: ms since the day began."""
 
@@ -37,6 +39,7 @@
         self.of: dict[int, list[Generation]] = {}
         self._ends: dict[int, list[float]] = {}
         self._blind: dict[int, list[Span]] = {}
+        self.replacing: dict[int, list[list[float]]] = {}  # by sidecar: from, until (inf: not ended)
         self._lags = _joined([(lag.at - lag.late_ms, lag.at + lag.late_ms) for lag in lags
                               if lag.late_ms >= grace.lag_ms])
         stalled: dict[int, float] = {}
@@ -56,6 +59,12 @@
             self._ends[sidecar] = [one.end for one in lives]
 
     def _take(self, row: Life) -> None:
+        if row.what in STAFF:  # to the rules it is one sidecar, whichever process acts
+            if row.what == "replace":
+                self.replacing.setdefault(row.sidecar, []).append([row.at, inf])
+            elif row.what == "replaced" and row.sidecar in self.replacing:
+                self.replacing[row.sidecar][-1][1] = row.at
+            return
         lives = self.of.setdefault(row.sidecar, [])
         if row.what == "start":
             if lives and not lives[-1].how:  # its end went unseen: none of it is held against it
--- a/coveport/lab/scenario.py
+++ b/coveport/lab/scenario.py
@@ -401,9 +401,40 @@
     share: FigureShare = 0.1
 
 
+class Upgrade(FaultBase, frozen=True, tag="upgrade"):
+    """Sidecars are replaced while they serve, `every_s` apart: a second process starts beside the first.
+
+    The first is told to stop once the second says that it is ready.
+    """
+
+    whom: Whom = Whom(count=1)
+    every_s: From0 = 0.0
+
+
+class Lameduck(FaultBase, frozen=True, tag="lameduck"):
+    """Staff drain sidecars at their console, and take them back `for_s` later; their tills go on asking."""
+
+    whom: Whom = Whom(count=1)
+
+
+class Retune(FaultBase, frozen=True, tag="retune"):
+    """Sidecars are told to read a file that allows `size` attempts, and the old one again `for_s` later."""
+
+    whom: Whom = Whom(all=True)
+    size: Annotated[Figure, Bounds(1, 10)] = 1.0
+
+
+class Scrape(FaultBase, frozen=True, tag="scrape"):
+    """Somebody asks sidecars for their figures every `every_s`, beside `silent` callers who say nothing."""
+
+    whom: Whom = Whom(all=True)
+    every_s: Above0 = 0.5
+    silent: Annotated[int, Bounds(0, 200)] = 3
+
+
 AnyFault = (Crash | Slow | Silent | Drain | Rolling | Errors | Resets | Spoilt | FullQueue | Cut | Delay
             | Loss | Burst | HeavyTail | DiscoveryFault | Kill | Stall | Restart | Clock | Starve
-            | Descriptors | SlowReader)
+            | Descriptors | SlowReader | Upgrade | Lameduck | Retune | Scrape)
 
 
 class Expect(Strict, frozen=True):
@@ -445,9 +476,10 @@
 STAND_INS: dict[str, Any] = {"title": "?", "name": "x", "share": 1.0, "work_ms": 1.0, "repeats": "safe",
                              "aim_ms": 1.0, "deadline_ms": 1.0, "at_s": 0.0}
 
-OF_SIDECARS = (Kill, Stall, Restart, Clock, Starve, Descriptors, SlowReader)
+OF_STAFF = (Upgrade, Lameduck, Retune, Scrape)
+OF_SIDECARS = (Kill, Stall, Restart, Clock, Starve, Descriptors, SlowReader, *OF_STAFF)
 
-SIMULATED_FAULTS = (FullQueue, Clock, Starve, Descriptors, SlowReader)
+SIMULATED_FAULTS = (FullQueue, Clock, Starve, Descriptors, SlowReader, *OF_STAFF)
 SIMULATED_FIGURES = ("split", "merge", "window", "reset_mid", "end_mid", "late_connect", "backlog",
                      "accept_ms", "read_chunk")
 """Faults, and figures of the network, that simulated ground alone can do."""
@@ -596,7 +628,7 @@
     if whom is not None:
         _check_whom(day.fleet, whom, (*place, "whom"), isinstance(fault, OF_SIDECARS), say)
     moves = isinstance(fault, DiscoveryFault) and fault.how == "moves"
-    if (moves or isinstance(fault, Rolling | Restart)) and fault.for_s != 0:
+    if (moves or isinstance(fault, Rolling | Restart | Upgrade)) and fault.for_s != 0:
         say((*place, "for_s"), "has no meaning for this fault; leave it out", (*place, "how"))
     if isinstance(fault, Crash) and fault.replaced and not _low(fault.for_s) > 0:
         say((*place, "for_s"), "a replacement comes some time after the crash; a number above 0")
--- a/coveport/lab/search/schedules.py
+++ b/coveport/lab/search/schedules.py
@@ -20,6 +20,7 @@
 from coveport.lab.drawing import draw
 from coveport.lab.scenario import (
     OF_SIDECARS,
+    OF_STAFF,
     AnyFault,
     Expect,
     Restart,
@@ -33,7 +34,7 @@
 from coveport.lab.search.files import fields, laid, sparse, to_toml
 from coveport.lab.tables import Bounds
 
-KINDS: tuple[type[Any], ...] = get_args(AnyFault)
+KINDS: tuple[type[Any], ...] = tuple(one for one in get_args(AnyFault) if one not in OF_STAFF)
 MOST_FAULTS = 5
 MOST_WISHES = 4000  # of a schedule; a larger one has its load cut down, so that a run takes seconds
 FIRST_S, LAST_S = (1.5, 5.0), 14.0  # when the first fault begins, and when drawn ones have ended
--- a/coveport/lab/standins/health.py
+++ b/coveport/lab/standins/health.py
@@ -34,6 +34,12 @@
             self._told(response.status)
 
 
+async def ask_health(host: Host, address: Address, told: Callable[[int], None]) -> None:
+    """Ask once; `told` gets the status when it comes, and nothing where nobody listens."""
+    with contextlib.suppress(OSError):
+        await host.dial(lambda: _Ask(told), address)
+
+
 def wait_until_ready(host: Host, address: Address, ready: Callable[[], None]) -> None:
     """Ask there every 50 ms, for 30 s at most, and call `ready` once when the answer is 200."""
     end = host.net.now_s() + MOST_S
@@ -47,8 +53,7 @@
 
     async def ask() -> None:
         while not done and host.net.now_s() < end:
-            with contextlib.suppress(OSError):  # not listening yet
-                await host.dial(lambda: _Ask(told), address)
+            await ask_health(host, address, told)
             await asyncio.sleep(EVERY_S)
 
     host.net.loop.create_task(ask())
--- a/coveport/lab/troubles.py
+++ b/coveport/lab/troubles.py
@@ -26,24 +26,28 @@
     FullQueue,
     HeavyTail,
     Kill,
+    Lameduck,
     Loss,
     Resets,
     Restart,
+    Retune,
     Rolling,
     Scenario,
+    Scrape,
     Silent,
     Slow,
     SlowReader,
     Spoilt,
     Stall,
     Starve,
+    Upgrade,
     Whom,
 )
 
 ENDING_MS = 1000.0  # a sidecar told to stop is taken to be back by then, for a fault's end
 KILLED_MS = 1000.0  # until a killed sidecar is started again where the scenario does not say
 
-LIVES = frozenset({"leaving", "die", "gone", "start", "kill", "launch", "term", "stall"})
+LIVES = frozenset({"leaving", "die", "gone", "start", "kill", "launch", "term", "stall", "upgrade"})
 
 
 @dataclass(slots=True)
@@ -82,7 +86,7 @@
     behind = max(len(one.targets) - 1, 0)
     if isinstance(fault, Rolling):
         one.end = begin + (behind * fault.every_s + fault.gone_s + fault.down_s) * 1000
-    elif isinstance(fault, Restart):
+    elif isinstance(fault, Restart | Upgrade):
         one.end = begin + behind * fault.every_s * 1000 + ENDING_MS
     elif isinstance(fault, Kill):
         one.length = length or KILLED_MS
@@ -182,13 +186,14 @@
             "launch": (mine and party.state == "down", "up"),
             "term": (party.state == "up" and not busy, "up"),
             "stall": (party.state == "up" and not busy, "up"),
+            "upgrade": (party.state == "up" and not busy, "up"),
         }[what]
         if not ok:
             return
         party.state, party.owner = state, trouble.number
         if what == "start":
             party.number = self._fresh.get((trouble.number, place), party.number)
-        elif what == "term":
+        elif what in ("term", "upgrade"):
             party.ending = at + self._ending_ms
         elif what == "stall":
             party.stalled = at + trouble.length
@@ -214,7 +219,10 @@
         seconds = isinstance(fault, DiscoveryFault | Clock | SlowReader) and what != "discovery-overbooked"
         told = not isinstance(fault, DiscoveryFault) or what in ("discovery-late", "discovery-overbooked")
         value = trouble.size * (1000 if seconds else 1) if told else 0.0
-        share = (fault.ran if isinstance(fault, Errors | Resets) else trouble.share if trouble.share
+        if isinstance(fault, Scrape):
+            value = fault.every_s * 1000
+        share = (fault.ran if isinstance(fault, Errors | Resets) else
+                 float(fault.silent) if isinstance(fault, Scrape) else trouble.share if trouble.share
                  else float(getattr(fault, "within", False)))
         self.changes.append(Change(at, trouble.number, what.removeprefix("-"), on, target,
                                    value if on else 0.0, share if on else 0.0))
@@ -247,7 +255,8 @@
     fault, begin, back = one.fault, one.begin, one.begin + one.length
     what = {Slow: "slow", Silent: "silent", Errors: "errors", Resets: "resets", Spoilt: "spoilt", Cut: "cut",
             Delay: "delay", Loss: "loss", FullQueue: "full-queue", Clock: "clock", Starve: "starve",
-            Descriptors: "descriptors", SlowReader: "slow-reader"}.get(type(fault), "")
+            Descriptors: "descriptors", SlowReader: "slow-reader", Lameduck: "lameduck", Retune: "retune",
+            Scrape: "scrape"}.get(type(fault), "")
     if isinstance(fault, DiscoveryFault):
         what = f"discovery-{fault.how}"
     if what:
@@ -275,5 +284,7 @@
             yield back, place, "launch"
         elif isinstance(fault, Stall):
             yield begin, place, "stall"
+        elif isinstance(fault, Upgrade):
+            yield later, place, "upgrade"
         elif isinstance(fault, Restart):
             yield later, place, "term"
--- a/coveport/lab/virtual/play.py
+++ b/coveport/lab/virtual/play.py
@@ -29,6 +29,8 @@
 from coveport.lab.day import Change, Day, SidecarDrawn, Wish, sidecar_settings
 from coveport.lab.model import KeyMemory
 from coveport.lab.playing import Played
+from coveport.lab.scenario import OF_STAFF
+from coveport.lab.standins import staff
 from coveport.lab.standins.discovery import Discovery
 from coveport.lab.standins.health import wait_until_ready
 from coveport.lab.standins.nodes import LedgerNode, WorkBook
@@ -47,6 +49,10 @@
 SLICE_S = 0.25  # how often it is looked whether all is over
 SAMPLE_S = 1.0
 END_S = 12.0  # how long the planned end may take before it counts as hung
+FRONT_S = 4.5  # how long the front asks after staff have drained a sidecar, or taken it back
+UPGRADE_S = 6.0  # after which the old one is told to stop, whatever the new one says
+READY_EVERY_S = 0.05
+CONSOLE_PORT = 9100
 PERIOD_S = 0.1  # of which a starved process has its part (as the kernel's CPU quota has it)
 RELOAD_SIGNAL, STOP_SIGNAL, TELL_SIGNAL = int(signal.SIGHUP), int(signal.SIGTERM), int(signal.SIGUSR1)
 NODES, AGENTS, MOVED, TILLS = 1, 2, 3, 4  # blocks of addresses
@@ -68,6 +74,8 @@
     ended: bool = False
     wanted: bool = False  # its end was asked for
     stalled: bool = False  # the books say so
+    replaced: bool = False  # another one stands beside it and takes over
+    console: Address = ("", 0)
 
 
 class _Sidecars:
@@ -78,6 +86,9 @@
         self._running: dict[int, _Running] = {}
         self._discovery_at: dict[int, Address] = {}
         self._moves = 0
+        self._tries: dict[int, dict[int, float]] = {}  # by sidecar and fault: how often files say one may try
+        self._scraped: set[int] = set()
+        self._consoles: dict[int, Address] = {}  # of those that were replaced: where staff call now
         self.logs: dict[int, list[str]] = {}
         self._again: set[int] = set()  # those to start again once they have ended
         # What holds for a sidecar's machine, by what and by fault; a process started meanwhile has it, too.
@@ -86,19 +97,22 @@
     def address(self, number: int) -> Address:
         return _ip(0, number), PORT
 
-    def launch(self, drawn: SidecarDrawn) -> None:
+    def launch(self, drawn: SidecarDrawn, beside: bool = False) -> None:
+        """Start it; `beside`: while the one before serves on."""
         play, number = self._play, drawn.number
         before = self._running.get(number)
         generation = before.generation + 1 if before is not None else 0
         process = Process.start(play.world, f"{drawn.name}.{generation}")
-        place = play.network.place(self.address(number)[0], drawn.zone, number)
+        place = (play.network.places[self.address(number)[0]] if beside else
+                 play.network.place(self.address(number)[0], drawn.zone, number))
         net = VirtualNet(process, play.network, place, read_chunk=play.day.scenario.network.read_chunk)
         running = self._running[number] = _Running(process, net, generation)
+        running.console = self.address(number)[0], CONSOLE_PORT + generation % 100
         self._furnish(number, running)
         process.on_exit = lambda code: self._ended(number, running, code)
         lines = self.logs.setdefault(number, [])
         log = Log(process.time, lambda line: lines.append(f"{play.day_ms() / 1000:9.3f} {line}"))
-        self._write(number, "start", str(generation))
+        self._write(number, "replace" if beside else "start", str(generation))
         play.discovery.told_known(number)
         try:
             config = self._config(drawn, generation)
@@ -119,6 +133,8 @@
             self._ended(number, running, 1 if problem is not None else task.result())
 
         process.call_soon(lambda: process.create_task(run()).add_done_callback(ended))
+        if beside:
+            return
         play.lab.call_soon(lambda: wait_until_ready(
             play.host_of_tills(number), self.address(number), lambda: self._ready(number, running)))
 
@@ -130,10 +146,20 @@
             "name": drawn.name, "listen": f"{host}:{port}", "discovery": "{}:{}".format(*discovery),
             "seed": f"{(drawn.seed * 1_000_003 + generation) % (1 << 64):x}",
             "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.descriptors},
-            "known": play.discovery.known(number), "settings": sidecar_settings(play.day, drawn),
+            "known": play.discovery.known(number), "settings": self._settings(drawn),
         }
+        if any(isinstance(one, OF_STAFF) for one in play.day.scenario.faults):
+            told["console"] = "{}:{}".format(*self._running[number].console)
         return configuration.read(json.dumps(told), {})
 
+    def _settings(self, drawn: SidecarDrawn) -> dict[str, object]:
+        told = sidecar_settings(self._play.day, drawn)
+        tries = [int(value) for value in self._tries.get(drawn.number, {}).values()]
+        limits = told["limits"]
+        if tries and isinstance(limits, dict):
+            told["limits"] = limits | {"most_tries": min(tries)}
+        return told
+
     def _write(self, number: int, what: str, detail: str = "") -> None:
         self._play.books.write(Life(self._play.day_ms(), number, what, detail))
 
@@ -145,8 +171,10 @@
         if running.ended:
             return
         running.ended = True
-        self._write(number, "exit", str(code))
+        self._write(number, *(("replaced",) if running.replaced and not code else ("exit", str(code))))
         running.process.kill()
+        if running.replaced:
+            return
         if number in self._again:
             self._again.discard(number)
             self._play.lab.call_later(0.05, self.launch, self._play.day.sidecars[number])
@@ -156,6 +184,9 @@
         if change.what in ("clock", "starve", "descriptors"):
             self._change_machine(change)
             return
+        if change.what in ("upgrade", "lameduck", "retune", "scrape"):
+            self._change_by_staff(change)
+            return
         number = change.target
         running = self._running[number]
         if change.what == "launch":
@@ -174,6 +205,51 @@
             self._again.add(number)
             running.process.deliver(STOP_SIGNAL)
 
+    def _change_by_staff(self, change: Change) -> None:
+        number, play = change.target, self._play
+        running, host = self._running[number], play.host_of_tills(number)
+        write = partial(self._write, number)
+        if change.what == "retune":
+            tries = self._tries.setdefault(number, {})
+            if change.on:
+                tries[change.fault] = change.value
+            else:
+                tries.pop(change.fault, None)
+            if not running.ended:
+                self._write(number, "reload")
+                running.process.deliver(RELOAD_SIGNAL)
+        elif change.what == "scrape":
+            if change.on:
+                self._scraped.add(number)
+                play.lab.create_task(staff.scrape(
+                    host, lambda: self._consoles.get(number, self._running[number].console),
+                    change.value / 1000, int(change.share), write, lambda: number in self._scraped))
+            else:
+                self._scraped.discard(number)
+        elif running.ended:
+            return
+        elif change.what == "lameduck":
+            line = "LAMEDUCK" if change.on else "REJOIN"
+            play.lab.create_task(staff.drain(host, running.console, line, write))
+            play.lab.create_task(staff.front(host, self.address(number), FRONT_S, write))
+        else:
+            play.lab.create_task(self._upgrade(number, running))
+
+    async def _upgrade(self, number: int, old: _Running) -> None:
+        """Start another one beside it, and tell it to stop once that one is ready."""
+        play = self._play
+        self.launch(play.day.sidecars[number], beside=True)
+        new, host = self._running[number], play.host_of_tills(number)
+        until = play.world.now + UPGRADE_S
+        while not old.ended and not new.ended and play.world.now < until:
+            if (await staff.call(host, new.console, "PING")).startswith("ACK"):
+                self._consoles[number] = new.console
+                break
+            await asyncio.sleep(READY_EVERY_S)
+        if not old.ended:
+            old.replaced = True
+            old.process.deliver(STOP_SIGNAL)
+
     def _change_machine(self, change: Change) -> None:
         number, table = change.target, self._machines.setdefault((change.target, change.what), {})
         starved = bool(table)
--- a/coveport/sidecar/effects.py
+++ b/coveport/sidecar/effects.py
@@ -43,7 +43,10 @@
 
 
 def callers(most: int) -> int:
-    """How many callers the console holds at a time: a third of the descriptors for all else."""
+    """How many callers the console holds at a time: a third of the descriptors for all else.
+
+    For a moment there may be twice as many.
+    """
     return max(2, int(max(REST_SHARE * most, REST_LEAST) / 3))
 
 
