An answer without a length is taken for long from 8 KiB on, not from 64

A trace of each time-out showed 91 of 126 with an answer in chunks under way, of which 14 to 46 KB had come here: it was held until 64 KiB had, and cut off at the aim though the node still gave. Ruled out: long requests (30 of the 126 time-outs, most of those with the same kind of answer), crowds (no limit was reached), the budget (13 MB at the most), CPU (0.38 of 0.85).

Change: answers that tell no length are streams from 8 KiB on; those that tell one stay whole up to 64 KiB.

--- a/coveport/http1/codec.py
+++ b/coveport/http1/codec.py
@@ -9,6 +9,7 @@
 
 MAX_HEAD = 16 * 1024
 MAX_BODY = 64 * 1024
+UNSURE = 8 * 1024  # bytes of an answer without a length that may still be whole
 MAX_HEADERS = 100
 OPENING = 20  # bytes
 
@@ -121,7 +122,8 @@
         self._message = message
         if message is None:
             return None
-        if self.whole_most is not None and self._present(body) > self.whole_most:
+        if self.whole_most is not None and self._present(body) > (
+                self.whole_most if self._left is not None and self._chunks is None else self._unsure_most()):
             # From here on `next_data` reads; where all has come already it only hands that out.
             self.long, message.long, message.length = True, True, self._left
             if self._chunks is not None:
@@ -133,6 +135,10 @@
         message.body = body
         return message
 
+    def _unsure_most(self) -> int:
+        """How large a body without a length may be to be handed out whole."""
+        return self.whole_most or 0
+
     def _present(self, body: bytes | None) -> int:
         """How long the present body is, as far as is known."""
         if body is not None:
@@ -361,7 +367,14 @@
 
 
 class ResponseParser(_Parser):
-    """Reads what ledger nodes and discovery answer."""
+    """Reads what ledger nodes and discovery answer.
+
+    An answer that tells no length may be a long one that comes slowly, whose client would wait for its first
+    bytes until as many had come as a whole one may have: it is taken for long from UNSURE bytes on.
+    """
+
+    def _unsure_most(self) -> int:
+        return min(self.whole_most or 0, UNSURE)
 
     opening = re.compile(rb"\r?\Z|(?:HTTP/1?|HTTP?|HT?)\Z|HTTP/1\.(?:\Z|[01](?:\Z| (?:\Z|[1-5])))")
 
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -103,9 +103,46 @@
         assert parser.next_data() == (b"", False) and parser.next_request() is None
 
 
+def test_an_answer_without_a_length_is_long_from_eight_kib_on() -> None:
+    head = b"HTTP/1.1 200 OK\r\n"
+    for size, long in ((codec.UNSURE, False), (codec.UNSURE + 1, True)):
+        body = LONG[:size]
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n" + codec.write_chunk(body) + codec.LAST_CHUNK
+        for data, sure in ((chunked, False), (head + b"Content-Length: %d\r\n\r\n" % size + body, True)):
+            parser = codec.ResponseParser(MIB, codec.MAX_BODY)
+            parser.feed(data)
+            found = parser.next_response()
+            assert found is not None and found.long == (long and not sure)
+            assert (found.body or parser.next_data()[0]) == body
+
+
 # On simulated ground.
 
 
+def test_a_slow_answer_in_chunks_is_not_cut_off_at_its_aim(tmp_path: Path) -> None:
+    node = Server(lambda seen: None)
+
+    async def slowly(seen: Seen) -> bytes:
+        node.open[-1].send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for _ in range(15):
+            node.open[-1].send(codec.write_chunk(LONG[:4000]))
+            await asyncio.sleep(0.1)
+        return codec.LAST_CHUNK
+
+    node.handler = slowly
+    with world(tmp_path, node.address) as one, one.connect() as conn:
+        start, parser, found = now(), codec.ResponseParser(MIB), None
+        conn.sendall(request("GET /balance"))  # its aim is 1 s
+        held = conn.recv(65536)
+        assert now() - start < 0.5
+        while found is None:
+            parser.feed(held)
+            found = parser.next_response()
+            held = b"" if found else conn.recv(65536)
+        assert found.body == LONG[:4000] * 15
+        assert one.figures()["outcome_ok"] == 1
+
+
 def read_some(conn: Conn, size: int) -> bytes:
     held = b""
     while len(held) < size:
