--- a/coveport/http1/codec.py
+++ b/coveport/http1/codec.py
@@ -83,6 +83,7 @@
 
     most_body: int = MAX_BODY
     whole_most: int | None = None
+    unsure: ClassVar[int] = MAX_BODY  # bytes of a body without a length that may still be whole
     opening: ClassVar[re.Pattern[bytes]]  # what the first bytes of a message match, however few there are
     held: bytearray = field(default_factory=bytearray)
     _message: Message | None = None  # its head is read, its body is not
@@ -122,8 +123,7 @@
         self._message = message
         if message is None:
             return None
-        if self.whole_most is not None and self._present(body) > (
-                self.whole_most if self._left is not None and self._chunks is None else self._unsure_most()):
+        if self.whole_most is not None and self._is_long(body, self.whole_most):
             # From here on `next_data` reads; where all has come already it only hands that out.
             self.long, message.long, message.length = True, True, self._left
             if self._chunks is not None:
@@ -135,17 +135,17 @@
         message.body = body
         return message
 
-    def _unsure_most(self) -> int:
-        """How large a body without a length may be to be handed out whole."""
-        return self.whole_most or 0
-
-    def _present(self, body: bytes | None) -> int:
-        """How long the present body is, as far as is known."""
+    def _is_long(self, body: bytes | None, most: int) -> bool:
+        """Whether the present body is, as far as is known, longer than so many bytes."""
+        if self._chunks is None and self._left is not None:
+            return self._left > most
         if body is not None:
-            return len(body)
-        if self._chunks is not None:
-            return len(self._chunks) + max(0, self._chunk - 2)  # a chunk says how long it will be
-        return len(self.held) if self._left is None else self._left
+            size = len(body)
+        elif self._chunks is not None:
+            size = len(self._chunks) + max(0, self._chunk - 2)  # a chunk says how long it will be
+        else:
+            size = len(self.held)
+        return size > min(most, self.unsure)
 
     def next_data(self) -> tuple[bytes, bool]:
         """What has come of a long body since the last call, and whether it ends there; raises as `next`."""
@@ -373,9 +373,7 @@
     bytes until as many had come as a whole one may have: it is taken for long from UNSURE bytes on.
     """
 
-    def _unsure_most(self) -> int:
-        return min(self.whole_most or 0, UNSURE)
-
+    unsure = UNSURE
     opening = re.compile(rb"\r?\Z|(?:HTTP/1?|HTTP?|HT?)\Z|HTTP/1\.(?:\Z|[01](?:\Z| (?:\Z|[1-5])))")
 
     def _start(self, line: bytes, headers: dict[str, list[str]]) -> Response:
--- a/coveport/lab/standins/nodes.py
+++ b/coveport/lab/standins/nodes.py
@@ -20,6 +20,7 @@
 from enum import Enum
 from math import inf, prod, sqrt
 
+from coveport.core.streams import MOST_BODY
 from coveport.http1.codec import BadMessageError, Request, RequestParser
 from coveport.lab import model as core
 from coveport.lab.books import (
@@ -124,7 +125,7 @@
     def __init__(self, node: LedgerNode, sidecar: int) -> None:
         self.node, self.sidecar = node, sidecar
         self.number = 0
-        self.parser = RequestParser()
+        self.parser = RequestParser(MOST_BODY)
         self.transport: asyncio.Transport
         self.began = self.handed = -1.0  # of the request that is coming in; -1: none
         self.ready_at = 0.0  # when the handshake is over
--- a/coveport/lab/standins/tills.py
+++ b/coveport/lab/standins/tills.py
@@ -30,6 +30,7 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 
+from coveport.core.streams import MOST_BODY
 from coveport.http1 import codec as http1
 from coveport.lab.books import (
     Answered,
@@ -50,6 +51,7 @@
 
 LAG_MS = 5.0  # the lab being later than this is written down
 CROSSED_MS = 20.0  # an end later than this after the request's last byte did not cross it
+STREAM_MS = 500.0  # how often it is looked whether a long answer is still coming
 SOCKETS_MS = 50.0  # by which time limits are longer on sockets
 SOON_MS = 0.001  # what is due within this is due: clocks and timers round
 
@@ -98,7 +100,7 @@
     def __init__(self, tills: Tills, number: int, one: _Try) -> None:
         self._tills, self.number = tills, number
         self.one: _Try | None = one
-        self.parser = http1.ResponseParser()
+        self.parser = http1.ResponseParser(MOST_BODY)
         self.transport: asyncio.Transport | None = None
         self.opening: asyncio.Task[None] | None = None
         self.used = False  # has carried an operation to its answer
@@ -125,7 +127,7 @@
             self._tills.stray(self, nbytes)
             return
         if not self.seen:
-            self.began = self._tills.host.day_ms()
+            self.began = self._tills.came(self, self._tills.host.day_ms())
         self.seen += nbytes
         try:
             self.parser.feed(_INBOX[:nbytes])
@@ -401,6 +403,9 @@
         """Its patience is over."""
         if one.late or self.host.day_ms() < one.expires - SOON_MS:
             return  # there is a later entry for it
+        if one.connection is not None and one.connection.seen > http1.UNSURE:
+            self._enter(self.host.day_ms() + STREAM_MS, self._expire, one)  # a long answer has begun to come
+            return
         if one.asked == math.inf:
             self._hang_up(one)
             self._unreached(one, "no connection")
@@ -504,7 +509,7 @@
         connection.one, connection.used = None, True
         now, status = self.host.day_ms(), response.status
         after_ms = _retry_after_ms(response)
-        came = self._came(connection, now)
+        came = self.came(connection, now)
         self._write(Answered(came, one.op, status, digest_of_body(response.body), after_ms,
                              min(connection.began, came)))
         self._end(one)
@@ -524,7 +529,7 @@
                 self._again(one, now, ran=status not in (429, 503), after_ms=after_ms)
         self._serve_waiting()
 
-    def _came(self, connection: _Connection, now: float) -> float:
+    def came(self, connection: _Connection, now: float) -> float:
         """When what is read now came, ms."""
         told = (connection.transport.get_extra_info("came_ms")
                 if connection.slow and connection.transport is not None else None)
@@ -543,7 +548,7 @@
         if self._closed:
             return
         if one is not None:
-            now, handed = self._came(connection, self.host.day_ms()), one.asked != math.inf
+            now, handed = self.came(connection, self.host.day_ms()), one.asked != math.inf
             # An end in answer to our own half close says nothing of a close that crossed.
             if (connection.used and not connection.seen and not one.late and not one.errand.wish.half
                     and (not handed or now - one.asked <= CROSSED_MS)):
--- a/coveport/nodes/steps.py
+++ b/coveport/nodes/steps.py
@@ -57,16 +57,12 @@
         self.handed = False  # the last byte was handed to an accepted connection: it may run from here on
         self.over = False
         self.sink: Sink | None = None  # set once a long answer has begun
-        self.moved_at = pool.net.now_s()  # when bytes of a long body last went on
+        self.long = operation is not None and operation.upload is not None  # whether its body is
+        self.moved_at = pool.net.now_s() if self.long else 0.0  # when bytes of a long body last went on
         # A long operation takes its client's time until its last byte is handed over.
         self._timers = [pool.net.loop.call_later(STALLED_S, self._watch) if self.long else
                         pool.net.loop.call_later(timeout_s, self._expire, Outcome.TIMEOUT)]
 
-    @property
-    def long(self) -> bool:
-        """Whether the operation's body is long."""
-        return self.operation is not None and self.operation.upload is not None
-
     def connect(self, number: int, place: Place) -> None:
         """Open a connection for this route step."""
         loop = self._pool.net.loop
--- a/tests/lab/test_staff.py
+++ b/tests/lab/test_staff.py
@@ -69,3 +69,12 @@
     rows, day = rows_of("upgrade", "upgrade", length_s=24.0)
     longer = [row for row in rows if not (isinstance(row, Life) and row.what == "replaced")]
     assert broken(day, longer) == {"staff"}
+
+
+def test_long_bodies_in_pieces_with_readers_that_pause_keep_the_rules() -> None:
+    played, outcome = play_and_judge(slice_of("bulk"), name="bulk", seed=2, ground="virtual")
+    assert not outcome.broken and outcome.service > 0.95
+    told = [line for log in played.logs.values() for line in log.splitlines() if "counters " in line]
+    figures = [json.loads(line.partition("counters ")[2]) for line in told]
+    assert sum(one.get("answers_long", 0) for one in figures) > 20
+    assert all(one["long_bytes"] == one["pending"] == 0 for one in figures)
