Who is refused in the middle of a long request hears so, not a reset

Cause: after an answer only 256 KiB and one second of what a client goes on sending were read; then the connection was reset, and a client that sends on before it reads lost the 503. Seen by the new test, which failed before.

Change: where a long body was being sent, up to 40 MiB are read and thrown away for 5 s at most. Ruled out: doing so for whole requests of any kind, as bad clients send 60 MB; those are refused by their head and get the short time.

--- a/coveport/http1/clients.py
+++ b/coveport/http1/clients.py
@@ -37,6 +37,7 @@
 STILL_COMING_S = 0.7  # a front that has heard our no sends new connections for a while
 ACCEPT_S = 2.0  # how long the planned end takes in what waits; asyncio pauses for 1 s after EMFILE
 LINGER_S = 1.0  # how long to read on after a farewell, which a reset would destroy
+LINGER_LONG_S = 5.0  # the same, where a long body was being sent
 LINGER_MOST = 256 * 1024  # how much of what comes then: who sends 60 MB must not have our time for it
 SWEEP_S = 0.25
 FIRST_TURNS_S = 0.02  # what stood below a connection when it was accepted is read within this
@@ -69,7 +70,8 @@
         self._bare = False  # the answer has no body, whatever its head says: HEAD was asked
         self.extra = False  # came when there were too many already
         self._unsent = self._paused = self._ended = False
-        self._drained = 0  # bytes that came after the farewell
+        self._drained = 0  # bytes that came after the farewell ...
+        self._drain_most, self._linger_s = LINGER_MOST, LINGER_S  # ... and how much is read, for how long
         self.stalled_from: float | None = None  # set while its first request may have waited for us so long
         # When it went idle, or when the request that is coming in began: the first one with the connection.
         self._since = 0.0
@@ -90,7 +92,7 @@
         """Take in what the client sends."""
         if self._ended:
             self._drained += nbytes
-            if self._drained > LINGER_MOST and not self._paused and self._transport is not None:
+            if self._drained > self._drain_most and not self._paused and self._transport is not None:
                 self._paused = True
                 self._transport.pause_reading()
             return
@@ -229,6 +231,9 @@
     def _drop_upload(self) -> None:
         upload, self._upload = self._upload, None
         if upload is not None:
+            # Guards against a reset that overtakes our answer to who is still sending: it sends on for a
+            # while, and reads then. What is too long to be taken was refused by its head.
+            self._drain_most, self._linger_s = MOST_BODY, LINGER_LONG_S
             upload.close()
             if self._paused and self._transport is not None and not self._transport.is_closing():
                 self._paused = False
@@ -397,7 +402,7 @@
             return
         waited = now - self._since
         if self._unsent or self._ended:
-            if waited > (UNREAD_S if self._unsent else LINGER_S):
+            if waited > (UNREAD_S if self._unsent else self._linger_s):
                 self.close()
         elif self._parser.begun:
             if self._is_slow(now):
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -343,3 +343,17 @@
         assert read_some(conn, 25) == b"HTTP/1.1 100 Continue\r\n\r\n"
         conn.sendall(LONG)
         assert receive(conn)[2].endswith(LONG)
+
+
+def test_who_is_refused_while_it_sends_hears_so(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, node.address) as one, one.connect() as conn:
+        node.close()
+        for held in node.open:
+            held.close()
+        asked = request("POST /redeem", LONG)
+        for at in range(0, len(asked), 100_000):  # refused long before it has sent all, it reads at the end
+            conn.sendall(asked[at:at + 100_000])
+            sleep(0.3)
+        status, headers, _ = receive(conn)
+        assert status == 503 and headers["connection"] == "close" and conn.recv(1) == b""
