--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -131,11 +131,13 @@
         assert told["pending"] == 0 and told["upstream_requests"] == 4
         assert told["downstream_requests.redeem.failed"] == 3  # broken, timed out, its client gone
         assert one.ask("GET /nothing")[0] == 404 and adds_up(figures(), 4)
+        assert call("LAMEDUCK\n") == "ACK\n" and one.ask("POST /redeem")[0] == 200
+        assert adds_up(figures(), 5) and call("REJOIN\n") == "ACK\n"
         node.close()
         for held in node.open:
             held.close()
         assert one.ask("GET /balance")[0] in (500, 503)
-        assert figures()["members_unavailable"] == 1 and adds_up(figures(), 5)
+        assert figures()["members_unavailable"] == 1 and adds_up(figures(), 6)
 
 
 def test_a_drain_says_no_serves_on_closes_what_rests_and_is_taken_back(tmp_path: Path) -> None:
