--- a/coveport/http1/clients.py
+++ b/coveport/http1/clients.py
@@ -66,6 +66,7 @@
         self._transport: asyncio.Transport | None = None
         self._operation: int | None = None  # the one that waits for its answer
         self._keep, self._used = True, False
+        self._bare = False  # the answer has no body, whatever its head says: HEAD was asked
         self.extra = False  # came when there were too many already
         self._unsent = self._paused = self._ended = False
         self._drained = 0  # bytes that came after the farewell
@@ -128,10 +129,10 @@
                 self._reject(problem)
 
     def _take(self, request: codec.Request) -> None:
-        self._keep = request.keep_alive
+        self._keep, self._bare = request.keep_alive, request.method == "HEAD"
         if request.target.partition("?")[0] == HEALTH_PATH:
-            if request.method != "GET":
-                raise codec.BadMessageError(405, "wrong method", Allow="GET")
+            if request.method not in ("GET", "HEAD"):
+                raise codec.BadMessageError(405, "wrong method", Allow="GET, HEAD")
             self._write(200 if self._listener.ready() else 503)
             return
         if request.long:
@@ -244,8 +245,7 @@
         else:
             self._keep = False  # its end is the connection's
         self._keep = self._keep and not self._ending
-        if not self._keep:
-            headers.append(("Connection", "close"))
+        headers.extend(self._connection(self._keep))
         self._since = self._listener.net.now_s()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(codec.write_head("HTTP/1.1 200 OK", headers))
@@ -282,6 +282,12 @@
         elif self._parser.begun:
             self._listener.net.loop.call_soon(self._advance)
 
+    def _connection(self, keep: bool) -> tuple[tuple[str, str], ...]:
+        # A client of HTTP/1.0 that asked to keep its connection wants to be told that it is kept.
+        if not keep:
+            return (("Connection", "close"),)
+        return (("Connection", "keep-alive"),) if self._parser.old else ()
+
     @property
     def _ending(self) -> bool:
         return (self._listener.leaving or self.too_many) and not self._parser.begun  # begun: taken, or soon
@@ -290,9 +296,10 @@
         if self._transport is None or self._transport.is_closing():
             return
         keep = self._keep and not self._ending
-        lines = [*(headers or ()), *(() if keep else (("Connection", "close"),))]
+        lines = [*(headers or ()), *self._connection(keep)]
         self._since = self._listener.net.now_s()
-        self._transport.write(codec.write_response(status, lines, body))
+        data = codec.write_response(status, lines, body)
+        self._transport.write(data[:len(data) - len(body)] if self._bare else data)
         if not keep:
             self._farewell()
 
--- a/coveport/http1/codec.py
+++ b/coveport/http1/codec.py
@@ -14,6 +14,7 @@
 
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _TARGET = re.compile(rb"[\x21-\x7e]+")
+_ABSOLUTE = re.compile(rb"[Hh][Tt][Tt][Pp][Ss]?://[^/?#@]+((?:/[^?#]*)?(?:\?[^#]*)?)")
 _VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
 _CHUNK = re.compile(  # RFC 9112, 7.1.1; white space at the end is sent by some, and harmless
     rb"([0-9A-Fa-f]{1,8})(?:[ \t]*;[ \t]*%(token)s(?:[ \t]*=[ \t]*(?:%(token)s|%(quoted)s))?)*[ \t]*"
@@ -134,8 +135,10 @@
 
     def _present(self, body: bytes | None) -> int:
         """How long the present body is, as far as is known."""
-        if body is not None or self._chunks is not None:
-            return len(body or self._chunks or b"")
+        if body is not None:
+            return len(body)
+        if self._chunks is not None:
+            return len(self._chunks) + max(0, self._chunk - 2)  # a chunk says how long it will be
         return len(self.held) if self._left is None else self._left
 
     def next_data(self) -> tuple[bytes, bool]:
@@ -321,7 +324,11 @@
                 raise BadMessageError(400, "malformed request line")
             raise BadMessageError(505, "version not supported")
         if not target.startswith(b"/"):
-            raise BadMessageError(400, "target is not a path")
+            # As proxies are asked (RFC 9112, 3.2.2): what it says of the host is passed over, as Host is.
+            whole = _ABSOLUTE.fullmatch(target)
+            if not whole:
+                raise BadMessageError(400, "target is not a path")
+            target = (b"" if whole[1].startswith(b"/") else b"/") + whole[1]
         hosts = len(headers.get("host", ()))
         if hosts > 1 or (not hosts and version == b"HTTP/1.1"):
             raise BadMessageError(400, "one Host header is wanted")
--- a/coveport/http1/operations.py
+++ b/coveport/http1/operations.py
@@ -21,7 +21,7 @@
     if name not in classes:
         raise codec.BadMessageError(404, "unknown path")
     cls, effect = classes[name]
-    if effect is api.Effect.SAFE and request.body:
+    if effect is api.Effect.SAFE and (request.body or request.long):
         raise codec.BadMessageError(400, "a body, where there is none")
     method = "GET" if effect is api.Effect.SAFE else "POST"
     if request.method != method:
--- a/coveport/net/transport.py
+++ b/coveport/net/transport.py
@@ -21,6 +21,9 @@
 Factory = Callable[[], asyncio.BaseProtocol]
 
 
+ACCEPT_AGAIN_S = 0.05  # how long nothing is accepted once descriptors have run out: time to make room
+
+
 class Listening(Protocol):
     """An address that is listened on."""
 
@@ -33,12 +36,22 @@
         """Whether no connection waits to be accepted."""
 
     def close(self) -> None:
-        """Take no further connections; those there are stay."""
+        """Take no further connections but those that wait already; those there are stay."""
 
 
 class _Listening:
-    def __init__(self, server: asyncio.Server, port: int) -> None:
-        self._server, self._port = server, port
+    """Accepts by itself.
+
+    asyncio's server would listen with a queue as short as `accept_most` for its first turn of the loop, and a
+    connect that finds no room there is sent again only after a second. It also pauses so long after EMFILE.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, one: socket.socket, factory: Factory,
+                 accept_most: int) -> None:
+        self._loop, self._socket, self._factory, self._most = loop, one, factory, accept_most
+        self._beginning: set[asyncio.Task[object]] = set()
+        self._port: int = one.getsockname()[1]
+        loop.add_reader(one, self._accept)
 
     @property
     def port(self) -> int:
@@ -46,10 +59,46 @@
 
     @property
     def quiet(self) -> bool:
-        return all(is_quiet_socket(one.fileno()) for one in self._server.sockets)
+        return self._socket.fileno() < 0 or is_quiet_socket(self._socket.fileno())
+
+    def _accept(self) -> bool:
+        """Take in what waits, as much as may be in a turn; whether there was any."""
+        for _ in range(self._most):
+            try:
+                one, _ = self._socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return False
+            except OSError as problem:
+                # Guards against going round in circles where descriptors run out.
+                self._loop.remove_reader(self._socket)
+                self._loop.call_later(ACCEPT_AGAIN_S, self._resume)
+                self._loop.call_exception_handler({"message": "accept", "exception": problem})
+                return False
+            one.setblocking(False)
+            task = self._loop.create_task(self._begin(one))
+            self._beginning.add(task)
+            task.add_done_callback(self._beginning.discard)
+        return True
+
+    async def _begin(self, one: socket.socket) -> None:
+        try:
+            await self._loop.connect_accepted_socket(self._factory, one)
+        except Exception as problem:
+            one.close()
+            self._loop.call_exception_handler({"message": "a new connection", "exception": problem})
+
+    def _resume(self) -> None:
+        if self._socket.fileno() >= 0:
+            self._loop.add_reader(self._socket, self._accept)
 
     def close(self) -> None:
-        self._server.close()
+        if self._socket.fileno() < 0:
+            return
+        # Guards against losing what our system has accepted: it is taken in, and none comes before the close.
+        while self._accept():
+            pass
+        self._loop.remove_reader(self._socket)
+        self._socket.close()
 
 
 class Net:
@@ -74,16 +123,9 @@
         `shared`: beside others that share it (SO_REUSEPORT); the system deals new connections out.
         """
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        one = socket.create_server(address, family=family, reuse_port=shared)
-        try:
-            # Guards against one turn that accepts more than we have descriptors for, after which asyncio
-            # accepts nothing for a second; what waits stands in the kernel's queue.
-            server = await self.loop.create_server(factory, sock=one, backlog=accept_most)
-            one.listen(waiting_most)
-        except BaseException:
-            one.close()
-            raise
-        return _Listening(server, one.getsockname()[1])
+        one = socket.create_server(address, family=family, backlog=waiting_most, reuse_port=shared)
+        one.setblocking(False)
+        return _Listening(self.loop, one, factory, accept_most)
 
     def is_taken(self, address: Address) -> bool:
         """Whether somebody listens there already, shared or not."""
--- a/tests/lab/test_h11.py
+++ b/tests/lab/test_h11.py
@@ -19,6 +19,7 @@
 LAST = b"0\r\n\r\n"
 EXAMPLES = {  # by row: bytes on which the two differ for its reason alone
     "absolute-form": b"GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n",
+    "absolute-form of others": b"GET ftp://a/ HTTP/1.1\r\nHost: a\r\n\r\n",
     "other forms": b"OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n",
     "bare LF": b"GET / HTTP/1.1\nHost: a\n\n",
     "bare LF in trailers": CHUNKED + b"0\r\nX: y\n\n",
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -252,3 +252,57 @@
             read_some(conn, 1000)
         wait_for(lambda: list(gives(one)) == [0, 0, 0])
         wait_for(lambda: node.ended == node.connections)
+
+
+# All forms of HTTP/1.1.
+
+
+@pytest.mark.parametrize(("target", "read"), [
+    (b"/a?b", "/a?b"), (b"http://h/a/b?c=d", "/a/b?c=d"), (b"HTTP://h:80", "/"), (b"https://h?x", "/?x"),
+    (b"http://h/%C3%B1", "/%C3%B1")])
+def test_targets_in_absolute_form_are_read_as_their_path(target: bytes, read: str) -> None:
+    parser = codec.RequestParser()
+    parser.feed(b"GET " + target + b" HTTP/1.1\r\nHost: a\r\n\r\n")
+    found = parser.next_request()
+    assert found is not None and found.target == read
+
+
+@pytest.mark.parametrize("target", [b"http://", b"ftp://h/a", b"http://u@h/a", b"http://h/a#b", b"*"])
+def test_other_targets_are_refused(target: bytes) -> None:
+    parser = codec.RequestParser()
+    parser.feed(b"GET " + target + b" HTTP/1.1\r\nHost: a\r\n\r\n")
+    with pytest.raises(codec.BadMessageError):
+        parser.next_request()
+
+
+def test_all_forms_on_one_connection(tmp_path: Path) -> None:
+    node = Server(served)
+    with world(tmp_path, node.address) as one, one.connect() as conn:
+        head = b"Host: h\r\nX-Request-Id: %d\r\nX-Deadline: 900m\r\ncOnNeCtIoN: keep-alive, x\r\n"
+        chunks = b"3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nX-T: y\r\n\r\n"
+        sent = (b"HEAD /_health HTTP/1.1\r\nHost: h\r\n\r\n"
+                b"GET http://h/balance?x=1 HTTP/1.1\r\n" + head % 1 + b"\r\n"
+                b"POST /redeem HTTP/1.1\r\n" + head % 2 + b"transfer-ENCODING: Chunked\r\n\r\n" + chunks
+                + b"GET /balance HTTP/1.0\r\n" + head % 3 + b"\r\n")
+        for at in range(len(sent)):
+            conn.send(sent[at:at + 1])
+        held = bytearray()
+        bare = read_some(conn, 10)
+        held += bare
+        while b"\r\n\r\n" not in held:
+            held += conn.recv(65536)
+        assert held.startswith(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        del held[:held.index(b"\r\n\r\n") + 4]
+        told = [receive(conn, held) for _ in range(3)]
+        assert [answer[0] for answer in told] == [200, 200, 200] and told[2][1]["connection"] == "keep-alive"
+        assert [seen.target for seen in node.seen] == ["/balance?x=1", "/redeem", "/balance"]
+        assert node.seen[1].body == b"abcde" and "connection" not in node.seen[1].headers
+
+
+def test_who_waits_for_our_word_before_a_long_body_has_it(tmp_path: Path) -> None:
+    with world(tmp_path, Server(served).address) as one, one.connect() as conn:
+        asked = request("POST /redeem", LONG, Expect="100-continue")
+        conn.sendall(asked[:-len(LONG)])
+        assert read_some(conn, 25) == b"HTTP/1.1 100 Continue\r\n\r\n"
+        conn.sendall(LONG)
+        assert receive(conn)[2].endswith(LONG)
