Leases: store with SQLite behind it, holder and keeper, and trials under fault that judge them

Need: duties that only one sidecar may hold at a time, handed on safely when the holder stalls or is cut off.

The safety argument came first (docs/design/duties.md): a holder counts from before it asked, acts go through the store in a transaction that compares the token, an unknown renewal is not done for the holder, a store that went back ends all. coveport/leases: store (one interface, three ends of a call), sqlite (WAL, FULL, boot clock, a queue before the file), holder (pure, two tables), keeper (thin). coveport/duties: step runner, and a drill that only counts. coveport/lab/trials: the shipped keepers on simulated time with a simulated store (loss, delay, doubles, late and unheard calls, stalls between check and write, clocks that drift), histories, a judge, a checker of linearizability, a search and 17 broken variants.

Ruled out on the way: the judge at first believed what a broken holder wrote of its own end; now an act that is sent counts as belief. A renewal was written down before the holder had taken it, which hid a holder that counts from the answer.

Ten conformance cases hold at SQLite and at the simulated store. A plain start imports none of it.

--- /dev/null
+++ b/coveport/duties/__init__.py
@@ -0,0 +1,1 @@
+"""What only one instance does at a time: each duty a pure half that decides, over leases."""
--- /dev/null
+++ b/coveport/lab/trials/search.py
@@ -0,0 +1,77 @@
+"""Draws trials, plays them side by side, and shrinks the first that breaks a rule."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import multiprocessing
+import os
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+from coveport.lab.trials.judge import Finding
+from coveport.lab.trials.schedules import Trial, draw, without
+from coveport.lab.trials.variants import SOUND, VARIANTS
+from coveport.lab.trials.virtual import play
+
+CHUNK = 5  # trials that a worker takes at a time
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """A drawn trial that broke a rule."""
+
+    seed: int
+    trial: Trial
+    findings: tuple[Finding, ...]
+
+
+def _try(variant: str, instances: int, seed: int) -> Found | None:
+    trial = draw(seed, instances)
+    findings = play(trial, seed, VARIANTS.get(variant, SOUND)).findings
+    return Found(seed, trial, tuple(findings)) if findings else None
+
+
+def _chunk(variant: str, instances: int, seeds: Sequence[int]) -> list[tuple[int, Found | None]]:
+    return [(seed, _try(variant, instances, seed)) for seed in seeds]
+
+
+def hunt(seeds: range, instances: int = 5, variant: str = "", workers: int = 0,
+         first: bool = False) -> Iterator[tuple[int, Found | None]]:
+    """Each seed and what it broke, in the order of the seeds. `first`: no further ones after a find.
+
+    `workers` 0: one a core; 1: in this process.
+    """
+    chunks = [seeds[at:at + CHUNK] for at in range(0, len(seeds), CHUNK)]
+    workers = workers or os.cpu_count() or 1
+    if workers == 1:
+        for seed in seeds:
+            found = _try(variant, instances, seed)
+            yield seed, found
+            if first and found:
+                return
+        return
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(workers, mp_context=context) as pool:
+        futures = [pool.submit(_chunk, variant, instances, chunk) for chunk in chunks]
+        for future in futures:
+            for seed, found in future.result():
+                yield seed, found
+                if first and found:
+                    pool.shutdown(wait=False, cancel_futures=True)
+                    return
+
+
+def shrink(found: Found, variant: str = "") -> Found:
+    """The same find with as few faults as show a finding of the same rule."""
+    rules = {one.rule for one in found.findings}
+    trial, findings = found.trial, found.findings
+    again = True
+    while again:
+        again = False
+        for number in range(len(trial.faults)):
+            less = without(trial, number)
+            came = play(less, found.seed, VARIANTS.get(variant, SOUND)).findings
+            if rules & {one.rule for one in came}:
+                trial, findings, again = less, tuple(came), True
+                break
+    return Found(found.seed, trial, findings)
--- /dev/null
+++ b/coveport/lab/trials/variants.py
@@ -0,0 +1,314 @@
+"""Holders, keepers and runners that are broken on purpose, to show that the judge sees it.
+
+Each replaces one part of the shipped program by one that leaves out a single thing.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from coveport.duties.drill import Drill
+from coveport.duties.duty import Runner, Step
+from coveport.leases.holder import Effect, Holder, Session, State, Terms
+from coveport.leases.keeper import DUTY, STATE, Keeper
+from coveport.leases.store import Compare, Delete, Done, Entry, Outcome, Put, Refused, Transaction, Unknown
+
+
+@dataclass(frozen=True)
+class Variant:
+    """What differs, and which of the judge's rules must find it."""
+
+    name: str
+    about: str
+    rules: tuple[str, ...] = ()
+    holder: Callable[..., Holder] = Holder
+    keeper: type[Keeper] = Keeper
+    runner: type[Runner] = Runner
+    drill: Callable[[str], Drill] = Drill
+    clock_stops: bool = False  # its clock stands still while its machine sleeps
+
+
+# Holders.
+
+
+class _FromTheAnswer(Holder):
+    def answered(self, now: float, call: int, outcome: Outcome, floor_broken: str = "") -> list[Effect]:
+        asked = call in (self._session_call, self._renewal[0] if self._renewal else 0)
+        done = super().answered(now, call, outcome, floor_broken)
+        if asked and isinstance(outcome, Done):
+            self._asked = now
+        return done
+
+
+class _WholeTtl(Terms):
+    @property
+    def believed_s(self) -> float:
+        return self.ttl_s * 1.05  # no margin, no drift, and a timer's grace as one might grant oneself
+
+
+def _no_margin(incarnation: str, duties: tuple[str, ...], terms: Terms, chance: Any) -> Holder:
+    return Holder(incarnation, duties, _WholeTtl(terms.ttl_s, 1e-6, 0.0), chance)
+
+
+class _UnknownIsDone(Holder):
+    def _renewed(self, now: float, outcome: Outcome) -> None:
+        if isinstance(outcome, Unknown):
+            outcome = Done("", 0)
+        super()._renewed(now, outcome)
+
+
+class _UnknownClaimIsOurs(Holder):
+    def _duty_answered(self, now: float, name: str, one: Any, outcome: Outcome) -> None:
+        if one.state is State.CLAIMING and isinstance(outcome, Unknown):
+            one.call = 0
+            self._hold(now, name, one, one.known + 1)
+            return
+        super()._duty_answered(now, name, one, outcome)
+
+
+class _UnknownClaimIsRefused(Holder):
+    def _see(self, now: float, name: str, one: Any, entry: Entry | None) -> None:
+        # It takes a key that it finds for somebody else's, its own too.
+        if entry is not None and one.state is not State.HELD:
+            if one.state in (State.WAITING, State.UNSURE):
+                self._set(one, State.IDLE)
+            return
+        super()._see(now, name, one, entry)
+
+
+class _NeverOver(Holder):
+    def _pass(self, now: float) -> None:
+        if self.session in (Session.IN, Session.WARY) and now >= self._until - self.terms.margin_s:
+            self._asked = now  # the clock alone never ends it: only the store's word does
+        super()._pass(now)
+
+
+class _TakesOldNews(Holder):
+    def seen(self, now: float, duty: str, entry: Entry | None, revision: int) -> list[Effect]:
+        one = self.duties.get(duty)
+        if one is not None:
+            one.known = 0
+            if entry is None and one.state is State.HELD and revision < one.token:
+                revision = one.token
+        return super().seen(now, duty, entry, revision)
+
+
+class _NeverTriesAgain(Holder):
+    def _over(self, now: float, why: str) -> None:
+        super()._over(now, why)
+        self._next = float("inf")
+
+
+class _KeepsTheLease(Holder):
+    """After its session is over it goes on with the same lease, and believes in what it held."""
+
+    def _over(self, now: float, why: str) -> None:
+        if why == "not renewed in time":
+            self._asked = now
+            return
+        super()._over(now, why)
+
+
+# Keepers.
+
+
+class _NoFence(Keeper):
+    async def act(self, duty: str, *changes: Put | Delete, compares: tuple[Compare, ...] = (),
+                  what: str = "") -> Outcome | None:
+        token = self.holds(duty)
+        if not token:
+            return None
+        self._history("act_sent", duty=duty, token=token, what=what)
+        outcome = await self._call(
+            "act", self._store.commit(Transaction((), tuple(map(self._whole, changes))))
+        )
+        self._history("act_ended", duty=duty, token=token, what=what, end=type(outcome).__name__,
+                      revision=0 if isinstance(outcome, Unknown) else outcome.revision)
+        return outcome
+
+
+class _ActsOnBelief(Keeper):
+    """Holds its own word for enough, and fences with whatever token stands."""
+
+    async def act(self, duty: str, *changes: Put | Delete, compares: tuple[Compare, ...] = (),
+                  what: str = "") -> Outcome | None:
+        token = self.holder.believes(self._now_s(), duty)
+        if not token:
+            return None
+        self._history("act_sent", duty=duty, token=token, what=what)
+        outcome = await self._call(
+            "act", self._store.commit(Transaction((), tuple(map(self._whole, changes))))
+        )
+        self._history("act_ended", duty=duty, token=token, what=what, end=type(outcome).__name__,
+                      revision=0 if isinstance(outcome, Unknown) else outcome.revision)
+        return outcome
+
+
+class _ClaimsOver(Keeper):
+    """Claims without a compare: whoever holds it loses it."""
+
+    async def _call(self, kind: str, call: Any) -> Outcome:
+        if kind == "claim":
+            call.close()
+            duty = next(name for name, one in self.holder.duties.items() if one.state is State.CLAIMING)
+            key = self._prefix + DUTY + duty
+            call = self._store.commit(Transaction((), (Put(key, self.holder.incarnation.encode(),
+                                                           self.holder.lease),)))
+        return await super()._call(kind, call)
+
+
+class _ReleasesAnybodys(Keeper):
+    """Deletes the key whosoever it is, and keeps no session's end to itself."""
+
+    async def _call(self, kind: str, call: Any) -> Outcome:
+        if kind == "look" and self.holder.session is Session.IN:
+            for duty, one in self.holder.duties.items():
+                if one.state is State.IDLE and self._chance.random() < 0.2:
+                    await super()._call("release", self._store.commit(
+                        Transaction((), (Delete(self._prefix + DUTY + duty),))))
+        return await super()._call(kind, call)
+
+
+# Runners and drills.
+
+
+class _StepsTwice(Runner):
+    """Sends a step whose end is unknown once more, without a look at what stands."""
+
+    async def _step(self, token: int, known: tuple[bytes | None, int]) -> tuple[bytes | None, int] | None:
+        step = self.duty.decide(self._now_s(), known[0], self._keeper.entries)
+        assert step is not None
+        key = STATE + self.duty.name
+        for _ in range(2):
+            outcome = await self._keeper.act(self.duty.name, Put(key, step.state), what=step.what)
+            if isinstance(outcome, Done):
+                return step.state, outcome.revision
+        return None
+
+
+class _GoesOnFromMemory(Runner):
+    """After a step without an answer it goes on as if that had been done, or refused, as the draw falls."""
+
+    async def _step(self, token: int, known: tuple[bytes | None, int]) -> tuple[bytes | None, int] | None:
+        step = self.duty.decide(self._now_s(), known[0], self._keeper.entries)
+        assert step is not None
+        outcome = await self._keeper.act(
+            self.duty.name, Put(STATE + self.duty.name, step.state), what=step.what
+        )
+        return known if isinstance(outcome, Refused) or outcome is None else (step.state, 0)
+
+
+class _ReadsTooEarly(Runner):
+    """Takes over from what it saw of the state before the duty was its own, and compares no revision."""
+
+    async def read(self) -> tuple[bytes | None, int] | None:
+        entry = self._keeper.entries.get(STATE + self.duty.name)
+        return (None, 0) if entry is None else (entry.value, entry.modified)
+
+    async def _step(self, token: int, known: tuple[bytes | None, int]) -> tuple[bytes | None, int] | None:
+        step = self.duty.decide(self._now_s(), known[0], self._keeper.entries)
+        assert step is not None
+        outcome = await self._keeper.act(
+            self.duty.name, Put(STATE + self.duty.name, step.state), what=step.what
+        )
+        return (step.state, outcome.revision) if isinstance(outcome, Done) else None
+
+
+class _ForgetsGrants(Drill):
+    """A successor begins anew: it knows of no count but its own."""
+
+    def decide(self, now: float, state: bytes | None, entries: Mapping[str, Entry]) -> Step | None:
+        if state is not None and json.loads(state)["by"] != self.by:
+            state = None
+        return super().decide(now, state, entries)
+
+
+class _DeafRunner(Runner):
+    """Goes on with its steps when the duty is not its own any more."""
+
+    def ended(self) -> None:
+        pass
+
+
+SOUND = Variant("sound", "the shipped program")
+
+VARIANTS: dict[str, Variant] = {
+    one.name: one
+    for one in (
+        Variant(
+            "no-fence", "acts compare neither token nor state", ("order", "once", "lost"), keeper=_NoFence
+        ),
+        Variant(
+            "acts-on-belief",
+            "acts by its own belief, wary or not, without a compare",
+            ("order", "once", "lost"),
+            keeper=_ActsOnBelief,
+        ),
+        Variant(
+            "from-the-answer",
+            "counts its time from when the answer came",
+            ("overlap",),
+            holder=_FromTheAnswer,
+        ),
+        Variant(
+            "no-margin",
+            "believes for the whole time to live and a little more",
+            ("overlap",),
+            holder=_no_margin,
+        ),
+        Variant(
+            "unknown-renewal-done",
+            "takes a renewal without an answer for done",
+            ("overlap",),
+            holder=_UnknownIsDone,
+        ),
+        Variant(
+            "unknown-claim-ours",
+            "takes a claim without an answer for its own",
+            ("overlap", "again", "crash"),
+            holder=_UnknownClaimIsOurs,
+        ),
+        Variant(
+            "unknown-claim-refused",
+            "never takes up a claim whose answer was lost",
+            ("again",),
+            holder=_UnknownClaimIsRefused,
+        ),
+        Variant("never-over", "does not end a holding by the clock", ("overlap",), holder=_NeverOver),
+        Variant(
+            "keeps-the-lease",
+            "goes on with a session that was not renewed in time",
+            ("overlap",),
+            holder=_KeepsTheLease,
+        ),
+        Variant(
+            "never-again", "gives up once a session of its own was over", ("again",), holder=_NeverTriesAgain
+        ),
+        Variant(
+            "clock-stops", "its clock stands still while its machine sleeps", ("overlap",), clock_stops=True
+        ),
+        Variant("claims-over", "claims without a compare", ("overlap", "order"), keeper=_ClaimsOver),
+        Variant(
+            "releases-anybodys", "deletes a key that is not its own", ("overlap",), keeper=_ReleasesAnybodys
+        ),
+        Variant(
+            "steps-twice", "does a step again whose end is unknown", ("once", "lost"), runner=_StepsTwice
+        ),
+        Variant(
+            "goes-on-from-memory",
+            "takes a step without an answer for done",
+            ("once",),
+            runner=_GoesOnFromMemory,
+        ),
+        Variant(
+            "reads-too-early",
+            "takes over from what it saw before it held",
+            ("once", "lost"),
+            runner=_ReadsTooEarly,
+        ),
+        Variant("forgets-grants", "a successor begins anew", ("lost", "once"), drill=_ForgetsGrants),
+    )
+}
--- /dev/null
+++ b/coveport/lab/trials/virtual.py
@@ -0,0 +1,251 @@
+"""A trial on simulated ground: the shipped keeper, holder and runner of every instance, on the world's time.
+
+Nothing of them is replaced but what they reach the outside by: the loop, the clock and the store.
+"""
+
+from __future__ import annotations
+
+import gc
+import random
+from dataclasses import dataclass, field
+from functools import partial
+
+from coveport.duties.duty import Duty, Runner
+from coveport.lab.trials import judge
+from coveport.lab.trials.history import Histories, Record
+from coveport.lab.trials.schedules import HOLDER, TRAPS, Fault, Trial
+from coveport.lab.trials.simstore import Host, SimStore, Trap, Way
+from coveport.lab.trials.variants import SOUND, Variant
+from coveport.lab.virtual.world import Process, World
+from coveport.leases.holder import Session, Terms
+from coveport.leases.keeper import Keeper
+
+START_S = 1000.0  # the world's time when a trial begins
+LET_GO_S = 1.5  # a planned end may take so long
+
+
+@dataclass
+class _Instance:
+    """One name, with the process that has it now."""
+
+    number: int
+    rate: float
+    way: Way
+    process: Process
+    keeper: Keeper | None = None
+    runners: list[Runner] = field(default_factory=list)
+    incarnation: str = ""
+    lives: int = 0
+    slept_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class Played:
+    """What a trial left behind."""
+
+    trial: Trial
+    seed: int
+    histories: Histories
+    acts: list[judge.Accepted]
+    beliefs: list[judge.Belief]
+    findings: list[judge.Finding]
+    calls: dict[str, int]  # of all instances, by kind and end
+    store_calls_s: float  # an instance and a second
+    callbacks: int
+
+
+class _Trial:
+    def __init__(self, trial: Trial, seed: int, variant: Variant) -> None:
+        self.trial, self.variant = trial, variant
+        self.chance = random.Random(f"play {seed}")
+        self.world = World(START_S)
+        self.host = Host(self.world, rate=self._rate())
+        self.histories = Histories()
+        self.deaths: dict[str, float] = {}
+        self.faults: list[str] = []
+        self.calls: dict[str, int] = {}
+        self.instances = [_Instance(number, self._rate(), Way(), Process.start(self.world, f"s{number}"))
+                          for number in range(trial.instances)]
+
+    def _rate(self) -> float:
+        # Any two within the stated drift; wild ones run at up to three times each other's pace.
+        most = 3.0 if self.trial.wild_clocks else 1 + self.trial.drift
+        return float(most ** self.chance.uniform(-0.5, 0.5))
+
+    def launch(self, one: _Instance) -> None:
+        """A process of that name, with nothing of the one before."""
+        one.lives += 1
+        one.incarnation = f"s{one.number}.{one.lives}"
+        one.process = process = Process.start(self.world, f"s{one.number}")
+        one.slept_s = 0.0
+        incarnation = one.incarnation
+
+        def now_s() -> float:
+            return (self.world.now - (one.slept_s if self.variant.clock_stops else 0.0)) * one.rate
+
+        def history(event: str, **fields: object) -> None:
+            self.histories.add(Record(self.world.now, f"s{one.number}", incarnation, event, now_s(), fields))
+
+        chance = random.Random(self.chance.random())
+        terms = Terms(self.trial.ttl_s, self.trial.margin_s, self.trial.drift)
+        store = SimStore(process, self.host, one.way, chance)
+        keeper = self.variant.keeper(store, name=f"s{one.number}", incarnation=incarnation,
+                                     duties=self.trial.duties, terms=terms, now_s=now_s, history=history,
+                                     chance=chance, holder=self.variant.holder)
+        duties: dict[str, Duty] = {"drill": self.variant.drill(incarnation)}
+        runners = {name: self.variant.runner(keeper, duties[name], now_s) for name in self.trial.duties}
+        keeper.on_began = lambda duty, token: runners[duty].began(token)
+        keeper.on_ended = lambda duty, token, why: runners[duty].ended()
+        one.keeper, one.runners = keeper, list(runners.values())
+        process.call_soon(keeper.start)
+
+    def end(self, one: _Instance) -> None:
+        """Its process is gone."""
+        if one.process.alive:
+            self.deaths[one.incarnation] = self.world.now
+            self.faults += [
+                str(problem.get("exception") or problem["message"]) for problem in one.process.problems
+            ]
+            if one.keeper is not None:
+                for name, count in one.keeper.calls.items():
+                    self.calls[name] = self.calls.get(name, 0) + count
+        one.process.kill()
+
+    def run(self) -> None:
+        """Play it."""
+        self.host.start()
+        for one in self.instances:
+            self.world.at(START_S + self.chance.uniform(0, 0.5), partial(self.launch, one))
+        for fault in self.trial.faults:
+            self.world.at(START_S + fault.at_s, self.strike, fault)
+        self.world.run(START_S + self.trial.lasts_s)
+        for one in self.instances:
+            self.end(one)
+
+    def target(self, fault: Fault) -> _Instance:
+        """Whom it hits."""
+        if fault.target == HOLDER:
+            for one in self.instances:
+                if one.process.alive and one.keeper is not None and any(
+                        one.keeper.holder.believes(1e-9, duty) for duty in self.trial.duties):
+                    return one
+            return self.instances[0]
+        return self.instances[int(fault.target) % len(self.instances)]
+
+    def strike(self, fault: Fault) -> None:
+        """Let it happen, and see to its end."""
+        over = self.world.now + fault.lasts_s
+        kind = fault.kind
+        self.histories.add(Record(self.world.now, "nemesis", "", "fault", self.world.now,
+                                  {"kind": kind, "target": fault.target, "lasts": fault.lasts_s}))
+        if kind == "store_stall":
+            self.host.held_until = over
+        elif kind == "store_away":
+            self.host.away = True
+            self.world.at(over, lambda: setattr(self.host, "away", False))
+        elif kind in TRAPS:
+            call, _, how = kind.partition("-")
+            self.host.traps.append(Trap(call, how, fault.lasts_s))
+        elif kind == "compact":
+            self.host.engine.compact(self.host.engine.revision)
+        elif kind in ("halves", "lose_answers"):
+            hit = [
+                one for one in self.instances if kind == "lose_answers" or self.chance.random() < fault.share
+            ]
+            for one in hit:
+                self.way(one, "cut" if kind == "halves" else "lossy", fault.share, over)
+        else:
+            self.strike_one(self.target(fault), fault, over)
+
+    def strike_one(self, one: _Instance, fault: Fault, over: float) -> None:
+        """A fault of one instance."""
+        kind = fault.kind
+        if kind in ("stall", "sleep"):
+            one.process.stall(fault.lasts_s)
+            one.slept_s += fault.lasts_s if kind == "sleep" else 0.0
+        elif kind == "kill":
+            self.end(one)
+            self.world.at(over, self.again, one)
+        elif kind in ("leave", "yield", "unwell"):
+            keeper, process = one.keeper, one.process
+            if keeper is None or not process.alive:
+                return
+            if kind == "leave":
+                process.call_soon(lambda: process.create_task(keeper.leave()))
+                self.world.at(self.world.now + LET_GO_S, self.end, one)
+                self.world.at(over + LET_GO_S, self.again, one)
+            elif kind == "yield":
+                for duty in self.trial.duties:
+                    process.call_soon(keeper.yield_, duty, "staff")
+            else:
+                process.call_soon(keeper.unwell, "can't reach nodes")
+                self.world.at(over, lambda: process.call_soon(keeper.unwell, ""))
+        else:
+            self.way(one, kind, fault.share, over)
+
+    def way(self, one: _Instance, kind: str, share: float, over: float) -> None:
+        """Its way to the store changes, and is as before after that."""
+        way = one.way
+        if kind in ("cut", "cut_out"):
+            way.out = False
+        if kind in ("cut", "cut_back"):
+            way.back = False
+        if kind == "slow":
+            way.back_s = (0.4 * share, share)
+        if kind == "lossy":
+            way.lose = share
+        if kind == "late":
+            way.late = share
+        if kind == "double":
+            way.double = share
+
+        def mend() -> None:
+            if kind in ("cut", "cut_out"):
+                way.out = True
+            if kind in ("cut", "cut_back"):
+                way.back = True
+            if kind == "slow":
+                way.back_s = Way().back_s
+            way.lose, way.late, way.double = ((0.0, way.late, way.double) if kind == "lossy" else
+                                              (way.lose, 0.0, way.double) if kind == "late" else
+                                              (way.lose, way.late, 0.0) if kind == "double" else
+                                              (way.lose, way.late, way.double))
+
+        self.world.at(over, mend)
+
+    def again(self, one: _Instance) -> None:
+        """It is started under its name."""
+        if not one.process.alive:
+            self.launch(one)
+
+    def judged(self, seed: int) -> Played:
+        """What came of it."""
+        trial, end = self.trial, START_S + self.trial.lasts_s
+        calm_from = START_S + trial.calm_from + LET_GO_S
+        acts = judge.accepted((at / self.host.rate, change) for at, change in self.host.engine.book)
+        held = judge.beliefs(self.histories, self.deaths, end)
+        findings = judge.order(acts) + judge.told(self.histories, acts)
+        if "drill" in trial.duties:
+            findings += judge.steps(acts)
+        if not trial.wild_clocks:
+            findings += judge.overlaps(held, 0.0)
+            findings += judge.again(held, trial.duties, calm_from, trial.again_s, end)
+        findings += [judge.Finding("crash", end, what) for what in self.faults]
+        findings += [judge.Finding("crash", end, f"s{one.number} is estranged") for one in self.instances
+                     if one.keeper is not None and one.keeper.holder.session is Session.ESTRANGED]
+        lived = trial.lasts_s * trial.instances
+        return Played(trial, seed, self.histories, acts, held, findings, self.calls,
+                      sum(self.calls.values()) / lived, self.world.calls)
+
+
+def play(trial: Trial, seed: int, variant: Variant = SOUND) -> Played:
+    """Play a trial and judge it. The same trial, seed and variant give the same records."""
+    one = _Trial(trial, seed, variant)
+    was = gc.isenabled()
+    gc.disable()  # else a dead process' tasks are thrown away in another's callback
+    try:
+        one.run()
+        return one.judged(seed)
+    finally:
+        if was:
+            gc.enable()
--- /dev/null
+++ b/coveport/leases/keeper.py
@@ -0,0 +1,361 @@
+"""The thin half of a holder: makes its calls at a store, wakes it, and knows what stands there.
+
+One keeper an instance. Calls never wait for each other, and each has a bounded time, after which its end is
+unknown. Every belief and every act goes to a `History`, from which a judge can tell afterwards whether two
+ever held at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Any, Protocol
+
+from coveport.leases.holder import (
+    Arrive,
+    AskLease,
+    Began,
+    Claim,
+    DropLease,
+    Effect,
+    Ended,
+    Holder,
+    KeepLease,
+    Look,
+    Release,
+    Session,
+    Terms,
+    Told,
+)
+from coveport.leases.store import (
+    Change,
+    Compare,
+    Delete,
+    Done,
+    Entry,
+    Field,
+    Outcome,
+    Put,
+    Refused,
+    Store,
+    StoreError,
+    Transaction,
+    Unknown,
+    WatchLostError,
+    fenced,
+)
+
+CALL_SHARE = 1 / 3  # of the time to live, after which a call without an answer is given up
+LEAVE_S = 1.0  # how long a planned end waits for the store to hear of it
+WATCH_AGAIN_S = 0.2  # after a watch that broke, doubled up to the most
+WATCH_AGAIN_MOST_S = 2.0
+LATE_S = 0.001  # timers come rounded: what is due this soon is due
+SOONEST_S = 0.001
+
+INSTANCE, DUTY, STATE = "instance/", "duty/", "state/"
+
+
+class History(Protocol):
+    """Who is told what an instance believes and does, with its own fields."""
+
+    def __call__(self, event: str, **fields: object) -> None:
+        """Write it down."""
+
+
+class Keeper:
+    """One instance's session and duties at a store.
+
+    `prefix`: under which all of an installation stands. `now_s`: a clock that runs through sleep.
+    `incarnation`: a word no other process has. `fares`: what is written under our name, asked whenever it
+    is written.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        *,
+        name: str,
+        incarnation: str,
+        duties: tuple[str, ...],
+        terms: Terms,
+        now_s: Callable[[], float],
+        history: History,
+        chance: random.Random,
+        prefix: str = "coveport/",
+        holder: Callable[..., Holder] = Holder,
+    ) -> None:
+        self._store, self.name, self._prefix, self._now_s = store, name, prefix, now_s
+        self._history, self._terms, self._chance = history, terms, chance
+        self.holder = holder(incarnation, duties, terms, chance)
+        self._call_s = terms.ttl_s * CALL_SHARE
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._watching: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._identity, self._floor = "", 0
+        self.entries: dict[str, Entry] = {}  # what stands in the store, as far as seen
+        self.revision = 0  # up to which `entries` is told
+        self.heard_at = -1.0  # when the store last answered or told us something
+        self.on_began: Callable[[str, int], None] = lambda duty, token: None
+        self.on_ended: Callable[[str, int, str], None] = lambda duty, token, why: None
+        self.on_change: Callable[[str, Entry | None], None] = lambda key, entry: None
+        self.calls: dict[str, int] = {}  # store calls by kind, and by how they ended
+        self._fares = b"{}"
+        self._fares_out = False
+        self._closed = False
+
+    # For those who do duties.
+
+    def holds(self, duty: str) -> int:
+        """The token, where something new may be begun now; else 0."""
+        return self.holder.holds(self._now_s(), duty)
+
+    async def act(self, duty: str, *changes: Put | Delete, compares: tuple[Compare, ...] = (),
+                  what: str = "") -> Outcome | None:
+        """Carry something out as the holder of a duty; None where we do not hold it.
+
+        Keys are without the prefix. Fenced by the token: the store refuses it where the duty is not ours
+        any more.
+        """
+        token = self.holds(duty)
+        if not token:
+            return None
+        transaction = fenced(self._prefix + DUTY + duty, token, *(self._whole(one) for one in changes),
+                             compares=tuple(Compare(self._prefix + one.key, one.field, one.equals)
+                                            for one in compares))
+        self._history("act_sent", duty=duty, token=token, what=what)
+        outcome = await self._call("act", self._store.commit(transaction))
+        self._history("act_ended", duty=duty, token=token, what=what, end=type(outcome).__name__,
+                      revision=0 if isinstance(outcome, Unknown) else outcome.revision)
+        if isinstance(outcome, Refused):
+            self._feed(self.holder.lost_sight(self._now_s()))  # it may be another's by now
+        return outcome
+
+    async def read(self, prefix: str) -> Done | None:
+        """What stands under a prefix now; None where the store does not tell."""
+        outcome = await self._call("read", self._store.read(self._prefix + prefix))
+        if not isinstance(outcome, Done):
+            return None
+        cut = len(self._prefix)
+        return Done(outcome.identity, outcome.revision,
+                    tuple(Entry(one.key[cut:], one.value, one.created, one.modified, one.lease)
+                          for one in outcome.entries))
+
+    def tell(self, fares: bytes) -> None:
+        """Have this written under our name, now and after each return. Lost where the session is."""
+        if fares != self._fares:
+            self._fares = fares
+            self._write_fares()
+
+    def unwell(self, why: str) -> None:
+        """We can't do duties well; empty: we can again."""
+        self._feed(self.holder.unwell(self._now_s(), why))
+
+    def wish(self, duty: str, wished: bool, why: str) -> None:
+        """Contend for a duty or keep off it."""
+        self._feed(self.holder.wish(self._now_s(), duty, wished, why))
+
+    def yield_(self, duty: str, why: str) -> None:
+        """Hand a duty on once."""
+        self._feed(self.holder.yield_(self._now_s(), duty, why))
+
+    @property
+    def instances(self) -> Mapping[str, bytes]:
+        """Who is there, and how it fares, by name."""
+        return {
+            key[len(INSTANCE) :]: one.value for key, one in self.entries.items() if key.startswith(INSTANCE)
+        }
+
+    # Life.
+
+    def start(self) -> None:
+        """Begin; there must be a running loop."""
+        self._watching = asyncio.ensure_future(self._watch())
+        self._wake()
+
+    async def leave(self) -> None:
+        """Hand on all and end; at most a second where the store does not answer."""
+        self._closed = True
+        self._feed(self.holder.leave(self._now_s()))
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._watching is not None:
+            self._watching.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=LEAVE_S)
+        for task in self._tasks:
+            task.cancel()
+        with contextlib.suppress(OSError, StoreError, TimeoutError):
+            await asyncio.wait_for(self._store.close(), LEAVE_S)
+
+    def _whole(self, one: Put | Delete) -> Put | Delete:
+        if isinstance(one, Delete):
+            return Delete(self._prefix + one.key)
+        return Put(self._prefix + one.key, one.value, one.lease)
+
+    # The holder's calls.
+
+    def _wake(self) -> None:
+        self._timer = None
+        self._feed(self.holder.tick(self._now_s() + LATE_S))
+
+    def _feed(self, effects: list[Effect]) -> None:
+        for one in effects:
+            if isinstance(one, Told):
+                self._history(one.event, detail=one.detail)
+            elif isinstance(one, Began):
+                self._history("began", duty=one.duty, token=one.token, until=round(self.holder.until, 4))
+                self.on_began(one.duty, one.token)
+            elif isinstance(one, Ended):
+                self._history("ended", duty=one.duty, token=one.token, why=one.why)
+                self.on_ended(one.duty, one.token, one.why)
+            elif isinstance(one, DropLease):
+                self._begin(self._drop(one.lease))
+            else:
+                self._begin(self._answer(one))
+        if self._timer is not None:
+            self._timer.cancel()
+        if not self._closed and self.holder.session not in (Session.LEFT, Session.ESTRANGED):
+            wait = max(self.holder.next_at() - self._now_s(), SOONEST_S)
+            self._timer = asyncio.get_running_loop().call_later(min(wait, self._terms.ttl_s), self._wake)
+
+    def _begin(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _drop(self, lease: int) -> None:
+        await self._call("revoke", self._store.revoke(lease))
+
+    async def _answer(self, one: AskLease | KeepLease | Arrive | Claim | Release | Look) -> None:
+        incarnation = self.holder.incarnation.encode()
+        if isinstance(one, AskLease):
+            outcome = await self._call("grant", self._store.grant(one.ttl_s))
+        elif isinstance(one, KeepLease):
+            outcome = await self._call("keep", self._store.keep(one.lease))
+        elif isinstance(one, Arrive):
+            key = self._prefix + INSTANCE + self.name
+            outcome = await self._call("arrive", self._store.commit(Transaction(
+                (Compare(key, Field.CREATED, 0),), (Put(key, self._fares, one.lease),))))
+        elif isinstance(one, Claim):
+            key = self._prefix + DUTY + one.duty
+            outcome = await self._call("claim", self._store.commit(Transaction(
+                (Compare(key, Field.CREATED, 0),), (Put(key, incarnation, one.lease),))))
+        elif isinstance(one, Release):
+            key = self._prefix + DUTY + one.duty
+            outcome = await self._call("release", self._store.commit(fenced(key, one.token, Delete(key))))
+        else:
+            outcome = await self._call("look", self._store.read(self._prefix + DUTY))
+            if isinstance(outcome, Done):
+                found = {entry.key[len(self._prefix + DUTY):]: entry for entry in outcome.entries}
+                for duty in self.holder.duties:
+                    self._feed(self.holder.seen(self._now_s(), duty, found.get(duty), outcome.revision))
+        if self._closed and not isinstance(one, Release):
+            return
+        self._feed(self.holder.answered(self._now_s(), one.call, outcome))
+        if isinstance(one, KeepLease) and isinstance(outcome, Done):
+            self._history("renewed", until=round(self.holder.until, 4))
+        if isinstance(one, Arrive):
+            self._write_fares()
+
+    async def _call(self, kind: str, call: Coroutine[Any, Any, Outcome]) -> Outcome:
+        """Make a call: bounded in time, counted, and its answer held against what was known before it."""
+        identity, floor = self._identity, self._floor
+        outcome: Outcome
+        try:
+            outcome = await asyncio.wait_for(call, self._call_s)
+        except TimeoutError:
+            outcome = Unknown(f"no answer in {self._call_s:.2f} s")
+        except StoreError as problem:
+            outcome = Unknown(str(problem))
+            self._went_back(str(problem))
+        count = f"{kind}_{type(outcome).__name__.lower()}"
+        self.calls[count] = self.calls.get(count, 0) + 1
+        if isinstance(outcome, Unknown):
+            self._history("unknown", call=kind, why=outcome.why)
+            return outcome
+        self.heard_at = self._now_s()
+        if identity and outcome.identity != identity:
+            self._went_back(f"another store: {outcome.identity}, not {identity}")
+        elif outcome.revision < floor:
+            self._went_back(f"its revision went back from {floor} to {outcome.revision}")
+        else:
+            self._identity, self._floor = outcome.identity, max(self._floor, outcome.revision)
+            return outcome
+        return Unknown("the store is not the one we knew")
+
+    def _went_back(self, why: str) -> None:
+        if self.holder.session is not Session.ESTRANGED:
+            self._feed(self.holder.answered(self._now_s(), 0, Unknown(why), floor_broken=why))
+
+    # What stands there.
+
+    async def _watch(self) -> None:
+        failures = 0
+        while self.holder.session not in (Session.LEFT, Session.ESTRANGED):
+            whole = await self.read("")
+            if whole is not None:
+                failures = 0
+                self._stands({one.key: one for one in whole.entries}, whole.revision)
+                try:
+                    async for changes in self._store.watch(self._prefix, whole.revision):
+                        self.heard_at = self._now_s()
+                        for change in changes:
+                            self._changed(change)
+                except (WatchLostError, StoreError) as problem:
+                    self._history("watch_lost", why=str(problem))
+                self._feed(self.holder.lost_sight(self._now_s()))
+            failures += 1
+            wait = min(WATCH_AGAIN_MOST_S, WATCH_AGAIN_S * 2 ** min(failures - 1, 10))
+            await asyncio.sleep(wait * self._chance.uniform(0.5, 1.0))
+
+    def _stands(self, entries: dict[str, Entry], revision: int) -> None:
+        if revision < self.revision:
+            return  # a call that was overtaken
+        gone = [key for key in self.entries if key not in entries]
+        news = [one for key, one in entries.items() if self.entries.get(key) != one]
+        self.entries, self.revision = entries, revision
+        self._count()
+        for key in gone:
+            self.on_change(key, None)
+        for one in news:
+            self.on_change(one.key, one)
+        for duty in self.holder.duties:
+            self._feed(self.holder.seen(self._now_s(), duty, entries.get(DUTY + duty), revision))
+
+    def _changed(self, change: Change) -> None:
+        key, entry = change.key[len(self._prefix):], change.entry
+        if change.revision < self.revision:
+            return
+        self.revision = change.revision
+        if entry is None:
+            self.entries.pop(key, None)
+        else:
+            entry = Entry(key, entry.value, entry.created, entry.modified, entry.lease)
+            self.entries[key] = entry
+        if key.startswith(INSTANCE):
+            self._count()
+        self.on_change(key, entry)
+        if key.startswith(DUTY):
+            self._feed(self.holder.seen(self._now_s(), key[len(DUTY):], entry, change.revision))
+
+    def _count(self) -> None:
+        self.holder.instances = max(1, sum(key.startswith(INSTANCE) for key in self.entries))
+
+    def _write_fares(self) -> None:
+        if not self._fares_out and not self._closed and self.holder.session in (Session.IN, Session.WARY):
+            self._fares_out = True
+            self._begin(self._put_fares())
+
+    async def _put_fares(self) -> None:
+        key, written = self._prefix + INSTANCE + self.name, self._fares
+        lease = self.holder.lease
+        # Bound to our lease: refused where that is gone, so it never outlives us.
+        outcome = await self._call("fares", self._store.commit(Transaction((), (Put(key, written, lease),))))
+        self._fares_out = False
+        if isinstance(outcome, Unknown) and not self._closed:
+            await asyncio.sleep(self._call_s)
+            self._write_fares()
+        elif written != self._fares:
+            self._write_fares()
--- /dev/null
+++ b/tests/leases/conformance.py
@@ -0,0 +1,163 @@
+"""What every store owes, as cases that run against each of them; `world` runs a coroutine at the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from coveport.leases.store import (
+    Change,
+    Compare,
+    Delete,
+    Done,
+    Field,
+    Put,
+    Refused,
+    Store,
+    Transaction,
+    WatchLostError,
+    fenced,
+)
+
+Case = Callable[[Store, Callable[[float], Awaitable[None]]], Awaitable[None]]
+ABSENT = Field.CREATED
+
+
+def put(key: str, value: bytes, lease: int = 0, created: int | None = None) -> Transaction:
+    compares = () if created is None else (Compare(key, ABSENT, created),)
+    return Transaction(compares, (Put(key, value, lease),))
+
+
+async def done(call: Awaitable[object]) -> Done:
+    outcome = await call
+    assert isinstance(outcome, Done), outcome
+    return outcome
+
+
+async def revisions_grow_and_entries_tell_them(
+    store: Store, wait: Callable[[float], Awaitable[None]]
+) -> None:
+    first = await done(store.commit(put("a", b"1")))
+    second = await done(store.commit(put("a", b"2")))
+    assert second.revision > first.revision and second.identity == first.identity
+    (entry,) = (await done(store.read("a"))).entries
+    assert (entry.value, entry.created, entry.modified) == (b"2", first.revision, second.revision)
+    await done(store.commit(Transaction((), (Delete("a"),))))
+    third = await done(store.commit(put("a", b"3")))
+    (entry,) = (await done(store.read("a"))).entries
+    assert entry.created == third.revision > second.revision, "a key put anew has a higher token"
+
+
+async def what_changes_nothing_has_no_revision(
+    store: Store, wait: Callable[[float], Awaitable[None]]
+) -> None:
+    before = await done(store.read(""))
+    after = await done(store.commit(Transaction((), (Delete("nobody"),))))
+    assert after.revision == before.revision
+
+
+async def reads_are_by_prefix_and_in_order(store: Store, wait: Callable[[float], Awaitable[None]]) -> None:
+    for key in ("p/b", "p/a", "q/a", "p"):
+        await done(store.commit(put(key, b"x")))
+    assert [one.key for one in (await done(store.read("p/"))).entries] == ["p/a", "p/b"]
+
+
+async def all_compares_or_nothing(store: Store, wait: Callable[[float], Awaitable[None]]) -> None:
+    here = await done(store.commit(put("a", b"1", created=0)))
+    assert isinstance(await store.commit(put("a", b"2", created=0)), Refused)
+    both = (Compare("a", Field.CREATED, here.revision), Compare("a", Field.MODIFIED, here.revision + 1))
+    assert isinstance(await store.commit(Transaction(both, (Put("a", b"3"), Put("b", b"3")))), Refused)
+    assert [one.key for one in (await done(store.read(""))).entries] == ["a"]
+    await done(store.commit(Transaction(both[:1], (Put("a", b"4"), Put("b", b"4")))))
+    found = (await done(store.read(""))).entries
+    assert {one.modified for one in found} == {here.revision + 1}, "one revision for all of it"
+
+
+async def what_is_bound_goes_with_its_lease(store: Store, wait: Callable[[float], Awaitable[None]]) -> None:
+    lease = (await done(store.grant(1.0))).lease
+    await done(store.commit(put("bound", b"", lease)))
+    await done(store.commit(put("free", b"")))
+    await wait(0.6)
+    assert (await done(store.keep(lease))).ttl_s == 1.0
+    await wait(0.6)
+    assert len((await done(store.read(""))).entries) == 2, "renewed"
+    await wait(1.2)
+    assert [one.key for one in (await done(store.read(""))).entries] == ["free"]
+    kept = await store.keep(lease)
+    assert isinstance(kept, Refused) and kept.lease_gone
+    gone = await store.commit(put("late", b"", lease))
+    assert isinstance(gone, Refused) and gone.lease_gone, "nothing binds to a lease that is over"
+
+
+async def a_key_put_without_its_lease_is_bound_no_more(store: Store, wait: Callable[[float], Awaitable[None]]
+                                                       ) -> None:
+    lease = (await done(store.grant(1.0))).lease
+    await done(store.commit(put("a", b"", lease)))
+    await done(store.commit(put("a", b"")))
+    await done(store.revoke(lease))
+    assert len((await done(store.read("a"))).entries) == 1
+
+
+async def a_revoked_lease_frees_its_keys_at_once(
+    store: Store, wait: Callable[[float], Awaitable[None]]
+) -> None:
+    lease = (await done(store.grant(30.0))).lease
+    token = (await done(store.commit(put("duty", b"me", lease, created=0)))).revision
+    assert isinstance(await store.commit(put("duty", b"you", created=0)), Refused)
+    await done(store.commit(fenced("duty", token, Put("state", b"1"))))
+    await done(store.revoke(lease))
+    assert isinstance(await store.commit(fenced("duty", token, Put("state", b"2"))), Refused)
+    later = (await done(store.commit(put("duty", b"you", created=0)))).revision
+    assert later > token
+    assert isinstance(await store.commit(fenced("duty", token, Put("state", b"2"))), Refused), "the old token"
+
+
+async def a_watch_tells_all_in_order_once(store: Store, wait: Callable[[float], Awaitable[None]]) -> None:
+    start = (await done(store.read(""))).revision
+    told: list[Change] = []
+
+    async def follow() -> None:
+        async for changes in store.watch("w/", start):
+            told.extend(changes)
+
+    task = asyncio.ensure_future(follow())
+    lease = (await done(store.grant(1.0))).lease
+    await done(store.commit(put("w/a", b"1", lease)))
+    await done(store.commit(put("x/a", b"1")))
+    await done(store.commit(Transaction((), (Put("w/b", b"1"), Put("w/c", b"1")))))
+    await done(store.commit(Transaction((), (Delete("w/b"),))))
+    await wait(2.0)
+    task.cancel()
+    assert [(one.key, one.entry is not None) for one in told] == [
+        ("w/a", True), ("w/b", True), ("w/c", True), ("w/b", False), ("w/a", False)]
+    assert [one.revision for one in told] == sorted(one.revision for one in told)
+    assert told[1].revision == told[2].revision
+
+
+async def a_watch_from_the_future_breaks(store: Store, wait: Callable[[float], Awaitable[None]]) -> None:
+    start = (await done(store.commit(put("a", b"1")))).revision
+    try:
+        async for _ in store.watch("", start + 100):
+            raise AssertionError("told something")
+    except WatchLostError:
+        return
+    raise AssertionError("a store that went back was not noticed")
+
+
+async def many_at_once_leave_one_winner(store: Store, wait: Callable[[float], Awaitable[None]]) -> None:
+    ends = await asyncio.gather(*(store.commit(put("duty", b"%d" % one, created=0)) for one in range(20)))
+    assert sum(isinstance(one, Done) for one in ends) == 1
+
+
+CASES: tuple[Case, ...] = (
+    revisions_grow_and_entries_tell_them,
+    what_changes_nothing_has_no_revision,
+    reads_are_by_prefix_and_in_order,
+    all_compares_or_nothing,
+    what_is_bound_goes_with_its_lease,
+    a_key_put_without_its_lease_is_bound_no_more,
+    a_revoked_lease_frees_its_keys_at_once,
+    a_watch_tells_all_in_order_once,
+    a_watch_from_the_future_breaks,
+    many_at_once_leave_one_winner,
+)
