Trials of real processes: operator's file, etcd store and stand-in, relays, staff's verbs

Need: the leases are to be proven by several processes of the program with faults between them.

`coveport duties`, `duties yield`, `rollout ...`.

Seen and mended: a restored store was not noticed by contenders, whose last answer was older than the backup; what a watch has told now counts as known before a call is sent (keeper._call).

--- a/coveport/cli/lab.py
+++ b/coveport/cli/lab.py
@@ -160,7 +160,7 @@
 @click.option("--logs", type=OUT_FOLDER, metavar="DIR", help="Keep what each sidecar printed there.")
 def run(day: str, seed: int | None, ground: str, json_: Path | None, report: Path | None, sets: Sequence[str],
         variant: str, logs: Path | None) -> int:
-    """Play DAY once, judge it, and print what came of it.
+    """Play DAY once, judge it, and print what came of it. A DAY may be a trial (trials/...).
 
     Exit code 0 where rules and expectations hold, 1 where not, 2 where the file or the call can't be used,
     3 where the machine ran late and the run is void.
@@ -171,8 +171,13 @@
         from coveport.lab.report import summary_text, write
         from coveport.lab.run import play_and_judge
         from coveport.lab.scenario import load
+        from coveport.lab.trials.days import is_trial
 
         path = find(day)
+        if is_trial(path):
+            from coveport.cli.trials import play_trial
+
+            return play_trial(path, seed, ground, variant, sets, logs)
         scenario = load(path, sets)
         seed = scenario.seed if seed is None else seed
         _make_room(json_, report)
--- a/coveport/cli/root.py
+++ b/coveport/cli/root.py
@@ -15,8 +15,10 @@
 from coveport.cli.check import check
 from coveport.cli.check_model import check_model
 from coveport.cli.lab import lab
+from coveport.cli.operator import duties, rollout
 from coveport.cli.run import run
 from coveport.cli.search import search, shrink
+from coveport.cli.trials import trials
 
 
 def version() -> str:
@@ -103,7 +105,10 @@
 
 lab.add_command(search)
 lab.add_command(shrink)
+lab.add_command(trials)
 root.add_command(run)
 root.add_command(check)
+root.add_command(duties)
+root.add_command(rollout)
 root.add_command(lab)
 lab.add_command(check_model)
--- a/coveport/cli/run.py
+++ b/coveport/cli/run.py
@@ -10,13 +10,19 @@
 
 @click.command(epilog="Example: coveport run --config example/config.json")
 @click.option("--config", type=click.Path(exists=True, dir_okay=False, path_type=Path),
-              help="The platform's JSON file; beats LB_CONFIG.")
+              help="The platform's JSON file, which beats LB_CONFIG, or an operator's file (.toml).")
 def run(config: Path | None) -> int:
     """Run a sidecar until SIGTERM, as the platform would.
 
     Its configuration is the file in LB_CONFIG; LB_NAME, LB_LISTEN and LB_DISCOVERY beat what the file says.
-    SIGTERM ends it once nothing is owed, SIGHUP reads the file anew, SIGUSR1 prints the counters.
+    SIGTERM ends it once nothing is owed, SIGHUP reads the file anew, SIGUSR1 prints the counters. With an
+    operator's file it also takes part in the duties that the file names.
     """
+    if config is not None and config.suffix == ".toml":
+        from coveport.cli.operator import loaded
+        from coveport.sidecar.daemon import main as daemon
+
+        return daemon(loaded(config))
     if config is not None:
         os.environ["LB_CONFIG"] = str(config)
     from coveport.sidecar.serve import main
--- /dev/null
+++ b/coveport/cli/trials.py
@@ -0,0 +1,81 @@
+"""Trials of many processes: `coveport lab run trials/...`, and `coveport lab trials`, which draws them."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+
+from coveport.cli.errors import NOT_HELD, OK, Unusable
+
+if TYPE_CHECKING:
+    from coveport.lab.trials.judge import Belief, Finding
+    from coveport.lab.trials.search import Found
+
+
+def report(findings: Sequence[Finding], beliefs: Sequence[Belief], acts: int) -> int:
+    """Print what came of a trial; the exit code."""
+    for one in beliefs:
+        click.echo(f"{one.duty:8} {one.instance:6} token {one.token:5} held for {one.end - one.start:8.3f} s")
+    click.echo(f"{len(beliefs)} holdings, {acts} acts accepted, {len(findings)} findings")
+    for found in findings:
+        click.echo(f"{found.rule}: {found.what} (at {found.at:.3f})")
+    return NOT_HELD if findings else OK
+
+
+def play_trial(path: Path, seed: int | None, ground: str, variant: str, sets: Sequence[str],
+               logs: Path | None) -> int:
+    """Play a trial's file on a ground."""
+    from coveport.lab.trials.days import load
+    from coveport.lab.trials.variants import SOUND, VARIANTS
+
+    day = load(path, tuple(sets))
+    seed = day.seed if seed is None else seed
+    if variant and variant not in VARIANTS:
+        raise Unusable(f"no variant {variant!r}; one of {', '.join(VARIANTS)}")
+    if ground == "virtual":
+        from coveport.lab.trials.virtual import play
+
+        played = play(day.trial, seed, VARIANTS.get(variant, SOUND))
+        return report(played.findings, played.beliefs, len(played.acts))
+    if ground != "real" or variant:
+        raise Unusable("trials run on virtual and real ground, variants on virtual ground only")
+    from coveport.lab.trials.real import TrialError
+    from coveport.lab.trials.real import play as real
+
+    with tempfile.TemporaryDirectory() as own:
+        folder = (logs or Path(own)).resolve()
+        try:
+            came = asyncio.run(real(day.trial, seed, folder, day.store))
+        except TrialError as problem:
+            raise Unusable(str(problem)) from problem
+        return report(came.findings, came.beliefs, came.acts)
+
+
+@click.command("trials", short_help="Draw trials of many processes and look for one that breaks a rule.")
+@click.option("--runs", type=click.IntRange(min=1), default=200, show_default=True)
+@click.option("--first-seed", type=click.IntRange(min=0), default=0, show_default=True)
+@click.option("--instances", type=click.IntRange(min=1, max=1000), default=5, show_default=True)
+@click.option("--variant", default="", metavar="NAME", help="A broken variant, to see that it is found.")
+@click.option("--workers", type=click.IntRange(min=0), default=0, help="Processes; 0: one a core.")
+def trials(runs: int, first_seed: int, instances: int, variant: str, workers: int) -> int:
+    """Play drawn trials on simulated ground; print each find with as few faults as show it."""
+    from coveport.lab.trials.search import hunt, shrink
+    from coveport.lab.trials.variants import VARIANTS
+
+    if variant and variant not in VARIANTS:
+        raise Unusable(f"no variant {variant!r}; one of {', '.join(VARIANTS)}")
+    finds: list[Found] = []
+    for _, found in hunt(range(first_seed, first_seed + runs), instances, variant, workers, bool(variant)):
+        if found is not None:
+            less = shrink(found, variant)
+            finds.append(less)
+            click.echo(f"seed {less.seed}: {less.findings[0].rule}: {less.findings[0].what}")
+            for fault in less.trial.faults:
+                click.echo(f"    {fault}")
+    click.echo(f"{runs} trials of {instances} instances from seed {first_seed}: {len(finds)} finds")
+    return NOT_HELD if finds else OK
--- a/coveport/lab/catalog.py
+++ b/coveport/lab/catalog.py
@@ -8,6 +8,8 @@
 
 import coveport
 from coveport.lab.scenario import ScenarioError, load
+from coveport.lab.trials.days import is_trial
+from coveport.lab.trials.days import load as trial
 
 
 def folder() -> Path:
@@ -17,11 +19,11 @@
 
 
 def names() -> list[tuple[str, str]]:
-    """Name and title of each, those in `found/` last; a file that can't be used has its error as title."""
+    """Name and title of each, those in folders last; a file that can't be used has its error as title."""
     rows = []
     for name, path in _files().items():
         try:
-            rows.append((name, load(path).title))
+            rows.append((name, trial(path).title if is_trial(path) else load(path).title))
         except ScenarioError as problem:
             rows.append((name, f"can't be used: {problem}"))
     return rows
@@ -44,4 +46,4 @@
 def _files() -> dict[str, Path]:
     top = folder()
     return {path.relative_to(top).with_suffix("").as_posix(): path
-            for pattern in ("*.toml", "found/*.toml") for path in sorted(top.glob(pattern))}
+            for pattern in ("*.toml", "found/*.toml", "trials/*.toml") for path in sorted(top.glob(pattern))}
--- a/coveport/lab/standins/etcd/engine.py
+++ b/coveport/lab/standins/etcd/engine.py
@@ -122,6 +122,14 @@
         self._end(now, lease)
         return Done(self.identity, self.revision, lease=lease)
 
+    def left(self, now: float, lease: int) -> Outcome:
+        """What a lease has left."""
+        self.pass_(now)
+        one = self.leases.get(lease)
+        if one is None:
+            return Refused(self.identity, self.revision, lease_gone=True)
+        return Done(self.identity, self.revision, lease=lease, ttl_s=one.until - now)
+
     def prolong(self, now: float) -> None:
         """Give every lease its whole time again, as the engine's new leader does."""
         for one in self.leases.values():
--- a/coveport/lab/trials/simstore.py
+++ b/coveport/lab/trials/simstore.py
@@ -130,6 +130,10 @@
         """End a lease."""
         return await self._call(lambda: self._host.engine.revoke(self._host.now(), lease))
 
+    async def left(self, lease: int) -> Outcome:
+        """What a lease has left."""
+        return await self._call(lambda: self._host.engine.left(self._host.now(), lease))
+
     async def close(self) -> None:
         """Nothing to let go of."""
 
--- /dev/null
+++ b/coveport/lab/trials/town.py
@@ -0,0 +1,182 @@
+"""What stands around the instances of a trial: discovery, ledger nodes with books, and tills."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+Answer = tuple[int, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A request as a stand-in reads it."""
+
+    method: str
+    target: str
+    headers: Mapping[str, str]  # names in small letters
+    body: bytes
+
+
+class Stand:
+    """An HTTP/1.1 server for one stand-in."""
+
+    def __init__(self, answer: Callable[[Request], Awaitable[Answer]]) -> None:
+        self._answer = answer
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen, at the same port as before where there was one."""
+        self._server = await asyncio.start_server(self._came, "127.0.0.1", self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        """Be gone, with all connections."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _came(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+                method, target, _ = head[0].split(" ", 2)
+                headers = {name.strip().lower(): value.strip()
+                           for name, _, value in (line.partition(":") for line in head[1:] if line)}
+                body = await reader.readexactly(int(headers.get("content-length", "0")))
+                status, said = await self._answer(Request(method, target, headers, body))
+                writer.write(b"HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n" % (status, len(said)) + said)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError,
+                asyncio.CancelledError):
+            pass  # its caller went away, or the trial is over
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """An operation that a node ran, in its own book."""
+
+    at: float
+    node: int
+    id: str
+    cls: str
+
+
+class Node:
+    """A ledger node: runs what it is sent, after its time, and writes it down."""
+
+    def __init__(self, number: int, service_s: float = 0.01) -> None:
+        self.number, self.service_s = number, service_s
+        self.ran: list[Ran] = []
+        self.probes = 0
+        self.failing = False
+        self.stand = Stand(self._answer)
+
+    async def _answer(self, request: Request) -> Answer:
+        path = urlsplit(request.target).path
+        if path == "/ping":
+            self.probes += 1
+            return 200, b"{}"
+        self.ran.append(Ran(time.time(), self.number, request.headers.get("x-request-id", ""),
+                            path.split("/")[1]))
+        await asyncio.sleep(self.service_s)
+        if self.failing:
+            return 500, b"{}"
+        return 200, json.dumps({"node": self.number}).encode()
+
+
+class Discovery:
+    """Tells the list, the whole of it at once and changes as they come."""
+
+    def __init__(self) -> None:
+        self.hosts: list[dict[str, object]] = []
+        self.seq = 1
+        self._changed = asyncio.Event()
+        self.stand = Stand(self._answer)
+
+    def tell(self, hosts: list[dict[str, object]]) -> None:
+        """Another list."""
+        self.hosts, self.seq = hosts, self.seq + 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _answer(self, request: Request) -> Answer:
+        query = parse_qs(urlsplit(request.target).query)
+        after = int(query.get("after", ["0"])[0])
+        if after == self.seq:
+            wait = int(query.get("wait_ms", ["0"])[0]) / 1000
+            try:
+                await asyncio.wait_for(self._changed.wait(), wait)
+            except TimeoutError:
+                return 200, json.dumps({"seq": self.seq, "whole": False, "hosts": []}).encode()
+        return 200, json.dumps({"seq": self.seq, "whole": True, "hosts": self.hosts}).encode()
+
+
+@dataclass
+class Asked:
+    """What came of what a till asked."""
+
+    at: float
+    instance: int
+    status: int  # 0: no answer
+
+
+@dataclass
+class Town:
+    """Nodes, discovery, and tills that ask instances in turn."""
+
+    nodes: list[Node]
+    discovery: Discovery = field(default_factory=Discovery)
+    asked: list[Asked] = field(default_factory=list)
+
+    @classmethod
+    async def start(cls, nodes: int) -> Town:
+        """All of it, up."""
+        town = cls([Node(number) for number in range(nodes)])
+        for node in town.nodes:
+            await node.stand.start()
+        await town.discovery.stand.start()
+        town.list_all()
+        return town
+
+    def list_all(self, at: Mapping[int, int] | None = None) -> None:
+        """Have discovery list all nodes; `at`: by which ports instead of their own."""
+        self.discovery.tell([
+            {"host": f"n{node.number}", "dial": f"127.0.0.1:{(at or {}).get(node.number, node.stand.port)}",
+             "site": "bilbao", "class": "toy", "block": 0, "health": "active", "share": 1.0, "born_ms": 0}
+            for node in self.nodes])
+
+    def stop(self) -> None:
+        """Be gone."""
+        for node in self.nodes:
+            node.stand.stop()
+        self.discovery.stand.stop()
+
+    async def ask(self, instance: int, port: int, number: int, wait_s: float = 1.0) -> int:
+        """One operation at an instance; its status, 0 for none."""
+        status, began = 0, time.time()
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), wait_s)
+            try:
+                writer.write(b"GET /balance/7 HTTP/1.1\r\nHost: x\r\nX-Request-Id: t%d\r\nX-Deadline: %dm\r\n"
+                             b"Connection: close\r\n\r\n" % (number, wait_s * 1000))
+                line = await asyncio.wait_for(reader.readline(), wait_s + 0.5)
+                status = int(line.split()[1]) if line else 0
+            finally:
+                writer.transport.abort()
+        except (OSError, TimeoutError, ValueError, IndexError):
+            pass
+        self.asked.append(Asked(began, instance, status))
+        return status
--- a/coveport/leases/holder.py
+++ b/coveport/leases/holder.py
@@ -24,9 +24,11 @@
 from enum import Enum
 from math import inf
 
+from coveport.config.terms import RENEWALS, BadTermsError, Terms
 from coveport.leases.store import Done, Entry, Outcome, Refused, Unknown
 
-RENEWALS = 3  # in a time to live, so that two may get lost
+__all__ = ["BadTermsError", "Holder", "Terms"]
+
 AGAIN_S, AGAIN_MOST_S = 0.1, 2.0  # wait after a call without an answer, doubled up to the most
 NAME_TAKEN_S = 1.0  # wait where another of our name is there
 SPREAD_EACH_S, SPREAD_MOST_S = 0.001, 0.08  # contenders wait up to so long for each instance there is
@@ -78,38 +80,9 @@
 }
 
 
-class BadTermsError(ValueError):
-    """Terms under which nothing could be held safely, or at all; one line."""
-
-
-@dataclass(frozen=True, slots=True)
-class Terms:
-    """What a lease is asked for. Seconds, but for `drift`."""
-
-    ttl_s: float = 3.0
-    margin_s: float = 0.2
-    drift: float = 0.02  # share
-
-    def check(self) -> None:
-        """BadTermsError where a renewal could not come before we get wary."""
-        if not (self.ttl_s > 0 and self.margin_s > 0 and 0 <= self.drift < 1):
-            raise BadTermsError("ttl and margin must be positive, drift at least 0 and under 1")
-        if self.believed_s - self.margin_s <= 1.5 * self.renew_s:
-            raise BadTermsError(
-                f"ttl {self.ttl_s:g} s leaves no room for a renewal that gets lost: with drift "
-                f"{self.drift:g} {self.believed_s:g} s of it are believed in, the last "
-                f"{self.margin_s:g} s begin nothing, a renewal comes every {self.renew_s:g} s"
-            )
-
-    @property
-    def believed_s(self) -> float:
-        """How long from before asking we believe in a session."""
-        return self.ttl_s / (1 + self.drift) - self.margin_s
-
-    @property
-    def renew_s(self) -> float:
-        """How long after one renewal was asked for the next one is."""
-        return self.ttl_s / RENEWALS
+def holder_of(value: bytes) -> str:
+    """The incarnation that a duty's key names; behind it stands since when, for staff."""
+    return value.split(b" ")[0].decode(errors="replace")
 
 
 # Effects. A call's answer comes back by `answered` with its number.
@@ -528,7 +501,7 @@
     def _see(self, now: float, name: str, one: _Duty, entry: Entry | None) -> None:
         ours = (
             entry is not None
-            and entry.value == self.incarnation.encode()
+            and holder_of(entry.value) == self.incarnation
             and entry.lease == self.lease != 0
             and self.session in (Session.IN, Session.WARY)
         )
--- a/coveport/leases/keeper.py
+++ b/coveport/leases/keeper.py
@@ -83,10 +83,11 @@
         now_s: Callable[[], float],
         history: History,
         chance: random.Random,
-        prefix: str = "coveport/",
+        prefix: str = "coveport/", unix_s: Callable[[], float] = lambda: 0.0,
         holder: Callable[..., Holder] = Holder,
     ) -> None:
         self._store, self.name, self._prefix, self._now_s = store, name, prefix, now_s
+        self._unix_s = unix_s
         self._history, self._terms, self._chance = history, terms, chance
         self.holder = holder(incarnation, duties, terms, chance)
         self._call_s = terms.ttl_s * CALL_SHARE
@@ -103,6 +104,7 @@
         self.calls: dict[str, int] = {}  # store calls by kind, and by how they ended
         self._fares = b"{}"
         self._fares_out = False
+        self._puts: dict[str, bytes] = {}  # what is being written, or is to be next
         self._closed = False
 
     # For those who do duties.
@@ -148,6 +150,23 @@
             self._fares = fares
             self._write_fares()
 
+    def put(self, key: str, value: bytes) -> None:
+        """Have this stand for as long as our session does. The last one counts."""
+        waiting = key in self._puts
+        self._puts[key] = value
+        if not waiting and not self._closed and self.holder.session in (Session.IN, Session.WARY):
+            self._begin(self._put_all(key))
+        elif not waiting:
+            del self._puts[key]
+
+    async def _put_all(self, key: str) -> None:
+        while key in self._puts:
+            value = self._puts[key]
+            await self._call("put", self._store.commit(
+                Transaction((), (Put(self._prefix + key, value, self.holder.lease),))))
+            if self._puts.get(key) is value:
+                del self._puts[key]
+
     def unwell(self, why: str) -> None:
         """We can't do duties well; empty: we can again."""
         self._feed(self.holder.unwell(self._now_s(), why))
@@ -229,7 +248,6 @@
         await self._call("revoke", self._store.revoke(lease))
 
     async def _answer(self, one: AskLease | KeepLease | Arrive | Claim | Release | Look) -> None:
-        incarnation = self.holder.incarnation.encode()
         if isinstance(one, AskLease):
             outcome = await self._call("grant", self._store.grant(one.ttl_s))
         elif isinstance(one, KeepLease):
@@ -241,7 +259,7 @@
         elif isinstance(one, Claim):
             key = self._prefix + DUTY + one.duty
             outcome = await self._call("claim", self._store.commit(Transaction(
-                (Compare(key, Field.CREATED, 0),), (Put(key, incarnation, one.lease),))))
+                (Compare(key, Field.CREATED, 0),), (Put(key, self._claim(), one.lease),))))
         elif isinstance(one, Release):
             key = self._prefix + DUTY + one.duty
             outcome = await self._call("release", self._store.commit(fenced(key, one.token, Delete(key))))
@@ -259,9 +277,13 @@
         if isinstance(one, Arrive):
             self._write_fares()
 
+    def _claim(self) -> bytes:
+        return f"{self.holder.incarnation} {self._unix_s():.3f}".encode()
+
     async def _call(self, kind: str, call: Coroutine[Any, Any, Outcome]) -> Outcome:
         """Make a call: bounded in time, counted, and its answer held against what was known before it."""
-        identity, floor = self._identity, self._floor
+        # What a watch has told was carried out, too, before this call is sent.
+        identity, floor = self._identity, max(self._floor, self.revision)
         outcome: Outcome
         try:
             outcome = await asyncio.wait_for(call, self._call_s)
--- /dev/null
+++ b/coveport/leases/opening.py
@@ -0,0 +1,18 @@
+"""Opens the store that an operator's file names; each kind imports what it needs only then."""
+
+from __future__ import annotations
+
+from coveport.config.operator import OperatorFile
+from coveport.leases.store import Store
+
+
+def open_store(told: OperatorFile) -> Store:
+    """The store; StoreError where it can't be used at all."""
+    if told.sqlite is not None:
+        from coveport.leases.sqlite import SqliteStore
+
+        return SqliteStore(told.sqlite)
+    from coveport.leases.etcd import EtcdStore
+
+    # All endpoints together must have answered, or not, before the holder gives a call up.
+    return EtcdStore(told.endpoints, told.terms.ttl_s / 3 / (len(told.endpoints) + 1))
--- a/coveport/leases/sqlite.py
+++ b/coveport/leases/sqlite.py
@@ -143,6 +143,18 @@
 
         return await self._run(job)
 
+    async def left(self, lease: int) -> Outcome:
+        """What a lease has left."""
+        def job(base: sqlite3.Connection) -> Outcome:
+            with self._writing(base):
+                revision = self._reap(base)
+                row = base.execute("SELECT until_s FROM leases WHERE id = ?", (lease,)).fetchone()
+                if row is None:
+                    return Refused(self._identity, revision, lease_gone=True)
+                return Done(self._identity, revision, lease=lease, ttl_s=row[0] - self._now_s())
+
+        return await self._run(job)
+
     async def watch(self, prefix: str, after: int) -> AsyncIterator[Sequence[Change]]:
         """Changes after a revision, by looking at the file."""
         seen, version = after, -1
--- a/coveport/leases/store.py
+++ b/coveport/leases/store.py
@@ -133,6 +133,9 @@
     async def revoke(self, lease: int) -> Outcome:
         """End a lease, and delete what is bound to it."""
 
+    async def left(self, lease: int) -> Outcome:
+        """How much time a lease has left, as `ttl_s`; refused where it has ended. Changes nothing."""
+
     def watch(self, prefix: str, after: int) -> AsyncIterator[Sequence[Change]]:
         """Changes later than revision `after`, in order; WatchLostError where it breaks."""
 
--- a/coveport/nodes/destinations.py
+++ b/coveport/nodes/destinations.py
@@ -5,7 +5,7 @@
 import asyncio
 import errno
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from coveport.core.operation import Operation
 from coveport.core.places import Place
@@ -73,6 +73,11 @@
         """An attempt to connect has ended, however it did."""
         self.opening -= 1
 
+    @property
+    def places(self) -> Mapping[int, Place]:
+        """Where each destination is, by its number."""
+        return self._places
+
     def address(self, number: int) -> Address | None:
         """Where a destination is, if it is known."""
         place = self._places.get(number)
--- /dev/null
+++ b/coveport/sidecar/daemon.py
@@ -0,0 +1,316 @@
+"""A sidecar with an operator's file: the ordinary one, and beside it what the file turns on.
+
+Nothing of it stands on an operation's way. Where the store is away the sidecar serves as it does without one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import random
+import signal
+import sys
+import time
+import uuid
+from collections import deque
+from typing import Any, TextIO
+
+import structlog
+
+from coveport.config import platform as configuration
+from coveport.config.operator import OperatorFile
+from coveport.core import messages as core
+from coveport.core.phases import Lifecycle, Phase
+from coveport.core.places import Place
+from coveport.duties.drill import Drill
+from coveport.duties.duty import Duty, Runner, Step
+from coveport.duties.looking import LOOK, Looking, Seen
+from coveport.duties.rollout import Follower, Rollout, under_way
+from coveport.leases.clock import boot_s
+from coveport.leases.keeper import DUTY, Keeper
+from coveport.leases.opening import open_store
+from coveport.leases.store import Entry
+from coveport.net.transport import Net
+from coveport.nodes.steps import StepResult
+from coveport.sidecar.effects import Effects
+from coveport.sidecar.serve import serve
+from coveport.telemetry.counters import ENDS, ended
+from coveport.telemetry.log import Log
+from micaflow import interface as api
+
+YIELD = "ask/yield/"
+FARES_S = 1.0  # how often an instance looks how it fares
+LATELY = 5  # over so many of those looks
+LOOK_S = 0.5  # how often each node is looked at by whoever's turn it is
+USELESS_S = 3.0  # with destinations known and no connect that came up for so long: no use as a holder
+LEAVE_S = 2.0
+TELLING = frozenset({api.Outcome.OK, api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.TIMEOUT,
+                     api.Outcome.RESET})  # outcomes that say whether a destination lives
+DEBUG = frozenset({"renewed", "act_sent", "act_ended", "unknown"})
+
+
+def logger(told: OperatorFile, name: str, incarnation: str) -> Any:
+    """What writes JSON lines of what this instance holds and does."""
+    file: TextIO = sys.stderr
+    if told.log.path:
+        file = open(told.folder / told.log.path, "a", encoding="utf-8")  # noqa: SIM115 - as long as we live
+    level = logging.DEBUG if told.log.level == "debug" else logging.INFO
+    made = structlog.wrap_logger(
+        structlog.PrintLogger(file),
+        processors=[structlog.processors.add_log_level, structlog.processors.JSONRenderer()],
+        wrapper_class=structlog.make_filtering_bound_logger(level))
+    return made.bind(instance=name, incarnation=incarnation)
+
+
+class Beside:
+    """What stands beside one sidecar: its keeper, its duties, and its part in others' duties."""
+
+    def __init__(self, told: OperatorFile, config: configuration.Config, log: Log) -> None:
+        self._told, self._config, self._log = told, config, log
+        self.name = told.instance.name or config.name
+        self.incarnation = f"{self.name}#{uuid.uuid4().hex[:12]}"
+        self._lines = logger(told, self.name, self.incarnation)
+        chance = random.Random(uuid.uuid4().int)
+        self.keeper = Keeper(open_store(told), name=self.name, incarnation=self.incarnation,
+                             duties=told.duties.wished, terms=told.terms, now_s=boot_s, unix_s=time.time,
+                             history=self.history, chance=chance, prefix=told.store.prefix)
+        made: dict[str, Duty] = {"drill": Drill(self.incarnation), "rollout": Rollout()}
+        self._runners = {
+            name: Runner(self.keeper, made[name], boot_s, self._did) for name in told.duties.wished
+        }
+        self.keeper.on_began = lambda duty, token: self._runners[duty].began(token)
+        self.keeper.on_ended = lambda duty, token, why: self._runners[duty].ended()
+        self.keeper.on_change = self._changed
+        self._follower = Follower(self.name)
+        self._looking = Looking(self.name, self.incarnation) if told.duties.looking else None
+        self._effects: Effects | None = None
+        self._text: str | None = None  # settings that a roll-out has given us; None: our own file's
+        self._taking: tuple[str, str | None] | None = None  # settings under way, and what ran before them
+        self._ended: deque[tuple[int, int]] = deque(maxlen=LATELY + 1)  # served, all; so far
+        self._connects: deque[tuple[int, int]] = deque(maxlen=int(USELESS_S / FARES_S) + 1)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._leaving: asyncio.Task[None] | None = None
+
+    def history(self, event: str, **fields: object) -> None:
+        """Write down what we believe and do."""
+        now = round(boot_s(), 4)
+        line = self._lines.debug if event in DEBUG else self._lines.info
+        line(event, at=now, clock=now, unix=round(time.time(), 3), **fields)
+
+    def _did(self, step: Step, token: int, revision: int) -> None:
+        if self._effects is not None:
+            self._effects.counters.add("duty_steps")
+
+    # Life.
+
+    def joined(self, effects: Effects, life: Lifecycle) -> None:
+        """The sidecar's parts are there."""
+        self._effects = effects
+        counters = effects.counters
+        counters.gauge("duties_held", lambda: sum(
+            bool(self.keeper.holder.believes(boot_s(), name)) for name in self._told.duties.wished))
+        counters.gauge("store_calls", lambda: sum(self.keeper.calls.values()))
+        counters.gauge("store_unknown", lambda: sum(
+            count for name, count in self.keeper.calls.items() if name.endswith("_unknown")))
+        life.listen(self._phase)
+        if self._looking is not None:
+            effects.looks = self
+        self.keeper.tell(self._fares())
+
+    def _phase(self, phase: Phase) -> None:
+        if phase is Phase.SERVING and not self._tasks:
+            self.keeper.start()
+            self._tasks = [asyncio.ensure_future(self._watch_ourselves())]
+            if self._looking is not None:
+                self._tasks.append(asyncio.ensure_future(self._look_by_turns(self._looking)))
+        elif phase in (Phase.SERVING, Phase.LAMEDUCK):
+            for duty in self._told.duties.wished:
+                self.keeper.wish(duty, phase is Phase.SERVING, "lame duck")
+        elif phase is Phase.DRAINING:
+            # Handed on before the first connection is closed: the rest of the end may take seconds.
+            self._leaving = asyncio.ensure_future(self.keeper.leave())
+
+    async def leave(self) -> None:
+        """The sidecar has ended."""
+        for task in self._tasks:
+            task.cancel()
+        if self._leaving is None:
+            self._leaving = asyncio.ensure_future(self.keeper.leave())
+        await asyncio.wait([self._leaving], timeout=LEAVE_S)
+
+    # What stands in the store.
+
+    def _changed(self, key: str, entry: Entry | None) -> None:
+        if key.startswith(YIELD) and entry is not None:
+            duty = key[len(YIELD):]
+            held = self.keeper.entries.get(DUTY + duty)
+            if duty in self._runners and held is not None and entry.value == b"%d" % held.created:
+                self.keeper.yield_(duty, "staff")
+        elif key.startswith(LOOK) and self._looking is not None:
+            seen = self._looking.heard(boot_s(), time.time(), key[len(LOOK):], entry)
+            number = self._nodes().get(key[len(LOOK):]) if seen is not None else None
+            if seen is not None and number is not None and self._effects is not None:
+                self._effects.counters.add("looks_heard")
+                self._effects.feed(_as_probe(number, seen))
+        elif key.startswith(("want/", "settings/")):
+            self._follow()
+
+    # Roll-out: our own part.
+
+    def _follow(self) -> None:
+        wanted = self._follower.wanted(self.keeper.entries)
+        if wanted is None or self._effects is None or self._taking is not None:
+            return
+        self._taking = wanted[0], self._text
+        self._text = wanted[1]
+        # As staff do it by hand: what is checked, kept and said is the same.
+        signal.raise_signal(signal.SIGHUP)
+
+    def _followed(self, fault: str) -> None:
+        if self._taking is None:
+            return
+        (name, before), self._taking = self._taking, None
+        if fault:
+            self._text = before
+            self._follower.could_not(name, fault)
+        else:
+            self._follower.took(name)
+        self.history("settings", wanted=name, fault=fault)
+        self.keeper.tell(self._fares())
+        self._follow()  # the next may have come meanwhile
+
+    def reread(self, running: configuration.Config) -> configuration.Config:
+        """The configuration anew: the platform's file, with the settings of a roll-out in their place."""
+        loop = asyncio.get_running_loop()
+        try:
+            config = self._read(running)
+        except configuration.ConfigError as problem:
+            loop.call_soon(self._followed, str(problem))
+            raise
+        loop.call_soon(self._followed, "")
+        return config
+
+    def _read(self, running: configuration.Config) -> configuration.Config:
+        if self._text is None:
+            return configuration.load(os.environ, again=True, running=running)
+        try:
+            told = json.loads(self._told.platform.read_text(encoding="utf-8"))
+            told["settings"] = json.loads(self._text)
+        except (OSError, ValueError, TypeError) as problem:
+            raise configuration.ConfigError(f"roll-out: {problem}") from problem
+        return configuration.read(json.dumps(told), os.environ, again=True, running=running, where="roll-out")
+
+    # How we fare.
+
+    def _fares(self) -> bytes:
+        served, all_ = 1.0, 0
+        if len(self._ended) > 1:
+            all_ = self._ended[-1][1] - self._ended[0][1]
+            served = (self._ended[-1][0] - self._ended[0][0]) / all_ if all_ else 1.0
+        return self._follower.fares(self.incarnation, served, all_)
+
+    async def _watch_ourselves(self) -> None:
+        assert self._effects is not None
+        counters = self._effects.counters
+        while True:
+            await asyncio.sleep(FARES_S)
+            names = [one.name for one in self._config.settings.classes]
+            served = sum(counters.get(ended(name, ENDS[0])) for name in names)
+            self._ended.append(
+                (served, sum(counters.get(ended(name, how)) for name in names for how in ENDS))
+            )
+            if under_way(self.keeper.entries):
+                self.keeper.tell(self._fares())  # else nobody reads it, and nobody pays for it
+            self._connects.append((counters.get("connects") + counters.get("connections_reused"),
+                                   counters.get("connects_failed")))
+            first, last = self._connects[0], self._connects[-1]
+            useless = (
+                len(self._connects) == self._connects.maxlen and last[1] > first[1] and last[0] == first[0]
+            )
+            self.keeper.unwell("no destination can be reached" if useless else "")
+
+    # Looking by turns.
+
+    def _nodes(self) -> dict[str, int]:
+        """Names that all instances give to the destinations, and our own numbers of them."""
+        assert self._effects is not None
+        return {_named(place): number for number, place in self._effects.destinations.places.items()}
+
+    async def _look_by_turns(self, looking: Looking) -> None:
+        while True:
+            await asyncio.sleep(LOOK_S / 2)
+            nodes = self._nodes()
+            looking.forget(nodes)
+            for node in looking.mine(boot_s(), nodes, self.keeper.entries, LOOK_S):
+                self._probe(looking, node, nodes[node])
+
+    def _probe(self, looking: Looking, node: str, number: int) -> None:
+        effects = self._effects
+        assert effects is not None
+        started = boot_s()
+        timeout_s = 2 * self._config.settings.limits.connect_timeout_ms / 1000
+        looking.began(started, node)
+
+        def done(result: StepResult) -> None:
+            took = (boot_s() - started) * 1000
+            effects.feed(core.ProbeEnded(number, result.outcome, took, result.load))
+            told = looking.looked(boot_s(), time.time(), node, result.outcome is api.Outcome.OK, took)
+            if told is not None:
+                self.keeper.put(LOOK + node, told)
+
+        effects.counters.add("probes_by_turn")
+        effects.destinations.send(number, None, timeout_s, done)
+
+    def look(self, destination: int) -> core.ProbeEnded | None:
+        """Another's look at a destination that the module wishes to look at; None: look yourself."""
+        node = self._name_of(destination)
+        word = self._looking.word(boot_s(), node) if self._looking is not None and node else None
+        return None if word is None else _as_probe(destination, word)
+
+    def saw(self, destination: int, outcome: api.Outcome) -> None:
+        """What we saw of a destination ourselves."""
+        node = self._name_of(destination)
+        if self._looking is not None and node and outcome in TELLING:
+            self._looking.saw(boot_s(), node, outcome in (api.Outcome.OK, api.Outcome.FULL))
+
+    def _name_of(self, destination: int) -> str:
+        assert self._effects is not None
+        place = self._effects.destinations.places.get(destination)
+        return "" if place is None else _named(place)
+
+
+def _named(place: Place) -> str:
+    """A name that all instances give a destination: its address and when it was started."""
+    (host, port), born = place
+    return f"{host}:{port}@{born:.0f}"
+
+
+def _as_probe(destination: int, seen: Seen) -> core.ProbeEnded:
+    return core.ProbeEnded(destination, api.Outcome.OK if seen.ok else api.Outcome.CONNECT_FAILED, seen.ms)
+
+
+async def _serve(told: OperatorFile, config: configuration.Config, log: Log) -> int:
+    beside = Beside(told, config, log)
+    try:
+        return await serve(
+            config, Net(asyncio.get_running_loop()), log, reread=beside.reread, joined=beside.joined
+        )
+    finally:
+        await beside.leave()
+
+
+def main(told: OperatorFile) -> int:
+    """Run it until SIGTERM; the exit code as the plain one's."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    log = Log(time.monotonic)
+    os.environ["LB_CONFIG"] = str(told.platform)
+    if told.instance.name:
+        os.environ["LB_NAME"] = told.instance.name
+    try:
+        config = configuration.load(os.environ)
+    except configuration.ConfigError as problem:
+        log.say(str(problem))
+        return 2
+    return asyncio.run(_serve(told, config, log))
--- a/coveport/sidecar/effects.py
+++ b/coveport/sidecar/effects.py
@@ -70,6 +70,16 @@
         """Give the one final answer."""
 
 
+class Looks(Protocol):
+    """Who else looks at destinations; where nobody does, there is none of it."""
+
+    def look(self, destination: int) -> core.ProbeEnded | None:
+        """Another's look at a destination that the module wishes to look at; None: look yourself."""
+
+    def saw(self, destination: int, outcome: api.Outcome) -> None:
+        """What we saw of a destination ourselves."""
+
+
 @dataclass(slots=True)
 class _Open:
     """What is out in the world for an operation."""
@@ -112,6 +122,7 @@
         self.pool_config = PoolConfig(net, config.discovery, self._reader, self.told, counters, log,
                                       must_ask=config.settings.must_ask, seed=config.seed)
         self.has_list = False
+        self.looks: Looks | None = None
         self.pending = 0  # operations taken and not ended
         counters.gauge("pending", lambda: self.pending)
         counters.gauge("members", lambda: self._reducer.members[0])
@@ -274,6 +285,8 @@
         def done(result: StepResult) -> None:
             opened.steps.pop(effect.step, None)
             self.counters.add(f"outcome_{result.outcome.name.lower()}")
+            if self.looks is not None:
+                self.looks.saw(effect.destination, result.outcome)
             self.feed(core.StepEnded(effect.operation, effect.step, result.outcome,
                                      result.load, result.answer))
             self._forget(effect.operation)
@@ -289,6 +302,11 @@
             effect.destination, opened.asked, effect.timeout_ms / 1000, done, began, handed)
 
     def _probe(self, destination: int) -> None:
+        heard = self.looks.look(destination) if self.looks is not None else None
+        if heard is not None:
+            self.counters.add("probes_spared")
+            self._net.loop.call_soon(self.feed, heard)
+            return
         started = self._clock.now_ms()
         # The settings say nothing of how long a probe may take: twice what a connection may.
         timeout_s = 2 * self._config.settings.limits.connect_timeout_ms / 1000
--- a/coveport/sidecar/serve.py
+++ b/coveport/sidecar/serve.py
@@ -37,11 +37,14 @@
                 reread: Callable[[configuration.Config], configuration.Config],
                 on_phase: Callable[[Phase], None] | None = None,
                 reducer: Callable[[api.Settings, int], Reducer] = Reducer,
-                effects_type: type[Effects] = Effects) -> int:
+                effects_type: type[Effects] = Effects,
+                joined: Callable[[Effects, Lifecycle], None] | None = None) -> int:
     """Run until told to stop and nothing is owed; the exit code.
 
     `reread` gives the configuration anew, checked against the one that runs, or raises ConfigError. `reducer`
-    and `effects_type` are there to be replaced by variants that are held against each other.
+    and `effects_type` are there to be replaced by variants that are held against each other. `beside` is
+    told of the parts before anything is opened: what an operator's file turns on stands beside the ordinary
+    way.
     """
     loop = net.loop
     counters, life = Counters(), Lifecycle()
@@ -108,6 +111,8 @@
     loop.add_signal_handler(signal.SIGUSR1, figures)
     life.listen(lambda phase: log.say(f"{config.name}: {phase.value}"))
     life.listen(lambda phase: listener.drain(phase is Phase.LAMEDUCK))
+    if joined is not None:
+        joined(effects, life)
     if on_phase is not None:
         life.listen(on_phase)
 
--- a/tests/lab/test_same_day.py
+++ b/tests/lab/test_same_day.py
@@ -30,7 +30,8 @@
     assert one == two != other and len(one) == 32
 
 
-@pytest.mark.parametrize("name", [name for name, _ in catalog.names() if not name.startswith("found/")])
+@pytest.mark.parametrize("name", [name for name, _ in catalog.names()
+                                  if not name.startswith(("found/", "trials/"))])
 def test_every_shipped_day_plays_and_breaks_no_rule(name: str) -> None:
     day = scenario.load(catalog.find(name))
     played, outcome = run.play_and_judge(day, name=name, seed=2, ground="virtual")
--- a/tests/lab/test_trials.py
+++ b/tests/lab/test_trials.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import pytest
 
+from coveport.lab import catalog
+from coveport.lab.scenario import ScenarioError
 from coveport.lab.trials import judge
+from coveport.lab.trials.days import load
 from coveport.lab.trials.history import Histories, Record
 from coveport.lab.trials.linear import Call, linearizable
 from coveport.lab.trials.schedules import HOLDER, Fault, Trial, draw
@@ -31,6 +36,25 @@
     assert len(played.acts) > 100
 
 
+@pytest.mark.parametrize("name", [name for name, _ in catalog.names() if name.startswith("trials/")])
+def test_every_shipped_trial_plays_and_breaks_no_rule(name: str) -> None:
+    day = load(catalog.find(name))
+    assert play(day.trial, day.seed).findings == []
+
+
+@pytest.mark.parametrize(("text", "why"), [
+    ("[trial]\ntitle = 'x'\nttl = 0.3", "ttl 0.3 s leaves no room"), ("[trial]\nttl = 3.0", "title"),
+    ("[trial]\ntitle = 'x'\n[[fault]]\nat = 1.0\nkind = 'flood'", "fault 1: kind"),
+    ("[trial]\ntitle = 'x'\n[[fault]]\nat = 1.0\nkind = 'cut'\ntarget = 'all'", "fault 1: target"),
+    ("[trial]\ntitle = 'x'\n[load]\nx = 1", "load"), ("[trial]\ntitle = 'x'\nstore = 'paper'", "store")])
+def test_a_trial_that_can_t_be_used_is_one_line(tmp_path: Path, text: str, why: str) -> None:
+    path = tmp_path / "one.toml"
+    path.write_text(text)
+    with pytest.raises(ScenarioError) as problem:
+        load(path)
+    assert why in str(problem.value) and "\n" not in str(problem.value)
+
+
 def test_after_a_kill_it_is_handed_on_within_the_time_to_live() -> None:
     for seed in range(5):
         played = play(trial(Fault(10.0, "kill", HOLDER, 20)), seed)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -60,9 +60,9 @@
 def test_help_names_every_verb_and_exit_code() -> None:
     lab = root.commands["lab"]
     assert isinstance(lab, click.Group)
-    assert sorted(root.commands) == ["check", "lab", "run"]
+    assert sorted(root.commands) == ["check", "duties", "lab", "rollout", "run"]
     assert sorted(lab.commands) == [
-        "check-model", "compare", "explain", "fuzz", "list", "run", "search", "shrink", "sweep"]
+        "check-model", "compare", "explain", "fuzz", "list", "run", "search", "shrink", "sweep", "trials"]
     for group, path in ((root, ()), (lab, ("lab",))):
         for name in group.commands:
             assert f"\n  {name} " in call(*path, "--help").stdout and call(*path, name, "-h").exit_code == 0
