--- a/coveport/duties/looking.py
+++ b/coveport/duties/looking.py
@@ -83,6 +83,8 @@
             str, tuple[float, bool, float]
         ] = {}  # node: when we looked last, what, when it was told
         self._saw: dict[str, tuple[float, bool]] = {}  # by our own operations: when last, and what
+        self._present: set[str] = set()
+        self._turns: dict[str, str] = {}  # who looks at which node, while the same instances are there
         self._count = 0
 
     def mine(
@@ -90,9 +92,15 @@
     ) -> list[str]:
         """The nodes of our own that are to be looked at now."""
         present = {key[len(INSTANCE):] for key in entries if key.startswith(INSTANCE)} | {self._name}
+        if present != self._present:
+            # Guards against a hash for each pair of node and instance at every look.
+            self._present, self._turns = present, {}
         due = []
         for node in nodes:
-            if looker(node, present) == self._name:
+            who = self._turns.get(node)
+            if who is None:
+                who = self._turns[node] = looker(node, present)
+            if who == self._name:
                 last = self._own.get(node)
                 if last is None or now - last[0] >= every_s:
                     due.append(node)
@@ -157,3 +165,4 @@
         self._own = {node: one for node, one in self._own.items() if node in kept}
         self._heard = {node: one for node, one in self._heard.items() if node in kept}
         self._saw = {node: one for node, one in self._saw.items() if node in kept}
+        self._turns = {node: one for node, one in self._turns.items() if node in kept}
