Warden of cold nodes: whole operations of a fresh node's safe load, shared out by demand

Need: a fresh node's budget is cut into as many shares as there are copies, below one operation at two hundred.

duties/warden, one a zone. No two clocks are compared: an instance uses a grant while its own clock is under the stamp of its wish plus two seconds, so the warden can count it from when it wrote it; a successor counts all that stands in the state as used from when it first saw it.

Seen and mended: a successor that granted nothing counted the old grants anew at each look, so they never came free.

--- a/coveport/cli/operator.py
+++ b/coveport/cli/operator.py
@@ -110,9 +110,10 @@
     """A row a duty: name, zone, holder, token, since and until (unix s); held by nobody: holder empty."""
     from coveport.leases.store import Done
 
+    zone = int(json.loads(told.platform.read_text(encoding="utf-8"))["settings"].get("zone", 0))
     held = {key.removeprefix("duty/"): one for key, one in entries.items() if key.startswith("duty/")}
     rows = []
-    for name in sorted({*held, *told.duties.wished}):
+    for name in sorted({*held, *told.duties.wished(zone)}):
         entry = held.get(name)
         row: dict[str, Any] = {"duty": name.partition("@")[0], "zone": name.partition("@")[2], "holder": "",
                                "token": 0, "since": None, "until": None}
--- a/coveport/config/operator.py
+++ b/coveport/config/operator.py
@@ -48,10 +48,10 @@
     looking: bool = False
     drill: bool = False
 
-    @property
-    def wished(self) -> tuple[str, ...]:
-        """The duties that are held by one at a time."""
-        return tuple(name for name in ("rollout", "drill") if getattr(self, name))
+    def wished(self, zone: int) -> tuple[str, ...]:
+        """The duties that are held by one at a time, for an instance of that zone."""
+        named = {"warden": f"warden@{zone}", "rollout": "rollout", "drill": "drill"}
+        return tuple(duty for name, duty in named.items() if getattr(self, name))
 
 
 class Logged(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -129,7 +129,7 @@
     faults = [f"[{name}]: there is no such section; there are {', '.join(SECTIONS)}"
               for name in told if name not in SECTIONS]
     parts = {name: _section(name, kind, told.get(name, {}), faults) for name, kind in SECTIONS.items()}
-    store, leases, duties = parts["store"], parts["leases"], parts["duties"]
+    store, leases = parts["store"], parts["leases"]
     if store is not None:
         kind, _, rest = store.url.partition(":")
         if kind not in ("sqlite", "etcd") or not rest.strip("/"):
@@ -148,8 +148,6 @@
             faults.append(f"[leases] {problem}")
         if store is not None and store.url.startswith("etcd:") and leases.ttl != int(leases.ttl):
             faults.append(f"[leases] ttl: such a store counts in whole seconds, not {leases.ttl:g}")
-    if duties is not None and duties.warden:
-        faults.append("[duties] warden: not built yet")
     if faults:
         raise OperatorFileError("\n".join(faults))
     return OperatorFile(folder=folder, **parts)
--- a/coveport/core/messages.py
+++ b/coveport/core/messages.py
@@ -118,6 +118,15 @@
     settings: api.Settings | None = None
 
 
+@dataclass(slots=True)
+class Granted:
+    """A fresh destination may be sent so many operations more for so long."""
+
+    destination: int
+    count: int
+    lasts_ms: float
+
+
 @dataclass(slots=True)
 class Stalled:
     """We had no CPU for so long, up to now: what was measured over it says nothing of the destinations."""
@@ -125,7 +134,7 @@
     lasted_ms: float
 
 
-Input = (Stalled | OperationCame | BodyCame | StepHanded | AnswerBegan
+Input = (Granted | Stalled | OperationCame | BodyCame | StepHanded | AnswerBegan
          | ClientGone | StepEnded | ProbeEnded | PoolTold | TimerDue | DeadlineDue
          | Reloaded)
 
--- a/coveport/core/reducer.py
+++ b/coveport/core/reducer.py
@@ -22,6 +22,7 @@
     Effect,
     EndAnswer,
     GiveAnswer,
+    Granted,
     GuardDeadline,
     Input,
     MovePool,
@@ -90,6 +91,17 @@
         """How many destinations are listed, and how many of them the module avoids now."""
         return len(self._balancer.hosts), self._balancer.avoided()
 
+    @property
+    def service_ms(self) -> float:
+        """Mean time of an operation at a destination, as the module knows it."""
+        return self._balancer.service
+
+    def fresh(self) -> dict[int, tuple[int, float]]:
+        """Destinations that count as cold: zone, and age in ms."""
+        warm = self._settings.rules.warm_after_ms
+        return {host.id: (host.zone, self._now - host.cold_at) for host in self._balancer.hosts.values()
+                if self._now - host.cold_at < warm}
+
     @property
     def tables(self) -> dict[str, int]:
         """How many entries each table has, the module's included; all but `hosts` come back to nothing."""
@@ -125,6 +137,8 @@
             self._began(item)
         elif isinstance(item, Stalled):
             self._discount(item.lasted_ms)
+        elif isinstance(item, Granted):
+            self._tell(api.Granted(item.destination, item.count, self._now + item.lasts_ms))
         elif isinstance(item, Reloaded):
             self._effects.append(MovePool(item.discovery))  # operations and route steps go on
             if item.settings is not None:
--- a/coveport/lab/fuzz/writers.py
+++ b/coveport/lab/fuzz/writers.py
@@ -59,7 +59,7 @@
     match item:
         case wire.Attach():
             return struct.pack("<HQI", 1, item.seed, len(item.info)) + item.info
-        case api.Retuned():
+        case api.Retuned() | api.Granted():
             raise AssertionError("the wire does not know it")
         case wire.Halt():
             return struct.pack("<H", 10)
--- a/coveport/lab/trials/town.py
+++ b/coveport/lab/trials/town.py
@@ -151,12 +151,23 @@
         town.list_all()
         return town
 
-    def list_all(self, at: Mapping[int, int] | None = None) -> None:
-        """Have discovery list all nodes; `at`: by which ports instead of their own."""
-        self.discovery.tell([
-            {"host": f"n{node.number}", "dial": f"127.0.0.1:{(at or {}).get(node.number, node.stand.port)}",
-             "site": "bilbao", "class": "toy", "block": 0, "health": "active", "share": 1.0, "born_ms": 0}
-            for node in self.nodes])
+    def list_all(self, born_ms: Mapping[int, float] | None = None) -> None:
+        """Have discovery list all nodes; `born_ms`: of those that have just started (Unix ms)."""
+        self.discovery.tell(
+            [
+                {
+                    "host": f"n{node.number}",
+                    "dial": f"127.0.0.1:{node.stand.port}",
+                    "site": "bilbao",
+                    "class": "toy",
+                    "block": 0,
+                    "health": "active",
+                    "share": 1.0,
+                    "born_ms": (born_ms or {}).get(node.number, 0),
+                }
+                for node in self.nodes
+            ]
+        )
 
     def stop(self) -> None:
         """Be gone."""
--- a/coveport/sidecar/daemon.py
+++ b/coveport/sidecar/daemon.py
@@ -28,6 +28,7 @@
 from coveport.duties.duty import Duty, Runner, Step
 from coveport.duties.looking import LOOK, Looking, Seen
 from coveport.duties.rollout import Follower, Rollout, under_way
+from coveport.duties.warden import GRANT, NEED, Granted, Safe, Warden
 from coveport.leases.clock import boot_s
 from coveport.leases.keeper import DUTY, Keeper
 from coveport.leases.opening import open_store
@@ -43,6 +44,7 @@
 YIELD = "ask/yield/"
 FARES_S = 1.0  # how often an instance looks how it fares
 LATELY = 5  # over so many of those looks
+WISH_S = 0.25  # how often it is looked whether there is a fresh node to wish for
 LOOK_S = 0.5  # how often each node is looked at by whoever's turn it is
 USELESS_S = 3.0  # with destinations known and no connect that came up for so long: no use as a holder
 LEAVE_S = 2.0
@@ -73,18 +75,22 @@
         self.incarnation = f"{self.name}#{uuid.uuid4().hex[:12]}"
         self._lines = logger(told, self.name, self.incarnation)
         chance = random.Random(uuid.uuid4().int)
+        zone = config.settings.zone
+        self._wished = told.duties.wished(zone)
         self.keeper = Keeper(open_store(told), name=self.name, incarnation=self.incarnation,
-                             duties=told.duties.wished, terms=told.terms, now_s=boot_s, unix_s=time.time,
+                             duties=self._wished, terms=told.terms, now_s=boot_s, unix_s=time.time,
                              history=self.history, chance=chance, prefix=told.store.prefix)
-        made: dict[str, Duty] = {"drill": Drill(self.incarnation), "rollout": Rollout()}
-        self._runners = {
-            name: Runner(self.keeper, made[name], boot_s, self._did) for name in told.duties.wished
-        }
+        made: dict[str, Duty] = {"drill": Drill(self.incarnation), "rollout": Rollout(),
+                                 f"warden@{zone}": Warden(zone, self.incarnation, _safe(config.settings),
+                                                          told.leases.drift)}
+        self._runners = {name: Runner(self.keeper, made[name], boot_s, self._did) for name in self._wished}
         self.keeper.on_began = lambda duty, token: self._runners[duty].began(token)
         self.keeper.on_ended = lambda duty, token, why: self._runners[duty].ended()
         self.keeper.on_change = self._changed
         self._follower = Follower(self.name)
         self._looking = Looking(self.name, self.incarnation) if told.duties.looking else None
+        self._granted = Granted(self.incarnation) if told.duties.warden else None
+        self._operations: deque[tuple[float, int]] = deque(maxlen=9)  # when, and how many had come
         self._effects: Effects | None = None
         self._text: str | None = None  # settings that a roll-out has given us; None: our own file's
         self._taking: tuple[str, str | None] | None = None  # settings under way, and what ran before them
@@ -110,7 +116,7 @@
         self._effects = effects
         counters = effects.counters
         counters.gauge("duties_held", lambda: sum(
-            bool(self.keeper.holder.believes(boot_s(), name)) for name in self._told.duties.wished))
+            bool(self.keeper.holder.believes(boot_s(), name)) for name in self._wished))
         counters.gauge("store_calls", lambda: sum(self.keeper.calls.values()))
         counters.gauge("store_unknown", lambda: sum(
             count for name, count in self.keeper.calls.items() if name.endswith("_unknown")))
@@ -125,8 +131,10 @@
             self._tasks = [asyncio.ensure_future(self._watch_ourselves())]
             if self._looking is not None:
                 self._tasks.append(asyncio.ensure_future(self._look_by_turns(self._looking)))
+            if self._granted is not None:
+                self._tasks.append(asyncio.ensure_future(self._wish_for_grants(self._granted)))
         elif phase in (Phase.SERVING, Phase.LAMEDUCK):
-            for duty in self._told.duties.wished:
+            for duty in self._wished:
                 self.keeper.wish(duty, phase is Phase.SERVING, "lame duck")
         elif phase is Phase.DRAINING:
             # Handed on before the first connection is closed: the rest of the end may take seconds.
@@ -156,6 +164,8 @@
                 self._effects.feed(_as_probe(number, seen))
         elif key.startswith(("want/", "settings/")):
             self._follow()
+        elif key.startswith(GRANT) and key.endswith(f"/{self.name}") and self._granted is not None:
+            self._take_grant(self._granted, key[len(GRANT):].partition("/")[0], entry)
 
     # Roll-out: our own part.
 
@@ -231,6 +241,37 @@
             )
             self.keeper.unwell("no destination can be reached" if useless else "")
 
+    # Grants of fresh nodes.
+
+    async def _wish_for_grants(self, granted: Granted) -> None:
+        assert self._effects is not None
+        while True:
+            await asyncio.sleep(WISH_S)
+            now, effects = boot_s(), self._effects
+            self._operations.append((now, effects.counters.get("operations")))
+            (first, had), (last, has) = self._operations[0], self._operations[-1]
+            fresh = {
+                self._name_of(number): (zone, age / 1000) for number, (zone, age) in effects.fresh().items()
+            }
+            fresh.pop("", None)
+            wish = granted.wish(
+                now, (has - had) / max(last - first, WISH_S), effects.service_ms / 1000, fresh
+            )
+            if wish is not None:
+                self.keeper.put(NEED + self.name, wish)
+
+    def _take_grant(self, granted: Granted, zone: str, entry: Entry | None) -> None:
+        now = boot_s()
+        taken = granted.take(now, zone, entry)
+        if taken is None or self._effects is None:
+            return
+        until, counts = taken
+        nodes = self._nodes()
+        for node, count in counts.items():
+            if node in nodes:
+                self._effects.counters.add("granted", count)
+                self._effects.feed(core.Granted(nodes[node], count, (until - now) * 1000))
+
     # Looking by turns.
 
     def _nodes(self) -> dict[str, int]:
@@ -281,6 +322,11 @@
         return "" if place is None else _named(place)
 
 
+def _safe(settings: api.Settings) -> Safe:
+    rules = settings.rules
+    return Safe(rules.cold_from, rules.warm_after_ms / 1000, rules.overload_factor, rules.fall_ms / 1000)
+
+
 def _named(place: Place) -> str:
     """A name that all instances give a destination: its address and when it was started."""
     (host, port), born = place
--- a/coveport/sidecar/effects.py
+++ b/coveport/sidecar/effects.py
@@ -153,6 +153,15 @@
         """How many entries each table has, for whoever looks whether one only grows."""
         return {**self._reducer.tables, "open": len(self._open), **self.destinations.tables}
 
+    @property
+    def service_ms(self) -> float:
+        """Mean time of an operation at a destination, as the module knows it."""
+        return self._reducer.service_ms
+
+    def fresh(self) -> dict[int, tuple[int, float]]:
+        """Destinations that count as cold: zone, and age in ms."""
+        return self._reducer.fresh()
+
     # Inputs.
 
     def feed(self, item: core.Input) -> None:
--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -60,6 +60,7 @@
         self.pace, self.strikes, self.failures = 0.0, 0, 0  # failures: maybe accidents, since the last answer
         self.heard_at = self.seen_at = self.paused_until = -inf
         self.trial_at = self.down_at = inf  # inf: in its level
+        self.granted, self.grant_until = 0, -inf  # what it may be sent while cold, beside our share by count
 
     def has_room(self, most: int) -> bool:  # what got lost takes no room there
         return sum(flight.passed < PASSED for flight in self.pending.values()) < most
@@ -117,6 +118,8 @@
             self._judge(self.hosts[event.host], event.outcome, event.latency_ms, None)
         elif isinstance(event, api.Retuned):
             self._retune(event.settings)
+        elif isinstance(event, api.Granted) and event.host in self.hosts:
+            self.hosts[event.host].granted, self.hosts[event.host].grant_until = event.count, event.until_ms
         elif isinstance(event, api.Left | api.StreamStarted):
             self._end(event.id, event.attempt if isinstance(event, api.StreamStarted) else -1)
         if self.soon >= self.ask_at:
@@ -233,7 +236,7 @@
 
     def _has_room(self, host: _Host, request: _Request, first: bool) -> bool:  # or is warm
         age = self.now - host.cold_at  # by chance, as an even split is under one a copy
-        if age >= self.rules.warm_after_ms:
+        if age >= self.rules.warm_after_ms or (host.granted > 0 and self.now < host.grant_until):
             return True
         share = self.rules.cold_from + (1 - self.rules.cold_from) * max(age, 0.0) / self.rules.warm_after_ms
         part = COLD_SAFETY * self.rules.overload_factor * share
@@ -402,6 +405,7 @@
         key, one = (request.id, len(request.attempts)), _Attempt(host, self.now)
         one.passed = PASSED * request.long  # silence there is its client's
         self.flights[key] = host.pending[key] = one
+        host.granted -= 1
         request.attempts.append(one)
         timeout = max(min(request.give_up, request.deadline) - self.now, self.settings.tick_ms)
         self.out.append(api.Send(request.id, host.id, timeout))
--- a/micaflow/interface.py
+++ b/micaflow/interface.py
@@ -267,7 +267,27 @@
     settings: Settings
 
 
-Event = Retuned | ListUpdate | Request | StreamStarted | Reply | Left | TimerFired | ProbeResult | PeerMessage
+@dataclass(slots=True)
+class Granted:
+    """A fresh host may be sent so many of ours until then: somebody shares its safe load out."""
+
+    host: int
+    count: int
+    until_ms: float
+
+
+Event = (
+    Granted
+    | Retuned
+    | ListUpdate
+    | Request
+    | StreamStarted
+    | Reply
+    | Left
+    | TimerFired
+    | ProbeResult
+    | PeerMessage
+)
 
 
 @dataclass(slots=True)
--- a/tests/lab/test_duties_real.py
+++ b/tests/lab/test_duties_real.py
@@ -7,12 +7,14 @@
 import re
 import subprocess
 import sys
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from coveport.duties.warden import Safe
 from coveport.lab.trials import judge
 from coveport.lab.trials.real import SETTINGS, RealTrial, Running
 from coveport.lab.trials.schedules import Trial
@@ -164,3 +166,45 @@
         assert sum(each.get("looks_heard", 0) for each in told) >= 2, "those that did not look heard of it"
 
     run(tmp_path, 4, work, duties=("looking",), nodes=3)
+
+
+@pytest.mark.parametrize("store", ["sqlite", "etcd"])
+def test_a_fresh_node_gets_what_is_granted_and_no_flood_when_the_warden_goes(
+    tmp_path: Path, store: str
+) -> None:
+    """Four that are asked all the time, a node that has just started, and the warden killed meanwhile."""
+
+    async def work(one: RealTrial) -> None:
+        warden = await one.held("warden@0", LONG)
+        going = True
+
+        async def till(instance: Running) -> None:
+            number = 1000 * (instance.number + 1)
+            while going:
+                number += 1
+                await one.town.ask(instance.number, instance.port, number)
+
+        tills = [asyncio.ensure_future(till(instance)) for instance in one.instances for _ in range(2)]
+        await asyncio.sleep(2.0)
+        node = one.town.nodes[0]
+        node.ran.clear()
+        born = time.time()
+        one.town.list_all({0: born * 1000})
+        await asyncio.sleep(2.5)
+        one.kill(warden)
+        await one.held("warden@0", LONG, besides=warden)
+        await asyncio.sleep(2.0)
+        going = False
+        await asyncio.gather(*tills)
+        # What it bears in any two seconds, by its age; an operation here is one of 10 ms.
+        safe = Safe(0.36, 3.0, 4.0, 1.0)
+        times = [ran.at for ran in node.ran]
+        for begin in times:
+            came = sum(begin <= at <= begin + safe.fall_s for at in times)
+            assert came <= safe.operations(begin - born, 0.01), (begin - born, came)
+        granted = [record for record in one.histories().of("act_ended")
+                   if record.text("duty") == "warden@0" and record.text("end") == "Done"]
+        assert {record.instance for record in granted} >= {warden.name}, "it was wished for, and granted"
+        assert judge.order(judge.accepted(one.book())) == []
+
+    run(tmp_path, 4, work, duties=("warden",), nodes=3, store=store)
--- a/tests/test_decide_life.py
+++ b/tests/test_decide_life.py
@@ -9,6 +9,7 @@
 import pytest
 from helpers import KEYED, SAFE, UNSAFE, Driver, Sent, hosts, settings
 
+from micaflow import Balancer
 from micaflow import interface as api
 from micaflow.held import Held
 from micaflow.interface import Effect, Group, Outcome
@@ -622,3 +623,30 @@
         driver.feed(api.TimerFired(0))
     driver.request()
     assert looked <= most
+
+
+def test_a_grant_opens_a_cold_host_for_so_many_until_then() -> None:
+    """With a copy's part by chance at nothing, a cold host gets what was granted and not one more."""
+    rules = api.Rules(cold_from=1e-9, warm_after_ms=30_000.0, overload_factor=1e-9)
+    settings = api.Settings(classes=(api.RequestClass(name="a", effect=api.Effect.SAFE),), rules=rules)
+    balancer = Balancer(settings, 1)
+    balancer.handle(0.0, api.ListUpdate(api.ListKind.FULL, (api.HostEntry(1, started_ms=1.0),)))
+
+    def served(number: int, now: float) -> bool:
+        sent = [
+            one
+            for one in balancer.handle(now, api.Request(number, now + 5000.0))
+            if isinstance(one, api.Send)
+        ]
+        for one in sent:
+            balancer.handle(now + 1, api.Reply(number, 0, one.host, api.Outcome.OK, 1.0, False))
+        return bool(sent)
+
+    assert not served(1, 10.0)
+    balancer.handle(20.0, api.Left(1))
+    balancer.handle(21.0, api.Granted(1, 2, 1000.0))
+    assert [served(2, 30.0), served(3, 40.0), served(4, 50.0)] == [True, True, False]
+    balancer.handle(60.0, api.Left(4))
+    balancer.handle(61.0, api.Granted(1, 5, 1000.0))
+    assert not served(5, 1001.0), "it has run out"
+    balancer.handle(1002.0, api.Granted(9, 5, 2000.0))  # of a host that is not listed
