--- a/coveport/lab/trials/real.py
+++ b/coveport/lab/trials/real.py
@@ -26,7 +26,7 @@
 from coveport.lab.trials.history import Histories, read_lines
 from coveport.lab.trials.relay import Relay
 from coveport.lab.trials.schedules import HOLDER, Fault, Trial
-from coveport.lab.trials.town import Town
+from coveport.lab.trials.town import Discovery, Town
 from coveport.leases.clock import boot_s
 from coveport.leases.store import Change, Entry
 
@@ -93,6 +93,8 @@
     port: int
     relays: list[Relay] = field(default_factory=list)  # to the store's members
     node_relays: dict[int, Relay] = field(default_factory=dict)
+    discovery: Discovery = field(default_factory=Discovery)  # tells it of the nodes by way of its relays
+    discovery_relay: Relay | None = None
     process: subprocess.Popen[bytes] | None = None
     lives: int = 0
 
@@ -159,7 +161,10 @@
     """Instances, store and town; use as an async context."""
 
     def __init__(self, folder: Path, trial: Trial, *, store: str = "sqlite", nodes: int = 2,
-                 duties: tuple[str, ...] = (), settings: dict[str, Any] | None = None) -> None:
+                 duties: tuple[str, ...] = (), settings: dict[str, Any] | None = None,
+                 relayed: bool = False) -> None:
+        """`relayed`: each instance reaches nodes and discovery by links of its own."""
+        self._relayed = relayed
         self.folder, self.trial, self.kind, self._nodes = folder, trial, store, nodes
         self._duties = duties or trial.duties
         self._settings = settings or SETTINGS
@@ -192,16 +197,28 @@
             one = Running(number, folder, free_port())
             if self.engine is not None:
                 one.relays = [await Relay(("127.0.0.1", port)).start() for port in self.engine.members]
+            if self._relayed:
+                await self._relay_nodes(one)
             self.instances.append(one)
             self.configure(one)
             self.start(one)
         await self.until(lambda: all(self.serves(one) for one in self.instances), UP_S, "all to serve")
 
+    async def _relay_nodes(self, one: Running) -> None:
+        """Links of its own to every node and to discovery."""
+        for node in self.town.nodes:
+            one.node_relays[node.number] = await Relay(("127.0.0.1", node.stand.port)).start()
+        await one.discovery.stand.start()
+        one.discovery.tell(self.town.hosts({number: relay.port for number, relay in one.node_relays.items()}))
+        one.discovery_relay = await Relay(("127.0.0.1", one.discovery.stand.port)).start()
+
     def configure(self, one: Running) -> None:
         """Write its files."""
+        discovery = (self.town.discovery.stand.port if one.discovery_relay is None
+                     else one.discovery_relay.port)
         (one.folder / "platform.json").write_text(json.dumps({
             "name": one.name, "listen": f"127.0.0.1:{one.port}", "seed": f"{one.number + 1:x}",
-            "discovery": f"127.0.0.1:{self.town.discovery.stand.port}",
+            "discovery": f"127.0.0.1:{discovery}",
             "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 256},
             "known": {"seq": 0, "whole": True, "hosts": []}, "settings": self._settings}))
         url = "sqlite:../store.db" if self.engine is None else "etcd://" + ",".join(
@@ -373,7 +390,12 @@
                 assert one.process is not None
                 one.process.wait()
                 self._died.append((one.name, boot_s()))
-            for relay in [*one.relays, *one.node_relays.values()]:
+            one.discovery.stand.stop()
+            for relay in [
+                *one.relays,
+                *one.node_relays.values(),
+                *([one.discovery_relay] if one.discovery_relay else []),
+            ]:
                 await relay.stop()
         if self.engine is not None:
             self.engine.stop()
--- a/coveport/lab/trials/relay.py
+++ b/coveport/lab/trials/relay.py
@@ -33,8 +33,8 @@
         self.out, self.back = Way(), Way()
         self.out.open.set()
         self.back.open.set()
-        self.refusing = False
         self.port = 0
+        self._refusing = False
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -59,6 +59,12 @@
             way.open.set()
             way.delay_s = way.lose = 0.0
 
+    def refuse(self, on: bool) -> None:
+        """Break what there is and refuse every further connect with a reset, or no more."""
+        self._refusing = on
+        if on:
+            self.reset()
+
     def reset(self) -> None:
         """Reset every connection."""
         for writer in list(self._writers):
@@ -83,6 +89,9 @@
         self._tasks.add(task)
         self._writers.add(writer)
         try:
+            if self._refusing:
+                self.reset()
+                return
             await self.out.open.wait()
             there, to = await asyncio.open_connection(*self.target)
             self._writers.add(to)
--- a/coveport/lab/trials/schedules.py
+++ b/coveport/lab/trials/schedules.py
@@ -11,6 +11,7 @@
 TRAPS = ("claim-unheard", "claim-late", "act-unheard", "act-late", "act-stall", "keep-stall")
 CHAINED = 0.4  # share that follow another, at whom that hit
 CHAIN = ("cut", "cut_out", "cut_back", "stall", "sleep", "kill")
+FEW = 10  # instances, up to which acts come often
 HOLDER = "holder"  # whoever holds the (first) duty at that moment
 
 
@@ -41,6 +42,7 @@
     duties: tuple[str, ...] = ("drill",)
     faults: tuple[Fault, ...] = ()
     wild_clocks: bool = False  # clocks run beyond the stated drift
+    drill_s: float = 0.1  # between two acts of the holder
     calm_s: float = 20.0  # how long it goes on after the last fault
 
     @property
@@ -98,8 +100,14 @@
             drawn.append(Fault(round(at + 0.01, 3), "yield", HOLDER))  # else nobody claims for a long while
         drawn.append(Fault(at, kind, target, round(lasts, 3),
                            round(chance.uniform(0.05, 0.9), 2)))
-    return Trial(instances=instances, ttl_s=ttl_s, faults=tuple(sorted(drawn, key=lambda one: one.at_s)),
-                 wild_clocks=chance.random() < wild)
+    # Every act is told to all that watch: with many instances fewer of them show as much.
+    return Trial(
+        instances=instances,
+        ttl_s=ttl_s,
+        drill_s=0.1 if instances <= FEW else 0.5,
+        faults=tuple(sorted(drawn, key=lambda one: one.at_s)),
+        wild_clocks=chance.random() < wild,
+    )
 
 
 def without(trial: Trial, number: int) -> Trial:
--- a/coveport/lab/trials/town.py
+++ b/coveport/lab/trials/town.py
@@ -151,23 +151,17 @@
         town.list_all()
         return town
 
+    def hosts(self, ports: Mapping[int, int] | None = None,
+              born_ms: Mapping[int, float] | None = None) -> list[dict[str, object]]:
+        """The list; `ports`: by which nodes are reached instead of their own; `born_ms`: of those just up."""
+        at = {node.number: node.stand.port for node in self.nodes} | dict(ports or {})
+        return [{"host": f"n{node.number}", "dial": f"127.0.0.1:{at[node.number]}", "site": "bilbao",
+                 "class": "toy", "block": 0, "health": "active", "share": 1.0,
+                 "born_ms": (born_ms or {}).get(node.number, 0)} for node in self.nodes]
+
     def list_all(self, born_ms: Mapping[int, float] | None = None) -> None:
         """Have discovery list all nodes; `born_ms`: of those that have just started (Unix ms)."""
-        self.discovery.tell(
-            [
-                {
-                    "host": f"n{node.number}",
-                    "dial": f"127.0.0.1:{node.stand.port}",
-                    "site": "bilbao",
-                    "class": "toy",
-                    "block": 0,
-                    "health": "active",
-                    "share": 1.0,
-                    "born_ms": (born_ms or {}).get(node.number, 0),
-                }
-                for node in self.nodes
-            ]
-        )
+        self.discovery.tell(self.hosts(born_ms=born_ms))
 
     def stop(self) -> None:
         """Be gone."""
--- a/coveport/lab/trials/virtual.py
+++ b/coveport/lab/trials/virtual.py
@@ -92,7 +92,9 @@
         keeper = self.variant.keeper(store, name=f"s{one.number}", incarnation=incarnation,
                                      duties=self.trial.duties, terms=terms, now_s=now_s, history=history,
                                      chance=chance, holder=self.variant.holder)
-        duties: dict[str, Duty] = {"drill": self.variant.drill(incarnation)}
+        drill = self.variant.drill(incarnation)
+        drill.every_s = self.trial.drill_s
+        duties: dict[str, Duty] = {"drill": drill}
         runners = {name: self.variant.runner(keeper, duties[name], now_s) for name in self.trial.duties}
         keeper.on_began = lambda duty, token: runners[duty].began(token)
         keeper.on_ended = lambda duty, token, why: runners[duty].ended()
--- a/coveport/leases/holder.py
+++ b/coveport/leases/holder.py
@@ -34,6 +34,7 @@
 SPREAD_EACH_S, SPREAD_MOST_S = 0.001, 0.08  # contenders wait up to so long for each instance there is
 REST_TTLS, REST_DOUBLINGS = 2.0, 5  # in times to live: how long who was useless keeps off
 PROVEN_TTLS = 10.0  # a holding this long wipes out that it once yielded
+FAR_SHARE = 0.25  # of T: a renewal that took longer tells of a store that is too far to hold anything well
 STALL_SHARE, UNWELL_TTLS = 0.2, 1.0  # a timer later than that share of T: keep off for so many times to live
 
 
@@ -468,6 +469,10 @@
         if isinstance(outcome, Done):
             self._asked, self._failures = asked, 0
             self._next = asked + self.terms.renew_s
+            if now - asked > FAR_SHARE * self.terms.ttl_s:
+                # What we hold we keep: whoever comes next may be as far. We only contend for nothing new.
+                self._unwell_until = max(self._unwell_until, now + UNWELL_TTLS * self.terms.ttl_s)
+                self._say("far", f"a renewal took {now - asked:.2f} s")
             if self.session is Session.WARY and now < self._until - self.terms.margin_s:
                 self._move(Session.IN)
         elif isinstance(outcome, Refused):
--- a/coveport/sidecar/daemon.py
+++ b/coveport/sidecar/daemon.py
@@ -46,7 +46,9 @@
 LATELY = 5  # over so many of those looks
 WISH_S = 0.25  # how often it is looked whether there is a fresh node to wish for
 LOOK_S = 0.5  # how often each node is looked at by whoever's turn it is
-USELESS_S = 3.0  # with destinations known and no connect that came up for so long: no use as a holder
+USELESS_S = 3.0  # no use as a holder: some destination was tried in this time, and none answered
+REACHED = ("outcome_ok", "outcome_full", "outcome_error", "probe_ok")
+MISSED = ("connects_failed", "outcome_connect_failed", "outcome_reset", "outcome_timeout")
 LEAVE_S = 2.0
 TELLING = frozenset({api.Outcome.OK, api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.TIMEOUT,
                      api.Outcome.RESET})  # outcomes that say whether a destination lives
@@ -95,7 +97,7 @@
         self._text: str | None = None  # settings that a roll-out has given us; None: our own file's
         self._taking: tuple[str, str | None] | None = None  # settings under way, and what ran before them
         self._ended: deque[tuple[int, int]] = deque(maxlen=LATELY + 1)  # served, all; so far
-        self._connects: deque[tuple[int, int]] = deque(maxlen=int(USELESS_S / FARES_S) + 1)
+        self._reached: deque[tuple[int, int]] = deque(maxlen=int(USELESS_S / FARES_S) + 1)
         self._tasks: list[asyncio.Task[None]] = []
         self._leaving: asyncio.Task[None] | None = None
 
@@ -233,11 +235,10 @@
             )
             if under_way(self.keeper.entries):
                 self.keeper.tell(self._fares())  # else nobody reads it, and nobody pays for it
-            self._connects.append((counters.get("connects") + counters.get("connections_reused"),
-                                   counters.get("connects_failed")))
-            first, last = self._connects[0], self._connects[-1]
+            self._reached.append((sum(map(counters.get, REACHED)), sum(map(counters.get, MISSED))))
+            first, last = self._reached[0], self._reached[-1]
             useless = (
-                len(self._connects) == self._connects.maxlen and last[1] > first[1] and last[0] == first[0]
+                len(self._reached) == self._reached.maxlen and last[1] > first[1] and last[0] == first[0]
             )
             self.keeper.unwell("no destination can be reached" if useless else "")
 
--- a/tests/lab/test_trials_real.py
+++ b/tests/lab/test_trials_real.py
@@ -198,3 +198,46 @@
         assert safe(one) == []
 
     run(tmp_path, Trial(instances=3), work)
+
+
+def test_a_holder_that_reaches_no_node_hands_on_and_no_ping_pong_comes_of_it(tmp_path: Path) -> None:
+    async def work(one: RealTrial) -> None:
+        first = await one.held("drill", LONG)
+        for relay in first.node_relays.values():
+            relay.refuse(True)
+
+        async def till(instance: Running) -> None:
+            for number in range(1000):
+                await one.town.ask(instance.number, instance.port, 1000 * instance.number + number, 0.3)
+                await asyncio.sleep(0.05)
+
+        tills = [asyncio.ensure_future(till(instance)) for instance in one.instances]
+        await one.held("drill", LONG, besides=first)
+        # Both are useless by turns from here on; who yielded keeps off longer each time.
+        await asyncio.sleep(8.0)
+        began = [record for record in one.histories().of("began") if record.instance == first.name]
+        assert len(began) == 1, "it does not take it back while it is useless"
+        for relay in first.node_relays.values():
+            relay.refuse(False)
+        for task in tills:
+            task.cancel()
+        await asyncio.gather(*tills, return_exceptions=True)
+        assert any(
+            record.event == "unwell" and record.instance == first.name for record in one.histories().records
+        )
+        assert safe(one) == []
+
+    run(tmp_path, Trial(instances=2), work, relayed=True)
+
+
+def test_cut_off_from_discovery_alone_changes_nothing(tmp_path: Path) -> None:
+    async def work(one: RealTrial) -> None:
+        first = await one.held("drill", LONG)
+        assert first.discovery_relay is not None
+        first.discovery_relay.cut()
+        acts = len(judge.accepted(one.book()))
+        await one.until(lambda: len(judge.accepted(one.book())) > acts + 20, LONG, "further acts")
+        assert one.holder("drill") is first and await one.town.ask(0, first.port, 1) == 200
+        assert safe(one) == []
+
+    run(tmp_path, Trial(instances=2), work, relayed=True)
--- a/tests/leases/test_holder.py
+++ b/tests/leases/test_holder.py
@@ -196,3 +196,14 @@
             assert now < promised[one.lease] - TERMS.margin_s + 1e-9
         if one.holds(now, "d"):
             assert now < promised[one.lease] - 2 * TERMS.margin_s + 1e-9
+
+
+def test_who_is_far_from_the_store_contends_for_nothing_and_keeps_what_it_has() -> None:
+    one = fresh()
+    _, token = held(one)
+    keep = only(one.tick(11.1), h.KeepLease)
+    assert only(one.answered(11.9, keep.call, Done("s", 12, ttl_s=3.0)), h.Told).event == "far"
+    assert one.holds(11.9, "d") == token
+    one.yield_(11.9, "d", "staff")
+    one.seen(12.0, "d", None, 15)
+    assert one.duties["d"].due >= 11.9 + TERMS.ttl_s
--- a/tests/leases/test_stores.py
+++ b/tests/leases/test_stores.py
@@ -18,10 +18,13 @@
 import pytest
 from conformance import CASES, Case, done, put
 
+from coveport.lab.trials.linear import Call, linearizable
+from coveport.lab.trials.real import Engine
 from coveport.lab.trials.simstore import Host, SimStore, Way
 from coveport.lab.virtual.world import Process, World
+from coveport.leases.etcd import EtcdStore
 from coveport.leases.sqlite import SqliteStore
-from coveport.leases.store import Done, Refused, StoreError, Unknown
+from coveport.leases.store import Compare, Done, Field, Put, Refused, Store, StoreError, Transaction, Unknown
 
 
 def named(case: Case) -> str:
@@ -56,6 +59,22 @@
     assert ended, process.problems
 
 
+@pytest.mark.parametrize("case", CASES, ids=named)
+def test_stand_in(case: Case) -> None:
+    engine = Engine()
+    try:
+        async def run() -> None:
+            store = EtcdStore([f"127.0.0.1:{port}" for port in engine.members], 5.0)
+            try:
+                await case(store, asyncio.sleep)
+            finally:
+                await store.close()
+
+        asyncio.run(run())
+    finally:
+        engine.stop()
+
+
 def at_store(path: Path, work: Callable[[SqliteStore], Awaitable[object]], **options: object) -> Any:
     async def run() -> object:
         store = SqliteStore(path, **options)  # type: ignore[arg-type]
@@ -224,3 +243,104 @@
         assert isinstance(refused, Refused) and refused.revision == first.revision
 
     at_store(tmp_path / "store", work)
+
+
+# Whether what several saw of a store could have come from one that does one thing after the other.
+
+
+async def client(store: Store, seed: int, calls: list[Call], until: float) -> None:
+    """Reads and compare-and-puts of one key; what each came to, with its times."""
+    chance, count = random.Random(seed), seed * 1000
+    while time.monotonic() < until:
+        start = time.monotonic()
+        found = await store.read("register")
+        if isinstance(found, Done):
+            value = int(found.entries[0].value) if found.entries else None
+            calls.append(Call(start, time.monotonic(), "read", value))
+            count += 1
+            start = time.monotonic()
+            at = found.entries[0].modified if found.entries else 0
+            done = await store.commit(Transaction((Compare("register", Field.MODIFIED, at),),
+                                                  (Put("register", b"%d" % count),)))
+            end = float("inf") if isinstance(done, Unknown) else time.monotonic()
+            calls.append(Call(start, end, "swap", count, value, isinstance(done, Done)))
+        await asyncio.sleep(chance.uniform(0.0, 0.03))
+
+
+def test_sqlite_is_linearizable(tmp_path: Path) -> None:
+    async def run() -> list[Call]:
+        calls: list[Call] = []
+        stores = [SqliteStore(tmp_path / "store") for _ in range(4)]
+        await asyncio.gather(*(client(store, seed + 1, calls, time.monotonic() + 1.0)
+                               for seed, store in enumerate(stores)))
+        for store in stores:
+            await store.close()
+        return calls
+
+    calls = asyncio.run(run())
+    assert len(calls) > 10 and linearizable(calls)
+
+
+def test_the_stand_in_is_linearizable_through_elections_and_lost_answers() -> None:
+    engine = Engine()
+
+    async def faults() -> None:
+        for what, more in (
+            ("lose", {"kind": "txn", "count": 2}),
+            ("elect", {"member": 1}),
+            ("cut", {"a": 0, "b": 1}),
+            ("cut", {"a": 0, "b": 2}),
+            ("lose", {"kind": "txn", "count": 1}),
+            ("heal", {}),
+            ("elect", {"member": 2}),
+        ):
+            await asyncio.sleep(0.3)
+            await asyncio.to_thread(engine.do, what, **more)
+
+    async def run() -> list[Call]:
+        calls: list[Call] = []
+        names = [f"127.0.0.1:{port}" for port in engine.members]
+        stores = [EtcdStore(names[one:] + names[:one], 0.3) for one in range(3)]
+        await asyncio.gather(faults(), *(client(store, seed + 1, calls, time.monotonic() + 3.0)
+                                         for seed, store in enumerate(stores)))
+        for store in stores:
+            await store.close()
+        return calls
+
+    try:
+        calls = asyncio.run(run())
+    finally:
+        engine.stop()
+    assert len(calls) > 10 and linearizable(calls)
+
+
+def test_a_store_whose_thread_stands_still_ends_unknown_and_holds_up_nobody_else(tmp_path: Path) -> None:
+    async def run() -> tuple[object, float]:
+        one, other = SqliteStore(tmp_path / "store"), SqliteStore(tmp_path / "store")
+        await done(other.commit(put("a", b"1")))
+        one._thread.submit(time.sleep, 1.5)
+        began = time.monotonic()
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(one.read(""), 0.3)
+        await done(other.commit(put("a", b"2")))
+        took = time.monotonic() - began
+        await one.close()
+        await other.close()
+        return None, took
+
+    assert asyncio.run(run())[1] < 1.4, "the loop went on, and so did the other"
+
+
+def test_a_full_disk_ends_unknown_and_loses_nothing(tmp_path: Path) -> None:
+    async def work(store: SqliteStore) -> None:
+        await done(store.commit(put("a", b"1")))
+        assert store._base is not None
+        pages = store._base.execute("PRAGMA page_count").fetchone()[0]
+        store._base.execute(f"PRAGMA max_page_count={pages}")
+        full = await store.commit(put("b", random.Random(1).randbytes(200_000)))
+        assert isinstance(full, Unknown) and "full" in full.why
+        store._base.execute("PRAGMA max_page_count=100000")
+        assert [one.key for one in (await done(store.read(""))).entries] == ["a"]
+        await done(store.commit(put("b", b"2")))
+
+    at_store(tmp_path / "store", work)
