--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -94,6 +94,50 @@
     return rows
 
 
+def fresh_work(told: tuple[int, int, bool]) -> tuple[float, float, int]:
+    """Work that fresh nodes did in their first 10 s (ms of it), worth of the day, and cold rules broken."""
+    from coveport.lab import measures, oracle
+    from coveport.lab.bare.play import play_day
+    from coveport.lab.books import NodeIs, Ran
+    from coveport.lab.catalog import find
+    from coveport.lab.drawing import draw
+    from coveport.lab.scenario import load
+
+    copies, seed, warded = told
+    day = draw(load(find("fleet-join"), [f"fleet.sidecars={copies}"]), seed)
+    played = play_day(day, warded=warded)
+    born = {row.node: row.born for row in played.rows if isinstance(row, NodeIs) and row.born >= 0}
+    done = sum(1 for row in played.rows if isinstance(row, Ran) and row.node in born
+               and 0 <= row.at - born[row.node] <= 10_000)
+    breaches = oracle.judge(played.day, played.rows, grace=oracle.Grace.virtual())
+    outcome = measures.measure(played, name="join", variant="")
+    return done, outcome.service, sum(one.rule == "cold" for one in breaches)
+
+
+def warden(seeds: int) -> list[Row]:
+    """Fresh nodes' operations with a warden beside without, the same days, paired."""
+    from concurrent.futures import ProcessPoolExecutor
+
+    rows: list[Row] = []
+    with ProcessPoolExecutor() as pool:
+        for copies in (40, 200):
+            on = list(pool.map(fresh_work, [(copies, seed, True) for seed in range(seeds)]))
+            off = list(pool.map(fresh_work, [(copies, seed, False) for seed in range(seeds)]))
+            ratios = [a[0] / b[0] for a, b in zip(on, off, strict=True) if b[0]]
+            worth = [a[1] - b[1] for a, b in zip(on, off, strict=True)]
+            half = [1.96 * statistics.stdev(line) / len(line) ** 0.5 for line in (ratios, worth)]
+            rows.append(
+                {
+                    "copies": copies,
+                    "fresh_work_on/off": f"{statistics.mean(ratios):.3f} ± {half[0]:.3f}",
+                    "service_on-off": f"{statistics.mean(worth):+.4f} ± {half[1]:.4f}",
+                    "cold_broken_on": sum(one[2] for one in on),
+                    "cold_broken_off": sum(one[2] for one in off),
+                }
+            )
+    return rows
+
+
 def used(one: Running) -> tuple[float, float]:
     """CPU in s, and memory in MiB, of an instance's process."""
     assert one.process is not None
@@ -104,7 +148,7 @@
 
 
 async def real_at(instances: int, store: str) -> Row:
-    """A fleet of processes with nothing to serve: what keeping its session costs, then a SIGTERM and a kill."""
+    """A fleet with nothing to serve: what keeping its session costs, then a SIGTERM and a kill."""
     with tempfile.TemporaryDirectory() as folder:
         async with RealTrial(Path(folder), Trial(instances=instances), store=store) as one:
             holder = await one.held("drill", 30)
@@ -146,7 +190,7 @@
     reader = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
-    reader.add_argument("what", choices=("gaps", "calls", "rollout", "real"))
+    reader.add_argument("what", choices=("gaps", "calls", "rollout", "warden", "real"))
     reader.add_argument("--seeds", type=int, default=20)
     reader.add_argument("--instances", type=int, default=5)
     reader.add_argument("--json", action="store_true")
@@ -154,7 +198,8 @@
     if told.what == "real":
         rows = [asyncio.run(real_at(told.instances, store)) for store in ("sqlite", "etcd")]
     else:
-        rows = {"gaps": lambda: gaps(told.seeds), "calls": calls, "rollout": rollout}[told.what]()
+        rows = {"gaps": lambda: gaps(told.seeds), "calls": calls, "rollout": rollout,
+                "warden": lambda: warden(told.seeds)}[told.what]()
     if told.json:
         print(json.dumps(rows, indent=2))
         return 0
--- a/coveport/lab/bare/play.py
+++ b/coveport/lab/bare/play.py
@@ -16,6 +16,7 @@
 from coveport.lab.bare.nodes import BareNode
 from coveport.lab.bare.sidecars import BareSidecar
 from coveport.lab.bare.tills import Tills, Try
+from coveport.lab.bare.warded import Life, Warded
 from coveport.lab.books import Books
 from coveport.lab.conductor import write_faults
 from coveport.lab.day import NETWORK_CHANGES, NODE_CHANGES, Change, Day
@@ -53,6 +54,10 @@
                                      self.tills.answered, self.tills.broke, balancer)
                          for drawn in day.sidecars]
 
+    def lives(self) -> list[tuple[str, Life]]:
+        """Name and life of each sidecar that takes operations."""
+        return [(f"s{number}", one.run) for number, one in enumerate(self.sidecars) if one.run is not None]
+
     def _tell(self, number: int, update: api.ListUpdate) -> None:
         self.sidecars[number].told(update)
 
@@ -101,14 +106,19 @@
 
 
 def play_day(day: Day, *, progress: Callable[[float], None] | None = None,
-             balancer: Callable[[api.Settings, int], Balancer] = Balancer) -> Played:
-    """Play a day; `balancer` makes the module's instances. BareError where it holds what can't be played."""
+             balancer: Callable[[api.Settings, int], Balancer] = Balancer, warded: bool = False) -> Played:
+    """Play a day; `balancer` makes the module's instances. BareError where it holds what can't be played.
+
+    `warded`: a warden in each zone shares out what fresh nodes bear.
+    """
     strange = sorted({change.what for change in day.changes} - PLAYED)
     if strange or day.scenario.discovery.asked:
         what = ", ".join(strange) or "a discovery that must be asked"
         raise BareError(f"bare ground does not play {what}; take virtual ground")
     began = time.perf_counter()
     play = _Play(day, balancer)
+    if warded:
+        Warded(play, play.sidecars[0].settings.rules, len(day.scenario.fleet.zones))
     write_faults(day, play.books)
     gc.collect()
     gc.freeze()
--- a/coveport/lab/bare/sidecars.py
+++ b/coveport/lab/bare/sidecars.py
@@ -116,7 +116,7 @@
         self._numbers: dict[str, int] = {}  # of open operations, by id
         self.flights: dict[tuple[int, int], _Flight] = {}
         self._idle: dict[int, list[Link]] = {}
-        self._came = 0
+        self.came = 0  # operations
         self._idle_ms = _low(day.scenario.fleet.idle_s) * 1000 * IDLE_SHARE
         self._connect_ms = connect_timeout_ms(settings)
 
@@ -128,11 +128,11 @@
 
     def take(self, one: Try, key: str) -> None:
         """An operation has come."""
-        self._came += 1
-        self.open[self._came] = one, key
-        self._numbers[one.op] = self._came
+        self.came += 1
+        self.open[self.came] = one, key
+        self._numbers[one.op] = self.came
         deadline = self.agenda.now + one.patience + EPOCH_MS
-        self.feed(core.OperationCame(self._came, one.wish.cls, deadline, one.number > 0, id=one.op))
+        self.feed(core.OperationCame(self.came, one.wish.cls, deadline, one.number > 0, id=one.op))
 
     def gone(self, one: Try) -> None:
         """Its till has left."""
--- a/coveport/lab/trials/judge.py
+++ b/coveport/lab/trials/judge.py
@@ -10,6 +10,8 @@
     once       a duty's steps follow each other without a gap, and none was done twice
     lost       what a duty kept is what its steps came to; no successor began anew
     again      each duty is held by somebody a stated time after the last fault
+    tenths     a roll-out takes a further step only when all of the last that are there run it, and none twice
+    flood      what fresh nodes were sent on grants stays under their part of the safe load in any window
     crash      no instance ended by a fault of its own
 """
 
@@ -20,6 +22,10 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
+import msgspec
+
+from coveport.duties.rollout import Plan, fares_of
+from coveport.duties.warden import PART, Safe
 from coveport.lab.trials.history import Histories, Record
 from coveport.leases.store import Change, Entry
 
@@ -173,6 +179,52 @@
     return found
 
 
+def rollouts(book: Iterable[tuple[float, Change]], prefix: str = "coveport/") -> list[Finding]:
+    """Rule `tenths`: by the plan as the store had it, and what instances had told of themselves by then."""
+    found: list[Finding] = []
+    there: dict[str, Entry] = {}
+    before: Plan | None = None
+    for at, change in book:
+        key = change.key.removeprefix(prefix)
+        if key != "state/rollout" or change.entry is None:
+            if change.entry is None:
+                there.pop(key, None)
+            else:
+                there[key] = change.entry
+            continue
+        plan = msgspec.json.decode(change.entry.value, type=Plan)
+        if before is not None and before.new == plan.new and plan.done != before.done:
+            if plan.done != before.done + 1:
+                found.append(Finding("tenths", at, f"step {plan.done} after step {before.done}"))
+            late = [
+                name for name, one in fares_of(there).items() if name in before.given and one.runs != plan.new
+            ]
+            if late:
+                found.append(
+                    Finding("tenths", at, f"step {plan.done} while {late[0]} has not taken the one before")
+                )
+        before = plan
+    return found
+
+
+def floods(histories: Histories, born: float, service_s: float, safe: Safe) -> list[Finding]:
+    """Rule `flood`: what was sent on grants, all instances together."""
+    used = [(one.at, one.number("count")) for one in histories.of("used")]
+    found = []
+    for begin, _ in used:
+        came = sum(count for at, count in used if begin <= at <= begin + safe.fall_s)
+        bears = PART * safe.operations(begin - born, service_s)
+        if came > bears:
+            found.append(
+                Finding(
+                    "flood",
+                    begin,
+                    f"{came} operations in {safe.fall_s:g} s on grants; {bears:.0f} are their part",
+                )
+            )
+    return found
+
+
 def overlaps(held: Iterable[Belief], allowed_s: float) -> list[Finding]:
     """Rule `overlap`: by at most so much, which clocks within their drift can't bring about."""
     found, by_duty = [], defaultdict[str, list[Belief]](list)
--- /dev/null
+++ b/coveport/lab/trials/parts.py
@@ -0,0 +1,84 @@
+"""What an instance of a simulated trial does beside holding: it follows roll-outs and uses grants.
+
+The pure halves are the shipped ones; what the daemon does around them with sockets is left out, and what a
+grant allows is used at the worst moment: all at once, at a time drawn from as long as the grant may be
+used.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+
+from coveport.duties.rollout import Follower
+from coveport.duties.warden import GRANT, NEED, Granted, Safe
+from coveport.leases.holder import Session
+from coveport.leases.keeper import History, Keeper
+from coveport.leases.store import Entry
+
+SAFE = Safe()
+SERVICE_S, RATE = 0.02, 400.0  # of an operation; first tries a second, more than there are grants for
+NODE, BORN_S = "n", 4.0  # the fresh node, and when in the trial it starts
+WISH_S = 0.25
+BAD = "bad"  # settings with this word in them can't be taken
+
+
+class Part:
+    """One instance's part in others' duties."""
+
+    def __init__(self, keeper: Keeper, name: str, incarnation: str, duties: tuple[str, ...],
+                 now_s: Callable[[], float], world_s: Callable[[], float], history: History,
+                 chance: random.Random) -> None:
+        self._keeper, self._name, self._incarnation, self._duties = keeper, name, incarnation, duties
+        self._now_s, self._world_s, self._history, self._chance = now_s, world_s, history, chance
+        self._follower, self._granted = Follower(name), Granted(incarnation)
+        self._tasks: list[asyncio.Task[None]] = []
+        keeper.on_change = self._changed
+
+    def start(self) -> None:
+        """Begin; there is a running loop."""
+        self._keeper.tell(self._follower.fares(self._incarnation, 1.0, 100))
+        self._keeper.start()
+        if "warden@0" in self._duties:
+            self._tasks.append(asyncio.ensure_future(self._wish()))
+
+    def _changed(self, key: str, entry: Entry | None) -> None:
+        if key.startswith(("want/", "settings/")):
+            self._follow()
+        elif key == f"{GRANT}0/{self._name}":
+            taken = self._granted.take(self._now_s(), "0", entry)
+            if taken is not None and taken[1].get(NODE):
+                self._tasks.append(asyncio.ensure_future(self._use(taken[0], taken[1][NODE])))
+
+    def _follow(self) -> None:
+        wanted = self._follower.wanted(self._keeper.entries)
+        if wanted is None:
+            return
+        if wanted[1] is not None and BAD in wanted[1]:
+            self._follower.could_not(wanted[0], "it is bad")
+        else:
+            self._follower.took(wanted[0])
+            self._history("runs", settings=wanted[0])
+        self._keeper.tell(self._follower.fares(self._incarnation, 1.0, 100))
+
+    async def _wish(self) -> None:
+        while True:
+            await asyncio.sleep(WISH_S)
+            age = self._world_s() - BORN_S
+            if 0 <= age < SAFE.warm_after_s and self._keeper.holder.session in (Session.IN, Session.WARY):
+                wish = self._granted.wish(self._now_s(), RATE, SERVICE_S, {NODE: (0, age)})
+                if wish is not None:
+                    self._keeper.put(NEED + self._name, wish)
+
+    async def _use(self, until: float, count: int) -> None:
+        await asyncio.sleep(max(0.0, until - self._now_s()) * self._chance.random())
+        if self._now_s() < until:
+            self._history("used", node=NODE, count=count)
+
+
+def rollout_word(number: int, bad: bool) -> bytes:
+    """What staff ask for: other settings each time."""
+    settings = json.dumps({"number": number, "is": BAD if bad else "good"})
+    return json.dumps({"do": "start", "settings": settings, "by": "staff"}).encode()
--- a/coveport/lab/trials/schedules.py
+++ b/coveport/lab/trials/schedules.py
@@ -12,6 +12,7 @@
 CHAINED = 0.4  # share that follow another, at whom that hit
 CHAIN = ("cut", "cut_out", "cut_back", "stall", "sleep", "kill")
 FEW = 10  # instances, up to which acts come often
+STAFF = ("rollout", "rollout-bad")  # what staff ask for in the middle of it all
 HOLDER = "holder"  # whoever holds the (first) duty at that moment
 
 
@@ -100,14 +101,16 @@
             drawn.append(Fault(round(at + 0.01, 3), "yield", HOLDER))  # else nobody claims for a long while
         drawn.append(Fault(at, kind, target, round(lasts, 3),
                            round(chance.uniform(0.05, 0.9), 2)))
+    duties: tuple[str, ...] = ("drill",)
+    kind_of = chance.random()
+    if kind_of < 0.3:
+        duties = ("drill", "rollout")
+        drawn += [Fault(round(chance.uniform(2.0, over_s), 3), chance.choice(STAFF)) for _ in range(2)]
+    elif kind_of < 0.6:
+        duties = ("drill", "warden@0")
     # Every act is told to all that watch: with many instances fewer of them show as much.
-    return Trial(
-        instances=instances,
-        ttl_s=ttl_s,
-        drill_s=0.1 if instances <= FEW else 0.5,
-        faults=tuple(sorted(drawn, key=lambda one: one.at_s)),
-        wild_clocks=chance.random() < wild,
-    )
+    return Trial(instances=instances, ttl_s=ttl_s, duties=duties, drill_s=0.1 if instances <= FEW else 0.5,
+                 faults=tuple(sorted(drawn, key=lambda one: one.at_s)), wild_clocks=chance.random() < wild)
 
 
 def without(trial: Trial, number: int) -> Trial:
--- a/coveport/lab/trials/variants.py
+++ b/coveport/lab/trials/variants.py
@@ -10,8 +10,11 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from coveport.duties.drill import Drill
 from coveport.duties.duty import Runner, Step
+from coveport.duties.warden import Books, Warden
 from coveport.leases.holder import Effect, Holder, Session, State, Terms
 from coveport.leases.keeper import DUTY, STATE, Keeper
 from coveport.leases.store import Compare, Delete, Done, Entry, Outcome, Put, Refused, Transaction, Unknown
@@ -28,6 +31,7 @@
     keeper: type[Keeper] = Keeper
     runner: type[Runner] = Runner
     drill: Callable[[str], Drill] = Drill
+    warden: Callable[..., Warden] = Warden
     clock_stops: bool = False  # its clock stands still while its machine sleeps
 
 
@@ -233,6 +237,27 @@
         pass
 
 
+class _ForgetsWhatWasGranted(Warden):
+    """A successor that counts nothing of its predecessor's as in use."""
+
+    def decide(self, now: float, state: bytes | None, entries: Mapping[str, Entry]) -> Step | None:
+        if state is not None:
+            books = msgspec.json.decode(state, type=Books)
+            if books.by != self._by:
+                state = msgspec.json.encode(Books(books.by, books.step))
+        return super().decide(now, state, entries)
+
+
+class _GrantsWithoutEnd(Warden):
+    """Counts what it granted as used up at once."""
+
+    def decide(self, now: float, state: bytes | None, entries: Mapping[str, Entry]) -> Step | None:
+        if state is not None:
+            books = msgspec.json.decode(state, type=Books)
+            state = msgspec.json.encode(Books(books.by, books.step, {}, books.answered))
+        return super().decide(now, state, entries)
+
+
 SOUND = Variant("sound", "the shipped program")
 
 VARIANTS: dict[str, Variant] = {
@@ -309,6 +334,10 @@
             ("once", "lost"),
             runner=_ReadsTooEarly,
         ),
-        Variant("forgets-grants", "a successor begins anew", ("lost", "once"), drill=_ForgetsGrants),
+        Variant("forgets-what-was-granted", "a warden that takes over counts nothing as in use", ("flood",),
+            warden=_ForgetsWhatWasGranted),
+    Variant("grants-without-end", "a warden counts what it granted as used up", ("flood",),
+            warden=_GrantsWithoutEnd),
+    Variant("forgets-grants", "a successor begins anew", ("lost", "once"), drill=_ForgetsGrants),
     )
 }
--- a/coveport/lab/trials/virtual.py
+++ b/coveport/lab/trials/virtual.py
@@ -11,14 +11,17 @@
 from functools import partial
 
 from coveport.duties.duty import Duty, Runner
+from coveport.duties.rollout import ASK, Rollout
 from coveport.lab.trials import judge
 from coveport.lab.trials.history import Histories, Record
+from coveport.lab.trials.parts import BORN_S, SAFE, SERVICE_S, Part, rollout_word
 from coveport.lab.trials.schedules import HOLDER, TRAPS, Fault, Trial
 from coveport.lab.trials.simstore import Host, SimStore, Trap, Way
 from coveport.lab.trials.variants import SOUND, Variant
 from coveport.lab.virtual.world import Process, World
 from coveport.leases.holder import Session, Terms
 from coveport.leases.keeper import Keeper
+from coveport.leases.store import Put, Transaction
 
 START_S = 1000.0  # the world's time when a trial begins
 LET_GO_S = 1.5  # a planned end may take so long
@@ -94,12 +97,15 @@
                                      chance=chance, holder=self.variant.holder)
         drill = self.variant.drill(incarnation)
         drill.every_s = self.trial.drill_s
-        duties: dict[str, Duty] = {"drill": drill}
+        duties: dict[str, Duty] = {"drill": drill, "rollout": Rollout(hold_s=1.0, apply_s=20.0),
+                                   "warden@0": self.variant.warden(0, incarnation, SAFE, self.trial.drift)}
         runners = {name: self.variant.runner(keeper, duties[name], now_s) for name in self.trial.duties}
         keeper.on_began = lambda duty, token: runners[duty].began(token)
         keeper.on_ended = lambda duty, token, why: runners[duty].ended()
         one.keeper, one.runners = keeper, list(runners.values())
-        process.call_soon(keeper.start)
+        part = Part(keeper, f"s{one.number}", incarnation, self.trial.duties, now_s,
+                    lambda: self.world.now - START_S, history, chance)
+        process.call_soon(part.start)
 
     def end(self, one: _Instance) -> None:
         """Its process is gone."""
@@ -148,6 +154,9 @@
         elif kind in TRAPS:
             call, _, how = kind.partition("-")
             self.host.traps.append(Trap(call, how, fault.lasts_s))
+        elif kind.startswith("rollout"):
+            word = rollout_word(int(fault.at_s * 1000), kind == "rollout-bad")
+            self.host.engine.commit(self.host.now(), Transaction((), (Put("coveport/" + ASK, word),)))
         elif kind == "compact":
             self.host.engine.compact(self.host.engine.revision)
         elif kind in ("halves", "lose_answers"):
@@ -229,6 +238,10 @@
         findings = judge.order(acts) + judge.told(self.histories, acts)
         if "drill" in trial.duties:
             findings += judge.steps(acts)
+        if "rollout" in trial.duties:
+            findings += judge.rollouts((at / self.host.rate, change) for at, change in self.host.engine.book)
+        if "warden@0" in trial.duties and not trial.wild_clocks:
+            findings += judge.floods(self.histories, START_S + BORN_S, SERVICE_S, SAFE)
         if not trial.wild_clocks:
             findings += judge.overlaps(held, 0.0)
             findings += judge.again(held, trial.duties, calm_from, trial.again_s, end)
--- a/tests/lab/test_trials.py
+++ b/tests/lab/test_trials.py
@@ -4,8 +4,10 @@
 
 from pathlib import Path
 
+import msgspec
 import pytest
 
+from coveport.duties.rollout import Phase, Plan
 from coveport.lab import catalog
 from coveport.lab.scenario import ScenarioError
 from coveport.lab.trials import judge
@@ -22,13 +24,30 @@
     return Trial(faults=faults, **more)  # type: ignore[arg-type]
 
 
-@pytest.mark.parametrize("fault", [
-    Fault(10, "kill", HOLDER, 5), Fault(10, "stall", HOLDER, 20), Fault(10, "sleep", HOLDER, 20),
-    Fault(10, "cut", HOLDER, 10), Fault(10, "cut_out", HOLDER, 10), Fault(10, "cut_back", HOLDER, 10),
-    Fault(10, "act-stall", "", 20), Fault(10, "keep-stall", "", 20), Fault(10, "act-late", "", 20),
-    Fault(10, "act-unheard"), Fault(10, "leave", HOLDER, 3), Fault(10, "store_away", "", 60),
-    Fault(10, "store_stall", "", 10), Fault(10, "halves", "", 10), Fault(10, "unwell", HOLDER, 30),
-    Fault(10, "double", HOLDER, 20, 0.9), Fault(10, "late", HOLDER, 20, 0.5)], ids=lambda one: one.kind)
+@pytest.mark.parametrize(
+    "fault",
+    [
+        Fault(10, "kill", HOLDER, 5),
+        Fault(10, "stall", HOLDER, 20),
+        Fault(10, "sleep", HOLDER, 20),
+        Fault(10, "cut", HOLDER, 10),
+        Fault(10, "cut_out", HOLDER, 10),
+        Fault(10, "cut_back", HOLDER, 10),
+        Fault(10, "act-stall", "", 20),
+        Fault(10, "keep-stall", "", 20),
+        Fault(10, "act-late", "", 20),
+        Fault(10, "store_away", "", 3600),
+        Fault(10, "act-unheard"),
+        Fault(10, "leave", HOLDER, 3),
+        Fault(10, "store_away", "", 60),
+        Fault(10, "store_stall", "", 10),
+        Fault(10, "halves", "", 10),
+        Fault(10, "unwell", HOLDER, 30),
+        Fault(10, "double", HOLDER, 20, 0.9),
+        Fault(10, "late", HOLDER, 20, 0.5),
+    ],
+    ids=lambda one: f"{one.kind}-{one.lasts_s:g}",
+)
 @pytest.mark.parametrize("instances", [5, 40])
 def test_each_fault_by_itself_harms_nobody(fault: Fault, instances: int) -> None:
     played = play(trial(fault, instances=instances), 1)
@@ -86,6 +105,25 @@
     assert [found for _, found in hunt(seeds, workers=1) if found] == []
 
 
+def test_a_roll_out_goes_through_whoever_holds_it_and_a_bad_one_goes_back() -> None:
+    faults = (Fault(5.0, "rollout"), Fault(7.0, "kill", HOLDER, 3.0), Fault(40.0, "rollout-bad"),
+              Fault(41.0, "stall", HOLDER, 8.0))
+    played = play(trial(*faults, duties=("rollout", "drill"), calm_s=30.0), 4)
+    assert played.findings == []
+    plans = [msgspec.json.decode(act.state, type=Plan) for act in played.acts if act.duty == "rollout"]
+    assert [plan.phase for plan in plans if plan.phase.value in ("done", "undone")] == [
+        Phase.DONE,
+        Phase.UNDONE,
+    ]
+    assert len({record.instance for record in played.histories.of("runs")}) == 5
+
+
+def test_grants_are_given_and_used_and_the_node_is_not_flooded() -> None:
+    played = play(trial(Fault(6.0, "kill", HOLDER, 3.0), duties=("warden@0", "drill")), 2)
+    assert played.findings == []
+    assert sum(record.number("count") for record in played.histories.of("used")) > 100
+
+
 def test_the_same_seed_gives_the_same_records() -> None:
     one, other = (play(draw(11), 11) for _ in range(2))
     assert one.histories.records == other.histories.records and one.calls == other.calls
