What is written in the turn in which a session ends is bound to a lease, or not written

Seen by reading: keeper.put and _put_fares took the lease when their task began, a turn after the session was looked at.

Also: trials judge that who is well is in session at the end; at SQLite an instance looks for changes twenty times a second where there were none lately, fifty where there were. Two tests of processes waited for a holder where they needed all in session (failed once with six workers): they wait for that now.

--- a/coveport/lab/trials/real.py
+++ b/coveport/lab/trials/real.py
@@ -307,6 +307,16 @@
         assert one is not None
         return one
 
+    async def all_in(self, within_s: float) -> None:
+        """Wait until every process that runs now has a session of its own."""
+        def there() -> bool:
+            came = {(one.instance, one.incarnation) for one in self.histories().of("in")}
+            return all(
+                sum(name == one.name for name, _ in came) >= one.lives for one in self.instances if one.alive
+            )
+
+        await self.until(there, within_s, "all to be in session")
+
     def target(self, fault: Fault) -> Running:
         """Whom a fault hits."""
         if fault.target == HOLDER:
--- a/coveport/lab/trials/virtual.py
+++ b/coveport/lab/trials/virtual.py
@@ -67,6 +67,7 @@
         self.deaths: dict[str, float] = {}
         self.faults: list[str] = []
         self.calls: dict[str, int] = {}
+        self.out: list[str] = []  # who is not in session at the end
         self.instances = [_Instance(number, self._rate(), Way(), Process.start(self.world, f"s{number}"))
                           for number in range(trial.instances)]
 
@@ -127,6 +128,9 @@
         for fault in self.trial.faults:
             self.world.at(START_S + fault.at_s, self.strike, fault)
         self.world.run(START_S + self.trial.lasts_s)
+        self.out = [f"s{one.number} is {one.keeper.holder.session.value} at the end" for one in self.instances
+                    if one.keeper is not None and one.process.alive
+                    and one.keeper.holder.session not in (Session.IN, Session.WARY)]
         for one in self.instances:
             self.end(one)
 
@@ -245,6 +249,8 @@
         if not trial.wild_clocks:
             findings += judge.overlaps(held, 0.0)
             findings += judge.again(held, trial.duties, calm_from, trial.again_s, end)
+            # Another may hold it all the while: whoever is well must be in again all the same.
+            findings += [judge.Finding("again", end, what) for what in self.out]
         findings += [judge.Finding("crash", end, what) for what in self.faults]
         findings += [judge.Finding("crash", end, f"s{one.number} is estranged") for one in self.instances
                      if one.keeper is not None and one.keeper.holder.session is Session.ESTRANGED]
--- a/coveport/leases/keeper.py
+++ b/coveport/leases/keeper.py
@@ -161,9 +161,12 @@
 
     async def _put_all(self, key: str) -> None:
         while key in self._puts:
-            value = self._puts[key]
+            value, lease = self._puts[key], self.holder.lease
+            if not lease:
+                del self._puts[key]  # the session ended in this very turn: unbound it would stand for ever
+                return
             await self._call("put", self._store.commit(
-                Transaction((), (Put(self._prefix + key, value, self.holder.lease),))))
+                Transaction((), (Put(self._prefix + key, value, lease),))))
             if self._puts.get(key) is value:
                 del self._puts[key]
 
@@ -373,6 +376,11 @@
     async def _put_fares(self) -> None:
         key, written = self._prefix + INSTANCE + self.name, self._fares
         lease = self.holder.lease
+        if not lease:
+            # Guards against a session that ended in this very turn: unbound, our name would be taken for
+            # ever, by ourselves. The next arrival writes it.
+            self._fares_out = False
+            return
         # Bound to our lease: refused where that is gone, so it never outlives us.
         outcome = await self._call("fares", self._store.commit(Transaction((), (Put(key, written, lease),))))
         self._fares_out = False
--- a/coveport/leases/sqlite.py
+++ b/coveport/leases/sqlite.py
@@ -45,7 +45,8 @@
 HISTORY = 4096  # revisions that a watch can look back
 LOCK_S = 1.0  # how long a call queues before the file until its end is unknown
 LOCK_STEPS_S = (0.0005, 0.004)  # between two looks at the lock, drawn so that none comes in step
-WATCH_S = 0.02  # between two looks for changes: a page of memory, no call to the disk while nothing changed
+WATCH_S, IDLE_WATCH_S = 0.02, 0.05  # between two looks for changes, while there were some lately and else:
+LATELY_S = 0.5  # a look is a turn of the thread, and forty instances on one host pay for forty of them
 
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS about (name TEXT PRIMARY KEY, value TEXT NOT NULL) WITHOUT ROWID;
@@ -157,7 +158,7 @@
 
     async def watch(self, prefix: str, after: int) -> AsyncIterator[Sequence[Change]]:
         """Changes after a revision, by looking at the file."""
-        seen, version = after, -1
+        seen, version, changed_at = after, -1, self._now_s()
 
         def job(base: sqlite3.Connection) -> tuple[int, int, list[Change]]:
             first = base.execute("SELECT min(until_s) FROM leases").fetchone()[0]
@@ -178,9 +179,11 @@
             except (OSError, sqlite3.Error, TimeoutError) as problem:
                 raise WatchLostError(str(problem)) from problem
             seen = max(seen, revision)
+            now = self._now_s()
             if changes:
+                changed_at = now
                 yield changes
-            await asyncio.sleep(WATCH_S)
+            await asyncio.sleep(WATCH_S if now - changed_at < LATELY_S else IDLE_WATCH_S)
 
     async def close(self) -> None:
         """Close the file and end the thread."""
--- a/tests/lab/test_duties_real.py
+++ b/tests/lab/test_duties_real.py
@@ -69,6 +69,7 @@
 def test_a_roll_out_goes_on_when_its_holder_goes_in_the_middle_and_no_step_is_done_twice(
         tmp_path: Path, how: str) -> None:
     async def work(one: RealTrial) -> None:
+        await one.all_in(LONG)
         first = await one.held("rollout", LONG)
         done = await asyncio.to_thread(
             staff, one, "rollout", "start", str(changed(tmp_path / "n", aim_ms=450))
@@ -108,6 +109,7 @@
             one.kill(instance)
             one.start(instance)
         await one.until(lambda: all(one.serves(instance) for instance in one.instances), LONG, "all to serve")
+        await one.all_in(LONG)  # a plan is made of those that are there
         await one.held("rollout", LONG)
         done = await asyncio.to_thread(
             staff, one, "rollout", "start", str(changed(tmp_path / "n", aim_ms=450))
@@ -146,7 +148,8 @@
 
 def test_one_looks_at_each_node_and_all_hear_that_it_is_gone(tmp_path: Path) -> None:
     async def work(one: RealTrial) -> None:
-        await asyncio.sleep(4.0)
+        await one.all_in(LONG)
+        await asyncio.sleep(2.0)
         before = [node.probes for node in one.town.nodes]
         await asyncio.sleep(3.0)
         after = [node.probes for node in one.town.nodes]
--- a/tests/lab/test_trials_real.py
+++ b/tests/lab/test_trials_real.py
@@ -108,6 +108,7 @@
     async def work(one: RealTrial) -> None:
         assert one.engine is not None
         await one.held("drill", LONG)
+        await one.all_in(LONG)  # who knows nothing of before can't tell
         one.engine.do("save")
         acts = len(judge.accepted(one.book()))
         await one.until(lambda: len(judge.accepted(one.book())) > acts + 5, LONG, "acts after the backup")
--- /dev/null
+++ b/tests/leases/test_keeper.py
@@ -0,0 +1,44 @@
+"""The keeper on simulated time: what it writes under its name goes with its session."""
+
+from __future__ import annotations
+
+import random
+
+from coveport.lab.trials.simstore import Host, SimStore, Way
+from coveport.lab.virtual.world import Process, World
+from coveport.leases.holder import Session, Terms
+from coveport.leases.keeper import Keeper
+
+
+def test_what_is_written_as_the_session_ends_is_bound_to_a_lease_or_not_written() -> None:
+    """Told and over in the same turn: unbound, a name would be taken for ever."""
+    world = World()
+    host, process = Host(world), Process.start(world, "one")
+    host.start()
+    keeper = Keeper(
+        SimStore(process, host, Way(), random.Random(1)),
+        name="s0",
+        incarnation="s0#1",
+        duties=("d",),
+        terms=Terms(3.0, 0.2, 0.02),
+        now_s=lambda: world.now,
+        history=lambda event, **fields: None,
+        chance=random.Random(1),
+    )
+    process.call_soon(keeper.start)
+    world.run(world.now + 2)
+    assert keeper.holder.session is Session.IN
+
+    def both() -> None:
+        keeper.put("look/n", b"seen")
+        keeper.tell(b'{"runs": "x"}')
+        keeper.holder._asked = -1e9  # as after a stall far beyond the lease
+        keeper._wake()
+        assert keeper.holder.session is Session.OUT
+
+    process.call_soon(both)
+    world.run(world.now + 1)
+    assert all(one.lease for key, one in host.engine.entries.items() if not key.startswith("coveport/state/"))
+    world.run(world.now + 10)
+    assert keeper.holder.session is Session.IN
+    assert host.engine.entries["coveport/instance/s0"].value == b'{"runs": "x"}'
