A trial waits for the word of the process that runs now, not for as many words as lives

Looked at: the instances' histories. s2 had one line 'in' and two lives, and was in session all along; the store, the name it waited for (s1 beside it waited two seconds and came in) and the keeper were fine. Cause: coveport/lab/trials/real.py, all_in and serves counted lines against lives. A process that is killed before it was in leaves no such line, so the count is short for ever. Change: both look at what was written since the present process was started.

--- a/coveport/lab/trials/real.py
+++ b/coveport/lab/trials/real.py
@@ -96,7 +96,8 @@
     discovery: Discovery = field(default_factory=Discovery)  # tells it of the nodes by way of its relays
     discovery_relay: Relay | None = None
     process: subprocess.Popen[bytes] | None = None
-    lives: int = 0
+    started_at: float = 0.0  # boot clock: before its process was
+    logged: int = 0  # bytes of the log that earlier processes wrote
 
     @property
     def name(self) -> str:
@@ -232,16 +233,16 @@
 
     def start(self, one: Running) -> None:
         """A process of its name."""
-        one.lives += 1
         with open(one.folder / "log", "ab") as log:
+            one.started_at, one.logged = boot_s(), log.tell()
             one.process = subprocess.Popen(
                 [sys.executable, "-m", "coveport", "run", "--config", str(one.folder / "coveport.toml")],
                 stdout=log, stderr=log, env=os.environ | {"LB_CONFIG": ""})
 
     def serves(self, one: Running) -> bool:
         """Whether it says that it serves; by its log, so that nothing is asked of it."""
-        path = one.folder / "log"
-        return path.exists() and path.read_text(errors="replace").count(f"{one.name}: serving") >= one.lives
+        log = (one.folder / "log").read_bytes() if (one.folder / "log").exists() else b""
+        return f"{one.name}: serving".encode() in log[one.logged:]
 
     async def until(self, what: Callable[[], object], within_s: float, for_what: str) -> None:
         """Wait; TrialError where it does not come."""
@@ -310,10 +311,9 @@
     async def all_in(self, within_s: float) -> None:
         """Wait until every process that runs now has a session of its own."""
         def there() -> bool:
-            came = {(one.instance, one.incarnation) for one in self.histories().of("in")}
-            return all(
-                sum(name == one.name for name, _ in came) >= one.lives for one in self.instances if one.alive
-            )
+            # By when it came, not by how often: one that was killed before it was in leaves no word of itself.
+            came = {one.instance: one.at for one in self.histories().of("in")}
+            return all(came.get(one.name, 0.0) >= one.started_at for one in self.instances if one.alive)
 
         await self.until(there, within_s, "all to be in session")
 
