--- a/coveport/lab/trials/real.py
+++ b/coveport/lab/trials/real.py
@@ -311,7 +311,7 @@
     async def all_in(self, within_s: float) -> None:
         """Wait until every process that runs now has a session of its own."""
         def there() -> bool:
-            # By when it came, not by how often: one that was killed before it was in leaves no word of itself.
+            # By when it came, not how often: one that was killed before it was in leaves no word of itself.
             came = {one.instance: one.at for one in self.histories().of("in")}
             return all(came.get(one.name, 0.0) >= one.started_at for one in self.instances if one.alive)
 
