Attempts made before, a seam for records, and a fence right before an attempt's first byte

Need: work in hand that another takes over brings attempts with it (they count against the tries, hold it to its cell and window), is to be durable before its first byte, and must not be sent late by an owner that stood still meanwhile. Ruled out: a check in effects alone: the connect stands between it and the bytes, for up to its time-out.

--- a/coveport/core/messages.py
+++ b/coveport/core/messages.py
@@ -34,6 +34,7 @@
     room: bool = True  # False: more has come than we can hold
     id: str = ""  # what the client calls it; empty: nothing
     long: bool = False  # its body is still coming: no deadline holds until `BodyCame`
+    before: tuple[api.Before, ...] = ()  # attempts that were made already; they bear the steps from 0 on
 
 
 @dataclass(slots=True)
--- a/coveport/core/operation.py
+++ b/coveport/core/operation.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from coveport.core.streams import Upload
+from micaflow.interface import Before
 
 
 @dataclass(slots=True)
@@ -24,6 +25,7 @@
     accept: tuple[str, ...] = ()
     room: bool = True  # False: there are more clients than we can hold
     upload: Upload | None = None  # its body, where that is long; `body` is empty then
+    before: tuple[Before, ...] = ()  # attempts that were made for it already, by whomever
 
 
 @dataclass(slots=True)
--- a/coveport/core/reducer.py
+++ b/coveport/core/reducer.py
@@ -102,6 +102,11 @@
         return {host.id: (host.zone, self._now - host.cold_at) for host in self._balancer.hosts.values()
                 if self._now - host.cold_at < warm}
 
+    def place_of(self, destination: int) -> tuple[int, int]:
+        """Zone and cell of a destination; -1 both where it is not known any more."""
+        host = self._balancer.hosts.get(destination)
+        return (host.zone, host.cell) if host is not None else (-1, -1)
+
     @property
     def tables(self) -> dict[str, int]:
         """How many entries each table has, the module's included; all but `hosts` come back to nothing."""
@@ -165,10 +170,11 @@
         self._ids.add(item.id)
         operation = self._operations[item.operation] = _Operation(item.deadline_ms, item.id,
                                                                    self._settings.limits.max_attempts)
+        operation.steps.extend(_Step(-1, one.sent_ms, out=False) for one in item.before)
         if not item.long:
             self._guard(item.operation, operation)
         told = self._tell(api.Request(item.operation, item.deadline_ms, item.cls, 0, item.cost_ms,
-                                      repeat=item.repeat, long=item.long))
+                                      repeat=item.repeat, long=item.long, before=item.before))
         self._settle(item.operation, operation, told)
 
     def _guard(self, number: int, operation: _Operation) -> None:
--- a/coveport/http1/links.py
+++ b/coveport/http1/links.py
@@ -95,6 +95,9 @@
         """Send a route step on this connection."""
         assert self._transport is not None
         self._step, step.link, self._unsent = step, self, False
+        if step.fence is not None and not step.fence():
+            self._pool.net.loop.call_soon(step.fenced)
+            return
         if step.long:
             # Held until this returns: a step never ends before its caller has it.
             self._pool.net.loop.call_soon(self._send_long, step)
--- a/coveport/nodes/destinations.py
+++ b/coveport/nodes/destinations.py
@@ -84,12 +84,14 @@
         return place[0] if place is not None else None
 
     def send(self, number: int, operation: Operation | None, timeout_s: float, done: Done,
-             began: Began | None = None, handed: Callable[[], None] | None = None) -> RouteStep:
+             began: Began | None = None, handed: Callable[[], None] | None = None,
+             fence: Callable[[], bool] | None = None) -> RouteStep:
         """Begin a route step (None: a probe); `done` is called once, never before this returns.
 
-        `began`: a long answer begins. `handed`: the last byte of a long operation was handed over.
+        `began`: a long answer begins. `handed`: the last byte of a long operation was handed over. `fence`:
+        asked right before the first byte, whether it may still go.
         """
-        step = RouteStep(self, operation, timeout_s, done, began, handed)
+        step = RouteStep(self, operation, timeout_s, done, began, handed, fence)
         place = self._places.get(number)
         if place is None:
             self.net.loop.call_soon(step.end, StepResult(Outcome.CONNECT_FAILED))
--- a/coveport/nodes/steps.py
+++ b/coveport/nodes/steps.py
@@ -48,8 +48,10 @@
     """One route step (or probe): from the connect to its end, which is told exactly once."""
 
     def __init__(self, pool: Destinations, operation: Operation | None, timeout_s: float, done: Done,
-                 began: Began | None = None, handed: Callable[[], None] | None = None) -> None:
+                 began: Began | None = None, handed: Callable[[], None] | None = None,
+                 fence: Callable[[], bool] | None = None) -> None:
         self._pool, self._done, self._began, self._handed = pool, done, began, handed
+        self.fence = fence  # asked right before the first byte; False: it must not go any more
         self.operation = operation  # None: a probe
         self.timeout_s = timeout_s
         self.link: Link | None = None
@@ -150,6 +152,10 @@
         """Give it up; the connection goes with it."""
         self.end(StepResult(Outcome.CANCELLED))
 
+    def fenced(self) -> None:
+        """It came too late to be sent: nothing of it was."""
+        self.end(StepResult(Outcome.MOOT), keep=True)
+
     def broken(self) -> None:
         """The connection has broken before a whole answer came."""
         self.end(StepResult(Outcome.RESET if self.handed else Outcome.CONNECT_FAILED))
--- a/coveport/sidecar/effects.py
+++ b/coveport/sidecar/effects.py
@@ -80,6 +80,39 @@
         """What we saw of a destination ourselves."""
 
 
+class Records(Protocol):
+    """Who writes operations down before they can run; where nobody does, there is none of it."""
+
+    def take(self, number: int, client: Asker, asked: Operation) -> Asker:
+        """An operation has come: who is to be given its answer."""
+
+    def send(self, number: int, step: int, destination: int, go: Go) -> bool:
+        """A route step is to be sent. True: at once. Else `go` is called once, in a later turn."""
+
+    def ended(self, number: int, step: int, outcome: api.Outcome) -> None:
+        """A route step of it has ended."""
+
+    def gone(self, number: int) -> None:
+        """Its client has gone away."""
+
+
+Go = Callable[[Callable[[], bool] | None], None]
+"""Send it now, and only where this says so right before the first byte; None: it must not be sent."""
+
+
+class _Gate:
+    """A route step that waits to be written down."""
+
+    def __init__(self, done: Callable[[StepResult], None]) -> None:
+        self._done, self.over = done, False
+
+    def cancel(self) -> None:
+        """Give it up: nothing was sent."""
+        if not self.over:
+            self.over = True
+            self._done(StepResult(api.Outcome.MOOT))
+
+
 @dataclass(slots=True)
 class _Open:
     """What is out in the world for an operation."""
@@ -88,7 +121,7 @@
     asked: Operation
     cls: str  # the name of its class when it came
     guard: asyncio.TimerHandle | None = None
-    steps: dict[int, RouteStep] = field(default_factory=dict)
+    steps: dict[int, RouteStep | _Gate] = field(default_factory=dict)
     answered: bool = False
     passing: bool = False  # a long answer is being passed on
     taken: bool = True  # its last byte has come
@@ -123,6 +156,7 @@
                                       must_ask=config.settings.must_ask, seed=config.seed)
         self.has_list = False
         self.looks: Looks | None = None
+        self.records: Records | None = None
         self.pending = 0  # operations taken and not ended
         counters.gauge("pending", lambda: self.pending)
         counters.gauge("members", lambda: self._reducer.members[0])
@@ -198,6 +232,8 @@
 
     def take(self, number: int, client: Asker, asked: Operation) -> None:
         """A whole operation has come from a client."""
+        if self.records is not None:
+            client = self.records.take(number, client, asked)
         self._open[number] = _Open(client, asked, self._config.settings.classes[asked.cls].name)
         if asked.upload is None:
             self.pending += 1
@@ -208,7 +244,7 @@
             self._beating = self._net.loop.call_later(BEAT_MS / 1000, self._pulse)
         deadline = self._clock.now_ms() + (asked.wait_ms if asked.upload is None else LONGEST_MS)
         self.feed(core.OperationCame(number, asked.cls, deadline, asked.repeat, asked.cost_ms, asked.room,
-                                     asked.id, asked.upload is not None))
+                                     asked.id, asked.upload is not None, asked.before))
 
     def whole(self, number: int, waited_ms: float) -> None:
         """The last byte of a long operation has come; it may have stood below us for so long."""
@@ -220,12 +256,39 @@
 
     def gone(self, number: int) -> None:
         """The client of an operation has gone away."""
+        if self.records is not None:
+            self.records.gone(number)
         if number in self._open:
             self._open[number].client = None
             self._ended(self._open[number], "failed")
         self.feed(core.ClientGone(number))
         self._forget(number, answered=True)
 
+    def withdraw(self, number: int) -> None:
+        """An operation is somebody else's: nothing more is done for it here. Who withdraws it answers it."""
+        opened = self._open.get(number)
+        if opened is not None:
+            opened.client = None
+            if not opened.ended:
+                opened.ended = True
+                self.pending -= opened.taken
+        self.feed(core.ClientGone(number))
+        self._forget(number, answered=True)
+
+    def answered_elsewhere(self, cls: str, verdict: core.Verdict) -> None:
+        """Count the answer of an operation that was withdrawn."""
+        self.counters.add(f"answers_{verdict.value}")
+        self.counters.add(ended(cls, _ENDS[verdict]))
+
+    def now_ms(self) -> float:
+        """Our clock."""
+        return self._clock.now_ms()
+
+    def place_of(self, destination: int) -> tuple[str, int, int]:
+        """Address, zone and cell of a destination."""
+        host, port = self.destinations.address(destination) or ("", 0)
+        return (f"{host}:{port}", *self._reducer.place_of(destination))
+
     def told(self, update: PoolUpdate | None) -> None:
         """Discovery has told a list, or has failed."""
         if update is None:
@@ -296,6 +359,8 @@
             self.counters.add(f"outcome_{result.outcome.name.lower()}")
             if self.looks is not None:
                 self.looks.saw(effect.destination, result.outcome)
+            if self.records is not None:
+                self.records.ended(effect.operation, effect.step, result.outcome)
             self.feed(core.StepEnded(effect.operation, effect.step, result.outcome,
                                      result.load, result.answer))
             self._forget(effect.operation)
@@ -307,8 +372,31 @@
         def handed() -> None:
             self.feed(core.StepHanded(effect.operation, effect.step))
 
-        opened.steps[effect.step] = self.destinations.send(
-            effect.destination, opened.asked, effect.timeout_ms / 1000, done, began, handed)
+        asked_ms = self._clock.now_ms()
+
+        def send(fence: Callable[[], bool] | None = None) -> RouteStep:
+            left_ms = effect.timeout_ms - (self._clock.now_ms() - asked_ms)
+            return self.destinations.send(effect.destination, opened.asked, max(left_ms, 1.0) / 1000, done,
+                                          began, handed, fence)
+
+        if self.records is None:
+            opened.steps[effect.step] = send()
+            return
+        gate = _Gate(done)
+
+        def go(fence: Callable[[], bool] | None) -> None:
+            if gate.over:
+                return
+            if fence is None:
+                gate.cancel()
+            else:
+                gate.over = True
+                opened.steps[effect.step] = send(fence)
+
+        opened.steps[effect.step] = gate
+        if self.records.send(effect.operation, effect.step, effect.destination, go):
+            gate.over = True
+            opened.steps[effect.step] = send()
 
     def _probe(self, destination: int) -> None:
         heard = self.looks.look(destination) if self.looks is not None else None
@@ -347,8 +435,9 @@
     def _begin_answer(self, effect: core.BeginAnswer) -> None:
         opened = self._open[effect.operation]
         opened.passing = opened.client is not None
-        if opened.client is not None:
-            opened.client.begin(effect.answer, opened.steps[effect.step])
+        source = opened.steps[effect.step]
+        if opened.client is not None and isinstance(source, RouteStep):
+            opened.client.begin(effect.answer, source)
         if opened.guard is not None:
             opened.guard.cancel()
 
--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -38,9 +38,9 @@
 
     __slots__ = ("host", "may_have_run", "passed", "pending", "sent_at", "share")
 
-    def __init__(self, host: _Host, sent_at: float) -> None:
-        self.host, self.sent_at = host, sent_at
-        self.pending = self.may_have_run = True
+    def __init__(self, host: _Host, sent_at: float, ended: api.Before | None = None) -> None:
+        self.host, self.sent_at, self.pending = host, sent_at, ended is None
+        self.may_have_run = ended is None or ended.may_have_run
         self.share = len(host.pending) + 1  # how many of ours were in flight with it, itself included
         self.passed = 0  # how many sent there later have been answered already
 
@@ -72,7 +72,8 @@
         self.id, self.kind, self.deadline, self.long = event.id, self.cls.name, event.deadline_ms, event.long
         self.give_up = self.hold_until = self.cross_at = event.deadline_ms
         self.chill = chance.random()  # which cold hosts it may go to
-        self.attempts: list[_Attempt] = []
+        self.attempts = [_Attempt(_Host(api.HostEntry(-1, one.zone, one.cell), 0.0), one.sent_ms, one)
+                         for one in event.before]
         self.streaming = False
 
 
--- a/micaflow/interface.py
+++ b/micaflow/interface.py
@@ -191,6 +191,16 @@
     version: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Before:
+    """An attempt that another balancer made for a request, or this one in an earlier life of it."""
+
+    zone: int
+    cell: int
+    sent_ms: float  # on this clock, and no later than it was sent
+    may_have_run: bool
+
+
 @dataclass(slots=True)
 class Request:
     """A client's request; from here on one final answer is owed."""
@@ -204,6 +214,7 @@
     repeat: bool = False
     write: bool = False
     long: bool = False  # it is sent while it comes: an attempt takes its client's time before a host has it
+    before: tuple[Before, ...] = ()  # they count as its attempts, and bear the numbers from 0 on
 
 
 @dataclass(slots=True)
