Trials of work in hand on simulated time: shipped desk, module and takers, nodes and tills with books

Need: that no operation is run twice or lost is to be shown over kills, stalls, cuts and late messages, by witnesses that no instance writes. Found by the first 100 and mended: an operation whose answer comes while its write ends unknown was ended twice (desk, _adrift: gates were told before the stage was looked at), and a waiter's task was kept under a number that changed meanwhile.

--- a/coveport/cli/trials.py
+++ b/coveport/cli/trials.py
@@ -61,16 +61,19 @@
 @click.option("--first-seed", type=click.IntRange(min=0), default=0, show_default=True)
 @click.option("--instances", type=click.IntRange(min=1, max=1000), default=5, show_default=True)
 @click.option("--variant", default="", metavar="NAME", help="A broken variant, to see that it is found.")
+@click.option("--work", is_flag=True, help="Trials of work in hand, not of duties.")
 @click.option("--workers", type=click.IntRange(min=0), default=0, help="Processes; 0: one a core.")
-def trials(runs: int, first_seed: int, instances: int, variant: str, workers: int) -> int:
+def trials(runs: int, first_seed: int, instances: int, variant: str, work: bool, workers: int) -> int:
     """Play drawn trials on simulated ground; print each find with as few faults as show it."""
     from coveport.lab.trials.search import hunt, shrink
     from coveport.lab.trials.variants import VARIANTS
+    from coveport.lab.trials.work.variants import VARIANTS as WORK
 
-    if variant and variant not in VARIANTS:
-        raise Unusable(f"no variant {variant!r}; one of {', '.join(VARIANTS)}")
+    if variant and variant not in (WORK if work else VARIANTS):
+        raise Unusable(f"no variant {variant!r}; one of {', '.join(WORK if work else VARIANTS)}")
     finds: list[Found] = []
-    for _, found in hunt(range(first_seed, first_seed + runs), instances, variant, workers, bool(variant)):
+    for _, found in hunt(range(first_seed, first_seed + runs), instances, variant, workers, bool(variant),
+                         work):
         if found is not None:
             less = shrink(found, variant)
             finds.append(less)
--- a/coveport/lab/trials/schedules.py
+++ b/coveport/lab/trials/schedules.py
@@ -4,6 +4,10 @@
 
 import random
 from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, TypeVar
+
+if TYPE_CHECKING:
+    from _typeshed import DataclassInstance
 
 KINDS = ("cut", "cut_out", "cut_back", "slow", "lossy", "late", "double", "stall", "sleep", "kill", "halves",
          "store_stall", "store_away", "compact", "lose_answers", "yield", "leave", "unwell")
@@ -113,6 +117,10 @@
                  faults=tuple(sorted(drawn, key=lambda one: one.at_s)), wild_clocks=chance.random() < wild)
 
 
-def without(trial: Trial, number: int) -> Trial:
+AnyTrial = TypeVar("AnyTrial", bound="DataclassInstance")
+
+
+def without(trial: AnyTrial, number: int) -> AnyTrial:
     """The same trial with one fault less, for the shrinker."""
-    return replace(trial, faults=trial.faults[:number] + trial.faults[number + 1:])
+    faults = trial.faults  # type: ignore[attr-defined]
+    return replace(trial, faults=faults[:number] + faults[number + 1:])
--- a/coveport/lab/trials/search.py
+++ b/coveport/lab/trials/search.py
@@ -12,6 +12,9 @@
 from coveport.lab.trials.schedules import Trial, draw, without
 from coveport.lab.trials.variants import SOUND, VARIANTS
 from coveport.lab.trials.virtual import play
+from coveport.lab.trials.work import sim
+from coveport.lab.trials.work.variants import SOUND as WORK_SOUND
+from coveport.lab.trials.work.variants import VARIANTS as WORK_VARIANTS
 
 CHUNK = 5  # trials that a worker takes at a time
 
@@ -21,38 +24,45 @@
     """A drawn trial that broke a rule."""
 
     seed: int
-    trial: Trial
+    trial: Trial | sim.WorkTrial
     findings: tuple[Finding, ...]
 
 
-def _try(variant: str, instances: int, seed: int) -> Found | None:
-    trial = draw(seed, instances)
-    findings = play(trial, seed, VARIANTS.get(variant, SOUND)).findings
+def _try(variant: str, instances: int, work: bool, seed: int) -> Found | None:
+    trial = sim.draw(seed, instances) if work else draw(seed, instances)
+    findings = _play(trial, seed, variant)
     return Found(seed, trial, tuple(findings)) if findings else None
 
 
-def _chunk(variant: str, instances: int, seeds: Sequence[int]) -> list[tuple[int, Found | None]]:
-    return [(seed, _try(variant, instances, seed)) for seed in seeds]
+def _play(trial: Trial | sim.WorkTrial, seed: int, variant: str) -> list[Finding]:
+    if isinstance(trial, sim.WorkTrial):
+        return sim.play(trial, seed, WORK_VARIANTS.get(variant, WORK_SOUND)).findings
+    return play(trial, seed, VARIANTS.get(variant, SOUND)).findings
+
+
+def _chunk(variant: str, instances: int, work: bool, seeds: Sequence[int]
+           ) -> list[tuple[int, Found | None]]:
+    return [(seed, _try(variant, instances, work, seed)) for seed in seeds]
 
 
 def hunt(seeds: range, instances: int = 5, variant: str = "", workers: int = 0,
-         first: bool = False) -> Iterator[tuple[int, Found | None]]:
+         first: bool = False, work: bool = False) -> Iterator[tuple[int, Found | None]]:
     """Each seed and what it broke, in the order of the seeds. `first`: no further ones after a find.
 
-    `workers` 0: one a core; 1: in this process.
+    `work`: trials of work in hand, not of duties. `workers` 0: one a core; 1: in this process.
     """
     chunks = [seeds[at:at + CHUNK] for at in range(0, len(seeds), CHUNK)]
     workers = workers or os.cpu_count() or 1
     if workers == 1:
         for seed in seeds:
-            found = _try(variant, instances, seed)
+            found = _try(variant, instances, work, seed)
             yield seed, found
             if first and found:
                 return
         return
     context = multiprocessing.get_context("spawn")
     with concurrent.futures.ProcessPoolExecutor(workers, mp_context=context) as pool:
-        futures = [pool.submit(_chunk, variant, instances, chunk) for chunk in chunks]
+        futures = [pool.submit(_chunk, variant, instances, work, chunk) for chunk in chunks]
         for future in futures:
             for seed, found in future.result():
                 yield seed, found
@@ -70,7 +80,7 @@
         again = False
         for number in range(len(trial.faults)):
             less = without(trial, number)
-            came = play(less, found.seed, VARIANTS.get(variant, SOUND)).findings
+            came = _play(less, found.seed, variant)
             if rules & {one.rule for one in came}:
                 trial, findings, again = less, tuple(came), True
                 break
--- /dev/null
+++ b/coveport/lab/trials/work/hands.py
@@ -0,0 +1,361 @@
+"""What carries operations out in a simulated trial: the shipped reducer and module, and messages to nodes.
+
+As `coveport.sidecar.effects` does it, without sockets: a route step connects, asks its fence, hands its bytes
+over, and waits. What is handed over arrives, whatever becomes of who sent it.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from coveport.core import messages as core
+from coveport.core.operation import Answer, Operation
+from coveport.core.reducer import Reducer
+from coveport.lab.trials.ledger import Cell, Ran
+from coveport.lab.virtual.world import Process, World
+from micaflow import interface as api
+
+CONNECT_S = (0.0003, 0.004)
+WIRE_S = (0.0002, 0.003)
+
+
+@dataclass
+class NodeWay:
+    """One instance's way to the nodes."""
+
+    out: bool = True
+    back: bool = True
+    lose: float = 0.0  # share of answers that are lost
+
+
+@dataclass
+class SimNode:
+    """A ledger node with a book; cells share their keys."""
+
+    number: int
+    cell: Cell
+    block: int
+    service_s: tuple[float, float] = (0.002, 0.03)
+    ran: list[Ran] = field(default_factory=list)
+    up: bool = True
+    mute: bool = False
+
+    def arrive(self, now: float, cls: str, asked: Operation) -> bytes:
+        """The last byte of an operation is there: it runs, or is dropped as a repeat."""
+        key = asked.body.decode()
+        repeat = False
+        body = json.dumps({"node": self.number, "key": key, "at": round(now, 6)}).encode()
+        if asked.key is not None and cls == "earn":
+            first = self.cell.seen.get(asked.key)
+            repeat = first is not None and now - first[0] < self.cell.window_s
+            if repeat and first is not None:
+                body = first[1]
+            else:
+                self.cell.seen[asked.key] = (now, body)
+        self.ran.append(Ran(now, self.number, cls, key, asked.id, repeat))
+        return body
+
+
+class _Step:
+    """A route step on its way."""
+
+    def __init__(self, hands: SimHands, operation: int, number: int, asked: Operation, cls: str,
+                 node: SimNode, timeout_ms: float) -> None:
+        self.hands, self.operation, self.number = hands, operation, number
+        self.asked, self.cls, self.node = asked, cls, node
+        self.over = self.handed = False
+        self.fence: Callable[[], bool] | None = None
+        self.timer = hands.process.call_later(timeout_ms / 1000, self.late)
+
+    def go(self, fence: Callable[[], bool] | None) -> None:
+        """Begin, or end unsent."""
+        if self.over:
+            return
+        if fence is None:
+            self.end(api.Outcome.MOOT)
+            return
+        self.fence = fence
+        hands = self.hands
+        if not self.node.up or not hands.way.out:
+            hands.process.call_later(0.001 if not self.node.up else 0.1, self.end, api.Outcome.CONNECT_FAILED)
+        else:
+            hands.process.call_later(hands.chance.uniform(*CONNECT_S), self.connected)
+
+    def connected(self) -> None:
+        """The bytes go, where they still may."""
+        if self.over:
+            return
+        hands, world = self.hands, self.hands.world
+        if self.fence is not None and not self.fence():
+            self.end(api.Outcome.MOOT)
+            return
+        self.handed = True
+        if hands.way.out:
+            world.at(world.now + hands.chance.uniform(*WIRE_S), self.arrived)
+
+    def arrived(self) -> None:
+        """At the node, whoever sent it may be dead by now."""
+        hands, world, node = self.hands, self.hands.world, self.node
+        if not node.up:
+            return
+        body = node.arrive(world.now, self.cls, self.asked)
+        if not node.mute and hands.way.back and hands.chance.random() >= hands.way.lose:
+            wait = hands.chance.uniform(*node.service_s) + hands.chance.uniform(*WIRE_S)
+            world.at(world.now + wait, self.came, body, process=hands.process)
+
+    def came(self, body: bytes) -> None:
+        """The answer."""
+        self.end(api.Outcome.OK, Answer(body))
+
+    def late(self) -> None:
+        """It took too long."""
+        self.end(api.Outcome.TIMEOUT if self.handed else api.Outcome.CONNECT_FAILED)
+
+    def cancel(self) -> None:
+        """Give it up."""
+        self.end(api.Outcome.CANCELLED if self.handed else api.Outcome.MOOT)
+
+    def end(self, outcome: api.Outcome, answer: Answer | None = None) -> None:
+        """Say once how it ended."""
+        if not self.over:
+            self.over = True
+            self.timer.cancel()
+            self.hands.step_ended(self, outcome, answer)
+
+
+@dataclass
+class _Open:
+    client: Any
+    asked: Operation
+    steps: dict[int, _Step] = field(default_factory=dict)
+
+
+class SimHands:
+    """One instance's reducer, and what it asks for."""
+
+    def __init__(self, world: World, process: Process, nodes: list[SimNode], settings: api.Settings,
+                 way: NodeWay, chance: random.Random) -> None:
+        self.world, self.process, self.nodes, self.way = world, process, nodes, way
+        self.settings, self.chance = settings, chance
+        self.records: Any = None
+        self.pending = 0
+        self._reducer = Reducer(settings, chance.randrange(1 << 30))
+        self._open: dict[int, _Open] = {}
+        self._inputs: deque[core.Input] = deque()
+        self._busy = False
+        self.count = 0
+        self.feed(core.PoolTold(api.ListUpdate(api.ListKind.FULL, tuple(
+            api.HostEntry(one.number, 0, one.block) for one in nodes), 1)))
+
+    # What the desk asks of it.
+
+    def now_ms(self) -> float:
+        """Its clock."""
+        return self.world.now * 1000
+
+    def place_of(self, destination: int) -> tuple[str, int, int]:
+        """A node by its number."""
+        return f"n{destination}", 0, self.nodes[destination].block
+
+    def take(self, number: int, client: Any, asked: Operation) -> None:
+        """An operation has come."""
+        if self.records is not None:
+            client = self.records.take(number, client, asked)
+            if client is None:
+                return
+        self._open[number] = _Open(client, asked)
+        self.pending += 1
+        self.feed(core.OperationCame(number, asked.cls, self.now_ms() + asked.wait_ms, asked.repeat, 0.0,
+                                     asked.room, asked.id, False, asked.before))
+
+    def withdraw(self, number: int) -> None:
+        """It is another's."""
+        self._close(number)
+        self.feed(core.ClientGone(number))
+
+    def answered_elsewhere(self, cls: str, verdict: core.Verdict) -> None:
+        """Nothing is counted here."""
+
+    def gone(self, number: int) -> None:
+        """The client has gone away."""
+        if self.records is not None:
+            self.records.gone(number)
+        self._close(number)
+        self.feed(core.ClientGone(number))
+
+    def _close(self, number: int) -> None:
+        opened = self._open.get(number)
+        if opened is not None and opened.client is not None:
+            opened.client = None
+            self.pending -= 1
+
+    # The reducer's hands.
+
+    def feed(self, item: core.Input) -> None:
+        """One input, and what it asks for."""
+        self._inputs.append(item)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._inputs:
+                for effect in self._reducer.step(self.now_ms(), self._inputs.popleft()):
+                    self._carry_out(effect)
+        finally:
+            self._busy = False
+
+    def _carry_out(self, effect: core.Effect) -> None:
+        later = self.process.call_later
+        if isinstance(effect, core.SendStep):
+            self._send(effect)
+        elif isinstance(effect, core.GiveAnswer):
+            opened = self._open.get(effect.operation)
+            client = opened.client if opened is not None else None
+            self._close(effect.operation)
+            if client is not None:
+                client.answer(effect.verdict, effect.answer, effect.retry_after_ms)
+        elif isinstance(effect, core.SetTimer):
+            later(effect.delay_ms / 1000, self.feed, core.TimerDue(effect.token))
+        elif isinstance(effect, core.GuardDeadline):
+            later((effect.at_ms - self.now_ms()) / 1000, self.feed, core.DeadlineDue(effect.operation))
+        elif isinstance(effect, core.CancelStep):
+            opened = self._open.get(effect.operation)
+            if opened is not None and effect.step in opened.steps:
+                opened.steps[effect.step].cancel()
+        elif isinstance(effect, core.ProbeDestination):
+            node = self.nodes[effect.destination]
+            fine = node.up and self.way.out and self.way.back
+            later(0.005 if fine else 0.2, self.feed, core.ProbeEnded(
+                node.number, api.Outcome.OK if fine else api.Outcome.CONNECT_FAILED, 5.0))
+        elif isinstance(effect, core.Complain):
+            raise AssertionError(effect.text)
+
+    def _send(self, effect: core.SendStep) -> None:
+        opened = self._open[effect.operation]
+        step = _Step(self, effect.operation, effect.step, opened.asked,
+                     self.settings.classes[opened.asked.cls].name, self.nodes[effect.destination],
+                     effect.timeout_ms)
+        opened.steps[effect.step] = step
+        if self.records is None or self.records.send(effect.operation, effect.step, effect.destination,
+                                                     step.go):
+            self.process.call_soon(step.go, lambda: True)
+
+    def step_ended(self, step: _Step, outcome: api.Outcome, answer: Answer | None) -> None:
+        """A route step has ended."""
+        self._open[step.operation].steps.pop(step.number, None)
+        if self.records is not None:
+            self.records.ended(step.operation, step.number, outcome)
+        self.feed(core.StepEnded(step.operation, step.number, outcome, (), answer))
+
+
+@dataclass
+class Wish:
+    """An operation of a till's, from its first ask to its last word."""
+
+    key: str
+    cls: str
+    began: float
+    asks: int = 0
+    out: int = 0  # asks that are under way
+    told: list[tuple[float, str, bytes]] = field(default_factory=list)  # when, verdict, body
+    over: bool = False
+
+
+class SimTills:
+    """Tills that ask again, at any instance, until they know."""
+
+    def __init__(self, world: World, chance: random.Random, wait_s: float, asks: int) -> None:
+        self._world, self._chance, self._wait_s, self._asks = world, chance, wait_s, asks
+        self.wishes: list[Wish] = []
+        self.reach: Callable[[], list[SimHands]] = list  # instances that can be asked, alive or not
+        self._count = 0
+
+    def wish(self, cls: str) -> None:
+        """Begin one."""
+        one = Wish(f"{cls[0]}{len(self.wishes)}", cls, self._world.now)
+        self.wishes.append(one)
+        # Some tills ask several at once: two lanes of a till, or a person who presses twice.
+        for _ in range(3 if self._chance.random() < 0.08 else 1):
+            self._ask(one)
+
+    def _ask(self, one: Wish) -> None:
+        if one.over or one.asks >= self._asks:
+            return
+        hands = self._chance.choice(self.reach())
+        one.asks += 1
+        one.out += 1
+        _Ask(self, one, hands, one.asks > 1)
+
+    def told(self, one: Wish, verdict: str, body: bytes) -> None:
+        """An ask has ended."""
+        one.out -= 1
+        one.told.append((self._world.now, verdict, body))
+        if verdict == "served":
+            one.over = True
+        elif not one.over:
+            wait = self._chance.uniform(0.05, 1.5)
+            self._world.at(self._world.now + wait, self._ask, one)
+
+    def next_id(self) -> str:
+        """Fresh on every request."""
+        self._count += 1
+        return f"t{self._count}"
+
+
+class _Ask:
+    """One request on one connection."""
+
+    def __init__(self, tills: SimTills, wish: Wish, hands: SimHands, again: bool) -> None:
+        self.tills, self.wish, self.hands = tills, wish, hands
+        self.ended, self.number = False, 0
+        world = tills._world
+        self.identity, self.again = tills.next_id(), again
+        self.arrival = world.now
+        if not hands.process.alive:
+            world.at(world.now + 0.002, self.end, "broken", b"")
+            return
+        hands.process.at_death.append(lambda: self.end("broken", b""))
+        world.at(world.now + tills._chance.uniform(*WIRE_S), self.arrive, process=hands.process)
+        self.timer = world.at(world.now + tills._wait_s + 0.02, self.patience)
+
+    def arrive(self) -> None:
+        """At the instance."""
+        if self.ended:
+            return
+        world, hands = self.tills._world, self.hands
+        # What stood below a stalled process has that much less time.
+        wait_ms = (self.tills._wait_s - (world.now - self.arrival)) * 1000
+        if wait_ms <= 0:
+            return
+        hands.count += 1
+        self.number = hands.count
+        cls = next(at for at, one in enumerate(hands.settings.classes) if one.name == self.wish.cls)
+        hands.take(self.number, self, Operation(
+            "POST", f"/{self.wish.cls}/7", self.wish.key.encode(), self.identity, self.wish.key, cls, wait_ms,
+            self.again))
+
+    def answer(self, verdict: core.Verdict, answer: Answer | None, retry_after_ms: float) -> None:
+        """The one final answer."""
+        world = self.tills._world
+        body = answer.body if answer is not None else b""
+        world.at(world.now + self.tills._chance.uniform(*WIRE_S), self.end, verdict.value, body)
+
+    def patience(self) -> None:
+        """Its time is over: it closes its connection."""
+        if not self.ended:
+            if self.number and self.hands.process.alive:
+                self.hands.process.call_soon(self.hands.gone, self.number)
+            self.end("late", b"")
+
+    def end(self, verdict: str, body: bytes) -> None:
+        """It knows, or knows that it does not."""
+        if not self.ended:
+            self.ended = True
+            self.tills.told(self.wish, verdict, body)
+
+
--- /dev/null
+++ b/coveport/lab/trials/work/sim.py
@@ -0,0 +1,424 @@
+"""A trial of work in hand: the shipped keeper, journal, desk and takers of every instance, on simulated time.
+
+The module and the reducer are the shipped ones as well; nodes and tills keep books, which are held against
+each other and against the records in the store.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import random
+from dataclasses import dataclass, field
+from functools import partial
+
+from coveport.core.operation import Operation
+from coveport.lab.trials.judge import Finding
+from coveport.lab.trials.ledger import Asked, Cell, judge
+from coveport.lab.trials.real import SETTINGS
+from coveport.lab.trials.schedules import Fault
+from coveport.lab.trials.simstore import Host, SimStore, Way
+from coveport.lab.trials.work.hands import NodeWay, SimHands, SimNode, SimTills
+from coveport.lab.trials.work.variants import SOUND, WorkVariant
+from coveport.lab.virtual.world import Process, World
+from coveport.leases.holder import Session, Terms
+from coveport.leases.keeper import INSTANCE, Keeper
+from coveport.leases.store import Entry
+from coveport.work.presence import Presence
+from coveport.work.record import Record, RecordError, decode
+from coveport.work.seal import Asked as KeptAsked
+from coveport.work.seal import Given, Kept
+from coveport.work.sharing import Pace
+from coveport.work.terms import WorkTerms
+from micaflow.wire import parse_settings
+
+START_S = 1000.0
+PREFIX = "coveport-work/"
+LEAVE_S = 2.2  # from the word to end until a planned end is over
+CALL_S = 0.25
+KINDS = ("kill", "kill", "stall", "stall", "cut", "cut_out", "cut_back", "lossy", "late", "slow", "leave",
+         "node_cut", "node_lost", "node_mute", "node_down", "half_killed", "store_away", "store_stall",
+         "sleep")
+
+
+@dataclass(frozen=True, slots=True)
+class WorkTrial:
+    """Who is there, what they are asked, and what breaks."""
+
+    instances: int = 5
+    nodes: int = 6
+    ttl_s: float = 3.0
+    rate: float = 40.0  # operations of tills a second, over all
+    over_s: float = 12.0  # how long tills begin new ones
+    calm_s: float = 25.0  # how long it goes on after that and after the last fault
+    refuse: tuple[str, ...] = ("earn", "redeem")
+    faults: tuple[Fault, ...] = ()
+
+    @property
+    def lasts_s(self) -> float:
+        """How long it takes."""
+        last = max((one.at_s + one.lasts_s for one in self.faults), default=0.0)
+        return max(self.over_s, last) + self.calm_s
+
+
+def draw(seed: int, instances: int = 5, faults: int = 4) -> WorkTrial:
+    """A trial from its seed."""
+    chance = random.Random(f"work {seed}")
+    drawn = []
+    for _ in range(chance.randint(1, faults)):
+        kind = chance.choice(KINDS)
+        lasts = min(30.0, 0.1 * 300 ** chance.random())
+        if kind.startswith("store"):
+            lasts = min(lasts, 8.0)
+        target = "" if kind in ("half_killed", "store_away", "store_stall") else str(
+            chance.randrange(instances))
+        drawn.append(Fault(round(chance.uniform(1.5, 12.0), 3), kind, target, round(lasts, 3),
+                           round(chance.uniform(0.1, 0.9), 2)))
+    return WorkTrial(instances=instances, rate=5.0 * min(instances, 10),
+                     refuse=("earn", "redeem") if chance.random() < 0.6 else (),
+                     faults=tuple(sorted(drawn, key=lambda one: one.at_s)))
+
+
+class _Plain(Kept):
+    """Kept as it is: sealing costs a trial nothing but time."""
+
+    def __init__(self) -> None:
+        super().__init__(None, 65536)
+
+    def asked(self, identity: str, asked: KeptAsked) -> bytes:
+        return json.dumps([asked.method, asked.target, asked.body.decode(), asked.request_id,
+                           asked.key]).encode()
+
+    def given(self, identity: str, given: Given) -> bytes:
+        return given.body
+
+    def read_asked(self, identity: str, sealed: bytes) -> KeptAsked | None:
+        if not sealed:
+            return None
+        method, target, body, request_id, key = json.loads(sealed)
+        return KeptAsked(method, target, body.encode(), request_id, key)
+
+    def read_given(self, identity: str, sealed: bytes) -> Given | None:
+        return Given(sealed) if sealed else None
+
+
+@dataclass
+class _Instance:
+    number: int
+    rate: float
+    way: Way
+    node_way: NodeWay
+    process: Process
+    keeper: Keeper | None = None
+    hands: SimHands | None = None
+    desk: object = None
+    lives: int = 0
+    counts: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Played:
+    """What a trial left behind."""
+
+    trial: WorkTrial
+    seed: int
+    findings: list[Finding]
+    wishes: int
+    served: int
+    ran: int
+    ends: dict[str, int]
+    counts: dict[str, int]
+    closed_s: float  # from the last loss to the last record that was closed by a successor
+
+
+class _Sim:
+    def __init__(self, trial: WorkTrial, seed: int, variant: WorkVariant) -> None:
+        self.trial, self.variant = trial, variant
+        self.chance = random.Random(f"work play {seed}")
+        self.world = World(START_S)
+        self.host = Host(self.world)
+        self.settings = parse_settings(json.dumps(SETTINGS | {"peers_total": trial.instances}))
+        window_s = next(one for one in self.settings.classes if one.name == "earn").window_ms / 1000
+        cells = [Cell(window_s) for _ in range((trial.nodes + 1) // 2)]
+        self.nodes = [SimNode(number, cells[number // 2], number // 2) for number in range(trial.nodes)]
+        self.tills = SimTills(self.world, random.Random(f"tills {seed}"), 1.0, 6)
+        self.tills.reach = lambda: [one.hands for one in self.instances if one.hands is not None]
+        self.unrecorded: set[str] = set()
+        self.problems: list[str] = []
+        self.counts: dict[str, int] = {}
+        self.losses: list[float] = []
+        self.instances = [
+            _Instance(number, self.chance.uniform(0.99, 1.01), Way(), NodeWay(),
+                      Process.start(self.world, f"s{number}")) for number in range(trial.instances)]
+
+    def launch(self, one: _Instance) -> None:
+        """A process of that name."""
+        one.lives += 1
+        name, incarnation = f"s{one.number}", f"s{one.number}.{one.lives}"
+        one.process = process = Process.start(self.world, name)
+        chance = random.Random(self.chance.random())
+
+        def now_s() -> float:
+            return self.world.now * one.rate
+
+        def say(event: str, **fields: object) -> None:
+            pass
+
+        def count(what: str) -> None:
+            self.counts[what] = self.counts.get(what, 0) + 1
+
+        variant, trial = self.variant, self.trial
+        keeper = Keeper(SimStore(process, self.host, one.way, chance), name=name, incarnation=incarnation,
+                        duties=(), terms=Terms(trial.ttl_s, 0.2, 0.02), now_s=now_s, history=say,
+                        chance=chance)
+        one.keeper = keeper
+        one.hands = hands = SimHands(self.world, process, self.nodes, self.settings, one.node_way, chance)
+        presence = Presence(incarnation, trial.ttl_s)
+        terms = WorkTerms(frozenset({"earn", "redeem"}), frozenset(trial.refuse), call_s=CALL_S)
+        journal = variant.journal(SimStore(process, self.host, one.way, chance), now_s, CALL_S, say)
+
+        def token() -> int:
+            entry = keeper.entries.get(INSTANCE + name)
+            inside = keeper.holder.session in (Session.IN, Session.WARY)
+            return entry.created if inside and entry is not None else 0
+
+        desk = variant.desk(hands, journal, variant.shelf(PREFIX, 600.0), variant.kept(), presence, terms,
+                            incarnation, session=token, now_s=now_s, chance=chance, count=count, say=say,
+                            unix_s=self.world.unix_s)
+        takers = variant.takers(desk, name, pace=Pace(50.0, 16), now_s=now_s, unix_s=self.world.unix_s,
+                                chance=chance, busy=lambda: hands.pending > 16, count=count, say=say)
+        one.desk = desk
+        self._watch_unrecorded(desk, hands)
+
+        def changed(key: str, entry: Entry | None) -> None:
+            if not key.startswith(INSTANCE):
+                return
+            other = key[len(INSTANCE):]
+            if entry is None:
+                takers.gone(presence.gone(now_s(), other))
+                return
+            word = json.loads(entry.value).get("incarnation", "")
+            if presence.incarnation(other) not in ("", word):
+                takers.gone(presence.gone(now_s(), other))
+            presence.here(other, word)
+
+        keeper.on_change = changed
+
+        def start() -> None:
+            keeper.tell(json.dumps({"incarnation": incarnation}).encode())
+            keeper.start()
+            desk.start()
+            takers.start()
+
+        async def leave() -> None:
+            takers.stop()
+            await desk.leaving(2.0)
+            await keeper.leave()
+
+        one.counts = {}
+        self._leave = getattr(self, "_leave", {})
+        self._leave[one.number] = (leave, desk)
+        hands.records = desk
+        process.call_soon(start)
+
+    def _watch_unrecorded(self, desk: object, hands: SimHands) -> None:
+        """What is served while the store is gone is as today: the judge promises nothing of it."""
+        take = desk.take  # type: ignore[attr-defined]
+
+        def taken(number: int, client: object, asked: Operation) -> object:
+            before = self.counts.get("work_unrecorded", 0)
+            came = take(number, client, asked)
+            if self.counts.get("work_unrecorded", 0) != before and asked.room:
+                self.unrecorded.add(asked.body.decode())
+            return came
+
+        adrift = desk._adrift  # type: ignore[attr-defined]
+
+        def drifts(hand: object) -> None:
+            adrift(hand)
+            if hand.may_send:  # type: ignore[attr-defined]
+                self.unrecorded.add(hand.asked.body.decode())  # type: ignore[attr-defined]
+
+        desk.take, desk._adrift = taken, drifts  # type: ignore[attr-defined]
+
+    def end(self, one: _Instance, planned: bool = False) -> None:
+        """Its process is gone."""
+        if one.process.alive:
+            self.problems += [str(problem.get("exception") or problem["message"])
+                              for problem in one.process.problems]
+            if not planned:
+                self.losses.append(self.world.now)
+        one.process.kill()
+
+    def again(self, one: _Instance) -> None:
+        """Started under its name."""
+        if not one.process.alive:
+            self.launch(one)
+
+    def strike(self, fault: Fault) -> None:
+        """Let it happen, and see to its end."""
+        over = self.world.now + fault.lasts_s
+        kind = fault.kind
+        if kind == "store_stall":
+            self.host.held_until = over
+        elif kind == "store_away":
+            self.host.away = True
+            self.world.at(over, lambda: setattr(self.host, "away", False))
+        elif kind == "half_killed":
+            for one in self.instances[:-1]:
+                if self.chance.random() < 0.7:
+                    self.end(one)
+                    self.world.at(over, self.again, one)
+        elif kind in ("node_mute", "node_down"):
+            node = self.nodes[int(fault.target) % len(self.nodes)]
+            name = "mute" if kind == "node_mute" else "up"
+            setattr(node, name, kind == "node_mute")
+            self.world.at(over, lambda: setattr(node, name, kind != "node_mute"))
+        else:
+            self.strike_one(self.instances[int(fault.target) % len(self.instances)], fault, over)
+
+    def strike_one(self, one: _Instance, fault: Fault, over: float) -> None:
+        """A fault of one instance."""
+        kind, way = fault.kind, one.way
+        if kind in ("stall", "sleep"):
+            one.process.stall(fault.lasts_s)
+        elif kind == "kill":
+            self.end(one)
+            self.world.at(over, self.again, one)
+        elif kind == "leave":
+            if one.process.alive:
+                leave, desk = self._leave[one.number]
+                process = one.process
+                process.call_soon(lambda: process.create_task(leave()))
+                hands, one.hands = one.hands, None  # tills are led elsewhere
+                self.world.at(self.world.now + LEAVE_S - 0.2,
+                              lambda: process.call_soon(lambda: process.create_task(desk.left())))
+                self.world.at(self.world.now + LEAVE_S, self.end, one, True)
+                self.world.at(max(over, self.world.now + LEAVE_S + 0.1), self.again, one)
+                assert hands is not None
+        elif kind.startswith("node"):
+            one.node_way.out = kind != "node_cut"
+            one.node_way.lose = fault.share if kind == "node_lost" else 0.0
+
+            def mend() -> None:
+                one.node_way.out, one.node_way.lose = True, 0.0
+
+            self.world.at(over, mend)
+        else:
+            if kind in ("cut", "cut_out"):
+                way.out = False
+            if kind in ("cut", "cut_back"):
+                way.back = False
+            if kind == "lossy":
+                way.lose = fault.share
+            if kind == "late":
+                way.late = fault.share
+            if kind == "slow":
+                way.back_s = (0.3 * fault.share, 0.5 * fault.share)
+
+            def heal() -> None:
+                way.out = way.back = True
+                way.lose = way.late = 0.0
+                way.back_s = Way().back_s
+
+            self.world.at(over, heal)
+
+    def run(self) -> None:
+        """Play it."""
+        self.host.start()
+        for one in self.instances:
+            self.world.at(START_S + self.chance.uniform(0, 0.3), partial(self.launch, one))
+        at = START_S + 1.0
+        while at < START_S + 1.0 + self.trial.over_s:
+            at += self.chance.expovariate(self.trial.rate)
+            self.world.at(at, self.tills.wish, "redeem" if self.chance.random() < 0.5 else "earn")
+        for fault in self.trial.faults:
+            self.world.at(START_S + fault.at_s, self.strike, fault)
+        self.world.run(START_S + self.trial.lasts_s)
+        for one in self.instances:
+            self.end(one, True)
+
+    def records(self) -> dict[str, Record]:
+        """What stands in the store in the end, by the operation's key."""
+        found = {}
+        for key, entry in self.host.engine.entries.items():
+            if key.startswith(PREFIX + "r/"):
+                try:
+                    record = decode(entry.value)
+                    found[record.key] = record
+                except RecordError as problem:
+                    self.problems.append(f"{key}: {problem}")
+        return found
+
+    def judged(self, seed: int) -> Played:
+        """What came of it."""
+        records = self.records()
+        ran = [one for node in self.nodes for one in node.ran]
+        asked = [Asked(at, 0, wish.cls, wish.key, "", 200 if verdict == "served" else 503, body)
+                 for wish in self.tills.wishes for at, verdict, body in wish.told]
+        ends = {key: record.said for key, record in records.items() if key not in self.unrecorded}
+        findings = judge(asked, ran, ends, frozenset(self.unrecorded))
+        end = START_S + self.trial.lasts_s
+        findings += [Finding("open", end, f"{key} is {record.said} at the end, of {record.owner}")
+                     for key, record in records.items() if record.open]
+        findings += self._passed_on()
+        findings += [Finding("tries", end, f"{key}: {len(record.attempts)} attempts")
+                     for key, record in records.items()
+                     if len(record.attempts) > record.rules.most_attempts]
+        runs: dict[str, int] = {}
+        for one in ran:
+            runs[one.key] = runs.get(one.key, 0) + 1
+        findings += [Finding("tries", end, f"{key} was sent {count} times")
+                     for key, count in runs.items() if key not in self.unrecorded
+                     and count > self.settings.limits.max_attempts * (records[key].lives if key in records
+                                                                      else 1)]
+        findings += [Finding("crash", end, what) for what in self.problems]
+        said: dict[str, int] = {}
+        for record in records.values():
+            said[record.said] = said.get(record.said, 0) + 1
+        return Played(self.trial, seed, findings, len(self.tills.wishes),
+                      sum(wish.over for wish in self.tills.wishes), len(ran), said, self.counts,
+                      self._closed_s())
+
+    def _passed_on(self) -> list[Finding]:
+        """Each record's owners only grow: who was one and is not any more writes nothing of it."""
+        found: list[Finding] = []
+        last: dict[str, Record] = {}
+        for at, change in self.host.engine.book:
+            if not change.key.startswith(PREFIX + "r/") or change.entry is None:
+                continue
+            try:
+                record = decode(change.entry.value)
+            except RecordError:
+                continue
+            before = last.get(change.key)
+            chain = (*record.owners, record.owner)
+            if before is not None and chain[:len(before.owners) + 1] != (*before.owners, before.owner):
+                found.append(Finding("owners", at, f"{record.key}: {record.owner} wrote what was "
+                                                   f"{before.owner}'s"))
+            last[change.key] = record
+        return found
+
+    def _closed_s(self) -> float:
+        """From the last loss of an instance to the last record closed by somebody else."""
+        last = 0.0
+        for at, change in self.host.engine.book:
+            if change.key.startswith(PREFIX + "r/") and change.entry is not None and self.losses:
+                record = decode(change.entry.value)
+                if not record.open and record.owners and record.lives == 1 and at > self.losses[-1]:
+                    last = max(last, at - self.losses[-1])
+        return last
+
+
+def play(trial: WorkTrial, seed: int, variant: WorkVariant = SOUND) -> Played:
+    """Play a trial and judge it; the same trial, seed and variant leave the same behind."""
+    one = _Sim(trial, seed, variant)
+    was = gc.isenabled()
+    gc.disable()
+    try:
+        one.run()
+        return one.judged(seed)
+    finally:
+        if was:
+            gc.enable()
+
--- a/coveport/work/desk.py
+++ b/coveport/work/desk.py
@@ -400,13 +400,11 @@
 
     def _not_ours(self, hand: Hand) -> None:
         """The store refuses our writing: it is recorded already, or another has claimed it."""
-        gates, hand.gates = hand.gates, {}
-        for go in gates.values():
-            go(None)
         if hand.answered:
             self._deliver(hand)  # a node made it: it is true, whosever the record is
             hand.to(Stage.OVER)
             self._drop(hand)
+            self._shut(hand)
             return
         hand.to(Stage.ELSEWHERE)
         if self._by_id.get(hand.record.id) is hand:
@@ -422,14 +420,23 @@
         on_its_way = hand.target is not None and bool(hand.target.attempts)
         hand.may_send = (hand.revision == 0 and on_its_way
                          and hand.record.cls not in self._terms.refuse)
-        gates, hand.gates = hand.gates, {}
-        for go in gates.values():
-            go(self._fence(hand) if hand.may_send else None)
         if hand.answered:
             self._deliver(hand)
             hand.to(Stage.OVER)
             self._drop(hand)
             self._remember(hand)
+            self._shut(hand)
+            return
+        gates, hand.gates = hand.gates, {}
+        for go in gates.values():
+            go(self._fence(hand) if hand.may_send else None)
+
+    @staticmethod
+    def _shut(hand: Hand) -> None:
+        """Nothing more of it is sent."""
+        gates, hand.gates = hand.gates, {}
+        for go in gates.values():
+            go(None)
 
     # Who asks again.
 
@@ -443,9 +450,9 @@
             hand.to(Stage.OVER)
             self._drop(hand)
             return
-        task = asyncio.ensure_future(self._wait(hand, client))
-        self._waiters[hand.number] = task
-        task.add_done_callback(lambda _: self._waiters.pop(hand.number, None))
+        number, task = hand.number, asyncio.ensure_future(self._wait(hand, client))
+        self._waiters[number] = task
+        task.add_done_callback(lambda _: self._waiters.pop(number, None))
 
     async def _wait(self, hand: Hand, client: Any) -> None:
         """Look at the record until something can be told, or its client's time is nearly over."""
