--- a/coveport/lab/trials/work/hands.py
+++ b/coveport/lab/trials/work/hands.py
@@ -84,7 +84,12 @@
         if not self.node.up or not hands.way.out:
             hands.process.call_later(0.001 if not self.node.up else 0.1, self.end, api.Outcome.CONNECT_FAILED)
         else:
-            hands.process.call_later(hands.chance.uniform(*CONNECT_S), self.connected)
+            # News from outside, not a timer: it comes before what came later, however long we stood still.
+            hands.world.at(hands.world.now + hands.chance.uniform(*CONNECT_S),
+                           hands.process.call_soon, self.connected)
+            if hands.stall_s:
+                hands.process.stall(hands.stall_s)
+                hands.stall_s = 0.0
 
     def connected(self) -> None:
         """The bytes go, where they still may."""
@@ -149,6 +154,7 @@
         self._inputs: deque[core.Input] = deque()
         self._busy = False
         self.count = 0
+        self.stall_s = 0.0  # the worst moment: it stands still so long right before its next attempt goes
         self.feed(core.PoolTold(api.ListUpdate(api.ListKind.FULL, tuple(
             api.HostEntry(one.number, 0, one.block) for one in nodes), 1)))
 
@@ -298,7 +304,9 @@
         if verdict == "served":
             one.over = True
         elif not one.over:
-            wait = self._chance.uniform(0.05, 1.5)
+            # Most come again soon; some go away and come back when the window is nearly over, or just is.
+            soon = self._chance.random() < 0.65
+            wait = self._chance.uniform(0.05, 1.5) if soon else self._chance.uniform(3.0, 8.0)
             self._world.at(self._world.now + wait, self._ask, one)
 
     def next_id(self) -> str:
--- a/coveport/lab/trials/work/sim.py
+++ b/coveport/lab/trials/work/sim.py
@@ -24,6 +24,7 @@
 from coveport.leases.holder import Session, Terms
 from coveport.leases.keeper import INSTANCE, Keeper
 from coveport.leases.store import Entry
+from coveport.work.hand import Hand
 from coveport.work.presence import Presence
 from coveport.work.record import Record, RecordError, decode
 from coveport.work.seal import Asked as KeptAsked
@@ -38,7 +39,8 @@
 CALL_S = 0.25
 KINDS = ("kill", "kill", "stall", "stall", "cut", "cut_out", "cut_back", "lossy", "late", "slow", "leave",
          "node_cut", "node_lost", "node_mute", "node_down", "half_killed", "store_away", "store_stall",
-         "sleep")
+         "sleep", "send_stall", "send_stall")
+CHAINED = 0.3  # share that follow a loss within the window, at somebody else or at the same
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,9 +66,15 @@
 def draw(seed: int, instances: int = 5, faults: int = 4) -> WorkTrial:
     """A trial from its seed."""
     chance = random.Random(f"work {seed}")
-    drawn = []
+    drawn: list[Fault] = []
     for _ in range(chance.randint(1, faults)):
         kind = chance.choice(KINDS)
+        if drawn and chance.random() < CHAINED:
+            # A takeover that is taken over: whoever took it up is lost as well.
+            drawn.append(Fault(round(drawn[-1].at_s + chance.uniform(0.1, 6.0), 3),
+                               chance.choice(("kill", "stall", "half_killed", "cut")),
+                               str(chance.randrange(instances)), round(chance.uniform(0.5, 8.0), 3)))
+            continue
         lasts = min(30.0, 0.1 * 300 ** chance.random())
         if kind.startswith("store"):
             lasts = min(lasts, 8.0)
@@ -79,26 +87,30 @@
                      faults=tuple(sorted(drawn, key=lambda one: one.at_s)))
 
 
-class _Plain(Kept):
+class Plain(Kept):
     """Kept as it is: sealing costs a trial nothing but time."""
 
     def __init__(self) -> None:
         super().__init__(None, 65536)
 
     def asked(self, identity: str, asked: KeptAsked) -> bytes:
+        """A request as it is."""
         return json.dumps([asked.method, asked.target, asked.body.decode(), asked.request_id,
                            asked.key]).encode()
 
     def given(self, identity: str, given: Given) -> bytes:
+        """An answer as it is."""
         return given.body
 
     def read_asked(self, identity: str, sealed: bytes) -> KeptAsked | None:
+        """A request again."""
         if not sealed:
             return None
         method, target, body, request_id, key = json.loads(sealed)
         return KeptAsked(method, target, body.encode(), request_id, key)
 
     def read_given(self, identity: str, sealed: bytes) -> Given | None:
+        """An answer again."""
         return Given(sealed) if sealed else None
 
 
@@ -234,10 +246,13 @@
 
         adrift = desk._adrift  # type: ignore[attr-defined]
 
-        def drifts(hand: object) -> None:
+        def drifts(hand: Hand) -> None:
             adrift(hand)
-            if hand.may_send:  # type: ignore[attr-defined]
-                self.unrecorded.add(hand.asked.body.decode())  # type: ignore[attr-defined]
+            # What may go unrecorded is the trial's word, not the desk's: what stood nowhere, and was not
+            # to be refused.
+            on_its_way = hand.target is not None and bool(hand.target.attempts)
+            if hand.revision == 0 and on_its_way and hand.record.cls not in self.trial.refuse:
+                self.unrecorded.add(hand.asked.body.decode())
 
         desk.take, desk._adrift = taken, drifts  # type: ignore[attr-defined]
 
@@ -296,6 +311,9 @@
                 self.world.at(self.world.now + LEAVE_S, self.end, one, True)
                 self.world.at(max(over, self.world.now + LEAVE_S + 0.1), self.again, one)
                 assert hands is not None
+        elif kind == "send_stall":
+            if one.hands is not None:
+                one.hands.stall_s = fault.lasts_s
         elif kind.startswith("node"):
             one.node_way.out = kind != "node_cut"
             one.node_way.lose = fault.share if kind == "node_lost" else 0.0
@@ -416,7 +434,8 @@
     was = gc.isenabled()
     gc.disable()
     try:
-        one.run()
+        with variant.while_played():
+            one.run()
         return one.judged(seed)
     finally:
         if was:
--- a/coveport/work/desk.py
+++ b/coveport/work/desk.py
@@ -458,6 +458,11 @@
         """Look at the record until something can be told, or its client's time is nearly over."""
         record: Record | None = hand.record if hand.revision else None
         while hand.stage is Stage.ELSEWHERE and self._now_s() < hand.until - LATE_S:
+            if hand.record.id in self._later:
+                # We know what the store has not heard: nothing is begun before that stands there.
+                record = self._later[hand.record.id].record
+                await asyncio.sleep(self._chance.uniform(*POLL_S))
+                continue
             found = await self.journal.read(self.shelf.record_key(hand.record.id))
             if hand.stage is not Stage.ELSEWHERE:
                 return
@@ -721,8 +726,9 @@
             except RecordError:
                 return True
             revision = found.entries[0].modified
-            if before.owner != record.owner or before.lives != record.lives or not before.open:
-                return True  # another's by now, or closed: it goes by what stands there
+            if (before.owner, before.owners, before.lives, before.asked) != (
+                    record.owner, record.owners, record.lives, record.asked) or not before.open:
+                return True  # another's by now, or another ask's, or closed: it goes by what stands there
         elif hand.revision:
             return True  # it was there and was thrown away
         if record.open:
