Work in hand by real processes: killed at each step, stopped, cut off, locked out, and staff's verbs

Need: what simulated time shows is to hold for the program itself, with SIGKILL, SIGSTOP, relays and a locked file, and nodes' books as the witness. Found by them and mended in coveport/work/desk.py, _again_later: what was taken over and met a mute node was closed as unknown after one try, with a try and four seconds of its window left, because the end of that try was still being written; the next try now waits for its turn as any other.

--- a/coveport/lab/trials/real.py
+++ b/coveport/lab/trials/real.py
@@ -336,6 +336,15 @@
 
         await self.until(there, within_s, "all to be in session")
 
+    async def all_recording(self, within_s: float) -> None:
+        """Wait until every process that runs now writes operations down."""
+        def there() -> bool:
+            came = {one.instance: one for one in self.histories().of("recording", "not_recording")}
+            return all(one.name in came and came[one.name].event == "recording"
+                       and came[one.name].at >= one.started_at for one in self.instances if one.alive)
+
+        await self.until(there, within_s, "all to write operations down")
+
     def target(self, fault: Fault) -> Running:
         """Whom a fault hits."""
         if fault.target == HOLDER:
--- a/coveport/work/desk.py
+++ b/coveport/work/desk.py
@@ -707,7 +707,7 @@
         """Whether what was taken over and found no room is tried again a little later."""
         rules = hand.record.rules
         rest_ms = rules.window_ms - (self._now_s() - hand.first_at) * 1000 if hand.first_at < inf else 0.0
-        if (rules.effect is not Effect.KEYED or hand.stage is not Stage.OURS or hand.writing or hand.gates
+        if (rules.effect is not Effect.KEYED or hand.stage is not Stage.OURS or hand.gates
                 or rest_ms < LEAST_MS + TRY_AGAIN_S * 1000
                 or len(hand.record.attempts) >= rules.most_attempts
                 or hand.record.state is not State.SENDING):
@@ -723,7 +723,11 @@
     # What went unrecorded.
 
     async def _tend(self) -> None:
+        recording = False
         while True:
+            if recording is not (bool(self.token) and self.journal.up):
+                recording = not recording
+                self._say("recording" if recording else "not_recording")
             await asyncio.sleep(LATER_S * self._chance.uniform(0.8, 1.2))
             for identity, hand in list(self._later.items()):
                 if not self.journal.up or not self.token:
