--- a/coveport/lab/trials/work/sim.py
+++ b/coveport/lab/trials/work/sim.py
@@ -14,7 +14,7 @@
 
 from coveport.core.operation import Operation
 from coveport.lab.trials.judge import Finding
-from coveport.lab.trials.ledger import Asked, Cell, judge
+from coveport.lab.trials.ledger import Asked, Cell, Ran, judge
 from coveport.lab.trials.real import SETTINGS
 from coveport.lab.trials.schedules import Fault
 from coveport.lab.trials.simstore import Host, SimStore, Way
@@ -55,6 +55,7 @@
     calm_s: float = 25.0  # how long it goes on after that and after the last fault
     refuse: tuple[str, ...] = ("earn", "redeem")
     faults: tuple[Fault, ...] = ()
+    record: bool = True  # False: as without any of it, to hold the two against each other
 
     @property
     def lasts_s(self) -> float:
@@ -141,6 +142,9 @@
     ends: dict[str, int]
     counts: dict[str, int]
     closed_s: float  # from the last loss to the last record that was closed by a successor
+    learnt: float  # share of operations whose till has learnt that they were served
+    twice: int  # operations that nodes ran more than once
+    losses: int  # instances that were lost
 
 
 class _Sim:
@@ -230,7 +234,7 @@
         one.counts = {}
         self._leave = getattr(self, "_leave", {})
         self._leave[one.number] = (leave, desk)
-        hands.records = desk
+        hands.records = desk if trial.record else None
         process.call_soon(start)
 
     def _watch_unrecorded(self, desk: object, hands: SimHands) -> None:
@@ -396,7 +400,15 @@
             said[record.said] = said.get(record.said, 0) + 1
         return Played(self.trial, seed, findings, len(self.tills.wishes),
                       sum(wish.over for wish in self.tills.wishes), len(ran), said, self.counts,
-                      self._closed_s())
+                      self._closed_s(), sum(wish.over for wish in self.tills.wishes)
+                      / max(1, len(self.tills.wishes)), self._twice(ran), len(self.losses))
+
+    @staticmethod
+    def _twice(ran: list[Ran]) -> int:
+        whole: dict[str, int] = {}
+        for one in ran:
+            whole[one.key] = whole.get(one.key, 0) + (not one.repeat)
+        return sum(count > 1 for count in whole.values())
 
     def _passed_on(self) -> list[Finding]:
         """Each record's owners only grow: who was one and is not any more writes nothing of it."""
