--- a/coveport/cli/search.py
+++ b/coveport/cli/search.py
@@ -13,6 +13,7 @@
 
 from coveport.cli.errors import NOT_HELD, OK, Unusable
 from coveport.cli.lab import OUT_FOLDER, one_line
+from coveport.cli.trials import search_trials
 
 if TYPE_CHECKING:
     from coveport.lab.scenario import Scenario
@@ -49,15 +50,20 @@
     complain, what is left over in quiet, and service that does not come back though capacity allows it. DIR
     gets a file for each run and each find; the same call goes on where it was stopped, and takes more runs.
 
+    A DAY of trials/ is searched by trials drawn for as many instances, over all faults.
+
     Exit code 0 where there is no find, 1 where there is, 2 where the file or the call can't be used.
     """
-    with one_line("virtual", [variant]):
+    with one_line("virtual", [] if day.startswith("trials/") else [variant]):
         from coveport.lab.catalog import find
         from coveport.lab.scenario import load
         from coveport.lab.search.hunt import hunt
         from coveport.lab.sweep import SweepError
+        from coveport.lab.trials.days import is_trial
 
         path = find(day)
+        if is_trial(path):
+            return search_trials(path, runs, jobs or 0, seed, out, variant, sets)
         base = load(path, sets)
         try:
             with _progress(out, runs) as told:
--- a/coveport/cli/trials.py
+++ b/coveport/cli/trials.py
@@ -56,6 +56,33 @@
         return report(came.findings, came.beliefs, came.acts)
 
 
+def search_trials(path: Path, runs: int, workers: int, seed: int, out: Path, variant: str,
+                  sets: Sequence[str]) -> int:
+    """Draw trials for as many instances as a day of trials has; each find is kept as such a day."""
+    from coveport.lab.trials.days import load, write
+    from coveport.lab.trials.schedules import Trial
+    from coveport.lab.trials.search import hunt, shrink
+    from coveport.lab.trials.variants import VARIANTS
+
+    day = load(path, tuple(sets))
+    if variant and variant not in VARIANTS:
+        raise Unusable(f"no variant {variant!r}; one of {', '.join(VARIANTS)}")
+    finds = 0
+    first = seed * runs
+    for _, found in hunt(range(first, first + runs), day.trial.instances, variant, workers, bool(variant)):
+        if found is None:
+            continue
+        less = shrink(found, variant)
+        assert isinstance(less.trial, Trial)
+        finds += 1
+        name = out / "finds" / f"{less.findings[0].rule}-{less.seed}.toml"
+        name.parent.mkdir(parents=True, exist_ok=True)
+        name.write_text(write(less.trial, less.seed, less.findings[0].what))
+        click.echo(f"seed {less.seed}: {less.findings[0].rule}: {less.findings[0].what} ({name})")
+    click.echo(f"{runs} trials of {day.trial.instances} instances from seed {first}: {finds} finds")
+    return NOT_HELD if finds else OK
+
+
 @click.command("trials", short_help="Draw trials of many processes and look for one that breaks a rule.")
 @click.option("--runs", type=click.IntRange(min=1), default=200, show_default=True)
 @click.option("--first-seed", type=click.IntRange(min=0), default=0, show_default=True)
--- a/coveport/lab/trials/days.py
+++ b/coveport/lab/trials/days.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -95,3 +96,16 @@
             faults=tuple(Fault(one.at, one.kind, one.target, one.lasts, one.share) for one in faults),
         ),
     )
+
+
+def write(trial: Trial, seed: int, title: str) -> str:
+    """A trial as such a file. What a file can't tell of it (roll-outs, duties, clocks) is left out."""
+    lines = ["[trial]", f"title = {json.dumps(title)}", f"instances = {trial.instances}",
+             f"ttl = {trial.ttl_s}", f"margin = {trial.margin_s}", f"drift = {trial.drift}",
+             f"calm = {trial.calm_s}", f"seed = {seed}"]
+    for one in trial.faults:
+        if one.kind not in (*KINDS, *TRAPS):
+            continue
+        lines += ["", "[[fault]]", f"at = {one.at_s}", f"kind = {json.dumps(one.kind)}",
+                  f"target = {json.dumps(one.target)}", f"lasts = {one.lasts_s}", f"share = {one.share}"]
+    return "\n".join(lines) + "\n"
--- a/tests/lab/test_trials.py
+++ b/tests/lab/test_trials.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 from pathlib import Path
 
 import msgspec
@@ -11,7 +13,7 @@
 from coveport.lab import catalog
 from coveport.lab.scenario import ScenarioError
 from coveport.lab.trials import judge
-from coveport.lab.trials.days import load
+from coveport.lab.trials.days import load, write
 from coveport.lab.trials.history import Histories, Record
 from coveport.lab.trials.linear import Call, linearizable
 from coveport.lab.trials.schedules import HOLDER, Fault, Trial, draw
@@ -74,6 +76,26 @@
     assert why in str(problem.value) and "\n" not in str(problem.value)
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_a_trial_is_read_as_it_was_written(tmp_path: Path, seed: int) -> None:
+    one = draw(seed)
+    path = tmp_path / "one.toml"
+    path.write_text(write(one, seed, 'found "by" search'))
+    day = load(path)
+    assert day.trial.faults == tuple(it for it in one.faults if not it.kind.startswith("rollout"))
+    assert (day.seed, day.trial.instances, day.title) == (seed, 5, 'found "by" search')
+
+
+def test_search_draws_trials_and_keeps_what_it_finds(tmp_path: Path) -> None:
+    done = subprocess.run(
+        [sys.executable, "-m", "coveport", "lab", "search", "trials/halves", "--runs", "40", "--out",
+         str(tmp_path / "out"), "--variant", "claims-over", "--jobs", "1"],
+        capture_output=True, text=True, check=False)
+    assert done.returncode == 1 and "1 finds" in done.stdout, done.stderr
+    (kept,) = (tmp_path / "out" / "finds").iterdir()
+    assert load(kept).trial.faults
+
+
 def test_after_a_kill_it_is_handed_on_within_the_time_to_live() -> None:
     for seed in range(5):
         played = play(trial(Fault(10.0, "kill", HOLDER, 20)), seed)
