The desk in three rooms: what it asks of others, what it writes late, and itself

Need: one module of 780 lines held the clients' stand-ins, the desk and what is written once a store is back. Change: work/asking, work/late; nothing else. The broken variant that writes late replaces Late.write.

--- a/coveport/lab/trials/work/variants.py
+++ b/coveport/lab/trials/work/variants.py
@@ -19,6 +19,7 @@
 from coveport.work.desk import Desk, as_ours
 from coveport.work.hand import Go, Hand, Stage
 from coveport.work.journal import Journal
+from coveport.work.late import Late
 from coveport.work.record import End, Record, State
 from coveport.work.seal import Kept
 from coveport.work.shelf import Shelf
@@ -79,16 +80,6 @@
         one.may_send = True
 
 
-class _SaysNeverRan(Desk):
-    """Writes down late that what it could not record was refused."""
-
-    async def _write_late(self, one: Hand) -> bool:
-        record = one.record
-        attempts = tuple(msgspec.structs.replace(it, ended=api.Outcome.MOOT) for it in record.attempts)
-        one.record = msgspec.structs.replace(record, attempts=attempts, state=State.CLOSED, end=End.REFUSED)
-        return await super()._write_late(one)
-
-
 class _ForgetsAttempts(Desk):
     """Tells the module nothing of the attempts that were made."""
 
@@ -200,6 +191,17 @@
     return made
 
 
+def _says_never_ran(write: Any) -> Any:
+    """Writes down late that what it could not record was refused."""
+    async def written(late: Late, one: Hand) -> bool:
+        record = one.record
+        attempts = tuple(msgspec.structs.replace(it, ended=api.Outcome.MOOT) for it in record.attempts)
+        one.record = msgspec.structs.replace(record, attempts=attempts, state=State.CLOSED, end=End.REFUSED)
+        return bool(await write(late, one))
+
+    return written
+
+
 def _resends(decide: Any) -> Any:
     """A table that sends what may not run twice."""
     def table(record: Record, left_ms: float, age_ms: float, room_ms: float) -> Decision:
@@ -270,7 +272,7 @@
     WorkVariant("unknown-unwritten", "goes on sending where nobody knows what is written",
                 ("never-run", "twice"), desk=_UnknownIsUnwritten),
     WorkVariant("says-never-ran", "writes late that what went unrecorded was refused", ("never-run",),
-                desk=_SaysNeverRan),
+                while_played=_patched(Late, "write", _says_never_ran)),
     WorkVariant("forgets-attempts", "tells the module nothing of attempts before", ("twice", "tries"),
                 desk=_ForgetsAttempts),
     WorkVariant("refused-is-written", "takes a refused write for done", ("twice", "owners", "open"),
--- a/coveport/work/desk.py
+++ b/coveport/work/desk.py
@@ -14,7 +14,7 @@
 from dataclasses import replace
 from functools import partial
 from math import inf
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 
@@ -22,8 +22,10 @@
 from coveport.core.operation import Answer, Operation
 from coveport.leases.store import Delete, Done, Entry, Outcome, Put, Refused, Transaction, Unknown
 from coveport.work.again import Owner, Then, decide_again, told_late
+from coveport.work.asking import Answering, Hands, Nobody
 from coveport.work.hand import Go, Hand, Stage
 from coveport.work.journal import Journal
+from coveport.work.late import Late
 from coveport.work.presence import Presence
 from coveport.work.record import Attempt, End, Record, RecordError, Rules, State, decode
 from coveport.work.seal import Asked, Given, Kept
@@ -37,78 +39,12 @@
 POLL_S = (0.015, 0.03)  # how often a record is looked at for whom somebody waits
 LATE_S = 0.03  # so long before its time is over who waits is told what is known
 ANSWER_S = 0.05  # how long an answer waits to be durable at the most
-LATER_MOST = 4096  # unrecorded ones that are remembered, to be written down when the store is back
-LATER_S = 0.5
 SIZE = 700  # of a record without request and answer
 TRY_AGAIN_S = 0.2  # between two tries of what was taken over and found no room
 LEAST_MS = 100.0  # of a window: less is not worth a try
-FIRST_REVISION = 1  # of every store: whatever is that old has no bound to its age
 OUT_MOST = 2000  # that wait for another's try
 
 
-class Hands(Protocol):
-    """Whoever carries operations out."""
-
-    def take(self, number: int, client: Any, asked: Operation) -> None:
-        """An operation is to be carried out; its one answer goes to `client`."""
-
-    def withdraw(self, number: int) -> None:
-        """It is somebody else's."""
-
-    def answered_elsewhere(self, cls: str, verdict: Verdict) -> None:
-        """Count an answer that was given past them."""
-
-    def now_ms(self) -> float:
-        """The clock by which they tell the module of time."""
-
-    def place_of(self, destination: int) -> tuple[str, int, int]:
-        """Address, zone and cell of a destination."""
-
-    @property
-    def settings(self) -> api.Settings:
-        """As they are now."""
-
-
-class _Answering:
-    """Stands in a client's place: what it is told goes by the desk."""
-
-    def __init__(self, desk: Desk, hand: Hand, client: Any) -> None:
-        self._desk, self.hand, self.client = desk, hand, client
-
-    def begin(self, answer: Answer, source: Any) -> None:
-        self.client.begin(answer, source)
-
-    def more(self, data: bytes) -> None:
-        self.client.more(data)
-
-    def finish(self, whole: bool) -> None:
-        self._desk.finished(self.hand, whole)
-        self.client.finish(whole)
-
-    def answer(self, verdict: Verdict, answer: Answer | None, retry_after_ms: float) -> None:
-        self._desk.answered(self.hand, verdict, answer,
-                            lambda: self.client.answer(verdict, answer, retry_after_ms))
-
-
-class _Nobody:
-    """The client of what was taken over."""
-
-    def __init__(self, desk: Desk, hand: Hand) -> None:
-        self._desk, self.hand = desk, hand
-
-    def begin(self, answer: Answer, source: Any) -> None:
-        pass
-
-    def more(self, data: bytes) -> None:
-        pass
-
-    def finish(self, whole: bool) -> None:
-        self._desk.finished(self.hand, whole)
-
-    def answer(self, verdict: Verdict, answer: Answer | None, retry_after_ms: float) -> None:
-        self._desk.answered(self.hand, verdict, answer, lambda: None)
-
-
 class Desk:
     """Records of one instance's operations. Must live in a running loop from `start` on.
 
@@ -128,7 +64,7 @@
         self._by_id: dict[str, Hand] = {}  # ours and open
         self._waiters: dict[int, asyncio.Task[None]] = {}
         self._clients: dict[int, Any] = {}  # of those whose operation is elsewhere
-        self._later: dict[str, Hand] = {}  # answered, and the store has not heard of it
+        self._late = Late(journal, shelf, chance, count, unix_s)
         self._tasks: set[asyncio.Task[None]] = set()
         self._own = 0  # operations that we began ourselves, counted down from -1
         self._token = 0  # while leaving: that of the session before
@@ -139,7 +75,7 @@
     def start(self) -> None:
         """Begin."""
         self.journal.start()
-        self._tending = asyncio.ensure_future(self._tend())
+        self._tending = asyncio.ensure_future(self._late.tend(lambda: self.token != 0, self._say))
 
     async def leaving(self, within_s: float) -> None:
         """We are told to end: what is ours stays ours until it is answered, for so long."""
@@ -164,12 +100,12 @@
     @property
     def tables(self) -> dict[str, int]:
         """How many entries each table has."""
-        return {"work": len(self._by_number), "work_open": len(self._by_id), "work_later": len(self._later),
+        return {"work": len(self._by_number), "work_open": len(self._by_id), "work_later": len(self._late),
                 "work_waiting": len(self._waiters)}
 
     def has(self, identity: str) -> bool:
         """Whether a record is in hand here."""
-        return identity in self._by_id or identity in self._later
+        return identity in self._by_id or identity in self._late
 
     @property
     def token(self) -> int:
@@ -202,14 +138,14 @@
         hand = Hand(number, asked, self._new(identity, cls, asked), now + asked.wait_ms / 1000)
         self._by_number[number] = hand
         self._clients[number] = client
-        if identity in self._by_id or identity in self._later:
+        if identity in self._by_id or identity in self._late:
             # Ours already: nothing is begun for this one.
             hand.to(Stage.ELSEWHERE)
             self._loop().call_soon(self._elsewhere, hand)
             return None
         self._by_id[identity] = hand
         self._push(hand)
-        return _Answering(self, hand, client)
+        return Answering(self, hand, client)
 
     @staticmethod
     def _loop() -> asyncio.AbstractEventLoop:
@@ -334,7 +270,7 @@
         if hand.stage is Stage.UNRECORDED:
             hand.to(Stage.OVER)
             self._drop(hand)
-            self._remember(hand)
+            self._late.remember(hand)
         elif hand.stage is Stage.OURS and hand.written is None and not hand.writing and (
                 not hand.record.attempts and not hand.gates):
             # Nothing of it has gone to the store, so nothing need be said there.
@@ -343,13 +279,6 @@
         else:
             self._push(hand)
 
-    def _remember(self, hand: Hand) -> None:
-        self._later[hand.record.id] = hand
-        if len(self._later) > LATER_MOST:
-            # What stands of it, if anything does, says that it may have run.
-            del self._later[next(iter(self._later))]
-            self._count("work_forgotten")
-
     def _drop(self, hand: Hand) -> None:
         for number in hand.numbers:
             self._by_number.pop(number, None)
@@ -424,7 +353,7 @@
             self._deliver(hand)
             hand.to(Stage.OVER)
             self._drop(hand)
-            self._remember(hand)
+            self._late.remember(hand)
             self._shut(hand)
             return
         gates, hand.gates = hand.gates, {}
@@ -458,7 +387,7 @@
         """Look at the record until something can be told, or its client's time is nearly over."""
         record: Record | None = hand.record if hand.revision else None
         while hand.stage is Stage.ELSEWHERE and self._now_s() < hand.until - LATE_S:
-            known = self._later.get(hand.record.id) or self._by_id.get(hand.record.id)
+            known = self._late.get(hand.record.id) or self._by_id.get(hand.record.id)
             if known is not None:
                 # Guards against a second beginning: we know what the store has not heard of, or not yet.
                 record = known.record
@@ -514,7 +443,7 @@
     def _owner(self, record: Record) -> Owner:
         if record.owner == self.incarnation:
             # Ours, and not in hand: a claim of ours whose answer was lost.
-            return Owner.OURS if record.id in self._by_id or record.id in self._later else Owner.LOST
+            return Owner.OURS if record.id in self._by_id or record.id in self._late else Owner.LOST
         return self.presence.of(self._now_s(), record.owner)
 
     def _same(self, hand: Hand, record: Record) -> bool | None:
@@ -646,7 +575,7 @@
         self._by_id[hand.record.id] = hand
         hand.steps = {number: number for number in range(len(before))}
         hand.asked = asked
-        asker = _Nobody(self, hand) if client is None else _Answering(self, hand, client)
+        asker = Nobody(self, hand) if client is None else Answering(self, hand, client)
         if client is not None:
             self._clients[hand.number] = client
         if hand.written is None:
@@ -720,51 +649,6 @@
             hand.until = self._now_s() + hand.record.rules.deadline_ms / 1000
             self._go_on(hand, None)
 
-    # What went unrecorded.
-
-    async def _tend(self) -> None:
-        recording = False
-        while True:
-            if recording is not (bool(self.token) and self.journal.up):
-                recording = not recording
-                self._say("recording" if recording else "not_recording")
-            await asyncio.sleep(LATER_S * self._chance.uniform(0.8, 1.2))
-            for identity, hand in list(self._later.items()):
-                if not self.journal.up or not self.token:
-                    break
-                if await self._write_late(hand) and self._later.get(identity) is hand:
-                    del self._later[identity]
-
-    async def _write_late(self, hand: Hand) -> bool:
-        """Write down how something ended that the store did not hear of in time; False: not now."""
-        record = hand.record
-        found = await self.journal.read(self.shelf.record_key(record.id))
-        if not isinstance(found, Done):
-            return False
-        before: Record | None = None
-        revision = 0
-        if found.entries:
-            try:
-                before = decode(found.entries[0].value)
-            except RecordError:
-                return True
-            revision = found.entries[0].modified
-            if (before.owner, before.owners, before.lives, before.asked) != (
-                    record.owner, record.owners, record.lives, record.asked) or not before.open:
-                return True  # another's by now, or another ask's, or closed: it goes by what stands there
-        elif hand.revision:
-            return True  # it was there and was thrown away
-        if record.open:
-            record = record.closed(End.FAILED if record.may_have_run else End.NEVER_RAN, "not answered",
-                                   self._unix_s())
-        if record.attempts:
-            # Nobody knows how old they are: their window counts as over.
-            record = msgspec.structs.replace(record, since=hand.since or FIRST_REVISION)
-        outcome = await self.journal.commit(self.shelf.write(before, revision, record))
-        if isinstance(outcome, Done):
-            self._count("work_written_late")
-        return isinstance(outcome, Done)
-
 
 def _as_asked(asked: Operation) -> Asked:
     return Asked(asked.method, asked.target, asked.body, asked.id, asked.key, asked.content_type,
