Wrong clocks, changed rules and a killed export played by processes; what records cost is told

Need: hard cases of work in hand and of leases that were argued and not played: a successor's wall clock off, clocks that jump, rules changed by SIGHUP while records are open, an export killed in the middle; writes a second told before one turns records on. Closed records are swept eight times in kept_s.

--- a/benchmarks/work_in_hand.py
+++ b/benchmarks/work_in_hand.py
@@ -3,6 +3,7 @@
     python -m benchmarks.work_in_hand saves [--seeds 20]   simulated: days with losses, on beside off
     python -m benchmarks.work_in_hand closes [--seeds 5]   simulated: from a loss to the last record closed
     python -m benchmarks.work_in_hand costs [--seconds 10] processes: time an operation and CPU, on beside off
+    python -m benchmarks.work_in_hand gap [--seconds 10]   processes: from the fence's last look to the write
     python -m benchmarks.work_in_hand variants             how many drawn trials each broken one takes
 
 Each prints a table; `--json` prints the figures instead.
@@ -17,6 +18,7 @@
 import math
 import multiprocessing
 import os
+import signal
 import statistics
 import tempfile
 import time
@@ -24,7 +26,7 @@
 from pathlib import Path
 
 from benchmarks.common import machine, table
-from coveport.lab.trials.real import RealTrial
+from coveport.lab.trials.real import RealTrial, Running
 from coveport.lab.trials.relay import Relay
 from coveport.lab.trials.schedules import Fault, Trial
 from coveport.lab.trials.search import hunt
@@ -139,6 +141,20 @@
     return [it.took_s for it in [await it for it in asks] if it.status == 200]
 
 
+def figures(one: Running) -> dict[str, int]:
+    """What it counts of records, so far."""
+    log = one.folder / "log"
+    asked = log.stat().st_size
+    one.signal(signal.SIGUSR1)
+    end = time.monotonic() + 5
+    while b"counters" not in (said := log.read_bytes()[asked:]) or not said.endswith(b"\n"):
+        if time.monotonic() > end:
+            raise SystemExit(f"{one.name} tells no figures")
+        time.sleep(0.01)
+    told = json.loads(said[said.index(b"counters") + len("counters "):].splitlines()[0])
+    return {name: int(value) for name, value in told.items() if name.startswith("work_")}
+
+
 async def _cost(kind: str, rate: float, seconds: float, on: bool, delay_s: float) -> Row:
     with tempfile.TemporaryDirectory() as folder:
         work = {} if on else {"record": []}
@@ -149,26 +165,36 @@
                     assert isinstance(relay, Relay)
                     relay.back.delay_s = delay_s
             await _load(one, rate, 1.0)
+            first = [figures(it) for it in one.instances]
             before = [cpu_s(it.process.pid) for it in one.instances if it.process]
             took = sorted(await _load(one, rate, seconds))
             after = [cpu_s(it.process.pid) for it in one.instances if it.process]
+            last = [figures(it) for it in one.instances]
             rss = [int(next(line for line in Path(f"/proc/{it.process.pid}/status").read_text().splitlines()
                             if line.startswith("VmRSS")).split()[1]) / 1024
                    for it in one.instances if it.process]
     served = max(1, len(took))
+
+    def a_second(name: str) -> float:
+        return sum(b.get(name, 0) - a.get(name, 0) for a, b in zip(first, last, strict=True)) / seconds
+
     return {"store": kind + (f" + {delay_s * 1000:g} ms" if kind == "etcd" else ""), "a second": rate,
             "records": "on" if on else "off", "served": f"{len(took)} of {int(rate * seconds)}",
             "p50 ms": round(took[served // 2] * 1000, 1) if took else "-",
             "p99 ms": round(took[int(served * 0.99)] * 1000, 1) if took else "-",
             "CPU ms an operation": round(sum(b - a for a, b in zip(before, after, strict=True))
                                          / served * 1000, 2),
-            "MB an instance": round(statistics.fmean(rss), 1)}
+            "MB an instance": round(statistics.fmean(rss), 1),
+            "writes a second": round(a_second("work_writes")),
+            "groups a second": round(a_second("work_groups")),
+            "store calls a second": round(a_second("work_store_calls")),
+            "kB a second": round(a_second("work_bytes") / 1000)}
 
 
 def costs(seconds: float) -> list[Row]:
     """Time an operation and CPU, on beside off, in one run."""
     rows = []
-    for rate in (70.0, 320.0):
+    for rate in (70.0, 320.0, 1000.0):
         for on in (False, True):
             rows.append(asyncio.run(_cost("sqlite", rate, seconds, on, 0.0)))
     for delay in (0.001, 0.005, 0.02):
@@ -176,17 +202,42 @@
     return rows
 
 
+class _Watched(RealTrial):
+    """Instances that write down how long it is from the fence to the socket."""
+
+    def _program(self, one: Running) -> tuple[str, ...]:
+        return "-m", "benchmarks.fence_gap", str(one.folder / "gap.json")
+
+
+async def _gap(rate: float, seconds: float) -> list[Row]:
+    with tempfile.TemporaryDirectory() as folder:
+        async with _Watched(Path(folder), Trial(instances=4), nodes=4, work={}) as one:
+            await one.all_recording(30)
+            await _load(one, rate, seconds)
+            for it in one.instances:
+                await one.leave(it)
+            told = [json.loads((it.folder / "gap.json").read_text()) for it in one.instances]
+    return [{"a second": rate, "instance": number} | {name if name == "count" else f"{name} us": value
+            for name, value in row.items()} for number, row in enumerate(told)]
+
+
+def gap(seconds: float) -> list[Row]:
+    """From the fence's last look to the write, by instance."""
+    return [row for rate in (70.0, 320.0) for row in asyncio.run(_gap(rate, seconds))]
+
+
 def main() -> None:
     """See the head of this file."""
     parser = argparse.ArgumentParser()
-    parser.add_argument("what", choices=("saves", "closes", "costs", "variants"))
+    parser.add_argument("what", choices=("saves", "closes", "costs", "gap", "variants"))
     parser.add_argument("--seeds", type=int, default=20)
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--json", action="store_true")
     told = parser.parse_args()
     where = machine()
     rows = {"saves": lambda: saves(told.seeds), "closes": lambda: closes(told.seeds),
-            "costs": lambda: costs(told.seconds), "variants": variants}[told.what]()
+            "costs": lambda: costs(told.seconds), "gap": lambda: gap(told.seconds),
+            "variants": variants}[told.what]()
     if told.json:
         print(json.dumps({"machine": where, "rows": rows}, indent=2))
     else:
--- a/coveport/cli/check.py
+++ b/coveport/cli/check.py
@@ -13,7 +13,9 @@
 @click.command(short_help="Say whether a configuration can be used.",
                epilog="Example: coveport check example/config.json")
 @click.argument("file", required=False, type=click.Path(path_type=Path))
-def check(file: Path | None) -> int:
+@click.option("--rate", type=click.FloatRange(0, 1e6), default=0.0,
+              help="Operations of recorded classes a second, over all instances: tells what records cost.")
+def check(file: Path | None, rate: float) -> int:
     """Read the platform's configuration FILE (or LB_CONFIG's) as a sidecar would, and say what is wrong.
 
     A FILE that ends in .toml is an operator's: it is checked with the platform's file that it names.
@@ -23,7 +25,7 @@
     from coveport.config import platform
 
     environ = dict(os.environ)
-    beside = ""
+    beside, cost = "", ""
     if file is not None and file.suffix == ".toml":
         from coveport.cli.operator import loaded
 
@@ -35,6 +37,10 @@
                 read_keys(told.key_file)
             except SealError as problem:
                 raise Unusable(str(problem)) from problem
+        if rate and told.work.record:
+            from coveport.work.terms import cost_of
+
+            cost = cost_of(rate, told.work.kept_s, told.work.body_most if told.key_file else 0)
         environ["LB_CONFIG"] = str(told.platform)
         held = ", ".join(told.duties.wished(0)) or "none"
         beside = f"; store {told.store.url}, duties {held}, records {', '.join(told.work.record) or 'none'}"
@@ -47,4 +53,6 @@
     classes = ", ".join(one.name for one in config.settings.classes)
     click.echo(f"ok: {config.name} listens on {config.listen[0]}:{config.listen[1]}, discovery at "
                f"{config.discovery[0]}:{config.discovery[1]}, classes {classes}{beside}")
+    if cost:
+        click.echo(cost)
     return OK
--- a/coveport/lab/trials/real.py
+++ b/coveport/lab/trials/real.py
@@ -22,7 +22,10 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from coveport.lab.trials import judge
+from coveport.lab.trials.clocked import Clocks
 from coveport.lab.trials.history import Histories, read_lines
 from coveport.lab.trials.ledger import Tills
 from coveport.lab.trials.relay import Relay
@@ -164,12 +167,15 @@
 
     def __init__(self, folder: Path, trial: Trial, *, store: str = "sqlite", nodes: int = 2,
                  duties: tuple[str, ...] = (), settings: Mapping[str, Any] | None = None,
-                 relayed: bool = False, work: Mapping[str, Any] | None = None) -> None:
+                 relayed: bool = False, work: Mapping[str, Any] | None = None,
+                 clocks: Mapping[int, Clocks] | None = None) -> None:
         """`relayed`: each instance reaches nodes and discovery by links of its own.
 
+        `clocks`: those of instances, by number, whose time is wrong.
+
         `work`: what stands in `[work]`; the nodes are ledgers with books then, two to a cell.
         """
-        self._work = work
+        self._work, self._clocks = work, clocks or {}
         self.tills = Tills()
         self._relayed = relayed
         self.folder, self.trial, self.kind, self._nodes = folder, trial, store, nodes
@@ -255,9 +261,23 @@
         with open(one.folder / "log", "ab") as log:
             one.started_at, one.logged = boot_s(), log.tell()
             one.process = subprocess.Popen(
-                [sys.executable, "-m", "coveport", "run", "--config", str(one.folder / "coveport.toml")],
+                [sys.executable, *self._program(one), "run", "--config", str(one.folder / "coveport.toml")],
                 stdout=log, stderr=log, env=os.environ | {"LB_CONFIG": ""})
 
+    def _program(self, one: Running) -> tuple[str, ...]:
+        clocks = self._clocks.get(one.number)
+        if clocks is None:
+            return "-m", "coveport"
+        return "-m", "coveport.lab.trials.clocked", msgspec.json.encode(clocks).decode()
+
+    def retune(self, settings: Mapping[str, Any]) -> None:
+        """Give all instances other settings, by SIGHUP."""
+        self._settings = settings
+        for one in self.instances:
+            self.configure(one)
+            if one.alive:
+                one.signal(signal.SIGHUP)
+
     def serves(self, one: Running) -> bool:
         """Whether it says that it serves; by its log, so that nothing is asked of it."""
         log = (one.folder / "log").read_bytes() if (one.folder / "log").exists() else b""
@@ -453,12 +473,13 @@
                 found[lives[-1]] = at
         return found
 
-    def judged(self, calm_from: float, end: float, *, drill: bool = True) -> list[judge.Finding]:
-        """What the judge finds; `calm_from`, `end`: boot clock."""
+    def judged(self, calm_from: float, end: float, *, drill: bool = True, apart_s: float = 0.0
+               ) -> list[judge.Finding]:
+        """What the judge finds; `calm_from`, `end`: boot clock. `apart_s`: how far two clocks are by now."""
         histories = self.histories()
         acts = judge.accepted(self.book())
         held = judge.beliefs(histories, self.deaths_of(histories), end)
-        found = judge.order(acts) + judge.told(histories, acts) + judge.overlaps(held, 0.0)
+        found = judge.order(acts) + judge.told(histories, acts) + judge.overlaps(held, apart_s)
         if drill:
             found += judge.steps(acts)
         found += judge.again(held, self.trial.duties, calm_from, self.trial.again_s, end)
--- a/coveport/lab/trials/work/sim.py
+++ b/coveport/lab/trials/work/sim.py
@@ -57,6 +57,7 @@
     calm_s: float = 25.0  # how long it goes on after that and after the last fault
     refuse: tuple[str, ...] = ("earn", "redeem")
     faults: tuple[Fault, ...] = ()
+    kept_s: float = 600.0
     record: bool = True  # False: as without any of it, to hold the two against each other
 
     @property
@@ -207,9 +208,9 @@
             inside = keeper.holder.session in (Session.IN, Session.WARY)
             return entry.created if inside and entry is not None else 0
 
-        desk = variant.desk(hands, journal, variant.shelf(PREFIX, 600.0), variant.kept(), presence, terms,
-                            incarnation, session=token, now_s=now_s, chance=chance, count=count, say=say,
-                            unix_s=unix_s)
+        desk = variant.desk(hands, journal, variant.shelf(PREFIX, trial.kept_s), variant.kept(), presence,
+                            terms, incarnation, session=token, now_s=now_s, chance=chance, count=count,
+                            say=say, unix_s=unix_s)
         takers = variant.takers(desk, name, pace=Pace(50.0, 16), now_s=now_s, unix_s=unix_s,
                                 chance=chance, busy=lambda: hands.pending > 16, count=count, say=say)
         one.desk = desk
--- a/coveport/work/takers.py
+++ b/coveport/work/takers.py
@@ -21,7 +21,8 @@
 
 LOOK_S = 0.25  # how often those that are known to be lost are looked at
 SCAN_S = 5.0  # how often all that is open is looked through for owners that nobody is
-SWEEP_S = 10.0  # how often closed ones are thrown away
+SWEEP_S = 10.0  # how often closed ones are thrown away at the least, ...
+SWEEPS = 8  # ... and how often while one is kept
 SWEEP_PAUSE_S = 0.002  # between two of them: nobody is to wait for it
 
 
@@ -138,8 +139,9 @@
     async def _sweep(self) -> None:
         """Throw away what was kept long enough: once all that is old, then bucket by bucket, by turns."""
         swept = -1
+        every_s = min(SWEEP_S, self._desk.shelf.kept_s / SWEEPS)
         while True:
-            await asyncio.sleep(SWEEP_S * self._chance.uniform(0.5, 1.5))
+            await asyncio.sleep(every_s * self._chance.uniform(0.5, 1.5))
             if not self._may:
                 continue
             now = self._now_s()
--- a/tests/lab/test_trials_real.py
+++ b/tests/lab/test_trials_real.py
@@ -17,6 +17,7 @@
 import pytest
 
 from coveport.lab.trials import judge
+from coveport.lab.trials.clocked import Clocks
 from coveport.lab.trials.real import RealTrial, Running, free_port, play
 from coveport.lab.trials.schedules import HOLDER, Fault, Trial
 from coveport.leases.clock import boot_s
@@ -242,3 +243,43 @@
         assert safe(one) == []
 
     run(tmp_path, Trial(instances=2), work, relayed=True)
+
+
+def test_clocks_that_jump_and_run_apart_within_the_stated_drift(tmp_path: Path) -> None:
+    """Wall clocks decide nothing; those that never step may part by the drift that the file states."""
+    clocks = {0: Clocks(rate=1.009, jump_at_s=2.0, jump_s=3600.0),
+              1: Clocks(rate=0.991, jump_at_s=4.0, jump_s=-3600.0), 2: Clocks(wall_off_s=-90000.0)}
+
+    async def work(one: RealTrial) -> None:
+        for how in ("kill", "stall", "kill"):
+            holder = await one.held("drill", LONG)
+            await asyncio.sleep(1.0)
+            if how == "kill":
+                one.kill(holder)
+                one.start(holder)
+            else:
+                one.stall(holder)
+            await one.held("drill", LONG, besides=holder)
+            one.resume(holder)
+        now = boot_s()
+        apart_s = 0.01 * (now - min(it.started_at for it in one.instances)) + 0.3
+        assert [it for it in one.judged(now, now, apart_s=apart_s) if it.rule != "again"] == []
+
+    run(tmp_path, Trial(instances=3, ttl_s=1.0, margin_s=0.1, drift=0.02), work, store="etcd", clocks=clocks)
+
+
+def test_clocks_that_run_wild_have_nothing_wrong_accepted(tmp_path: Path) -> None:
+    """Beyond the stated drift two may believe at a time; the store accepts one's acts alone."""
+    async def work(one: RealTrial) -> None:
+        await one.held("drill", LONG)
+        for hit in (*one.instances, *one.instances):  # whose holding it is can't be told by clocks like these
+            await asyncio.sleep(0.5)
+            one.stall(hit)
+            await asyncio.sleep(1.5)
+            one.resume(hit)
+        await one.until(lambda: len(judge.accepted(one.book())) > 10, LONG, "acts")
+        acts = judge.accepted(one.book())
+        assert judge.order(acts) == [] and judge.steps(acts) == []
+
+    run(tmp_path, Trial(instances=3, ttl_s=1.0, margin_s=0.1), work, store="etcd",
+        clocks={0: Clocks(rate=0.4), 1: Clocks(rate=2.5), 2: Clocks(rate=0.7)})
--- a/tests/work/test_processes.py
+++ b/tests/work/test_processes.py
@@ -19,8 +19,9 @@
 
 import pytest
 
+from coveport.lab.trials.clocked import Clocks
 from coveport.lab.trials.ledger import Asked, LedgerNode, judge
-from coveport.lab.trials.real import RealTrial, Running
+from coveport.lab.trials.real import SETTINGS, RealTrial, Running
 from coveport.lab.trials.schedules import Trial
 
 LONG = 60.0
@@ -28,10 +29,10 @@
 
 
 def run(folder: Path, work: Callable[[RealTrial], Awaitable[None]], instances: int = 3, *,
-        store: str = "sqlite", told: dict[str, Any] | None = None, relayed: bool = False) -> None:
+        store: str = "sqlite", told: dict[str, Any] | None = None, **more: Any) -> None:
     async def whole() -> None:
         trial = Trial(instances=instances, ttl_s=TTL_S, margin_s=0.1)
-        async with RealTrial(folder, trial, store=store, nodes=4, work=told or {}, relayed=relayed) as one:
+        async with RealTrial(folder, trial, store=store, nodes=4, work=told or {}, **more) as one:
             await one.all_recording(LONG)
             await work(one)
             findings = judge(one.tills.asked, [ran for node in one.town.nodes for ran in node.ran])
@@ -377,3 +378,84 @@
     assert [asyncio.run(asks(node)) for node in nodes] == [False, True, False]
     found = judge([], [it for node in nodes for it in node.ran])
     assert [it.rule for it in found] == ["twice"]
+
+
+def test_wall_clocks_an_hour_apart_have_nothing_forgotten(tmp_path: Path) -> None:
+    clocks = {0: Clocks(wall_off_s=-3700.0), 1: Clocks(wall_off_s=3700.0),
+              2: Clocks(wall_off_s=5.0, jump_at_s=3.0, jump_s=3700.0)}
+
+    async def work(one: RealTrial) -> None:
+        asks = [(at, cls, f"{cls}{at}") for at in range(3) for cls in ("earn", "redeem")]
+        first = {key: await ask(one, at, cls, key) for at, cls, key in asks}
+        await asyncio.sleep(6.5)  # each has swept by then, twice and more
+        slow(one, 0.7)
+        late = [asyncio.ensure_future(ask(one, 0, "earn", "e"))]
+        await kill_when(one, one.instances[0], lambda: ran(one, "e"))
+        slow(one, 0.01)
+        await asyncio.gather(*late)
+        for at, cls, key in asks:
+            again = await ask(one, 1 + at % 2, cls, key, again=True)
+            assert first[key].status == 200 and again.body == first[key].body
+            assert len(ran(one, key)) == 1
+        assert learnt((await all_closed(one, {"e"}))["e"])
+
+    run(tmp_path, work, told={"kept_s": 60.0}, clocks=clocks)
+
+
+def test_a_record_goes_by_the_rules_it_was_taken_under(tmp_path: Path) -> None:
+    """Rules that are changed while it is open, by SIGHUP at all: what may have run is no freer for it."""
+    freer = json.loads(json.dumps(SETTINGS))
+    freer["classes"][2] |= {"semantics": "deduplicated", "key_scope": "cell", "window_ms": 60000}
+    freer["classes"][1]["window_ms"] = 60000
+    freer["limits"]["most_tries"] = 9
+
+    async def work(one: RealTrial) -> None:
+        mute(one, True)
+        asks = [asyncio.ensure_future(ask(one, 0, cls, key)) for cls, key in (("earn", "e"), ("redeem", "r"))]
+        await one.until(lambda: ran(one, "e") and ran(one, "r"), LONG, "both to run")
+        one.retune(freer)
+        one.kill(one.instances[0])
+        await asyncio.gather(*asks)
+        mute(one, False)
+        found = await all_closed(one, {"e", "r"})
+        assert found["r"]["is"] == "unknown" and len(found["r"]["attempts"]) == 1
+        assert len(found["e"]["attempts"]) <= 3
+        assert (await ask(one, 1, "redeem", "r", again=True)).status == 500
+        assert len(ran(one, "r")) == 1, "taken as one that may not be repeated"
+        assert (await ask(one, 1, "redeem", "new")).status == 200
+
+    run(tmp_path, work)
+
+
+def test_an_export_that_is_killed_anywhere_has_each_line_once_in_the_end(tmp_path: Path) -> None:
+    async def work(one: RealTrial) -> None:
+        mute(one, True)
+        keys = [f"r{number}" for number in range(12)]
+        asks = [asyncio.ensure_future(ask(one, 0, "redeem", key)) for key in keys]
+        await one.until(lambda: all(ran(one, key) for key in keys), LONG, "all to run")
+        one.kill(one.instances[0])
+        await asyncio.gather(*asks)
+        mute(one, False)
+        await all_closed(one, set(keys))
+        out = tmp_path / "unknown.jsonl"
+        config = str(one.instances[1].folder / "coveport.toml")
+        cut = 0
+        for at in range(8):
+            # Killed once it has written so many bytes, wherever it is by the time the signal comes.
+            before = out.stat().st_size if out.exists() else 0
+            export = subprocess.Popen([sys.executable, "-m", "coveport", "work", "--config", config, "export",
+                                       str(out)], stdout=subprocess.DEVNULL)
+            end = time.monotonic() + LONG
+            while export.poll() is None and time.monotonic() < end:
+                if out.exists() and out.stat().st_size > before + 100 * (at % 3):
+                    export.kill()
+                    cut += 1
+                    break
+                await asyncio.sleep(0)
+            export.wait()
+        done = await asyncio.to_thread(staff, one, "export", str(out))
+        assert done.returncode == 0, done.stderr
+        assert sorted(json.loads(line)["key"] for line in out.read_text().splitlines()) == sorted(keys)
+        assert cut, "none was killed in the middle"
+
+    run(tmp_path, work)
--- a/tests/work/test_trials_of_work.py
+++ b/tests/work/test_trials_of_work.py
@@ -70,3 +70,9 @@
 
 def test_the_same_seed_leaves_the_same_behind() -> None:
     assert play(draw(9), 9) == play(draw(9), 9)
+
+
+def test_closed_records_are_thrown_away_and_those_of_wrong_clocks_too() -> None:
+    played = play(WorkTrial(kept_s=8.0, over_s=3.0, calm_s=30.0), 1)  # five wall clocks, hours apart
+    assert played.findings == [] and played.served > 50
+    assert sum(played.ends.values()) < played.wishes / 4, "a clock an hour ahead keeps its own"
