--- a/coveport/cli/root.py
+++ b/coveport/cli/root.py
@@ -14,6 +14,7 @@
 from coveport.cli import errors
 from coveport.cli.check import check
 from coveport.cli.check_model import check_model
+from coveport.cli.fleet import fleet
 from coveport.cli.lab import lab
 from coveport.cli.operator import duties, rollout
 from coveport.cli.run import run
@@ -112,5 +113,6 @@
 root.add_command(duties)
 root.add_command(rollout)
 root.add_command(work)
+root.add_command(fleet)
 root.add_command(lab)
 lab.add_command(check_model)
--- a/coveport/cli/run.py
+++ b/coveport/cli/run.py
@@ -7,11 +7,14 @@
 
 import click
 
+from coveport.cli.errors import Unusable
+
 
 @click.command(epilog="Example: coveport run --config example/config.json")
 @click.option("--config", type=click.Path(exists=True, dir_okay=False, path_type=Path),
               help="The platform's JSON file, which beats LB_CONFIG, or an operator's file (.toml).")
-def run(config: Path | None) -> int:
+@click.option("--as", "name", default="", help="Of an operator's file with a fleet: which of its instances.")
+def run(config: Path | None, name: str) -> int:
     """Run a sidecar until SIGTERM, as the platform would.
 
     Its configuration is the file in LB_CONFIG; LB_NAME, LB_LISTEN and LB_DISCOVERY beat what the file says.
@@ -22,7 +25,14 @@
         from coveport.cli.operator import loaded
         from coveport.sidecar.daemon import main as daemon
 
-        return daemon(loaded(config))
+        told = loaded(config)
+        if name and not told.fleet.number(name):
+            raise Unusable(f"{config}: [fleet] has no {name!r}: {told.fleet.name or 'NAME'}-1, -2, ...")
+        if not name and told.fleet.name:
+            raise Unusable(f"{config}: a fleet's: coveport fleet run {config}, or one of it by --as NAME")
+        return daemon(told, name)
+    if name:
+        raise Unusable("--as goes with an operator's file that has a fleet")
     if config is not None:
         os.environ["LB_CONFIG"] = str(config)
     from coveport.sidecar.serve import main
--- a/coveport/core/messages.py
+++ b/coveport/core/messages.py
@@ -113,9 +113,9 @@
 
 @dataclass(slots=True)
 class Reloaded:
-    """The configuration was read anew: discovery is at this address; `settings`: None where none differ."""
+    """The configuration was read anew. `discovery`: where it is now; None for either: as before."""
 
-    discovery: Address
+    discovery: Address | None
     settings: api.Settings | None = None
 
 
--- a/coveport/core/reducer.py
+++ b/coveport/core/reducer.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 
 from coveport.core.messages import (
     AnswerBegan,
@@ -102,6 +103,11 @@
         return {host.id: (host.zone, self._now - host.cold_at) for host in self._balancer.hosts.values()
                 if self._now - host.cold_at < warm}
 
+    def out(self) -> dict[int, float]:
+        """Destinations that are out as they failed, and for how long, ms."""
+        return {host.id: max(0.0, self._now - host.down_at) for host in self._balancer.hosts.values()
+                if host.trial_at < inf}
+
     def place_of(self, destination: int) -> tuple[int, int]:
         """Zone and cell of a destination; -1 both where it is not known any more."""
         host = self._balancer.hosts.get(destination)
@@ -145,7 +151,8 @@
         elif isinstance(item, Granted):
             self._tell(api.Granted(item.destination, item.count, self._now + item.lasts_ms))
         elif isinstance(item, Reloaded):
-            self._effects.append(MovePool(item.discovery))  # operations and route steps go on
+            if item.discovery is not None:
+                self._effects.append(MovePool(item.discovery))  # operations and route steps go on
             if item.settings is not None:
                 self._settings = item.settings
                 self._tell(api.Retuned(item.settings))
--- a/coveport/discovery/reader.py
+++ b/coveport/discovery/reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -32,6 +33,7 @@
         self._where: dict[str, tuple[int, int]] = {}  # each host's zone and cell
         self._numbers = self._cell_numbers = 0
         self._zone_numbers = len(zones)
+        self.heard: Callable[[Any, bool], None] | None = None  # told each list, and if it is whole
 
     def read(self, told: Any, kind: api.ListKind | None = None) -> PoolUpdate:
         """Check and read all of it; ValueError where any of it is garbled."""
@@ -52,6 +54,8 @@
             there = self._where[name] = self._zone(zone), self._cell(cell)
             entries.append(api.HostEntry(number, *there, state, weight, born))
             places.append((number, None if state is api.State.GONE else (address, born)))
+        if self.heard is not None and kind is not api.ListKind.CACHED:
+            self.heard(told, kind is api.ListKind.FULL)
         gone = {row[0] for row in rows if row[4] is api.State.GONE}
         if kind is not api.ListKind.DELTA:
             gone |= self._hosts.keys() - {row[0] for row in rows}
--- a/coveport/lab/trials/clocked.py
+++ b/coveport/lab/trials/clocked.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import runpy
 import sys
 import time
 from collections.abc import Callable
@@ -51,9 +52,7 @@
     """See the head of this file."""
     bend(msgspec.json.decode(sys.argv[1], type=Clocks))
     sys.argv = ["coveport", *sys.argv[2:]]
-    from coveport.cli.main import main as command
-
-    sys.exit(command())
+    runpy.run_module("coveport", run_name="__main__", alter_sys=True)
 
 
 if __name__ == "__main__":
--- a/coveport/net/transport.py
+++ b/coveport/net/transport.py
@@ -104,8 +104,10 @@
 class Net:
     """The outside as one process sees it, by asyncio and the system's sockets."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, given: socket.socket | None = None) -> None:
+        """`given`: a socket that listens already; the first `listen` at its port takes it."""
         self.loop = loop
+        self._given = given
 
     def now_s(self) -> float:
         """Monotonic seconds, on the loop's own clock."""
@@ -122,6 +124,10 @@
         `accept_most`: connections taken in one turn of the loop. `waiting_most`: those that may wait below.
         `shared`: beside others that share it (SO_REUSEPORT); the system deals new connections out.
         """
+        if self._given is not None and address[1] == self._given.getsockname()[1]:
+            one, self._given = self._given, None
+            one.setblocking(False)
+            return _Listening(self.loop, one, factory, accept_most)
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         one = socket.create_server(address, family=family, backlog=waiting_most, reuse_port=shared)
         one.setblocking(False)
@@ -129,6 +135,8 @@
 
     def is_taken(self, address: Address) -> bool:
         """Whether somebody listens there already, shared or not."""
+        if self._given is not None:
+            return False  # held for us
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         with socket.socket(family, socket.SOCK_STREAM) as one:
             one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # connections just closed are nobody
--- a/coveport/sidecar/daemon.py
+++ b/coveport/sidecar/daemon.py
@@ -29,8 +29,10 @@
 from coveport.duties.looking import LOOK, Looking, Seen
 from coveport.duties.rollout import Follower, Rollout, under_way
 from coveport.duties.warden import GRANT, NEED, Granted, Safe, Warden
+from coveport.fleet.membership import Membership, NameHeldError
+from coveport.fleet.stream import StreamLog, lines
 from coveport.leases.clock import boot_s
-from coveport.leases.keeper import DUTY, Keeper
+from coveport.leases.keeper import DUTY, INSTANCE, Keeper
 from coveport.leases.opening import open_store
 from coveport.leases.store import Entry
 from coveport.net.transport import Net
@@ -57,8 +59,10 @@
 DEBUG = frozenset({"renewed", "act_sent", "act_ended", "unknown"})
 
 
-def logger(told: OperatorFile, name: str, incarnation: str) -> Any:
+def logger(told: OperatorFile, name: str, incarnation: str, member: Membership | None) -> Any:
     """What writes JSON lines of what this instance holds and does."""
+    if member is not None and not told.log.path:
+        return lines(told.fleet_folder, told.log.level, instance=name, incarnation=incarnation)
     file: TextIO = sys.stderr
     if told.log.path:
         file = open(told.folder / told.log.path, "a", encoding="utf-8")  # noqa: SIM115 - as long as we live
@@ -73,11 +77,12 @@
 class Beside:
     """What stands beside one sidecar: its keeper, its duties, and its part in others' duties."""
 
-    def __init__(self, told: OperatorFile, config: configuration.Config, log: Log) -> None:
-        self._told, self._config, self._log = told, config, log
+    def __init__(self, told: OperatorFile, config: configuration.Config, log: Log,
+                 member: Membership | None = None) -> None:
+        self._told, self._config, self._log, self._member = told, config, log, member
         self.name = told.instance.name or config.name
         self.incarnation = f"{self.name}#{uuid.uuid4().hex[:12]}"
-        self._lines = logger(told, self.name, self.incarnation)
+        self._lines = logger(told, self.name, self.incarnation, member)
         chance = random.Random(uuid.uuid4().int)
         zone = config.settings.zone
         self._wished = told.duties.wished(zone)
@@ -132,6 +137,8 @@
         life.listen(self._phase)
         if self._looking is not None:
             effects.looks = self
+        if self._member is not None:
+            self._member.joined(effects, life, lambda: effects.destinations.places)
         self.keeper.tell(self._fares())
 
     def _phase(self, phase: Phase) -> None:
@@ -171,6 +178,8 @@
     def _changed(self, key: str, entry: Entry | None) -> None:
         if self._recording is not None:
             self._recording.changed(key, entry)
+        if self._member is not None and key.startswith(INSTANCE):
+            self._member.seen(len(self.keeper.instances))
         if key.startswith(YIELD) and entry is not None:
             duty = key[len(YIELD):]
             held = self.keeper.entries.get(DUTY + duty)
@@ -220,7 +229,7 @@
             loop.call_soon(self._followed, str(problem))
             raise
         loop.call_soon(self._followed, "")
-        return config
+        return config if self._member is None else self._member.shared(config)
 
     def _read(self, running: configuration.Config) -> configuration.Config:
         if self._text is None:
@@ -356,24 +365,47 @@
     return core.ProbeEnded(destination, api.Outcome.OK if seen.ok else api.Outcome.CONNECT_FAILED, seen.ms)
 
 
-async def _serve(told: OperatorFile, config: configuration.Config, log: Log) -> int:
+async def _serve(told: OperatorFile, config: configuration.Config, log: Log,
+                 member: Membership | None) -> int:
     try:
-        beside = Beside(told, config, log)
+        beside = Beside(told, config, log, member)
     except SealError as problem:
         log.say(str(problem))
         return 2
+    given = None if member is None else member.listening()
     try:
-        return await serve(
-            config, Net(asyncio.get_running_loop()), log, reread=beside.reread, joined=beside.joined
-        )
+        return await serve(config, Net(asyncio.get_running_loop(), given), log, reread=beside.reread,
+                           joined=beside.joined)
     finally:
         await beside.leave()
 
 
-def main(told: OperatorFile) -> int:
-    """Run it until SIGTERM; the exit code as the plain one's."""
+def main(told: OperatorFile, name: str = "") -> int:
+    """Run it until SIGTERM; the exit code as the plain one's, and 3 where another has its name.
+
+    `name`: of an instance of the file's fleet.
+    """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    log = Log(time.monotonic)
+    if not name:
+        return _run(told, Log(time.monotonic), None)
+    # Guards against a SIGTERM before there is a handler, which would end us as a crash does.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+    log = StreamLog(time.monotonic, lines(told.fleet_folder, instance=name))
+    try:
+        member = Membership(told, name, os.environ)
+    except NameHeldError as problem:
+        log.say(str(problem))
+        return 3
+    os.environ["LB_NAME"], os.environ["LB_LISTEN"] = name, told.fleet.address(name)
+    code = 1
+    try:
+        code = _run(told, log, member)
+        return code
+    finally:
+        member.leave(code)
+
+
+def _run(told: OperatorFile, log: Log, member: Membership | None) -> int:
     os.environ["LB_CONFIG"] = str(told.platform)
     if told.instance.name:
         os.environ["LB_NAME"] = told.instance.name
@@ -386,4 +418,8 @@
     if unknown:
         log.say(f"[work] record: there is no class {', '.join(sorted(unknown))}")
         return 2
-    return asyncio.run(_serve(told, config, log))
+    if member is not None:
+        config = member.configured(config)
+        if member.remembered is not None or member.why_not:
+            log.say(f"{config.name}: snapshot: {member.why_not or 'begins from it'}")
+    return asyncio.run(_serve(told, config, log, member))
--- a/coveport/sidecar/effects.py
+++ b/coveport/sidecar/effects.py
@@ -7,7 +7,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
-from typing import Protocol
+from typing import Any, Protocol
 
 from coveport.config.platform import Config
 from coveport.core import messages as core
@@ -312,6 +312,21 @@
             self.feed(core.PoolTold(update.update))  # before any later send
         self.destinations.place(update.places, update.update.kind is not api.ListKind.DELTA)
 
+    def out(self) -> dict[int, float]:
+        """Destinations that are out as they failed, and for how long, ms."""
+        return self._reducer.out()
+
+    def hear(self, heard: Callable[[Any, bool], None]) -> None:
+        """Be told each list as discovery tells it, and whether it is a whole one."""
+        self._reader.heard = heard
+
+    def share(self, peers: int) -> None:
+        """So many share the destinations from now on."""
+        settings = replace(self._config.settings, peers_total=peers)
+        if settings != self._config.settings:
+            self._config = replace(self._config, settings=settings)
+            self.feed(core.Reloaded(None, settings))
+
     def reload(self, config: Config) -> None:
         """The configuration was read anew: discovery moves, other settings hold, the rest waits."""
         before, settings = self._config, config.settings
--- a/coveport/telemetry/log.py
+++ b/coveport/telemetry/log.py
@@ -36,8 +36,12 @@
         state[1] += 1
         left_out = f" ({int(state[2])} like it left out)" if state[2] else ""
         state[2] = 0
-        self.say(f"{kind}: {text}{left_out}")
+        self.tell(kind, f"{text}{left_out}")
 
     def say(self, text: str) -> None:
         """Print a line, whatever came before."""
         self._write(f"coveport: {text}")
+
+    def tell(self, kind: str, text: str) -> None:
+        """Print a line of a kind that had room."""
+        self.say(f"{kind}: {text}")
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -60,7 +60,7 @@
 def test_help_names_every_verb_and_exit_code() -> None:
     lab = root.commands["lab"]
     assert isinstance(lab, click.Group)
-    assert sorted(root.commands) == ["check", "duties", "lab", "rollout", "run", "work"]
+    assert sorted(root.commands) == ["check", "duties", "fleet", "lab", "rollout", "run", "work"]
     assert sorted(lab.commands) == [
         "check-model", "compare", "explain", "fuzz", "list", "run", "search", "shrink", "sweep", "trials"]
     for group, path in ((root, ()), (lab, ("lab",))):
