--- a/coveport/fleet/membership.py
+++ b/coveport/fleet/membership.py
@@ -78,7 +78,7 @@
         self._heard = snapshot.Heard()
         self._peers = Peers(told.leases.ttl) if fleet.peers else None
         self._ended: list[tuple[int, int]] = []
-        self._serving = False
+        self._serving = self._ending = False
         self._parts: Parts | None = None
         self._nodes: Callable[[], Mapping[int, Place]] = dict
         self._tasks: list[asyncio.Task[None]] = []
@@ -133,7 +133,7 @@
         self._heard.told(told, whole)
 
     def _phase(self, phase: Phase) -> None:
-        self._serving = phase in (Phase.SERVING, Phase.LAMEDUCK)
+        self._serving, self._ending = phase in (Phase.SERVING, Phase.LAMEDUCK), phase is Phase.DRAINING
         if phase is Phase.SERVING and not self._tasks:
             self._notifier.say(READY=1, STATUS="serving")
             self._tell_out()
@@ -169,6 +169,8 @@
             words: dict[str, object] = {"WATCHDOG": 1}
             if self._serving:
                 words["READY"] = 1  # each time: whoever listens now may not have been there before
+            elif self._ending:
+                words["STOPPING"] = 1  # ... and a word may be lost, as a socket's queue is short
             if now - looked >= FARES_S:
                 looked = now
                 words["X_SERVED"] = self._served()
--- a/coveport/lab/trials/fleet/host.py
+++ b/coveport/lab/trials/fleet/host.py
@@ -29,6 +29,7 @@
     name: str
     life: str
     by: str = ""
+    until: float = 0.0  # hung: until when
 
 
 @dataclass
@@ -69,9 +70,9 @@
         self.locked = True  # whether names have locks at all
         self._count = 1000
 
-    def note(self, what: str, one: SimLife, by: str = "") -> None:
+    def note(self, what: str, one: SimLife, by: str = "", until: float = 0.0) -> None:
         """A line of the book."""
-        self.book.append(Event(self.world.now, what, one.name, one.life, by))
+        self.book.append(Event(self.world.now, what, one.name, one.life, by, until))
 
     def holder(self, name: str) -> SimLife | None:
         """Which life has a name."""
@@ -111,12 +112,13 @@
         self._beat(one, served)
 
     def _beat(self, one: SimLife, served: str) -> None:
-        if not one.alive or one.draining < inf:
+        if not one.alive:
             return
         if self.world.now < one.frozen:
             self.world.at(one.frozen, self._beat, one, served)
             return
-        self.say(one, {"READY": "1", "WATCHDOG": "1", "X_SERVED": served or SERVED})
+        state = "READY" if one.draining == inf else "STOPPING"
+        self.say(one, {state: "1", "WATCHDOG": "1", "X_SERVED": served or SERVED})
         self.world.at(self.world.now + self.fleet.hung_s / BEATS, self._beat, one, served)
 
     def say(self, one: SimLife, words: dict[str, str]) -> None:
@@ -129,9 +131,8 @@
 
     def freeze(self, one: SimLife, lasts_s: float) -> None:
         """It stands still for so long."""
-        if self.world.now >= one.frozen:
-            self.note("hung", one)
         one.frozen = max(one.frozen, self.world.now + lasts_s)
+        self.note("hung", one, until=one.frozen)
 
     def drain(self, one: SimLife) -> None:
         """SIGTERM."""
@@ -148,7 +149,10 @@
 
     def end(self, one: SimLife, how: End) -> None:
         """It is over: its lock is free, and who watches it hears of it."""
-        if not one.alive or (how is not End.CRASH and self.world.now < one.frozen):
+        if not one.alive:
+            return
+        if how is not End.CRASH and self.world.now < one.frozen:
+            self.world.at(one.frozen, self.end, one, how)  # who stands still does not end by itself
             return
         one.alive = False
         del self.lives[one.life]
--- a/coveport/lab/trials/fleet/judge.py
+++ b/coveport/lab/trials/fleet/judge.py
@@ -146,25 +146,39 @@
 def _healthy(book: Sequence[Event], lives: dict[str, _Life], fleet: Fleet) -> list[Finding]:
     """Nobody is killed that was well; and of a host that stood still as a whole nobody at once."""
     found = []
-    hung: dict[str, list[float]] = {}
+    hung: dict[str, list[tuple[float, float]]] = {}
     for one in book:
         if one.what == "hung":
-            hung.setdefault(one.life, []).append(one.at)
-    at_once: dict[float, int] = {}
-    for line in hung.values():
-        for at in line:
-            at_once[at] = at_once.get(at, 0) + 1
+            hung.setdefault(one.life, []).append((one.at, one.until))
+
+    def stands(life: str, at: float, heard_s: float) -> float | None:
+        """Since when it has stood still without a break, at that time; None: it does not.
+
+        `heard_s`: so long after it goes on it may not have been heard yet.
+        """
+        since, until = None, -inf
+        for began, over in hung.get(life, ()):
+            if began > at:
+                break
+            since = began if since is None or began > until else since
+            until = max(until, over)
+        return since if since is not None and at < until + heard_s else None
+
     for life, it in lives.items():
         if it.killed == inf:
             continue
-        stood = [at for at in hung.get(life, ()) if at <= it.killed]
+        since = stands(life, it.killed, 0.5 * fleet.hung_s)
         late_to_end = it.drained < inf and it.killed - it.drained > fleet.stop_s - EDGE_S
         late_to_start = it.ready == inf and it.killed - it.started > fleet.ready_s - EDGE_S
-        long_hung = bool(stood) and it.killed - stood[-1] > 0.7 * fleet.hung_s
-        late = late_to_end or late_to_start
-        if not (late or long_hung):
+        long_hung = since is not None and it.killed - since > 0.7 * fleet.hung_s
+        if late_to_end or late_to_start:
+            continue
+        if not long_hung or since is None:
             found.append(Finding("healthy", it.killed, f"{it.name} was killed, and nothing was wrong"))
-        elif not late and at_once[stood[-1]] > 3 and it.killed - stood[-1] < 2.5 * fleet.hung_s:
+            continue
+        there = [other for other, one_ in lives.items() if one_.ready < it.killed < one_.ended]
+        still = [other for other in there if stands(other, it.killed, 0.0) is not None]
+        if len(still) > max(2, 0.6 * len(there)) and it.killed - since < 2.5 * fleet.hung_s:
             found.append(Finding("mass", it.killed, f"{it.name} was killed where the whole host stood still"))
     return found
 
@@ -174,7 +188,7 @@
     found = []
     times = [at for at, _ in plans]
     for one in book:
-        if one.what != "drain":
+        if one.what != "drain" or not one.by:
             continue
         at = bisect_right(times, one.at) - 1
         # A plan that was just replaced may have been the one that was seen.
--- a/coveport/lab/trials/fleet/sim.py
+++ b/coveport/lab/trials/fleet/sim.py
@@ -124,6 +124,7 @@
         self.fault = ""  # what `check` says of the files
         self.supervisors = [_Running(number) for number in range(trial.supervisors)]
         self.began: list[float] = []
+        self.asks = 0
 
     def told(self) -> OperatorFile:
         """The operator's file."""
@@ -242,6 +243,7 @@
         elif fault.kind == "hang":
             self.host.freeze(one_, 1000.0 if fault.share < 0.5 else fault.lasts_s)
         elif fault.kind == "term":
+            self.host.note("drain", one_)
             self.host.drain(one_)
 
     def _strike_supervisor(self, fault: Fault, over: float) -> None:
@@ -289,7 +291,8 @@
         if one is None or one.process is None or one.supervisor is None:
             return
         supervisor, process, at = one.supervisor, one.process, self.world.now
-        identity = f"a{len(self.said)}"
+        self.asks += 1
+        identity = f"a{self.asks}"
 
         async def ask() -> None:
             answer = await supervisor.asked({"do": do, "id": identity, **words})
