Discovery's bounds add up under 6 s, and a connect given up is cancelled

Seen: by reading discovery/agent.py. A silent watch was given up after 3.7 s, a connect after 3.0 s, a call after 3.0 s: 9.7 s and three pauses in a row. Of a connect that hung only the bookkeeping was given up (_hang_up closed a transport that did not exist yet): its socket stayed in SYN-SENT for two minutes, one more every few seconds; seen in /proc/net/tcp by the new test. A call that failed in the turn before its task ran left two calls side by side.

Ruled out: a shorter watch alone (connect and call still come to 6 s); retries without pauses (all sidecars at once).

Change: watch 1.5 + 0.5 s, connect 1.0 s, call 1.5 s: 5.85 s with the longest pause behind each of the three. The task that dials is cancelled with its call.

--- a/coveport/discovery/agent.py
+++ b/coveport/discovery/agent.py
@@ -15,11 +15,16 @@
 from coveport.telemetry.log import Log
 
 PATH = "/catalog/members"
-WATCH_MS = 3000  # short: what discovery has to tell counts as told soon after a wait should have ended
+# A change counts as told 6 s after discovery had it and could be reached, whatever failed meanwhile. So a
+# watch that falls silent, a connect that hangs and a call that hangs, one after the other, each with the
+# longest pause behind it, are over within that: 1.5 + 0.5 + 1.0 + 1.5 s and thrice 0.45 s.
+WATCH_MS = 1500  # how long a watch waits for news
+GRACE_S = 0.5  # how much longer than its wait a call may take; discovery goes silent without closing
+DIAL_S = 1.0  # how long a connect may take: as long as the system waits before it asks once more
+FIRST_S = 1.5  # how long a call that need not wait may take: an overbooked discovery answers in turn
 EMPTY_S = 0.1  # a watch that tells nothing and did not wait this long is followed by the next after it
-GRACE_S = 0.7  # how much longer than its wait a call may take; discovery goes silent without closing
-FIRST_S = 3.0  # how long a call that need not wait may take: an overbooked discovery answers in turn
 RETRY_S = (0.02, 0.1, 0.3)  # mean pauses after the first, second and further failures in a row
+SPREAD = 0.5  # how much more or less a pause may be, as a part of it
 OLDER_MOST = 3  # lists older than ours that are passed over before discovery is held to have begun anew
 MOST_BYTES = 4 * 1024 * 1024
 
@@ -70,6 +75,7 @@
         self._tell, self._counters, self._log, self._must_ask = tell, counters, log, must_ask
         self._chance = chance
         self._call: _Call | None = None
+        self._dialing: asyncio.Task[None] | None = None  # set while a connect is under way
         self._busy = False
         self._sequence: int | None = None  # the version that is known
         self._garbled = False  # what came last could not be used: the whole list is wanted next
@@ -109,7 +115,7 @@
         if self._closed or not (self._watching or self._asked_whole):
             return
         self._busy = True
-        self._net.loop.create_task(self._make_call())
+        self._dialing = self._net.loop.create_task(self._make_call())
 
     @property
     def _wants_whole(self) -> bool:
@@ -117,19 +123,18 @@
 
     async def _make_call(self) -> None:
         if self._call is None:
-            self._arm(FIRST_S)
+            self._arm(DIAL_S)
             call = _Call(lambda response: self._ended(call, response), self._log)
             self._call = call
             try:
                 await self._net.dial(lambda: call, self._address)
             except OSError as problem:
+                self._dialing = None
                 self._failed(call, f"no connection: {problem}")
                 return
-            if call is not self._call:
-                # Guards against a connection that comes up after it was given up: another call is on.
-                if call.transport is not None:
-                    call.transport.abort()
-                return
+        self._dialing = None
+        if self._call is None:
+            return  # closed meanwhile
         call, transport = self._call, self._call.transport
         if transport is None or transport.is_closing():
             self._failed(call, "the connection has ended")
@@ -216,7 +221,7 @@
         self._counters.add("pool_failures")
         self._hang_up()
         # Spread, as whatever fails here fails for all sidecars at the same moment.
-        pause = RETRY_S[min(self._failures, len(RETRY_S) - 1)] * self._chance.uniform(0.5, 1.5)
+        pause = RETRY_S[min(self._failures, len(RETRY_S) - 1)] * self._chance.uniform(1 - SPREAD, 1 + SPREAD)
         self._failures += 1
         self._busy = True
         if self._must_ask:
@@ -228,6 +233,10 @@
 
     def _hang_up(self) -> None:
         call, self._call = self._call, None
+        dialing, self._dialing = self._dialing, None
+        if dialing is not None:
+            # Guards against one descriptor more for each connect that hangs, and one that comes up after all.
+            dialing.cancel()
         if self._bound is not None:
             self._bound.cancel()
             self._bound = None
--- /dev/null
+++ b/tests/ends/test_told.py
@@ -0,0 +1,124 @@
+"""What discovery has counts as told 6 s later, whatever calls failed: dials that hang, calls, both."""
+
+from __future__ import annotations
+
+import json
+import socket
+import time
+from pathlib import Path
+
+import pytest
+from scripted import Clogged, Got, Peer, listening
+from world import Discovery, configuration, program, reply, request, served, wait_for
+from world import Server as Node
+
+from coveport.discovery import agent
+
+TOLD_S = 6.0
+
+
+def told(one: Discovery) -> bytes:
+    return reply(200, json.dumps(one.text(), indent=2).encode())  # lists may come indented
+
+
+def worst(watch_s: float, dial_s: float, call_s: float, pause_s: float) -> float:
+    """A watch that falls silent, a connect that hangs, a call that hangs, the longest pause behind each."""
+    return watch_s + dial_s + call_s + 3 * pause_s
+
+
+def test_the_bounds_of_all_that_may_hang_add_up_to_less() -> None:
+    pause = agent.RETRY_S[-1] * (1 + agent.SPREAD)
+    assert max(agent.RETRY_S) == agent.RETRY_S[-1]
+    assert worst(agent.WATCH_MS / 1000 + agent.GRACE_S, agent.DIAL_S, agent.FIRST_S, pause) < TOLD_S
+    assert worst(3.7, 3.0, 3.0, pause) > TOLD_S, "as they were"
+    # After SIGHUP it is 4 s: the new one's dial hangs, then its call.
+    assert agent.DIAL_S + agent.FIRST_S + sum(agent.RETRY_S[:2]) * (1 + agent.SPREAD) < 4.0
+
+
+@pytest.fixture
+def list_() -> Discovery:
+    """A list of one node that lives, as discovery would tell it."""
+    one = Discovery()
+    one.put("s-0", "127.0.0.1:1")
+    return one
+
+
+def test_a_connect_that_hangs_and_then_a_call_that_hangs(tmp_path: Path, list_: Discovery) -> None:
+    discovery, node = Clogged(), Node(served)
+    config = tmp_path / "config.json"
+    config.write_text(configuration(list_, discovery.address))  # the list it had: a node that is gone
+    with program(config) as (_, log):
+        wait_for(discovery.knocking)
+        began = time.monotonic()
+        list_.hosts.clear()
+        list_.put("s-1", node.address)
+        discovery.open()
+        discovery.socket.settimeout(TOLD_S)
+        hung, _ = discovery.socket.accept()  # its call comes, and is never answered
+        assert hung.recv(65536)
+        again, _ = discovery.socket.accept()
+        assert again.recv(65536)
+        again.sendall(told(list_))
+        assert time.monotonic() - began < TOLD_S, "the next drain would have been broken"
+        wait_for(lambda: "serving" in log.read_text())
+        hung.close()
+    discovery.close()
+
+
+def test_connects_that_hang_leave_nothing_behind(tmp_path: Path, list_: Discovery) -> None:
+    # Each one that was given up held a descriptor for two minutes more: few are left for discovery and nodes.
+    discovery, config = Clogged(), tmp_path / "config.json"
+    config.write_text(configuration(list_, discovery.address))
+    with program(config) as (_, log):
+        wait_for(lambda: "serving" in log.read_text())
+        tried, end = set[str](), time.monotonic() + 60
+        while len(tried) < 3:
+            assert time.monotonic() < end and len(discovery.knocking()) <= 1
+            tried |= discovery.knocking()
+            time.sleep(0.02)
+    discovery.close()
+
+
+class Watched:
+    """A discovery of our own: each call is answered when the test says so."""
+
+    def __init__(self) -> None:
+        self.peer, self.list = Peer(), Discovery()
+
+    def watch(self) -> Got:
+        """Answer until it waits for news."""
+        while "wait_ms=0" in (got := self.peer.next()).seen.target or "after" not in got.seen.target:
+            got.send(told(self.list))
+        return got
+
+
+@pytest.mark.parametrize("how", ["silent", "reset", "cut", "garbage", "old", "empty"])
+def test_a_watch_that_tells_nothing_any_more_is_opened_anew(tmp_path: Path, how: str) -> None:
+    nodes, here = [Node(served), Node(served)], Watched()
+    here.list.put("s-0", nodes[0].address)
+    config = tmp_path / "config.json"
+    config.write_text(configuration(here.list, here.peer.address))
+    with program(config) as (_, log):
+        got = here.watch()
+        old = told(here.list)
+        began = time.monotonic()
+        here.list.put("s-0", nodes[0].address, "leaving")
+        here.list.put("s-1", nodes[1].address)
+        if how == "reset":
+            got.reset()
+        elif how == "cut":
+            got.conn.sendall(told(here.list)[:-20])
+            got.cut()
+        elif how != "silent":
+            got.send({"garbage": b"\x00\xff noise\r\n\r\n", "empty": reply(200, b""),
+                              "old": old.replace(b'"seq": 2', b'"seq": 1')}[how])
+        here.peer.next().send(told(here.list))
+        took = time.monotonic() - began
+        assert took < TOLD_S, took
+        here.peer.next()  # the next watch: what was told before it is taken in
+        address = listening(log)
+        for _ in range(5):
+            with socket.create_connection(address, timeout=10) as conn:
+                conn.sendall(request("GET /balance"))
+                assert conn.recv(65536).startswith(b"HTTP/1.1 200")
+    assert not nodes[0].seen and len(nodes[1].seen) == 5
