No name decides, nothing is held behind its window, discovery is asked again in time

Seen: micaflow/held.py sorted lines of equal rank by their class's name: three equal classes renamed gave other sends (tests/test_names.py). decide.py held a keyed request whose window was over until its aim, though nobody could have it any more (tests/ends/test_node_ends.py: no answer within 10 s of a window of 1.2 s). Waits after failed calls doubled up to 7.5 s. A long keyed body was tried again as if it were sent in no time.

--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -30,6 +30,7 @@
 # Hosts that a copy keeps to at the least; copies that keep to each host, where they ask alike; first tries in
 FEWEST, SHARERS, EACH = 4, 10, 6.0  # that time for each host: who is asked much keeps to more
 SWIFT = 0.15  # part of an aim: as much again may be out at a host that is expected to answer so soon
+ASK_AGAIN = 750.0  # ms after a failed call to discovery, at the most: what it has counts as told after 6 s
 DRAWS = 6  # tries to find two usable hosts before a level is looked through
 
 
@@ -75,6 +76,8 @@
         self.attempts = [_Attempt(_Host(api.HostEntry(-1, one.zone, one.cell), 0.0), one.sent_ms, one)
                          for one in event.before]
         self.streaming = False
+        # In which it may run again: what is decided by then is sent in time on a connection yet to come up.
+        self.window = self.cls.window_ms - 2 * settings.tick_ms - self.limits.connect_timeout_ms
 
 
 class Balancer:
@@ -91,7 +94,7 @@
         self.stuck, self.full = set[tuple[str, bool]](), False  # sorts none of which found a host; no room
         self.due: list[tuple[float, int]] = []  # heap: when to look at which request (-1: at all)
         self.wake_at = self.look_at = inf  # the soonest timer that is set; when held requests are looked at
-        self.ask_at, self.ask_failures, self.answers = -inf if settings.must_ask else inf, 0, 0
+        self.ask_at, self.answers = -inf if settings.must_ask else inf, 0
         self._retune(settings)
         self.service = self.work = self.aim / FIRST_GUESS  # mean answer time and cost hint, until they tell
 
@@ -149,12 +152,11 @@
     def _list(self, event: api.ListUpdate) -> None:
         if event.kind is ListKind.FAILED:
             if self.settings.must_ask:  # spaced out and jittered: discovery is one small service for all
-                self.ask_failures += 1
-                wait = self.rules.ask_within_ms / 8 * 2 ** min(self.ask_failures - 1, 2)
+                wait = min(self.rules.ask_within_ms / 16, ASK_AGAIN)
                 self._ask_at(self.now + wait * self.random.uniform(0.5, 1.5))
             return
         if event.kind is not ListKind.CACHED:
-            self.ask_failures, self.ask_at = 0, inf
+            self.ask_at = inf
         elif self.settings.must_ask and event.entries:
             # All that were started together have a list to begin with, and would ask at the same moment.
             self._ask_at(self.now + self.random.uniform(0, self.rules.ask_within_ms / 16))
@@ -259,9 +261,8 @@
         expected = self._expected(host)
         # Where answers come this fast, what is out is on its way rather than waiting there.
         most = self.most_out * (2 if expected < self.aim * SWIFT else 1)
-        room = len(host.pending) < most or host.has_room(most)
-        return (room and expected <= self._patience(request.cls.aim_ms)
-                and self._has_room(host, request, first) and self._legal(request, host))
+        return ((len(host.pending) < most or host.has_room(most)) and self._has_room(host, request, first)
+                and expected <= self._patience(request.cls.aim_ms) and self._legal(request, host))
 
     def _pick(self, request: _Request) -> _Host | None:
         if self.queue.count and self._has_its_part():
@@ -287,8 +288,7 @@
                    for one in self.flights.values()) >= part
 
     def _draw(self, level: list[_Host], request: _Request) -> _Host | None:  # less busy of two
-        tried = [attempt.host for attempt in request.attempts]
-        found: list[_Host] = []
+        tried, found = [attempt.host for attempt in request.attempts], list[_Host]()
         for draw in range(min(DRAWS, len(level))):
             host = level[int(self.random.random() * len(level))]
             if host not in found and host not in tried and self._usable(host, request, draw < 2):
@@ -313,11 +313,9 @@
                 or len(request.attempts) >= request.limits.max_attempts
                 or (not request.limits.second_copies and any(a.pending for a in request.attempts))):
             return False
-        if not risky or cls.effect is not Effect.KEYED:
+        if not risky or cls.effect is not Effect.KEYED or request.long:  # which takes its time
             return not risky or cls.effect is Effect.SAFE
-        # What is decided within the window must be sent within it, on a connection that is yet to come up.
-        window = cls.window_ms - 2 * self.settings.tick_ms - self.limits.connect_timeout_ms
-        return all(self.now - a.sent_at < window and (
+        return all(self.now - a.sent_at < request.window and (
             cls.group is Group.ALL or (a.host.zone == host.zone and (
                 cls.group is Group.ZONE or a.host.cell == host.cell))) for a in risky)
 
@@ -433,12 +431,14 @@
         if event.closed or event.outcome is Outcome.OK:
             self._end(request.id)
         elif not request.waiting and not any(a.pending for a in request.attempts):
-            risky = any(a.may_have_run for a in request.attempts)
+            risky = [a for a in request.attempts if a.may_have_run]
+            if risky and request.cls.effect is Effect.KEYED:  # behind its window it would be held for nothing
+                request.hold_until = min(request.hold_until, risky[0].sent_at + request.window)
             if (self.soon >= request.hold_until or len(request.attempts) >= request.limits.max_attempts
                     or (risky and (request.cls.effect is Effect.UNSAFE or self.extra <= -EXTRA_BURST))):
                 self._answer(request)
                 return
-            self.extra -= risky
+            self.extra -= bool(risky)
             # Where one is full others are too: tried at once, they would only get connections.
             (self._hold if event.outcome is Outcome.FULL else self._place)(request)
 
--- a/micaflow/held.py
+++ b/micaflow/held.py
@@ -78,8 +78,9 @@
         """The lines by the rank of their front, each from there; while one is walked none may be added."""
         for one in self._due(self._crossings, now):
             self._stand(one, near=False)
-        order = sorted((rank(line[0][1]), not near, kind, line)
-                       for (kind, near), line in self._lines.items() if line)
+        # Equals go by which line stood first: a name must not decide.
+        order = sorted(((rank(line[0][1]), not near, kind, line) for (kind, near), line in self._lines.items()
+                        if line), key=lambda row: row[:2])
         for _, far, kind, line in order:
             for end, pop in ((0, line.popleft), (-1, line.pop)):
                 while line and not (line[end][1].waiting and line[end][1].stands_as == line[end][0]):
