--- a/tests/ends/test_node_ends.py
+++ b/tests/ends/test_node_ends.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 import pytest
-from scripted import Clogged, Peer, ask, figures
+from scripted import Clogged, Peer, ask, figures, halted
 from world import CLASSES, read_message, receive, reply, request, wait_for, world
 
 from coveport.nodes.destinations import RIPE_S
@@ -151,6 +151,49 @@
     late.close()
 
 
+def test_a_connection_to_where_a_node_was_carries_nothing(tmp_path: Path) -> None:
+    # The node has moved while the connect was pending: whoever is at its old address may be anybody.
+    old, new = Clogged(), Peer()
+    slow = PATIENT | {"limits": {"connect_timeout_ms": 4000, "most_tries": 3, "keepalive_ms": 5000}}
+    with world(tmp_path, old.address, told=slow) as one:
+        conn = ask(one, "POST /redeem", X_Request_Id="a", X_Deadline=LONG)
+        wait_for(old.knocking)
+        updates = figures(one).get("pool_updates", 0)
+        one.discovery.put("s-0", new.address)
+        wait_for(lambda: figures(one).get("pool_updates", 0) > updates)
+        old.open()
+        link, _ = old.socket.accept()
+        link.settimeout(20)
+        assert link.recv(65536) == b""
+        new.next().answer()
+        assert receive(conn)[::2] == (200, b"a")
+    old.close()
+
+
+def test_a_repeat_whose_connection_comes_up_behind_a_stall_of_ours_is_not_sent(tmp_path: Path) -> None:
+    # Decided within the window, its connect pending, no CPU for two seconds: the window is over by then.
+    window_s, node = 2.0, Clogged(at_once=False)
+    told = {"classes": [one | {"window_ms": 1000 * window_s} for one in PATIENT["classes"]],
+            "limits": {"connect_timeout_ms": 1500, "most_tries": 3, "keepalive_ms": 5000}}
+    with world(tmp_path, node.address, told=told) as one:
+        conn = ask(one, "POST /earn", Idempotency_Key="k", X_Deadline=LONG)
+        first, _ = node.socket.accept()
+        assert read_message(first, bytearray()) is not None
+        began = time.monotonic()
+        node.clog()
+        first.sendall(reply(500, Connection="close"))
+        wait_for(node.knocking)
+        with halted(one):
+            node.open()
+            second, _ = node.socket.accept()  # the system has knocked again
+            time.sleep(max(0.0, began + window_s + 0.2 - time.monotonic()))
+        second.settimeout(20)
+        assert receive(conn)[0] == 500
+        one.stop()
+        assert second.recv(65536) == b""
+    node.close()
+
+
 def test_half_a_line_on_a_resting_connection_is_nobodys(tmp_path: Path) -> None:
     node = Peer()
     with world(tmp_path, node.address, told=PATIENT) as one, one.connect() as conn:
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -97,10 +97,16 @@
 class Clogged:
     """An address where connects get no answer: the queue of what waits to be accepted is full."""
 
-    def __init__(self) -> None:
+    def __init__(self, at_once: bool = True) -> None:
         self.socket = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.socket.settimeout(BOUND_S)
         self.address = "{}:{}".format(*self.socket.getsockname())
         self._fillers = list[socket.socket]()
+        if at_once:
+            self.clog()
+
+    def clog(self) -> None:
+        """From here on connects hang."""
         for _ in range(4):
             filler = socket.socket()
             filler.setblocking(False)
@@ -125,7 +131,7 @@
             while True:
                 conn, _ = self.socket.accept()
                 conn.close()
-        self.socket.setblocking(True)
+        self.socket.settimeout(BOUND_S)
 
     def close(self) -> None:
         for filler in self._fillers:
