Where nothing may be repeated an unsafe request tries a host that is out

Cause: micaflow/decide.py, _usable. A host that is out comes back by a timed trial; an unsafe request makes none, so that it is not the one to find out. With only such classes and no probes nobody made one: each host out stayed out until all were, and then all came back at once.

Change: an unsafe request tries where no class may be repeated; where another may, nothing changes.

Test: tests/test_decide_health.py, fails without (the host gets nothing in a minute); another class beside it: as before.

--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -58,10 +58,9 @@
         self.pending: dict[tuple[int, int], _Attempt] = {}  # by attempt, in the order in which they were sent
         self.started, self.ready = entry.started_ms, False  # ready: in a level
         self.cold_at = entry.started_ms if entry.started_ms > 0 else -inf
-        self.pace, self.strikes, self.failures = 0.0, 0, 0  # failures: maybe accidents, since the last answer
-        self.heard_at = self.seen_at = self.paused_until = -inf
+        self.pace, self.strikes, self.failures, self.granted = 0.0, 0, 0, 0  # failures since the last answer
+        self.heard_at = self.seen_at = self.paused_until = self.grant_until = -inf
         self.trial_at = self.down_at = inf  # inf: in its level
-        self.granted, self.grant_until = 0, -inf  # what it may be sent while cold, beside our share by count
 
     def has_room(self, most: int) -> bool:  # what got lost takes no room there
         return sum(flight.passed < PASSED for flight in self.pending.values()) < most
@@ -104,6 +103,7 @@
         self.took = {c.name: self.took.get(c.name, self.aim / FIRST_GUESS) for c in settings.classes}
         self._keep()
         self.dear = settings.prices.cross_zone * sum(c.worth for c in settings.classes)
+        self.mild = any(c.effect is not Effect.UNSAFE for c in settings.classes)  # or none would try
         self.most_out = max(1, int(CROWD / settings.peers_total + 0.5))
         self.calm, self.slow = CALM_SHARE if settings.peers_total < MANY else EXTRA_SHARE, CROWDED * self.aim
 
@@ -254,7 +254,7 @@
                 # Drawn and due: no more probes than requests, however many hosts are out or copies look on.
                 self._eject(host)
                 self.out.append(api.Probe(host.id))
-            if self.limits.probes or request.cls.effect is Effect.UNSAFE:
+            if self.limits.probes or (request.cls.effect is Effect.UNSAFE and self.mild):
                 return False
         if host.paused_until > self.now:
             return False
--- a/tests/test_decide_health.py
+++ b/tests/test_decide_health.py
@@ -367,3 +367,20 @@
         driver.warm(took, 1, apart=300.0)
     known(driver, Outcome.FULL, 100)
     assert 150 < until(driver, 100) < 190
+
+
+@pytest.mark.parametrize(("classes", "tried"), [((UNSAFE,), True), ((SAFE, UNSAFE), False)])
+def test_where_nothing_may_be_repeated_an_unsafe_request_tries_a_host(classes: tuple[api.RequestClass, ...],
+                                                                      tried: bool) -> None:
+    # With one class that never runs twice and no probes, who was out stayed out until all were.
+    driver = Driver(settings(*classes, peers=1), hosts(local=2, remote=0))
+    unsafe = len(classes) - 1
+    driver.serve(20, cls=unsafe)
+    for sent in list(driver.flying.values()):
+        driver.reply(sent)
+    host = driver.balancer.hosts[100]
+    driver.balancer._judge(host, Outcome.CONNECT_FAILED, 5.0, None)
+    driver.advance(60_000, tick=500)
+    before = len(driver.log)
+    driver.serve(20, cls=unsafe)
+    assert any(sent.host == 100 for sent in driver.log[before:]) is tried
