--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -115,3 +115,26 @@
         listener.close()
 
     asyncio.run(main())
+
+
+def test_what_comes_between_the_last_look_and_the_close_is_not_taken() -> None:
+    # The client finds its connection ended, unread, and sends the request again elsewhere: never both.
+    async def main() -> None:
+        loop, taken = asyncio.get_running_loop(), list[object]()
+        listener = clients(Net(loop))
+        listener.take = lambda number, client, asked: taken.append(asked)
+        port = await listener.open(("127.0.0.1", 0))
+        with socket.create_connection(("127.0.0.1", port), timeout=10) as conn:
+            conn.sendall(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+            conn.setblocking(False)
+            assert (await loop.sock_recv(conn, 4096)).startswith(b"HTTP/1.1 200")
+            (client,) = listener._clients
+            assert client.may_close(loop.time())
+            conn.send(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")  # in the very turn
+            client.close()
+            with contextlib.suppress(ConnectionResetError):
+                assert await loop.sock_recv(conn, 4096) == b""
+        assert not taken and not listener.count
+        listener.close()
+
+    asyncio.run(main())
