--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -30,7 +30,6 @@
 # Hosts that a copy keeps to at the least; copies that keep to each host, where they ask alike; first tries in
 FEWEST, SHARERS, EACH = 4, 10, 6.0  # that time for each host: who is asked much keeps to more
 SWIFT = 0.15  # part of an aim: as much again may be out at a host that is expected to answer so soon
-ASK_AGAIN = 750.0  # ms after a failed call to discovery, at the most: what it has counts as told after 6 s
 DRAWS = 6  # tries to find two usable hosts before a level is looked through
 
 
@@ -93,7 +92,7 @@
         self.stuck, self.full = set[tuple[str, bool]](), False  # sorts none of which found a host; no room
         self.due: list[tuple[float, int]] = []  # heap: when to look at which request (-1: at all)
         self.wake_at = self.look_at = inf  # the soonest timer that is set; when held requests are looked at
-        self.ask_at, self.answers = -inf if settings.must_ask else inf, 0
+        self.ask_at, self.ask_failures, self.answers = -inf if settings.must_ask else inf, 0, 0
         self._retune(settings)
         self.service = self.work = self.aim / FIRST_GUESS  # mean answer time and cost hint, until they tell
 
@@ -152,11 +151,12 @@
     def _list(self, event: api.ListUpdate) -> None:
         if event.kind is ListKind.FAILED:
             if self.settings.must_ask:  # spaced out and jittered: discovery is one small service for all
-                wait = min(self.rules.ask_within_ms / 16, ASK_AGAIN)
+                self.ask_failures += 1
+                wait = self.rules.ask_within_ms / 8 * 2 ** min(self.ask_failures - 1, 2)
                 self._ask_at(self.now + wait * self.random.uniform(0.5, 1.5))
             return
         if event.kind is not ListKind.CACHED:
-            self.ask_at = inf
+            self.ask_failures, self.ask_at = 0, inf
         elif self.settings.must_ask and event.entries:
             # All that were started together have a list to begin with, and would ask at the same moment.
             self._ask_at(self.now + self.random.uniform(0, self.rules.ask_within_ms / 16))
