Where the list is asked for, a change is known within 6 s whatever calls failed

Cause: decide.py `_list` waits up to 7.5 s after the third failed call in a row (ask_within / 8 * 4 * 1.5), and a watch that fell silent (2 s) counted as the first of them. Change: no wait is over ASK_MOST (4 s; spread over the last quarter), so the call that hangs before it and the one behind it end within 6 s; agent.py opens a silent watch anew by itself and tells of a failure only when that fails. The watch behind a failure waits 1.0 s, not 1.5: the sum in the test counted 1.5 s for a call that might take 2.0.

--- a/coveport/core/reducer.py
+++ b/coveport/core/reducer.py
@@ -118,7 +118,7 @@
         """How many entries each table has, the module's included; all but `hosts` come back to nothing."""
         module = self._balancer
         return {"operations": len(self._operations), "ids": len(self._ids), "requests": len(module.open),
-                "queue": len(module.queue), "flights": len(module.flights), "due": len(module.due),
+                "queue": module.queue.count, "flights": len(module.flights), "due": len(module.due),
                 "hosts": len(module.hosts)}
 
     def step(self, now_ms: float, item: Input) -> list[Effect]:
--- a/coveport/discovery/agent.py
+++ b/coveport/discovery/agent.py
@@ -19,6 +19,7 @@
 # watch that falls silent, a connect that hangs and a call that hangs, one after the other, each with the
 # longest pause behind it, are over within that: 1.5 + 0.5 + 1.0 + 1.5 s and thrice 0.45 s.
 WATCH_MS = 1500  # how long a watch waits for news
+AGAIN_MS = 1000  # ... right after a failure, so that it takes no longer than a call that need not wait
 GRACE_S = 0.5  # how much longer than its wait a call may take; discovery goes silent without closing
 DIAL_S = 1.0  # how long a connect may take: as long as the system waits before it asks once more
 FIRST_S = 1.5  # how long a call that need not wait may take: an overbooked discovery answers in turn
@@ -144,7 +145,7 @@
             self._arm(FIRST_S)
         else:
             # The first need not wait for news: who starts from a known list wants to hear that it holds.
-            wait_ms = WATCH_MS if self._confirmed else 0
+            wait_ms = 0 if not self._confirmed else AGAIN_MS if self._failures else WATCH_MS
             target += f"?after={self._sequence}&wait_ms={wait_ms}"
             self._arm(wait_ms / 1000 + GRACE_S if wait_ms else FIRST_S)
         self._counters.add("pool_calls")
@@ -160,7 +161,9 @@
 
     def _silent(self) -> None:
         if self._call is not None:
-            self._failed(self._call, "silent for too long")
+            # A watch that tells nothing any more is broken, which is no failure of a call: it is opened anew,
+            # also where whoever asks does so in its own time.
+            self._failed(self._call, "silent for too long", anew=self._confirmed and not self._failures)
 
     def _ended(self, call: _Call, response: http1.Response | None) -> None:
         """A call has its answer, or its connection is gone."""
@@ -214,7 +217,7 @@
             raise ValueError("changes, where the whole list was asked for")
         return self._reader.read(told)
 
-    def _failed(self, call: _Call, text: str) -> None:
+    def _failed(self, call: _Call, text: str, anew: bool = False) -> None:
         if call is not self._call:
             return
         self._log.note("pool config", text)
@@ -224,7 +227,7 @@
         pause = RETRY_S[min(self._failures, len(RETRY_S) - 1)] * self._chance.uniform(1 - SPREAD, 1 + SPREAD)
         self._failures += 1
         self._busy = True
-        if self._must_ask:
+        if self._must_ask and not anew:
             # Whoever asks is told of the failure and asks again in its own time.
             self._watching = self._asked_whole = self._busy = False
             self._tell(None)
--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -18,6 +18,7 @@
 # Weight of the newest answer in a host's pace (a copy sees few), in the fleet's service time (which should
 MEMORY, SERVICE_MEMORY, LATELY = 0.25, 0.02, 0.1  # outlast one trouble), and in what answers took lately
 TRIAL_WAIT, MAX_DOUBLINGS = 0.5, 5  # first wait before a trial, in aims; how often it is doubled at the most
+ASK_MOST = 4000.0  # ms: asked again later, what discovery has since the last call could come after 6 s
 COLD_SAFETY = 0.25  # part of a cold host's budget that is used: a zone can be asked for three times its all
 EXTRA_SHARE, CALM_SHARE, MANY = 0.03, 0.1, 16  # retries that may have run, per request; few copies, none held
 EXTRA_BURST = 2.0  # the most saved up; retries may overdraw as much, second copies may not
@@ -110,7 +111,7 @@
         """Take one event and say what to do now."""
         self.now, self.out = now_ms, []
         self.soon = now_ms + self.settings.tick_ms / 2  # what is due by then is due: timers come rounded
-        if isinstance(event, api.Request) and event.id not in self.open:
+        if isinstance(event, api.Request):
             self._arrive(event)
         elif isinstance(event, api.Reply):
             self._reply(event)
@@ -153,7 +154,8 @@
             if self.settings.must_ask:  # spaced out and jittered: discovery is one small service for all
                 self.ask_failures += 1
                 wait = self.rules.ask_within_ms / 8 * 2 ** min(self.ask_failures - 1, 2)
-                self._ask_at(self.now + wait * self.random.uniform(0.5, 1.5))
+                most = ASK_MOST * self.random.uniform(0.75, 1)
+                self._ask_at(self.now + min(wait * self.random.uniform(0.5, 1.5), most))
             return
         if event.kind is not ListKind.CACHED:
             self.ask_failures, self.ask_at = 0, inf
@@ -256,13 +258,12 @@
                 self.out.append(api.Probe(host.id))
             if self.limits.probes or (request.cls.effect is Effect.UNSAFE and self.mild):
                 return False
-        if host.paused_until > self.now:
-            return False
         expected = self._expected(host)
         # Where answers come this fast, what is out is on its way rather than waiting there.
         most = self.most_out * (2 if expected < self.aim * SWIFT else 1)
-        return ((len(host.pending) < most or host.has_room(most)) and self._has_room(host, request, first)
-                and expected <= self._patience(request.cls.aim_ms) and self._legal(request, host))
+        return (host.paused_until <= self.now and (len(host.pending) < most or host.has_room(most))
+                and self._has_room(host, request, first) and expected <= self._patience(request.cls.aim_ms)
+                and self._legal(request, host))
 
     def _pick(self, request: _Request) -> _Host | None:
         if self.queue.count and self._has_its_part():
@@ -320,7 +321,7 @@
                 cls.group is Group.ZONE or a.host.cell == host.cell))) for a in risky)
 
     def _arrive(self, event: api.Request) -> None:
-        if not 0 <= event.cls < len(self.settings.classes):
+        if event.id in self.open or not 0 <= event.cls < len(self.settings.classes):
             return
         request = self.open[event.id] = _Request(event, self.settings, self.random)
         cls = request.cls
--- a/micaflow/held.py
+++ b/micaflow/held.py
@@ -34,9 +34,6 @@
         self._ends, self._crossings = list[tuple[float, int, W]](), list[tuple[float, int, W]]()
         self.count = self._entries = 0  # how many are held
 
-    def __len__(self) -> int:
-        return self.count
-
     def __iter__(self) -> Iterator[W]:
         return (one for line in self._lines.values() for number, one in line
                 if one.waiting and one.stands_as == number)
