A list that waits behind a stall of ours is read before anything is decided

Seen by a probe: process halted, request sent, list sent 0.8 s before it goes on: the drained node got it (epoll gives what was ready first). Ruled out: the fence (its stall is the one between decision and connection), descriptors, the module (it was told a turn later). At fault: Effects._beat, which noted the stall and went on. Change: where we were not awake for 300 ms the pool config takes in what has come (Net.read_now, with the same recv as the loop's) before the input is decided; no cost while we are awake. Test: test_told::test_a_list_that_waits_beside_a_request_goes_first[True] fails without; [False] (nobody connected) held before.

--- a/coveport/discovery/agent.py
+++ b/coveport/discovery/agent.py
@@ -107,6 +107,11 @@
         if not self._busy:
             self._next()
 
+    def catch_up(self) -> None:
+        """Take in what has come already, not in a later turn."""
+        if self._busy and self._call is not None and self._call.transport is not None:
+            self._net.read_now(self._call.transport)
+
     def close(self) -> None:
         """Stop asking."""
         self._closed = True
@@ -297,6 +302,12 @@
         self._next = agent
         agent.ask(whole=True)
 
+    def catch_up(self) -> None:
+        """Take in what has come already, not in a later turn."""
+        for agent in (self._agent, self._next):
+            if agent is not None:
+                agent.catch_up()
+
     def close(self) -> None:
         """Stop asking."""
         self._closed = True
--- a/coveport/lab/real/shaping.py
+++ b/coveport/lab/real/shaping.py
@@ -326,6 +326,11 @@
             return not transport.is_closing()
         return super().is_quiet(transport)
 
+    def read_now(self, transport: asyncio.Transport) -> None:
+        """Give the protocol what waits there; what is on the way here comes when it comes."""
+        if not isinstance(transport, Shaped):
+            super().read_now(transport)
+
     def shut_down(self, transport: asyncio.Transport) -> None:
         """End both directions."""
         if isinstance(transport, Shaped):
--- a/coveport/lab/virtual/wires.py
+++ b/coveport/lab/virtual/wires.py
@@ -660,6 +660,15 @@
         finally:
             self._reading = False
 
+    def read_now(self) -> None:
+        """Give the process the bytes that have come; an end is read in its turn."""
+        while not (self._reading or self._paused or self._closing) and self._inbox:
+            what = self._inbox[0][0]
+            if type(what) is not bytes:
+                return
+            _, self._handed_s, self._came_s = self._inbox.popleft()
+            self._give(what)
+
     def _give(self, data: bytes) -> None:
         """Let the protocol read as much as it has room for; the rest waits."""
         if self._buffered is None:
@@ -892,6 +901,11 @@
         assert isinstance(transport, Side)
         return transport.quiet
 
+    def read_now(self, transport: asyncio.Transport) -> None:
+        """Give the protocol what waits there in this turn; an end is left to the loop."""
+        assert isinstance(transport, Side)
+        transport.read_now()
+
     def is_over(self, transport: asyncio.Transport) -> bool:
         """Whether the other side has ended or reset it, read or not."""
         assert isinstance(transport, Side)
--- a/coveport/net/transport.py
+++ b/coveport/net/transport.py
@@ -16,7 +16,7 @@
 from typing import Protocol
 
 from coveport.net.address import Address
-from coveport.net.sockets import is_over, is_quiet, is_quiet_socket
+from coveport.net.sockets import is_over, is_quiet, is_quiet_socket, read_now
 
 Factory = Callable[[], asyncio.BaseProtocol]
 
@@ -157,6 +157,10 @@
         """Whether nothing has come that we have not read: no bytes, no end."""
         return is_quiet(transport)
 
+    def read_now(self, transport: asyncio.Transport) -> None:
+        """Give the protocol what waits there in this turn; an end is left to the loop."""
+        read_now(transport)
+
     def is_over(self, transport: asyncio.Transport) -> bool:
         """Whether the other side has ended or reset it, read or not."""
         return is_over(transport)
--- a/coveport/sidecar/effects.py
+++ b/coveport/sidecar/effects.py
@@ -227,9 +227,14 @@
         """Note that we are awake, and for how long we were not."""
         now = self._clock.now_ms()
         missed, self._beat_ms = now - self._beat_ms, now
-        if missed > BEAT_MS + LAG_MS and self._beating is not None:
+        if missed <= BEAT_MS + LAG_MS:
+            return
+        if self._beating is not None:
             self.counters.add("stalls_measured")
             self._inputs.append(core.Stalled(missed))
+        # Guards against what waits beside a list that has waited for as long: it would be decided by the old
+        # one, and go to a destination that has long begun to drain.
+        self.pool_config.catch_up()
 
     def _pulse(self) -> None:
         self._beat()
@@ -248,7 +253,7 @@
         else:
             self._open[number].taken = False
         if self._beating is None:
-            self._beat_ms = self._clock.now_ms()
+            self._beat()
             self._beating = self._net.loop.call_later(BEAT_MS / 1000, self._pulse)
         deadline = self._clock.now_ms() + (asked.wait_ms if asked.upload is None else LONGEST_MS)
         self.feed(core.OperationCame(number, asked.cls, deadline, asked.repeat, asked.cost_ms, asked.room,
--- a/tests/ends/test_told.py
+++ b/tests/ends/test_told.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 
 import pytest
-from scripted import Clogged, Got, Peer, listening
-from world import Discovery, configuration, program, reply, request, served, wait_for
+from scripted import Clogged, Got, Peer, ask, figures, halted, listening
+from world import CLASSES, Discovery, World, configuration, program, receive, reply, request, served, wait_for
 from world import Server as Node
 
 from coveport.discovery import agent
@@ -167,3 +167,36 @@
         here.peer.next().send(reply(503))
         here.peer.next().send(told(here.list))
         assert time.monotonic() - silent < agent.WATCH_MS / 1000 + agent.GRACE_S + 4.0 + 1.0
+
+
+# Attempts of seconds, so that a stall of one ends nothing by itself.
+PATIENT = {"classes": [one | {"aim_ms": 20_000, "deadline_ms": 30_000} for one in CLASSES]}
+
+
+@pytest.mark.parametrize("rests", [True, False])
+def test_a_list_that_waits_beside_a_request_goes_first(tmp_path: Path, rests: bool) -> None:
+    # Behind a stall of ours both wait, the request in front: it went to a node that had begun to drain long
+    # before. `rests`: the request's client was connected before the stall; else nobody was.
+    nodes, here = [Node(served), Node(served)], Watched()
+    here.list.put("s-0", nodes[0].address)
+    config = tmp_path / "config.json"
+    config.write_text(configuration(here.list, here.peer.address, told=PATIENT))
+    with program(config) as (process, log):
+        one = World(process, here.list, listening(log), log)
+        got = here.watch()
+        conn = ask(one, "GET /balance", X_Deadline="30000m")
+        assert receive(conn)[0] == 200
+        if not rests:
+            conn.close()
+            wait_for(lambda: figures(one)["clients"] == 0)
+        with halted(one):
+            if not rests:
+                conn = one.connect()
+            conn.sendall(request("GET /balance", X_Deadline="30000m"))
+            time.sleep(0.05)
+            here.list.put("s-0", nodes[0].address, "leaving")
+            here.list.put("s-1", nodes[1].address)
+            got.send(told(here.list))
+            time.sleep(0.8)  # it has long been told
+        assert receive(conn)[0] == 200
+    assert (len(nodes[0].seen), len(nodes[1].seen)) == (1, 1)
