A node is told no more time than is left when its connection comes up

Found by reading: X-Deadline was the time-out as of the decision (links.py request_of), and a connection may take 250 ms to come up, or stand 10 ms until it is ripe. Ruled out: the time-out itself, which ran from the decision; long operations, whose time runs from their last byte. Change: RouteStep.left_s. Test: test_node_ends::test_a_node_is_told_no_more_time_than_is_left... (a connect held for 0.3 s) fails without.

--- a/coveport/http1/links.py
+++ b/coveport/http1/links.py
@@ -48,7 +48,7 @@
     if operation is None:
         return codec.write_request("GET", PROBE_PATH, [("Host", host)])
     headers = [("Host", host), ("X-Request-Id", operation.id),
-               ("X-Deadline", f"{max(1, round(step.timeout_s * 1000))}m")]
+               ("X-Deadline", f"{max(1, round(step.left_s * 1000))}m")]
     if operation.key is not None:
         headers.append(("Idempotency-Key", operation.key))
     headers.extend(("content-type", value) for value in operation.content_type)
--- a/coveport/lab/fuzz/targets.py
+++ b/coveport/lab/fuzz/targets.py
@@ -195,7 +195,7 @@
 def _passed_on(operation: Operation) -> None:
     must(0 < operation.wait_ms <= 3_600_000, "wait", f"{operation.wait_ms}")
     must(0 <= operation.cost_ms < math.inf, "cost", f"{operation.cost_ms}")
-    step: Any = SimpleNamespace(operation=operation, timeout_s=operation.wait_ms / 1000)
+    step: Any = SimpleNamespace(operation=operation, left_s=operation.wait_ms / 1000)
     written = request_of(step, PLACE)
     request = _one(codec.RequestParser(), written)
     if request is None:
@@ -279,7 +279,7 @@
     """An address reads back equal, goes into a header, and is one that asyncio can be told."""
     host, port = address
     must(parse_address(f"{host}:{port}") == address, "address", f"{address}")
-    step: Any = SimpleNamespace(operation=None, timeout_s=1.0)
+    step: Any = SimpleNamespace(operation=None, left_s=1.0)
     probe = _one(codec.RequestParser(), request_of(step, (address, 0.0)))
     must(probe.headers == {"host": [f"{host}:{port}"]}, "address", f"{address} writes as {probe}")
     host.encode("idna")
--- a/coveport/nodes/steps.py
+++ b/coveport/nodes/steps.py
@@ -53,7 +53,7 @@
         self._pool, self._done, self._began, self._handed = pool, done, began, handed
         self._fence = fence  # asked right before the first byte; False: it must not go any more
         self.operation = operation  # None: a probe
-        self.timeout_s = timeout_s
+        self.timeout_s, self._begun_at = timeout_s, pool.net.now_s()
         self.link: Link | None = None
         self.connecting: asyncio.Task[object] | None = None
         self.handed = False  # the last byte was handed to an accepted connection: it may run from here on
@@ -103,6 +103,12 @@
         # Guards against another's process at the address of one that has gone while the connection came up.
         return self._pool.places.get(link.number) == link.place and (self._fence is None or self._fence())
 
+    @property
+    def left_s(self) -> float:
+        """What is left of its time; a long operation takes its client's until its last byte has left."""
+        # Guards against work for nobody: a connection that took long to come up has taken of that time.
+        return self.timeout_s if self.long else self.timeout_s - (self._pool.net.now_s() - self._begun_at)
+
     def hand(self) -> None:
         """The last byte was handed to an accepted connection: it may run from here on."""
         if self.handed:
--- a/tests/ends/test_node_ends.py
+++ b/tests/ends/test_node_ends.py
@@ -65,6 +65,26 @@
     wait_for(lambda: struct.unpack("i", fcntl.ioctl(conn, termios.TIOCOUTQ, b"\0" * 4))[0] == 0)
 
 
+def test_a_node_is_told_no_more_time_than_is_left_when_its_connection_comes_up(tmp_path: Path) -> None:
+    node = Clogged()
+    patient = {**PATIENT, "limits": {"connect_timeout_ms": 4000, "most_tries": 3, "keepalive_ms": 5000}}
+    with world(tmp_path, node.address, told=patient) as one:
+        conn = ask(one, "POST /redeem", X_Deadline=LONG)
+        wait_for(node.knocking)
+        knocked = time.monotonic()
+        time.sleep(0.3)  # at least so long it is not up
+        held_s = time.monotonic() - knocked
+        node.open()
+        link, _ = node.socket.accept()
+        message = read_message(link, bytearray())
+        assert message is not None
+        most_ms = PATIENT["classes"][2]["aim_ms"]  # an answer behind it is worth nothing here
+        assert int(message[1]["x-deadline"].removesuffix("m")) <= most_ms - held_s * 1000
+        link.sendall(GOOD)
+        assert receive(conn)[0] == 200
+    node.close()
+
+
 class Twice:
     """Sends an answer once more some milliseconds behind it: right before it answers what came meanwhile."""
 
