Nothing begins for a client that is told as gone while a list is taken in

Cause: since a list that waits behind a stall is read before the next input, it may be read where the next input is a client's end: Effects.gone has taken the client out by then, the module not yet, and the room that the list brings went to its operation; the fence passed where there was no client to ask (effects.py, `opened.client is not None and`). Ruled out: clients that are still to be read (is_over sees them). By processes it can't be forced: a signal's stall lets the timers run first, and they read the list. Change: without a client the fence does not let a step go. Test: tests/test_effects.py fails without.

--- a/coveport/sidecar/effects.py
+++ b/coveport/sidecar/effects.py
@@ -414,8 +414,8 @@
 
             def fence() -> bool:
                 # Guards against beginning anything for a client that has gone: its end may stand below,
-                # unread, behind what it sent ahead or behind a stall of ours.
-                if opened.client is not None and opened.client.left():
+                # unread, behind what it sent ahead or behind a stall of ours, or be read and not told yet.
+                if opened.client is None or opened.client.left():
                     return False
                 # Guards against such a stall between the decision and the connection: a repeat would come
                 # after its window, anything to a destination that has long begun to drain.
--- /dev/null
+++ b/tests/test_effects.py
@@ -0,0 +1,86 @@
+"""What comes between two inputs that stand in the same turn, where real sockets can't be timed to the point."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any, cast
+
+from world import CLASSES, Pool, configuration
+
+from coveport.config import platform
+from coveport.core.operation import Operation
+from coveport.net.transport import Net
+from coveport.nodes.steps import RouteStep
+from coveport.sidecar.effects import Effects
+from coveport.telemetry.counters import Counters
+from coveport.telemetry.log import Log
+from micaflow import interface as api
+
+PATIENT = {"classes": [one | {"aim_ms": 20_000, "deadline_ms": 30_000} for one in CLASSES]}
+
+
+class _Client:
+    def left(self) -> bool:
+        return False
+
+
+class _Link:
+    """Stands idle at a destination; what may be sent on it is noted."""
+
+    quiet, waits = True, False
+
+    def __init__(self, number: int, place: Any, sent: list[str]) -> None:
+        self.number, self.place, self.sent, self.idle_since = number, place, sent, 0.0
+
+    def carry(self, step: RouteStep) -> None:
+        if step.may_go(cast(Any, self)):
+            assert step.operation is not None
+            self.sent.append(step.operation.id)
+
+    def release(self, keep: bool) -> None: ...
+
+    def drop(self) -> None: ...
+
+
+async def _never(*_: Any) -> None:
+    await asyncio.Event().wait()
+
+
+def test_a_list_that_is_read_where_a_client_is_told_as_gone_begins_nothing_for_it() -> None:
+    pool = Pool()
+    pool.put("s-0", "127.0.0.1:1")
+    pool.put("s-1", "127.0.0.1:2", "leaving")
+    config = platform.read(configuration(pool, "127.0.0.1:3", told=PATIENT), {}, where="here")
+    sent = list[str]()
+
+    async def main() -> None:
+        net = Net(asyncio.get_running_loop())
+        effects = Effects(net, config, Counters(), Log(net.now_s), _never)
+        effects.know()
+        number = 0
+        while effects.tables["queue"] < 2:
+            number += 1
+            effects.take(number, cast(Any, _Client()), Operation("GET", "/balance", b"", str(number), None, 0,
+                                                                 30_000.0))
+        place = effects.destinations.places[2]
+        for _ in range(2):
+            effects.destinations.put_idle(cast(Any, _Link(2, place, sent)))
+        for link in effects.destinations._idle[2]:
+            link.idle_since -= 1.0  # long ago
+        pool.put("s-1", "127.0.0.1:2")
+        update = effects._reader.read(json.loads(json.dumps(pool.text())), api.ListKind.FULL)
+
+        def catch_up() -> None:
+            effects.pool_config.catch_up = lambda: None  # type: ignore[method-assign]
+            effects.told(update)
+
+        effects.pool_config.catch_up = catch_up  # type: ignore[method-assign]
+        effects._beat_ms -= 1000  # a stall of ours
+        effects.gone(number)
+        for task in asyncio.all_tasks() - {asyncio.current_task()}:
+            task.cancel()
+        assert effects.owed == number - 1
+        assert sent == [str(number - 1)], "what is held and whose client waits, and that alone"
+
+    asyncio.run(main())
