--- a/tests/test_effects.py
+++ b/tests/test_effects.py
@@ -1,4 +1,4 @@
-"""What comes between two inputs that stand in the same turn, where real sockets can't be timed to the point."""
+"""What comes between two inputs of one turn, where real sockets can't be timed to the point."""
 
 from __future__ import annotations
 
