--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -1,8 +1,7 @@
 """The decisions of micaflow; events and actions are in interface.py, the order of what is held in held.py.
 
-The ordinary path: a request goes to its own zone while any host there is usable, to all hosts otherwise, and
-inside that level to the one of two random draws with fewer of our own requests in flight. `Balancer.handle`
-takes one event and returns the actions; no clock, no I/O: the same events always give the same actions.
+A request goes to its own zone while any host there is usable, to all hosts otherwise, and there to the less
+busy of two (levels.py). `Balancer.handle` takes one event and returns the actions, always the same; no I/O.
 """
 
 from __future__ import annotations
@@ -13,7 +12,8 @@
 
 from micaflow import interface as api
 from micaflow.held import Held, Waiter
-from micaflow.interface import Effect, Group, ListKind, Outcome, State
+from micaflow.interface import Effect, ListKind, Outcome, State
+from micaflow.levels import first_usable_level, less_busy_of_two
 
 # Weight of the newest answer in a host's pace (a copy sees few), in the fleet's service time (which should
 MEMORY, SERVICE_MEMORY, LATELY = 0.25, 0.02, 0.1  # outlast one trouble), and in what answers took lately
@@ -71,14 +71,17 @@
         self.cls, self.limits = settings.classes[event.cls], settings.limits  # the rules under which it came
         self.id, self.kind, self.deadline, self.long = event.id, self.cls.name, event.deadline_ms, event.long
         self.give_up = self.hold_until = self.cross_at = event.deadline_ms
-        self.chill = chance.random()  # which cold hosts it may go to
+        self.chill, self.streaming = chance.random(), False  # chill: which cold hosts it may go to
         self.attempts = [_Attempt(_Host(api.HostEntry(-1, one.zone, one.cell), 0.0), one.sent_ms, one)
                          for one in event.before]
-        self.streaming = False
         # In which it may run again: what is decided by then is sent in time on a connection yet to come up.
         self.window = self.cls.window_ms - 2 * settings.tick_ms - self.limits.connect_timeout_ms
 
 
+def _lowest(hosts: list[_Host], most: int) -> list[_Host]:  # in mark; all of them in the order they have
+    return hosts if len(hosts) <= most else sorted(hosts, key=lambda host: host.mark)[:most]
+
+
 class Balancer:
     """One copy's decisions, from its settings, its own events and its own random draws."""
 
@@ -86,7 +89,6 @@
         self.random, self.out = random.Random(seed), list[api.Action]()
         self.now, self.soon, self.extra, self.lately = 0.0, 0.0, 0.0, 0.0  # lately: mean answer time
         self.hosts, self.open = dict[int, _Host](), dict[int, _Request]()
-        self.local, self.wide, self.all = list[_Host](), list[_Host](), list[_Host]()  # wide: of all zones
         self.flights = dict[tuple[int, int], _Attempt]()
         self.came, self.came_at, self.keep_at = 0.0, 0.0, inf  # first tries, each worth less with time
         self.queue, self.took = Held[_Request](), dict[str, float]()
@@ -163,8 +165,7 @@
             # All that were started together have a list to begin with, and would ask at the same moment.
             self._ask_at(self.now + self.random.uniform(0, self.rules.ask_within_ms / 16))
         if event.kind is not ListKind.DELTA:
-            named = {entry.host for entry in event.entries}
-            for gone in [host for host in self.hosts if host not in named]:
+            for gone in self.hosts.keys() - {entry.host for entry in event.entries}:
                 self.hosts.pop(gone).ready = False
         for entry in event.entries:
             host = self.hosts.get(entry.host)
@@ -173,22 +174,17 @@
                 if entry.state is not State.DRAINING:
                     del self.hosts[entry.host]  # gone, or a new process, of which nothing known holds
             if entry.state is State.READY:
-                host = self.hosts.setdefault(entry.host, _Host(entry, self.random.random()))
-                host.ready = True
+                self.hosts.setdefault(entry.host, _Host(entry, self.random.random())).ready = True
         self._keep()
 
-    def _keep(self) -> None:
+    def _keep(self) -> None:  # the levels: of our zone, of all zones, and all
         # Guards against knowing nobody: a copy of many that meets all hosts of its zone meets each too seldom
         # to tell a slow one, and connects anew each time. By marks few change when a host comes or goes.
         self.all = [host for host in self.hosts.values() if host.ready]
         most = max(FEWEST, round(SHARERS * len(self.all) / self.settings.peers_total), int(self.came / EACH))
         self.keep_at = self.now + OVER * self.aim
-        self.local = [host for host in self.all if host.zone == self.settings.zone]
-        if len(self.local) > most:
-            self.local = sorted(self.local, key=lambda host: host.mark)[:most]
-        self.wide = self.all
-        if len(self.all) > 2 * most:
-            self.wide = sorted(self.all, key=lambda host: host.mark)[:2 * most]
+        self.local = _lowest([host for host in self.all if host.zone == self.settings.zone], most)
+        self.wide = _lowest(self.all, 2 * most)
 
     def _ask_at(self, at: float) -> None:
         self.ask_at = at
@@ -243,8 +239,7 @@
         age = self.now - host.cold_at  # by chance, as an even split is under one a copy
         if age >= self.rules.warm_after_ms or (host.granted > 0 and self.now < host.grant_until):
             return True
-        share = self.rules.cold_from + (1 - self.rules.cold_from) * max(age, 0.0) / self.rules.warm_after_ms
-        part = COLD_SAFETY * self.rules.overload_factor * share
+        part = COLD_SAFETY * self.rules.overload_factor * self.rules.cold_share(age)
         # Where other hosts fail, all that looks further or is tried again would gather at the cold ones.
         return request.chill < part and first and not request.attempts and not host.pending
 
@@ -268,12 +263,12 @@
     def _pick(self, request: _Request) -> _Host | None:
         if self.queue.count and self._has_its_part():
             return None
-        host = self._draw(self.local, request)
-        if host or (self.soon < request.cross_at and any(h.trial_at == inf for h in self.local)):
-            return host
-        for level in (self.wide, self.all):
-            host = self._draw(level, request) if len(level) > len(self.local) else None
-            if host or any(h.trial_at == inf for h in level):
+        levels = self.local, self.wide, self.all
+        stops = levels if self.soon < request.cross_at else levels[1:]  # where nothing further is tried
+        last = first_usable_level(stops, lambda host: host.trial_at == inf)
+        for level in levels:
+            host = self._draw(level, request) if level is self.local or len(level) > len(self.local) else None
+            if host or level is last:
                 return host
         for one in self.all:  # every host looks bad: a fault of our own view is likelier
             one.trial_at = inf
@@ -283,10 +278,9 @@
         # Guards against copies that fill each host as far as they may: what all of them have waiting there
         # makes it slower, and is late. What is lost, or out at hosts that are out, holds up nobody.
         part = max(1.0, self.came * OUT_FOR / OVER)
-        if len(self.flights) < part or self.lately < self.slow:
-            return False
-        return sum(one.host.trial_at == inf and not one.lost and self.now - one.sent_at < self.aim
-                   for one in self.flights.values()) >= part
+        return len(self.flights) >= part and self.lately >= self.slow and part <= sum(
+            one.host.trial_at == inf and not one.lost and self.now - one.sent_at < self.aim
+            for one in self.flights.values())
 
     def _draw(self, level: list[_Host], request: _Request) -> _Host | None:  # less busy of two
         tried, found = [attempt.host for attempt in request.attempts], list[_Host]()
@@ -299,26 +293,23 @@
         else:
             usable = [host for host in level if self._usable(host, request, False)]
             found = [host for host in usable if host not in tried] or usable or found
-            found = self.random.sample(found, 2) if len(found) > 2 else found
-        # Found in random order: ties fall at random.
-        return min(found, key=lambda host: len(host.pending), default=None)
+        loads = {host: len(host.pending) for host in found}
+        # Two were found in random order: ties fall at random.
+        return less_busy_of_two(found, loads, self.random if len(found) > 2 else None) if found else None
 
     def _legal(self, request: _Request, host: _Host | None) -> bool:
         """Whether another attempt at `host`, or a refusal (no host), keeps the rules."""
         cls = request.cls
         risky = [a for a in request.attempts if a.may_have_run]
         if host is None:
-            return not risky or cls.effect is Effect.SAFE or (
-                cls.effect is Effect.KEYED and cls.group is Group.ALL)
+            return not risky or cls.repeats_anywhere
         if (not host.ready or request.streaming or self.now >= request.deadline
                 or len(request.attempts) >= request.limits.max_attempts
                 or (not request.limits.second_copies and any(a.pending for a in request.attempts))):
             return False
         if not risky or cls.effect is not Effect.KEYED or request.long:  # which takes its time
             return not risky or cls.effect is Effect.SAFE
-        return all(self.now - a.sent_at < request.window and (
-            cls.group is Group.ALL or (a.host.zone == host.zone and (
-                cls.group is Group.ZONE or a.host.cell == host.cell))) for a in risky)
+        return all(self.now - a.sent_at < request.window and cls.group.covers(a.host, host) for a in risky)
 
     def _arrive(self, event: api.Request) -> None:
         if event.id in self.open or not 0 <= event.cls < len(self.settings.classes):
@@ -369,14 +360,11 @@
             self._wake(at)
 
     def _any_room(self) -> bool:  # else there is no use in drawing for each sort
-        patience, all_out = self._patience(self.longest), True
-        for host in self.all:
-            all_out = all_out and host.trial_at < inf
-            if (self.now >= host.trial_at and not host.pending if host.trial_at < inf else
-                    host.paused_until <= self.now and host.has_room(2 * self.most_out)
-                    and self._expected(host) <= patience):
-                return True
-        return all_out  # then they are all given a chance
+        patience = self._patience(self.longest)
+        return all(host.trial_at < inf for host in self.all) or any(  # all out: they are all given a chance
+            self.now >= host.trial_at and not host.pending if host.trial_at < inf else
+            host.paused_until <= self.now and host.has_room(2 * self.most_out)
+            and self._expected(host) <= patience for host in self.all)
 
     def _dispatch(self) -> None:
         self.stuck, self.full = set(), False
--- a/micaflow/held.py
+++ b/micaflow/held.py
@@ -1,8 +1,7 @@
-"""The requests that a balancer holds, so that none of them is looked at without need.
+"""The requests that a balancer holds, none looked at without need: an answer makes room for few of thousands.
 
-An answer frees room for one or two of what may be thousands. Those of one sort stand in a line, the newest in
-front, walked until the first that finds no host, as others would not either. Of one kind, those that may go
-anywhere come after those that still wait for their zone. Two heaps tell what is due.
+Those of one sort stand in a line, the newest in front, walked until the first that finds no host, as others
+would not either; those of a kind that may go anywhere come after its others. Two heaps tell what is due.
 """
 
 from __future__ import annotations
@@ -41,12 +40,11 @@
     def add(self, one: W, now: float) -> None:
         """Hold it, in front of its like."""
         self.count += 1
-        self._entries += 1
-        one.waiting, one.held_as = True, self._entries
-        heappush(self._ends, (one.hold_until, self._entries, one))
-        if one.cross_at > now:
-            heappush(self._crossings, (one.cross_at, self._entries, one))
         self._stand(one, one.cross_at > now)
+        one.waiting, one.held_as = True, one.stands_as
+        heappush(self._ends, (one.hold_until, one.held_as, one))
+        if one.cross_at > now:
+            heappush(self._crossings, (one.cross_at, one.held_as, one))
 
     def _stand(self, one: W, near: bool) -> None:
         self._entries += 1
--- a/micaflow/interface.py
+++ b/micaflow/interface.py
@@ -9,6 +9,7 @@
 import sys
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
+from typing import Protocol
 
 
 class Effect(Enum):
@@ -19,6 +20,18 @@
     UNSAFE = "unsafe"  # must never run twice
 
 
+class Place(Protocol):
+    """Where a host stands."""
+
+    @property
+    def zone(self) -> int:
+        """Its zone."""
+
+    @property
+    def cell(self) -> int:
+        """Its cell, unique in its zone."""
+
+
 class Group(Enum):
     """Which hosts drop the repeats of a keyed request: all, those of one zone, or those of one cell."""
 
@@ -26,6 +39,11 @@
     ZONE = "zone"
     CELL = "cell"
 
+    def covers(self, one: Place, other: Place) -> bool:
+        """Whether two places drop each other's repeats."""
+        same_zone = one.zone == other.zone
+        return self is Group.ALL or (same_zone and (self is Group.ZONE or one.cell == other.cell))
+
 
 class State(IntEnum):
     """State of a host in the list."""
@@ -96,6 +114,11 @@
         _not_negative(worth=self.worth, late_share=self.late_share, window_ms=self.window_ms,
                       aim_stretch=self.aim_stretch)
 
+    @property
+    def repeats_anywhere(self) -> bool:
+        """Whether another attempt at any host whatever, by whomever, does no harm."""
+        return self.effect is Effect.SAFE or (self.effect is Effect.KEYED and self.group is Group.ALL)
+
 
 @dataclass(frozen=True, slots=True)
 class Limits:
@@ -134,6 +157,10 @@
         if self.cold_from > 1:
             raise ValueError(f"cold_from must be at most 1, not {self.cold_from!r}")
 
+    def cold_share(self, age_ms: float) -> float:
+        """The part of a warm host's capacity that one has which started so long ago, before it is warm."""
+        return self.cold_from + (1 - self.cold_from) * max(age_ms, 0.0) / self.warm_after_ms
+
 
 @dataclass(frozen=True, slots=True)
 class Prices:
