--- a/coveport/lab/virtual/hosts.py
+++ b/coveport/lab/virtual/hosts.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from coveport.lab.ground import Accept
-from coveport.lab.virtual.wires import Network, Place, VirtualNet, _Listening
+from coveport.lab.virtual.listening import ListeningSocket
+from coveport.lab.virtual.wires import Network, Place, VirtualNet
 from coveport.lab.virtual.world import Process
 from coveport.net.address import Address
 from coveport.net.transport import Factory, Net
@@ -16,7 +17,7 @@
         self.place = place
         self.net: Net = VirtualNet(process, network, place)
         self._network, self._port, self._start_s = network, port, start_s
-        self._listening: _Listening | None = None
+        self._listening: ListeningSocket | None = None
         self._clogs: dict[int, None] = {}  # faults by which its queue is full
 
     def day_ms(self) -> float:
