--- a/coveport/cli/work.py
+++ b/coveport/cli/work.py
@@ -20,7 +20,7 @@
     from coveport.config.operator import OperatorFile
     from coveport.leases.store import Entry, Store
     from coveport.work.record import Record
-    from coveport.work.shelf import Shelf
+    from coveport.work.record_layout import RecordLayout
 
 CALL_S = 2.0
 TRIES = 5  # where an instance writes the same record meanwhile
@@ -29,8 +29,8 @@
 class Desk:
     """The store of records, as staff reach it."""
 
-    def __init__(self, store: Store, shelf: Shelf) -> None:
-        self.store, self.shelf = store, shelf
+    def __init__(self, store: Store, layout: RecordLayout) -> None:
+        self.store, self.layout = store, layout
 
     async def read(self, prefix: str) -> tuple[Entry, ...]:
         """What stands there."""
@@ -44,11 +44,11 @@
     async def record(self, identity: str) -> tuple[Record, Entry]:
         """One record; Unusable where there is none, or it can't be read."""
         from coveport.work.record import RecordError, decode
-        from coveport.work.shelf import is_id
+        from coveport.work.record_layout import is_id
 
         if not is_id(identity):
             raise Unusable(f"{identity!r} is no record's id: 32 digits of 0 to 9 and a to f")
-        entries = await self.read(self.shelf.record_key(identity))
+        entries = await self.read(self.layout.record_key(identity))
         if not entries:
             raise Unusable(f"{identity}: there is no such record")
         try:
@@ -58,7 +58,7 @@
 
     async def ids(self, unknown: bool) -> list[str]:
         """Of all records, or of those whose end is not known."""
-        prefix = self.shelf.unknown_key() if unknown else self.shelf.record_key("")
+        prefix = self.layout.unknown_key() if unknown else self.layout.record_key("")
         return [one.key[len(prefix):] for one in await self.read(prefix)]
 
 
@@ -66,12 +66,12 @@
     """Do something at the records' store that the file names."""
     from coveport.leases.opening import open_work
     from coveport.leases.store import StoreError
-    from coveport.work.shelf import Shelf
+    from coveport.work.record_layout import RecordLayout
 
     async def run() -> int:
         store = open_work(told, CALL_S)
         try:
-            return await work(Desk(store, Shelf(told.work_prefix, told.work.kept_s)))
+            return await work(Desk(store, RecordLayout(told.work_prefix, told.work.kept_s)))
         finally:
             await store.close()
 
@@ -140,7 +140,7 @@
 
         rows, unreadable = [], 0
         ids = set(await desk.ids(True)) if unknown else None
-        for entry in await desk.read(desk.shelf.record_key("")):
+        for entry in await desk.read(desk.layout.record_key("")):
             try:
                 record = decode(entry.value)
             except RecordError as problem:
@@ -194,7 +194,7 @@
             except RecordError as problem:
                 click.echo(f"coveport: {problem}", err=True)
                 return NOT_HELD
-            outcome = await desk.store.commit(desk.shelf.write(record, entry.modified, settled))
+            outcome = await desk.store.commit(desk.layout.write(record, entry.modified, settled))
             if isinstance(outcome, Unknown):
                 raise Unusable(f"the store does not answer, it may be settled: {outcome.why}")
             if not isinstance(outcome, Refused):
@@ -218,7 +218,7 @@
         ids = await desk.ids(True)
         with open(file, "ab") as out:
             for identity in ids:
-                entries = await desk.read(desk.shelf.record_key(identity))
+                entries = await desk.read(desk.layout.record_key(identity))
                 if not entries:
                     continue
                 try:
--- a/coveport/lab/trials/work/sim.py
+++ b/coveport/lab/trials/work/sim.py
@@ -208,7 +208,7 @@
             inside = keeper.holder.session in (Session.IN, Session.WARY)
             return entry.created if inside and entry is not None else 0
 
-        desk = variant.desk(hands, journal, variant.shelf(PREFIX, trial.kept_s), variant.kept(), presence,
+        desk = variant.desk(hands, journal, variant.layout(PREFIX, trial.kept_s), variant.kept(), presence,
                             terms, incarnation, session=token, now_s=now_s, chance=chance, count=count,
                             say=say, unix_s=unix_s)
         takers = variant.takers(desk, name, pace=Pace(50.0, 16), now_s=now_s, unix_s=unix_s,
--- a/coveport/lab/trials/work/variants.py
+++ b/coveport/lab/trials/work/variants.py
@@ -22,8 +22,8 @@
 from coveport.work.journal import Journal
 from coveport.work.late import Late
 from coveport.work.record import End, Record, State
+from coveport.work.record_layout import RecordLayout
 from coveport.work.seal import Kept
-from coveport.work.shelf import Shelf
 from coveport.work.takeover import Decision, Do
 from coveport.work.takers import Takers
 from micaflow import interface as api
@@ -45,7 +45,7 @@
     rules: tuple[str, ...] = ()
     desk: type[Desk] = Desk
     journal: type[Journal] = Journal
-    shelf: type[Shelf] = Shelf
+    layout: type[RecordLayout] = RecordLayout
     takers: type[Takers] = Takers
     kept: Callable[[], Kept] = _plain
     while_played: Callable[[], AbstractContextManager[Any]] = nullcontext
@@ -132,10 +132,10 @@
         return await super()._done_with(one, client, record, entry)
 
 
-# Shelves and journals.
+# Layouts and journals.
 
 
-class _NoCompare(Shelf):
+class _NoCompare(RecordLayout):
     """Writes a record whatever stands there."""
 
     def write(self, before: Record | None, revision: int, after: Record,
@@ -143,7 +143,7 @@
         return replace(super().write(before, revision, after, more), compares=())
 
 
-class _ClaimsOver(Shelf):
+class _ClaimsOver(RecordLayout):
     """Claims without a compare."""
 
     def write(self, before: Record | None, revision: int, after: Record,
@@ -153,7 +153,7 @@
         return replace(made, compares=()) if claimed else made
 
 
-class _NoIndex(Shelf):
+class _NoIndex(RecordLayout):
     """Leaves nothing by which what is open is found."""
 
     def write(self, before: Record | None, revision: int, after: Record,
@@ -296,9 +296,9 @@
                 desk=_TakesWhatIsOurs),
     WorkVariant("begins-beside", "who finds a record open begins anew", ("twice", "tries"), desk=_AsksOnce),
     WorkVariant("no-compare", "writes records whatever stands there", ("owners", "twice", "open"),
-                shelf=_NoCompare),
-    WorkVariant("claims-over", "claims without a compare", ("owners", "twice", "open"), shelf=_ClaimsOver),
-    WorkVariant("no-index", "leaves nothing by which the open ones are found", ("open",), shelf=_NoIndex),
+                layout=_NoCompare),
+    WorkVariant("claims-over", "claims without a compare", ("owners", "twice", "open"), layout=_ClaimsOver),
+    WorkVariant("no-index", "leaves nothing by which the open ones are found", ("open",), layout=_NoIndex),
     WorkVariant("wall-sweep", "throws away by wall clocks alone", ("twice", "never-run", "owners"),
                 takers=_SweepsByTheWall),
     WorkVariant("young-ages", "takes what it reads for as old as the reading", ("twice",), journal=_Young),
--- a/coveport/sidecar/recording.py
+++ b/coveport/sidecar/recording.py
@@ -19,9 +19,9 @@
 from coveport.work.desk import Desk
 from coveport.work.journal import Journal
 from coveport.work.presence import Presence
+from coveport.work.record_layout import RecordLayout
 from coveport.work.seal import Kept, Seal, read_keys
 from coveport.work.sharing import Pace
-from coveport.work.shelf import Shelf
 from coveport.work.takers import Takers
 from coveport.work.terms import WorkTerms
 
@@ -64,9 +64,9 @@
         """The sidecar's parts are there."""
         counters = effects.counters
         journal = Journal(open_work(self._told, self._terms.call_s), boot_s, self._terms.call_s, self._say)
-        shelf = Shelf(self._told.work_prefix, self._terms.kept_s)
+        layout = RecordLayout(self._told.work_prefix, self._terms.kept_s)
         self.desk = desk = Desk(
-            effects, journal, shelf, self._kept, self.presence, self._terms, self._incarnation,
+            effects, journal, layout, self._kept, self.presence, self._terms, self._incarnation,
             session=self._token, now_s=boot_s, chance=self._chance, count=counters.add, say=self._say)
         self.takers = Takers(desk, self._keeper.name, pace=Pace(self._terms.pace, BURST), now_s=boot_s,
                              unix_s=time.time, chance=self._chance, count=counters.add, say=self._say,
--- a/coveport/work/desk.py
+++ b/coveport/work/desk.py
@@ -28,8 +28,8 @@
 from coveport.work.late import Late
 from coveport.work.presence import Presence
 from coveport.work.record import Attempt, End, Record, RecordError, Rules, State, decode
+from coveport.work.record_layout import Leaves, RecordLayout, digest_of, id_of
 from coveport.work.seal import Asked, Given, Kept
-from coveport.work.shelf import Leaves, Shelf, digest_of, id_of
 from coveport.work.takeover import Do, decide
 from coveport.work.terms import WorkTerms
 from micaflow import interface as api
@@ -52,11 +52,11 @@
     runs through sleep. `count`: adds to a figure by its name.
     """
 
-    def __init__(self, hands: Hands, journal: Journal, shelf: Shelf, kept: Kept, presence: Presence,
+    def __init__(self, hands: Hands, journal: Journal, layout: RecordLayout, kept: Kept, presence: Presence,
                  terms: WorkTerms, incarnation: str, *, session: Callable[[], int],
                  now_s: Callable[[], float], chance: random.Random, count: Callable[[str], None],
                  say: Callable[..., None], unix_s: Callable[[], float] = time.time) -> None:
-        self._hands, self.journal, self.shelf, self.kept = hands, journal, shelf, kept
+        self._hands, self.journal, self.layout, self.kept = hands, journal, layout, kept
         self.presence, self._terms, self.incarnation = presence, terms, incarnation
         self._session, self._now_s, self._chance = session, now_s, chance
         self._count, self._say, self._unix_s = count, say, unix_s
@@ -64,7 +64,7 @@
         self._by_id: dict[str, Hand] = {}  # ours and open
         self._waiters: dict[int, asyncio.Task[None]] = {}
         self._clients: dict[int, Any] = {}  # of those whose operation is elsewhere
-        self._late = Late(journal, shelf, chance, count, unix_s)
+        self._late = Late(journal, layout, chance, count, unix_s)
         self._tasks: set[asyncio.Task[None]] = set()
         self._own = 0  # operations that we began ourselves, counted down from -1
         self._token = 0  # while leaving: that of the session before
@@ -84,7 +84,7 @@
             await self.journal.commit(self._note(within_s))
 
     def _note(self, within_s: float) -> Transaction:
-        return Transaction((), (Put(self.shelf.leaving_key(self.incarnation),
+        return Transaction((), (Put(self.layout.leaving_key(self.incarnation),
                                     msgspec.json.encode(Leaves(within_s))),))
 
     async def left(self) -> None:
@@ -94,7 +94,7 @@
         for task in [*self._waiters.values(), *self._tasks]:
             task.cancel()
         if self._token:
-            await self.journal.commit(Transaction((), (Delete(self.shelf.leaving_key(self.incarnation)),)))
+            await self.journal.commit(Transaction((), (Delete(self.layout.leaving_key(self.incarnation)),)))
         await self.journal.leave()
 
     @property
@@ -301,7 +301,7 @@
             return None
         hand.target = hand.record
         told = msgspec.structs.replace(hand.record, since=hand.since) if hand.since else hand.record
-        return self.shelf.write(hand.written, hand.revision, told)
+        return self.layout.write(hand.written, hand.revision, told)
 
     def _wrote(self, hand: Hand, outcome: Outcome) -> None:
         hand.writing = False
@@ -393,7 +393,7 @@
                 record = known.record
                 await asyncio.sleep(self._chance.uniform(*POLL_S))
                 continue
-            found = await self.journal.read(self.shelf.record_key(hand.record.id))
+            found = await self.journal.read(self.layout.record_key(hand.record.id))
             if hand.stage is not Stage.ELSEWHERE:
                 return
             if isinstance(found, Done):
@@ -481,7 +481,7 @@
 
     async def whether_leaving(self, incarnation: str) -> None:
         """Look whether one whose session is over has said that it ends what it has."""
-        found = await self.journal.read(self.shelf.leaving_key(incarnation))
+        found = await self.journal.read(self.layout.leaving_key(incarnation))
         if not isinstance(found, Done):
             return
         if not found.entries:
@@ -495,7 +495,7 @@
 
     async def claim(self, record: Record, entry: Entry, ours: Record) -> int | None:
         """Make a record ours where it still stands so; its revision from then on, None where it is not."""
-        outcome = await self.journal.commit(self.shelf.write(record, entry.modified, ours))
+        outcome = await self.journal.commit(self.layout.write(record, entry.modified, ours))
         if isinstance(outcome, Unknown):
             # It may be ours, and it may become so later: who reads it next as ours and not in hand goes on.
             self._count("work_claims_unknown")
--- a/coveport/work/late.py
+++ b/coveport/work/late.py
@@ -12,7 +12,7 @@
 from coveport.work.hand import Hand
 from coveport.work.journal import Journal
 from coveport.work.record import End, Record, RecordError, decode
-from coveport.work.shelf import Shelf
+from coveport.work.record_layout import RecordLayout
 
 MOST = 4096  # that are remembered
 LOOK_S = 0.5
@@ -22,9 +22,9 @@
 class Late:
     """Operations that are answered, and the store has not heard how; by their records' ids."""
 
-    def __init__(self, journal: Journal, shelf: Shelf, chance: random.Random, count: Callable[[str], None],
-                 unix_s: Callable[[], float]) -> None:
-        self._journal, self._shelf, self._chance = journal, shelf, chance
+    def __init__(self, journal: Journal, layout: RecordLayout, chance: random.Random,
+                 count: Callable[[str], None], unix_s: Callable[[], float]) -> None:
+        self._journal, self._layout, self._chance = journal, layout, chance
         self._count, self._unix_s = count, unix_s
         self._hands: dict[str, Hand] = {}
 
@@ -63,7 +63,7 @@
     async def write(self, hand: Hand) -> bool:
         """Write down how one ended; False: not now."""
         record = hand.record
-        found = await self._journal.read(self._shelf.record_key(record.id))
+        found = await self._journal.read(self._layout.record_key(record.id))
         if not isinstance(found, Done):
             return False
         before: Record | None = None
@@ -85,7 +85,7 @@
         if record.attempts:
             # Nobody knows how old they are: their window counts as over.
             record = msgspec.structs.replace(record, since=hand.since or FIRST_REVISION)
-        outcome = await self._journal.commit(self._shelf.write(before, revision, record))
+        outcome = await self._journal.commit(self._layout.write(before, revision, record))
         if isinstance(outcome, Done):
             self._count("work_written_late")
         return isinstance(outcome, Done)
--- a/coveport/work/shelf.py
+++ b/coveport/work/record_layout.py
@@ -51,7 +51,7 @@
     return _ID.fullmatch(text) is not None
 
 
-class Shelf:
+class RecordLayout:
     """Keys and transactions under a prefix. `kept_s`: how long a closed record is kept at the least."""
 
     def __init__(self, prefix: str, kept_s: float) -> None:
--- a/coveport/work/takers.py
+++ b/coveport/work/takers.py
@@ -16,8 +16,8 @@
 from coveport.work.ages import Known
 from coveport.work.desk import Desk, as_ours
 from coveport.work.record import RecordError, decode
+from coveport.work.record_layout import BUCKET_S
 from coveport.work.sharing import Pace, rank, wait_s
-from coveport.work.shelf import BUCKET_S
 
 LOOK_S = 0.25  # how often those that are known to be lost are looked at
 SCAN_S = 5.0  # how often all that is open is looked through for owners that nobody is
@@ -37,7 +37,7 @@
         self._busy, self._count, self._say = busy, count, say
         self._lost: dict[str, float] = {}  # incarnations, and since when their records are looked at
         self._unreadable: set[str] = set()  # said once each
-        self._known = Known(desk.shelf.kept_s)
+        self._known = Known(desk.layout.kept_s)
         self._young_until = inf  # when what a sweep left as too young is old enough
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -78,10 +78,10 @@
             if owner is Owner.LEAVING:
                 self._lost[incarnation] = now
                 return
-        found = await desk.journal.read(desk.shelf.open_keys(incarnation))
+        found = await desk.journal.read(desk.layout.open_keys(incarnation))
         if not isinstance(found, Done):
             return
-        ids = [desk.shelf.owner_and_id(one.key)[1] for one in found.entries]
+        ids = [desk.layout.owner_and_id(one.key)[1] for one in found.entries]
         ids = [one for one in ids if not desk.has(one) and one not in self._unreadable]
         if not ids:
             self._lost.pop(incarnation, None)
@@ -101,7 +101,7 @@
     async def _take(self, identity: str, owner: str) -> None:
         """Claim one, and do what the table says."""
         desk = self._desk
-        found = await desk.journal.read(desk.shelf.record_key(identity))
+        found = await desk.journal.read(desk.layout.record_key(identity))
         if not isinstance(found, Done) or not found.entries:
             return
         entry = found.entries[0]
@@ -130,16 +130,16 @@
             if not self._may:
                 continue
             desk = self._desk
-            found = await desk.journal.read(desk.shelf.open_keys())
+            found = await desk.journal.read(desk.layout.open_keys())
             if isinstance(found, Done):
-                for owner in {desk.shelf.owner_and_id(one.key)[0] for one in found.entries}:
+                for owner in {desk.layout.owner_and_id(one.key)[0] for one in found.entries}:
                     if owner == desk.incarnation or desk.presence.of(self._now_s(), owner) is not Owner.THERE:
                         self.gone(owner)
 
     async def _sweep(self) -> None:
         """Throw away what was kept long enough: once all that is old, then bucket by bucket, by turns."""
         swept = -1
-        every_s = min(SWEEP_S, self._desk.shelf.kept_s / SWEEPS)
+        every_s = min(SWEEP_S, self._desk.layout.kept_s / SWEEPS)
         while True:
             await asyncio.sleep(every_s * self._chance.uniform(0.5, 1.5))
             if not self._may:
@@ -163,31 +163,31 @@
     async def _sweep_one(self, bucket: int | None, due: int) -> bool:
         """Throw a bucket away, or all that are due; False where the store did not say."""
         desk = self._desk
-        found = await desk.journal.read(desk.shelf.kept_keys(bucket))
+        found = await desk.journal.read(desk.layout.kept_keys(bucket))
         if not isinstance(found, Done):
             return False
         for one in found.entries:
-            of, identity = desk.shelf.bucket_and_id(one.key)
+            of, identity = desk.layout.bucket_and_id(one.key)
             if of > due:
                 continue
-            stands = await desk.journal.read(desk.shelf.record_key(identity))
+            stands = await desk.journal.read(desk.layout.record_key(identity))
             if not isinstance(stands, Done):
                 return False
             gone = Transaction((), (Delete(one.key),))  # an index that was left behind
             if stands.entries and self._is_kept_by(stands.entries[0].value, one.key):
                 now = self._now_s()
-                rest_s = desk.shelf.kept_s - self._known.at_least(now, stands.entries[0].modified)
+                rest_s = desk.layout.kept_s - self._known.at_least(now, stands.entries[0].modified)
                 if rest_s > 0:
                     # Guards against wall clocks, ours and its owner's: by them it may be old from the start.
                     self._young_until = min(self._young_until, now + rest_s)
                     continue
-                gone = desk.shelf.throw_away(identity, stands.entries[0].modified, one.key)
+                gone = desk.layout.throw_away(identity, stands.entries[0].modified, one.key)
             await desk.journal.commit(gone)
             await asyncio.sleep(SWEEP_PAUSE_S)
         return True
 
     def _is_kept_by(self, data: bytes, key: str) -> bool:
         try:
-            return self._desk.shelf.index(decode(data)) == key
+            return self._desk.layout.index(decode(data)) == key
         except RecordError:
             return False
--- a/tests/work/test_pure.py
+++ b/tests/work/test_pure.py
@@ -16,9 +16,9 @@
 from coveport.work.hand import MOVES, Hand, Stage
 from coveport.work.presence import Presence
 from coveport.work.record import End, Record, RecordError, Rules, Settled, State
+from coveport.work.record_layout import RecordLayout, digest_of, id_of, is_id
 from coveport.work.seal import Asked, Given, Kept, Seal, SealError, read_keys
 from coveport.work.sharing import Pace, rank, wait_s
-from coveport.work.shelf import Shelf, digest_of, id_of, is_id
 from micaflow.interface import Effect, Group, Outcome
 
 UNSAFE = Rules(Effect.UNSAFE, Group.ALL, 0.0, 3)
@@ -85,30 +85,30 @@
     assert told_late(None) and told_late(record()) and not told_late(record().sending(attempt()))
 
 
-# The shelf.
+# The layout.
 
 
 def test_each_record_stands_under_one_index_and_every_write_compares() -> None:
-    shelf = Shelf("w/", 600.0)
+    layout = RecordLayout("w/", 600.0)
     states = [*OPEN, *ENDS, record().claimed("s1#1", 5),
               closed(End.UNKNOWN).settle(End.SERVED, "ana", "ledger"), closed(End.FAILED, UNSAFE)]
     for before, after in itertools.product([None, *states], states):
-        made = shelf.write(before, 7, after)
+        made = layout.write(before, 7, after)
         (compare,) = made.compares
         assert (compare.key, compare.field, compare.equals) == (f"w/r/{after.id}", Field.MODIFIED, 7)
-        keys = {shelf.index(before)} if before is not None else set()
+        keys = {layout.index(before)} if before is not None else set()
         for change in made.changes[1:]:
             keys = keys | {change.key} if isinstance(change, Put) else keys - {change.key}
-        assert keys == {shelf.index(after)}
+        assert keys == {layout.index(after)}
     for one in (closed(End.UNKNOWN), closed(End.FAILED, UNSAFE)):
-        assert shelf.index(one).startswith("w/u/"), "staff are to see it"
-    bucket, identity = shelf.bucket_and_id(shelf.index(closed(End.SERVED)))
+        assert layout.index(one).startswith("w/u/"), "staff are to see it"
+    bucket, identity = layout.bucket_and_id(layout.index(closed(End.SERVED)))
     assert bucket * 10 >= 700 and identity == "a"
-    assert shelf.owner_and_id(shelf.index(record())) == ("s0#1", "a")
-    gone = shelf.throw_away("a", 9, "w/k/1/a")
+    assert layout.owner_and_id(layout.index(record())) == ("s0#1", "a")
+    gone = layout.throw_away("a", 9, "w/k/1/a")
     assert gone.compares[0].equals == 9 and all(isinstance(one, Delete) for one in gone.changes)
     with pytest.raises(RecordError):
-        shelf.write(record(), 1, msgspec.structs.replace(record(), id="b"))
+        layout.write(record(), 1, msgspec.structs.replace(record(), id="b"))
 
 
 def test_ids_and_digests_tell_apart_what_differs() -> None:
