--- a/coveport/cli/work.py
+++ b/coveport/cli/work.py
@@ -26,7 +26,7 @@
 TRIES = 5  # where an instance writes the same record meanwhile
 
 
-class Desk:
+class StaffRecords:
     """The store of records, as staff reach it."""
 
     def __init__(self, store: Store, layout: RecordLayout) -> None:
@@ -62,7 +62,7 @@
         return [one.key[len(prefix):] for one in await self.read(prefix)]
 
 
-def at_desk(told: OperatorFile, work: Callable[[Desk], Awaitable[int]]) -> int:
+def with_records(told: OperatorFile, work: Callable[[StaffRecords], Awaitable[int]]) -> int:
     """Do something at the records' store that the file names."""
     from coveport.leases.opening import open_work
     from coveport.leases.store import StoreError
@@ -71,7 +71,7 @@
     async def run() -> int:
         store = open_work(told, CALL_S)
         try:
-            return await work(Desk(store, RecordLayout(told.work_prefix, told.work.kept_s)))
+            return await work(StaffRecords(store, RecordLayout(told.work_prefix, told.work.kept_s)))
         finally:
             await store.close()
 
@@ -135,12 +135,12 @@
 @click.pass_obj
 def list_(told: OperatorFile, json_: bool, unknown: bool) -> int:
     """List records, oldest first."""
-    async def run(desk: Desk) -> int:
+    async def run(records: StaffRecords) -> int:
         from coveport.work.record import RecordError, decode
 
         rows, unreadable = [], 0
-        ids = set(await desk.ids(True)) if unknown else None
-        for entry in await desk.read(desk.layout.record_key("")):
+        ids = set(await records.ids(True)) if unknown else None
+        for entry in await records.read(records.layout.record_key("")):
             try:
                 record = decode(entry.value)
             except RecordError as problem:
@@ -158,7 +158,7 @@
                            f"{one['settled'] or one['is']:10} {one['owner']}  {one['why']}")
         return NOT_HELD if unreadable else OK
 
-    return at_desk(told, run)
+    return with_records(told, run)
 
 
 @work.command()
@@ -167,12 +167,12 @@
 @click.pass_obj
 def show(told: OperatorFile, identity: str, json_: bool) -> int:
     """Tell the life of one record."""
-    async def run(desk: Desk) -> int:
-        record, _ = await desk.record(identity)
+    async def run(records: StaffRecords) -> int:
+        record, _ = await records.record(identity)
         click.echo(json.dumps(row(record), indent=2) if json_ else "\n".join(life(record)))
         return OK
 
-    return at_desk(told, run)
+    return with_records(told, run)
 
 
 @work.command()
@@ -183,18 +183,18 @@
 @click.pass_obj
 def settle(told: OperatorFile, identity: str, end: str, by: str, why: str) -> int:
     """Say of a record whose end nobody knows how it ended; it is kept with your name and reason."""
-    async def run(desk: Desk) -> int:
+    async def run(records: StaffRecords) -> int:
         from coveport.leases.store import Refused, Unknown
         from coveport.work.record import End, RecordError
 
         for _ in range(TRIES):
-            record, entry = await desk.record(identity)
+            record, entry = await records.record(identity)
             try:
                 settled = record.settle(End(end), by or getpass.getuser(), why, time.time())
             except RecordError as problem:
                 click.echo(f"coveport: {problem}", err=True)
                 return NOT_HELD
-            outcome = await desk.store.commit(desk.layout.write(record, entry.modified, settled))
+            outcome = await records.store.commit(records.layout.write(record, entry.modified, settled))
             if isinstance(outcome, Unknown):
                 raise Unusable(f"the store does not answer, it may be settled: {outcome.why}")
             if not isinstance(outcome, Refused):
@@ -202,7 +202,7 @@
                 return OK
         raise Unusable(f"{identity}: it is being written by others; try again")
 
-    return at_desk(told, run)
+    return with_records(told, run)
 
 
 @work.command()
@@ -210,15 +210,15 @@
 @click.pass_obj
 def export(told: OperatorFile, file: Path) -> int:
     """Append the unknown ones to FILE, a JSON line each, each once, also where an earlier run was killed."""
-    async def run(desk: Desk) -> int:
+    async def run(records: StaffRecords) -> int:
         from coveport.work.record import RecordError, decode
 
         known = exported(file)
         written = 0
-        ids = await desk.ids(True)
+        ids = await records.ids(True)
         with open(file, "ab") as out:
             for identity in ids:
-                entries = await desk.read(desk.layout.record_key(identity))
+                entries = await records.read(records.layout.record_key(identity))
                 if not entries:
                     continue
                 try:
@@ -236,7 +236,7 @@
         click.echo(f"{written} written, {len(ids) - written} were there before")
         return OK
 
-    return at_desk(told, run)
+    return with_records(told, run)
 
 
 def exported(file: Path) -> set[tuple[str, int]]:
--- a/coveport/lab/trials/work/hands.py
+++ b/coveport/lab/trials/work/hands.py
@@ -158,7 +158,7 @@
         self.feed(core.PoolTold(api.ListUpdate(api.ListKind.FULL, tuple(
             api.HostEntry(one.number, 0, one.block) for one in nodes), 1)))
 
-    # What the desk asks of it.
+    # What the recorder asks of it.
 
     def now_ms(self) -> float:
         """Its clock."""
--- a/coveport/lab/trials/work/sim.py
+++ b/coveport/lab/trials/work/sim.py
@@ -1,4 +1,4 @@
-"""A trial of work in hand: the shipped keeper, journal, desk and takers of every instance, on simulated time.
+"""A trial of work in hand: the shipped keeper, journal, recorder and takers of every instance, simulated time.
 
 The module and the reducer are the shipped ones as well; nodes and tills keep books, which are held against
 each other and against the records in the store.
@@ -127,7 +127,7 @@
     process: Process
     keeper: Keeper | None = None
     hands: SimHands | None = None
-    desk: object = None
+    recorder: object = None
     lives: int = 0
     counts: dict[str, int] = field(default_factory=dict)
     wall_off_s: float = 0.0
@@ -208,13 +208,14 @@
             inside = keeper.holder.session in (Session.IN, Session.WARY)
             return entry.created if inside and entry is not None else 0
 
-        desk = variant.desk(hands, journal, variant.layout(PREFIX, trial.kept_s), variant.kept(), presence,
-                            terms, incarnation, session=token, now_s=now_s, chance=chance, count=count,
-                            say=say, unix_s=unix_s)
-        takers = variant.takers(desk, name, pace=Pace(50.0, 16), now_s=now_s, unix_s=unix_s,
+        layout = variant.layout(PREFIX, trial.kept_s)
+        recorder = variant.recorder(hands, journal, layout, variant.kept(), presence, terms, incarnation,
+                                    session=token, now_s=now_s, chance=chance, count=count, say=say,
+                                    unix_s=unix_s)
+        takers = variant.takers(recorder, name, pace=Pace(50.0, 16), now_s=now_s, unix_s=unix_s,
                                 chance=chance, busy=lambda: hands.pending > 16, count=count, say=say)
-        one.desk = desk
-        self._watch_unrecorded(desk, hands)
+        one.recorder = recorder
+        self._watch_unrecorded(recorder, hands)
 
         def changed(key: str, entry: Entry | None) -> None:
             if not key.startswith(INSTANCE):
@@ -233,23 +234,23 @@
         def start() -> None:
             keeper.tell(json.dumps({"incarnation": incarnation}).encode())
             keeper.start()
-            desk.start()
+            recorder.start()
             takers.start()
 
         async def leave() -> None:
             takers.stop()
-            await desk.leaving(2.0)
+            await recorder.leaving(2.0)
             await keeper.leave()
 
         one.counts = {}
         self._leave = getattr(self, "_leave", {})
-        self._leave[one.number] = (leave, desk)
-        hands.records = desk if trial.record else None
+        self._leave[one.number] = (leave, recorder)
+        hands.records = recorder if trial.record else None
         process.call_soon(start)
 
-    def _watch_unrecorded(self, desk: object, hands: SimHands) -> None:
+    def _watch_unrecorded(self, recorder: object, hands: SimHands) -> None:
         """What is served while the store is gone is as today: the judge promises nothing of it."""
-        take = desk.take  # type: ignore[attr-defined]
+        take = recorder.take  # type: ignore[attr-defined]
 
         def taken(number: int, client: object, asked: Operation) -> object:
             before = self.counts.get("work_unrecorded", 0)
@@ -258,17 +259,17 @@
                 self.unrecorded.add(asked.body.decode())
             return came
 
-        adrift = desk._adrift  # type: ignore[attr-defined]
+        adrift = recorder._adrift  # type: ignore[attr-defined]
 
         def drifts(hand: Hand) -> None:
             adrift(hand)
-            # What may go unrecorded is the trial's word, not the desk's: what stood nowhere, and was not
+            # What may go unrecorded is the trial's word, not the recorder's: what stood nowhere, and was not
             # to be refused.
             on_its_way = hand.target is not None and bool(hand.target.attempts)
             if hand.revision == 0 and on_its_way and hand.record.cls not in self.trial.refuse:
                 self.unrecorded.add(hand.asked.body.decode())
 
-        desk.take, desk._adrift = taken, drifts  # type: ignore[attr-defined]
+        recorder.take, recorder._adrift = taken, drifts  # type: ignore[attr-defined]
 
     def end(self, one: _Instance, planned: bool = False) -> None:
         """Its process is gone."""
@@ -316,12 +317,12 @@
             self.world.at(over, self.again, one)
         elif kind == "leave":
             if one.process.alive:
-                leave, desk = self._leave[one.number]
+                leave, recorder = self._leave[one.number]
                 process = one.process
                 process.call_soon(lambda: process.create_task(leave()))
                 hands, one.hands = one.hands, None  # tills are led elsewhere
                 self.world.at(self.world.now + LEAVE_S - 0.2,
-                              lambda: process.call_soon(lambda: process.create_task(desk.left())))
+                              lambda: process.call_soon(lambda: process.create_task(recorder.left())))
                 self.world.at(self.world.now + LEAVE_S, self.end, one, True)
                 self.world.at(max(over, self.world.now + LEAVE_S + 0.1), self.again, one)
                 assert hands is not None
--- a/coveport/lab/trials/work/variants.py
+++ b/coveport/lab/trials/work/variants.py
@@ -1,4 +1,4 @@
-"""Desks, journals and takers that are broken on purpose, to show that the judge sees it.
+"""Recorders, journals and takers that are broken on purpose, to show that the judge sees it.
 
 Each replaces one part of the shipped program by one that leaves out a single thing.
 """
@@ -15,14 +15,14 @@
 import msgspec
 
 from coveport.leases.store import Done, Entry, Outcome, Put, Refused, Transaction, Unknown
-from coveport.work import again, desk, hand
+from coveport.work import again, hand, recorder
 from coveport.work.ages import Ages, Known
-from coveport.work.desk import Desk, as_ours
 from coveport.work.hand import Go, Hand, Stage
 from coveport.work.journal import Journal
 from coveport.work.late import Late
 from coveport.work.record import End, Record, State
 from coveport.work.record_layout import RecordLayout
+from coveport.work.recorder import Recorder, as_ours
 from coveport.work.seal import Kept
 from coveport.work.takeover import Decision, Do
 from coveport.work.takers import Takers
@@ -43,7 +43,7 @@
     name: str
     about: str
     rules: tuple[str, ...] = ()
-    desk: type[Desk] = Desk
+    recorder: type[Recorder] = Recorder
     journal: type[Journal] = Journal
     layout: type[RecordLayout] = RecordLayout
     takers: type[Takers] = Takers
@@ -67,10 +67,10 @@
         return inf
 
 
-# Desks.
+# Recorders.
 
 
-class _SendsAtOnce(Desk):
+class _SendsAtOnce(Recorder):
     """Writes down and does not wait for it."""
 
     def send(self, number: int, step: int, destination: int, go: Go) -> bool:
@@ -79,7 +79,7 @@
         return found is None or found.stage is Stage.OURS
 
 
-class _UnknownIsWritten(Desk):
+class _UnknownIsWritten(Recorder):
     """Takes a write without an answer for done."""
 
     def _adrift(self, one: Hand) -> None:
@@ -89,7 +89,7 @@
         self._push(one)
 
 
-class _UnknownIsUnwritten(Desk):
+class _UnknownIsUnwritten(Recorder):
     """Takes a write without an answer for one that never happens, and goes on sending."""
 
     def _adrift(self, one: Hand) -> None:
@@ -97,21 +97,21 @@
         one.may_send = True
 
 
-class _ForgetsAttempts(Desk):
+class _ForgetsAttempts(Recorder):
     """Tells the module nothing of the attempts that were made."""
 
     def _begin(self, one: Hand, client: Any, before: tuple[api.Before, ...]) -> None:
         super()._begin(one, client, ())
 
 
-class _AnswersBefore(Desk):
+class _AnswersBefore(Recorder):
     """Says of an answer that it was served before a node has made it: from another's record."""
 
     def _same(self, one: Hand, record: Record) -> bool | None:
         return True
 
 
-class _TakesWhatIsOurs(Desk):
+class _TakesWhatIsOurs(Recorder):
     """Counts a write that is refused as written: the record is its own whatever the store says."""
 
     def _wrote(self, one: Hand, outcome: Outcome) -> None:
@@ -120,7 +120,7 @@
         super()._wrote(one, outcome)
 
 
-class _AsksOnce(Desk):
+class _AsksOnce(Recorder):
     """Who finds a record open begins anew beside it."""
 
     async def _done_with(self, one: Hand, client: Any, record: Record, entry: Entry) -> bool:
@@ -283,18 +283,19 @@
 
 VARIANTS: dict[str, WorkVariant] = {one.name: one for one in (
     WorkVariant("sends-at-once", "sends before it is written down", ("never-run", "twice"),
-                desk=_SendsAtOnce),
+                recorder=_SendsAtOnce),
     WorkVariant("unknown-written", "takes a write without an answer for done", ("twice", "never-run", "open"),
-                desk=_UnknownIsWritten),
+                recorder=_UnknownIsWritten),
     WorkVariant("unknown-unwritten", "goes on sending where nobody knows what is written",
-                ("never-run", "twice"), desk=_UnknownIsUnwritten),
+                ("never-run", "twice"), recorder=_UnknownIsUnwritten),
     WorkVariant("says-never-ran", "writes late that what went unrecorded was refused", ("never-run",),
                 while_played=_patched(Late, "write", _says_never_ran)),
     WorkVariant("forgets-attempts", "tells the module nothing of attempts before", ("twice", "tries"),
-                desk=_ForgetsAttempts),
+                recorder=_ForgetsAttempts),
     WorkVariant("refused-is-written", "takes a refused write for done", ("twice", "owners", "open"),
-                desk=_TakesWhatIsOurs),
-    WorkVariant("begins-beside", "who finds a record open begins anew", ("twice", "tries"), desk=_AsksOnce),
+                recorder=_TakesWhatIsOurs),
+    WorkVariant("begins-beside", "who finds a record open begins anew", ("twice", "tries"),
+                recorder=_AsksOnce),
     WorkVariant("no-compare", "writes records whatever stands there", ("owners", "twice", "open"),
                 layout=_NoCompare),
     WorkVariant("claims-over", "claims without a compare", ("owners", "twice", "open"), layout=_ClaimsOver),
@@ -306,20 +307,20 @@
                 ("never-run", "twice", "open", "owners"), journal=_LosesAnswers),
     WorkVariant("never-takes", "sees to nothing that is lost", ("open",), takers=_NeverTakes),
     WorkVariant("resends", "a table that sends what may not run twice, past the module", ("twice",),
-                while_played=_both(_patched(desk, "decide", _resends),
+                while_played=_both(_patched(recorder, "decide", _resends),
                                    _patched(hand.Hand, "before", _asks_anywhere))),
     WorkVariant("silence-is-unsent", "takes an attempt without a word for one never sent",
                 ("twice", "never-run", "open"),
-                while_played=_patched(desk, "decide", _takes_sending_for_taken)),
+                while_played=_patched(recorder, "decide", _takes_sending_for_taken)),
     WorkVariant("asks-anywhere", "tells the module that nothing of before may have run", ("twice",),
                 while_played=_patched(hand.Hand, "before", _asks_anywhere)),
     WorkVariant("takes-again", "takes what may have run as if it were new", ("twice",),
-                while_played=_both(_patched(desk, "decide_again", _anew),
+                while_played=_both(_patched(recorder, "decide_again", _anew),
                                    _patched(Record, "reopened", _reopens_all))),
     WorkVariant("no-fence", "sends however late it comes to it", ("twice", "never-run"),
                 while_played=_patched(hand.Hand, "fence", lambda _: lambda one, now: True)),
-    WorkVariant("crossed-keys", "gives the answer of another key", ("answer",), desk=_AnswersBefore,
-                while_played=_patched(desk, "id_of", _one_id)),
+    WorkVariant("crossed-keys", "gives the answer of another key", ("answer",), recorder=_AnswersBefore,
+                while_played=_patched(recorder, "id_of", _one_id)),
     WorkVariant("young-claims", "each claim makes what it claims young", ("twice",),
-                while_played=_patched(desk, "as_ours", _young_again)),
+                while_played=_patched(recorder, "as_ours", _young_again)),
 )}
--- a/coveport/sidecar/recording.py
+++ b/coveport/sidecar/recording.py
@@ -1,4 +1,4 @@
-"""Work in hand, wired: the desk and the takers beside one sidecar, where an operator's file asks for them."""
+"""Work in hand, wired: recorder and takers beside one sidecar, where an operator's file asks for them."""
 
 from __future__ import annotations
 
@@ -16,10 +16,10 @@
 from coveport.leases.opening import open_work
 from coveport.leases.store import Entry
 from coveport.sidecar.effects import Effects
-from coveport.work.desk import Desk
 from coveport.work.journal import Journal
 from coveport.work.presence import Presence
 from coveport.work.record_layout import RecordLayout
+from coveport.work.recorder import Recorder
 from coveport.work.seal import Kept, Seal, read_keys
 from coveport.work.sharing import Pace
 from coveport.work.takers import Takers
@@ -48,7 +48,7 @@
 
 
 class Recording:
-    """The desk and the takers of one instance."""
+    """The recorder and the takers of one instance."""
 
     def __init__(self, told: OperatorFile, config: Config, keeper: Keeper, incarnation: str,
                  say: Callable[..., None], chance: random.Random) -> None:
@@ -57,7 +57,7 @@
         self._kept = kept_of(told)
         self._terms = terms_of(told)
         self.presence = Presence(incarnation, told.leases.ttl)
-        self.desk: Desk | None = None
+        self.recorder: Recorder | None = None
         self.takers: Takers | None = None
 
     def joined(self, effects: Effects) -> None:
@@ -65,15 +65,15 @@
         counters = effects.counters
         journal = Journal(open_work(self._told, self._terms.call_s), boot_s, self._terms.call_s, self._say)
         layout = RecordLayout(self._told.work_prefix, self._terms.kept_s)
-        self.desk = desk = Desk(
+        self.recorder = recorder = Recorder(
             effects, journal, layout, self._kept, self.presence, self._terms, self._incarnation,
             session=self._token, now_s=boot_s, chance=self._chance, count=counters.add, say=self._say)
-        self.takers = Takers(desk, self._keeper.name, pace=Pace(self._terms.pace, BURST), now_s=boot_s,
+        self.takers = Takers(recorder, self._keeper.name, pace=Pace(self._terms.pace, BURST), now_s=boot_s,
                              unix_s=time.time, chance=self._chance, count=counters.add, say=self._say,
                              busy=lambda: effects.pending > BUSY_MOST)
-        effects.records = desk
-        counters.gauge("work_open", lambda: desk.tables["work_open"])
-        counters.gauge("work_later", lambda: desk.tables["work_later"])
+        effects.records = recorder
+        counters.gauge("work_open", lambda: recorder.tables["work_open"])
+        counters.gauge("work_later", lambda: recorder.tables["work_later"])
         counters.gauge("work_groups", lambda: journal.groups)
         counters.gauge("work_writes", lambda: journal.written)
         counters.gauge("work_bytes", lambda: journal.bytes)
@@ -88,8 +88,8 @@
 
     def serving(self) -> None:
         """Operations come from here on."""
-        if self.desk is not None and self.takers is not None:
-            self.desk.start()
+        if self.recorder is not None and self.takers is not None:
+            self.recorder.start()
             self.takers.start()
 
     def changed(self, key: str, entry: Entry | None) -> None:
@@ -111,12 +111,12 @@
 
     async def leaving(self) -> None:
         """The sidecar is told to end; before its session is given back."""
-        if self.takers is not None and self.desk is not None:
+        if self.takers is not None and self.recorder is not None:
             self.takers.stop()
             longest_s = max(one.deadline_ms for one in self._config.settings.classes) / 1000
-            await self.desk.leaving(longest_s + MORE_S)
+            await self.recorder.leaving(longest_s + MORE_S)
 
     async def left(self) -> None:
         """It has answered all that it could."""
-        if self.desk is not None:
-            await self.desk.left()
+        if self.recorder is not None:
+            await self.recorder.left()
--- a/coveport/work/asking.py
+++ b/coveport/work/asking.py
@@ -1,4 +1,4 @@
-"""Between the desk and those who carry operations out: what it asks of them, who stands in for a client."""
+"""Between the recorder and who carries operations out: what it asks of them, who stands in for a client."""
 
 from __future__ import annotations
 
@@ -46,10 +46,10 @@
 
 
 class Answering:
-    """Stands in a client's place: what it is told goes by the desk."""
+    """Stands in a client's place: what it is told goes by the recorder."""
 
-    def __init__(self, desk: Answered, hand: Hand, client: Any) -> None:
-        self._desk, self.hand, self.client = desk, hand, client
+    def __init__(self, recorder: Answered, hand: Hand, client: Any) -> None:
+        self._recorder, self.hand, self.client = recorder, hand, client
 
     def begin(self, answer: Answer, source: Any) -> None:
         """A long answer begins."""
@@ -61,12 +61,12 @@
 
     def finish(self, whole: bool) -> None:
         """It has ended."""
-        self._desk.finished(self.hand, whole)
+        self._recorder.finished(self.hand, whole)
         self.client.finish(whole)
 
     def answer(self, verdict: Verdict, answer: Answer | None, retry_after_ms: float) -> None:
         """The one final answer."""
-        self._desk.answered(self.hand, verdict, answer,
+        self._recorder.answered(self.hand, verdict, answer,
                             lambda: self.client.answer(verdict, answer, retry_after_ms))
 
     def left(self) -> bool:
@@ -78,8 +78,8 @@
 class Nobody:
     """The client of what was taken over."""
 
-    def __init__(self, desk: Answered, hand: Hand) -> None:
-        self._desk, self.hand = desk, hand
+    def __init__(self, recorder: Answered, hand: Hand) -> None:
+        self._recorder, self.hand = recorder, hand
 
     def begin(self, answer: Answer, source: Any) -> None:
         """Nobody reads it."""
@@ -89,11 +89,11 @@
 
     def finish(self, whole: bool) -> None:
         """It has ended."""
-        self._desk.finished(self.hand, whole)
+        self._recorder.finished(self.hand, whole)
 
     def answer(self, verdict: Verdict, answer: Answer | None, retry_after_ms: float) -> None:
         """The one final answer."""
-        self._desk.answered(self.hand, verdict, answer, lambda: None)
+        self._recorder.answered(self.hand, verdict, answer, lambda: None)
 
     def left(self) -> bool:
         """Nobody waits for it, and it goes on all the same."""
--- a/coveport/work/hand.py
+++ b/coveport/work/hand.py
@@ -1,6 +1,6 @@
 """One operation that an instance has in hand and writes down: its stages, and the fence of its attempts.
 
-Pure: what is written and when is the desk's matter.
+Pure: what is written and when is the recorder's matter.
 """
 
 from __future__ import annotations
--- a/coveport/work/desk.py
+++ b/coveport/work/recorder.py
@@ -45,7 +45,7 @@
 OUT_MOST = 2000  # that wait for another's try
 
 
-class Desk:
+class Recorder:
     """Records of one instance's operations. Must live in a running loop from `start` on.
 
     `session`: the token of our session with the leases' store, 0 where there is none. `now_s`: a clock that
--- a/coveport/work/takers.py
+++ b/coveport/work/takers.py
@@ -14,9 +14,9 @@
 from coveport.leases.store import Delete, Done, Transaction
 from coveport.work.again import Owner
 from coveport.work.ages import Known
-from coveport.work.desk import Desk, as_ours
 from coveport.work.record import RecordError, decode
 from coveport.work.record_layout import BUCKET_S
+from coveport.work.recorder import Recorder, as_ours
 from coveport.work.sharing import Pace, rank, wait_s
 
 LOOK_S = 0.25  # how often those that are known to be lost are looked at
@@ -29,15 +29,15 @@
 class Takers:
     """What one instance does about records that are nobody's. `busy`: own work waits."""
 
-    def __init__(self, desk: Desk, name: str, *, pace: Pace, now_s: Callable[[], float],
+    def __init__(self, recorder: Recorder, name: str, *, pace: Pace, now_s: Callable[[], float],
                  unix_s: Callable[[], float], chance: random.Random, busy: Callable[[], bool],
                  count: Callable[[str], None], say: Callable[..., None]) -> None:
-        self._desk, self._name, self._pace = desk, name, pace
+        self._recorder, self._name, self._pace = recorder, name, pace
         self._now_s, self._unix_s, self._chance = now_s, unix_s, chance
         self._busy, self._count, self._say = busy, count, say
         self._lost: dict[str, float] = {}  # incarnations, and since when their records are looked at
         self._unreadable: set[str] = set()  # said once each
-        self._known = Known(desk.layout.kept_s)
+        self._known = Known(recorder.layout.kept_s)
         self._young_until = inf  # when what a sweep left as too young is old enough
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -57,7 +57,7 @@
 
     @property
     def _may(self) -> bool:
-        return self._desk.journal.up and self._desk.token != 0
+        return self._recorder.journal.up and self._recorder.token != 0
 
     async def _look(self) -> None:
         while True:
@@ -68,31 +68,31 @@
 
     async def _see_to(self, incarnation: str) -> None:
         """Look at what a lost one has left."""
-        desk, now = self._desk, self._now_s()
-        if incarnation != desk.incarnation:
-            await desk.whether_leaving(incarnation)
-            owner = desk.presence.of(self._now_s(), incarnation)
+        recorder, now = self._recorder, self._now_s()
+        if incarnation != recorder.incarnation:
+            await recorder.whether_leaving(incarnation)
+            owner = recorder.presence.of(self._now_s(), incarnation)
             if owner is Owner.THERE:
                 self._lost.pop(incarnation, None)  # it is back, or was never gone
                 return
             if owner is Owner.LEAVING:
                 self._lost[incarnation] = now
                 return
-        found = await desk.journal.read(desk.layout.open_keys(incarnation))
+        found = await recorder.journal.read(recorder.layout.open_keys(incarnation))
         if not isinstance(found, Done):
             return
-        ids = [desk.layout.owner_and_id(one.key)[1] for one in found.entries]
-        ids = [one for one in ids if not desk.has(one) and one not in self._unreadable]
+        ids = [recorder.layout.owner_and_id(one.key)[1] for one in found.entries]
+        ids = [one for one in ids if not recorder.has(one) and one not in self._unreadable]
         if not ids:
             self._lost.pop(incarnation, None)
-            desk.presence.forget(incarnation)
+            recorder.presence.forget(incarnation)
             return
         since = self._lost.setdefault(incarnation, now)
         self._chance.shuffle(ids)  # two that come to the same ones come to them in another order
         for identity in ids:
             if not self._may:
                 return
-            if now - since < wait_s(identity, self._name, (*desk.presence.names, self._name)):
+            if now - since < wait_s(identity, self._name, (*recorder.presence.names, self._name)):
                 continue
             while (wait := self._pace.wait_s(self._now_s(), self._busy())) > 0:
                 await asyncio.sleep(wait)
@@ -100,8 +100,8 @@
 
     async def _take(self, identity: str, owner: str) -> None:
         """Claim one, and do what the table says."""
-        desk = self._desk
-        found = await desk.journal.read(desk.layout.record_key(identity))
+        recorder = self._recorder
+        found = await recorder.journal.read(recorder.layout.record_key(identity))
         if not isinstance(found, Done) or not found.entries:
             return
         entry = found.entries[0]
@@ -113,15 +113,15 @@
                 self._count("work_unreadable")
                 self._say("record_unreadable", id=identity, why=str(problem))
             return
-        if not record.open or record.owner != owner or desk.has(identity):
+        if not record.open or record.owner != owner or recorder.has(identity):
             return
-        age_s = desk.journal.ages.at_most(self._now_s(), entry.modified)
-        ours = as_ours(record, entry, desk.incarnation, desk.token)
-        revision = await desk.claim(record, entry, ours)
+        age_s = recorder.journal.ages.at_most(self._now_s(), entry.modified)
+        ours = as_ours(record, entry, recorder.incarnation, recorder.token)
+        revision = await recorder.claim(record, entry, ours)
         if revision is None:
             return
         self._count("work_taken_over")
-        desk.took_over(ours, revision, age_s)
+        recorder.took_over(ours, revision, age_s)
 
     async def _scan(self) -> None:
         """Look for what is open under a name that nobody has: its end was seen by nobody."""
@@ -129,23 +129,24 @@
             await asyncio.sleep(SCAN_S * self._chance.uniform(0.5, 1.5))
             if not self._may:
                 continue
-            desk = self._desk
-            found = await desk.journal.read(desk.layout.open_keys())
+            recorder = self._recorder
+            presence = recorder.presence
+            found = await recorder.journal.read(recorder.layout.open_keys())
             if isinstance(found, Done):
-                for owner in {desk.layout.owner_and_id(one.key)[0] for one in found.entries}:
-                    if owner == desk.incarnation or desk.presence.of(self._now_s(), owner) is not Owner.THERE:
+                for owner in {recorder.layout.owner_and_id(one.key)[0] for one in found.entries}:
+                    if owner == recorder.incarnation or presence.of(self._now_s(), owner) is not Owner.THERE:
                         self.gone(owner)
 
     async def _sweep(self) -> None:
         """Throw away what was kept long enough: once all that is old, then bucket by bucket, by turns."""
         swept = -1
-        every_s = min(SWEEP_S, self._desk.layout.kept_s / SWEEPS)
+        every_s = min(SWEEP_S, self._recorder.layout.kept_s / SWEEPS)
         while True:
             await asyncio.sleep(every_s * self._chance.uniform(0.5, 1.5))
             if not self._may:
                 continue
             now = self._now_s()
-            self._known.note(now, self._desk.journal.revision)
+            self._known.note(now, self._recorder.journal.revision)
             due = int(self._unix_s() // BUCKET_S) - 1
             if now >= self._young_until:
                 swept, self._young_until = -1, inf
@@ -155,39 +156,39 @@
                 whole = True
                 for bucket in range(swept + 1, due + 1):
                     # The first in a bucket's order sees to it. What it leaves goes with the next start.
-                    if rank(f"{bucket}", self._name, (*self._desk.presence.names, self._name)) == 0:
+                    if rank(f"{bucket}", self._name, (*self._recorder.presence.names, self._name)) == 0:
                         whole = whole and await self._sweep_one(bucket, due)
             if whole:
                 swept = due
 
     async def _sweep_one(self, bucket: int | None, due: int) -> bool:
         """Throw a bucket away, or all that are due; False where the store did not say."""
-        desk = self._desk
-        found = await desk.journal.read(desk.layout.kept_keys(bucket))
+        recorder = self._recorder
+        found = await recorder.journal.read(recorder.layout.kept_keys(bucket))
         if not isinstance(found, Done):
             return False
         for one in found.entries:
-            of, identity = desk.layout.bucket_and_id(one.key)
+            of, identity = recorder.layout.bucket_and_id(one.key)
             if of > due:
                 continue
-            stands = await desk.journal.read(desk.layout.record_key(identity))
+            stands = await recorder.journal.read(recorder.layout.record_key(identity))
             if not isinstance(stands, Done):
                 return False
             gone = Transaction((), (Delete(one.key),))  # an index that was left behind
             if stands.entries and self._is_kept_by(stands.entries[0].value, one.key):
                 now = self._now_s()
-                rest_s = desk.layout.kept_s - self._known.at_least(now, stands.entries[0].modified)
+                rest_s = recorder.layout.kept_s - self._known.at_least(now, stands.entries[0].modified)
                 if rest_s > 0:
                     # Guards against wall clocks, ours and its owner's: by them it may be old from the start.
                     self._young_until = min(self._young_until, now + rest_s)
                     continue
-                gone = desk.layout.throw_away(identity, stands.entries[0].modified, one.key)
-            await desk.journal.commit(gone)
+                gone = recorder.layout.throw_away(identity, stands.entries[0].modified, one.key)
+            await recorder.journal.commit(gone)
             await asyncio.sleep(SWEEP_PAUSE_S)
         return True
 
     def _is_kept_by(self, data: bytes, key: str) -> bool:
         try:
-            return self._desk.layout.index(decode(data)) == key
+            return self._recorder.layout.index(decode(data)) == key
         except RecordError:
             return False
