--- a/coveport/lab/trials/work/sim.py
+++ b/coveport/lab/trials/work/sim.py
@@ -1,4 +1,4 @@
-"""A trial of work in hand: the shipped keeper, journal, recorder and takers of every instance, simulated time.
+"""A trial of work in hand: shipped keeper, journal, recorder and takers of every instance, simulated time.
 
 The module and the reducer are the shipped ones as well; nodes and tills keep books, which are held against
 each other and against the records in the store.
--- a/coveport/lab/trials/work/variants.py
+++ b/coveport/lab/trials/work/variants.py
@@ -15,14 +15,15 @@
 import msgspec
 
 from coveport.leases.store import Done, Entry, Outcome, Put, Refused, Transaction, Unknown
-from coveport.work import again, hand, recorder
+from coveport.work import again, hand, record_adopter, recorder
 from coveport.work.ages import Ages, Known
 from coveport.work.hand import Go, Hand, Stage
 from coveport.work.journal import Journal
 from coveport.work.late import Late
 from coveport.work.record import End, Record, State
+from coveport.work.record_adopter import as_ours
 from coveport.work.record_layout import RecordLayout
-from coveport.work.recorder import Recorder, as_ours
+from coveport.work.recorder import Recorder
 from coveport.work.seal import Kept
 from coveport.work.takeover import Decision, Do
 from coveport.work.takers import Takers
@@ -307,11 +308,11 @@
                 ("never-run", "twice", "open", "owners"), journal=_LosesAnswers),
     WorkVariant("never-takes", "sees to nothing that is lost", ("open",), takers=_NeverTakes),
     WorkVariant("resends", "a table that sends what may not run twice, past the module", ("twice",),
-                while_played=_both(_patched(recorder, "decide", _resends),
+                while_played=_both(_patched(record_adopter, "decide", _resends),
                                    _patched(hand.Hand, "before", _asks_anywhere))),
     WorkVariant("silence-is-unsent", "takes an attempt without a word for one never sent",
                 ("twice", "never-run", "open"),
-                while_played=_patched(recorder, "decide", _takes_sending_for_taken)),
+                while_played=_patched(record_adopter, "decide", _takes_sending_for_taken)),
     WorkVariant("asks-anywhere", "tells the module that nothing of before may have run", ("twice",),
                 while_played=_patched(hand.Hand, "before", _asks_anywhere)),
     WorkVariant("takes-again", "takes what may have run as if it were new", ("twice",),
--- a/coveport/work/takers.py
+++ b/coveport/work/takers.py
@@ -15,8 +15,9 @@
 from coveport.work.again import Owner
 from coveport.work.ages import Known
 from coveport.work.record import RecordError, decode
+from coveport.work.record_adopter import as_ours
 from coveport.work.record_layout import BUCKET_S
-from coveport.work.recorder import Recorder, as_ours
+from coveport.work.recorder import Recorder
 from coveport.work.sharing import Pace, rank, wait_s
 
 LOOK_S = 0.25  # how often those that are known to be lost are looked at
