--- a/coveport/lab/fleet.py
+++ b/coveport/lab/fleet.py
@@ -6,7 +6,10 @@
 
 from coveport.lab.chance import drawn, stream
 from coveport.lab.day import NodeDrawn, SidecarDrawn
-from coveport.lab.scenario import Figure, Kind, Scenario, portions
+from coveport.lab.scenario import Scenario
+from coveport.lab.schema import Kind
+from coveport.lab.sense import portions
+from coveport.lab.tables import Figure
 
 
 def draw_sidecars(scenario: Scenario, seed: int) -> tuple[SidecarDrawn, ...]:
--- a/coveport/lab/measures.py
+++ b/coveport/lab/measures.py
@@ -18,6 +18,7 @@
 
 from coveport.lab import books
 from coveport.lab.day import Span
+from coveport.lab.faults import FaultBase
 from coveport.lab.outcome import (
     CLASS,
     TEN,
@@ -33,7 +34,7 @@
     SidecarFigures,
 )
 from coveport.lab.playing import Played
-from coveport.lab.scenario import FaultBase, Scenario
+from coveport.lab.scenario import Scenario
 
 Floats = npt.NDArray[np.float64]
 Ints = npt.NDArray[np.int64]
--- a/coveport/lab/model.py
+++ b/coveport/lab/model.py
@@ -26,7 +26,7 @@
 from typing import Any
 
 from coveport.lab.day import NEVER, NodeDrawn
-from coveport.lab.scenario import Class
+from coveport.lab.schema import Class
 
 # What became of an attempt.
 RUN = "run"  # it has begun to take effect
--- a/coveport/lab/oracle/attempts.py
+++ b/coveport/lab/oracle/attempts.py
@@ -15,7 +15,7 @@
 from math import inf
 
 from coveport.lab.oracle.case import Attempt, Case, Operation
-from coveport.lab.scenario import Class
+from coveport.lab.schema import Class
 
 BUSY = (429, 503)
 
--- a/coveport/lab/oracle/case.py
+++ b/coveport/lab/oracle/case.py
@@ -28,7 +28,7 @@
 from coveport.lab.oracle.grace import Breach, Grace
 from coveport.lab.oracle.lives import STAFF, Lives
 from coveport.lab.oracle.reach import Reach
-from coveport.lab.scenario import Class
+from coveport.lab.schema import Class
 
 UNRUN = (503, 504)
 """What a node answers, with `X-Not-Run`, to an attempt that it turns away or drops unrun, and to no other."""
--- a/coveport/lab/search/aftermath.py
+++ b/coveport/lab/search/aftermath.py
@@ -17,8 +17,9 @@
 from coveport.lab import books
 from coveport.lab.books import AnyRow
 from coveport.lab.day import Day
+from coveport.lab.faults import Drain, Whom
 from coveport.lab.fleet import draw_nodes
-from coveport.lab.scenario import Drain, Scenario, Whom
+from coveport.lab.scenario import Scenario
 from coveport.lab.search.reach import Reach
 from coveport.lab.troubles import Trouble, draw_trouble
 
--- a/coveport/lab/search/schedules.py
+++ b/coveport/lab/search/schedules.py
@@ -18,18 +18,9 @@
 
 from coveport.lab.chance import stream
 from coveport.lab.drawing import draw
-from coveport.lab.scenario import (
-    OF_SIDECARS,
-    OF_STAFF,
-    AnyFault,
-    Expect,
-    Restart,
-    Scenario,
-    ScenarioError,
-    Whom,
-    nonsense,
-    parse,
-)
+from coveport.lab.faults import OF_SIDECARS, OF_STAFF, AnyFault, Restart, Whom
+from coveport.lab.scenario import Scenario, ScenarioError, nonsense, parse
+from coveport.lab.schema import Expect
 from coveport.lab.search.aftermath import troubles_of
 from coveport.lab.search.files import fields, laid, sparse, to_toml
 from coveport.lab.tables import Bounds
--- a/coveport/lab/search/shrink.py
+++ b/coveport/lab/search/shrink.py
@@ -18,9 +18,11 @@
 from lithium.strategies import Minimize, ReductionIterator
 from lithium.testcases import Testcase
 
+from coveport.lab.faults import OF_SIDECARS, Whom
 from coveport.lab.fleet import draw_nodes
 from coveport.lab.lanes import said
-from coveport.lab.scenario import OF_SIDECARS, Expect, Scenario, ScenarioError, Whom, parse
+from coveport.lab.scenario import Scenario, ScenarioError, parse
+from coveport.lab.schema import Expect
 from coveport.lab.search.aftermath import troubles_of
 from coveport.lab.search.files import fields, sparse, to_toml
 from coveport.lab.search.finds import Find, unplayed
--- a/coveport/lab/standins/discovery.py
+++ b/coveport/lab/standins/discovery.py
@@ -24,7 +24,7 @@
 from coveport.lab.books import Books, Called, Told
 from coveport.lab.day import Change, Day, NodeDrawn
 from coveport.lab.ground import Host
-from coveport.lab.scenario import Figure
+from coveport.lab.tables import Figure
 from coveport.net.address import Address
 from coveport.net.transport import Net
 
--- a/coveport/lab/standins/nodes.py
+++ b/coveport/lab/standins/nodes.py
@@ -40,7 +40,7 @@
 from coveport.lab.ground import Host
 from coveport.lab.ids import first_id, try_number
 from coveport.lab.model import Attempt, KeyMemory, NodeModel
-from coveport.lab.scenario import Figure
+from coveport.lab.tables import Figure
 
 LOAD_EVERY_S = 0.5
 TRIP_MS = 0.6  # a round trip where nobody says how far the sidecar is
--- a/coveport/lab/troubles.py
+++ b/coveport/lab/troubles.py
@@ -10,8 +10,7 @@
 
 from coveport.lab.chance import drawn, stream
 from coveport.lab.day import NEVER, Change, NodeDrawn, Span
-from coveport.lab.fleet import draw_node
-from coveport.lab.scenario import (
+from coveport.lab.faults import (
     OF_SIDECARS,
     AnyFault,
     Burst,
@@ -32,7 +31,6 @@
     Restart,
     Retune,
     Rolling,
-    Scenario,
     Scrape,
     Silent,
     Slow,
@@ -43,6 +41,8 @@
     Upgrade,
     Whom,
 )
+from coveport.lab.fleet import draw_node
+from coveport.lab.scenario import Scenario
 
 ENDING_MS = 1000.0  # a sidecar told to stop is taken to be back by then, for a fault's end
 KILLED_MS = 1000.0  # until a killed sidecar is started again where the scenario does not say
--- a/coveport/lab/virtual/harsh.py
+++ b/coveport/lab/virtual/harsh.py
@@ -10,7 +10,8 @@
 from typing import Self
 
 from coveport.lab.chance import drawn, ends, stream
-from coveport.lab.scenario import SIMULATED_FIGURES, Network
+from coveport.lab.scenario import SIMULATED_FIGURES
+from coveport.lab.schema import Network
 
 MOST_CUTS = 3  # of one message
 
--- a/coveport/lab/virtual/play.py
+++ b/coveport/lab/virtual/play.py
@@ -27,9 +27,9 @@
     write_faults,
 )
 from coveport.lab.day import Change, Day, SidecarDrawn, Wish, sidecar_settings
+from coveport.lab.faults import OF_STAFF
 from coveport.lab.model import KeyMemory
 from coveport.lab.playing import Played
-from coveport.lab.scenario import OF_STAFF
 from coveport.lab.standins import staff
 from coveport.lab.standins.discovery import Discovery
 from coveport.lab.standins.health import wait_until_ready
--- a/coveport/lab/ways.py
+++ b/coveport/lab/ways.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from coveport.lab.day import Change, Day
-from coveport.lab.scenario import Figure
+from coveport.lab.tables import Figure
 
 CLIENT = -1
 """Stands for the zone of tills, who sit beside their sidecar."""
--- a/coveport/lab/wishes.py
+++ b/coveport/lab/wishes.py
@@ -12,7 +12,10 @@
 
 from coveport.lab.chance import arrays, drawn, ends, stream
 from coveport.lab.day import NEVER, Wish
-from coveport.lab.scenario import Burst, Class, Figure, HeavyTail, Load, Scenario
+from coveport.lab.faults import Burst, HeavyTail
+from coveport.lab.scenario import Scenario
+from coveport.lab.schema import Class, Load
+from coveport.lab.tables import Figure
 from coveport.lab.troubles import Trouble
 
 MOST_WISHES = 2_000_000
--- a/tests/lab/bookkeeping.py
+++ b/tests/lab/bookkeeping.py
@@ -11,7 +11,8 @@
 from coveport.lab import books as b
 from coveport.lab.day import Change, Day, NodeDrawn, SidecarDrawn
 from coveport.lab.oracle import Grace, judge
-from coveport.lab.scenario import Class, Rules, Scenario
+from coveport.lab.scenario import Scenario
+from coveport.lab.schema import Class, Rules
 
 BALANCE, EARN, REDEEM, ANY, ZONED = range(5)  # safe; keyed by cell; never; keyed by all; keyed by zone
 WAYS: list[Any] = [("safe", "all"), ("keyed", "cell"), ("never", "all"), ("keyed", "all"), ("keyed", "zone")]
--- a/tests/lab/measure_books.py
+++ b/tests/lab/measure_books.py
@@ -7,7 +7,8 @@
 from coveport.lab import books
 from coveport.lab.day import Day, NodeDrawn, SidecarDrawn, Span, Wish
 from coveport.lab.playing import Played
-from coveport.lab.scenario import Class, Scenario
+from coveport.lab.scenario import Scenario
+from coveport.lab.schema import Class
 
 CLASSES = (Class("balance", 0.5, 50, "safe", aim_ms=1000, deadline_ms=4000),
            Class("earn", 0.5, 100, "keyed", aim_ms=1200, deadline_ms=3000, worth=5))
--- a/tests/lab/real_helpers.py
+++ b/tests/lab/real_helpers.py
@@ -12,7 +12,8 @@
 from coveport.lab.conductor import OF_DISCOVERY, conduct
 from coveport.lab.day import Change, Day, SidecarDrawn, Span, Wish
 from coveport.lab.real.parts import Place
-from coveport.lab.scenario import Class, Limits, Scenario
+from coveport.lab.scenario import Scenario
+from coveport.lab.schema import Class, Limits
 
 FOLDER = "LAB_TEST_FOLDER"  # variable: where each process leaves a file named by its pid
 TROUBLE = "LAB_TEST_TROUBLE"  # variable: what goes wrong
--- a/tests/lab/test_discovery_standin.py
+++ b/tests/lab/test_discovery_standin.py
@@ -13,7 +13,8 @@
 from coveport.http1 import codec as http1
 from coveport.lab.books import Books, Called, Told
 from coveport.lab.day import Change
-from coveport.lab.scenario import DiscoveryService, Scenario
+from coveport.lab.scenario import Scenario
+from coveport.lab.schema import DiscoveryService
 from coveport.lab.standins import discovery as module
 from coveport.lab.standins.discovery import PATH, Discovery
 
--- a/tests/lab/test_harsh.py
+++ b/tests/lab/test_harsh.py
@@ -15,7 +15,8 @@
 from coveport.lab.books import Answered, Arrived, Asked, Life, Linked, Replied, Told
 from coveport.lab.broken import VARIANTS, Variant
 from coveport.lab.playing import Played
-from coveport.lab.scenario import SIMULATED_FIGURES, Network
+from coveport.lab.scenario import SIMULATED_FIGURES
+from coveport.lab.schema import Network
 from coveport.lab.virtual.harsh import Harsh
 from coveport.sidecar.effects import Effects
 
--- a/tests/lab/test_measures.py
+++ b/tests/lab/test_measures.py
@@ -12,9 +12,10 @@
 
 from coveport.lab import books
 from coveport.lab.day import Wish
+from coveport.lab.faults import Crash
 from coveport.lab.measures import KINDS, faults, is_mended, judge_expectations, measure, series
 from coveport.lab.outcome import Broken, decode, encode
-from coveport.lab.scenario import Crash, Expect
+from coveport.lab.schema import Expect
 
 
 def wish(op: str, due: float) -> Wish:
--- a/tests/lab/test_model.py
+++ b/tests/lab/test_model.py
@@ -13,7 +13,7 @@
 from coveport.lab import model as core
 from coveport.lab.day import NodeDrawn
 from coveport.lab.model import Attempt, KeyMemory, NodeModel
-from coveport.lab.scenario import Class
+from coveport.lab.schema import Class
 
 CLASSES = [Class("safe", 0.5, 50, "safe", 1000, 4000), Class("keyed", 0.5, 50, "keyed", 1000, 4000)]
 PLAIN: dict[str, Any] = dict.fromkeys(NodeDrawn.__struct_fields__, 0) | dict(
--- a/tests/lab/test_real.py
+++ b/tests/lab/test_real.py
@@ -347,7 +347,8 @@
     pytest.importorskip("coveport.lab.standins.tills")
     drawing = pytest.importorskip("coveport.lab.drawing")
     from coveport.lab.books import Answered, Arrived, Asked
-    from coveport.lab.scenario import Fleet, Load, Scenario
+    from coveport.lab.scenario import Scenario
+    from coveport.lab.schema import Fleet, Load
 
     scenario = Scenario(title="small", length_s=1, tail_s=5, fleet=Fleet(sidecars=2, nodes=4),
                         load=Load(rate=20))
--- a/tests/lab/test_report.py
+++ b/tests/lab/test_report.py
@@ -15,7 +15,7 @@
 from coveport.lab.measures import judge_expectations, measure
 from coveport.lab.outcome import Broken
 from coveport.lab.report import summary_text, verdict, write
-from coveport.lab.scenario import Expect
+from coveport.lab.schema import Expect
 
 HOSTILE = "</title><script>alert(1)</script> \"quoted\" 'so' & $x_{$ --> 五"
 
--- a/tests/lab/test_scenario.py
+++ b/tests/lab/test_scenario.py
@@ -6,7 +6,9 @@
 import pytest
 
 from coveport.lab import catalog
-from coveport.lab.scenario import Crash, ScenarioError, load, parse, portions
+from coveport.lab.faults import Crash
+from coveport.lab.scenario import ScenarioError, load, parse
+from coveport.lab.sense import portions
 
 FAULT = 'title = "t"\n[[faults]]\nat_s = 3\n'
 CLASS = 'title = "t"\n[[classes]]\nname = "a"\nshare = 1\nwork_ms = 9\nrepeats = "keyed"\naim_ms = 50\n'
--- a/tests/lab/test_search.py
+++ b/tests/lab/test_search.py
@@ -23,9 +23,11 @@
 
 from coveport.lab import books, catalog, run, sweep
 from coveport.lab.broken import VARIANTS
+from coveport.lab.faults import FaultBase, Whom
 from coveport.lab.outcome import Outcome
 from coveport.lab.playing import Played
-from coveport.lab.scenario import FaultBase, FigureShare, Scenario, Whom, load, parse
+from coveport.lab.scenario import Scenario, load, parse
+from coveport.lab.schema import FigureShare
 from coveport.lab.search import finds, hunt, reach, schedules
 from coveport.lab.search.aftermath import aftermath, ratio, troubles_of, without_faults
 from coveport.lab.search.files import laid, to_toml
--- a/tests/lab/test_shrink.py
+++ b/tests/lab/test_shrink.py
@@ -5,7 +5,8 @@
 import pytest
 
 from coveport.lab import catalog
-from coveport.lab.scenario import Cut, Kill, Scenario, Slow, load, parse
+from coveport.lab.faults import Cut, Kill, Slow
+from coveport.lab.scenario import Scenario, load, parse
 from coveport.lab.search.aftermath import troubles_of
 from coveport.lab.search.files import laid, sparse, to_toml
 from coveport.lab.search.finds import Find
--- a/tests/lab/test_tills.py
+++ b/tests/lab/test_tills.py
@@ -15,7 +15,8 @@
 from coveport.lab import ids
 from coveport.lab.books import Answered, Asked, Books, Lag, digest_of_request
 from coveport.lab.day import Wish
-from coveport.lab.scenario import Class, Load, Retries, Rules, Scenario
+from coveport.lab.scenario import Scenario
+from coveport.lab.schema import Class, Load, Retries, Rules
 from coveport.lab.standins import tills as module
 
 CLASSES = (Class("balance", 1, 50, "safe", 200, 300), Class("earn", 1, 50, "keyed", 200, 300),
--- a/tests/lab/test_virtual.py
+++ b/tests/lab/test_virtual.py
@@ -11,8 +11,8 @@
 import pytest
 
 from coveport.lab.day import Change, Day
-from coveport.lab.scenario import Network as Figures
 from coveport.lab.scenario import Scenario
+from coveport.lab.schema import Network as Figures
 from coveport.lab.virtual.harsh import Harsh
 from coveport.lab.virtual.wires import WINDOW, Network, Side, VirtualNet
 from coveport.lab.virtual.world import Process, World
