--- a/coveport/lab/trials/model.py
+++ b/coveport/lab/trials/model.py
@@ -20,7 +20,8 @@
 
 from coveport.config.terms import Terms
 from coveport.lab.standins.etcd.engine import Engine
-from coveport.leases.holder import Arrive, AskLease, Claim, DropLease, Holder, KeepLease, Look, Release
+from coveport.leases.effects import Arrive, AskLease, Claim, DropLease, KeepLease, Look, Release
+from coveport.leases.holder import Holder
 from coveport.leases.store import Compare, Delete, Done, Field, Outcome, Put, Transaction, Unknown, fenced
 
 TERMS = Terms(3.0, 0.2, 0.02)
--- a/coveport/lab/trials/parts.py
+++ b/coveport/lab/trials/parts.py
@@ -14,8 +14,8 @@
 
 from coveport.duties.rollout import Follower
 from coveport.duties.warden import GRANT, NEED, Granted, Safe
-from coveport.leases.holder import Session
 from coveport.leases.keeper import History, Keeper
+from coveport.leases.states import Session
 from coveport.leases.store import Entry
 
 SAFE = Safe()
--- a/coveport/lab/trials/virtual.py
+++ b/coveport/lab/trials/virtual.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 
+from coveport.config.terms import Terms
 from coveport.duties.duty import Duty, Runner
 from coveport.duties.rollout import ASK, Rollout
 from coveport.lab.trials import judge
@@ -19,8 +20,8 @@
 from coveport.lab.trials.simstore import Host, SimStore, Trap, Way
 from coveport.lab.trials.variants import SOUND, Variant
 from coveport.lab.virtual.world import Process, World
-from coveport.leases.holder import Session, Terms
 from coveport.leases.keeper import Keeper
+from coveport.leases.states import Session
 from coveport.leases.store import Put, Transaction
 
 START_S = 1000.0  # the world's time when a trial begins
--- a/coveport/lab/trials/work/sim.py
+++ b/coveport/lab/trials/work/sim.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 
+from coveport.config.terms import Terms
 from coveport.core.operation import Operation
 from coveport.lab.trials.judge import Finding
 from coveport.lab.trials.ledger import Asked, Cell, Ran, judge
@@ -21,8 +22,8 @@
 from coveport.lab.trials.work.hands import NodeWay, SimHands, SimNode, SimTills
 from coveport.lab.trials.work.variants import SOUND, WorkVariant
 from coveport.lab.virtual.world import Process, World
-from coveport.leases.holder import Session, Terms
 from coveport.leases.keeper import INSTANCE, Keeper
+from coveport.leases.states import Session
 from coveport.leases.store import Entry
 from coveport.work.hand import Hand
 from coveport.work.presence import Presence
--- a/coveport/leases/holder.py
+++ b/coveport/leases/holder.py
@@ -21,14 +21,25 @@
 
 import random
 from dataclasses import dataclass
-from enum import Enum
 from math import inf
 
-from coveport.config.terms import RENEWALS, BadTermsError, Terms
+from coveport.config.terms import RENEWALS, Terms
+from coveport.leases.effects import (
+    Arrive,
+    AskLease,
+    Began,
+    Claim,
+    DropLease,
+    Effect,
+    Ended,
+    KeepLease,
+    Look,
+    Release,
+    Told,
+)
+from coveport.leases.states import ENDS, MOVES, SESSION_MOVES, Session, State
 from coveport.leases.store import Done, Entry, Outcome, Refused, Unknown
 
-__all__ = ["BadTermsError", "Holder", "Terms"]
-
 AGAIN_S, AGAIN_MOST_S = 0.1, 2.0  # wait after a call without an answer, doubled up to the most
 NAME_TAKEN_S = 1.0  # wait where another of our name is there
 SPREAD_EACH_S, SPREAD_MOST_S = 0.001, 0.08  # contenders wait up to so long for each instance there is
@@ -38,141 +49,11 @@
 STALL_SHARE, UNWELL_TTLS = 0.2, 1.0  # a timer later than that share of T: keep off for so many times to live
 
 
-class Session(Enum):
-    """Where an instance stands with the store."""
-
-    OUT = "out"
-    ASKING = "asking"  # for a lease
-    ARRIVING = "arriving"  # its name is being written down
-    IN = "in"
-    WARY = "wary"  # nothing new is begun
-    LEFT = "left"
-    ESTRANGED = "estranged"  # the store went back in time, or is another one
-
-
-class State(Enum):
-    """Where an instance stands with a duty."""
-
-    IDLE = "idle"  # somebody else's, or nobody knows
-    WAITING = "waiting"  # nobody's; we come after a wait
-    CLAIMING = "claiming"
-    UNSURE = "unsure"  # our claim had no answer: it may be ours
-    HELD = "held"
-    RELEASING = "releasing"
-
-
-SESSION_MOVES: dict[Session, frozenset[Session]] = {
-    Session.OUT: frozenset({Session.ASKING}),
-    Session.ASKING: frozenset({Session.ARRIVING, Session.OUT}),
-    Session.ARRIVING: frozenset({Session.IN, Session.OUT}),
-    Session.IN: frozenset({Session.WARY, Session.OUT}),
-    Session.WARY: frozenset({Session.IN, Session.OUT}),
-    Session.LEFT: frozenset(),
-    Session.ESTRANGED: frozenset(),
-}
-ENDS = frozenset({Session.LEFT, Session.ESTRANGED})  # reached from anywhere else
-MOVES: dict[State, frozenset[State]] = {
-    State.IDLE: frozenset({State.WAITING, State.HELD}),
-    State.WAITING: frozenset({State.IDLE, State.CLAIMING, State.HELD}),
-    State.CLAIMING: frozenset({State.HELD, State.IDLE, State.UNSURE}),
-    State.UNSURE: frozenset({State.HELD, State.IDLE, State.WAITING}),
-    State.HELD: frozenset({State.RELEASING, State.IDLE}),
-    State.RELEASING: frozenset({State.IDLE, State.RELEASING}),
-}
-
-
 def holder_of(value: bytes) -> str:
     """The incarnation that a duty's key names; behind it stands since when, for staff."""
     return value.split(b" ")[0].decode(errors="replace")
 
 
-# Effects. A call's answer comes back by `answered` with its number.
-
-
-@dataclass(frozen=True, slots=True)
-class AskLease:
-    """Ask for a lease."""
-
-    call: int
-    ttl_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class KeepLease:
-    """Renew."""
-
-    call: int
-    lease: int
-
-
-@dataclass(frozen=True, slots=True)
-class DropLease:
-    """Revoke, as well as can be; nobody waits for it."""
-
-    lease: int
-
-
-@dataclass(frozen=True, slots=True)
-class Arrive:
-    """Write our name down under the lease, where it is nobody's."""
-
-    call: int
-    lease: int
-
-
-@dataclass(frozen=True, slots=True)
-class Claim:
-    """Create the duty's key under the lease, where there is none."""
-
-    call: int
-    duty: str
-    lease: int
-
-
-@dataclass(frozen=True, slots=True)
-class Release:
-    """Delete the duty's key, where it is the one of this token."""
-
-    call: int
-    duty: str
-    token: int
-
-
-@dataclass(frozen=True, slots=True)
-class Look:
-    """Read the duties' keys; they come back by `seen`, and `looked`."""
-
-    call: int
-
-
-@dataclass(frozen=True, slots=True)
-class Began:
-    """We hold a duty from here on."""
-
-    duty: str
-    token: int
-
-
-@dataclass(frozen=True, slots=True)
-class Ended:
-    """We do not hold it any more."""
-
-    duty: str
-    token: int
-    why: str
-
-
-@dataclass(frozen=True, slots=True)
-class Told:
-    """A line for the log."""
-
-    event: str
-    detail: str = ""
-
-
-Effect = AskLease | KeepLease | DropLease | Arrive | Claim | Release | Look | Began | Ended | Told
-
-
 @dataclass(slots=True)
 class _Duty:
     state: State = State.IDLE
--- a/coveport/leases/keeper.py
+++ b/coveport/leases/keeper.py
@@ -13,7 +13,8 @@
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, Protocol
 
-from coveport.leases.holder import (
+from coveport.config.terms import Terms
+from coveport.leases.effects import (
     Arrive,
     AskLease,
     Began,
@@ -21,14 +22,13 @@
     DropLease,
     Effect,
     Ended,
-    Holder,
     KeepLease,
     Look,
     Release,
-    Session,
-    Terms,
     Told,
 )
+from coveport.leases.holder import Holder
+from coveport.leases.states import Session
 from coveport.leases.store import (
     Change,
     Compare,
--- a/coveport/sidecar/recording.py
+++ b/coveport/sidecar/recording.py
@@ -11,9 +11,9 @@
 from coveport.config.operator import OperatorFile
 from coveport.config.platform import Config
 from coveport.leases.clock import boot_s
-from coveport.leases.holder import Session
 from coveport.leases.keeper import INSTANCE, Keeper
 from coveport.leases.opening import open_work
+from coveport.leases.states import Session
 from coveport.leases.store import Entry
 from coveport.sidecar.effects import Effects
 from coveport.work.journal import Journal
