--- a/coveport/lab/bare/nodes.py
+++ b/coveport/lab/bare/nodes.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-import random
-from collections import deque
 from collections.abc import Callable
 from math import inf, prod
 
 from coveport.lab import model as core
 from coveport.lab.bare.agenda import Agenda, Entry
-from coveport.lab.books import Arrived, Books, Ended, Linked, NodeIs, NodeLoad, Probed, Ran, Replied
+from coveport.lab.books import Arrived, Books, Ended, Linked, NodeLoad, Probed, Ran, Replied
 from coveport.lab.day import Change, Day, NodeDrawn, Wish
 from coveport.lab.model import Attempt, KeyMemory, NodeModel
-from coveport.lab.standins.nodes import FATES, NUMBERS, UNRUN, Fate, WorkBook
+from coveport.lab.standins.fates import UNRUN, Fate, Fates
+from coveport.lab.standins.node_state import BusyShare, LoadReports, state_row
+from coveport.lab.standins.nodes import NUMBERS
+from coveport.lab.standins.work_book import WorkBook
 from micaflow.interface import Outcome
 
 LOAD_EVERY_MS = 500.0
@@ -49,17 +50,12 @@
         self._slow: dict[int, float] = {}  # by fault, as the next two
         self._silent: set[int] = set()
         self._leaving: set[int] = set()
-        self._troubles: dict[tuple[int, str], Change] = {}
-        self._fates: list[tuple[float, Fate, Fate, float]] = []
-        self._fate_random = random.Random(f"fates {drawn.seed}")
-        self._report_random = random.Random(f"reports {drawn.seed}")
+        self._fates = Fates(drawn)
+        self._busy = BusyShare(drawn, self.model)  # for the books
+        self._reports = LoadReports[tuple[float, ...]](drawn, self.model, (0.0, 0.0), lambda *both: both)
         self._due, self._due_entry = inf, Entry(None, ())
-        self._load_was = self._report_was = (0.0, 0.0)
-        self._errors, self._life = 0, 0  # since the last report; how often it was started
-        self._reports: deque[tuple[float, tuple[float, ...]]] = deque()
-        self._load: tuple[float, ...] = (0.0, 0.0)
+        self._life = 0  # how often it was started
         self._jammed = False
-        self._weigh()
 
     # The process.
 
@@ -68,13 +64,12 @@
         now, drawn = self._agenda.now, self.drawn
         self._leaving.clear()
         self.model.start(now, cold)
-        self._jammed, self._errors = False, 0
+        self._jammed = False
         self._life += 1
-        self._reports.clear()
-        self._load = (0.0, 0.0)
-        self._load_was = self._report_was = (now, self.model.busy_ms)
+        self._reports.restart(now)
+        self._busy.restart(now)
         self._agenda.at(now + LOAD_EVERY_MS, self._sample, self._life)
-        self._agenda.at(now + drawn.report_every_ms * self._report_random.random(), self._report, self._life)
+        self._agenda.at(now + drawn.report_every_ms * self._reports.random.random(), self._report, self._life)
         self._tell(now)
         self.settle()
 
@@ -104,11 +99,7 @@
             self.model.drain(now, bool(self._leaving))
             self._tell(now)
         else:
-            if change.on:
-                self._troubles[change.fault, what] = change
-            else:
-                self._troubles.pop((change.fault, what), None)
-            self._weigh()
+            self._fates.change(change)
         self.settle()
 
     def _die(self, now: float) -> None:
@@ -141,12 +132,7 @@
             self._write(Linked(now, self.drawn.number, link.sidecar, link.number, False))
 
     def _tell(self, at: float) -> None:
-        drawn, model = self.drawn, self.model
-        state = ("down" if not model.alive else "silent" if self._silent
-                 else "draining" if model.draining else "up")
-        cold_from = drawn.cold_from if model.born >= 0 else 1.0
-        self._write(NodeIs(at, drawn.number, state, model.born, drawn.cores, model.speed, cold_from,
-                           drawn.warm_ms, drawn.zone, drawn.cell))
+        self._write(state_row(at, self.drawn, self.model, bool(self._silent)))
 
     # Time.
 
@@ -184,28 +170,19 @@
             return
         now, model = self._agenda.now, self.model
         model.advance(now)
-        self._write(NodeLoad(now, self.drawn.number, model.working, model.waiting,
-                             self._busy_since(self._load_was, now), model.conns))
-        self._load_was = now, model.busy_ms
+        self._write(NodeLoad(now, self.drawn.number, model.working, model.waiting, self._busy.look(now),
+                             model.conns))
         self.settle()
         self._agenda.at(now + LOAD_EVERY_MS, self._sample, life)
 
     def _report(self, life: int) -> None:
         if life != self._life or not self.model.alive:
             return
-        now, drawn, model, chance = self._agenda.now, self.drawn, self.model, self._report_random
-        model.advance(now)
-        busy = self._busy_since(self._report_was, now) * (1 + drawn.report_noise * chance.gauss())
-        rate = self._errors * 1000 / max(1.0, now - self._report_was[0])
-        rate *= 1 + drawn.report_noise * chance.gauss()
-        self._report_was, self._errors = (now, model.busy_ms), 0
-        self._reports.append((now + drawn.report_late_ms, (max(0.0, rate), min(1.0, max(0.0, busy)))))
+        now = self._agenda.now
+        self.model.advance(now)
+        self._reports.make(now)
         self.settle()
-        self._agenda.at(now + drawn.report_every_ms, self._report, life)
-
-    def _busy_since(self, was: tuple[float, float], now: float) -> float:
-        lasted = (now - was[0]) * self.drawn.cores
-        return (self.model.busy_ms - was[1]) / lasted if lasted > 0 else 0.0
+        self._agenda.at(now + self.drawn.report_every_ms, self._report, life)
 
     # Connections. What is called here has travelled.
 
@@ -238,7 +215,7 @@
         self._attempts = number = self._attempts + 1
         work_ms = self._works.work_ms(wish, op, drawn.number)
         attempt = Attempt(number, op, key, wish.cls, work_ms, inf, link)
-        attempt.fate = fate = self._draw_fate()
+        attempt.fate = fate = self._fates.draw()
         if link.surplus:
             took = core.FULL
         elif model.draining or fate not in UNRUN:
@@ -307,29 +284,13 @@
             self._answer(link, attempt.op, attempt.number, 200, Outcome.OK)
 
     def _answer(self, link: Link, op: str, number: int, status: int, outcome: Outcome) -> None:
-        self._errors += status == 500
+        self._reports.errors += status == 500
         body = f"{op} {number}" if status == 200 else ""
         self._write(Replied(self._agenda.now, op, self.drawn.number, number, status, body, True))
         self._reply(link, outcome, body)
 
     def _reply(self, link: Link, outcome: Outcome, body: str) -> None:
-        now, reports = self._agenda.now, self._reports
-        while reports and reports[0][0] <= now:
-            self._load = reports.popleft()[1]
+        load = self._reports.shown(self._agenda.now)
         ended, link.ended = link.ended, None
         if ended is not None and not self._silent:
-            self._agenda.travel(self.drawn.zone, self._zones[link.sidecar], ended, outcome, self._load, body)
-
-    def _draw_fate(self) -> Fate:
-        figure = self._fate_random.random() if self._fates else 1.0
-        for up_to, ran, unrun, share in self._fates:
-            if figure < up_to:
-                return ran if share >= 1 or self._fate_random.random() < share else unrun
-        return Fate.GOOD
-
-    def _weigh(self) -> None:
-        up_to = self.drawn.error_rate
-        self._fates = [(up_to, Fate.ERROR, Fate.ERROR, 1.0)] if up_to else []
-        for (_, what), change in self._troubles.items():
-            up_to += change.value
-            self._fates.append((up_to, *FATES[what], 1.0 if what == "spoilt" else change.share))
+            self._agenda.travel(self.drawn.zone, self._zones[link.sidecar], ended, outcome, load, body)
--- a/coveport/lab/bare/play.py
+++ b/coveport/lab/bare/play.py
@@ -22,7 +22,7 @@
 from coveport.lab.day import NETWORK_CHANGES, NODE_CHANGES, Change, Day
 from coveport.lab.model import KeyMemory
 from coveport.lab.playing import Played
-from coveport.lab.standins.nodes import WorkBook
+from coveport.lab.standins.work_book import WorkBook
 from coveport.lab.ways import Ways
 from micaflow import interface as api
 from micaflow.decide import Balancer
--- a/coveport/lab/real/parts.py
+++ b/coveport/lab/real/parts.py
@@ -15,8 +15,9 @@
 from coveport.lab.real.hosts import AGENTS, NODES, CallerHost, RealHost, address_of
 from coveport.lab.real.timing import DayClock
 from coveport.lab.standins.discovery import Discovery
-from coveport.lab.standins.nodes import LedgerNode, WorkBook
+from coveport.lab.standins.nodes import LedgerNode
 from coveport.lab.standins.tills import Tills
+from coveport.lab.standins.work_book import WorkBook
 from coveport.lab.ways import Ways
 from coveport.net.address import Address
 from coveport.net.transport import Net
--- a/coveport/lab/standins/nodes.py
+++ b/coveport/lab/standins/nodes.py
@@ -13,22 +13,17 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import re
-from collections import deque
 from collections.abc import Callable
-from enum import Enum
-from math import inf, prod, sqrt
+from math import inf, prod
 
-from coveport.core.streams import MOST_BODY
-from coveport.http1.codec import BadMessageError, Request, RequestParser
+from coveport.http1.codec import BadMessageError, Request
 from coveport.lab import model as core
 from coveport.lab.books import (
     Arrived,
     Books,
     Ended,
     Linked,
-    NodeIs,
     NodeLoad,
     Probed,
     Ran,
@@ -36,19 +31,19 @@
     digest_of_body,
     digest_of_request,
 )
-from coveport.lab.day import Change, Day, NodeDrawn, Wish
+from coveport.lab.day import Change, Day, NodeDrawn
 from coveport.lab.ground import Host
-from coveport.lab.ids import first_id, try_number
 from coveport.lab.model import Attempt, KeyMemory, NodeModel
-from coveport.lab.tables import Figure
+from coveport.lab.standins.fates import SPOILT, UNRUN, Fate, Fates, spoilt_answer
+from coveport.lab.standins.node_link import NodeLink
+from coveport.lab.standins.node_state import BusyShare, LoadReports, state_row
+from coveport.lab.standins.work_book import WorkBook
 
 LOAD_EVERY_S = 0.5
 TRIP_MS = 0.6  # a round trip where nobody says how far the sidecar is
 NUMBERS = 10**9  # attempts and connections are numbered from this times the node's number
-CLAIMED = 10**12  # bytes that a dripping answer claims to have
 DRIP_S, DRIPS, DRIP = 0.05, 100, b"." * 64
 
-_INBOX = memoryview(bytearray(64 * 1024))  # shared: what is read is taken out before the next read
 _PROBE = -1  # the class of a probe
 _PROBES = ("/ping", "/_load")
 _NO_CLASS = (-1, "")
@@ -60,102 +55,6 @@
 _CLOSE = b"Connection: close\r\n"
 
 
-class Fate(Enum):
-    """What is to become of an attempt whatever the model says."""
-
-    GOOD = 0
-    ERROR = 1  # 500 after the work
-    ERROR_UNRUN = 2  # 500 instead of it
-    RESET = 3
-    RESET_UNRUN = 4
-    SPOILT = 5
-
-
-SPOILT = ("noise", "long", "short", "chunks", "drip", "junk")
-"""How an answer is spoilt: noise for a head; a length never reached, then silence; half of it, then an end;
-chunks that are none; an immense length and a few bytes at a time; whole, with bytes behind it that belong to
-nothing."""
-
-FATES = {"errors": (Fate.ERROR, Fate.ERROR_UNRUN), "resets": (Fate.RESET, Fate.RESET_UNRUN),
-          "spoilt": (Fate.SPOILT, Fate.SPOILT)}
-UNRUN = (Fate.ERROR_UNRUN, Fate.RESET_UNRUN)
-
-
-class WorkBook:
-    """What each wish costs and how long its answer is, so that nobody need tell a node on the wire."""
-
-    def __init__(self, day: Day) -> None:
-        self._wishes = {wish.op: wish for wish in day.wishes}
-        self._noise = [_middle(one.attempt_noise) for one in day.scenario.classes]
-
-    def find(self, op: str) -> Wish | None:
-        """The wish that `op` is a try of; None where no till may have sent such an id."""
-        number = try_number(op)
-        wish = self._wishes.get(first_id(op)) if number >= 0 else None
-        return wish if wish is not None and number < wish.tries else None
-
-    def work_ms(self, wish: Wish, op: str, node: int) -> float:
-        """The work of the try `op` of `wish` at that node, on a core of speed 1."""
-        noise = self._noise[wish.cls]
-        return wish.work_ms * max(0.05, 1 + noise * _bell(int(op, 16) + node)) if noise else wish.work_ms
-
-
-def _middle(figure: Figure) -> float:
-    return sum(figure) / 2 if isinstance(figure, tuple) else figure
-
-
-def _bell(seed: int) -> float:
-    """Nearly a standard normal figure from a number: the sum of four even ones (Irwin and Hall).
-
-    The number's bits are mixed by SplitMix64 (Steele, Lea, Flood 2014).
-    """
-    z = (seed + 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
-    z = (z ^ z >> 30) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
-    z = (z ^ z >> 27) * 0x94D049BB133111EB & 0xFFFFFFFFFFFFFFFF
-    z ^= z >> 31
-    return (((z & 65535) + (z >> 16 & 65535) + (z >> 32 & 65535) + (z >> 48)) / 65536 - 2) * sqrt(3)
-
-
-class _Link(asyncio.BufferedProtocol):
-    """One sidecar's connection to the node, and what is out on it."""
-
-    __slots__ = ("node", "sidecar", "number", "parser", "transport", "began", "handed", "ready_at", "timer",
-                 "attempt", "unwhole", "last", "surplus", "gone")
-
-    def __init__(self, node: LedgerNode, sidecar: int) -> None:
-        self.node, self.sidecar = node, sidecar
-        self.number = 0
-        self.parser = RequestParser(MOST_BODY)
-        self.transport: asyncio.Transport
-        self.began = self.handed = -1.0  # of the request that is coming in; -1: none
-        self.ready_at = 0.0  # when the handshake is over
-        self.timer: asyncio.TimerHandle | None = None  # of the handshake's end, or of the next drip
-        self.attempt: Attempt | None = None  # the one to be answered
-        self.unwhole: Attempt | None = None  # the one whose answer was spoilt and is out for ever
-        self.last = False  # the sidecar wants it closed after the answer
-        self.surplus = False  # there are more connections than the node takes
-        self.gone = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-        self.node.linked(self)
-
-    def get_buffer(self, sizehint: int) -> memoryview:
-        return _INBOX
-
-    def buffer_updated(self, nbytes: int) -> None:
-        if not self.gone:
-            self.node.came(self, _INBOX[:nbytes])
-
-    def eof_received(self) -> bool:
-        self.node.ended(self, "end")
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.node.ended(self, "end" if exc is None else "reset")
-
-
 class LedgerNode:
     """A ledger node of a day, up or down."""
 
@@ -174,28 +73,21 @@
         self._classes = {one.name: (number, "GET" if one.repeats == "safe" else "POST")
                          for number, one in enumerate(day.scenario.classes)}
         self._attempts = self._numbers = drawn.number * NUMBERS
-        self._links: dict[_Link, None] = {}
-        self._idle: dict[_Link, float] = {}  # since when, the longest first
+        self._links: dict[NodeLink, None] = {}
+        self._idle: dict[NodeLink, float] = {}  # since when, the longest first
         self._slow: dict[int, float] = {}  # by fault, as all below
         self._silent: dict[int, float] = {}
         self._leaving: dict[int, float] = {}
-        self._troubles: dict[tuple[int, str], Change] = {}
-        # Shares of attempts (summed up), what becomes of those that run and the others, how many run.
-        self._fates: list[tuple[float, Fate, Fate, float]] = []
-        self._fate_random = random.Random(f"fates {drawn.seed}")
-        self._report_random = random.Random(f"reports {drawn.seed}")
+        self._fates = Fates(drawn)
+        self._busy = BusyShare(drawn, self.model)  # for the books
+        self._reports = LoadReports(drawn, self.model, b"X-Load: fail_rate=0,busy=0\r\n", _load_line)
         self._due = inf
         self._due_timer: asyncio.TimerHandle | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
         self._load_timer: asyncio.TimerHandle | None = None
         self._report_timer: asyncio.TimerHandle | None = None
         self._listening: asyncio.Task[None] | None = None
-        self._load_was = self._report_was = (0.0, 0.0)  # when, and how busy it had been in all
-        self._errors = 0  # since the last report
-        self._reports: deque[tuple[float, bytes]] = deque()  # those made, with when they show
-        self._load = b""
         self._was_jammed = False
-        self._weigh_fates()
 
     # The process.
 
@@ -206,7 +98,7 @@
             await self._listen()
 
     async def _listen(self) -> None:
-        await self.host.listen(lambda sidecar: _Link(self, sidecar))
+        await self.host.listen(lambda sidecar: NodeLink(self, sidecar))
         if not self.model.alive:  # guards against a death while the address was being bound
             self.host.refuse()
 
@@ -250,11 +142,7 @@
             self.model.drain(now, bool(self._leaving))
             self._tell(now)
         else:
-            if change.on:
-                self._troubles[change.fault, what] = change
-            else:
-                self._troubles.pop((change.fault, what), None)
-            self._weigh_fates()
+            self._fates.change(change)
         self._settle(now)
 
     def _rise(self, cold: bool) -> None:
@@ -262,13 +150,11 @@
         self._leaving.clear()
         self.model.start(now, cold)
         self._was_jammed = False
-        self._errors = 0
-        self._reports.clear()
-        self._load = b"X-Load: fail_rate=0,busy=0\r\n"
-        self._load_was = self._report_was = (now, self.model.busy_ms)
+        self._reports.restart(now)
+        self._busy.restart(now)
         loop, every_s = self.host.net.loop, self.drawn.report_every_ms / 1000
         self._load_timer = loop.call_later(LOAD_EVERY_S, self._sample)
-        self._report_timer = loop.call_later(every_s * self._report_random.random(), self._report)
+        self._report_timer = loop.call_later(every_s * self._reports.random.random(), self._report)
         self._tell(now)
 
     def _die(self, now: float) -> None:
@@ -284,12 +170,7 @@
         self._tell(now)
 
     def _tell(self, at: float) -> None:
-        drawn, model = self.drawn, self.model
-        state = ("down" if not model.alive else "silent" if self._silent
-                 else "draining" if model.draining else "up")
-        cold_from = drawn.cold_from if model.born >= 0 else 1.0
-        self._write(NodeIs(at, drawn.number, state, model.born, drawn.cores, model.speed, cold_from,
-                           drawn.warm_ms, drawn.zone, drawn.cell))
+        self._write(state_row(at, self.drawn, self.model, bool(self._silent)))
 
     # Time.
 
@@ -308,10 +189,10 @@
                     self._write(Ran(now, attempt.op, self.drawn.number, self.drawn.cell, attempt.number,
                                     attempt.key))
                 elif attempt.owner is not None:
-                    link: _Link = attempt.owner
+                    link: NodeLink = attempt.owner
                     attempt.owner = link.attempt = None
                     if what == core.DONE:
-                        link.node._done(link, attempt, now)  # it may be a repeat at another node
+                        link.node.done(link, attempt, now)  # it may be a repeat at another node
                     elif what == core.EXPIRED:
                         self._answer(link, attempt.op, attempt.number, 504, now, _NOT_RUN)
         if model.jammed != self._was_jammed:
@@ -335,33 +216,22 @@
     def _sample(self) -> None:
         now, model = self.host.day_ms(), self.model
         model.advance(now)
-        busy = self._busy_since(self._load_was, now)
-        self._load_was = now, model.busy_ms
+        busy = self._busy.look(now)
         self._write(NodeLoad(now, self.drawn.number, model.working, model.waiting, busy, model.conns))
         self._load_timer = self.host.net.loop.call_later(LOAD_EVERY_S, self._sample)
         self._settle(now)
 
     def _report(self) -> None:
         """Make a load report, which shows only once it is as old as reports of this node are."""
-        now, model, drawn = self.host.day_ms(), self.model, self.drawn
-        model.advance(now)
-        busy = self._busy_since(self._report_was, now)
-        rate = self._errors * 1000 / max(1.0, now - self._report_was[0])
-        self._report_was, self._errors = (now, model.busy_ms), 0
-        busy *= 1 + drawn.report_noise * self._report_random.gauss()
-        rate *= 1 + drawn.report_noise * self._report_random.gauss()
-        text = f"X-Load: fail_rate={max(0.0, rate):.3f},busy={min(1.0, max(0.0, busy)):.4f}\r\n"
-        self._reports.append((now + drawn.report_late_ms, text.encode()))
-        self._report_timer = self.host.net.loop.call_later(drawn.report_every_ms / 1000, self._report)
+        now = self.host.day_ms()
+        self.model.advance(now)
+        self._reports.make(now)
+        self._report_timer = self.host.net.loop.call_later(self.drawn.report_every_ms / 1000, self._report)
         self._settle(now)
 
-    def _busy_since(self, was: tuple[float, float], now: float) -> float:
-        lasted = (now - was[0]) * self.drawn.cores
-        return (self.model.busy_ms - was[1]) / lasted if lasted > 0 else 0.0
-
     # Connections.
 
-    def linked(self, link: _Link) -> None:
+    def linked(self, link: NodeLink) -> None:
         """A connection came up."""
         if not self.model.alive:  # guards against one that was accepted as the process died
             link.gone = True
@@ -378,7 +248,7 @@
         self._rest(link, now)
         self._settle(now)
 
-    def came(self, link: _Link, data: memoryview) -> None:
+    def came(self, link: NodeLink, data: memoryview) -> None:
         """Bytes came on a connection."""
         now = self.host.day_ms()
         if link.began < 0:
@@ -392,13 +262,13 @@
         elif link.timer is None:
             link.timer = self.host.net.loop.call_later((link.ready_at - now) / 1000, self._shaken, link)
 
-    def _shaken(self, link: _Link) -> None:
+    def _shaken(self, link: NodeLink) -> None:
         link.timer = None
         now = max(self.host.day_ms(), link.ready_at)
         self._read(link, now)
         self._settle(now)
 
-    def _read(self, link: _Link, now: float) -> None:
+    def _read(self, link: NodeLink, now: float) -> None:
         while True:
             busy = link.attempt is not None or link.unwhole is not None
             try:
@@ -423,7 +293,7 @@
             link.began = link.handed = now  # what is left came with what is taken
             self._idle.pop(link, None)
 
-    def ended(self, link: _Link, how: str) -> None:
+    def ended(self, link: NodeLink, how: str) -> None:
         """A connection ended, or the sidecar ended its sending, which says that it waits no more."""
         if link.gone:
             return
@@ -435,7 +305,7 @@
             self.model.cancel(now, attempt)
         self._settle(now)
 
-    def _end_open(self, link: _Link, how: str, now: float) -> None:
+    def _end_open(self, link: NodeLink, how: str, now: float) -> None:
         """Enter the end of what is out on a connection."""
         attempt = link.attempt or link.unwhole
         if attempt is not None and attempt.cls != _PROBE:
@@ -447,7 +317,7 @@
                 one.owner = None
         link.attempt = link.unwhole = None
 
-    def _end_unread(self, link: _Link, how: str, now: float) -> None:
+    def _end_unread(self, link: NodeLink, how: str, now: float) -> None:
         try:
             request = link.parser.next_request()
         except BadMessageError:
@@ -456,7 +326,7 @@
             number = self._arrived(link, request, now, core.OVER)
             self._write(Ended(now, _only(request, "x-request-id"), self.drawn.number, number, how))
 
-    def _cut(self, link: _Link, now: float) -> None:
+    def _cut(self, link: NodeLink, now: float) -> None:
         """Reset a connection on purpose."""
         attempt = link.attempt
         self._end_open(link, "cut", now)
@@ -465,25 +335,25 @@
         if attempt is not None:
             self.model.cancel(now, attempt)
 
-    def _unlink(self, link: _Link, now: float) -> None:
+    def _unlink(self, link: NodeLink, now: float) -> None:
         self._forget(link)
         self.model.disconnect()
         self._write(Linked(now, self.drawn.number, link.sidecar, link.number, False))
 
-    def _forget(self, link: _Link) -> None:
+    def _forget(self, link: NodeLink) -> None:
         link.gone = True
         if link.timer is not None:
             link.timer.cancel()
         self._links.pop(link, None)
         self._idle.pop(link, None)
 
-    def _hang_up(self, link: _Link, now: float) -> None:
+    def _hang_up(self, link: NodeLink, now: float) -> None:
         """Close a connection once all has been written to it."""
         self._end_open(link, "cut", now)
         self._unlink(link, now)
         link.transport.close()
 
-    def _rest(self, link: _Link, now: float) -> None:
+    def _rest(self, link: NodeLink, now: float) -> None:
         self._idle[link] = now
         if self._idle_timer is None:
             self._idle_timer = self.host.net.loop.call_later(self.drawn.idle_ms / 1000, self._close_idle)
@@ -501,7 +371,7 @@
 
     # Operations.
 
-    def _arrived(self, link: _Link, request: Request | None, now: float, took: str = "bad") -> int:
+    def _arrived(self, link: NodeLink, request: Request | None, now: float, took: str = "bad") -> int:
         """Enter what came and costs no work, None for what can't be read; give it its number."""
         op, key, digest, cls = "", "", "", -1
         if request is not None:
@@ -514,7 +384,7 @@
         link.began = -1.0
         return self._attempts
 
-    def _take(self, link: _Link, request: Request, now: float) -> None:
+    def _take(self, link: NodeLink, request: Request, now: float) -> None:
         drawn, model, target = self.drawn, self.model, request.target
         if target in _PROBES:
             self._probe(link, target, now)
@@ -531,7 +401,7 @@
         work_ms = self._wishes.work_ms(wish, op, drawn.number)
         expires_at = now + _patience_ms(request) if drawn.drops_expired else inf
         attempt = Attempt(number, op, key, cls, work_ms, expires_at, link)
-        attempt.fate = fate = self._draw_fate()
+        attempt.fate = fate = self._fates.draw()
         if link.surplus:
             took = core.FULL
         elif model.draining or fate not in UNRUN:
@@ -555,37 +425,22 @@
             elif took == core.WORK:
                 attempt.answer = f"{op} {drawn.name} run {number}\n".encode().ljust(wish.answer, b".")
 
-    def _probe(self, link: _Link, target: str, now: float) -> None:
+    def _probe(self, link: NodeLink, target: str, now: float) -> None:
         link.began = -1.0
         work_ms = self.drawn.probe_ms if self._probes else 0.0
         self._write(Probed(now, self.drawn.number, link.sidecar, work_ms))
         link.attempt = Attempt(0, target, "", _PROBE, work_ms, inf, link)
         self.model.probe(now, link.attempt)
 
-    def _draw_fate(self) -> Fate:
-        if self._fates:
-            figure = self._fate_random.random()
-            for up_to, ran, unrun, share in self._fates:
-                if figure < up_to:
-                    return ran if share >= 1 or self._fate_random.random() < share else unrun
-        return Fate.GOOD
-
-    def _weigh_fates(self) -> None:
-        up_to = self.drawn.error_rate
-        self._fates = [(up_to, Fate.ERROR, Fate.ERROR, 1.0)] if up_to else []
-        for (_, what), change in self._troubles.items():
-            up_to += change.value
-            self._fates.append((up_to, *FATES[what], 1.0 if what == "spoilt" else change.share))
-
     # Answers.
 
-    def _done(self, link: _Link, attempt: Attempt, now: float) -> None:
+    def done(self, link: NodeLink, attempt: Attempt, now: float) -> None:
         """The model is done with it: answer as its fate wills."""
         fate: Fate = attempt.fate
         if attempt.cls == _PROBE:
             status = 404 if not self._probes else 503 if self.model.draining else 200
             head = self._head(status, now)
-            body = self._load[8:-2] if attempt.op == "/_load" else b""
+            body = self._reports.shown(now)[8:-2] if attempt.op == "/_load" else b""
             link.transport.write(b"%bContent-Length: %d\r\n\r\n%b" % (head, len(body), body))
             self._answered(link, now)
         elif fate is Fate.ERROR:
@@ -604,43 +459,30 @@
             self._answered(link, now)
 
     def _head(self, status: int, now: float) -> bytes:
-        reports = self._reports
-        while reports and reports[0][0] <= now:
-            self._load = reports.popleft()[1]
-        return b"HTTP/1.1 %d %b\r\n%b" % (status, _REASONS[status], self._load)
+        return b"HTTP/1.1 %d %b\r\n%b" % (status, _REASONS[status], self._reports.shown(now))
 
-    def _answer(self, link: _Link, op: str, number: int, status: int, now: float, lines: bytes = b"",
+    def _answer(self, link: NodeLink, op: str, number: int, status: int, now: float, lines: bytes = b"",
                 close: bool = False) -> None:
         """Answer with no body: anything but a 200."""
         if status == 500:
-            self._errors += 1
+            self._reports.errors += 1
         link.transport.write(b"%b%b%bContent-Length: 0\r\n\r\n" % (
             self._head(status, now), lines, _CLOSE if close else b""))
         self._write(Replied(now, op, self.drawn.number, number, status, _EMPTY, True))
         self._answered(link, now, close)
 
-    def _answered(self, link: _Link, now: float, close: bool = False) -> None:
+    def _answered(self, link: NodeLink, now: float, close: bool = False) -> None:
         share = self.drawn.closes_behind
-        if close or link.last or (share and self._fate_random.random() < share):
+        if close or link.last or (share and self._fates.random.random() < share):
             self._hang_up(link, now)
         elif link.began < 0:
             self._rest(link, now)
 
-    def _spoil(self, link: _Link, attempt: Attempt, now: float) -> None:
+    def _spoil(self, link: NodeLink, attempt: Attempt, now: float) -> None:
         """Answer so that nobody can read it, or (one in six) so that it can be read all the same."""
-        chance, body, how = self._fate_random, attempt.run.answer, self._fate_random.randrange(len(SPOILT))
-        kind = SPOILT[how]
-        head = self._head(200, now)
-        if kind == "noise":
-            data = chance.randbytes(chance.randrange(64, 512))
-        elif kind == "chunks":
-            data = b"%bTransfer-Encoding: chunked\r\n\r\nzz\r\n%b" % (head, body)
-        else:
-            length = {"long": len(body) + 1000, "drip": CLAIMED}.get(kind, len(body))
-            sent = body[:len(body) // 2] if kind == "short" else body
-            junk = b"\x00junk" if kind == "junk" else b""
-            data = b"%bContent-Length: %d\r\n\r\n%b%b" % (head, length, sent, junk)
-        link.transport.write(data)
+        chance, body = self._fates.random, attempt.run.answer
+        kind = SPOILT[chance.randrange(len(SPOILT))]
+        link.transport.write(spoilt_answer(kind, self._head(200, now), body, chance))
         whole = kind == "junk"
         self._write(Replied(now, attempt.op, self.drawn.number, attempt.number, 0 if kind == "noise" else 200,
                             digest_of_body(body) if whole else "", whole))
@@ -655,7 +497,7 @@
         if kind == "drip":
             link.timer = self.host.net.loop.call_later(DRIP_S, self._drip, link, DRIPS)
 
-    def _drip(self, link: _Link, left: int) -> None:
+    def _drip(self, link: NodeLink, left: int) -> None:
         link.transport.write(DRIP)
         link.timer = self.host.net.loop.call_later(DRIP_S, self._drip, link, left - 1) if left > 1 else None
 
@@ -667,6 +509,10 @@
         table.pop(change.fault, None)
 
 
+def _load_line(fail_rate: float, busy: float) -> bytes:
+    return f"X-Load: fail_rate={fail_rate:.3f},busy={busy:.4f}\r\n".encode()
+
+
 def _first_part(target: str) -> str:
     return target.partition("?")[0][1:].partition("/")[0]
 
--- a/coveport/lab/virtual/play.py
+++ b/coveport/lab/virtual/play.py
@@ -33,8 +33,9 @@
 from coveport.lab.standins import staff
 from coveport.lab.standins.discovery import Discovery
 from coveport.lab.standins.health import wait_until_ready
-from coveport.lab.standins.nodes import LedgerNode, WorkBook
+from coveport.lab.standins.nodes import LedgerNode
 from coveport.lab.standins.tills import Tills
+from coveport.lab.standins.work_book import WorkBook
 from coveport.lab.virtual.harsh import Harsh
 from coveport.lab.virtual.hosts import VirtualHost
 from coveport.lab.virtual.wires import Network, VirtualNet
--- a/tests/lab/test_nodes.py
+++ b/tests/lab/test_nodes.py
@@ -16,7 +16,9 @@
 from coveport.lab.ids import first_id, try_id, try_number
 from coveport.lab.model import KeyMemory
 from coveport.lab.scenario import Scenario
-from coveport.lab.standins.nodes import SPOILT, LedgerNode, WorkBook
+from coveport.lab.standins.fates import SPOILT
+from coveport.lab.standins.nodes import LedgerNode
+from coveport.lab.standins.work_book import WorkBook
 from coveport.net.transport import Listening, Net
 
 DRAWN: dict[str, Any] = dict.fromkeys(NodeDrawn.__struct_fields__, 0) | dict(
