--- a/coveport/lab/bare/listing.py
+++ b/coveport/lab/bare/listing.py
@@ -14,28 +14,13 @@
 from coveport.lab.books import Books, Told
 from coveport.lab.chance import ends
 from coveport.lab.day import NEVER, Change, Day
+from coveport.lab.standins.seen_node import SeenNode
 from micaflow.interface import HostEntry, ListKind, ListUpdate, State
 
 EPOCH_MS = 1e9  # the day's begin on the sidecars' clock, on which 0 means long ago
 _STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 
 
-class _Node:
-    __slots__ = ("alive", "born", "coming", "leaving", "news", "seen", "silent")
-
-    def __init__(self, alive: bool) -> None:
-        self.alive, self.born, self.leaving = alive, NEVER, False
-        self.silent = set[int]()
-        self.coming = self.seen = self.state
-        self.news = 0
-
-    @property
-    def state(self) -> tuple[str, float]:
-        if not self.alive or self.silent:
-            return "left", self.born
-        return ("leaving" if self.leaving else "active"), self.born
-
-
 class Listing:
     """The list of nodes, and what each sidecar has been told of it."""
 
@@ -43,7 +28,7 @@
                  tell: Callable[[int, ListUpdate], None]) -> None:
         """`tell`: hand an update to a sidecar, by its number."""
         self._agenda, self._write, self._day, self._tell = agenda, books.write, day, tell
-        self._nodes = {node.number: _Node(node.born) for node in day.nodes}
+        self._nodes = {node.number: SeenNode(node.born) for node in day.nodes}
         self._places = {node.number: (node.zone, node.cell) for node in day.nodes}
         self._first = [node.number for node in day.nodes if node.born]
         self._heard = [dict.fromkeys(self._first, ("active", NEVER)) for _ in day.sidecars]
@@ -93,30 +78,14 @@
                 self._changes(number, change)
 
     def _changes(self, number: int, change: Change) -> None:
-        node, notice_ms = self._nodes[number], self._day.notice_ms
-        delay = self._day.add_ms
-        if change.what == "die":
-            node.alive, node.leaving, delay = False, False, notice_ms
-        elif change.what == "start":
-            node.alive, node.leaving, node.born = True, False, self._agenda.now
-        elif change.what == "leaving":
-            node.leaving = change.on and node.alive
-            delay = 0.0 if change.on else delay
-        elif change.on:
-            node.silent.add(change.fault)
-            delay = 2 * notice_ms
-        else:
-            node.silent.discard(change.fault)
-        if node.state != node.coming:
-            node.coming = node.state
-            node.news += 1
-            self._agenda.at(self._agenda.now + delay, self._notice, number, node.news)
+        delay = self._nodes[number].change(change, self._agenda.now, self._day)
+        if delay is not None:
+            self._agenda.at(self._agenda.now + delay, self._notice, number, self._nodes[number].news)
 
     def _notice(self, number: int, news: int) -> None:
         node = self._nodes[number]
-        if news != node.news or node.seen == node.coming:
+        if not node.notice(news):
             return
-        node.seen = node.coming
         low, high = ends(self._day.scenario.discovery.spread_ms)
         late = sum(self._late.values())
         for sidecar, chance in enumerate(self._spread):
--- a/coveport/lab/standins/discovery.py
+++ b/coveport/lab/standins/discovery.py
@@ -22,8 +22,9 @@
 
 from coveport.http1 import codec as http1
 from coveport.lab.books import Books, Called, Told
-from coveport.lab.day import Change, Day, NodeDrawn
+from coveport.lab.day import NEVER, Change, Day, NodeDrawn
 from coveport.lab.ground import Host
+from coveport.lab.standins.seen_node import SeenNode
 from coveport.lab.tables import Figure
 from coveport.net.address import Address
 from coveport.net.transport import Net
@@ -34,32 +35,10 @@
 MOVED_MS = 1500.0  # how long connections to an address that discovery has left stay open
 IN_LINE_MS = 2000.0  # how long a call may wait its turn while discovery is overbooked
 GOES_ON_MS = 200.0  # a watch goes on where its next call comes so soon after an answer
-LONG_AGO = -1.0
 
 _INBOX = memoryview(bytearray(16 * 1024))  # shared: what is read is taken out before the next read
 
 
-class _Node:
-    """What is true of a node, and what discovery has seen of it."""
-
-    __slots__ = ("alive", "born", "leaving", "silent", "coming", "news", "seen", "version")
-
-    def __init__(self, alive: bool) -> None:
-        self.alive, self.born = alive, LONG_AGO
-        self.leaving = False
-        self.silent: set[int] = set()  # faults, by number
-        self.coming = self.seen = self.state  # what will be seen if nothing more happens, what was seen last
-        self.news = 0  # tells later news from earlier: what was overtaken is never seen
-        self.version = 0  # of what was seen
-
-    @property
-    def state(self) -> tuple[str, float]:
-        """Its state in discovery's words, and when its process started."""
-        if not self.alive or self.silent:
-            return "left", self.born
-        return ("leaving" if self.leaving else "active"), self.born
-
-
 class _View:
     """What has been heard for one sidecar."""
 
@@ -203,7 +182,7 @@
         self._day, self._write, self.net, self._day_ms = day, books.write, net, day_ms
         self._address, self._unix_ms_of, self._on_move = node_address, unix_ms_of, on_move
         self._drawn = {node.number: node for node in day.nodes}
-        self._nodes = {node.number: _Node(node.born) for node in day.nodes}
+        self._nodes = {node.number: SeenNode(node.born) for node in day.nodes}
         self._first = [node.number for node in day.nodes if node.born]
         self._views = {one.number: _View(one.number, day.seed, dict.fromkeys(self._first, "active"))
                        for one in day.sidecars}
@@ -273,31 +252,14 @@
                 self._wake(view)
 
     def _node_changes(self, number: int, change: Change) -> None:
-        node, notice_ms = self._nodes[number], self._day.notice_ms
-        delay = self._day.add_ms
-        if change.what == "die":
-            node.alive, node.leaving, delay = False, False, notice_ms
-        elif change.what == "start":
-            node.alive, node.leaving, node.born = True, False, self._day_ms()
-        elif change.what == "leaving":
-            node.leaving = change.on and node.alive
-            delay = 0.0 if change.on else delay
-        elif change.on:
-            node.silent.add(change.fault)
-            delay = 2 * notice_ms
-        else:
-            node.silent.discard(change.fault)
-        if node.state != node.coming:
-            node.coming = node.state
-            node.news += 1
-            self.net.loop.call_later(delay / 1000, self._notice, number, node.news)
+        delay = self._nodes[number].change(change, self._day_ms(), self._day)
+        if delay is not None:
+            self.net.loop.call_later(delay / 1000, self._notice, number, self._nodes[number].news)
 
     def _notice(self, number: int, news: int) -> None:
         node = self._nodes[number]
-        if news != node.news or node.seen == node.coming or self._closed:
+        if self._closed or not node.notice(news):
             return
-        node.seen = node.coming
-        node.version += 1
         for view in self._views.values():
             chance = random.Random(f"spread {self._day.seed} {view.sidecar} {number} {node.version}")
             delay = _drawn(self._day.scenario.discovery.spread_ms, chance)
@@ -399,12 +361,12 @@
             parts = [self._entry(view, number, state) for number, state in states.items()]
             whole = b"false"
         now = self._day_ms()
-        rows = [Told(now, view.sidecar, number, state, view.born.get(number, LONG_AGO))
+        rows = [Told(now, view.sidecar, number, state, view.born.get(number, NEVER))
                 for number, state in states.items()]
         return b'{"seq":%d,"whole":%b,"hosts":[%b]}' % (view.seq, whole, b",".join(parts)), rows
 
     def _entry(self, view: _View, number: int, state: str) -> bytes:
-        born = view.born.get(number, LONG_AGO)
+        born = view.born.get(number, NEVER)
         return msgspec.json.encode({
             **self._static[number], "dial": _dial(self._address(number, view.sidecar)), "health": state,
             "born_ms": 0 if born < 0 else round(self._unix_ms_of(born))})
@@ -437,7 +399,7 @@
         view, now = self._views[sidecar], self._day_ms()
         view.told = dict.fromkeys(self._known_nodes(sidecar))
         for number in view.told:
-            self._write(Told(now, sidecar, number, "active", LONG_AGO))
+            self._write(Told(now, sidecar, number, "active", NEVER))
 
     def _known_nodes(self, sidecar: int) -> list[int]:
         known = self._day.scenario.discovery.known
--- a/coveport/lab/trials/fleet/sim.py
+++ b/coveport/lab/trials/fleet/sim.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import random
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -26,6 +25,7 @@
 from coveport.lab.trials.fleet.judge import Said, judge
 from coveport.lab.trials.fleet.variants import SOUND, FleetVariant
 from coveport.lab.trials.judge import Finding, accepted, order
+from coveport.lab.trials.quiet_collector import collector_paused
 from coveport.lab.trials.schedules import Fault
 from coveport.lab.trials.simstore import Host, SimStore, Way
 from coveport.lab.virtual.world import Process, World
@@ -348,14 +348,9 @@
 def play(trial: FleetTrial, seed: int, variant: FleetVariant = SOUND) -> PlayedFleet:
     """Play a trial and judge it; the same trial, seed and variant leave the same behind."""
     one = _Sim(trial, seed, variant)
-    was = gc.isenabled()
-    gc.disable()
-    try:
+    with collector_paused():
         with variant.while_played():
             one.run()
         return one.judged(seed)
-    finally:
-        if was:
-            gc.enable()
 
 
--- a/coveport/lab/trials/virtual.py
+++ b/coveport/lab/trials/virtual.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import gc
 import random
 from dataclasses import dataclass, field
 from functools import partial
@@ -16,6 +15,7 @@
 from coveport.lab.trials import judge
 from coveport.lab.trials.history import Histories, Record
 from coveport.lab.trials.parts import BORN_S, SAFE, SERVICE_S, Part, rollout_word
+from coveport.lab.trials.quiet_collector import collector_paused
 from coveport.lab.trials.schedules import HOLDER, TRAPS, Fault, Trial
 from coveport.lab.trials.simstore import Host, SimStore, Trap, Way
 from coveport.lab.trials.variants import SOUND, Variant
@@ -263,11 +263,6 @@
 def play(trial: Trial, seed: int, variant: Variant = SOUND) -> Played:
     """Play a trial and judge it. The same trial, seed and variant give the same records."""
     one = _Trial(trial, seed, variant)
-    was = gc.isenabled()
-    gc.disable()  # else a dead process' tasks are thrown away in another's callback
-    try:
+    with collector_paused():
         one.run()
         return one.judged(seed)
-    finally:
-        if was:
-            gc.enable()
--- a/coveport/lab/trials/work/sim.py
+++ b/coveport/lab/trials/work/sim.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import gc
 import json
 import random
 from dataclasses import dataclass, field
@@ -16,6 +15,7 @@
 from coveport.core.operation import Operation
 from coveport.lab.trials.judge import Finding
 from coveport.lab.trials.ledger import Asked, Cell, Ran, judge
+from coveport.lab.trials.quiet_collector import collector_paused
 from coveport.lab.trials.real import SETTINGS
 from coveport.lab.trials.schedules import Fault
 from coveport.lab.trials.simstore import Host, SimStore, Way
@@ -455,13 +455,8 @@
 def play(trial: WorkTrial, seed: int, variant: WorkVariant = SOUND) -> Played:
     """Play a trial and judge it; the same trial, seed and variant leave the same behind."""
     one = _Sim(trial, seed, variant)
-    was = gc.isenabled()
-    gc.disable()
-    try:
+    with collector_paused():
         with variant.while_played():
             one.run()
         return one.judged(seed)
-    finally:
-        if was:
-            gc.enable()
 
