--- /dev/null
+++ b/coveport/system/configuration/patch.py
@@ -0,0 +1,83 @@
+"""Alters named items of a configuration: upserts and removals, by list and name. Order is kept."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from coveport.system.model.findings import Findings, Refusal
+from coveport.system.wire.names import Config
+
+INVALID_PATCH = "invalid patch"
+
+
+def patch(current: Mapping[str, Any], change: Mapping[str, Any]) -> dict[str, Any] | Refusal:
+    """The configuration that `change` makes of `current`, both as JSON objects; neither is altered.
+
+    Removals come first, then upserts: an item of a name that is there replaces it in its place, others are
+    added at the end. Objects such as the limits are replaced whole. Removing what is not there changes nothing.
+    """
+    findings = Findings()
+    upserts = _section(change, Config.UPSERT, findings)
+    removals = _section(change, Config.REMOVE, findings)
+    result = dict(current)
+    if Config.EDITION in change:
+        result[Config.EDITION] = change[Config.EDITION]
+    else:
+        findings.add(Config.EDITION, "is missing")
+    for key, names in removals.items():
+        _remove(result, key, names, findings)
+    for key, items in upserts.items():
+        _upsert(result, key, items, findings)
+    if Config.LIMITS in change:
+        result[Config.LIMITS] = change[Config.LIMITS]
+    return Refusal(INVALID_PATCH, tuple(findings)) if findings else result
+
+
+def _section(change: Mapping[str, Any], key: str, findings: Findings) -> Mapping[str, Any]:
+    section = change.get(key, {})
+    if isinstance(section, Mapping):
+        return section
+    findings.add(key, "must be an object")
+    return {}
+
+
+def _remove(result: dict[str, Any], key: str, names: Any, findings: Findings) -> None:
+    place = f"{Config.REMOVE}.{key}"
+    if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+        findings.add(place, "must be a list of names")
+        return
+    items = result.get(key, [])
+    if not isinstance(items, list):
+        findings.add(place, "has no items that could be removed by name")
+        return
+    removed = frozenset(names)
+    if items:
+        result[key] = [item for item in items if _name_of(item) not in removed]
+
+
+def _upsert(result: dict[str, Any], key: str, items: Any, findings: Findings) -> None:
+    place = f"{Config.UPSERT}.{key}"
+    if isinstance(items, dict) and not isinstance(result.get(key, {}), list):
+        result[key] = items
+        return
+    if not isinstance(items, list) or not isinstance(result.get(key, []), list):
+        findings.add(place, "must be a list of items")
+        return
+    merged = list(result.get(key, []))
+    positions = {_name_of(item): position for position, item in enumerate(merged)}
+    for number, item in enumerate(items):
+        name = _name_of(item)
+        if name is None:
+            findings.add(f"{place}[{number}]", f"must be an object with a {Config.NAME}")
+        elif name in positions:
+            merged[positions[name]] = item
+        else:
+            positions[name] = len(merged)
+            merged.append(item)
+    result[key] = merged
+
+
+def _name_of(item: Any) -> str | None:
+    name = item.get(Config.NAME) if isinstance(item, Mapping) else None
+    return name if isinstance(name, str) else None
--- /dev/null
+++ b/coveport/system/configuration/state.py
@@ -0,0 +1,187 @@
+"""The acknowledged state, and how commands change it: the same on the primary and on every backup."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import struct
+from dataclasses import dataclass, replace
+from typing import Any, Final
+
+from coveport.system.configuration.commands import (
+    Command,
+    EndEvacuation,
+    PatchConfiguration,
+    PutConfiguration,
+    StartEvacuation,
+    decode_command,
+)
+from coveport.system.configuration.patch import patch
+from coveport.system.configuration.reader import check_configuration, read_object
+from coveport.system.model.configuration import Configuration
+from coveport.system.model.findings import Finding, Refusal
+from coveport.system.wire.codec import MalformedMessageError, MessageCodec
+from coveport.system.wire.names import Config
+
+MOST_TAKEN: Final = 512  # changes that are known again when they are sent again
+_DIGEST_BYTES: Final = 16
+_TAKEN: Final = struct.Struct(f">Q{_DIGEST_BYTES}s")
+
+OK: Final = 200
+INVALID: Final = 400
+STALE: Final = 412
+
+
+@dataclass(frozen=True, slots=True)
+class TakenChange:
+    """A change of the configuration that has been taken."""
+
+    edition: int
+    digest: bytes  # of its method, the edition it was built on, and its body
+
+
+@dataclass(frozen=True, slots=True)
+class ControlState:
+    """What the operator has been promised is kept."""
+
+    configuration_text: bytes | None = (
+        None  # JSON of the newest whole configuration, exactly as it is handed out
+    )
+    edition: int = 0  # of that configuration; 0: there is none
+    evacuated: frozenset[str] = frozenset()  # zones
+    taken: tuple[TakenChange, ...] = ()  # the newest `MOST_TAKEN`, oldest first
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeResult:
+    """What the caller of a command is told."""
+
+    status: int  # an HTTP status
+    edition: int  # in force after the command
+    findings: tuple[Finding, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """The command is taken, now or earlier."""
+
+    state: ControlState
+    result: ChangeResult
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The command changes nothing."""
+
+    result: ChangeResult
+
+
+@dataclass(frozen=True, slots=True)
+class _StoredState:
+    """The state as it is written: changes taken in one piece, since they are many and small."""
+
+    configuration_text: bytes | None
+    edition: int
+    evacuated: tuple[str, ...]
+    taken: bytes
+
+
+_CODEC: Final[MessageCodec[_StoredState]] = MessageCodec((_StoredState,))
+
+
+def initial_state() -> ControlState:
+    """No configuration, no evacuation."""
+    return ControlState()
+
+
+def encode_state(state: ControlState) -> bytes:
+    """A state as bytes; equal states give equal bytes."""
+    taken = b"".join(_TAKEN.pack(change.edition, change.digest) for change in state.taken)
+    return _CODEC.encode(
+        _StoredState(state.configuration_text, state.edition, tuple(sorted(state.evacuated)), taken)
+    )
+
+
+def decode_state(data: bytes) -> ControlState:
+    """The state in the bytes; MalformedMessageError where they hold none."""
+    stored = _CODEC.decode(data)
+    if len(stored.taken) % _TAKEN.size:
+        raise MalformedMessageError("changes taken are cut short")
+    taken = tuple(TakenChange(*one) for one in _TAKEN.iter_unpack(stored.taken))
+    return ControlState(stored.configuration_text, stored.edition, frozenset(stored.evacuated), taken)
+
+
+def apply(state: ControlState, command: bytes) -> Applied | Refused:
+    """The state after a command, and what its caller is told."""
+    return apply_command(state, decode_command(command))
+
+
+def apply_command(state: ControlState, command: Command) -> Applied | Refused:
+    """As `apply`, of a command that has been decoded."""
+    match command:
+        case StartEvacuation(zone):
+            return _applied(replace(state, evacuated=state.evacuated | {zone}))
+        case EndEvacuation(zone):
+            return _applied(replace(state, evacuated=state.evacuated - {zone}))
+        case PutConfiguration() | PatchConfiguration():
+            return _change_configuration(state, command)
+
+
+def _applied(state: ControlState) -> Applied:
+    return Applied(state, ChangeResult(OK, state.edition))
+
+
+def _change_configuration(
+    state: ControlState, command: PutConfiguration | PatchConfiguration
+) -> Applied | Refused:
+    digest = _digest(command)
+    if any(change.digest == digest for change in state.taken):
+        return _applied(state)
+    if command.if_match is None:
+        return _refused(state, INVALID, Finding("If-Match", "is missing; 0 is the first"))
+    if command.if_match != state.edition:
+        return _refused(state, STALE, Finding("If-Match", f"the current edition is {state.edition}"))
+    made = _put(command) if isinstance(command, PutConfiguration) else _patch(state, command)
+    if isinstance(made, Refusal):
+        return _refused(state, INVALID, *made.findings)
+    configuration, text = made
+    if configuration.edition <= state.edition:
+        message = f"must be above the current one, which is {state.edition}"
+        return _refused(state, INVALID, Finding(Config.EDITION, message))
+    taken = (*state.taken, TakenChange(configuration.edition, digest))[-MOST_TAKEN:]
+    return _applied(replace(state, configuration_text=text, edition=configuration.edition, taken=taken))
+
+
+def _refused(state: ControlState, status: int, *findings: Finding) -> Refused:
+    return Refused(ChangeResult(status, state.edition, findings))
+
+
+def _digest(command: PutConfiguration | PatchConfiguration) -> bytes:
+    """Tells one change from another: two with the same digest are the same change, sent again."""
+    method = b"PUT" if isinstance(command, PutConfiguration) else b"PATCH"
+    head = b"%s %s " % (method, str(command.if_match).encode())
+    return hashlib.blake2b(head + command.body, digest_size=_DIGEST_BYTES).digest()
+
+
+def _put(command: PutConfiguration) -> tuple[Configuration, bytes] | Refusal:
+    data = read_object(command.body)
+    if isinstance(data, Refusal):
+        return data
+    configuration = check_configuration(data)
+    return configuration if isinstance(configuration, Refusal) else (configuration, _write(data))
+
+
+def _patch(state: ControlState, command: PatchConfiguration) -> tuple[Configuration, bytes] | Refusal:
+    change = read_object(command.body)
+    if isinstance(change, Refusal):
+        return change
+    patched = patch(json.loads(state.configuration_text or b"{}"), change)
+    if isinstance(patched, Refusal):
+        return patched
+    configuration = check_configuration(patched)
+    return configuration if isinstance(configuration, Refusal) else (configuration, _write(patched))
+
+
+def _write(data: dict[str, Any]) -> bytes:
+    """The canonical text of a configuration: no spaces, the order of fields as it came."""
+    return json.dumps(data, ensure_ascii=False, separators=(",", ":")).encode()
