--- /dev/null
+++ b/coveport/system/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/coveport/system/coordinator/control.py
@@ -0,0 +1,101 @@
+"""The operators' side of the core: commands in, HTTP answers out."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from coveport.net.transport import Net
+from coveport.system.configuration.state import ChangeResult, ControlState, apply, decode_state, encode_state
+from coveport.system.configuration.state import Applied as Taken
+from coveport.system.coordinator.core import CoreRuntime
+from coveport.system.replication.events import (
+    Applied,
+    Done,
+    Newest,
+    NotPrimary,
+    Outcome,
+    Refused,
+    StateCode,
+    Unclear,
+)
+from coveport.system.web.calls import Reply, json_reply
+from coveport.system.wire.names import ERROR, Config
+
+PRIMARY_WAIT_S = 0.7  # callers move on after a second of silence
+PRIMARY_LOOK_S = 0.02
+ANSWER_S = 4.0  # after which nobody waits for a command any more
+
+
+def _apply(state: Any, command: bytes) -> Applied | Refused:
+    outcome = apply(state, command)
+    if isinstance(outcome, Taken):
+        return Applied(outcome.state, outcome.result)
+    return Refused(outcome.result)
+
+
+STATE_CODE = StateCode(_apply, encode_state, decode_state)
+
+
+class Control:
+    """Submits commands to the core of this coordinator."""
+
+    def __init__(self, net: Net, core: CoreRuntime, describe: Callable[[], dict[str, Any]]) -> None:
+        self._net, self._core, self._describe = net, core, describe
+
+    def is_primary(self) -> bool:
+        """Whether this coordinator leads."""
+        return self._core.member.is_primary
+
+    def describe(self) -> dict[str, Any]:
+        """The state of the core for people."""
+        return self._describe()
+
+    async def primary_elsewhere(self) -> str | None:
+        """The primary's inner address if that is another; waits a moment for one to be there."""
+        until_s = self._net.now_s() + PRIMARY_WAIT_S
+        while self._net.now_s() < until_s:
+            member = self._core.member
+            if member.is_primary:
+                return None
+            if member.primary_address is not None:
+                return member.primary_address
+            await asyncio.sleep(PRIMARY_LOOK_S)
+        return None
+
+    async def submit(self, command: bytes) -> Reply:
+        """Run a command here; 503 where this isn't the primary, or it is unclear what became of it."""
+        return _reply(await self._within(self._core.submit(command)))
+
+    async def read_configuration(self) -> Reply:
+        """The newest configuration."""
+        outcome = await self._within(self._core.read_newest())
+        if not isinstance(outcome, Newest):
+            return _reply(outcome)
+        state: ControlState = outcome.state
+        if state.configuration_text is None:
+            return json_reply(404, {ERROR: "there is no configuration yet"})
+        return Reply(200, state.configuration_text, (("Content-Type", "application/json"),))
+
+    async def _within(self, asking: Any) -> Outcome:
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                outcome: Outcome = await asking
+                return outcome
+        except TimeoutError:
+            return Unclear()
+
+
+def _reply(outcome: Outcome) -> Reply:
+    match outcome:
+        case Done(ChangeResult() as result) | Refused(ChangeResult() as result):
+            findings = [str(finding) for finding in result.findings]
+            body: dict[str, Any] = {Config.EDITION: result.edition}
+            if findings:
+                body[ERROR] = findings
+            return json_reply(result.status, body)
+        case NotPrimary():
+            return json_reply(503, {ERROR: "no primary for now"})
+        case _:
+            return json_reply(503, {ERROR: "it is unclear whether the change was taken; send it again"})
--- /dev/null
+++ b/coveport/system/coordinator/core.py
@@ -0,0 +1,126 @@
+"""Runs the replication core: feeds it time and messages, carries out its effects, hands answers to who asked."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from coveport.net.transport import Net
+from coveport.system.replication.events import (
+    Answer,
+    CommittedState,
+    Effect,
+    Event,
+    HandOver,
+    Outcome,
+    Persist,
+    Persisted,
+    PersistFailed,
+    ReadNewest,
+    Received,
+    Send,
+    Submit,
+    Tick,
+)
+from coveport.system.replication.identity import MemberId
+from coveport.system.replication.member import CoreMember
+from coveport.system.storage.writer import RecordWriter
+
+TICK_S = 0.05
+STALL_S = 0.6  # a tick that comes so much too late: the process was frozen or had no processor
+
+
+@dataclass(slots=True)
+class CoreHooks:
+    """What the coordinator wants to know of its core."""
+
+    send: Callable[[str, object], None]
+    committed: Callable[[CommittedState], None]
+    stalled: Callable[[float], None]  # how late, in seconds
+
+
+class CoreRuntime:
+    """One member of the core, alive."""
+
+    def __init__(self, net: Net, member: CoreMember, writer: RecordWriter, hooks: CoreHooks, log: Any) -> None:
+        self._net, self.member, self._writer, self._hooks, self._log = net, member, writer, hooks, log
+        self._waiting: dict[int, asyncio.Future[Outcome]] = {}
+        self._request = 0
+        self._ticking: asyncio.TimerHandle | None = None
+        self._ticked_s = net.now_s()
+        self._said: object = None
+
+    def start(self) -> None:
+        """Begin to tick."""
+        self._tick()
+
+    def stop(self) -> None:
+        """Tick no more."""
+        if self._ticking is not None:
+            self._ticking.cancel()
+
+    def receive(self, sender: MemberId, message: object) -> None:
+        """A message of replication came from another coordinator."""
+        self._handle(Received(sender, message))
+
+    def hand_over(self) -> None:
+        """This process is about to stop."""
+        self._handle(HandOver())
+
+    async def submit(self, command: bytes) -> Outcome:
+        """Run a command at the primary."""
+        return await self._ask(lambda request: Submit(request, command))
+
+    async def read_newest(self) -> Outcome:
+        """The newest acknowledged state, confirmed by a majority."""
+        return await self._ask(ReadNewest)
+
+    async def _ask(self, make: Callable[[int], Event]) -> Outcome:
+        self._request += 1
+        request = self._request
+        answer: asyncio.Future[Outcome] = self._net.loop.create_future()
+        self._waiting[request] = answer
+        try:
+            self._handle(make(request))
+            return await answer
+        finally:
+            self._waiting.pop(request, None)
+
+    def _tick(self) -> None:
+        now = self._net.now_s()
+        late_s, self._ticked_s = now - self._ticked_s - TICK_S, now
+        if late_s > STALL_S:
+            self._log.warning("stalled", seconds=round(late_s, 2))
+            self._hooks.stalled(late_s)
+        self._handle(Tick())
+        self._ticking = self._net.loop.call_later(TICK_S, self._tick)
+
+    def _handle(self, event: Event) -> None:
+        for effect in self.member.handle(self._net.now_s(), event):
+            self._carry_out(effect)
+        self._say()
+
+    def _say(self) -> None:
+        """Log what changed of the view."""
+        view = self.member.describe()
+        if view != self._said:
+            self._said = view
+            self._log.info("core", **view)
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Send(address, message):
+                self._hooks.send(address, message)
+            case Persist(token, records):
+                self._writer.submit(records, lambda well: self._persisted(token, well))
+            case Answer(request, outcome):
+                waiting = self._waiting.get(request)
+                if waiting is not None and not waiting.done():
+                    waiting.set_result(outcome)
+            case CommittedState():
+                self._hooks.committed(effect)
+
+    def _persisted(self, token: int, well: bool) -> None:
+        self._handle(Persisted(token) if well else PersistFailed(token))
--- /dev/null
+++ b/coveport/system/coordinator/lookup_calls.py
@@ -0,0 +1,30 @@
+"""What clients call before anything else: where to go."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from coveport.system.membership.leases import LeaseTable
+from coveport.system.web.calls import Call, Reply, answers, json_reply
+from coveport.system.wire.names import ERROR, Lookup, Path
+
+ADDRESSES_MOST = 64
+TTL_S = 2.0
+
+
+class LookupCalls:
+    """Handlers of the clients' calls."""
+
+    def __init__(
+        self, leases: LeaseTable, now_s: Callable[[], float], is_connected: Callable[[], bool], ttl_s: float = TTL_S
+    ) -> None:
+        self._leases, self._now_s, self._is_connected, self._ttl_s = leases, now_s, is_connected, ttl_s
+
+    @answers("GET", Path.LOOKUP)
+    async def lookup(self, call: Call) -> Reply:
+        """Proxies that are ready, of the nearest group that has any."""
+        zone, region = call.query.get(Lookup.ZONE, ""), call.query.get(Lookup.REGION, "")
+        addresses = self._leases.addresses_for(zone, region, ADDRESSES_MOST, self._now_s())
+        if not addresses:
+            return json_reply(503, {ERROR: "no proxy is ready"})
+        return json_reply(200, {Lookup.ADDRESSES: addresses, Lookup.TTL_S: self._ttl_s})
--- /dev/null
+++ b/coveport/system/coordinator/node_calls.py
@@ -0,0 +1,94 @@
+"""What nodes call: heartbeats and goodbyes."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from coveport.net.address import parse_address
+from coveport.system.coordinator.reports import NodeReporting
+from coveport.system.membership.node_table import NodeTable
+from coveport.system.model.findings import Findings, Refusal
+from coveport.system.model.node import Node, NodeState
+from coveport.system.web.calls import Call, Reply, answers, json_reply
+from coveport.system.wire.names import ERROR, Heartbeat, Path
+
+GOODBYE_SEQUENCE = 1 << 60  # newer than every heartbeat
+_STATES = {Heartbeat.ACCEPTING: NodeState.ACCEPTING, Heartbeat.CLOSING: NodeState.CLOSING}
+
+
+class NodeCalls:
+    """Handlers of the nodes' calls."""
+
+    def __init__(self, reporting: NodeReporting, table: NodeTable, regions: dict[str, str], log: Any) -> None:
+        self._reporting, self._table, self._regions, self._log = reporting, table, regions, log
+
+    @answers("PUT", Path.NODES)
+    async def heartbeat(self, call: Call) -> Reply:
+        """A node says that it lives, and in what state."""
+        node = read_heartbeat(call.rest, call.body, self._regions)
+        if isinstance(node, Refusal):
+            self._log.warning("heartbeat_refused", node=call.rest, reason=node.reason)
+            return json_reply(400, {ERROR: node.reason})
+        if not await self._reporting.take(node):
+            self._log.warning("heartbeat_unconfirmed", node=node.incarnation, state=node.state.value)
+            return json_reply(503, {ERROR: "no other coordinator confirmed it"})
+        return json_reply(200, {})
+
+    @answers("DELETE", Path.NODES)
+    async def goodbye(self, call: Call) -> Reply:
+        """A node leaves."""
+        gone = Node(call.rest, GOODBYE_SEQUENCE, "", "", "", "", 0, NodeState.GONE)
+        if not await self._reporting.take(gone):
+            return json_reply(503, {ERROR: "no other coordinator confirmed it"})
+        self._log.info("node_left", node=call.rest)
+        return json_reply(200, {})
+
+
+def read_heartbeat(incarnation: str, body: bytes, regions: dict[str, str]) -> Node | Refusal:
+    """The node that a heartbeat describes."""
+    try:
+        told = json.loads(body)
+    except ValueError:
+        return Refusal("the body is not JSON")
+    if not isinstance(told, dict):
+        return Refusal("the body is not an object")
+    findings = Findings()
+    service = _text(told, Heartbeat.SERVICE, findings)
+    address = _text(told, Heartbeat.ADDRESS, findings)
+    zone = _text(told, Heartbeat.ZONE, findings)
+    state = _STATES.get(str(told.get(Heartbeat.STATE)))
+    if state is None:
+        findings.add(Heartbeat.STATE, "neither accepting nor closing")
+    if zone and zone not in regions:
+        findings.add(Heartbeat.ZONE, f"unknown zone {zone!r}")
+    if address:
+        try:
+            parse_address(address)
+        except ValueError as problem:
+            findings.add(Heartbeat.ADDRESS, str(problem))
+    sequence = _number(told, Heartbeat.SEQUENCE, findings)
+    slots = _number(told, Heartbeat.SLOTS, findings)
+    cold_left_ms = _number(told, Heartbeat.COLD_LEFT_MS, findings)
+    leaves_in_ms = _number(told, Heartbeat.LEAVES_IN_MS, findings)
+    if findings or state is None:
+        return Refusal(str(findings), tuple(findings))
+    return Node(
+        incarnation, int(sequence), service, address, zone, regions[zone], int(slots), state, cold_left_ms, leaves_in_ms
+    )
+
+
+def _text(told: dict[str, Any], name: str, findings: Findings) -> str:
+    value = told.get(name)
+    if not isinstance(value, str) or not value:
+        findings.add(name, "not a text")
+        return ""
+    return value
+
+
+def _number(told: dict[str, Any], name: str, findings: Findings) -> float:
+    value = told.get(name, 0)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < 1e15:
+        findings.add(name, "not a number")
+        return 0.0
+    return float(value)
--- /dev/null
+++ b/coveport/system/coordinator/operator_calls.py
@@ -0,0 +1,113 @@
+"""What operators call: the configuration, zone evacuations, and the state of the core.
+
+Changes are made by the primary; any other coordinator sends the caller there (307), and waits a moment for one while a new
+primary takes over. Whatever is answered here was confirmed by the core: a refusal too, since one that lost
+touch could refuse what has long been taken.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Protocol
+
+from coveport.net.address import parse_address
+from coveport.system.configuration.commands import (
+    EndEvacuation,
+    PatchConfiguration,
+    PutConfiguration,
+    StartEvacuation,
+    encode_command,
+)
+from coveport.system.web.calls import Call, Reply, answers, json_reply
+from coveport.system.wire.names import ERROR, Header, Path
+
+NOT_READY = 503
+_SENT_ON = 307
+
+
+class ControlPlane(Protocol):
+    """What the handlers need of the core."""
+
+    async def submit(self, command: bytes) -> Reply:
+        """Run a command at the primary; its answer."""
+
+    async def read_configuration(self) -> Reply:
+        """The newest configuration as the core confirms it."""
+
+    async def primary_elsewhere(self) -> str | None:
+        """The inner address of the primary if that is another; None: it is this one, or nobody for now."""
+
+    def is_primary(self) -> bool:
+        """Whether this one is."""
+
+    def describe(self) -> dict[str, Any]:
+        """The core, nodes and proxies, for people."""
+
+
+class OperatorCalls:
+    """Handlers of the operators' calls."""
+
+    def __init__(self, control: ControlPlane, control_port: int, zones: frozenset[str]) -> None:
+        self._control, self._port, self._zones = control, control_port, zones
+
+    @answers("PUT", Path.CONFIG)
+    async def put(self, call: Call) -> Reply:
+        """A whole configuration."""
+        if_match = _if_match(call)
+        if isinstance(if_match, Reply):
+            return if_match
+        return await self._change(call, encode_command(PutConfiguration(if_match, call.body)))
+
+    @answers("PATCH", Path.CONFIG)
+    async def patch(self, call: Call) -> Reply:
+        """Changes to named items."""
+        if_match = _if_match(call)
+        if isinstance(if_match, Reply):
+            return if_match
+        return await self._change(call, encode_command(PatchConfiguration(if_match, call.body)))
+
+    @answers("GET", Path.CONFIG)
+    async def get(self, call: Call) -> Reply:
+        """The newest configuration in whole."""
+        elsewhere = await self._control.primary_elsewhere()
+        if elsewhere is not None:
+            return self._sent_on(call, elsewhere)
+        return await self._control.read_configuration()
+
+    @answers("POST", Path.EVACUATION)
+    async def evacuate(self, call: Call) -> Reply:
+        """Nothing more is to be sent to a zone's nodes."""
+        if call.rest not in self._zones:
+            return json_reply(404, {ERROR: f"unknown zone {call.rest!r}"})
+        return await self._change(call, encode_command(StartEvacuation(call.rest)))
+
+    @answers("DELETE", Path.EVACUATION)
+    async def end_evacuation(self, call: Call) -> Reply:
+        """A zone's nodes may be used again."""
+        if call.rest not in self._zones:
+            return json_reply(404, {ERROR: f"unknown zone {call.rest!r}"})
+        return await self._change(call, encode_command(EndEvacuation(call.rest)))
+
+    @answers("GET", Path.STATUS)
+    async def status(self, call: Call) -> Reply:
+        """The state of the core as this coordinator sees it."""
+        return json_reply(200, self._control.describe())
+
+    async def _change(self, call: Call, command: bytes) -> Reply:
+        elsewhere = await self._control.primary_elsewhere()
+        if elsewhere is not None:
+            return self._sent_on(call, elsewhere)
+        return await self._control.submit(command)
+
+    def _sent_on(self, call: Call, inner_address: str) -> Reply:
+        host, _ = parse_address(inner_address)
+        return Reply(_SENT_ON, b"", (("Location", f"http://{host}:{self._port}{call.path}"),))
+
+
+def _if_match(call: Call) -> int | None | Reply:
+    told = call.header(Header.IF_MATCH)
+    if told is None:
+        return None
+    told = told.strip().strip('"')
+    if not (told.isascii() and told.isdigit()):
+        return json_reply(400, {ERROR: "If-Match is not a number"})
+    return int(told)
--- /dev/null
+++ b/coveport/system/coordinator/process.py
@@ -0,0 +1,266 @@
+"""One coordinator, wired: replication core, node table, leases, subscriptions, calls, signals."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+from coveport.net.transport import Net
+from coveport.system.configuration.state import encode_state, initial_state
+from coveport.system.coordinator.control import STATE_CODE, Control
+from coveport.system.coordinator.core import CoreHooks, CoreRuntime
+from coveport.system.coordinator.lookup_calls import LookupCalls
+from coveport.system.coordinator.node_calls import NodeCalls
+from coveport.system.coordinator.operator_calls import OperatorCalls
+from coveport.system.coordinator.peers import Peers
+from coveport.system.coordinator.reports import NodeReporting
+from coveport.system.coordinator.standing import CoordinatorStanding
+from coveport.system.coordinator.subscriptions import StateHistory, Subscriptions
+from coveport.system.log import make_log
+from coveport.system.membership.leases import LeaseTable
+from coveport.system.membership.node_table import NodeTable
+from coveport.system.model.findings import Refusal
+from coveport.system.replication.events import CommittedState
+from coveport.system.replication.identity import MemberId, Place
+from coveport.system.replication.member import CoreMember
+from coveport.system.settings.boot import BootSettings
+from coveport.system.settings.reader import read_boot_settings
+from coveport.system.storage.opening import Opened, open_storage
+from coveport.system.web.calls import CallTable
+from coveport.system.web.server import CallServer
+from coveport.system.wire.connection import Connection
+from coveport.system.wire.messages import (
+    Hello,
+    LeasesRenewed,
+    Message,
+    NodeReports,
+    NodeReportsTaken,
+    TableRequest,
+    UpdateRequest,
+)
+
+WRONG_SETTINGS = 2  # exit code
+TEND_S = 0.1  # how often connections, leases and silence are looked at
+SHARE_LEASES_S = 0.5
+SILENT_HEARTBEATS = 4.5  # a node that missed so many is taken for gone
+HAND_OVER_S = 0.4  # time that a stop leaves for another primary to take over
+ACCEPT_MOST, WAITING_MOST = 64, 1024
+
+
+class Coordinator:
+    """One coordinator's life."""
+
+    def __init__(
+        self, net: Net, settings: BootSettings, opened: Opened, chance: random.Random, log: Any
+    ) -> None:
+        self._net, self._settings, self._log = net, settings, log
+        host, port = settings.inner
+        self._address = f"{host}:{port}"
+        self._member_id = MemberId(self._address, opened.durable.disk or f"{chance.getrandbits(64):016x}")
+        seeds = tuple(f"{seed}:{port}" for seed, _ in settings.seeds)
+        self._hello = Hello(self._address, self._member_id.disk)
+        self.table = NodeTable(SILENT_HEARTBEATS * settings.heartbeat_ms / 1000)
+        self.leases = LeaseTable()
+        self.history = StateHistory()
+        self._peers = Peers(net, self._hello, self._peer_said, self._peer_connected)
+        self._member = CoreMember(
+            self._member_id,
+            Place(settings.zone, settings.region),
+            seeds,
+            settings.tolerated.machines,
+            settings.first_boot,
+            opened.durable,
+            STATE_CODE,
+            chance.random,
+            encode_state(initial_state()),
+        )
+        hooks = CoreHooks(self._peers.send, self._committed, self._stalled)
+        self.core = CoreRuntime(net, self._member, opened.writer, hooks, log)
+        settle_s = 2.5 * settings.heartbeat_ms / 1000
+        self.standing = CoordinatorStanding(
+            net.now_s, lambda: self._member.has_quorum(net.now_s()), settle_s, self._known_coordinators
+        )
+        self.subscriptions = Subscriptions(
+            net, self.table, f"{chance.getrandbits(64):016x}", self.leases, self.history, self.standing,
+            self._share_leases,
+        )
+        copies = min(settings.tolerated.machines, max(0, len(seeds) - 1))
+        self._reporting = NodeReporting(
+            net, self.table, self._peers.send, self._peers.live, copies, self.subscriptions.news
+        )
+        self._servers = self._make_servers()
+        self._listening: Any = None
+        self._tending: asyncio.TimerHandle | None = None
+        self._leases_shared_s = 0.0
+
+    def _make_servers(self) -> list[CallServer]:
+        settings = self._settings
+        servers = []
+        if settings.control is not None:
+            control = Control(self._net, self.core, self.describe)
+            operators = OperatorCalls(control, settings.control[1], frozenset(settings.regions))
+            nodes = NodeCalls(self._reporting, self.table, settings.regions, self._log)
+            servers.append(CallServer(self._net, settings.control, CallTable(operators, nodes).answer))
+        if settings.lookups is not None:
+            lookups = LookupCalls(self.leases, self._net.now_s, self.standing.is_connected)
+            servers.append(CallServer(self._net, settings.lookups, CallTable(lookups).answer))
+        return servers
+
+    async def start(self) -> None:
+        """Listen, and take part in the core."""
+        self._listening = await self._net.listen(
+            lambda: Connection(self._net, self._came, self._ended),
+            self._settings.inner,
+            accept_most=ACCEPT_MOST,
+            waiting_most=WAITING_MOST,
+        )
+        self.core.start()
+        for server in self._servers:
+            await server.start()
+        self._tend()
+        self._log.info("coordinator_started", name=self._settings.name, zone=self._settings.zone)
+
+    async def stop(self) -> None:
+        """The planned end: another leads, callers are answered."""
+        self._log.info("coordinator_stopping")
+        self.core.hand_over()
+        await asyncio.sleep(HAND_OVER_S)
+        for server in self._servers:
+            server.stop()
+        self._listening.close()
+        self.core.stop()
+        self._peers.close()
+        if self._tending is not None:
+            self._tending.cancel()
+
+    def describe(self) -> dict[str, Any]:
+        """The core, proxies and nodes for people and scripts."""
+        now = self._net.now_s()
+        return {
+            "name": self._settings.name,
+            "core": self._member.describe(),
+            "connected": self.standing.is_connected(),
+            "state_sequence": self.history.sequence,
+            "coordinators": list(self._known_coordinators()),
+            "proxies": [
+                {"name": lease.name, "address": lease.address, "zone": lease.zone, "ready": lease.ready}
+                for lease in self.leases.live(now)
+            ],
+            "nodes": [
+                {
+                    "incarnation": entry.node.incarnation,
+                    "service": entry.node.service,
+                    "address": entry.node.address,
+                    "zone": entry.node.zone,
+                    "state": entry.node.state.value,
+                    "silent_s": round(now - entry.heard_at_s, 2),
+                }
+                for entry in self.table.entries()
+            ],
+        }
+
+    def _known_coordinators(self) -> tuple[str, ...]:
+        return tuple(self._member.known_coordinators)
+
+    def _came(self, connection: Connection, message: Message) -> None:
+        match message:
+            case Hello():
+                connection.peer = message
+            case UpdateRequest():
+                self.subscriptions.ask(connection, message)
+            case _ if isinstance(connection.peer, Hello):
+                self._peers.heard(connection.peer, message)
+
+    def _ended(self, connection: Connection) -> None:
+        self.subscriptions.ended(connection)
+
+    def _peer_said(self, hello: Hello, message: Message) -> None:
+        match message:
+            case NodeReports():
+                self._reporting.passed_on(hello.address, message)
+            case NodeReportsTaken():
+                self._reporting.taken(hello.address, message)
+            case LeasesRenewed():
+                for lease in message.leases:
+                    self.leases.renew(lease, self._net.now_s(), here=False)
+            case TableRequest():
+                self._reporting.tell_all(hello.address)
+                self._tell_leases(hello.address)
+            case _:
+                self.core.receive(MemberId(hello.address, hello.disk), message)
+
+    def _peer_connected(self, address: str) -> None:
+        self._peers.send(address, TableRequest())
+
+    def _committed(self, effect: CommittedState) -> None:
+        self.history.advance(effect.sequence, encode_state(effect.state), None)
+        self.subscriptions.news()
+
+    def _stalled(self, late_s: float) -> None:
+        """This process stood still: what waits in its connections may be stale, and silence says nothing."""
+        self.standing.stalled()
+        self.table.forgive(self._net.now_s())
+        for server in self._servers:
+            server.reset_all()
+        for address in self._peers.live(within_s=late_s + 5.0):
+            self._peers.send(address, TableRequest())
+
+    def _tend(self) -> None:
+        self._tending = self._net.loop.call_later(TEND_S, self._tend)
+        now = self._net.now_s()
+        was_connected = self.standing.is_connected()
+        self.standing.look()
+        if not self.standing.is_connected():
+            self.table.forgive(now)
+            if was_connected:
+                self.subscriptions.news()
+        for incarnation in self.table.expire(now):
+            self._log.warning("node_silent", node=incarnation)
+            self.subscriptions.news()
+        self.leases.expire(now)
+        self._peers.keep(self._member.known_coordinators)
+        self._peers.tend()
+        if now - self._leases_shared_s >= SHARE_LEASES_S:
+            self._share_leases()
+
+    def _share_leases(self) -> None:
+        since, self._leases_shared_s = self._leases_shared_s, self._net.now_s()
+        leases = tuple(self.leases.renewed_here_since(since))
+        if leases:
+            for address in self._peers.live():
+                self._peers.send(address, LeasesRenewed(leases))
+
+    def _tell_leases(self, address: str) -> None:
+        leases = tuple(self.leases.live(self._net.now_s()))
+        if leases:
+            self._peers.send(address, LeasesRenewed(leases))
+
+
+def run(settings_path: str) -> int:
+    """Run a coordinator until it is told to stop; the exit code."""
+    settings = read_boot_settings(settings_path)
+    if isinstance(settings, Refusal):
+        for finding in settings.findings:
+            print(f"coveport: settings: {finding}", file=sys.stderr)
+        return WRONG_SETTINGS
+    asyncio.run(_run(settings))
+    return 0
+
+
+async def _run(settings: BootSettings) -> None:
+    loop = asyncio.get_running_loop()
+    net = Net(loop)
+    log = make_log(net.now_s)
+    opened = open_storage(Path(settings.data_dir) if settings.data_dir else None, loop.call_soon_threadsafe)
+    coordinator = Coordinator(net, settings, opened, random.Random(), log)
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: log.info("settings_changed"))
+    await coordinator.start()
+    await stopping.wait()
+    await coordinator.stop()
--- /dev/null
+++ b/coveport/system/membership/leases.py
@@ -0,0 +1,72 @@
+"""Leases of proxies: a proxy is a member while it renews, by asking any coordinator for updates.
+
+Coordinators tell each other the leases they renewed. `proxies_at_most` counts also the proxies whose lease ended a while ago:
+one that is cut off still spends its share of the budgets that all proxies have together.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+LEASE_S = 2.0  # after its last renewal a proxy is no longer named to clients
+COUNTED_S = 30.0  # ... and so long after it, its share of the budgets is still set aside
+
+
+@dataclass(frozen=True, slots=True)
+class ProxyLease:
+    """What a proxy says of itself when it renews."""
+
+    name: str  # its machine's
+    address: str  # ip:port where clients call
+    zone: str
+    region: str
+    ready: bool  # whether clients may be sent there
+    round: int  # rises with every renewal of one life of the process
+    life: int  # rises with every start of the process: Unix milliseconds
+
+
+@dataclass(slots=True)
+class _Held:
+    lease: ProxyLease
+    renewed_at_s: float
+    renewed_here: bool
+
+
+class LeaseTable:
+    """All leases that are known."""
+
+    def __init__(self) -> None:
+        self._held: dict[str, _Held] = {}  # by address
+
+    def renew(self, lease: ProxyLease, now_s: float, here: bool) -> bool:
+        """Take a renewal, made here or told by another coordinator; whether it changes what clients are told."""
+        known = self._held.get(lease.address)
+        if known is not None and (lease.life, lease.round) <= (known.lease.life, known.lease.round):
+            return False
+        self._held[lease.address] = _Held(lease, now_s, here)
+        return known is None or known.lease.ready != lease.ready
+
+    def expire(self, now_s: float) -> None:
+        """Forget who left long ago."""
+        for address in [name for name, held in self._held.items() if now_s - held.renewed_at_s > COUNTED_S]:
+            del self._held[address]
+
+    def live(self, now_s: float) -> list[ProxyLease]:
+        """Proxies that are members now."""
+        return [held.lease for held in self._held.values() if now_s - held.renewed_at_s <= LEASE_S]
+
+    def renewed_here_since(self, since_s: float) -> Iterable[ProxyLease]:
+        """Leases renewed at this coordinator since then, to tell the others."""
+        return (held.lease for held in self._held.values() if held.renewed_here and held.renewed_at_s > since_s)
+
+    def proxies_at_most(self) -> int:
+        """How many proxies there may be."""
+        return len(self._held)
+
+    def addresses_for(self, zone: str, region: str, most: int, now_s: float) -> list[str]:
+        """Where clients of a zone are to go: the nearest group with a ready proxy."""
+        ready = [lease for lease in self.live(now_s) if lease.ready]
+        same_zone = [lease.address for lease in ready if lease.zone == zone]
+        same_region = [lease.address for lease in ready if lease.region == region]
+        return sorted(same_zone or same_region or [lease.address for lease in ready])[:most]
--- /dev/null
+++ b/coveport/system/membership/node_table.py
@@ -0,0 +1,141 @@
+"""The table of nodes that a coordinator keeps: what heartbeats say, merged by incarnation and sequence number.
+
+Every coordinator takes heartbeats and passes them on to the others, so no coordinator owns the table: of two reports on an
+incarnation the newer one wins, and `closing` is never undone. Each change gets a revision of this table; who asks with
+the revision that it has is told what changed since. Silence removes a node only while this coordinator itself has been
+able to hear (see `forgive`), and a later heartbeat brings it back; a goodbye leaves a tombstone, and nothing does.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from coveport.system.model.node import Node, NodeState
+
+COLD_CHANGE_S = 0.3  # by so much another end of a warm-up counts as news
+TOMBSTONE_S = 60.0  # how long it is remembered that an incarnation is gone
+REMOVALS_KEPT = 4096  # further back a whole table is sent in place of differences
+
+
+@dataclass(slots=True)
+class NodeEntry:
+    """One incarnation, on this coordinator's clock."""
+
+    node: Node
+    heard_at_s: float
+    cold_until_s: float
+    leaves_at_s: float  # 0.0: not told
+    revision: int
+
+    def as_told_at(self, now_s: float) -> Node:
+        """The node with its remaining times counted from now."""
+        cold_left_ms = max(0.0, self.cold_until_s - now_s) * 1000
+        leaves_in_ms = max(1.0, (self.leaves_at_s - now_s) * 1000) if self.leaves_at_s else 0.0
+        return replace(self.node, cold_left_ms=cold_left_ms, leaves_in_ms=leaves_in_ms)
+
+
+@dataclass(frozen=True, slots=True)
+class TableChanges:
+    """What changed since some revision; `whole`: these are all nodes there are."""
+
+    revision: int
+    whole: bool
+    nodes: tuple[Node, ...]
+    removed: tuple[str, ...]  # incarnations
+
+
+class NodeTable:
+    """All nodes that are known."""
+
+    def __init__(self, silence_s: float) -> None:
+        """`silence_s`: a node that was not heard for so long is removed."""
+        self._silence_s = silence_s
+        self._entries: dict[str, NodeEntry] = {}
+        self._tombstones: dict[str, float] = {}  # incarnation: when it is forgotten
+        self._removals: list[tuple[int, str]] = []  # revision, incarnation
+        self._removals_from = 0  # differences can be told from this revision on
+        self.revision = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __contains__(self, incarnation: object) -> bool:
+        return incarnation in self._entries
+
+    def entries(self) -> Iterable[NodeEntry]:
+        """All entries."""
+        return self._entries.values()
+
+    def hear(self, node: Node, now_s: float) -> bool:
+        """Take a report on a node, first-hand or passed on; whether it is news that others must know at once."""
+        if node.incarnation in self._tombstones:
+            return False
+        known = self._entries.get(node.incarnation)
+        if node.state is NodeState.GONE:
+            self._tombstones[node.incarnation] = now_s + TOMBSTONE_S
+            if known is not None:
+                self._remove(node.incarnation)
+            return True
+        if known is not None and not node.is_newer_than(known.node):
+            return False
+        cold_until_s = now_s + node.cold_left_ms / 1000 if node.cold_left_ms > 0 else 0.0
+        leaves_at_s = now_s + node.leaves_in_ms / 1000 if node.leaves_in_ms > 0 else 0.0
+        entry = NodeEntry(node, now_s, cold_until_s, leaves_at_s, 0)
+        is_news = known is None or _differs(known, entry)
+        if is_news:
+            self.revision += 1
+            entry.revision = self.revision
+        else:
+            assert known is not None
+            entry.revision, entry.cold_until_s = known.revision, known.cold_until_s
+        self._entries[node.incarnation] = entry
+        return is_news
+
+    def forgive(self, now_s: float) -> None:
+        """Silence up to now says nothing: this coordinator could not hear (it was frozen, cut off or just started)."""
+        for entry in self._entries.values():
+            entry.heard_at_s = max(entry.heard_at_s, now_s)
+
+    def expire(self, now_s: float) -> list[str]:
+        """Remove the silent ones and forget old tombstones; the incarnations that were removed."""
+        silent = [name for name, entry in self._entries.items() if now_s - entry.heard_at_s > self._silence_s]
+        for incarnation in silent:
+            self._remove(incarnation)
+        for incarnation in [name for name, until_s in self._tombstones.items() if now_s > until_s]:
+            del self._tombstones[incarnation]
+        return silent
+
+    def changes_since(self, revision: int, now_s: float) -> TableChanges:
+        """What changed after that revision; the whole table where that is no longer known, or for revision -1."""
+        if revision < self._removals_from or revision > self.revision:
+            nodes = tuple(entry.as_told_at(now_s) for entry in self._entries.values())
+            return TableChanges(self.revision, True, nodes, ())
+        changed = (entry for entry in self._entries.values() if entry.revision > revision)
+        nodes = tuple(entry.as_told_at(now_s) for entry in changed)
+        removed = tuple(name for at, name in self._removals if at > revision and name not in self._entries)
+        return TableChanges(self.revision, False, nodes, removed)
+
+    def _remove(self, incarnation: str) -> None:
+        del self._entries[incarnation]
+        self.revision += 1
+        self._removals.append((self.revision, incarnation))
+        if len(self._removals) > REMOVALS_KEPT:
+            dropped = self._removals.pop(0)
+            self._removals_from = dropped[0]
+
+
+def _differs(known: NodeEntry, entry: NodeEntry) -> bool:
+    """Whether a report says something that routing must know, beyond that the node lives."""
+    before, after = known.node, entry.node
+    if (before.state, before.address, before.service, before.slots) != (
+        after.state,
+        after.address,
+        after.service,
+        after.slots,
+    ):
+        return True
+    if bool(known.leaves_at_s) != bool(entry.leaves_at_s):
+        return True
+    # A warm-up that simply runs down is known; one that begins anew or ends otherwise is news.
+    return entry.cold_until_s > known.cold_until_s + COLD_CHANGE_S
--- /dev/null
+++ b/coveport/system/model/findings.py
@@ -0,0 +1,48 @@
+"""Faults found in something that was read, collected with their place and reported together."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One fault: where it stands (as a path such as `Routes[3].DeadlineMs`) and what is wrong."""
+
+    place: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.message}" if self.place else self.message
+
+
+@dataclass(slots=True)
+class Findings:
+    """All faults of one reading."""
+
+    found: list[Finding] = field(default_factory=list)
+
+    def add(self, place: str, message: str) -> None:
+        """Note a fault."""
+        self.found.append(Finding(place, message))
+
+    def __bool__(self) -> bool:
+        return bool(self.found)
+
+    def __iter__(self) -> Iterator[Finding]:
+        return iter(self.found)
+
+    def __str__(self) -> str:
+        return "\n".join(map(str, self.found))
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """In place of a result: why there is none. Returned, not raised, where refusing is an ordinary outcome."""
+
+    reason: str
+    findings: tuple[Finding, ...] = ()
+
+    def __bool__(self) -> bool:
+        return False
--- /dev/null
+++ b/coveport/system/model/node.py
@@ -0,0 +1,36 @@
+"""A node (a model server) as its heartbeats describe it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class NodeState(Enum):
+    """Whether a node takes new requests."""
+
+    ACCEPTING = "accepting"
+    CLOSING = "closing"  # serves what it has, takes nothing new; never undone within an incarnation
+    GONE = "gone"  # said goodbye, or was silent for too long
+
+
+@dataclass(frozen=True, slots=True)
+class Node:
+    """One incarnation of a node."""
+
+    incarnation: str  # its InstanceId: new at every start
+    sequence: int  # of the heartbeat that said this; the highest wins
+    service: str
+    address: str  # ip:port
+    zone: str
+    region: str
+    slots: int  # requests that it runs at once
+    state: NodeState
+    cold_left_ms: float = 0.0  # how much longer it is cold, counted from when this was received
+    leaves_in_ms: float = 0.0  # 0: not told; else it is gone after that, whatever it runs
+
+    def is_newer_than(self, other: Node) -> bool:
+        """Whether this replaces what `other`, of the same incarnation, says."""
+        order = (NodeState.ACCEPTING, NodeState.CLOSING, NodeState.GONE)
+        rank, other_rank = order.index(self.state), order.index(other.state)
+        return rank > other_rank or (rank == other_rank and self.sequence > other.sequence)
--- /dev/null
+++ b/coveport/system/proxy/process.py
@@ -0,0 +1,133 @@
+"""One proxy, wired: subscription, data path, readiness, signals."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import sys
+from typing import Any
+
+from coveport.net.transport import Net
+from coveport.system.log import make_log
+from coveport.system.membership.leases import ProxyLease
+from coveport.system.model.findings import Refusal
+from coveport.system.model.view import ControlView
+from coveport.system.proxy.data_path import DataPath
+from coveport.system.proxy.readiness import ReadinessCalls
+from coveport.system.proxy.subscription import Subscription
+from coveport.system.settings.boot import BootSettings
+from coveport.system.settings.reader import read_boot_settings
+from coveport.system.web.calls import CallTable
+from coveport.system.web.server import CallServer
+
+WRONG_SETTINGS = 2  # exit code
+STOP_PART = 0.9  # of the time that the platform grants a stop
+FIGURES_S = 10.0  # between two log lines of figures
+
+
+class Proxy:
+    """One proxy's life."""
+
+    def __init__(self, net: Net, settings: BootSettings, chance: random.Random, log: Any) -> None:
+        assert settings.clients is not None
+        self._net, self._settings, self._log = net, settings, log
+        self.view = ControlView()
+        self.data_path = DataPath(net, settings, self.view, log, chance)
+        self._life = int(net.unix_s() * 1000)
+        seeds = [f"{host}:{settings.inner_ports[0]}" for host, _ in settings.seeds]
+        chance.shuffle(seeds)
+        self.subscription = Subscription(net, self.view, tuple(seeds), self._make_lease, log, chance)
+        self._readiness: CallServer | None = None
+        if settings.readiness is not None:
+            calls = CallTable(ReadinessCalls(self.is_ready))
+            self._readiness = CallServer(net, settings.readiness, calls.answer)
+        self._is_serving = False
+        self._is_stopping = False
+        self._figures: asyncio.TimerHandle | None = None
+        self._starting: asyncio.Task[None] | None = None
+
+    def is_ready(self) -> bool:
+        """Whether clients are welcome."""
+        return self._is_serving and not self._is_stopping and bool(self.view.nodes)
+
+    async def start(self) -> None:
+        """Ask for the configuration, and serve once it is there."""
+        self.view.listeners.append(self._view_changed)
+        if self._readiness is not None:
+            await self._readiness.start()
+        self.subscription.start()
+        self._tell_figures()
+        self._log.info("proxy_started", name=self._settings.name, zone=self._settings.zone)
+
+    async def stop(self) -> None:
+        """The planned end: nothing new, everything taken is answered."""
+        self._is_stopping = True
+        self._log.info("proxy_stopping", **self.data_path.figures())
+        until_s = self._net.now_s() + self._settings.bounds.grace_s * STOP_PART
+        if self._is_serving:
+            await self.data_path.drain(until_s)
+        self.subscription.stop()
+        if self._readiness is not None:
+            self._readiness.stop()
+        if self._figures is not None:
+            self._figures.cancel()
+        self._log.info("proxy_stopped", **self.data_path.figures())
+
+    def _view_changed(self) -> None:
+        if (
+            self._is_serving
+            or self._starting is not None
+            or self.view.configuration is None
+            or not self.view.nodes
+        ):
+            return
+        self._starting = self._net.loop.create_task(self._serve())
+
+    async def _serve(self) -> None:
+        await self.data_path.start()
+        self._is_serving = True
+        self._log.info("proxy_serving", nodes=len(self.view.nodes))
+
+    def _make_lease(self, round_number: int) -> ProxyLease:
+        settings = self._settings
+        assert settings.clients is not None
+        host, port = settings.clients
+        return ProxyLease(
+            name=settings.name,
+            address=f"{host}:{port}",
+            zone=settings.zone,
+            region=settings.region,
+            ready=self.is_ready(),
+            round=round_number,
+            life=self._life,
+        )
+
+    def _tell_figures(self) -> None:
+        self._figures = self._net.loop.call_later(FIGURES_S, self._tell_figures)
+        self._log.info("figures", **self.data_path.figures())
+
+
+def run(settings_path: str) -> int:
+    """Run a proxy until it is told to stop; the exit code."""
+    settings = read_boot_settings(settings_path)
+    if isinstance(settings, Refusal):
+        for finding in settings.findings:
+            print(f"coveport: settings: {finding}", file=sys.stderr)
+        return WRONG_SETTINGS
+    asyncio.run(_run(settings))
+    return 0
+
+
+async def _run(settings: BootSettings) -> None:
+    loop = asyncio.get_running_loop()
+    net = Net(loop)
+    log = make_log(net.now_s)
+    proxy = Proxy(net, settings, random.Random(), log)
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: log.info("settings_changed"))
+    await proxy.start()
+    await stopping.wait()
+    await proxy.stop()
--- /dev/null
+++ b/coveport/system/proxy/subscription.py
@@ -0,0 +1,232 @@
+"""Keeps the proxy's view: asks a coordinator with the versions it has, and goes to another when that one fails.
+
+The asking renews the proxy's lease. The view never goes back: states are taken by rising sequence, reports on nodes by
+incarnation and sequence number. When nobody answers, the proxy serves on with what it has.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from math import inf
+from typing import Any
+
+from coveport.net.address import parse_address
+from coveport.net.transport import Net
+from coveport.system.configuration.reader import read_configuration
+from coveport.system.configuration.state import Applied, ControlState, apply, decode_state, initial_state
+from coveport.system.membership.leases import ProxyLease
+from coveport.system.model.findings import Refusal
+from coveport.system.model.node import Node, NodeState
+from coveport.system.model.view import ControlView, KnownNode
+from coveport.system.wire.connection import Connection, connect
+from coveport.system.wire.messages import Message, StateChange, Update, UpdateRequest
+
+CONNECT_S = 0.5
+ANSWER_S = 1.2  # a coordinator that has not answered by then is left
+PAUSE_S = 0.1  # before another one is tried, growing ...
+PAUSE_MOST_S = 0.5
+TOMBSTONES_MOST = 4096
+PROXIES_UNKNOWN = 32  # assumed until a coordinator has told how many there may be
+
+
+class Subscription:
+    """One proxy's asking."""
+
+    def __init__(
+        self,
+        net: Net,
+        view: ControlView,
+        seeds: tuple[str, ...],
+        make_lease: Callable[[int], ProxyLease],
+        log: Any,
+        chance: random.Random,
+    ) -> None:
+        """`seeds`: inner addresses to begin with, the nearest first. `make_lease`: the lease for a round."""
+        self._net, self._view, self._make_lease, self._log, self._chance = net, view, make_lease, log, chance
+        self._seeds = seeds
+        self._coordinators: tuple[str, ...] = ()
+        self._state: ControlState = initial_state()
+        self._sequence = -1
+        self._table, self._node_revision = "", -1
+        self._is_table_confirmed = (
+            False  # a settled coordinator has told the whole table since we asked there
+        )
+        self._gone: dict[str, None] = {}  # incarnations that are gone for good, the oldest first
+        self._answers: asyncio.Queue[Update] = asyncio.Queue()
+        self._round = 0
+        self._task: asyncio.Task[None] | None = None
+        self.answered_at_s = -inf  # when a coordinator in touch with the core last answered
+        view.proxies_at_most = PROXIES_UNKNOWN
+        self._proxies_known = 0
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self._task = self._net.loop.create_task(self._run())
+
+    def stop(self) -> None:
+        """Ask no more; the lease runs out."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        pause_s = PAUSE_S
+        refused: set[str] = set()
+        while True:
+            for address in self._order(refused):
+                before = self.answered_at_s
+                connection = await connect(self._net, parse_address(address), self._came, CONNECT_S)
+                if connection is not None:
+                    await self._ask_on(connection, address)
+                    connection.drop()
+                if self.answered_at_s > before:
+                    refused, pause_s = {address}, PAUSE_S
+                    break
+            else:
+                refused = set()
+            await asyncio.sleep(pause_s * self._chance.uniform(0.5, 1.5))
+            pause_s = min(2 * pause_s, PAUSE_MOST_S)
+
+    def _order(self, refused: set[str]) -> list[str]:
+        """Coordinators to try: the seeds' order first (near ones), the one that was just left last."""
+        known = [*self._seeds, *self._coordinators]
+        unique = list(dict.fromkeys(known))
+        return [one for one in unique if one not in refused] + [one for one in unique if one in refused]
+
+    async def _ask_on(self, connection: Connection, address: str) -> None:
+        """Ask on one connection until it fails or its coordinator has lost touch."""
+        while not self._answers.empty():
+            self._answers.get_nowait()
+        while connection.is_open:
+            self._round += 1
+            connection.send(
+                UpdateRequest(
+                    self._make_lease(self._round),
+                    self._table,
+                    self._node_revision,
+                    self._sequence,
+                    self._round,
+                )
+            )
+            try:
+                async with asyncio.timeout(ANSWER_S):
+                    update = await self._next_answer()
+            except TimeoutError:
+                self._log.warning("coordinator_silent", coordinator=address)
+                return
+            self._take(update)
+            if not update.connected:
+                self._log.warning("coordinator_out_of_touch", coordinator=address)
+                return
+
+    async def _next_answer(self) -> Update:
+        while True:
+            update = await self._answers.get()
+            if update.round == self._round:
+                return update
+
+    def _came(self, connection: Connection, message: Message) -> None:
+        if isinstance(message, Update):
+            self._answers.put_nowait(message)
+
+    def _take(self, update: Update) -> None:
+        now = self._net.now_s()
+        if update.connected:
+            self.answered_at_s = now
+        if update.coordinators:
+            self._coordinators = update.coordinators
+        changed = self._take_state(update, now)
+        changed |= self._take_nodes(update, now)
+        self._take_proxy_count(update)
+        if changed:
+            self._view.changed()
+
+    def _take_proxy_count(self, update: Update) -> None:
+        """The count never falls while this proxy lives: others may be cut off and spend their share."""
+        if update.proxies_at_most > self._proxies_known:
+            self._proxies_known = update.proxies_at_most
+            self._view.proxies_at_most = update.proxies_at_most
+
+    def _take_state(self, update: Update, now: float) -> bool:
+        if update.state_sequence <= self._sequence:
+            return False
+        state = decode_state(update.state) if update.state is not None else self._replay(update.changes)
+        if state is None:
+            self._sequence = -1 if self._view.configuration is None else self._sequence
+            return False
+        before, self._state, self._sequence = self._state, state, update.state_sequence
+        self._use(before, state, now)
+        return True
+
+    def _replay(self, changes: tuple[StateChange, ...]) -> ControlState | None:
+        state = self._state
+        for change in changes:
+            applied = apply(state, change.command)
+            if not isinstance(applied, Applied):
+                self._log.error("change_not_applied", sequence=change.sequence)
+                return None
+            state = applied.state
+        return state
+
+    def _use(self, before: ControlState, state: ControlState, now: float) -> None:
+        """Put a newer acknowledged state in force."""
+        for zone in before.evacuated - state.evacuated:
+            self._view.evacuation_ended_at_s[zone] = now
+        self._view.evacuated_zones = state.evacuated
+        if state.edition == before.edition or state.configuration_text is None:
+            return
+        configuration = read_configuration(state.configuration_text)
+        if isinstance(configuration, Refusal):
+            self._log.error("configuration_unreadable", edition=state.edition, reason=configuration.reason)
+            return
+        self._view.configuration = configuration
+        self._log.info("configuration_in_force", edition=state.edition, sequence=self._sequence)
+
+    def _take_nodes(self, update: Update, now: float) -> bool:
+        before = self._view.nodes
+        nodes = before
+        for node in update.nodes:
+            if node.incarnation in self._gone:
+                continue
+            known = nodes.get(node.incarnation)
+            is_same_report = known is not None and known.node.sequence == node.sequence
+            if known is None or node.is_newer_than(known.node) or is_same_report:
+                nodes = nodes.set(node.incarnation, _known(node, now, known))
+        for incarnation in update.removed:
+            nodes = self._remove(nodes, incarnation)
+        if update.whole_table and update.settled:
+            named = {node.incarnation for node in update.nodes}
+            for incarnation in [one for one in nodes if one not in named]:
+                nodes = nodes.delete(incarnation)
+        self._note_table(update)
+        self._view.nodes = nodes
+        return nodes is not before
+
+    def _note_table(self, update: Update) -> None:
+        """Which differences to ask for next; once a table has settled, the whole of it is asked for again."""
+        if update.table != self._table:
+            self._is_table_confirmed = False
+        self._table, self._node_revision = update.table, update.node_revision
+        if update.settled and not self._is_table_confirmed:
+            self._is_table_confirmed = update.whole_table
+            if not update.whole_table:
+                self._node_revision = -1
+
+    def _remove(self, nodes: Any, incarnation: str) -> Any:
+        known = nodes.get(incarnation)
+        if known is None:
+            return nodes
+        if known.node.state is NodeState.CLOSING:
+            self._gone[incarnation] = None  # it said that it leaves
+            if len(self._gone) > TOMBSTONES_MOST:
+                del self._gone[next(iter(self._gone))]
+        return nodes.delete(incarnation)
+
+
+def _known(node: Node, now: float, before: KnownNode | None) -> KnownNode:
+    cold_until_s = now + node.cold_left_ms / 1000 if node.cold_left_ms > 0 else 0.0
+    leaves_at_s = now + node.leaves_in_ms / 1000 if node.leaves_in_ms > 0 else inf
+    if before is not None:
+        leaves_at_s = min(leaves_at_s, before.leaves_at_s)
+    return KnownNode(node, now, cold_until_s, leaves_at_s)
--- /dev/null
+++ b/coveport/system/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The boot settings of a process: typed, checked whole."""
--- /dev/null
+++ b/coveport/system/wire/__init__.py
@@ -0,0 +1,1 @@
+"""What crosses sockets: the outside world's names, and the frames between our own processes."""
--- /dev/null
+++ b/coveport/system/wire/connection.py
@@ -0,0 +1,90 @@
+"""A connection between two of our processes: framed messages both ways."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from coveport.net.address import Address
+from coveport.net.transport import Net
+from coveport.system.wire.codec import MalformedMessageError
+from coveport.system.wire.frames import FrameReader, write_frame
+from coveport.system.wire.messages import CODEC, Message
+
+HELD_MOST = 16 * 1024 * 1024  # bytes unsent, beyond which further messages are dropped: the peer does not read
+
+Receiver = Callable[["Connection", Message], None]
+
+
+class Connection(asyncio.Protocol):
+    """One TCP connection; `on_message` is called for each message, `on_end` once at its end."""
+
+    def __init__(
+        self, net: Net, on_message: Receiver, on_end: Callable[[Connection], None] | None = None
+    ) -> None:
+        self._net, self._on_message, self._on_end = net, on_message, on_end
+        self._reader = FrameReader()
+        self._transport: asyncio.Transport | None = None
+        self.last_received_s = 0.0
+        self.peer: object = None  # whatever the user keeps with it
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can be sent."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self.last_received_s = self._net.now_s()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        if self._on_end is not None:
+            self._on_end(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.last_received_s = self._net.now_s()
+        try:
+            for payload in self._reader.feed(data):
+                self._on_message(self, CODEC.decode(payload))
+        except MalformedMessageError:
+            self.drop()
+
+    def send(self, message: Message) -> None:
+        """Send, or drop where the connection is over or the peer does not read."""
+        self.send_encoded(write_frame(CODEC.encode(message)))
+
+    def send_encoded(self, frame: bytes) -> None:
+        """Send a frame that was made already."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if transport.get_write_buffer_size() > HELD_MOST:
+            self.drop()
+            return
+        transport.write(frame)
+
+    def drop(self) -> None:
+        """End it at once."""
+        if self._transport is not None:
+            self._net.reset(self._transport)
+
+
+async def connect(net: Net, address: Address, on_message: Receiver, within_s: float,
+                  on_end: Callable[[Connection], None] | None = None) -> Connection | None:
+    """A new connection, or None where it did not come up in time."""
+    made: list[Connection] = []
+
+    def factory() -> Connection:
+        made.append(Connection(net, on_message, on_end))
+        return made[-1]
+
+    try:
+        async with asyncio.timeout(within_s):
+            await net.dial(factory, address)
+    except (OSError, TimeoutError):
+        for connection in made:
+            connection.drop()
+        return None
+    return made[-1]
--- /dev/null
+++ b/coveport/system/wire/messages.py
@@ -0,0 +1,98 @@
+"""Messages between our own processes, beside those of replication."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from coveport.system.membership.leases import ProxyLease
+from coveport.system.model.node import Node
+from coveport.system.replication.messages import MESSAGES as REPLICATION_MESSAGES
+from coveport.system.wire.codec import MessageCodec
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """First on every connection between coordinators: who dialed."""
+
+    address: str  # its inner address, ip:port
+    disk: str  # identity of its disk
+
+
+@dataclass(frozen=True, slots=True)
+class NodeReports:
+    """Reports on nodes, passed on by the coordinator that took them."""
+
+    confirm: int  # not 0: answer with `NodeReportsTaken` of this number
+    nodes: tuple[Node, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeReportsTaken:
+    """The reports of that number are in the sender's table."""
+
+    confirm: int
+
+
+@dataclass(frozen=True, slots=True)
+class TableRequest:
+    """Asks for the whole node table and all leases (after a start or a stall)."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeasesRenewed:
+    """Leases of proxies that were renewed at the sender lately."""
+
+    leases: tuple[ProxyLease, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class UpdateRequest:
+    """A proxy asks with the versions it has; this renews its lease."""
+
+    lease: ProxyLease
+    table: str  # identity of the node table that `node_revision` is of; empty: none
+    node_revision: int
+    state_sequence: int  # of the acknowledged state; -1: none
+    round: int
+
+
+@dataclass(frozen=True, slots=True)
+class StateChange:
+    """One committed command, to be applied to the state before it."""
+
+    sequence: int
+    command: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Update:
+    """The answer: what is newer, or nothing after a while."""
+
+    round: int
+    connected: bool  # the sender is in touch with a majority of the core; otherwise ask another
+    settled: bool  # ... and has been long enough to know every node
+    table: str
+    node_revision: int
+    whole_table: bool
+    nodes: tuple[Node, ...]
+    removed: tuple[str, ...]
+    state_sequence: int
+    state: bytes | None  # the whole acknowledged state
+    changes: tuple[StateChange, ...]  # or what led there from the sequence asked with
+    coordinators: tuple[str, ...]  # inner addresses
+    proxies_at_most: int  # 0: not known yet
+
+
+Message = object
+CODEC: MessageCodec[Message] = MessageCodec(
+    (
+        Hello,
+        NodeReports,
+        NodeReportsTaken,
+        TableRequest,
+        LeasesRenewed,
+        UpdateRequest,
+        Update,
+        *REPLICATION_MESSAGES,
+    )
+)
