--- a/coveport/lab/virtual/wires.py
+++ b/coveport/lab/virtual/wires.py
@@ -911,6 +911,9 @@
         assert isinstance(transport, Side)
         return transport.over
 
+    def bound_silence(self, transport: asyncio.Transport, milliseconds: int) -> None:
+        """Connections kept in memory know no acknowledgements."""
+
     def shut_down(self, transport: asyncio.Transport) -> None:
         """End both directions now."""
         assert isinstance(transport, Side)
--- a/coveport/net/transport.py
+++ b/coveport/net/transport.py
@@ -170,6 +170,18 @@
         with contextlib.suppress(OSError):
             transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
 
+    def bound_silence(self, transport: asyncio.Transport, milliseconds: int) -> None:
+        """Let a peer that acknowledges nothing for about so long count as gone; 0: as the system would."""
+        one = transport.get_extra_info("socket")
+        seconds = max(1, milliseconds // 2000)
+        with contextlib.suppress(OSError):
+            one.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, int(milliseconds > 0))
+            if milliseconds:
+                one.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, seconds)
+                one.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, seconds)
+                one.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
+
     def reset(self, transport: asyncio.Transport) -> None:
         """Close with a reset: what is on its way in either direction is lost."""
         with contextlib.suppress(OSError):
--- /dev/null
+++ b/coveport/system/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane: takes clients' requests and forwards them to nodes."""
--- /dev/null
+++ b/coveport/system/proxy/data_path.py
@@ -0,0 +1,177 @@
+"""The data path of a proxy: listens to clients, and forwards what they send."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import Any
+
+from coveport.http1 import codec
+from coveport.net.transport import Listening, Net
+from coveport.system.model.configuration import ClientLimits, Route
+from coveport.system.model.view import ControlView
+from coveport.system.proxy.admission import WaitingQueue
+from coveport.system.proxy.client_connection import ClientConnection
+from coveport.system.proxy.exchange import Exchange, Tools
+from coveport.system.proxy.headers import first
+from coveport.system.proxy.node_health import NodeHealth
+from coveport.system.proxy.node_pool import SWEEP_S, NodePool
+from coveport.system.proxy.retry_budget import RetryBudget
+from coveport.system.proxy.routing import RouteTable, choose_service
+from coveport.system.proxy.selection import NodeSelection
+from coveport.system.proxy.warm_up import WarmUpCredit
+from coveport.system.settings.boot import BootSettings
+from coveport.system.wire.names import Header
+
+ACCEPT_MOST = 64  # connections taken in one turn of the loop
+WAITING_MOST = 512  # connections that wait below
+LISTENS_ON_S = 1.0  # how long a draining proxy still takes connections of clients that have not heard
+LOOK_S = 0.05  # how often a drain looks whether all is answered
+LONGEST_S = 3600.0  # where neither client nor route gives a time
+
+
+class _Counters:
+    """Counts since the start."""
+
+    def __init__(self) -> None:
+        self.counts: dict[str, float] = {}
+
+    def add(self, name: str) -> None:
+        """One more."""
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+
+class DataPath:
+    """Everything between clients and nodes."""
+
+    def __init__(self, net: Net, settings: BootSettings, view: ControlView, log: Any, random: Random) -> None:
+        self._net, self._settings, self._view, self._log, self._random = net, settings, view, log, random
+        self._clients: set[ClientConnection] = set()
+        self._serving = 0
+        self._listening: Listening | None = None
+        self._sweep_timer: asyncio.TimerHandle | None = None
+        self._table: RouteTable | None = None
+        self._counters = _Counters()
+        bounds = settings.bounds
+        self._pool = NodePool(net, settings.region)
+        self._health = NodeHealth(random)
+        self._warm_up = WarmUpCredit(bounds.cold_overshoot, bounds.cold_slack, random)
+        selection = NodeSelection(view, settings.region, random, self._health, self._warm_up, self._pool)
+        budget = RetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
+        self._tools = Tools(net, view, random, self._pool, selection, budget, WaitingQueue(), self._counters)
+        self.is_draining = False
+
+    async def start(self) -> None:
+        """Begin to listen to clients; OSError where that can't be."""
+        assert self._settings.clients is not None
+        self._listening = await self._net.listen(
+            lambda: ClientConnection(self._net, self, self._limits),
+            self._settings.clients,
+            accept_most=ACCEPT_MOST,
+            waiting_most=WAITING_MOST,
+        )
+        self._sweep()
+
+    async def drain(self, until_s: float) -> None:
+        """Answer all that was taken, take nothing new; returns when nothing is owed, or at `until_s`."""
+        self.is_draining = True
+        listens_until_s = min(until_s, self._net.now_s() + LISTENS_ON_S)
+        await self._sleep_until(listens_until_s)
+        if self._listening is not None:
+            self._listening.close()
+        while self._net.now_s() < until_s and self._clients:
+            for client in list(self._clients):
+                if client.is_idle:
+                    client.close_idle()
+            await self._sleep_until(min(until_s, self._net.now_s() + LOOK_S))
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+        self._pool.close()
+
+    async def _sleep_until(self, until_s: float) -> None:
+        await asyncio.sleep(max(0.0, until_s - self._net.now_s()))
+
+    def figures(self) -> dict[str, float]:
+        """Counts for the log."""
+        return {
+            **self._counters.counts,
+            "clients": float(len(self._clients)),
+            "in_flight": float(self._serving),
+            "waiting": float(len(self._tools.queue)),
+            "connects": float(self._pool.connects),
+        }
+
+    # What client connections ask.
+
+    def joined(self, connection: ClientConnection) -> None:
+        """A client has connected."""
+        self._clients.add(connection)
+
+    def left(self, connection: ClientConnection) -> None:
+        """... and is gone."""
+        self._clients.discard(connection)
+
+    def _limits(self) -> ClientLimits:
+        configuration = self._view.configuration
+        return configuration.limits if configuration is not None else ClientLimits()
+
+    async def serve(self, request: codec.Request, connection: ClientConnection) -> None:
+        """Answer a request."""
+        arrived_s = self._net.now_s()
+        self._counters.add("requests")
+        self._serving += 1
+        try:
+            exchange = self._exchange(request, connection, arrived_s)
+            if exchange is None:
+                self._counters.add("no_route")
+                connection.answer(404, [])
+                return
+            self._tools.budget.note_request(exchange.service.name, arrived_s)
+            try:
+                async with asyncio.timeout_at(exchange.deadline_s):
+                    await exchange.run()
+            except TimeoutError:
+                self._counters.add("deadline")
+                exchange.give_up(at_deadline=True)
+        finally:
+            self._serving -= 1
+
+    def _exchange(
+        self, request: codec.Request, connection: ClientConnection, arrived_s: float
+    ) -> Exchange | None:
+        """The request with its route and deadline; None without a route."""
+        table = self._current_table()
+        if table is None:
+            return None
+        route = table.find(first(request.headers, "host") or "", request.target)
+        if route is None:
+            return None
+        service = table.services.get(choose_service(route, self._random) or "")
+        if service is None:
+            return None
+        deadline_s = arrived_s + self._time_s(request, route)
+        return Exchange(self._tools, request, connection, route, service, deadline_s)
+
+    def _current_table(self) -> RouteTable | None:
+        configuration = self._view.configuration
+        if configuration is None:
+            return None
+        if self._table is None or self._table.configuration is not configuration:
+            self._table = RouteTable.of(configuration)
+        return self._table
+
+    def _time_s(self, request: codec.Request, route: Route) -> float:
+        """How long the request may take: the least of what the client waits and the route allows."""
+        time_s = route.timeout_ms / 1000 if route.timeout_ms > 0 else LONGEST_S
+        told = first(request.headers, Header.TIME_LEFT)
+        if told is not None and told.isdigit():
+            time_s = min(time_s, int(told) / 1000)
+        return time_s
+
+    def _sweep(self) -> None:
+        """Forget nodes that are gone, and close connections that idle."""
+        known = frozenset(self._view.nodes)
+        self._health.forget_all_but(known)
+        self._warm_up.forget_all_but(known)
+        self._pool.sweep(known.__contains__)
+        self._sweep_timer = self._net.loop.call_later(SWEEP_S, self._sweep)
--- /dev/null
+++ b/coveport/system/proxy/levels.py
@@ -0,0 +1,48 @@
+"""Which node of a level takes a request. Pure.
+
+Nodes are grouped by an ordered list of keys, [own region, "*"]: a request goes to the first level that
+holds any usable node, and "*" is used only while the own region's level is empty. Within a level two nodes
+are drawn at random and the one with fewer of this proxy's own requests in flight takes the request.
+
+A node belongs to no level while
+
+- it closes, or is gone, or its announced end has passed;
+- its zone is evacuated;
+- it is outside the home regions of the request;
+- the request has been sent to it already;
+- its warm-up credit is spent (`warm_up`);
+- its recent attempts all ended badly and no trial is due (`node_health`);
+- it has just said that it is full, or this proxy's share of its connections is in use.
+
+Where nothing but bad ends keeps all nodes of both levels out, those nodes are tried rather than none.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from random import Random
+from typing import TypeVar
+
+Candidate = TypeVar("Candidate")
+TieBreak = Callable[[Candidate, Candidate], Candidate | None]
+
+
+def less_busy_of_two(
+    candidates: Sequence[Candidate],
+    in_flight: Mapping[Candidate, int],
+    random: Random,
+    tie_break: TieBreak[Candidate] | None = None,
+) -> Candidate:
+    """Of two candidates drawn at random, the one with fewer requests in flight.
+
+    Equals are decided by `tie_break` where it prefers one of them, else at random. `candidates` may not be
+    empty.
+    """
+    if len(candidates) == 1:
+        return candidates[0]
+    first, second = random.sample(candidates, 2)
+    first_load, second_load = in_flight.get(first, 0), in_flight.get(second, 0)
+    if first_load != second_load:
+        return first if first_load < second_load else second
+    preferred = tie_break(first, second) if tie_break is not None else None
+    return first if preferred is None else preferred  # they were drawn in random order
--- /dev/null
+++ b/tests/system/proxy/scripted_node.py
@@ -0,0 +1,157 @@
+"""Stand-ins for the data path's tests on real or virtual wires: nodes that do as a test says, and a client."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from coveport.http1 import codec
+
+STAMP = "Coveport-Postmark"
+
+
+@dataclass
+class Arrival:
+    request: codec.Request
+    connection: Connection
+
+    def header(self, name: str) -> str | None:
+        return self.request.get(name.lower())
+
+    def head(self, status: int = 200, *more: tuple[str, str], stamp: str | None = "stamp-1") -> bytes:
+        headers = [("Coveport-Try-Id", self.header("Coveport-Try-Id") or ""), *more]
+        if stamp is not None:
+            headers.append((STAMP, stamp))
+        return codec.write_head(f"HTTP/1.1 {status} X", headers)
+
+    def whole(self, body: bytes = b"hello", status: int = 200, *more: tuple[str, str]) -> None:
+        self.connection.write(self.head(status, *more, ("Content-Length", str(len(body)))) + body)
+
+    def not_run(self, status: int = 503) -> None:
+        self.connection.write(self.head(status, ("Coveport-Not-Run", "1"), ("Content-Length", "0")))
+
+    def begin_events(self) -> None:
+        kind = ("Content-Type", "text/event-stream")
+        self.connection.write(self.head(200, kind, ("Transfer-Encoding", "chunked")))
+
+    def event(self, number: int) -> None:
+        self.connection.write(codec.write_chunk(event_bytes(number)))
+
+    def end_events(self) -> None:
+        self.connection.write(codec.LAST_CHUNK)
+
+
+def event_bytes(number: int) -> bytes:
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+class Connection(asyncio.Protocol):
+    def __init__(self, node: ScriptedNode) -> None:
+        self.node = node
+        self.parser = codec.RequestParser(8 << 20)
+        self.transport: asyncio.Transport | None = None
+        self.lost = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.node.connections.append(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.parser.feed(data)
+        while (request := self.parser.next_request()) is not None:
+            arrival = Arrival(request, self)
+            self.node.arrivals.append(arrival)
+            done = self.node.script(arrival)
+            if done is not None:
+                task = asyncio.ensure_future(done)
+                self.node.tasks.add(task)
+                task.add_done_callback(self.node.tasks.discard)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
+
+    def write(self, data: bytes) -> None:
+        assert self.transport is not None
+        self.transport.write(data)
+
+    def close(self) -> None:
+        assert self.transport is not None
+        self.transport.close()
+
+    def abort(self) -> None:
+        assert self.transport is not None
+        self.transport.abort()
+
+
+Script = Callable[[Arrival], Awaitable[None] | None]
+
+
+@dataclass
+class ScriptedNode:
+    script: Script
+    arrivals: list[Arrival] = field(default_factory=list)
+    connections: list[Connection] = field(default_factory=list)
+    tasks: set[asyncio.Future[None]] = field(default_factory=set)
+
+    def connection(self) -> Connection:
+        return Connection(self)
+
+
+class ScriptedClient(asyncio.Protocol):
+    """Sends requests and reads answers, strictly."""
+
+    def __init__(self) -> None:
+        self.parser = codec.ResponseParser(1 << 30)
+        self.transport: asyncio.Transport | None = None
+        self.ended = False
+        self.raw = bytearray()
+        self.answers: list[codec.Response] = []
+        self._news = asyncio.Event()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.raw += data
+        self.parser.feed(data)
+        while (answer := self.parser.next_response()) is not None:
+            self.answers.append(answer)
+        self._news.set()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.ended = True
+        self._news.set()
+
+    def send(self, data: bytes) -> None:
+        assert self.transport is not None
+        self.transport.write(data)
+
+    def ask(self, path: str = "/a/x", *more: tuple[str, str], host: str = "one.example", body: bytes = b"prompt",
+            method: str = "POST", try_id: str = "t-1") -> None:
+        headers = [("Host", host), ("Coveport-Try-Id", try_id), *more]
+        self.send(codec.write_request(method, path, headers, body))
+
+    async def answer(self, number: int = 0) -> codec.Response | None:
+        """The answer of that number; None where the connection ended without it."""
+        while len(self.answers) <= number:
+            if self.ended:
+                return None
+            self._news.clear()
+            await self._news.wait()
+        return self.answers[number]
+
+    async def has(self, data: bytes) -> None:
+        """Wait until these bytes have come."""
+        while data not in self.raw:
+            assert not self.ended, bytes(self.raw)
+            self._news.clear()
+            await self._news.wait()
+
+    async def end(self) -> None:
+        """Wait until the connection has ended."""
+        while not self.ended:
+            self._news.clear()
+            await self._news.wait()
