--- /dev/null
+++ b/coveport/system/configuration/json_text.py
@@ -0,0 +1,65 @@
+"""JSON texts of configurations: read strictly, written in one canonical way."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import Any, Final, NoReturn
+
+from coveport.system.model.findings import Finding, Refusal
+
+UNREADABLE: Final = "unreadable JSON"
+DEEPEST: Final = (
+    32  # objects and lists inside one another; how deep Python reads depends on the caller's stack
+)
+
+
+def read_object(raw: bytes) -> dict[str, Any] | Refusal:
+    """The JSON object in a text; a refusal where it is cut short or anything else."""
+    try:
+        data = json.loads(raw.decode(), parse_constant=_refuse_constant, parse_float=_finite_float)
+        if b"\\u" in raw:
+            write_object(data)  # half of a surrogate pair can be read, but not written
+    except RecursionError:
+        return _refusal("is nested too deeply")
+    except ValueError as problem:  # among them UnicodeError and JSONDecodeError
+        return _refusal(f"is not JSON: {problem}")
+    if not isinstance(data, dict):
+        return _refusal("must be an object")
+    if _is_deeper_than(data, DEEPEST):
+        return _refusal("is nested too deeply")
+    return data
+
+
+def write_object(data: Any) -> bytes:
+    """The canonical text: no spaces, fields in the order in which they came."""
+    return json.dumps(data, ensure_ascii=False, allow_nan=False, separators=(",", ":")).encode()
+
+
+def _refusal(message: str) -> Refusal:
+    return Refusal(UNREADABLE, (Finding("", message),))
+
+
+def _refuse_constant(name: str) -> NoReturn:
+    raise ValueError(f"{name} is no JSON number")
+
+
+def _finite_float(text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f"{text} is out of range")
+    return value
+
+
+def _is_deeper_than(data: Any, most: int) -> bool:
+    level = [data]
+    for _ in range(most):
+        level = [
+            inner
+            for value in level
+            for inner in (value.values() if isinstance(value, dict) else value)
+            if isinstance(inner, dict | list)
+        ]
+        if not level:
+            return False
+    return True
--- a/coveport/system/configuration/patch.py
+++ b/coveport/system/configuration/patch.py
@@ -15,7 +15,7 @@
     """The configuration that `change` makes of `current`, both as JSON objects; neither is altered.
 
     Removals come first, then upserts: an item of a name that is there replaces it in its place, others are
-    added at the end. Objects such as the limits are replaced whole. Removing what is not there changes nothing.
+    added at the end. The limits are replaced whole. Removing what is not there changes nothing.
     """
     findings = Findings()
     upserts = _section(change, Config.UPSERT, findings)
--- a/coveport/system/configuration/state.py
+++ b/coveport/system/configuration/state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-import json
 import struct
 from dataclasses import dataclass, replace
 from typing import Any, Final
@@ -15,14 +14,35 @@
     PutConfiguration,
     StartEvacuation,
     decode_command,
+    encode_command,
 )
+from coveport.system.configuration.json_text import read_object, write_object
 from coveport.system.configuration.patch import patch
-from coveport.system.configuration.reader import check_configuration, read_object
+from coveport.system.configuration.reader import read_configuration
 from coveport.system.model.configuration import Configuration
 from coveport.system.model.findings import Finding, Refusal
+from coveport.system.replication.outcomes import Applied, Refused
 from coveport.system.wire.codec import MalformedMessageError, MessageCodec
 from coveport.system.wire.names import Config
 
+__all__ = [
+    "Applied",
+    "ChangeResult",
+    "ControlState",
+    "EndEvacuation",
+    "PatchConfiguration",
+    "PutConfiguration",
+    "Refused",
+    "StartEvacuation",
+    "TakenChange",
+    "apply",
+    "apply_command",
+    "decode_state",
+    "encode_command",
+    "encode_state",
+    "initial_state",
+]
+
 MOST_TAKEN: Final = 512  # changes that are known again when they are sent again
 _DIGEST_BYTES: Final = 16
 _TAKEN: Final = struct.Struct(f">Q{_DIGEST_BYTES}s")
@@ -48,7 +68,7 @@
         None  # JSON of the newest whole configuration, exactly as it is handed out
     )
     edition: int = 0  # of that configuration; 0: there is none
-    evacuated: frozenset[str] = frozenset()  # zones
+    evacuated_zones: frozenset[str] = frozenset()
     taken: tuple[TakenChange, ...] = ()  # the newest `MOST_TAKEN`, oldest first
 
 
@@ -61,28 +81,13 @@
     findings: tuple[Finding, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Applied:
-    """The command is taken, now or earlier."""
-
-    state: ControlState
-    result: ChangeResult
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """The command changes nothing."""
-
-    result: ChangeResult
-
-
 @dataclass(frozen=True, slots=True)
 class _StoredState:
     """The state as it is written: changes taken in one piece, since they are many and small."""
 
     configuration_text: bytes | None
     edition: int
-    evacuated: tuple[str, ...]
+    evacuated_zones: tuple[str, ...]
     taken: bytes
 
 
@@ -98,7 +103,7 @@
     """A state as bytes; equal states give equal bytes."""
     taken = b"".join(_TAKEN.pack(change.edition, change.digest) for change in state.taken)
     return _CODEC.encode(
-        _StoredState(state.configuration_text, state.edition, tuple(sorted(state.evacuated)), taken)
+        _StoredState(state.configuration_text, state.edition, tuple(sorted(state.evacuated_zones)), taken)
     )
 
 
@@ -108,7 +113,7 @@
     if len(stored.taken) % _TAKEN.size:
         raise MalformedMessageError("changes taken are cut short")
     taken = tuple(TakenChange(*one) for one in _TAKEN.iter_unpack(stored.taken))
-    return ControlState(stored.configuration_text, stored.edition, frozenset(stored.evacuated), taken)
+    return ControlState(stored.configuration_text, stored.edition, frozenset(stored.evacuated_zones), taken)
 
 
 def apply(state: ControlState, command: bytes) -> Applied | Refused:
@@ -120,9 +125,9 @@
     """As `apply`, of a command that has been decoded."""
     match command:
         case StartEvacuation(zone):
-            return _applied(replace(state, evacuated=state.evacuated | {zone}))
+            return _applied(replace(state, evacuated_zones=state.evacuated_zones | {zone}))
         case EndEvacuation(zone):
-            return _applied(replace(state, evacuated=state.evacuated - {zone}))
+            return _applied(replace(state, evacuated_zones=state.evacuated_zones - {zone}))
         case PutConfiguration() | PatchConfiguration():
             return _change_configuration(state, command)
 
@@ -165,23 +170,21 @@
 
 def _put(command: PutConfiguration) -> tuple[Configuration, bytes] | Refusal:
     data = read_object(command.body)
-    if isinstance(data, Refusal):
-        return data
-    configuration = check_configuration(data)
-    return configuration if isinstance(configuration, Refusal) else (configuration, _write(data))
+    return data if isinstance(data, Refusal) else _check(data)
 
 
 def _patch(state: ControlState, command: PatchConfiguration) -> tuple[Configuration, bytes] | Refusal:
     change = read_object(command.body)
     if isinstance(change, Refusal):
         return change
-    patched = patch(json.loads(state.configuration_text or b"{}"), change)
-    if isinstance(patched, Refusal):
-        return patched
-    configuration = check_configuration(patched)
-    return configuration if isinstance(configuration, Refusal) else (configuration, _write(patched))
+    current = read_object(state.configuration_text or b"{}")
+    assert not isinstance(current, Refusal)  # written by `_check`
+    patched = patch(current, change)
+    return patched if isinstance(patched, Refusal) else _check(patched)
 
 
-def _write(data: dict[str, Any]) -> bytes:
-    """The canonical text of a configuration: no spaces, the order of fields as it came."""
-    return json.dumps(data, ensure_ascii=False, separators=(",", ":")).encode()
+def _check(data: dict[str, Any]) -> tuple[Configuration, bytes] | Refusal:
+    """The configuration, and the text that is kept of it."""
+    text = write_object(data)
+    configuration = read_configuration(text)
+    return configuration if isinstance(configuration, Refusal) else (configuration, text)
