--- /dev/null
+++ b/coveport/system/simulation/judge.py
@@ -0,0 +1,36 @@
+"""Judges a day by what the stand-ins saw: the rules in their plain form. Pure.
+
+Narrower than the operators' rules in a few places, each in the programs' favour: a machine counts as not in
+touch whenever the core is in trouble; bodies that pass through machines of other regions are not seen.
+"""
+
+from __future__ import annotations
+
+from coveport.system.settings.boot import Bounds
+from coveport.system.simulation import control_rules, request_rules
+from coveport.system.simulation.case import Breach, Case
+from coveport.system.simulation.happenings import Book
+
+RULES = (
+    request_rules.mixed,
+    request_rules.order,
+    request_rules.unasked,
+    request_rules.twice,
+    request_rules.refused,
+    request_rules.denied,
+    request_rules.route,
+    request_rules.home,
+    request_rules.lost,
+    control_rules.drain,
+    control_rules.evacuation,
+    control_rules.failback,
+    control_rules.budget,
+    control_rules.configuration,
+)
+
+
+def judge(book: Book, bounds: Bounds) -> list[Breach]:
+    """All breaches of a day, in the order of time."""
+    case = Case.of(book, bounds)
+    found = [breach for rule in RULES for breach in rule(case)]
+    return sorted(found, key=lambda one: one.at_s)
--- /dev/null
+++ b/coveport/system/simulation/registration.py
@@ -0,0 +1,151 @@
+"""How a node tells the coordinators of itself: heartbeats, `closing`, and goodbye."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+from coveport.http1.codec import write_request
+from coveport.net.address import Address, parse_address
+from coveport.net.transport import Net
+from coveport.system.model.node import NodeState
+from coveport.system.simulation.exchange import WholeAnswer, call
+from coveport.system.simulation.happenings import Book, HeartbeatAnswered
+from coveport.system.simulation.model_server import ModelServer
+from coveport.system.wire.names import Heartbeat, Path
+
+ANSWER_WAIT_S: Final = 1.0
+ANSWER_MOST: Final = 4096  # bytes
+REDIRECTS_MOST: Final = 2
+ENDS_UNHEARD_S: Final = 5.0  # a node that leaves ends so long after, though nobody acknowledged
+LINGER_S: Final = 0.3  # beyond the bound on draining
+
+CoordinatorList = Callable[[], list[Address]]
+"""Where coordinators are, as an outside list says that lags behind."""
+
+
+async def call_following(
+    net: Net, address: Address, request: bytes, timeout_s: float
+) -> tuple[Address, WholeAnswer] | None:
+    """Call, going where a 307 says, twice at the most: who answered, and what; None where nobody did."""
+    for _ in range(REDIRECTS_MOST + 1):
+        answer = await call(net, address, request, timeout_s)
+        if answer is None or answer.status != 307:
+            return None if answer is None else (address, answer)
+        location = answer.headers.get("location", [""])[0]
+        try:
+            address = parse_address(location.removeprefix("http://").partition("/")[0])
+        except ValueError:
+            return None
+    return None
+
+
+class Registration:
+    """The heartbeats of one incarnation."""
+
+    def __init__(
+        self, net: Net, node: ModelServer, coordinators: CoordinatorList, heartbeat_ms: float,
+        book: Book, chance: Random,
+    ) -> None:  # fmt: skip
+        self._net, self._node, self._coordinators = net, node, coordinators
+        self._period_s, self._book, self._chance = heartbeat_ms / 1000, book, chance
+        self._forward_to: Address | None = None
+        self._sequence = 0
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to report."""
+        self._task = asyncio.get_running_loop().create_task(self._report_on())
+
+    async def leave(self, drain_s: float, gone_in_s: float | None = None) -> None:
+        """Say `closing`, serve until that has been heard and drained, say goodbye, end.
+
+        `gone_in_s`: taken away at short notice, at that time whatever happens.
+        """
+        if self._task is not None:
+            self._task.cancel()
+        self._node.say_closing()
+        loop = asyncio.get_running_loop()
+        if gone_in_s is not None:
+            loop.call_later(gone_in_s, lambda: self._node.end(planned=True))
+        gone_at = None if gone_in_s is None else self._net.now_s() + gone_in_s
+        heard = await self._say_closing(gone_at)
+        if heard:
+            await asyncio.sleep(drain_s + LINGER_S)
+        if not self._node.ended:
+            await self._tell("DELETE", "gone", gone_at)
+        self._node.end(planned=True)
+
+    async def _say_closing(self, gone_at: float | None) -> bool:
+        until = self._net.now_s() + ENDS_UNHEARD_S
+        while self._net.now_s() < until and not self._node.ended:
+            if await self._tell("PUT", "closing", gone_at):
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
+    async def _report_on(self) -> None:
+        await asyncio.sleep(self._chance.random() * 0.2)
+        while not self._node.ended:
+            began = self._net.now_s()
+            if not self._node.faults.dark:
+                await self._tell("PUT", "accepting", None)
+            spent = self._net.now_s() - began
+            await asyncio.sleep(max(0.05, self._period_s * self._chance.uniform(0.9, 1.1) - spent))
+
+    async def _tell(self, method: str, state: str, gone_at: float | None) -> bool:
+        """One heartbeat, at one coordinator after the other until one acknowledges it."""
+        known = self._coordinators()
+        self._chance.shuffle(known)
+        if self._forward_to is not None:
+            known = [self._forward_to, *(one for one in known if one != self._forward_to)]
+        for address in known:
+            if self._node.ended or self._node.faults.dark:
+                return False
+            self._sequence += 1
+            request = self._request(method, address, gone_at)
+            found = await call_following(self._net, address, request, ANSWER_WAIT_S)
+            if found is not None and self._acknowledges(found[1]):
+                self._note(state, found[0])
+                return True
+            self._forward_to = None
+        return False
+
+    def _request(self, method: str, address: Address, gone_at: float | None) -> bytes:
+        node, figures = self._node, self._node.figures
+        says: dict[str, object] = {
+            Heartbeat.SERVICE: figures.service,
+            Heartbeat.ADDRESS: "{}:{}".format(*figures.address),
+            Heartbeat.ZONE: figures.zone,
+            "Edition": "v1",
+            Heartbeat.SLOTS: figures.engine.slots,
+            Heartbeat.STATE: Heartbeat.ACCEPTING if node.state is NodeState.ACCEPTING else Heartbeat.CLOSING,
+            Heartbeat.COLD_LEFT_MS: round(node.cold_left_ms),
+            "Phase": "both",
+            "Models": [{"Name": "m", "Edition": 1, "Adapters": []}],
+            Heartbeat.SEQUENCE: self._sequence,
+        }
+        if gone_at is not None:
+            says[Heartbeat.LEAVES_IN_MS] = round(max(0.0, gone_at - self._net.now_s()) * 1000)
+        headers = [("Host", "{}:{}".format(*address)), ("Content-Type", "application/json")]
+        if method == "DELETE":
+            return write_request(method, Path.NODES + node.incarnation, headers[:1])
+        return write_request(method, Path.NODES + node.incarnation, headers, json.dumps(says).encode())
+
+    def _acknowledges(self, answer: WholeAnswer) -> bool:
+        if not 200 <= answer.status < 300 or len(answer.body) > ANSWER_MOST:
+            return False
+        try:
+            told = json.loads(answer.body or b"{}")
+            forward = told.get(Heartbeat.FORWARD_TO) if isinstance(told, dict) else None
+            self._forward_to = parse_address(forward) if forward else self._forward_to
+        except ValueError:
+            pass  # it acknowledges all the same
+        return True
+
+    def _note(self, state: str, address: Address) -> None:
+        now = self._net.now_s()
+        self._book.write(HeartbeatAnswered(now, self._node.incarnation, state, "{}:{}".format(*address)))
