--- a/coveport/system/proxy/client_connection.py
+++ b/coveport/system/proxy/client_connection.py
@@ -51,7 +51,9 @@
         self._begun = False  # the present answer's head is written
         self._finished = False  # ... and all of it
         self._chunked = False
+        self._is_framed = False  # its end can be told from the connection's
         self._keeps = False
+        self._times_head = False  # the timer that runs is that of a head's reading
 
     # As asyncio calls it.
 
@@ -122,7 +124,7 @@
             return
         if failed or not self._finished:
             self.abort()
-        elif not self._keeps:
+        elif not self._keeps or (self._owner.is_draining and not self._parser.begun):
             transport.close()
         else:
             if self._paused:
@@ -156,8 +158,6 @@
             self._start_timer(limits.header_read_ms / 1000, self._too_slow)
             self._times_head = True
 
-    _times_head = False
-
     def _too_slow(self) -> None:
         self._timer = None
         self._reject(408)
@@ -202,6 +202,7 @@
         if self._transport is None:
             return
         self._begun, self._chunked = True, length is None and not self._parser.old
+        self._is_framed = self._chunked or length is not None
         if length is not None:
             framing = [("Content-Length", str(length))]
         elif self._chunked:
@@ -233,6 +234,13 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """End the connection so that what was sent can't look whole."""
-        if self._transport is not None:
-            self._net.reset(self._transport)
+        """End the connection so that what was sent can't look whole; the client still gets what was sent."""
+        transport = self._transport
+        if transport is None:
+            return
+        self._keeps = False
+        if self._begun and not self._is_framed:  # an end would look like the body's
+            self._net.reset(transport)
+            return
+        transport.close()
+        self._start_timer(LINGER_S, transport.abort)
--- a/coveport/system/proxy/data_path.py
+++ b/coveport/system/proxy/data_path.py
@@ -10,18 +10,19 @@
 from coveport.net.transport import Listening, Net
 from coveport.system.model.configuration import ClientLimits, Route
 from coveport.system.model.view import ControlView
-from coveport.system.proxy.admission import WaitingQueue
+from coveport.system.proxy.admission import WaitingQueues
 from coveport.system.proxy.client_connection import ClientConnection
-from coveport.system.proxy.exchange import Exchange, Tools
+from coveport.system.proxy.exchange import RETRY_AFTER_S, Exchange, Tools
 from coveport.system.proxy.headers import first
 from coveport.system.proxy.node_health import NodeHealth
 from coveport.system.proxy.node_pool import SWEEP_S, NodePool
+from coveport.system.proxy.prompt_parts import read_parts
 from coveport.system.proxy.retry_budget import RetryBudget
 from coveport.system.proxy.routing import RouteTable, choose_service
-from coveport.system.proxy.selection import NodeSelection
+from coveport.system.proxy.selection import NodeSelection, Wanted
 from coveport.system.proxy.warm_up import WarmUpCredit
 from coveport.system.settings.boot import BootSettings
-from coveport.system.wire.names import Header
+from coveport.system.wire.names import Header, Spelled
 
 ACCEPT_MOST = 64  # connections taken in one turn of the loop
 WAITING_MOST = 512  # connections that wait below
@@ -56,9 +57,10 @@
         self._pool = NodePool(net, settings.region)
         self._health = NodeHealth(random)
         self._warm_up = WarmUpCredit(bounds.cold_overshoot, bounds.cold_slack, random)
+        self._trials: set[asyncio.Task[None]] = set()
         selection = NodeSelection(view, settings.region, random, self._health, self._warm_up, self._pool)
         budget = RetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
-        self._tools = Tools(net, view, random, self._pool, selection, budget, WaitingQueue(), self._counters)
+        self._tools = Tools(net, view, random, self._pool, selection, budget, WaitingQueues(), self._counters)
         self.is_draining = False
 
     async def start(self) -> None:
@@ -97,7 +99,7 @@
             **self._counters.counts,
             "clients": float(len(self._clients)),
             "in_flight": float(self._serving),
-            "waiting": float(len(self._tools.queue)),
+            "waiting": float(len(self._tools.queues)),
             "connects": float(self._pool.connects),
         }
 
@@ -121,36 +123,40 @@
         self._counters.add("requests")
         self._serving += 1
         try:
-            exchange = self._exchange(request, connection, arrived_s)
+            table = self._current_table()
+            if table is None:  # not told of any configuration yet
+                connection.answer(503, [(Spelled.RETRY_AFTER, str(RETRY_AFTER_S))])
+                return
+            exchange = self._exchange(table, request, connection, arrived_s)
             if exchange is None:
                 self._counters.add("no_route")
                 connection.answer(404, [])
                 return
-            self._tools.budget.note_request(exchange.service.name, arrived_s)
-            try:
-                async with asyncio.timeout_at(exchange.deadline_s):
-                    await exchange.run()
-            except TimeoutError:
-                self._counters.add("deadline")
-                exchange.give_up(at_deadline=True)
+            await self._run(exchange, arrived_s)
         finally:
             self._serving -= 1
 
+    async def _run(self, exchange: Exchange, arrived_s: float) -> None:
+        self._tools.budget.note_request(exchange.wanted.service.name, arrived_s)
+        try:
+            async with asyncio.timeout_at(exchange.deadline_s):
+                await exchange.run()
+        except TimeoutError:
+            self._counters.add("deadline")
+            exchange.give_up(at_deadline=True)
+
     def _exchange(
-        self, request: codec.Request, connection: ClientConnection, arrived_s: float
+        self, table: RouteTable, request: codec.Request, connection: ClientConnection, arrived_s: float
     ) -> Exchange | None:
         """The request with its route and deadline; None without a route."""
-        table = self._current_table()
-        if table is None:
-            return None
         route = table.find(first(request.headers, "host") or "", request.target)
         if route is None:
             return None
         service = table.services.get(choose_service(route, self._random) or "")
         if service is None:
             return None
-        deadline_s = arrived_s + self._time_s(request, route)
-        return Exchange(self._tools, request, connection, route, service, deadline_s)
+        wanted = Wanted(route, service, read_parts(first(request.headers, Header.PROMPT_PREFIX)))
+        return Exchange(self._tools, request, connection, wanted, arrived_s + self._time_s(request, route))
 
     def _current_table(self) -> RouteTable | None:
         configuration = self._view.configuration
@@ -169,9 +175,24 @@
         return time_s
 
     def _sweep(self) -> None:
-        """Forget nodes that are gone, and close connections that idle."""
+        """Forget nodes that are gone, close connections that idle, and try nodes that did not answer."""
         known = frozenset(self._view.nodes)
         self._health.forget_all_but(known)
         self._warm_up.forget_all_but(known)
         self._pool.sweep(known.__contains__)
+        for incarnation in self._health.due_trials(self._net.now_s()):
+            task = self._net.loop.create_task(self._try(incarnation))
+            self._trials.add(task)
+            task.add_done_callback(self._trials.discard)
         self._sweep_timer = self._net.loop.call_later(SWEEP_S, self._sweep)
+
+    async def _try(self, incarnation: str) -> None:
+        """A timed trial: connect to a node that could not be reached."""
+        found = self._view.nodes.get(incarnation)
+        if found is None:
+            return
+        self._counters.add("trials")
+        if await self._pool.try_connect(found.node):
+            self._health.note_good_end(incarnation)
+        else:
+            self._health.note_unreachable(incarnation, self._net.now_s())
--- a/coveport/system/proxy/exchange.py
+++ b/coveport/system/proxy/exchange.py
@@ -1,4 +1,16 @@
-"""One client's request, from its route to the last byte of its answer."""
+"""One client's request, from its route to its answer: which nodes it is sent to, and when it is given up.
+
+| a send ended | the request may go to another node |
+| --- | --- |
+| no connection came up | yes: nothing was sent; this is no attempt and no repeat |
+| 503, 429, 408 with a statement that it did not run; 421 | yes |
+| broke off, reset, garbled, silent, or a refusal without that statement | only if it may run twice |
+| ... in the middle of a resumable stream | yes, after the last whole event that the client has |
+| 500 or 502 of the node | only if it may run twice; else the client gets it |
+
+Every further send needs an attempt left (`Route.attempts`) and a place in the retry budget. Whoever is given up
+gets 503 with Retry-After where nothing ran, else 502 or 504; where the answer has begun, its connection ends.
+"""
 
 from __future__ import annotations
 
@@ -7,36 +19,31 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
-from typing import Protocol
 
 from coveport.http1 import codec
 from coveport.net.transport import Net
-from coveport.system.model.configuration import Route, Service
 from coveport.system.model.view import ControlView, KnownNode
-from coveport.system.proxy.admission import WaitingQueue, longest_wait_s
+from coveport.system.proxy.admission import WaitingQueue, WaitingQueues, longest_wait_s
+from coveport.system.proxy.answer_relay import Answer, AnswerRelay, Counters, Patience
 from coveport.system.proxy.client_connection import ClientConnection
-from coveport.system.proxy.event_stream import EventCutter, rises
+from coveport.system.proxy.event_stream import EventOrder
 from coveport.system.proxy.headers import first, passed_on
 from coveport.system.proxy.node_connection import NodeClosedError, NodeConnection
 from coveport.system.proxy.node_pool import ConnectFailedError, NodePool
 from coveport.system.proxy.retry_budget import RetryBudget
-from coveport.system.proxy.selection import NodeSelection, NoNode
+from coveport.system.proxy.selection import NodeSelection, NoNode, Wanted
 from coveport.system.wire.names import Header, Spelled
 
-RETRYABLE = frozenset({408, 421, 429, 503})
-CONNECTS_AT_MOST = 4  # failed connects of one request: nothing was sent, so they are no attempts
-SURPLUS_AT_MOST = 2  # whole answers to others that are read over in front of ours
-WAIT_STEP_S = 0.05  # how often a waiting request looks for a place
+CONNECTS_AT_MOST = 4  # failed connects of one request
+WAIT_STEP_S = 0.02  # how often the first that waits looks for a place
 RETRY_AFTER_S = 0.3
 LEAST_LEFT_S = 0.01  # with less time left nothing is sent
-_WRITTEN_ANEW = frozenset({Header.TIME_LEFT, Header.EXPECT_INCARNATION})
-
-
-class Counters(Protocol):
-    """Counts for the log."""
-
-    def add(self, name: str) -> None:
-        """One more."""
+SILENT_HEAD_S = 1.2  # how long an answer that may be had elsewhere may take to begin ...
+SILENT_TOKEN_S = 0.00005  # ... and for each token of the prompt, which is read first
+SILENT_EVENTS_S = 1.2  # ... and to go on ...
+SILENT_PAUSES = 3  # ... or so many of the longest pauses that are in time
+SILENT_NODE_S = 0.8  # ... where the node says nothing to other requests either
+_WRITTEN_ANEW = frozenset({Header.TIME_LEFT, Header.EXPECT_INCARNATION, Header.LAST_EVENT_ID})
 
 
 @dataclass(slots=True)
@@ -49,7 +56,7 @@
     pool: NodePool
     selection: NodeSelection
     budget: RetryBudget
-    queue: WaitingQueue
+    queues: WaitingQueues
     counters: Counters
 
 
@@ -57,9 +64,9 @@
     """How one send to a node ended."""
 
     DONE = "the client has the whole answer"
-    NOT_SENT = "no connection came up"
+    NOT_SENT = "nothing was sent"
     NOT_RUN = "the node said that it did not run the request"
-    BROKEN = "it broke off or was no answer; it may have run"
+    BROKEN = "it may have run, and there is no whole answer"
 
 
 @dataclass(slots=True)
@@ -69,86 +76,113 @@
     tools: Tools
     request: codec.Request
     client: ClientConnection
-    route: Route
-    service: Service
+    wanted: Wanted
     deadline_s: float
-    sent_to: set[str] = field(default_factory=set)
+    sends: int = 0
     connects_failed: int = 0
     may_have_run: bool = False
-    may_have_run_before: bool = False  # ... by sends before the present one
-    events: EventCutter = field(default_factory=EventCutter)
+    broke_at: set[str] = field(default_factory=set)  # incarnations
+    _holds_repeat: bool = False  # a second send is reserved in the budget
+    _order: EventOrder = field(default_factory=EventOrder)
+    _relay: AnswerRelay = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._order.last_id = first(self.request.headers, Header.LAST_EVENT_ID)
+        try_id = first(self.request.headers, Header.TRY_ID)
+        resumable = self.wanted.route.resumable
+        self._relay = AnswerRelay(self.client, try_id, resumable, self.tools.counters, self._order)
 
     # The order of sends.
 
     async def run(self) -> None:
         """Send until there is an answer or nothing more may be sent, and answer the client."""
-        while True:
-            known = await self._next_node()
-            if known is None:
-                self.give_up()
-                return
-            ended = await self._send(known)
-            if ended is Ended.DONE:
-                return
-            if not self._may_go_on(ended):
-                self.give_up()
-                return
+        try:
+            while True:
+                known = await self._next_node()
+                if known is None:
+                    break
+                ended = await self._send(known)
+                if ended is Ended.DONE:
+                    return
+                if not self._may_go_on(ended):
+                    break
+        finally:
+            self._release_repeat()
+        self.give_up()
 
     def _may_go_on(self, ended: Ended) -> bool:
         """Whether another node may be tried after a send that ended so."""
         if ended is Ended.NOT_SENT:
             self.connects_failed += 1
             return self.connects_failed < CONNECTS_AT_MOST
-        if ended is Ended.BROKEN and not self.route.is_idempotent:
+        if ended is Ended.BROKEN and not self._may_run_twice:
             return False
-        if self.client.has_begun and not self._is_joinable:
-            return False
-        if len(self.sent_to) >= self.route.attempts:
-            return False
-        now_s = self.tools.net.now_s()
-        return self.tools.budget.may_repeat(self.service.name, self.tools.view.proxies_at_most, now_s)
+        return self._reserve_repeat()
 
     @property
-    def _is_joinable(self) -> bool:
-        """Whether the answer may be continued by another node."""
-        return self.route.resumable
+    def _may_run_twice(self) -> bool:
+        """Whether the request may be sent again although it may have run; begun answers need a joint."""
+        route = self.wanted.route
+        return route.resumable if self.client.has_begun else route.is_idempotent
+
+    def _reserve_repeat(self) -> bool:
+        """Hold one more send, if the route and the budget allow it."""
+        if self._holds_repeat:
+            return True
+        if self.sends >= self.wanted.route.attempts:
+            return False
+        tools = self.tools
+        now_s = tools.net.now_s()
+        self._holds_repeat = tools.budget.reserve(self.wanted.service.name, tools.view.proxies_at_most, now_s)
+        return self._holds_repeat
+
+    def _release_repeat(self) -> None:
+        if self._holds_repeat:
+            self._holds_repeat = False
+            self.tools.budget.release(self.wanted.service.name)
 
     async def _next_node(self) -> KnownNode | None:
         """A node for the next send; None where there is none in time."""
-        tools = self.tools
-        now_s = tools.net.now_s()
-        until_s = min(now_s + longest_wait_s(self.route), self.deadline_s - LEAST_LEFT_S)
-        if not len(tools.queue):
-            chosen = self._choose(now_s)
+        queue = self.tools.queues.of(self.wanted.service.name, self.wanted.route.home_regions)
+        if not len(queue):
+            chosen = self._choose()
             if not isinstance(chosen, NoNode):
                 return chosen
-        waiting = tools.queue.join(self.route.precedence, until_s)
+        return await self._wait_for_node(queue)
+
+    async def _wait_for_node(self, queue: WaitingQueue) -> KnownNode | None:
+        now_s = self.tools.net.now_s()
+        until_s = min(now_s + longest_wait_s(self.wanted.route), self.deadline_s - LEAST_LEFT_S)
+        woken = asyncio.Event()
+        waiting = queue.join(self.wanted.route.precedence, woken.set)
         if waiting is None:
             return None
         try:
-            while True:
-                if tools.queue.is_first(waiting) or now_s >= until_s:
-                    chosen = self._choose(now_s)
-                    if not isinstance(chosen, NoNode):
-                        return chosen
-                if now_s >= until_s:
-                    return None
-                await asyncio.sleep(min(WAIT_STEP_S, until_s - now_s))
-                now_s = tools.net.now_s()
+            while now_s < until_s and not waiting.is_over:
+                is_first = queue.is_first(waiting)
+                if is_first and not isinstance(chosen := self._choose(), NoNode):
+                    return chosen
+                woken.clear()
+                await _wait(woken, min(WAIT_STEP_S, until_s - now_s) if is_first else until_s - now_s)
+                now_s = self.tools.net.now_s()
         finally:
-            tools.queue.leave(waiting)
+            queue.leave(waiting)
+        return None
 
-    def _choose(self, now_s: float) -> KnownNode | NoNode:
-        return self.tools.selection.choose(self.route, self.service, self.sent_to, now_s)
+    def _choose(self) -> KnownNode | NoNode:
+        return self.tools.selection.choose(self.wanted, self.broke_at, self.tools.net.now_s())
 
     def give_up(self, at_deadline: bool = False) -> None:
         """The final answer where no node gives one."""
+        counters = self.tools.counters
         if self.client.has_begun:
+            counters.add("aborted")
             self.client.abort()
         elif self.may_have_run:
+            counters.add("failed")
             self.client.answer(504 if at_deadline else 502, [])
         else:
-            self.tools.counters.add("refused")
+            counters.add("refused")
             retry_after_s = RETRY_AFTER_S * (0.5 + self.tools.random.random())
             self.client.answer(503, [(Spelled.RETRY_AFTER, f"{retry_after_s:.2f}")])
 
@@ -157,141 +191,119 @@
     async def _send(self, known: KnownNode) -> Ended:
         """Send the request to one node, and pass its answer on."""
         tools, node = self.tools, known.node
-        tools.selection.note_send(known, self.service, tools.net.now_s())
-        connection: NodeConnection | None = None
-        whole = False
+        chosen_s = tools.net.now_s()
+        tools.selection.note_chosen(known, self.wanted, chosen_s)
         try:
             connection = await tools.pool.take(node)
-            self._hand_over(known, connection)
-            ended = await self._answer(known, connection)
-            whole = ended in (Ended.DONE, Ended.NOT_RUN)
-            return ended
         except ConnectFailedError:
+            tools.selection.note_end(known)
             tools.counters.add("connects_failed")
-            tools.selection.health.note_bad_end(node.incarnation, tools.net.now_s())
+            tools.selection.health.note_unreachable(node.incarnation, tools.net.now_s())
             return Ended.NOT_SENT
-        except NodeClosedError:
-            tools.counters.add("broken")
-            tools.selection.health.note_bad_end(node.incarnation, tools.net.now_s())
-            return Ended.BROKEN
+        except BaseException:
+            tools.selection.note_end(known)
+            raise
+        is_whole = False
+        try:
+            if not self._hand_over(known, connection, chosen_s):
+                return Ended.NOT_SENT
+            ended = await self._answered(known, connection)
+            is_whole = ended in (Ended.DONE, Ended.NOT_RUN)
+            return ended
         finally:
             tools.selection.note_end(known)
-            if connection is not None:
-                if whole:
-                    tools.pool.give_back(node, connection)
-                else:
-                    tools.pool.drop(node, connection)
+            if is_whole:
+                tools.pool.give_back(node, connection)
+            else:
+                tools.pool.drop(node, connection)
 
-    def _hand_over(self, known: KnownNode, connection: NodeConnection) -> None:
+    def _hand_over(self, known: KnownNode, connection: NodeConnection, chosen_s: float) -> bool:
+        """Write the request; False where nothing was sent after all."""
         tools, now_s = self.tools, self.tools.net.now_s()
-        if self.sent_to:
-            tools.budget.note_repeat(self.service.name, now_s)
-            tools.counters.add("retries")
-        self.sent_to.add(known.node.incarnation)
-        tools.selection.note_arrival(known, self.service, now_s)
-        connection.send(self._written(known.node.incarnation, now_s), notices_dark=self.route.is_idempotent)
-        self.may_have_run_before = self.may_have_run
-        self.may_have_run = True
+        if not tools.selection.is_still_open(known, now_s):
+            return False
+        head = self._written(known.node.incarnation, now_s)
+        if not connection.send(head, notices_dark=self.wanted.route.is_idempotent):
+            return False
+        tools.selection.note_handed_over(known, self.wanted, chosen_s, now_s)
+        if self.sends:
+            self._holds_repeat = False
+            tools.budget.spend(self.wanted.service.name, now_s)
+            tools.counters.add("resumed" if self.client.has_begun else "retries")
+        self.sends += 1
+        return True
+
+    async def _answered(self, known: KnownNode, connection: NodeConnection) -> Ended:
+        """How the node answers what was handed over."""
+        incarnation = known.node.incarnation
+        health, net, counters = self.tools.selection.health, self.tools.net, self.tools.counters
+        ran_before, self.may_have_run = self.may_have_run, True
+        patience = self._patience(known) if self.wanted.route.is_idempotent else None
+        try:
+            answer = await self._relay.relay(connection, patience, self._may_repeat_failure)
+        except NodeClosedError:
+            counters.add("broken")
+            health.note_bad_end(incarnation, net.now_s())
+            self.broke_at.add(incarnation)
+            return Ended.BROKEN
+        if answer is Answer.NOT_RUN:
+            counters.add("full")
+            health.note_full(incarnation, net.now_s())
+        elif answer is Answer.MISDIRECTED:
+            counters.add("misdirected")
+            health.note_misdirected(incarnation, net.now_s())
+        else:
+            health.note_good_end(incarnation)
+        if answer is Answer.FAILED:
+            self.broke_at.add(incarnation)
+            return Ended.BROKEN
+        if answer is Answer.PASSED_ON:
+            return Ended.DONE
+        self.may_have_run = ran_before
+        return Ended.NOT_RUN
+
+    def _may_repeat_failure(self) -> bool:
+        return self._may_run_twice and self._reserve_repeat()
+
+    def _patience(self, known: KnownNode) -> Patience:
+        tokens = sum(part.tokens for part in self.wanted.parts)
+        route = self.wanted.route
+        return Patience(
+            max(SILENT_HEAD_S, route.objective_ms / 1000) + SILENT_TOKEN_S * tokens,
+            max(SILENT_EVENTS_S, SILENT_PAUSES * route.pause_objective_ms / 1000),
+            lambda: self._may_leave(known),
+        )
+
+    def _may_leave(self, known: KnownNode) -> bool:
+        """Whether a silent node may be left: it says nothing to anyone, and another can take the request."""
+        tools, incarnation = self.tools, known.node.incarnation
+        now_s = tools.net.now_s()
+        if tools.pool.last_heard_s(incarnation) > now_s - SILENT_NODE_S or not self._may_run_twice:
+            return False
+        other = tools.selection.choose(self.wanted, {*self.broke_at, incarnation}, now_s)
+        if isinstance(other, NoNode) or other.node.incarnation == incarnation:
+            return False
+        return self._reserve_repeat()
 
     def _written(self, incarnation: str, now_s: float) -> bytes:
         """The request as this node gets it."""
         request = self.request
-        left_ms = max(1, int((self.deadline_s - now_s) * 1000))
         return codec.write_request(
-            request.method,
-            request.target,
-            [
-                *self._passed_on(),
-                (Spelled.TIME_LEFT, str(left_ms)),
-                (Spelled.EXPECT_INCARNATION, incarnation),
-            ],
-            request.body,
+            request.method, request.target, self._headers(incarnation, now_s), request.body
         )
 
-    def _passed_on(self) -> Iterator[tuple[str, str]]:
-        if self.events.last_id is None:
-            yield from passed_on(self.request.headers, _WRITTEN_ANEW)
-            return
-        yield from passed_on(self.request.headers, _WRITTEN_ANEW | {Header.LAST_EVENT_ID})
-        yield Spelled.LAST_EVENT_ID, self.events.last_id
-
-    async def _answer(self, known: KnownNode, connection: NodeConnection) -> Ended:
-        """Read the node's answer and pass it on."""
-        response = await self._our_head(connection)
-        incarnation = known.node.incarnation
-        health = self.tools.selection.health
-        if response.status in RETRYABLE:
-            if response.status != 421 and Header.NOT_RUN not in response.headers:
-                raise NodeClosedError(f"{response.status} that does not say whether it ran")
-            await self._read_over(connection, response)
-            self.may_have_run = self.may_have_run_before
-            if response.status == 421:
-                health.note_good_end(incarnation)
-            else:
-                self.tools.counters.add("full")
-                health.note_full(incarnation, self.tools.net.now_s())
-            return Ended.NOT_RUN
-        if 200 <= response.status < 300:
-            if Header.STAMP not in response.headers or "content-encoding" in response.headers:
-                raise NodeClosedError("a success that is not the node's own")
-        elif self.client.has_begun:
-            raise NodeClosedError("a stream that is not continued")
-        health.note_good_end(incarnation)
-        if self._is_joinable and 200 <= response.status < 300:
-            await self._pass_events(connection, response)
-        else:
-            await self._pass_bytes(connection, response)
-        return Ended.DONE
-
-    async def _our_head(self, connection: NodeConnection) -> codec.Response:
-        """The head of our answer; whole answers to others in front of it are read over."""
-        ours = first(self.request.headers, Header.TRY_ID)
-        for _ in range(SURPLUS_AT_MOST + 1):
-            response = await connection.read_head()
-            theirs = first(response.headers, Header.TRY_ID)
-            if theirs == ours:
-                return response
-            if theirs is None:
-                break
-            self.tools.counters.add("surplus")
-            connection.is_suspect = True
-            await self._read_over(connection, response)
-        raise NodeClosedError("an answer to another request")
-
-    async def _read_over(self, connection: NodeConnection, response: codec.Response) -> None:
-        over = not response.long
-        while not over:
-            _, over = await connection.read_data()
-
-    def _begin(self, response: codec.Response, length: int | None) -> None:
-        if not self.client.has_begun:
-            self.client.begin(response.status, list(passed_on(response.headers)), length)
-
-    async def _pass_bytes(self, connection: NodeConnection, response: codec.Response) -> None:
-        """Pass a body on as it comes."""
-        if not response.long:
-            self._begin(response, 0)
-        else:
-            self._begin(response, response.length)
-        over = not response.long
-        while not over:
-            data, over = await connection.read_data()
-            self.client.write(data)
-            await self.client.drained()
-        self.client.finish()
-
-    async def _pass_events(self, connection: NodeConnection, response: codec.Response) -> None:
-        """Pass whole events on, so that another node can continue after any of them."""
-        self.events.rest.clear()
-        self._begin(response, None)
-        over = not response.long
-        while not over:
-            data, over = await connection.read_data()
-            for event in self.events.feed(data):
-                if not rises(event, self.events.last_id):
-                    raise NodeClosedError("an event that was passed on before")
-                self.client.write(event)
-                self.events.note_passed(event)
-            await self.client.drained()
-        self.client.write(bytes(self.events.rest))
-        self.client.finish()
+    def _headers(self, incarnation: str, now_s: float) -> Iterator[tuple[str, str]]:
+        yield from passed_on(self.request.headers, _WRITTEN_ANEW)
+        if self._order.last_id is not None:
+            yield Spelled.LAST_EVENT_ID, self._order.last_id
+        yield Spelled.TIME_LEFT, str(max(1, int((self.deadline_s - now_s) * 1000)))
+        yield Spelled.EXPECT_INCARNATION, incarnation
+
+
+async def _wait(woken: asyncio.Event, within_s: float) -> None:
+    """Wait until woken, at most so long."""
+    try:
+        async with asyncio.timeout(within_s):
+            await woken.wait()
+    except TimeoutError:
+        pass
--- a/coveport/system/proxy/levels.py
+++ b/coveport/system/proxy/levels.py
@@ -9,12 +9,15 @@
 - it closes, or is gone, or its announced end has passed;
 - its zone is evacuated;
 - it is outside the home regions of the request;
-- the request has been sent to it already;
+- the request broke off there, and there are others;
 - its warm-up credit is spent (`warm_up`);
 - its recent attempts all ended badly and no trial is due (`node_health`);
 - it has just said that it is full, or this proxy's share of its connections is in use.
 
 Where nothing but bad ends keeps all nodes of both levels out, those nodes are tried rather than none.
+
+Ties go to the node that this proxy last sent more of the same prompt's leading parts (`prompt_parts`), else
+to either at random.
 """
 
 from __future__ import annotations
--- a/coveport/system/proxy/node_connection.py
+++ b/coveport/system/proxy/node_connection.py
@@ -11,8 +11,9 @@
 MOST_HELD = 64 * 1024  # bytes of an answer that wait for a slow client
 MOST_ANSWER = 1 << 40  # no bound: answers are passed on as they come
 SILENCE_MS = 2000  # after which an unheard-of peer counts as dark
-IDLE_S = 4.0  # how long an idle connection is kept where the node tells nothing
-IDLE_MARGIN_S = 1.0  # closed so long before the node would
+IDLE_S = 0.4  # how long an idle connection is kept where the node tells nothing: it may be under a second
+IDLE_MARGIN_S = 1.0  # closed so long before the node would ...
+IDLE_MARGIN_PART = 0.4  # ... or such a part of its time
 
 
 class NodeClosedError(Exception):
@@ -82,8 +83,8 @@
             and not self._net.is_over(transport)
         )
 
-    def send(self, request: bytes, *, notices_dark: bool) -> None:
-        """Hand a whole request over.
+    def send(self, request: bytes, *, notices_dark: bool) -> bool:
+        """Hand a whole request over; False where the connection was broken already and took none of it.
 
         `notices_dark`: a node whose machine acknowledges nothing counts as gone. Else its silence is borne:
         what can't be sent again is not ended because of it.
@@ -94,7 +95,11 @@
             self._silence_ms = silence_ms
             self._net.bound_silence(self._transport, silence_ms)
         self._in_use = True
+        if not self.is_open:
+            return False
         self._transport.write(request)
+        # A transport that closes within the write found the connection reset: the system took no byte.
+        return not self._transport.is_closing()
 
     async def read_head(self) -> codec.Response:
         """The head of the next answer; NodeClosedError where there will be none."""
@@ -107,7 +112,8 @@
                 raise NodeClosedError(f"no answer in the protocol: {problem}") from None
             if response is not None:
                 self._keeps = response.keep_alive
-                self._idle_s = keep_alive_s(response.headers) or IDLE_S
+                told_s = keep_alive_s(response.headers)
+                self._idle_s = IDLE_S if told_s is None else told_s
                 return response
             await self._more()
 
@@ -146,14 +152,15 @@
         self._in_use = False
         self.idle_since_s = now_s
         broken = self._ended or self._paused or self._parser.begun or self.is_suspect
-        if broken or not self._keeps or self._idle_s <= IDLE_MARGIN_S:
+        if broken or not self._keeps:
             self.close()
             return False
         return True
 
     def is_stale(self, now_s: float) -> bool:
         """Whether the node may close the idle connection soon."""
-        return now_s >= self.idle_since_s + self._idle_s - IDLE_MARGIN_S
+        margin_s = min(IDLE_MARGIN_S, IDLE_MARGIN_PART * self._idle_s)
+        return now_s >= self.idle_since_s + self._idle_s - margin_s
 
     def close(self) -> None:
         """Drop the connection, and with it what the node still does for it."""
--- a/coveport/system/proxy/node_pool.py
+++ b/coveport/system/proxy/node_pool.py
@@ -12,7 +12,7 @@
 
 CONNECT_S = 0.4  # in which a connect has to come up, beside the way
 FAR_CONNECT_S = 0.6  # ... to another region
-SWEEP_S = 0.5
+SWEEP_S = 0.2
 
 
 class ConnectFailedError(Exception):
@@ -20,19 +20,22 @@
 
 
 class NodePool:
-    """Idle connections by incarnation, and a count of all of them."""
+    """Idle connections by incarnation, and those in use."""
 
     def __init__(self, net: Net, region: str) -> None:
         self._net = net
         self._region = region
         self._idle: dict[str, list[NodeConnection]] = {}
-        self._in_use: dict[str, int] = {}
-        self._connecting: set[asyncio.Task[None]] = set()
+        self._in_use: dict[str, set[NodeConnection]] = {}
         self.connects = 0
 
     def has_room(self, incarnation: str, most: int) -> bool:
-        """Whether one more request to the node stays under so many connections."""
-        return most <= 0 or self._in_use.get(incarnation, 0) < most
+        """Whether one more request to the node stays under so many connections; 0: not bounded."""
+        return most <= 0 or len(self._in_use.get(incarnation, ())) < most
+
+    def last_heard_s(self, incarnation: str) -> float:
+        """When the node last said anything on a connection in use; 0.0: never."""
+        return max((one.heard_at_s for one in self._in_use.get(incarnation, ())), default=0.0)
 
     async def take(self, node: Node) -> NodeConnection:
         """A connection to the node, idle or new; ConnectFailedError where none comes up."""
@@ -41,44 +44,59 @@
         while idle:
             connection = idle.pop()
             if connection.is_open and not connection.is_stale(now_s):
-                self._count(node.incarnation, 1)
+                self._use(node, connection)
                 return connection
             connection.close()
-        self._count(node.incarnation, 1)
+        connection = NodeConnection(self._net)
+        self._use(node, connection)
         try:
-            return await self._connect(node)
+            await self._connect(node, connection)
         except BaseException:
-            self._count(node.incarnation, -1)
+            self.drop(node, connection)
             raise
+        return connection
 
-    async def _connect(self, node: Node) -> NodeConnection:
-        self.connects += 1
+    async def try_connect(self, node: Node) -> bool:
+        """Whether a connection to the node comes up; it is kept for the next request."""
         connection = NodeConnection(self._net)
+        try:
+            await self._connect(node, connection)
+        except ConnectFailedError:
+            return False
+        self._keep(node, connection)
+        return True
+
+    async def _connect(self, node: Node, connection: NodeConnection) -> None:
+        self.connects += 1
         within_s = CONNECT_S if node.region == self._region else FAR_CONNECT_S
         try:
             async with asyncio.timeout(within_s):
                 await self._net.dial(lambda: connection, parse_address(node.address))
         except (OSError, TimeoutError, ValueError) as problem:
             raise ConnectFailedError(str(problem)) from None
-        return connection
 
     def give_back(self, node: Node, connection: NodeConnection) -> None:
         """The answer is whole: keep the connection if it can carry another request."""
-        self._count(node.incarnation, -1)
-        if connection.release(self._net.now_s()):
-            self._idle.setdefault(node.incarnation, []).append(connection)
+        self._no_longer_use(node, connection)
+        self._keep(node, connection)
 
     def drop(self, node: Node, connection: NodeConnection) -> None:
         """The answer is not whole or not wanted."""
-        self._count(node.incarnation, -1)
+        self._no_longer_use(node, connection)
         connection.close()
 
-    def _count(self, incarnation: str, change: int) -> None:
-        count = self._in_use.get(incarnation, 0) + change
-        if count:
-            self._in_use[incarnation] = count
-        else:
-            self._in_use.pop(incarnation, None)
+    def _keep(self, node: Node, connection: NodeConnection) -> None:
+        if connection.release(self._net.now_s()):
+            self._idle.setdefault(node.incarnation, []).append(connection)
+
+    def _use(self, node: Node, connection: NodeConnection) -> None:
+        self._in_use.setdefault(node.incarnation, set()).add(connection)
+
+    def _no_longer_use(self, node: Node, connection: NodeConnection) -> None:
+        in_use = self._in_use.get(node.incarnation, set())
+        in_use.discard(connection)
+        if not in_use:
+            self._in_use.pop(node.incarnation, None)
 
     def sweep(self, is_known: Callable[[str], bool]) -> None:
         """Close idle connections that nodes would close soon, and those to nodes that are gone."""
--- /dev/null
+++ b/coveport/system/proxy/prompt_parts.py
@@ -0,0 +1,65 @@
+"""Which nodes probably keep which parts of prompts. Pure.
+
+Used to break ties of the draw alone: among nodes with equally many of this proxy's requests, the one that
+was last sent more of the prompt's leading parts need not read them again.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+MOST_PARTS = 2048  # that are remembered; those unused the longest are forgotten
+NODES_PER_PART = 4  # the last so many that it was sent to
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt, shared by all requests that name it."""
+
+    id: str
+    tokens: int
+
+
+def read_parts(value: str | None) -> tuple[PromptPart, ...]:
+    """The parts that `ID:TOKENS,ID:TOKENS` names, in order; empty where it is anything else."""
+    if not value:
+        return ()
+    parts = []
+    for piece in value.split(","):
+        part_id, _, tokens = piece.strip().partition(":")
+        if not part_id or not tokens.isdigit():
+            return ()
+        parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+@dataclass(slots=True)
+class PartMemory:
+    """The nodes, by incarnation, that each part was last sent to; the latest comes last."""
+
+    _nodes_by_part: OrderedDict[str, tuple[str, ...]] = field(default_factory=OrderedDict)
+
+    def note_sent(self, parts: tuple[PromptPart, ...], incarnation: str) -> None:
+        """A prompt has gone to a node."""
+        for part in parts:
+            others = tuple(one for one in self._nodes_by_part.pop(part.id, ()) if one != incarnation)
+            self._nodes_by_part[part.id] = (*others[-(NODES_PER_PART - 1) :], incarnation)
+        while len(self._nodes_by_part) > MOST_PARTS:
+            self._nodes_by_part.popitem(last=False)
+
+    def kept_tokens(self, parts: tuple[PromptPart, ...], incarnation: str) -> int:
+        """Tokens of the leading parts that the node probably keeps: a part counts if all before it do."""
+        kept = 0
+        for part in parts:
+            if incarnation not in self._nodes_by_part.get(part.id, ()):
+                break
+            kept += part.tokens
+        return kept
+
+    def prefer(self, parts: tuple[PromptPart, ...], one: str, other: str) -> str | None:
+        """The node that keeps more; None: neither."""
+        one_keeps, other_keeps = self.kept_tokens(parts, one), self.kept_tokens(parts, other)
+        if one_keeps == other_keeps:
+            return None
+        return one if one_keeps > other_keeps else other
--- a/coveport/system/proxy/retry_budget.py
+++ b/coveport/system/proxy/retry_budget.py
@@ -3,7 +3,10 @@
 The rule: in each sliding window the arrivals at a service beyond the first of each request, summed over all
 proxies, are at most RetryRatio x requests + RetrySlack. Each proxy keeps to ratio x its own requests, and
 to an equal part of the slack; both with a margin, since windows of the rule begin at other moments than
-ours.
+ours. A refused send and a 421 count as arrivals; a connection that never came up does not.
+
+A second send is reserved when it is decided, and spent when it is handed over: in between others decide
+too.
 """
 
 from __future__ import annotations
@@ -21,6 +24,7 @@
 class _ServiceBudget:
     requests: SlidingWindow
     repeats: SlidingWindow
+    reserved: int = 0
 
 
 @dataclass(slots=True)
@@ -43,13 +47,22 @@
         """A client's request for the service has come."""
         self._of(service).requests.add(now_s)
 
-    def may_repeat(self, service: str, proxies_at_most: int, now_s: float) -> bool:
-        """Whether one more send beyond a request's first fits."""
+    def reserve(self, service: str, proxies_at_most: int, now_s: float) -> bool:
+        """Hold one more send beyond a request's first, if it fits."""
         budget = self._of(service)
         allowed = self.ratio * RATIO_PART * budget.requests.count(now_s)
         allowed += floor(self.slack * SLACK_PART / max(1, proxies_at_most))
-        return budget.repeats.count(now_s) + 1 <= allowed
+        if budget.repeats.count(now_s) + budget.reserved + 1 > allowed:
+            return False
+        budget.reserved += 1
+        return True
+
+    def spend(self, service: str, now_s: float) -> None:
+        """A reserved send is handed over."""
+        budget = self._of(service)
+        budget.reserved -= 1
+        budget.repeats.add(now_s)
 
-    def note_repeat(self, service: str, now_s: float) -> None:
-        """A request has been sent again."""
-        self._of(service).repeats.add(now_s)
+    def release(self, service: str) -> None:
+        """A reserved send is not made after all."""
+        self._of(service).reserved -= 1
--- a/coveport/system/proxy/routing.py
+++ b/coveport/system/proxy/routing.py
@@ -61,19 +61,22 @@
     return next(one.service for one in reversed(route.services) if one.weight > 0)
 
 
-def open_nodes(
-    view: ControlView, service: str, homes: frozenset[str], now_s: float, sent_to: Iterable[str] = ()
-) -> list[KnownNode]:
-    """The service's nodes that the control plane and the homes allow, without those that had the request."""
-    had = set(sent_to)
+def is_open(view: ControlView, known: KnownNode, now_s: float) -> bool:
+    """Whether the control plane allows sends to the node."""
+    return (
+        known.node.state is NodeState.ACCEPTING
+        and known.node.zone not in view.evacuated_zones
+        and known.leaves_at_s > now_s
+    )
+
+
+def open_nodes(view: ControlView, service: str, homes: frozenset[str], now_s: float) -> list[KnownNode]:
+    """The service's nodes that the control plane and the request's homes allow; no homes: anywhere."""
     return [
         known
         for known in view.nodes.values()
         if known.node.service == service
-        and known.node.state is NodeState.ACCEPTING
-        and known.node.zone not in view.evacuated_zones
-        and known.leaves_at_s > now_s
-        and known.node.incarnation not in had
+        and is_open(view, known, now_s)
         and (not homes or known.node.region in homes)
     ]
 
--- a/coveport/system/proxy/selection.py
+++ b/coveport/system/proxy/selection.py
@@ -12,9 +12,12 @@
 from coveport.system.proxy.levels import less_busy_of_two
 from coveport.system.proxy.node_health import NodeHealth
 from coveport.system.proxy.node_pool import NodePool
-from coveport.system.proxy.routing import Levels, open_nodes, split_levels
+from coveport.system.proxy.prompt_parts import PartMemory, PromptPart
+from coveport.system.proxy.routing import Levels, is_open, open_nodes, split_levels
 from coveport.system.proxy.warm_up import WarmUpCredit
 
+LATE_S = 0.1  # a request handed over so long after its choice counts a second time for a cold node
+
 
 class NoNode(Enum):
     """Why no node was chosen."""
@@ -23,6 +26,15 @@
     ALL_FULL = "all nodes are full or warming up"
 
 
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a send needs."""
+
+    route: Route
+    service: Service
+    parts: tuple[PromptPart, ...] = ()
+
+
 @dataclass(slots=True)
 class NodeSelection:
     """The levels and the draw, over this proxy's own counts."""
@@ -33,25 +45,30 @@
     health: NodeHealth
     warm_up: WarmUpCredit
     pool: NodePool
+    parts: PartMemory = field(default_factory=PartMemory)
     in_flight: dict[str, int] = field(default_factory=dict)  # this proxy's requests by incarnation
 
-    def choose(
-        self, route: Route, service: Service, sent_to: Collection[str], now_s: float
-    ) -> KnownNode | NoNode:
-        """The node for one send; `sent_to` had the request already."""
-        levels = split_levels(
-            open_nodes(self.view, service.name, route.home_regions, now_s, sent_to), self.region
-        )
+    def choose(self, wanted: Wanted, broke_at: Collection[str], now_s: float) -> KnownNode | NoNode:
+        """The node for one send. Nodes that broke this request off come last."""
+        service = wanted.service
+        nodes = open_nodes(self.view, service.name, wanted.route.home_regions, now_s)
+        others = [known for known in nodes if known.node.incarnation not in broke_at]
+        levels = split_levels(others or nodes, self.region)
         candidates = levels.first(
             lambda known: self._has_place(known, service, now_s) and not self._is_out(known, now_s)
         )
         if not candidates:
             candidates = self._last_resort(levels, service, now_s)
         if not candidates:
-            return NoNode.ALL_FULL if levels.own or levels.rest else NoNode.NONE_OPEN
-        incarnations = [known.node.incarnation for known in candidates]
-        chosen = less_busy_of_two(incarnations, self.in_flight, self.random)
-        return candidates[incarnations.index(chosen)]
+            return NoNode.ALL_FULL if nodes else NoNode.NONE_OPEN
+        by_incarnation = {known.node.incarnation: known for known in candidates}
+        chosen = less_busy_of_two(
+            tuple(by_incarnation),
+            self.in_flight,
+            self.random,
+            lambda one, other: self.parts.prefer(wanted.parts, one, other),
+        )
+        return by_incarnation[chosen]
 
     def _is_out(self, known: KnownNode, now_s: float) -> bool:
         return self.health.is_out(known.node.incarnation, now_s)
@@ -76,15 +93,23 @@
             return []
         return levels.first(lambda known: self._has_place(known, service, now_s))
 
-    def note_send(self, known: KnownNode, service: Service, now_s: float) -> None:
-        """A request goes to the node."""
+    def is_still_open(self, known: KnownNode, now_s: float) -> bool:
+        """Whether the node that was chosen may still be sent to, by the newest view."""
+        current = self.view.nodes.get(known.node.incarnation)
+        return current is not None and is_open(self.view, current, now_s)
+
+    def note_chosen(self, known: KnownNode, wanted: Wanted, now_s: float) -> None:
+        """A request is on its way to the node."""
         incarnation = known.node.incarnation
         self.in_flight[incarnation] = self.in_flight.get(incarnation, 0) + 1
         self.health.note_send(incarnation, now_s)
+        self.warm_up.note_send(known, wanted.service, self.view, now_s)
 
-    def note_arrival(self, known: KnownNode, service: Service, now_s: float) -> None:
+    def note_handed_over(self, known: KnownNode, wanted: Wanted, chosen_s: float, now_s: float) -> None:
         """... and is handed over."""
-        self.warm_up.note_send(known, service, self.view, now_s)
+        if now_s > chosen_s + LATE_S:
+            self.warm_up.note_send(known, wanted.service, self.view, now_s)
+        self.parts.note_sent(wanted.parts, known.node.incarnation)
 
     def note_end(self, known: KnownNode) -> None:
         """The request is off the node."""
