--- a/coveport/system/configuration/form_reader.py
+++ b/coveport/system/configuration/form_reader.py
@@ -125,7 +125,24 @@
     return check
 
 
-_HOOKS: Final[dict[Any, Callable[[Any], Any]]] = {int: _refuse_bool(int), float: _refuse_bool(float)}
+def _require(kind: type) -> Callable[[Any], Any]:
+    """A check before `dacite` builds a collection: it fails in many ways on one of another type."""
+
+    def check(value: Any) -> Any:
+        if not isinstance(value, kind):
+            raise dacite.WrongTypeError(field_type=kind, value=value)
+        return value
+
+    return check
+
+
+_HOOKS: Final[dict[Any, Callable[[Any], Any]]] = {
+    int: _refuse_bool(int),
+    float: _refuse_bool(float),
+    list[Any]: _require(list),
+    list[str]: _require(list),
+    dict[str, Any]: _require(dict),
+}
 _SETTINGS: Final[dict[Any, dacite.Config]] = {
     kind: dacite.Config(convert_key=names.__getitem__, type_hooks=_HOOKS) for kind, names in NAMES.items()
 }
--- a/coveport/system/settings/reader.py
+++ b/coveport/system/settings/reader.py
@@ -5,6 +5,7 @@
 import math
 import tomllib
 from collections.abc import Mapping
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, Final, TypeVar
 
@@ -71,7 +72,7 @@
             loss_counted=self._field(Boot.LOSS_COUNTED, bool, False),
             data_dir=self._field(Boot.DATA_DIR, str, "") if Boot.DATA_DIR in self._data else None,
             serves=serves,
-            heartbeat_ms=self._number(self._data, Boot.HEARTBEAT_MS, Boot.HEARTBEAT_MS),
+            heartbeat_ms=self._number(self._data, Boot.HEARTBEAT_MS, Boot.HEARTBEAT_MS, is_0_useful=False),
             regions=self._regions(),
             clients=listen["clients"],
             readiness=listen["readiness"],
@@ -178,7 +179,7 @@
         if region is not None and settings.region and region != settings.region:
             self._findings.add(Boot.REGION, f"{Boot.REGIONS} has {region!r} for this zone")
 
-    def _number(self, table: Mapping[str, Any], name: str, place: str) -> float:
+    def _number(self, table: Mapping[str, Any], name: str, place: str, is_0_useful: bool = True) -> float:
         """A number above or equal to 0 that must be there."""
         if name not in table:
             self._findings.add(place, "is missing")
@@ -189,16 +190,20 @@
             return 0.0
         if value < 0:
             self._findings.add(place, "must not be negative")
+        elif value == 0 and not is_0_useful:
+            self._findings.add(place, "must be above 0")
         return value
 
     def _numbers(self, name: str, fields: Mapping[str, str], default: Numbers) -> Numbers:
         """A table of numbers; those that are missing keep their defaults."""
         table = self._table(name)
-        read = {
-            field: self._number(table, key, f"{name}.{key}") for field, key in fields.items() if key in table
-        }
-        whole = {
-            field: int(value) if isinstance(getattr(default, field), int) else float(value)
-            for field, value in read.items()
-        }
-        return type(default)(**{**{field: getattr(default, field) for field in fields}, **whole})
+        read: dict[str, Any] = {}
+        for field, key in fields.items():
+            if key not in table:
+                continue
+            value = self._number(table, key, f"{name}.{key}")
+            is_whole = isinstance(getattr(default, field), int)
+            if is_whole and value != int(value):
+                self._findings.add(f"{name}.{key}", "must be a whole number")
+            read[field] = int(value) if is_whole else float(value)
+        return replace(default, **read)
--- /dev/null
+++ b/tests/system/configuration/test_control_state.py
@@ -0,0 +1,178 @@
+"""The acknowledged state under commands."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from configuration_examples import route, text, whole
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coveport.system.configuration.commands import (
+    Command,
+    EndEvacuation,
+    PatchConfiguration,
+    PutConfiguration,
+    StartEvacuation,
+    decode_command,
+    encode_command,
+)
+from coveport.system.configuration.state import (
+    MOST_TAKEN,
+    Applied,
+    ControlState,
+    Refused,
+    apply,
+    decode_state,
+    encode_state,
+    initial_state,
+)
+from coveport.system.wire.codec import MalformedMessageError
+
+
+def put(if_match: int | None, edition: int) -> PutConfiguration:
+    return PutConfiguration(if_match, text(whole(edition)))
+
+
+def run(state: ControlState, *commands: Command) -> tuple[ControlState, list[int]]:
+    """The state after the commands, and the status of each."""
+    statuses = []
+    for command in commands:
+        answer = apply(state, encode_command(command))
+        state = answer.state if isinstance(answer, Applied) else state
+        assert answer.result.edition == state.edition
+        assert (answer.result.status == 200) == isinstance(answer, Applied)
+        assert bool(answer.result.findings) == isinstance(answer, Refused)
+        statuses.append(answer.result.status)
+    return state, statuses
+
+
+def test_configurations_build_on_one_another() -> None:
+    state, statuses = run(initial_state(), put(0, 5), put(5, 7))
+    assert statuses == [200, 200]
+    assert (state.edition, json.loads(state.configuration_text or b"")) == (7, whole(7))
+
+
+@pytest.mark.parametrize(
+    ("command", "status"),
+    [
+        (put(4, 9), 412),
+        (put(0, 9), 412),
+        (put(8, 9), 412),
+        (put(None, 9), 400),
+        (put(7, 7), 400),
+        (put(7, 6), 400),
+        (PutConfiguration(7, text(whole(9))[:200]), 400),
+        (PutConfiguration(7, text(whole(9, route("a", DeadlineMs=0)))), 400),
+        (PatchConfiguration(6, text({"Edition": 9})), 412),
+        (PatchConfiguration(7, text({"Edition": 7})), 400),
+        (PatchConfiguration(7, text([])), 400),
+        (PatchConfiguration(7, text({"Edition": 9, "Remove": {"Services": ["model"]}})), 400),
+        (
+            PatchConfiguration(
+                7, text({"Edition": 9, "Upsert": {"Routes": [route("x", PathPrefix="/plain/")]}})
+            ),
+            400,
+        ),
+    ],
+)
+def test_a_refused_change_changes_nothing(command: Command, status: int) -> None:
+    state, _ = run(initial_state(), put(0, 7))
+    assert run(state, command) == (state, [status])
+
+
+def test_the_very_same_change_succeeds_again_even_when_newer_ones_came_after() -> None:
+    patched = PatchConfiguration(5, text({"Edition": 7, "Upsert": {"Routes": [route("new")]}}))
+    state, statuses = run(initial_state(), put(0, 5), patched, put(7, 9))
+    assert statuses == [200, 200, 200]
+    assert run(state, put(0, 5), patched, put(7, 9)) == (state, [200, 200, 200])
+
+
+def test_a_change_that_differs_in_method_version_or_body_is_not_the_same() -> None:
+    body = text({"Edition": 9, "Routes": [], "Services": []})
+    state, statuses = run(initial_state(), put(0, 5), PutConfiguration(5, body))
+    assert statuses == [200, 200]
+    for other in (PatchConfiguration(5, body), PutConfiguration(0, body), PutConfiguration(5, body + b" ")):
+        assert run(state, other) == (state, [412])
+
+
+def test_one_of_two_changes_on_the_same_version_wins() -> None:
+    first, second = put(5, 7), put(5, 8)
+    state, statuses = run(initial_state(), put(0, 5), first, second, second, first)
+    assert (state.edition, statuses) == (7, [200, 200, 412, 412, 200])
+
+
+def test_what_was_sent_is_handed_out_whole() -> None:
+    sent = whole(7, route("a", Unknown={"ü": [1.5, 10**20, None, "\U0001f600"]}), Extra=[{"Name": "x"}])
+    state, _ = run(initial_state(), PutConfiguration(0, text(sent)))
+    assert json.loads(state.configuration_text or b"") == sent
+    change = {
+        "Edition": 9,
+        "Upsert": {"Routes": [route("b")], "Extra": [{"Name": "y"}]},
+        "Remove": {"Routes": ["a"]},
+    }
+    state, _ = run(state, PatchConfiguration(7, text(change)))
+    expected = sent | {"Edition": 9, "Routes": [route("b")], "Extra": [{"Name": "x"}, {"Name": "y"}]}
+    assert json.loads(state.configuration_text or b"") == expected
+
+
+def test_evacuations_are_idempotent_and_leave_the_configuration_alone() -> None:
+    state, _ = run(initial_state(), put(0, 5))
+    away, statuses = run(state, StartEvacuation("hall"), StartEvacuation("hall"), StartEvacuation("cellar"))
+    assert (away.evacuated_zones, statuses) == (frozenset({"hall", "cellar"}), [200, 200, 200])
+    back, statuses = run(away, EndEvacuation("hall"), EndEvacuation("hall"), EndEvacuation("cellar"))
+    assert (back, statuses) == (state, [200, 200, 200])
+
+
+def test_only_the_newest_changes_are_remembered() -> None:
+    state = initial_state()
+    bodies = [text({"Edition": edition, "Routes": [], "Services": []}) for edition in range(MOST_TAKEN + 3)]
+    for edition in range(1, MOST_TAKEN + 2):
+        state, statuses = run(state, PutConfiguration(edition - 1, bodies[edition]))
+        assert statuses == [200]
+    assert len(state.taken) == MOST_TAKEN
+    assert run(state, PutConfiguration(0, bodies[1]))[1] == [412]
+    assert run(state, PutConfiguration(1, bodies[2]))[1] == [200]
+    assert decode_state(encode_state(state)) == state
+
+
+COMMANDS = st.one_of(
+    st.builds(put, st.integers(0, 4), st.integers(0, 5)),
+    st.builds(
+        lambda if_match, edition, name: PatchConfiguration(
+            if_match, text({"Edition": edition, "Upsert": {"Routes": [route(name)]}})
+        ),
+        st.integers(0, 4),
+        st.integers(0, 5),
+        st.sampled_from("ab"),
+    ),
+    st.builds(StartEvacuation, st.sampled_from("xy")),
+    st.builds(EndEvacuation, st.sampled_from("xy")),
+)
+
+
+@given(st.lists(COMMANDS, max_size=12))
+def test_states_and_commands_survive_their_bytes_and_editions_only_rise(commands: list[Command]) -> None:
+    state = initial_state()
+    for command in commands:
+        assert decode_command(encode_command(command)) == command
+        after, statuses = run(state, command)
+        assert decode_state(encode_state(after)) == after
+        again, repeated = run(decode_state(encode_state(after)), command)
+        assert (again, repeated == [200]) == (after, statuses == [200])
+        assert after.edition >= state.edition
+        assert (after.edition == state.edition) == (after.configuration_text == state.configuration_text)
+        state = after
+
+
+def test_equal_states_have_equal_bytes() -> None:
+    one, _ = run(initial_state(), *[StartEvacuation(zone) for zone in "abcdefgh"])
+    other, _ = run(initial_state(), *[StartEvacuation(zone) for zone in "hgfedcba"])
+    assert encode_state(one) == encode_state(other)
+
+
+@pytest.mark.parametrize("data", [b"", b"\x00", b"\xff", encode_state(initial_state())[:-1]])
+def test_bytes_that_hold_no_state_are_malformed(data: bytes) -> None:
+    with pytest.raises(MalformedMessageError):
+        decode_state(data)
