--- a/tests/system/simulation/test_judge_rules.py
+++ b/tests/system/simulation/test_judge_rules.py
@@ -60,8 +60,9 @@
         )  # fmt: skip
 
     def order(
-        self, at: float, order: Order, edition: int = 0, routes: tuple[RoutePlace, ...] = (), *, based_on: int = 0,
-        verdict: Verdict = Verdict.ACKNOWLEDGED, valid: bool = True, zone: str = "", took: float = 0.1,
+        self, at: float, order: Order, edition: int = 0, routes: tuple[RoutePlace, ...] = (), *,
+        based_on: int = 0, verdict: Verdict = Verdict.ACKNOWLEDGED, valid: bool = True, zone: str = "",
+        took: float = 0.1,
     ) -> int:  # fmt: skip
         self.numbers += 1
         found = f"digest of {edition} by {self.numbers}" if edition else ""
