--- /dev/null
+++ b/coveport/system/replication/identity.py
@@ -0,0 +1,67 @@
+"""Who takes part: members of the core, epochs and views."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class MemberId:
+    """A machine with one life of its disk: a wiped or replaced machine is another member."""
+
+    address: str  # ip:port of its inner port
+    disk: str  # random hex, drawn when the disk was found empty
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Epoch:
+    """Orders the attempts to lead. No two candidates share one, nor does one candidate use one twice."""
+
+    number: int
+    candidate: str  # the candidate's disk id
+
+    def after(self, candidate: str) -> Epoch:
+        """A higher epoch, of `candidate`."""
+        return Epoch(self.number + 1, candidate)
+
+
+NO_EPOCH = Epoch(0, "")
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a machine stands."""
+
+    zone: str
+    region: str
+
+
+UNKNOWN_PLACE = Place("", "")
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """Who leads, who holds the state and who votes, under one epoch."""
+
+    epoch: Epoch
+    primary: MemberId
+    replicas: tuple[MemberId, ...]  # the primary first; all of them hold every acknowledged change
+    members: tuple[MemberId, ...]  # whose majority decides on the next view
+    previous_members: tuple[MemberId, ...] = ()  # their majority counts too until this view is known active
+
+    def groups(self, settled: Epoch) -> tuple[tuple[MemberId, ...], ...]:
+        """The groups of which each must give its majority to a next view."""
+        if not self.previous_members or settled >= self.epoch:
+            return (self.members,)
+        return self.members, self.previous_members
+
+
+def is_majority(present: Collection[MemberId], group: Collection[MemberId]) -> bool:
+    """Whether `present` holds more than half of `group`."""
+    return 2 * sum(member in present for member in group) > len(group)
+
+
+def has_majorities(present: Collection[MemberId], groups: Collection[Collection[MemberId]]) -> bool:
+    """Whether `present` holds more than half of each group."""
+    return all(is_majority(present, group) for group in groups)
--- /dev/null
+++ b/coveport/system/replication/learner.py
@@ -0,0 +1,69 @@
+"""The newest committed state known here. It never goes back, and nothing uncommitted is ever in it."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+from coveport.system.replication.events import Applied, StateCode
+from coveport.system.replication.messages import Learn, LearnState
+from coveport.system.replication.outbox import Outbox
+
+RECENT_COMMANDS = 64
+RECENT_BYTES = 1024 * 1024
+
+
+class Learner:
+    """Every coordinator has one, member of the core or not."""
+
+    def __init__(self, outbox: Outbox, code: StateCode) -> None:
+        self._outbox = outbox
+        self._code = code
+        self.sequence = -1
+        self.state: Any = None
+        self._recent: deque[bytes] = deque()  # the commands that led to `sequence`, the newest last
+        self._recent_bytes = 0
+
+    def became(self, sequence: int, state: Any, command: bytes | None = None) -> None:
+        """A committed state is known; `command` led to it from the one before."""
+        if sequence <= self.sequence:
+            return
+        if command is None or sequence != self.sequence + 1:
+            self._recent.clear()
+            self._recent_bytes = 0
+        if command is not None:
+            self._remember(command)
+        self.sequence = sequence
+        self.state = state
+        self._outbox.committed(sequence, state)
+
+    def _remember(self, command: bytes) -> None:
+        self._recent.append(command)
+        self._recent_bytes += len(command)
+        while len(self._recent) > RECENT_COMMANDS or self._recent_bytes > RECENT_BYTES:
+            self._recent_bytes -= len(self._recent.popleft())
+
+    def learn(self, message: Learn) -> None:
+        """Take committed commands, as far as they follow."""
+        for place, command in enumerate(message.commands):
+            sequence = message.first + place
+            if self.state is not None and sequence == self.sequence + 1:
+                applied = self._code.apply(self.state, command)
+                if not isinstance(applied, Applied):
+                    raise ValueError("a committed command was refused here")
+                self.became(sequence, applied.state, command)
+
+    def learn_state(self, message: LearnState) -> None:
+        """Take a whole committed state."""
+        if message.sequence > self.sequence:
+            self.became(message.sequence, self._code.decode(message.state))
+
+    def lesson(self, sequence: int) -> Learn | LearnState | None:
+        """What one that knows up to `sequence` lacks."""
+        lacking = self.sequence - sequence
+        if lacking <= 0:
+            return None
+        if sequence >= 0 and lacking <= len(self._recent):
+            commands = tuple(self._recent)[-lacking:]
+            return Learn(sequence + 1, commands)
+        return LearnState(self.sequence, self._code.encode(self.state))
--- /dev/null
+++ b/coveport/system/replication/outbox.py
@@ -0,0 +1,43 @@
+"""Collects the effects of one step, and messages of a member to itself."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from coveport.system.replication.events import Answer, CommittedState, Effect, Outcome, Send
+from coveport.system.replication.identity import MemberId
+from coveport.system.replication.messages import Message
+
+
+class Outbox:
+    """Filled by all parts of a member; emptied at the end of each step."""
+
+    def __init__(self, own: MemberId) -> None:
+        self.own = own
+        self.to_self: deque[Message] = deque()
+        self._effects: list[Effect] = []
+
+    def send(self, to_address: str, message: Message) -> None:
+        """Send to another, or to oneself within this step."""
+        if to_address == self.own.address:
+            self.to_self.append(message)
+        else:
+            self._effects.append(Send(to_address, message))
+
+    def answer(self, request: int, outcome: Outcome) -> None:
+        """Answer a caller."""
+        self._effects.append(Answer(request, outcome))
+
+    def committed(self, sequence: int, state: object) -> None:
+        """Tell that a newer committed state is known."""
+        self._effects.append(CommittedState(sequence, state))
+
+    def add(self, effect: Effect) -> None:
+        """Add any other effect."""
+        self._effects.append(effect)
+
+    def take(self) -> list[Effect]:
+        """All effects since the last time."""
+        effects = self._effects
+        self._effects = []
+        return effects
--- /dev/null
+++ b/coveport/system/replication/parts.py
@@ -0,0 +1,68 @@
+"""What the parts of one member share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from coveport.system.replication.acceptor import Acceptor
+from coveport.system.replication.composition import Machine
+from coveport.system.replication.identity import MemberId, Place
+from coveport.system.replication.journal import Journal
+from coveport.system.replication.learner import Learner
+from coveport.system.replication.messages import Message
+from coveport.system.replication.outbox import Outbox
+from coveport.system.replication.peers import Peers
+from coveport.system.replication.timings import Timings
+
+
+@dataclass(slots=True)
+class Parts:
+    """One member's parts and settings."""
+
+    own: MemberId
+    place: Place
+    tolerated_losses: int
+    timings: Timings
+    jitter: Callable[[], float]  # 0 to 1
+    outbox: Outbox
+    journal: Journal
+    acceptor: Acceptor
+    learner: Learner
+    peers: Peers
+    is_leaving: bool = False
+
+    def send(self, member: MemberId, message: Message) -> None:
+        """Send to a member, ourselves included."""
+        self.outbox.send(member.address, message)
+
+    def is_usable(self, member: MemberId, now_s: float) -> bool:
+        """Whether it is alive, its disk well, and it stays."""
+        if member == self.own:
+            return self.journal.is_well(now_s) and not self.is_leaving
+        ping = self.peers.ping_of(member, now_s)
+        return ping is not None and ping.is_well and not ping.is_leaving
+
+    def place_of(self, member: MemberId) -> Place:
+        """Where a member stands, as far as known."""
+        return self.place if member == self.own else self.peers.place_of(member)
+
+    def machine(self, member: MemberId, now_s: float) -> Machine:
+        """What is known of a member."""
+        silent_s = self.peers.silent_s(member, now_s)
+        is_replaced = self.peers.is_replaced(member)
+        return Machine(
+            member=member,
+            place=self.place_of(member),
+            is_usable=self.is_usable(member, now_s),
+            is_lost=is_replaced or silent_s >= self.timings.replace_s,
+            is_gone=is_replaced or silent_s >= self.timings.drop_s,
+        )
+
+    def least_replicas(self, member_count: int) -> int:
+        """Fewer than this never hold the state; as many are alive whenever a majority is."""
+        return min(self.tolerated_losses + 1, member_count // 2 + 1)
+
+    def wanted_replicas(self, member_count: int) -> int:
+        """So many hold the state when they are there."""
+        return min(self.tolerated_losses + 1, member_count)
--- /dev/null
+++ b/coveport/system/replication/primary.py
@@ -0,0 +1,249 @@
+"""The active primary: commands one at a time, answered when all replicas have synced them."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from coveport.system.replication.events import Applied, Done, Newest, NotPrimary, Outcome, Refused, Unclear
+from coveport.system.replication.identity import MemberId, View, is_majority
+from coveport.system.replication.messages import (
+    Append,
+    Appended,
+    Committed,
+    Confirm,
+    Confirmed,
+    Learn,
+)
+from coveport.system.replication.parts import Parts
+
+ROUNDS_AT_ONCE = 2  # rounds of confirmation on their way
+BYTES_A_SECOND = 10e6  # at which a command is surely sent and synced
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A command that isn't started."""
+
+    request: int
+    command: bytes
+
+
+@dataclass(slots=True)
+class InFlight:
+    """The one command that is on its way to the replicas."""
+
+    request: int
+    sequence: int
+    command: bytes
+    state: Any
+    result: Any
+    since_s: float
+    sent_at_s: float
+    appended: set[MemberId] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True)
+class Unconfirmed:
+    """An answer that holds if nobody promised a higher epoch; None: the newest committed state."""
+
+    request: int
+    refusal: Refused | None
+
+
+@dataclass(slots=True)
+class Round:
+    """One round of confirmation."""
+
+    number: int
+    since_s: float
+    sent_at_s: float
+    waiting: list[Unconfirmed]
+    confirmed: set[MemberId] = field(default_factory=set)
+
+
+class Primary:
+    """Lives as long as its view is the newest promised here."""
+
+    def __init__(self, parts: Parts, view: View) -> None:
+        self.view = view
+        self.is_paused = False  # while it brings its own next view up
+        self._parts = parts
+        self._queue: deque[Waiting] = deque()
+        self._in_flight: InFlight | None = None
+        self._unconfirmed: list[Unconfirmed] = []
+        self._rounds: list[Round] = []
+        self._last_round = 0
+
+    # -- beginning and end --
+
+    def begin(self, now_s: float, before: Primary | None) -> None:
+        """The view is active: what its state holds is committed."""
+        parts = self._parts
+        sequence = parts.acceptor.durable.sequence
+        in_flight = before._in_flight if before else None
+        command = in_flight.command if in_flight and in_flight.sequence == sequence else None
+        parts.learner.became(sequence, parts.acceptor.state, command)
+        self._tell_committed(now_s)
+        if before is None:
+            return
+        self._queue = before._queue
+        self._unconfirmed = before._unconfirmed + [
+            item for round_ in before._rounds for item in round_.waiting
+        ]
+        if in_flight is not None:
+            taken = command is not None
+            parts.outbox.answer(in_flight.request, Done(in_flight.result) if taken else Unclear())
+
+    def end(self, primary_address: str | None) -> None:
+        """Another leads or may lead: answer all that wait."""
+        answer = self._parts.outbox.answer
+        if self._in_flight is not None:
+            answer(self._in_flight.request, Unclear())
+        for waiting in self._queue:
+            answer(waiting.request, NotPrimary(primary_address))
+        for item in self._unconfirmed:
+            answer(item.request, NotPrimary(primary_address))
+        for round_ in self._rounds:
+            for item in round_.waiting:
+                answer(item.request, NotPrimary(primary_address))
+        self._in_flight = None
+        self._queue = deque()
+        self._unconfirmed = []
+        self._rounds = []
+
+    # -- commands --
+
+    def submit(self, request: int, command: bytes) -> None:
+        """Queue a command."""
+        self._queue.append(Waiting(request, command))
+
+    def read(self, request: int) -> None:
+        """Queue a read of the newest."""
+        self._unconfirmed.append(Unconfirmed(request, None))
+
+    def advance(self, now_s: float) -> None:
+        """Start what can be started."""
+        if self.is_paused:
+            return
+        while self._in_flight is None and self._queue:
+            self._start(self._queue.popleft(), now_s)
+        if self._unconfirmed and len(self._rounds) < ROUNDS_AT_ONCE:
+            self._start_round(now_s)
+
+    def _start(self, waiting: Waiting, now_s: float) -> None:
+        acceptor = self._parts.acceptor
+        applied = self._parts.acceptor.try_command(waiting.command)
+        if not isinstance(applied, Applied):
+            self._unconfirmed.append(Unconfirmed(waiting.request, applied))
+            return
+        sequence = acceptor.durable.sequence + 1
+        self._in_flight = InFlight(
+            waiting.request, sequence, waiting.command, applied.state, applied.result, now_s, now_s
+        )
+        acceptor.foresee(self.view.epoch, sequence, applied.state)
+        self._send_append(now_s)
+
+    def _send_append(self, now_s: float) -> None:
+        in_flight = self._in_flight
+        if in_flight is None:
+            return
+        in_flight.sent_at_s = now_s
+        message = Append(self.view.epoch, in_flight.sequence, in_flight.command, self._parts.learner.sequence)
+        for member in self.view.replicas:
+            if member not in in_flight.appended:
+                self._parts.send(member, message)
+
+    def appended(self, now_s: float, sender: MemberId, message: Appended) -> None:
+        """A replica has synced a command."""
+        in_flight = self._in_flight
+        if in_flight is None or message.epoch != self.view.epoch or message.sequence != in_flight.sequence:
+            return
+        in_flight.appended.add(sender)
+        if not in_flight.appended.issuperset(self.view.replicas):
+            return
+        self._in_flight = None
+        self._parts.learner.became(in_flight.sequence, in_flight.state, in_flight.command)
+        self._parts.outbox.answer(in_flight.request, Done(in_flight.result))
+        self._tell_committed(now_s)
+
+    def _tell_committed(self, now_s: float) -> None:
+        parts = self._parts
+        committed = Committed(self.view.epoch, parts.learner.sequence)
+        backups = {member.address for member in self.view.replicas}
+        for peer in parts.peers.alive(now_s):
+            if peer.address in backups:
+                parts.outbox.send(peer.address, committed)
+                continue
+            known = peer.ping.committed if peer.ping else -1
+            lesson = parts.learner.lesson(max(known, parts.learner.sequence - 1) if known >= 0 else -1)
+            if isinstance(lesson, Learn):
+                parts.outbox.send(peer.address, lesson)
+
+    # -- confirmation --
+
+    def _start_round(self, now_s: float) -> None:
+        self._last_round += 1
+        self._rounds.append(Round(self._last_round, now_s, now_s, self._unconfirmed))
+        self._unconfirmed = []
+        for member in self.view.members:
+            self._parts.send(member, Confirm(self.view.epoch, self._last_round))
+
+    def confirmed(self, sender: MemberId, message: Confirmed) -> None:
+        """A member promised nothing higher."""
+        if message.epoch != self.view.epoch:
+            return
+        for round_ in self._rounds:
+            if round_.number == message.round:
+                round_.confirmed.add(sender)
+        for round_ in [item for item in self._rounds if is_majority(item.confirmed, self.view.members)]:
+            self._rounds.remove(round_)
+            for item in round_.waiting:
+                self._parts.outbox.answer(item.request, self._confirmed_outcome(item))
+
+    def _confirmed_outcome(self, item: Unconfirmed) -> Outcome:
+        if item.refusal is not None:
+            return item.refusal
+        return Newest(self._parts.learner.sequence, self._parts.learner.state)
+
+    # -- time --
+
+    def tick(self, now_s: float) -> None:
+        """Repeat what wasn't answered; give up on rounds that got no majority."""
+        in_flight = self._in_flight
+        resend_s = self._parts.timings.resend_s
+        if in_flight is not None:
+            wait_s = resend_s + len(in_flight.command) / BYTES_A_SECOND
+            if now_s - in_flight.sent_at_s >= wait_s:
+                self._send_append(now_s)
+        for round_ in list(self._rounds):
+            if now_s - round_.since_s >= self._parts.timings.confirm_s:
+                self._rounds.remove(round_)
+                for item in round_.waiting:
+                    self._parts.outbox.answer(item.request, NotPrimary(None))
+            elif now_s - round_.sent_at_s >= resend_s:
+                round_.sent_at_s = now_s
+                for member in self.view.members:
+                    if member not in round_.confirmed:
+                        self._parts.send(member, Confirm(self.view.epoch, round_.number))
+
+    def slow_replicas(self, now_s: float) -> set[MemberId]:
+        """Backups that have owed the command in flight for too long."""
+        in_flight = self._in_flight
+        if in_flight is None:
+            return set()
+        patience_s = self._parts.timings.suspect_s + len(in_flight.command) / BYTES_A_SECOND
+        if now_s - in_flight.since_s < patience_s:
+            return set()
+        return set(self.view.replicas) - in_flight.appended - {self._parts.own}
+
+    def slept(self, now_s: float) -> None:
+        """The process stood still: nobody else is to blame for the time."""
+        if self._in_flight is not None:
+            self._in_flight.since_s = now_s
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no command is on its way."""
+        return self._in_flight is None
--- /dev/null
+++ b/tests/system/replication/core_world.py
@@ -0,0 +1,367 @@
+"""Core members on simulated machines, links and disks, in virtual time and from one seed. Nothing sleeps.
+
+The disks here keep whole records, of which a suffix that wasn't synced may be missing after a crash; how the ring
+brings that about on torn bytes is tested in tests/system/storage.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from coveport.system.replication.events import (
+    Answer,
+    Applied,
+    CommittedState,
+    Effect,
+    Event,
+    Outcome,
+    Persist,
+    Persisted,
+    PersistFailed,
+    Received,
+    Refused,
+    Send,
+    StateCode,
+    Tick,
+)
+from coveport.system.replication.identity import MemberId, Place
+from coveport.system.replication.member import CoreMember
+from coveport.system.replication.messages import Message
+from coveport.system.replication.records import IdentityRecord, Record, recover
+from coveport.system.replication.timings import Timings
+
+TICK_S = 0.05
+SYNC_S = 0.002
+CLIENT_S = 0.003  # one way between a client and a machine
+TAKEN = "taken"  # that very change is in force already
+OTHER = "another version is in place"
+
+State = tuple[str, ...]  # all changes taken, the oldest first
+
+
+def change(base: int, edition: int, value: str) -> bytes:
+    """A command: bring `edition` with `value` into force if `base` is in force."""
+    return f"{base}|{edition}|{value}".encode()
+
+
+def edition_of(state: State) -> int:
+    """The edition in force."""
+    return int(state[-1].split("|")[1]) if state else 0
+
+
+def apply_change(state: State, command: bytes) -> Applied | Refused:
+    """What the members run."""
+    text = command.decode()
+    if text in state:
+        return Refused(TAKEN)
+    if int(text.split("|")[0]) != edition_of(state):
+        return Refused(OTHER)
+    return Applied((*state, text), "done")
+
+
+def encode_state(state: State) -> bytes:
+    """For the disk and the links."""
+    return "\n".join(state).encode()
+
+
+def decode_state(data: bytes) -> State:
+    """The state that was encoded."""
+    return tuple(data.decode().split("\n")) if data else ()
+
+
+CODE = StateCode(apply_change, encode_state, decode_state)
+
+
+@dataclass(slots=True)
+class SimDisk:
+    """One machine's disk."""
+
+    records: list[Record] = field(default_factory=list)
+    synced: int = 0  # so many of the records survive a loss of power
+    sync_s: float = SYNC_S
+    hangs_until_s: float = 0.0
+    refuses: bool = False
+    busy_until_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Life:
+    """One life of a machine's process."""
+
+    member: CoreMember
+    number: int
+    committed: list[tuple[float, State]] = field(default_factory=list)
+
+
+class Machine:
+    """A place where a process of the core runs."""
+
+    def __init__(self, world: World, address: str, place: Place) -> None:
+        self.world = world
+        self.address = address
+        self.place = place
+        self.disk = SimDisk()
+        self.life: Life | None = None
+        self.lives: list[Life] = []
+        self.is_frozen = False
+        self.is_powered = True
+        self.is_removed = False
+        self._held: list[Callable[[], None]] = []
+
+    def start(self, first_boot: bool = False) -> None:
+        """Start the process on what the disk holds."""
+        if self.life is not None or self.is_removed:
+            return
+        world = self.world
+        self.is_powered = True
+        self.is_frozen = False
+        disk = self.disk
+        disk.busy_until_s = world.now_s
+        durable = recover(disk.records)
+        if not durable.disk:
+            record = IdentityRecord(f"{world.random.getrandbits(64):016x}", first_boot)
+            disk.records.append(record)
+            durable = recover(disk.records)
+        disk.synced = len(disk.records)
+        member = world.make_member(
+            identity=MemberId(self.address, durable.disk),
+            place=self.place,
+            seeds=world.seeds,
+            tolerated_losses=world.tolerated_losses,
+            first_boot=first_boot,
+            durable=durable,
+            code=CODE,
+            jitter=world.random.random,
+            initial_state=b"",
+            now_s=world.now_s,
+            timings=world.timings,
+        )
+        life = Life(member, len(self.lives))
+        self.life = life
+        self.lives.append(life)
+        self._tick(life)
+
+    def kill(self, power: bool = False) -> None:
+        """End the process; with `power` what wasn't synced may be lost."""
+        self.life = None
+        self.is_frozen = False
+        self._held = []
+        self.is_powered = not power
+        kept = self.world.random.randint(self.disk.synced, len(self.disk.records))
+        if power:
+            del self.disk.records[kept:]
+
+    def wipe(self) -> None:
+        """Lose the disk, and the process with it."""
+        self.kill(power=True)
+        self.disk = SimDisk()
+
+    def remove(self) -> None:
+        """Lose the machine for good."""
+        self.wipe()
+        self.is_removed = True
+
+    def freeze(self) -> None:
+        """Stand still; what arrives waits."""
+        self.is_frozen = self.life is not None
+
+    def thaw(self) -> None:
+        """Go on with what waited."""
+        if not self.is_frozen:
+            return
+        self.is_frozen = False
+        held, self._held = self._held, []
+        for run in held:
+            run()
+
+    def run(self, life: Life, action: Callable[[], None]) -> None:
+        """Run something in this life of the process, now or after it thaws."""
+        if self.life is not life:
+            return
+        if self.is_frozen:
+            self._held.append(lambda: self.run(life, action))
+        else:
+            action()
+
+    def _tick(self, life: Life) -> None:
+        self.deliver(life, Tick())
+        if self.life is life:
+            wait_s = TICK_S * self.world.random.uniform(0.95, 1.2)
+            self.world.after(wait_s, lambda: self.run(life, lambda: self._tick(life)))
+
+    def deliver(self, life: Life, event: Event) -> None:
+        """Hand an event to the process and do what it wants done."""
+        for effect in life.member.handle(self.world.now_s, event):
+            self._do(life, effect)
+
+    def _do(self, life: Life, effect: Effect) -> None:
+        match effect:
+            case Send():
+                self.world.send(self, life, effect.to_address, effect.message)
+            case Persist():
+                self._persist(life, effect)
+            case Answer():
+                self.world.answered(self, effect.request, effect.outcome)
+            case CommittedState():
+                life.committed.append((self.world.now_s, effect.state))
+
+    def _persist(self, life: Life, effect: Persist) -> None:
+        disk = self.disk
+        if disk.refuses:
+            # kept by the storage and written with the next
+            disk.records.extend(effect.records)
+            failed = PersistFailed(effect.token)
+            self.world.after(SYNC_S, lambda: self.run(life, lambda: self.deliver(life, failed)))
+            return
+        disk.records.extend(effect.records)
+        count = len(disk.records)
+        begin_s = max(self.world.now_s, disk.busy_until_s, disk.hangs_until_s)
+        disk.busy_until_s = begin_s + disk.sync_s * self.world.random.uniform(0.8, 1.5)
+
+        def synced() -> None:
+            if self.life is not life or self.disk is not disk:
+                return
+            disk.synced = max(disk.synced, count)
+            self.run(life, lambda: self.deliver(life, Persisted(effect.token)))
+
+        self.world.at(disk.busy_until_s, synced)
+
+
+class World:
+    """Time, links and machines."""
+
+    def __init__(
+        self,
+        seed: int,
+        places: list[Place],
+        tolerated_losses: int = 1,
+        region_s: float = 0.012,
+        seed_count: int = 3,
+        make_member: Callable[..., CoreMember] = CoreMember,
+        timings: Timings = Timings(),  # noqa: B008 - frozen
+        loss: float = 0.0,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.now_s = 100.0
+        self.tolerated_losses = tolerated_losses
+        self.region_s = region_s
+        self.make_member = make_member
+        self.timings = timings
+        self.loss = loss
+        self.machines: dict[str, Machine] = {}
+        self.cuts: set[tuple[str, str]] = set()  # from, to
+        self.messages = 0
+        self.on_answer: dict[int, Callable[[Outcome], None]] = {}
+        self._arrivals: dict[tuple[str, str], float] = {}
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = 0
+        self._request = 0
+        for place in places:
+            self.add_machine(place)
+        self.seeds = tuple(list(self.machines)[:seed_count])
+
+    def add_machine(self, place: Place) -> Machine:
+        """A machine at a new address."""
+        address = f"10.0.0.{len(self.machines) + 1}:7300"
+        machine = Machine(self, address, place)
+        self.machines[address] = machine
+        return machine
+
+    # -- time --
+
+    def at(self, time_s: float, action: Callable[[], None]) -> None:
+        """Run something at a time."""
+        self._order += 1
+        heapq.heappush(self._queue, (time_s, self._order, action))
+
+    def after(self, wait_s: float, action: Callable[[], None]) -> None:
+        """Run something later."""
+        self.at(self.now_s + wait_s, action)
+
+    def run_until(self, end_s: float, until: Callable[[], bool] | None = None) -> None:
+        """Let time pass, at most up to `end_s`, and until something holds."""
+        while self._queue and self._queue[0][0] <= end_s:
+            if until is not None and until():
+                return
+            time_s, _, action = heapq.heappop(self._queue)
+            self.now_s = max(self.now_s, time_s)
+            action()
+        self.now_s = max(self.now_s, end_s)
+
+    def run_for(self, seconds: float, until: Callable[[], bool] | None = None) -> None:
+        """Let time pass."""
+        self.run_until(self.now_s + seconds, until)
+
+    # -- links --
+
+    def delay_s(self, one: Machine, other: Machine) -> float:
+        """One way between two machines."""
+        if one.place.region != other.place.region:
+            base_s = self.region_s
+        else:
+            base_s = 0.0014 if one.place.zone != other.place.zone else 0.0002
+        return base_s * self.random.uniform(1.0, 1.15) + 0.0003
+
+    def send(self, sender: Machine, life: Life, to_address: str, message: Message) -> None:
+        """Carry a message, in order on each link, unless the link is cut or loses it."""
+        receiver = self.machines.get(to_address)
+        if receiver is None:
+            return
+        self.messages += 1
+        link = (sender.address, to_address)
+        if link in self.cuts or self.random.random() < self.loss:
+            return
+        arrival_s = max(self.now_s + self.delay_s(sender, receiver), self._arrivals.get(link, 0.0))
+        self._arrivals[link] = arrival_s
+        event = Received(life.member.identity, message)
+
+        def arrive() -> None:
+            receiving = receiver.life
+            if receiving is not None and link not in self.cuts:
+                receiver.run(receiving, lambda: receiver.deliver(receiving, event))
+
+        self.at(arrival_s, arrive)
+
+    # -- clients --
+
+    def call(
+        self, machine: Machine, make_event: Callable[[int], Event], on_outcome: Callable[[Outcome], None]
+    ) -> None:
+        """Bring a client's call to a machine; nothing is answered when it is lost on the way."""
+        self._request += 1
+        request = self._request
+        life = machine.life
+        self.on_answer[request] = on_outcome
+
+        def arrive() -> None:
+            if life is not None:
+                machine.run(life, lambda: machine.deliver(life, make_event(request)))
+
+        self.after(CLIENT_S * self.random.uniform(1.0, 2.0), arrive)
+
+    def answered(self, machine: Machine, request: int, outcome: Outcome) -> None:
+        """A machine answered a call."""
+        on_outcome = self.on_answer.pop(request, None)
+        if on_outcome is not None:
+            self.after(CLIENT_S * self.random.uniform(1.0, 2.0), lambda: on_outcome(outcome))
+
+    # -- looking --
+
+    def start_all(self, first_boot: bool = True) -> None:
+        """Start all machines within 0.3 s of each other."""
+        for machine in self.machines.values():
+            self.after(self.random.uniform(0.0, 0.3), lambda machine=machine: machine.start(first_boot))
+
+    def primaries(self) -> list[Machine]:
+        """Those that take themselves for the active primary."""
+        return [
+            machine for machine in self.machines.values() if machine.life and machine.life.member.is_primary
+        ]
+
+    def primary(self) -> Machine | None:
+        """The active primary of the highest epoch."""
+        found = self.primaries()
+        return max(found, key=lambda machine: machine.life.member.view.epoch) if found else None  # type: ignore[union-attr]
--- /dev/null
+++ b/tests/system/storage/test_ring_basics.py
@@ -0,0 +1,56 @@
+"""The ring on real files: what was appended is there after opening again, also after moves to other files."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import pytest
+
+from coveport.system.storage.disk import OsDisk
+from coveport.system.storage.ring import NewerFormatError, Ring
+
+
+def ring_in(folder: Path, **settings: int) -> Ring:
+    return Ring(OsDisk(str(folder)), salt=lambda: os.urandom(8), **settings)
+
+
+def test_what_was_appended_is_there_after_opening_again(tmp_path: Path) -> None:
+    ring = ring_in(tmp_path)
+    assert ring.open() == []
+    ring.begin([b"identity"])
+    ring.append([b"one", b""])
+    ring.append([b"two"])
+    ring.close()
+    assert ring_in(tmp_path).open() == [b"identity", b"one", b"", b"two"]
+
+
+def test_a_full_file_gives_way_to_the_next(tmp_path: Path) -> None:
+    ring = ring_in(tmp_path, file_bytes=256)
+    ring.open()
+    held: list[bytes] = [b"first"]
+    ring.begin(held)
+    for number in range(100):
+        record = f"record {number}".encode()
+        held = [*held[-3:], record]
+        if ring.has_room([record]):
+            ring.append([record])
+        else:
+            ring.begin(held)
+    ring.close()
+    assert ring_in(tmp_path, file_bytes=256).open()[-4:] == held
+
+
+def test_a_newer_format_is_refused_in_one_line(tmp_path: Path) -> None:
+    ring = ring_in(tmp_path)
+    ring.open()
+    ring.begin([b"x"])
+    ring.close()
+    for path in tmp_path.iterdir():
+        data = bytearray(path.read_bytes())
+        if data:
+            data[4:6] = (2).to_bytes(2, "big")
+            path.write_bytes(data)
+    with pytest.raises(NewerFormatError) as raised:
+        ring_in(tmp_path).open()
+    assert str(raised.value) == "the disk holds format 2; this program knows up to 1"
