--- a/coveport/system/proxy/exchange.py
+++ b/coveport/system/proxy/exchange.py
@@ -8,7 +8,7 @@
 | ... in the middle of a resumable stream | yes, after the last whole event that the client has |
 | 500 or 502 of the node | only if it may run twice; else the client gets it |
 
-Every further send needs an attempt left (`Route.attempts`) and a place in the retry budget. Whoever is given up
+Every further send needs an attempt left (`Route.attempts`) and a place in the retry budget. Who is given up
 gets 503 with Retry-After where nothing ran, else 502 or 504; where the answer has begun, its connection ends.
 """
 
--- /dev/null
+++ b/tests/system/proxy/proxy_ground.py
@@ -0,0 +1,159 @@
+"""A proxy's data path on virtual wires, with scripted nodes and clients around it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
+from random import Random
+from typing import Any, TypeVar
+
+from scripted_node import Script, ScriptedClient, ScriptedNode
+
+from coveport.lab.day import Day
+from coveport.lab.scenario import Scenario
+from coveport.lab.virtual.wires import Network, VirtualNet
+from coveport.lab.virtual.world import Process, World
+from coveport.lab.ways import CLIENT, Ways
+from coveport.system.model.configuration import Configuration, Route, RouteKind, Service, WeightedService
+from coveport.system.model.node import Node, NodeState
+from coveport.system.model.view import ControlView, KnownNode
+from coveport.system.proxy.data_path import DataPath
+from coveport.system.settings.boot import BootSettings, Bounds
+
+T = TypeVar("T")
+DAY = Day(
+    scenario=Scenario(title="t"),
+    seed=1,
+    nodes=(),
+    sidecars=(),
+    wishes=(),
+    changes=(),
+    spans=(),
+    same_ms=0.1,
+    cross_ms=((0.1, 1.0), (1.0, 0.1)),
+    client_ms=1.0,
+    jitter=0.0,
+    notice_ms=0,
+    add_ms=0,
+    capacity=1.0,
+)
+PROXY_IP, CLIENT_IP, PORT = "10.0.0.1", "10.0.9.1", 8000
+FOREVER = float("inf")
+
+RESUMABLE = Route(
+    name="resumable",
+    host="one.example",
+    path_prefix="/a/",
+    kind=RouteKind.STREAMING,
+    timeout_ms=5000,
+    objective_ms=800,
+    services=(WeightedService("s", 1.0),),
+    attempts=2,
+    resumable=True,
+    pause_objective_ms=400,
+)
+UNSAFE_STREAM = replace(RESUMABLE, name="stream", path_prefix="/u/", resumable=False)
+SAFE = replace(RESUMABLE, name="safe", path_prefix="/safe/", kind=RouteKind.SAFE, resumable=False)
+SERVICE = Service(name="s", max_connections=300, warm_up_s=3.0, warm_up_rate=9.8)
+
+
+class Ground:
+    """Time, a network, one proxy, and a process that its nodes and clients live in."""
+
+    def __init__(self, bounds: Bounds | None = None, routes: tuple[Route, ...] = ()) -> None:
+        self.time = World()
+        self.network = Network(self.time, Ways(DAY))
+        self.lab = Process.start(self.time, "lab")
+        self.proxy_process = Process.start(self.time, "proxy")
+        self.net = VirtualNet(self.proxy_process, self.network, self.network.place(PROXY_IP, 0))
+        self.client_net = VirtualNet(self.lab, self.network, self.network.place(CLIENT_IP, CLIENT))
+        self.view = ControlView()
+        routes = routes or (RESUMABLE, UNSAFE_STREAM, SAFE)
+        self.view.configuration = Configuration(1, routes, (SERVICE,))
+        settings = BootSettings(
+            name="p",
+            ip=PROXY_IP,
+            zone="z",
+            region="r",
+            inner_ports=(1, 2),
+            seeds=(),
+            first_boot=True,
+            loss_counted=False,
+            data_dir=None,
+            serves=("counter",),
+            heartbeat_ms=1200,
+            regions={"z": "r", "y": "q"},
+            clients=(PROXY_IP, PORT),
+            bounds=bounds or Bounds(retry_slack=58, cold_overshoot=1.5, cold_slack=5),
+        )
+        self.data_path = DataPath(self.net, settings, self.view, None, Random(1))
+        self.nodes: list[ScriptedNode] = []
+        self.run(self.data_path.start(), process=self.proxy_process)
+
+    def node(self, script: Script, *, region: str = "r", cold_s: float = 0.0) -> ScriptedNode:
+        """A node that the proxy knows of."""
+        node = ScriptedNode(script)
+        number = len(self.nodes)
+        self.nodes.append(node)
+        address = f"10.0.1.{number + 1}"
+        net = VirtualNet(self.lab, self.network, self.network.place(address, 0 if region == "r" else 1))
+        self.run(net.listen(node.connection, (address, 80), accept_most=64, waiting_most=512))
+        known = Node(
+            incarnation=f"i-{number}",
+            sequence=1,
+            service="s",
+            address=f"{address}:80",
+            zone="z" if region == "r" else "y",
+            region=region,
+            slots=64,
+            state=NodeState.ACCEPTING,
+        )
+        now_s = self.time.now
+        self.tell(KnownNode(known, now_s, now_s + cold_s if cold_s else 0.0, FOREVER))
+        return node
+
+    def tell(self, known: KnownNode) -> None:
+        """Let the proxy know."""
+        self.view.nodes = self.view.nodes.set(known.node.incarnation, known)
+        self.view.changed()
+
+    def dark(self, number: int, is_dark: bool = True) -> None:
+        """Let a node's machine say nothing at all."""
+        self.network.places[f"10.0.1.{number + 1}"].silent = is_dark
+
+    def gone(self, number: int) -> None:
+        """Let a node's machine refuse connects, and reset those that are."""
+        del self.network.listening[f"10.0.1.{number + 1}", 80]
+        for connection in self.nodes[number].connections:
+            if not connection.lost:
+                connection.abort()
+
+    def client(self) -> ScriptedClient:
+        """A client that has connected."""
+        client = ScriptedClient()
+        self.run(self.client_net.dial(lambda: client, (PROXY_IP, PORT)))
+        return client
+
+    def run(self, coro: Coroutine[Any, Any, T], seconds: float = 30.0, process: Process | None = None) -> T:
+        """Run a coroutine to its end."""
+        task = (process or self.lab).create_task(coro)
+        assert self.time.run(self.time.now + seconds, task.done), "it takes too long"
+        return task.result()
+
+    def until(self, condition: Callable[[], object], seconds: float = 30.0) -> None:
+        """Let time pass until it holds."""
+        assert self.time.run(self.time.now + seconds, lambda: bool(condition())), "it takes too long"
+
+    def sleep(self, seconds: float) -> None:
+        """Let time pass."""
+        self.time.run(self.time.now + seconds)
+
+    def figure(self, name: str) -> float:
+        """A count of the data path's."""
+        return self.data_path.figures().get(name, 0.0)
+
+    def check(self) -> None:
+        """Nothing went wrong unseen, and nothing is left over."""
+        assert self.proxy_process.problems == []
+        assert self.lab.problems == []
+        assert self.figure("in_flight") == 0
--- a/tests/system/proxy/scripted_node.py
+++ b/tests/system/proxy/scripted_node.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the data path's tests on real or virtual wires: nodes that do as a test says, and a client."""
+"""Stand-ins for tests of the data path: nodes that do as a test says, and a client."""
 
 from __future__ import annotations
 
@@ -129,8 +129,15 @@
         assert self.transport is not None
         self.transport.write(data)
 
-    def ask(self, path: str = "/a/x", *more: tuple[str, str], host: str = "one.example", body: bytes = b"prompt",
-            method: str = "POST", try_id: str = "t-1") -> None:
+    def ask(
+        self,
+        path: str = "/a/x",
+        *more: tuple[str, str],
+        host: str = "one.example",
+        body: bytes = b"prompt",
+        method: str = "POST",
+        try_id: str = "t-1",
+    ) -> None:
         headers = [("Host", host), ("Coveport-Try-Id", try_id), *more]
         self.send(codec.write_request(method, path, headers, body))
 
