--- a/coveport/system/configuration/state.py
+++ b/coveport/system/configuration/state.py
@@ -68,7 +68,7 @@
         None  # JSON of the newest whole configuration, exactly as it is handed out
     )
     edition: int = 0  # of that configuration; 0: there is none
-    evacuated_zones: frozenset[str] = frozenset()
+    evacuated: frozenset[str] = frozenset()  # zones
     taken: tuple[TakenChange, ...] = ()  # the newest `MOST_TAKEN`, oldest first
 
 
@@ -87,7 +87,7 @@
 
     configuration_text: bytes | None
     edition: int
-    evacuated_zones: tuple[str, ...]
+    evacuated: tuple[str, ...]
     taken: bytes
 
 
@@ -103,7 +103,7 @@
     """A state as bytes; equal states give equal bytes."""
     taken = b"".join(_TAKEN.pack(change.edition, change.digest) for change in state.taken)
     return _CODEC.encode(
-        _StoredState(state.configuration_text, state.edition, tuple(sorted(state.evacuated_zones)), taken)
+        _StoredState(state.configuration_text, state.edition, tuple(sorted(state.evacuated)), taken)
     )
 
 
@@ -113,7 +113,7 @@
     if len(stored.taken) % _TAKEN.size:
         raise MalformedMessageError("changes taken are cut short")
     taken = tuple(TakenChange(*one) for one in _TAKEN.iter_unpack(stored.taken))
-    return ControlState(stored.configuration_text, stored.edition, frozenset(stored.evacuated_zones), taken)
+    return ControlState(stored.configuration_text, stored.edition, frozenset(stored.evacuated), taken)
 
 
 def apply(state: ControlState, command: bytes) -> Applied | Refused:
@@ -125,9 +125,9 @@
     """As `apply`, of a command that has been decoded."""
     match command:
         case StartEvacuation(zone):
-            return _applied(replace(state, evacuated_zones=state.evacuated_zones | {zone}))
+            return _applied(replace(state, evacuated=state.evacuated | {zone}))
         case EndEvacuation(zone):
-            return _applied(replace(state, evacuated_zones=state.evacuated_zones - {zone}))
+            return _applied(replace(state, evacuated=state.evacuated - {zone}))
         case PutConfiguration() | PatchConfiguration():
             return _change_configuration(state, command)
 
--- a/tests/system/configuration/test_control_state.py
+++ b/tests/system/configuration/test_control_state.py
@@ -120,7 +120,7 @@
 def test_evacuations_are_idempotent_and_leave_the_configuration_alone() -> None:
     state, _ = run(initial_state(), put(0, 5))
     away, statuses = run(state, StartEvacuation("hall"), StartEvacuation("hall"), StartEvacuation("cellar"))
-    assert (away.evacuated_zones, statuses) == (frozenset({"hall", "cellar"}), [200, 200, 200])
+    assert (away.evacuated, statuses) == (frozenset({"hall", "cellar"}), [200, 200, 200])
     back, statuses = run(away, EndEvacuation("hall"), EndEvacuation("hall"), EndEvacuation("cellar"))
     assert (back, statuses) == (state, [200, 200, 200])
 
