--- a/coveport/system/coordinator/core.py
+++ b/coveport/system/coordinator/core.py
@@ -98,8 +98,7 @@
         self._ticking = self._net.loop.call_later(TICK_S, self._tick)
 
     def _handle(self, event: Event) -> None:
-        for effect in self.member.handle(self._net.now_s(), event):
-            self._carry_out(effect)
+        self._carry_out_all(self.member.handle(self._net.now_s(), event))
         self._say()
 
     def _say(self) -> None:
@@ -109,12 +108,16 @@
             self._said = view
             self._log.info("core", **view)
 
+    def _carry_out_all(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            self._carry_out(effect)
+
     def _carry_out(self, effect: Effect) -> None:
         match effect:
             case Send(address, message):
                 self._hooks.send(address, message)
             case Persist(token, records):
-                self._writer.submit(records, lambda well: self._persisted(token, well))
+                self._writer.submit(records, lambda error: self._persisted(token, error))
             case Answer(request, outcome):
                 waiting = self._waiting.get(request)
                 if waiting is not None and not waiting.done():
@@ -122,5 +125,7 @@
             case CommittedState():
                 self._hooks.committed(effect)
 
-    def _persisted(self, token: int, well: bool) -> None:
-        self._handle(Persisted(token) if well else PersistFailed(token))
+    def _persisted(self, token: int, error: OSError | None) -> None:
+        if error is not None:
+            self._log.error("disk_refused", problem=str(error))
+        self._handle(Persisted(token) if error is None else PersistFailed(token))
--- a/coveport/system/coordinator/process.py
+++ b/coveport/system/coordinator/process.py
@@ -6,7 +6,6 @@
 import random
 import signal
 import sys
-from pathlib import Path
 from typing import Any
 
 from coveport.net.transport import Net
@@ -60,7 +59,7 @@
         self._net, self._settings, self._log = net, settings, log
         host, port = settings.inner
         self._address = f"{host}:{port}"
-        self._member_id = MemberId(self._address, opened.durable.disk or f"{chance.getrandbits(64):016x}")
+        self._member_id = MemberId(self._address, opened.durable.disk)
         seeds = tuple(f"{seed}:{port}" for seed, _ in settings.seeds)
         self._hello = Hello(self._address, self._member_id.disk)
         self.table = NodeTable(SILENT_HEARTBEATS * settings.heartbeat_ms / 1000)
@@ -77,6 +76,7 @@
             STATE_CODE,
             chance.random,
             encode_state(initial_state()),
+            net.now_s(),
         )
         hooks = CoreHooks(self._peers.send, self._committed, self._stalled)
         self.core = CoreRuntime(net, self._member, opened.writer, hooks, log)
@@ -164,7 +164,7 @@
         }
 
     def _known_coordinators(self) -> tuple[str, ...]:
-        return tuple(self._member.known_coordinators)
+        return self._member.known_coordinators(self._net.now_s())
 
     def _came(self, connection: Connection, message: Message) -> None:
         match message:
@@ -197,7 +197,7 @@
         self._peers.send(address, TableRequest())
 
     def _committed(self, effect: CommittedState) -> None:
-        self.history.advance(effect.sequence, encode_state(effect.state), None)
+        self.history.advance(effect.sequence, encode_state(effect.state), effect.command)
         self.subscriptions.news()
 
     def _stalled(self, late_s: float) -> None:
@@ -222,7 +222,7 @@
             self._log.warning("node_silent", node=incarnation)
             self.subscriptions.news()
         self.leases.expire(now)
-        self._peers.keep(self._member.known_coordinators)
+        self._peers.keep(self._member.contacts)
         self._peers.tend()
         if now - self._leases_shared_s >= SHARE_LEASES_S:
             self._share_leases()
@@ -255,7 +255,8 @@
     loop = asyncio.get_running_loop()
     net = Net(loop)
     log = make_log(net.now_s)
-    opened = open_storage(Path(settings.data_dir) if settings.data_dir else None, loop.call_soon_threadsafe)
+    assert settings.data_dir is not None
+    opened = open_storage(settings.data_dir, settings.first_boot, loop.call_soon_threadsafe)
     coordinator = Coordinator(net, settings, opened, random.Random(), log)
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/coveport/system/replication/events.py
+++ b/coveport/system/replication/events.py
@@ -148,6 +148,7 @@
 
     sequence: int
     state: Any
+    command: bytes | None = None  # led there from the state before, if that was known here
 
 
 Effect = Send | Persist | Answer | CommittedState
--- a/coveport/system/replication/learner.py
+++ b/coveport/system/replication/learner.py
@@ -35,7 +35,7 @@
             self._remember(command)
         self.sequence = sequence
         self.state = state
-        self._outbox.committed(sequence, state)
+        self._outbox.committed(sequence, state, command)
 
     def _remember(self, command: bytes) -> None:
         self._recent.append(command)
--- a/coveport/system/replication/member.py
+++ b/coveport/system/replication/member.py
@@ -144,6 +144,11 @@
         alive = [peer.address for peer in self._parts.peers.alive(now_s)]
         return tuple(sorted([self._parts.own.address, *alive]))
 
+    @property
+    def contacts(self) -> tuple[str, ...]:
+        """Inner addresses to stay connected to, alive or not."""
+        return tuple(peer.address for peer in self._parts.peers)
+
     def describe(self) -> dict[str, object]:
         """For a line of the log."""
         durable = self._parts.journal.durable
@@ -176,6 +181,8 @@
                 self._take_call(event)
             case HandOver():
                 self._parts.is_leaving = True
+                self._last_ping_s = float("-inf")
+                self._tick(now_s)
         self._settle(now_s)
         return self._parts.outbox.take()
 
@@ -378,7 +385,7 @@
             if self._founding.is_active:
                 founding = self._founding
                 self._founding = None
-                self._begin_primary(now_s, founding.view)
+                self._begin_primary(now_s, founding.view, kept_own_state=True)
         elif self._attempt is not None:
             self._attempt.handle(now_s, sender, message)
             self._follow_attempt(now_s)
@@ -387,9 +394,9 @@
         attempt = self._attempt
         if attempt is not None and attempt.step is Step.ACTIVE and attempt.view is not None:
             self._attempt = None
-            self._begin_primary(now_s, attempt.view)
+            self._begin_primary(now_s, attempt.view, attempt.kept_own_state)
 
-    def _begin_primary(self, now_s: float, view: View) -> None:
+    def _begin_primary(self, now_s: float, view: View, kept_own_state: bool) -> None:
         before = self._primary
         self._primary = Primary(self._parts, view)
         self._outvoted_since_s = None
@@ -397,7 +404,7 @@
         self._parts.acceptor.settled(Settled(view.epoch))
         for member in {*view.members, *view.previous_members} - {self._parts.own}:
             self._parts.send(member, Settled(view.epoch))
-        self._primary.begin(now_s, before)
+        self._primary.begin(now_s, before, kept_own_state)
 
     def _give_up_attempt(self, now_s: float) -> None:
         """Fenced, or nothing moved: try again later, if still nobody leads."""
@@ -462,13 +469,11 @@
         self._end_primary()
 
     def _hand_over(self, now_s: float, primary: Primary) -> None:
-        """Ask the best other replica, again and again until it leads."""
-        if not primary.is_idle:
-            return
-        for member in primary.view.replicas[1:]:
-            if self._parts.is_usable(member, now_s):
-                self._parts.send(member, TakeOver(primary.view.epoch))
-                return
+        """Ask the best other replica, again and again until it leads; without one go on."""
+        successors = [m for m in primary.view.replicas[1:] if self._parts.is_usable(m, now_s)]
+        primary.is_closing = bool(successors)
+        if successors and primary.is_idle:
+            self._parts.send(successors[0], TakeOver(primary.view.epoch))
 
     def _tick_founding(self, now_s: float) -> None:
         parts = self._parts
--- a/coveport/system/replication/outbox.py
+++ b/coveport/system/replication/outbox.py
@@ -28,9 +28,9 @@
         """Answer a caller."""
         self._effects.append(Answer(request, outcome))
 
-    def committed(self, sequence: int, state: object) -> None:
-        """Tell that a newer committed state is known."""
-        self._effects.append(CommittedState(sequence, state))
+    def committed(self, sequence: int, state: object, command: bytes | None) -> None:
+        """Tell that a newer committed state is known, and the command that led there, if it is."""
+        self._effects.append(CommittedState(sequence, state, command))
 
     def add(self, effect: Effect) -> None:
         """Add any other effect."""
--- a/coveport/system/replication/primary.py
+++ b/coveport/system/replication/primary.py
@@ -69,6 +69,7 @@
     def __init__(self, parts: Parts, view: View) -> None:
         self.view = view
         self.is_paused = False  # while it brings its own next view up
+        self.is_closing = False  # starts nothing new, for another is about to take over
         self._parts = parts
         self._queue: deque[Waiting] = deque()
         self._in_flight: InFlight | None = None
@@ -78,12 +79,15 @@
 
     # -- beginning and end --
 
-    def begin(self, now_s: float, before: Primary | None) -> None:
-        """The view is active: what its state holds is committed."""
+    def begin(self, now_s: float, before: Primary | None, kept_own_state: bool) -> None:
+        """The view is active: what its state holds is committed.
+
+        With `kept_own_state` that includes the command that was in flight under the view `before`.
+        """
         parts = self._parts
         sequence = parts.acceptor.durable.sequence
         in_flight = before._in_flight if before else None
-        command = in_flight.command if in_flight and in_flight.sequence == sequence else None
+        command = in_flight.command if in_flight and kept_own_state else None
         parts.learner.became(sequence, parts.acceptor.state, command)
         self._tell_committed(now_s)
         if before is None:
@@ -125,7 +129,7 @@
 
     def advance(self, now_s: float) -> None:
         """Start what can be started."""
-        if self.is_paused:
+        if self.is_paused or self.is_closing:
             return
         while self._in_flight is None and self._queue:
             self._start(self._queue.popleft(), now_s)
--- a/coveport/system/replication/takeover.py
+++ b/coveport/system/replication/takeover.py
@@ -226,6 +226,11 @@
         if has_majorities(self._accepted, self.view.groups(NO_EPOCH)):
             self._move(Step.ACTIVE, now_s)
 
+    @property
+    def kept_own_state(self) -> bool:
+        """Whether the view goes on from what the candidate itself held."""
+        return self._source == self._parts.own
+
     # -- time --
 
     def _move(self, step: Step, now_s: float) -> None:
--- /dev/null
+++ b/tests/system/membership/test_leases.py
@@ -0,0 +1,58 @@
+"""Leases: members while they renew, counted for a while after."""
+
+from __future__ import annotations
+
+from coveport.system.membership.leases import COUNTED_S, LEASE_S, LeaseTable, ProxyLease
+
+
+def lease(number: int, zone: str = "z1", region: str = "r1", ready: bool = True, round: int = 1, life: int = 1) -> ProxyLease:
+    return ProxyLease(f"p{number}", f"10.0.0.{number}:80", zone, region, ready, round, life)
+
+
+def test_a_proxy_is_named_while_it_renews_and_no_longer() -> None:
+    table = LeaseTable()
+    table.renew(lease(1), 0.0, here=True)
+    assert table.addresses_for("z1", "r1", 64, LEASE_S) == ["10.0.0.1:80"]
+    assert table.addresses_for("z1", "r1", 64, LEASE_S + 0.1) == []
+
+
+def test_one_that_left_still_counts_for_the_budgets_for_a_while() -> None:
+    table = LeaseTable()
+    table.renew(lease(1), 0.0, here=True)
+    table.renew(lease(2), 20.0, here=True)
+    table.expire(COUNTED_S - 1)
+    assert table.proxies_at_most() == 2
+    table.expire(COUNTED_S + 1)
+    assert table.proxies_at_most() == 1
+
+
+def test_a_late_renewal_does_not_undo_a_newer_one() -> None:
+    table = LeaseTable()
+    table.renew(lease(1, ready=False, round=5), 0.0, here=True)
+    assert not table.renew(lease(1, ready=True, round=4), 0.1, here=False)
+    assert table.addresses_for("z1", "r1", 64, 0.2) == []
+
+
+def test_a_restarted_proxy_counts_its_rounds_anew() -> None:
+    table = LeaseTable()
+    table.renew(lease(1, round=500, ready=False, life=1), 0.0, here=True)
+    assert table.renew(lease(1, round=1, life=2), 0.1, here=True)
+    assert table.addresses_for("z1", "r1", 64, 0.2) == ["10.0.0.1:80"]
+
+
+def test_clients_are_sent_to_the_nearest_group_that_has_a_ready_proxy() -> None:
+    table = LeaseTable()
+    table.renew(lease(1, "z1", "r1", ready=False), 0.0, here=True)
+    table.renew(lease(2, "z2", "r1"), 0.0, here=True)
+    table.renew(lease(3, "z3", "r2"), 0.0, here=True)
+    assert table.addresses_for("z1", "r1", 64, 0.1) == ["10.0.0.2:80"]
+    assert table.addresses_for("z3", "r2", 64, 0.1) == ["10.0.0.3:80"]
+    assert table.addresses_for("z9", "r9", 64, 0.1) == ["10.0.0.2:80", "10.0.0.3:80"]
+
+
+def test_only_what_was_renewed_here_is_passed_on() -> None:
+    table = LeaseTable()
+    table.renew(lease(1), 1.0, here=True)
+    table.renew(lease(2), 1.0, here=False)
+    assert [one.name for one in table.renewed_here_since(0.5)] == ["p1"]
+    assert list(table.renewed_here_since(1.0)) == []
--- /dev/null
+++ b/tests/system/membership/test_node_table.py
@@ -0,0 +1,146 @@
+"""The node table: reports are merged, silence counts only where one could hear, differences add up to the whole."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coveport.system.membership.node_table import REMOVALS_KEPT, NodeTable
+from coveport.system.model.node import Node, NodeState
+
+SILENCE_S = 5.0
+
+
+def node(incarnation: str = "i-1", sequence: int = 1, state: NodeState = NodeState.ACCEPTING, **other: float) -> Node:
+    return Node(incarnation, sequence, "chat", "10.0.0.1:80", "z1", "r1", 64, state, **other)
+
+
+def test_a_newer_report_wins_and_an_older_one_is_passed_over() -> None:
+    table = NodeTable(SILENCE_S)
+    assert table.hear(node(sequence=5), 0.0)
+    assert not table.hear(replace(node(sequence=4), slots=1), 0.1)
+    [entry] = table.entries()
+    assert entry.node.slots == 64
+
+
+def test_closing_is_never_undone_within_an_incarnation() -> None:
+    table = NodeTable(SILENCE_S)
+    table.hear(node(sequence=1), 0.0)
+    assert table.hear(node(sequence=2, state=NodeState.CLOSING), 0.1)
+    table.hear(node(sequence=9), 0.2)
+    [entry] = table.entries()
+    assert entry.node.state is NodeState.CLOSING
+
+
+def test_a_late_heartbeat_does_not_bring_back_who_said_goodbye() -> None:
+    table = NodeTable(SILENCE_S)
+    table.hear(node(sequence=1), 0.0)
+    assert table.hear(node(state=NodeState.GONE), 0.1)
+    assert not table.hear(node(sequence=7), 0.2)
+    assert len(table) == 0
+
+
+def test_a_goodbye_of_one_never_heard_of_is_remembered() -> None:
+    table = NodeTable(SILENCE_S)
+    table.hear(node(state=NodeState.GONE), 0.0)
+    assert not table.hear(node(sequence=7), 0.2)
+    assert len(table) == 0
+
+
+def test_an_unchanged_heartbeat_is_no_news_but_ends_the_silence() -> None:
+    table = NodeTable(SILENCE_S)
+    table.hear(node(sequence=1), 0.0)
+    revision = table.revision
+    assert not table.hear(node(sequence=2), 4.0)
+    assert table.revision == revision
+    assert table.expire(8.0) == []
+    assert table.expire(9.1) == ["i-1"]
+
+
+def test_silence_says_nothing_to_one_that_could_not_hear() -> None:
+    table = NodeTable(SILENCE_S)
+    table.hear(node(), 0.0)
+    table.forgive(20.0)
+    assert table.expire(20.1) == []
+    assert table.expire(25.1) == ["i-1"]
+
+
+def test_one_that_was_silent_comes_back_with_its_next_heartbeat() -> None:
+    table = NodeTable(SILENCE_S)
+    table.hear(node(sequence=1), 0.0)
+    table.expire(6.0)
+    assert table.hear(node(sequence=2), 7.0)
+    assert "i-1" in table
+
+
+def test_the_end_of_a_warm_up_counts_down_and_a_new_one_is_news() -> None:
+    table = NodeTable(SILENCE_S)
+    table.hear(node(sequence=1, cold_left_ms=3000.0), 0.0)
+    assert not table.hear(node(sequence=2, cold_left_ms=2000.0), 1.0)
+    [told] = table.changes_since(0, 1.0).nodes
+    assert told.cold_left_ms == 2000.0
+    assert not table.hear(node(sequence=3), 4.0)
+    assert table.hear(node(sequence=4, cold_left_ms=3000.0), 5.0)
+
+
+def test_a_revision_that_is_too_old_is_answered_with_the_whole_table() -> None:
+    table = NodeTable(SILENCE_S)
+    table.hear(node("stays"), 0.0)
+    for number in range(REMOVALS_KEPT + 1):
+        table.hear(node(f"i-{number}"), 0.0)
+        table.hear(node(f"i-{number}", state=NodeState.GONE), 0.0)
+    changes = table.changes_since(1, 0.0)
+    assert changes.whole
+    assert [one.incarnation for one in changes.nodes] == ["stays"]
+
+
+reports = st.lists(
+    st.tuples(
+        st.sampled_from(["a", "b", "c"]),
+        st.integers(1, 6),
+        st.sampled_from(list(NodeState)),
+        st.integers(0, 4000),
+        st.booleans(),
+    ),
+    max_size=30,
+)
+
+
+@given(reports)
+def test_differences_add_up_to_the_table(told: list[tuple[str, int, NodeState, int, bool]]) -> None:
+    """A reader that asks now and then, with the revision it has, holds what the table holds."""
+    table, copy, revision, now = NodeTable(SILENCE_S), dict[str, Node](), -1, 0.0
+    for incarnation, sequence, state, pause_ms, does_ask in told:
+        now += pause_ms / 1000
+        table.hear(node(incarnation, sequence, state), now)
+        table.expire(now)
+        if does_ask:
+            changes = table.changes_since(revision, now)
+            revision = changes.revision
+            copy = {} if changes.whole else copy
+            copy.update({one.incarnation: one for one in changes.nodes})
+            for gone in changes.removed:
+                copy.pop(gone, None)
+            assert {name: one.state for name, one in copy.items()} == {
+                entry.node.incarnation: entry.node.state for entry in table.entries()
+            }
+
+
+@given(reports, st.randoms())
+def test_the_order_in_which_reports_come_does_not_matter(
+    told: list[tuple[str, int, NodeState, int, bool]], chance: object
+) -> None:
+    nodes = [node(incarnation, sequence, state) for incarnation, sequence, state, _, _ in told]
+    one, other = NodeTable(SILENCE_S), NodeTable(SILENCE_S)
+    for report in nodes:
+        one.hear(report, 0.0)
+    chance.shuffle(nodes)  # type: ignore[attr-defined]
+    for report in nodes:
+        other.hear(report, 0.0)
+
+    def state_of(table: NodeTable) -> dict[str, NodeState]:
+        return {entry.node.incarnation: entry.node.state for entry in table.entries()}
+
+    assert state_of(one) == state_of(other)
--- /dev/null
+++ b/tests/system/wire/test_codec.py
@@ -0,0 +1,92 @@
+"""Messages become bytes and come back; frames survive any cutting and no damage."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coveport.system.wire.codec import MalformedMessageError, MessageCodec
+from coveport.system.wire.frames import HEADER_BYTES, FrameReader, write_frame
+
+
+class Colour(enum.Enum):
+    RED = "red"
+    BLUE = "blue"
+
+
+@dataclass(frozen=True, slots=True)
+class Inner:
+    number: int
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Outer:
+    flag: bool
+    share: float
+    data: bytes
+    colour: Colour
+    maybe: Inner | None
+    many: tuple[Inner, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Empty:
+    pass
+
+
+CODEC: MessageCodec[object] = MessageCodec((Inner, Outer, Empty))
+inners = st.builds(Inner, st.integers(-(1 << 70), 1 << 70), st.text(st.characters(exclude_categories=["Cs"])))
+outers = st.builds(
+    Outer,
+    st.booleans(),
+    st.floats(allow_nan=False),
+    st.binary(),
+    st.sampled_from(Colour),
+    st.none() | inners,
+    st.lists(inners, max_size=4).map(tuple),
+)
+
+
+@given(st.one_of(inners, outers, st.just(Empty())))
+def test_a_message_comes_back_as_it_was(message: object) -> None:
+    assert CODEC.decode(CODEC.encode(message)) == message
+
+
+@pytest.mark.parametrize("data", [b"", b"\x63", b"\x00", b"\x01\x01\x02"])
+def test_what_is_no_message_is_refused(data: bytes) -> None:
+    with pytest.raises(MalformedMessageError):
+        CODEC.decode(data)
+
+
+@given(st.lists(st.binary(max_size=50), max_size=5), st.integers(1, 40))
+def test_frames_survive_any_cutting(payloads: list[bytes], step: int) -> None:
+    stream = b"".join(map(write_frame, payloads))
+    reader, came = FrameReader(), []
+    for start in range(0, len(stream), step):
+        came.extend(reader.feed(stream[start : start + step]))
+    assert came == payloads
+
+
+@given(st.binary(min_size=1, max_size=50), st.data())
+def test_a_damaged_frame_never_comes_through_as_another(payload: bytes, data: st.DataObject) -> None:
+    frame = bytearray(write_frame(payload))
+    place = data.draw(st.integers(0, len(frame) - 1))
+    frame[place] ^= 1 << data.draw(st.integers(0, 7))
+    try:
+        came = list(FrameReader().feed(bytes(frame)))
+    except MalformedMessageError:
+        return
+    assert came == []  # a longer length: it waits for the rest
+
+
+def test_a_newer_format_is_refused() -> None:
+    frame = bytearray(write_frame(b"x"))
+    frame[3] += 1
+    with pytest.raises(MalformedMessageError):
+        list(FrameReader().feed(bytes(frame)))
+    assert HEADER_BYTES == 12
