--- a/coveport/lab/virtual/wires.py
+++ b/coveport/lab/virtual/wires.py
@@ -296,7 +296,7 @@
     # As a transport.
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
-        """`peername`, and what only this ground can tell, times in ms of the day.
+        """`peername`, `sockname`, and what only this ground can tell, times in ms of the day.
 
         `handed_ms`: when what is being read was handed over at the other end. `came_ms`: when it came to this
         machine, or would have but for a window that we kept full. `cut_short`: whether something written here
@@ -310,6 +310,8 @@
             return self._cut_short
         if name == "peername":
             return (self.there.address, self.number)
+        if name == "sockname":
+            return (self.here.address, self.number)
         return default
 
     def is_closing(self) -> bool:
--- /dev/null
+++ b/coveport/system/simulation/deployment.py
@@ -0,0 +1,155 @@
+"""What a simulated or small real deployment consists of: zones, machines, services, traffic. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from coveport.net.address import Address
+from coveport.system.model.configuration import (
+    Configuration,
+    Engine,
+    Route,
+    RouteKind,
+    Service,
+    WeightedService,
+)
+from coveport.system.settings.boot import BootSettings, Bounds, Tolerated
+from coveport.system.simulation.client import RequestKind
+from coveport.system.simulation.engine import EngineFigures
+from coveport.system.simulation.figures import Objective
+from coveport.system.simulation.places import Delays, Zone
+from coveport.system.wire.names import SERVES_CLIENTS, SERVES_CONTROL, SERVES_LOOKUPS
+
+HOST = "points.example"
+REVIEW = RequestKind(
+    "review", HOST, "/review/", True, 5.0, 0.8, 0.4, ((4, 2520), (64, 3780)), 2890, 50, 6000
+)  # fmt: skip
+OFFER = RequestKind(
+    "offer", HOST, "/offer/", False, 15.0, 1.0, 0.4, ((40, 119), (147, 79)), 628, 290, 1700
+)  # fmt: skip
+BOUNDS = Bounds(retry_slack=58.0, cold_overshoot=1.5, cold_slack=5.0)
+OBJECTIVES = {kind.name: Objective(kind.objective_s, kind.pause_objective_s) for kind in (REVIEW, OFFER)}
+
+
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """The same on all machines."""
+
+    clients: int = 8263
+    readiness: int = 8268
+    control: int = 8262
+    lookups: int = 8264
+    inner: int = 7300
+    inner_last: int = 7315
+    node: int = 8080
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """How many of what, where; rates are of all clients together, a second."""
+
+    zones: tuple[Zone, ...] = (
+        Zone("barakaldo", "bizkaia"),
+        Zone("gijon", "asturias"),
+        Zone("camargo", "cantabria"),
+    )
+    proxies: tuple[int, ...] = (1, 1, 1)  # by zone
+    nodes: tuple[int, ...] = (2, 2, 1)
+    clients: tuple[int, ...] = (3, 3, 3)
+    rates: tuple[tuple[RequestKind, float], ...] = ((REVIEW, 3.0), (OFFER, 6.0))
+    service: str = "norte-lm"
+    homes: tuple[tuple[str, tuple[str, ...]], ...] = (("offer", ("bizkaia", "asturias")),)
+    engine: EngineFigures = field(default_factory=EngineFigures)
+    delays: Delays = field(default_factory=Delays)
+    bounds: Bounds = field(default_factory=lambda: BOUNDS)
+    tolerated: Tolerated = field(default_factory=lambda: Tolerated(1, 1, 1))
+    heartbeat_ms: float = 1200.0
+    warm_up_s: float = 3.0
+    warm_up_rate: float = 9.8
+    ports: Ports = field(default_factory=Ports)
+    lead_s: float = 8.0  # from the machines' start to the traffic's
+
+    def configuration(self, edition: int, extra: tuple[Route, ...] = ()) -> Configuration:
+        """The configuration that all traffic needs, and further routes."""
+        routes = tuple(self.route(kind) for kind, _ in self.rates)
+        engine = Engine(self.engine.slots, self.engine.memory_tokens, self.engine.tokens_per_event)
+        service = Service(self.service, "/health", 370, self.warm_up_s, self.warm_up_rate, engine)
+        return Configuration(edition, (*routes, *extra), (service,))
+
+    def route(self, kind: RequestKind, timeout_ms: float | None = None) -> Route:
+        """The route of a kind of request."""
+        homes = dict(self.homes).get(kind.name, ())
+        return Route(
+            name=f"r-{kind.name}",
+            host=kind.host,
+            path_prefix=kind.path_prefix,
+            kind=RouteKind.STREAMING,
+            timeout_ms=kind.deadline_s * 1000 if timeout_ms is None else timeout_ms,
+            objective_ms=kind.objective_s * 1000,
+            precedence=[one for one, _ in self.rates].index(kind) if kind.name in OBJECTIVES else 2,
+            services=(WeightedService(self.service, 1.0),),
+            attempts=2 if kind.idempotent else 1,
+            pinned=True,
+            resumable=kind.idempotent,
+            pause_objective_ms=kind.pause_objective_s * 1000,
+            home_regions=frozenset(homes),
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class MachineSpot:
+    """A machine's name, address and zone."""
+
+    name: str
+    ip: str
+    zone: Zone
+
+
+def coordinator_settings(
+    deployment: Deployment, spot: MachineSpot, seeds: tuple[Address, ...], data_dir: str, first_boot: bool
+) -> BootSettings:
+    """What a coordinator is told at its start."""
+    ports = deployment.ports
+    return _settings(
+        deployment, spot, seeds, first_boot,
+        serves=(SERVES_CONTROL, SERVES_LOOKUPS), data_dir=data_dir,
+        control=(spot.ip, ports.control), lookups=(spot.ip, ports.lookups),
+    )  # fmt: skip
+
+
+def proxy_settings(
+    deployment: Deployment, spot: MachineSpot, seeds: tuple[Address, ...], first_boot: bool
+) -> BootSettings:
+    """What a proxy is told at its start."""
+    ports = deployment.ports
+    return _settings(
+        deployment, spot, seeds, first_boot, serves=(SERVES_CLIENTS,), data_dir=None,
+        clients=(spot.ip, ports.clients), readiness=(spot.ip, ports.readiness),
+    )  # fmt: skip
+
+
+def _settings(
+    deployment: Deployment, spot: MachineSpot, seeds: tuple[Address, ...], first_boot: bool, *,
+    serves: tuple[str, ...], data_dir: str | None, clients: Address | None = None,
+    readiness: Address | None = None, control: Address | None = None, lookups: Address | None = None,
+) -> BootSettings:  # fmt: skip
+    return BootSettings(
+        name=spot.name,
+        ip=spot.ip,
+        zone=spot.zone.name,
+        region=spot.zone.region,
+        inner_ports=(deployment.ports.inner, deployment.ports.inner_last),
+        seeds=seeds,
+        first_boot=first_boot,
+        loss_counted=SERVES_CONTROL in serves,
+        data_dir=data_dir,
+        serves=serves,
+        heartbeat_ms=deployment.heartbeat_ms,
+        regions={zone.name: zone.region for zone in deployment.zones},
+        clients=clients,
+        readiness=readiness,
+        control=control,
+        lookups=lookups,
+        tolerated=deployment.tolerated,
+        bounds=deployment.bounds,
+    )
--- /dev/null
+++ b/coveport/system/simulation/disk.py
@@ -0,0 +1,137 @@
+"""A disk in memory for simulated coordinators: what was not synced may be torn after a loss of power."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from random import Random
+
+from coveport.net.transport import Net
+from coveport.system.replication.records import Record
+from coveport.system.storage.store import RecordStore
+
+
+class SimulatedFile:
+    """One file."""
+
+    def __init__(self, disk: SimulatedDisk) -> None:
+        self._disk = disk
+        self._data = bytearray()
+        self._synced = b""
+        self._unsynced: list[tuple[int, bytes]] = []
+
+    def read_all(self) -> bytes:
+        """Everything it holds."""
+        return bytes(self._data)
+
+    def write(self, offset: int, data: bytes) -> None:
+        """Write all of `data`."""
+        self._disk.check()
+        self._unsynced.append((offset, data))
+        self._put(self._data, offset, data)
+
+    def set_length(self, length: int) -> None:
+        """Cut or extend with zeros."""
+        self._disk.check()
+        del self._data[length:]
+        self._data.extend(bytes(length - len(self._data)))
+
+    def sync(self) -> None:
+        """What was written survives a loss of power from now on."""
+        self._disk.check()
+        self._synced = bytes(self._data)
+        self._unsynced.clear()
+
+    def close(self) -> None:
+        """Nothing is held."""
+
+    def lose_power(self, chance: Random) -> None:
+        """Keep what was synced, and each later write wholly, in part or not at all."""
+        data = bytearray(self._synced)
+        for offset, written in self._unsynced:
+            kept = chance.choice((0, len(written), chance.randrange(len(written) + 1)))
+            self._put(data, offset, written[:kept])
+        self._data, self._synced = data, bytes(data)
+        self._unsynced.clear()
+
+    @staticmethod
+    def _put(data: bytearray, offset: int, written: bytes) -> None:
+        data.extend(bytes(max(0, offset - len(data))))
+        data[offset : offset + len(written)] = written
+
+
+@dataclass(slots=True)
+class SimulatedDisk:
+    """A folder of such files. `sync_s`: what a write with its sync takes."""
+
+    sync_s: float = 0.002
+    refuses: bool = False  # every write fails
+    hangs: bool = False  # no write ends
+    files: dict[str, SimulatedFile] = field(default_factory=dict)
+
+    def names(self) -> list[str]:
+        """Of all files."""
+        return list(self.files)
+
+    def open(self, name: str) -> SimulatedFile:
+        """For reading and writing; created when it isn't there."""
+        return self.files.setdefault(name, SimulatedFile(self))
+
+    def sync_names(self) -> None:
+        """Names are kept at once."""
+
+    def check(self) -> None:
+        """OSError where it refuses writes."""
+        if self.refuses:
+            raise OSError("the disk refuses")
+
+    def lose_power(self, chance: Random) -> None:
+        """What was not synced may be gone."""
+        for file in self.files.values():
+            file.lose_power(chance)
+
+    def wipe(self) -> None:
+        """It comes back empty."""
+        self.files.clear()
+
+
+Done = Callable[[OSError | None], None]
+
+
+class SimulatedWriter:
+    """Writes records in order, each after the disk's time."""
+
+    def __init__(self, net: Net, disk: SimulatedDisk, store: RecordStore) -> None:
+        self._net, self._disk, self._store = net, disk, store
+        self._queue: deque[tuple[Sequence[Record], Done]] = deque()
+        self._is_writing = False
+
+    def submit(self, records: Sequence[Record], done: Done) -> None:
+        """Write and sync; then call `done`, with the error if the disk refused."""
+        self._queue.append((records, done))
+        if not self._is_writing:
+            self._begin()
+
+    def close(self, wait_s: float = 0.0) -> None:
+        """Nothing is held."""
+
+    def _begin(self) -> None:
+        self._is_writing = True
+        self._net.loop.call_later(self._disk.sync_s, self._write)
+
+    def _write(self) -> None:
+        if self._disk.hangs:
+            self._begin()
+            return
+        records, done = self._queue.popleft()
+        error = None
+        try:
+            self._store.append(records)
+        except OSError as refused:
+            error = refused
+        if self._queue:
+            self._begin()
+        else:
+            self._is_writing = False
+        done(error)
--- /dev/null
+++ b/coveport/system/simulation/machines.py
@@ -0,0 +1,106 @@
+"""Machines of a simulated deployment: each runs lives of one program, that can be killed or frozen."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+
+from coveport.lab.virtual.wires import Place
+from coveport.lab.virtual.world import Process
+from coveport.system.log import make_log
+from coveport.system.simulation.deployment import MachineSpot
+from coveport.system.simulation.disk import SimulatedDisk
+from coveport.system.simulation.places import PlacedNet, PlacedNetwork, run_in
+
+
+class Program(Protocol):
+    """What runs on a machine."""
+
+    async def start(self) -> None:
+        """Begin."""
+
+    async def stop(self) -> None:
+        """The planned end."""
+
+
+MakeProgram = Callable[["Machine", bool, Any, Random], Program]
+"""From the machine, whether it is the first boot, a log, and chance."""
+
+
+class Machine:
+    """One machine."""
+
+    def __init__(
+        self, network: PlacedNetwork, spot: MachineSpot, place: Place, make: MakeProgram, seed: str,
+        disk: SimulatedDisk | None = None,
+    ) -> None:  # fmt: skip
+        self.spot, self.place, self.disk = spot, place, disk
+        self.log_lines: list[str] = []
+        self.problems: list[dict[str, Any]] = []
+        self.lives = 0
+        self._network, self._make, self._seed = network, make, seed
+        self._process: Process | None = None
+        self._net: PlacedNet | None = None
+        self.program: Program | None = None
+
+    @property
+    def net(self) -> PlacedNet:
+        """The net of the present life."""
+        assert self._net is not None
+        return self._net
+
+    @property
+    def is_up(self) -> bool:
+        """Whether a process runs."""
+        return self._process is not None and self._process.alive
+
+    def start(self, first_boot: bool = False) -> None:
+        """Begin a life."""
+        self.lives += 1
+        process = Process.start(self._network.world, f"{self.spot.name}#{self.lives}")
+        process.problems = self.problems
+        process.on_exit = lambda code: self.problems.append({"message": f"exit {code}"})
+        self._process = process
+        self._net = PlacedNet(process, self._network, self.place)
+        chance = Random(f"{self._seed} {self.spot.name} {self.lives}")
+        log = make_log(self._net.now_s, write=self.log_lines.append)
+
+        def begin() -> object:
+            self.program = self._make(self, first_boot, log, chance)
+            return self.program.start()
+
+        run_in(process, begin)
+
+    def kill(self) -> None:
+        """End its life at once."""
+        if self._process is not None:
+            self._process.kill()
+
+    def freeze(self, for_s: float) -> None:
+        """Let it run nothing for so long."""
+        if self._process is not None:
+            self._process.stall(for_s)
+
+    def terminate(self, grace_s: float, ended: Callable[[], None]) -> None:
+        """Ask it to stop; kill it when it has, or when the time of grace is over."""
+        process, program = self._process, self.program
+        assert process is not None and program is not None
+        world = self._network.world
+
+        async def stop() -> None:
+            await program.stop()
+            world.at(world.now, end)
+
+        def end() -> None:
+            if process.alive:
+                process.kill()
+                ended()
+
+        run_in(process, stop)
+        world.at(world.now + grace_s, end)
+
+    def run(self, work: Callable[[], object]) -> None:
+        """Have its process do something."""
+        assert self._process is not None
+        run_in(self._process, work)
