--- a/coveport/system/cli/app.py
+++ b/coveport/system/cli/app.py
@@ -11,7 +11,9 @@
 
 NO_SETTINGS = 2  # exit code
 
-app = cyclopts.App(name="coveport-system", help="Serving for language models across regions.", version_flags=[])
+app = cyclopts.App(
+    name="coveport-system", help="Serving for language models across regions.", version_flags=[]
+)
 
 
 def _settings_path(given: str | None) -> str:
@@ -30,6 +32,7 @@
     ----------
     settings
         The boot settings (TOML); without it, the file that COVEPORT_NODE_FILE names.
+
     """
     from coveport.system.coordinator.process import run
 
@@ -44,12 +47,22 @@
     ----------
     settings
         The boot settings (TOML); without it, the file that COVEPORT_NODE_FILE names.
+
     """
     from coveport.system.proxy.process import run
 
     return run(_settings_path(settings))
 
 
+# Imported only when one is called: a role's start must not pay for them.
+app.command("coveport.system.cli.check:app", name="check", help="Check a file before it is used.")
+app.command("coveport.system.cli.config:app", name="config", help="Read or change the configuration.")
+app.command("coveport.system.cli.zones:evacuate", name="evacuate", help="Keep requests away from a zone.")
+app.command("coveport.system.cli.show:nodes", name="nodes", help="List the nodes.")
+app.command("coveport.system.cli.show:members", name="members", help="List coordinators and proxies.")
+app.command("coveport.system.cli.show:status", name="status", help="Show the state of the core.")
+
+
 def main() -> int:
     """Carry out `sys.argv`; the exit code."""
     result = app()
--- /dev/null
+++ b/tests/system/cli/loopback_core.py
@@ -0,0 +1,93 @@
+"""Coordinators on loopback in a thread: the real calls over the real state, with no replication beneath."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from coveport.net.transport import Net
+from coveport.system.configuration.state import Applied, apply, initial_state
+from coveport.system.coordinator.operator_calls import OperatorCalls
+from coveport.system.web.calls import CallTable, Reply, json_reply
+from coveport.system.web.server import CallServer
+
+HOST = "127.0.0.1"
+STATUS = {
+    "name": "core-1",
+    "connected": True,
+    "core": {
+        "role": "primary",
+        "epoch": 3,
+        "primary": "10.0.0.1:7300",
+        "replicas": ["10.0.0.2:7300"],
+        "members": ["10.0.0.1:7300", "10.0.0.2:7300", "10.0.0.3:7300"],
+    },
+    "coordinators": ["10.0.0.3:7300", "10.0.0.4:7300"],
+    "proxies": [{"name": "p-1", "address": "10.0.1.1:80", "zone": "hall", "ready": True}],
+    "nodes": [
+        {
+            "incarnation": "i-1",
+            "service": "model",
+            "address": "10.0.2.1:80",
+            "zone": "hall",
+            "state": "accepting",
+            "silent_s": 0.4,
+        }
+    ],
+}
+
+
+class LoopbackCore:
+    """One coordinator; `answers_lost` counts down calls that are taken and then answered by 503."""
+
+    def __init__(self) -> None:
+        self.state = initial_state()
+        self.answers_lost = 0
+        self.changes_sent = 0
+
+    async def submit(self, command: bytes) -> Reply:
+        self.changes_sent += 1
+        outcome = apply(self.state, command)
+        self.state = outcome.state if isinstance(outcome, Applied) else self.state
+        if self.answers_lost:
+            self.answers_lost -= 1
+            return json_reply(503, {"Error": "unclear"})
+        result = outcome.result
+        return json_reply(result.status, {"Error": [str(finding) for finding in result.findings]})
+
+    async def read_configuration(self) -> Reply:
+        text = self.state.configuration_text
+        return json_reply(404, {"Error": "none yet"}) if text is None else Reply(200, text)
+
+    async def primary_elsewhere(self) -> str | None:
+        return None
+
+    def is_primary(self) -> bool:
+        return True
+
+    def describe(self) -> dict[str, Any]:
+        return STATUS
+
+
+@contextmanager
+def serving(core: LoopbackCore) -> Iterator[str]:
+    """The core answers at the address that is handed out."""
+    loop = asyncio.new_event_loop()
+    net = Net(loop)
+    table = CallTable(OperatorCalls(core, 0, frozenset({"hall"})))
+    server = CallServer(net, (HOST, 0), table.answer)
+    loop.run_until_complete(server.start())
+    assert server._listening is not None
+    port = server._listening.port
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+    try:
+        yield f"{HOST}:{port}"
+    finally:
+        loop.call_soon_threadsafe(server.stop)
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+        loop.close()
