--- /dev/null
+++ b/tests/system/cli/test_operator_docs.py
@@ -0,0 +1,55 @@
+"""The operators' pages name every field, verb and exit code that there is, and no field that isn't."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+from coveport.system.cli.app import app
+from coveport.system.cli.exit_codes import ExitCode
+from coveport.system.wire import configuration as wire
+
+DOCS = Path(__file__).parents[3] / "docs" / "operators"
+CONFIGURATION = (DOCS / "configuration.md").read_text()
+COMMAND_LINE = (DOCS / "command-line.md").read_text()
+
+
+def first_cells(text: str, heading: str) -> list[str]:
+    """The first column of the table under a heading."""
+    after = text.partition(f"| {heading} |")[2].partition("\n\n")[0]
+    return re.findall(r"^\| ([^|]+?) \|", after, re.MULTILINE)
+
+
+@pytest.mark.parametrize(
+    ("heading", "names"),
+    [
+        ("Field of a route", wire.ROUTE),
+        ("Field of a service", wire.SERVICE),
+        ("Field of the limits", wire.CLIENT_LIMITS),
+    ],
+)
+def test_each_table_has_the_fields_that_are_read(heading: str, names: dict[str, str]) -> None:
+    assert sorted(first_cells(CONFIGURATION, heading)) == sorted(f"`{name}`" for name in names.values())
+
+
+@pytest.mark.parametrize("names", [wire.CONFIGURATION, wire.ENGINE, wire.WEIGHTED_SERVICE])
+def test_fields_without_a_table_are_named(names: dict[str, str]) -> None:
+    assert [name for name in names.values() if f"`{name}`" not in CONFIGURATION] == []
+
+
+def test_every_verb_has_its_line() -> None:
+    told = " ".join(first_cells(COMMAND_LINE, "Verb"))
+    verbs = [name for name in app if not name.startswith("-")]
+    assert len(verbs) >= 8
+    assert [verb for verb in verbs if not re.search(rf"`{verb}\b", told)] == []
+    inner = [
+        f"{verb} {name}" for verb in ("check", "config") for name in app[verb] if not name.startswith("-")
+    ]
+    assert len(inner) == 6
+    assert [verb for verb in inner if f"`{verb}" not in told] == []
+
+
+def test_every_exit_code_has_its_line() -> None:
+    assert first_cells(COMMAND_LINE, "Exit code") == [str(int(code)) for code in ExitCode]
