--- a/coveport/system/replication/acceptor.py
+++ b/coveport/system/replication/acceptor.py
@@ -76,7 +76,7 @@
         return True
 
     def _reply_when_synced(self, sender: MemberId, message: Message) -> None:
-        self._journal.when_synced(lambda: self._outbox.send(sender.address, message))
+        self._journal.send_when_synced(sender.address, message)
 
     def prepare(self, sender: MemberId, message: Prepare) -> None:
         """Promise to refuse all lower epochs, and tell what is held."""
--- a/coveport/system/replication/journal.py
+++ b/coveport/system/replication/journal.py
@@ -3,38 +3,47 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from coveport.system.replication.events import Persist
+from coveport.system.replication.messages import Message
+from coveport.system.replication.outbox import Outbox
 from coveport.system.replication.records import DurableState, Record
 from coveport.system.replication.timings import Timings
 
-Then = Callable[[], None]
 PROBE_S = 0.5  # how often a disk that refused is tried again
 
 
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A message that waits until what it tells is synced."""
+
+    to_address: str
+    message: Message
+
+
 @dataclass(slots=True)
 class Batch:
     """Records on their way to the disk, and what waits for them."""
 
     token: int
     since_s: float
-    thens: list[Then]
+    replies: list[Reply]
 
 
 class Journal:
-    """Changes `durable` at once and runs what depends on it only when it is synced.
+    """Changes `durable` at once and sends what depends on it only when it is synced.
 
     Storage syncs in the order of the tokens. After a refusal it keeps the records and writes them with the
     next token, so that a synced token says that all before it are synced too.
     """
 
-    def __init__(self, durable: DurableState, timings: Timings) -> None:
+    def __init__(self, durable: DurableState, outbox: Outbox, timings: Timings) -> None:
         self.durable = durable
+        self._outbox = outbox
         self._timings = timings
         self._records: list[Record] = []
-        self._thens: list[Then] = []
+        self._replies: list[Reply] = []
         self._batches: deque[Batch] = deque()
         self._last_token = 0
         self._is_refusing = False
@@ -46,14 +55,14 @@
         self.durable.absorb(record)
         self._records.append(record)
 
-    def when_synced(self, then: Then) -> None:
-        """Run `then` when all that was written so far is synced."""
+    def send_when_synced(self, to_address: str, message: Message) -> None:
+        """Send when all that was written so far is synced."""
         if not self._records and not self._batches:
-            then()
+            self._outbox.send(to_address, message)
         elif self._records:
-            self._thens.append(then)
+            self._replies.append(Reply(to_address, message))
         else:
-            self._batches[-1].thens.append(then)
+            self._batches[-1].replies.append(Reply(to_address, message))
 
     def flush(self, now_s: float) -> Persist | None:
         """What must go to the disk now."""
@@ -62,10 +71,10 @@
             return None
         self._last_token += 1
         self._probed_at_s = now_s
-        self._batches.append(Batch(self._last_token, now_s, self._thens))
+        self._batches.append(Batch(self._last_token, now_s, self._replies))
         persist = Persist(self._last_token, tuple(self._records))
         self._records = []
-        self._thens = []
+        self._replies = []
         return persist
 
     def persisted(self, token: int, now_s: float) -> None:
@@ -75,8 +84,8 @@
             batch = self._batches.popleft()
             if now_s - batch.since_s > self._timings.disk_s:
                 self._trouble_at_s = now_s
-            for then in batch.thens:
-                then()
+            for reply in batch.replies:
+                self._outbox.send(reply.to_address, reply.message)
 
     def failed(self, now_s: float) -> None:
         """The disk refused; what waits goes on waiting."""
--- a/coveport/system/replication/member.py
+++ b/coveport/system/replication/member.py
@@ -76,7 +76,7 @@
         timings: Timings = Timings(),  # noqa: B008 - frozen
     ) -> None:
         outbox = Outbox(identity)
-        journal = Journal(durable, timings)
+        journal = Journal(durable, outbox, timings)
         self._may_found = first_boot or durable.born_at_founding
         self._parts = Parts(
             own=identity,
@@ -316,6 +316,8 @@
     def _take_ping(self, now_s: float, sender: MemberId, ping: Ping) -> None:
         peer = self._parts.peers.heard(now_s, sender, ping)
         self._highest_seen = max(self._highest_seen, ping.promised)
+        if self._primary is not None and ping.view_epoch > self._primary.view.epoch and ping.primary:
+            self._end_primary()  # another leads by now
         if now_s - peer.served_at_s < self._parts.timings.learn_again_s:
             return
         is_served = False
@@ -402,7 +404,7 @@
         self._outvoted_since_s = None
         self._last_change_s = now_s
         self._parts.acceptor.settled(Settled(view.epoch))
-        for member in {*view.members, *view.previous_members} - {self._parts.own}:
+        for member in sorted({*view.members, *view.previous_members} - {self._parts.own}):
             self._parts.send(member, Settled(view.epoch))
         self._primary.begin(now_s, before, kept_own_state)
 
--- a/coveport/system/replication/primary.py
+++ b/coveport/system/replication/primary.py
@@ -46,10 +46,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Unconfirmed:
-    """An answer that holds if nobody promised a higher epoch; None: the newest committed state."""
+    """An answer that holds if nobody promised a higher epoch: a command's refusal, or the newest state."""
 
     request: int
-    refusal: Refused | None
+    command: bytes | None = None
+    refusal: Refused | None = None
 
 
 @dataclass(slots=True)
@@ -92,14 +93,23 @@
         self._tell_committed(now_s)
         if before is None:
             return
-        self._queue = before._queue
-        self._unconfirmed = before._unconfirmed + [
-            item for round_ in before._rounds for item in round_.waiting
-        ]
+        self._take_waiting(before)
         if in_flight is not None:
             taken = command is not None
             parts.outbox.answer(in_flight.request, Done(in_flight.result) if taken else Unclear())
 
+    def _take_waiting(self, before: Primary) -> None:
+        """Take over what waits. A refusal under the view before may not hold under this one."""
+        self._queue = before._queue
+        for item in before._all_unconfirmed():
+            if item.command is None:
+                self._unconfirmed.append(item)
+            else:
+                self._queue.append(Waiting(item.request, item.command))
+
+    def _all_unconfirmed(self) -> list[Unconfirmed]:
+        return self._unconfirmed + [item for round_ in self._rounds for item in round_.waiting]
+
     def end(self, primary_address: str | None) -> None:
         """Another leads or may lead: answer all that wait."""
         answer = self._parts.outbox.answer
@@ -107,11 +117,8 @@
             answer(self._in_flight.request, Unclear())
         for waiting in self._queue:
             answer(waiting.request, NotPrimary(primary_address))
-        for item in self._unconfirmed:
+        for item in self._all_unconfirmed():
             answer(item.request, NotPrimary(primary_address))
-        for round_ in self._rounds:
-            for item in round_.waiting:
-                answer(item.request, NotPrimary(primary_address))
         self._in_flight = None
         self._queue = deque()
         self._unconfirmed = []
@@ -125,7 +132,7 @@
 
     def read(self, request: int) -> None:
         """Queue a read of the newest."""
-        self._unconfirmed.append(Unconfirmed(request, None))
+        self._unconfirmed.append(Unconfirmed(request))
 
     def advance(self, now_s: float) -> None:
         """Start what can be started."""
@@ -140,7 +147,7 @@
         acceptor = self._parts.acceptor
         applied = self._parts.acceptor.try_command(waiting.command)
         if not isinstance(applied, Applied):
-            self._unconfirmed.append(Unconfirmed(waiting.request, applied))
+            self._unconfirmed.append(Unconfirmed(waiting.request, waiting.command, applied))
             return
         sequence = acceptor.durable.sequence + 1
         self._in_flight = InFlight(
--- a/coveport/system/replication/takeover.py
+++ b/coveport/system/replication/takeover.py
@@ -96,7 +96,7 @@
         self._sent_at_s = now_s
         if self._parts.own not in self._promises:
             return  # our own promise is synced before anyone hears of the epoch
-        for member in self._asked() - self._promises.keys():
+        for member in sorted(self._asked() - self._promises.keys()):
             self._parts.send(member, Prepare(self.epoch))
 
     def promised(self, now_s: float, sender: MemberId, message: Promise) -> None:
@@ -215,7 +215,7 @@
     def _send_accepts(self, now_s: float) -> None:
         self._sent_at_s = now_s
         assert self.view is not None
-        for member in {*self.view.members, *self.view.previous_members} - self._accepted:
+        for member in sorted({*self.view.members, *self.view.previous_members} - self._accepted):
             self._parts.send(member, Accept(self.view, is_founding=False))
 
     def accepted(self, now_s: float, sender: MemberId, message: Accepted) -> None:
