--- a/coveport/system/proxy/warm_up.py
+++ b/coveport/system/proxy/warm_up.py
@@ -2,8 +2,11 @@
 
 The rule: over all proxies a cold node receives at most rate x overshoot + slack requests in any second.
 Each proxy sends its equal part in any `SPAN_S`, a little longer than the rule's second because sends arrive
-with unequal delays. Where the part is less than one request, the span is stretched instead, beginning at a
-random moment, so that proxies don't send their one request together.
+with unequal delays. Where the part is less than one request, proxies take turns instead: one request in a
+span that is longer by as much, beginning at a random moment, so that they don't send their one request
+together.
+
+Sends to warm nodes are counted as well: a node that turns cold has had them.
 """
 
 from __future__ import annotations
@@ -17,8 +20,8 @@
 from coveport.system.proxy.sliding_window import SlidingWindow
 
 SPAN_S = 1.2
-PART = 0.9  # of the rule's bound that is spent
-CROWD_PART = 0.4  # ... where proxies take turns at random: chance may bring several together
+PART = 0.97  # of the rule's bound that is divided: the longer span is the margin
+TURNS_PART = 0.4  # ... where proxies take turns: chance may bring several together
 
 
 def is_cold(known: KnownNode, service: Service, view: ControlView, now_s: float) -> bool:
@@ -33,49 +36,56 @@
 
 @dataclass(slots=True)
 class _Credit:
-    sends: SlidingWindow
-    opens_at_s: float  # nothing is sent before, where the part is less than one
+    sends: SlidingWindow = field(default_factory=lambda: SlidingWindow(SPAN_S))
+    turn_at_s: float | None = None  # this proxy's next, where proxies take turns at a cold node
 
 
 @dataclass(slots=True)
 class WarmUpCredit:
-    """Counts sends to nodes by incarnation, so that those of a node that turns cold are known."""
+    """Counts sends to nodes by incarnation."""
 
     overshoot: float
     slack: float
     random: Random
     _credits: dict[str, _Credit] = field(default_factory=dict)
 
-    def _bound(self, service: Service) -> float:
-        return service.warm_up_rate * self.overshoot + self.slack
-
     def may_send(self, known: KnownNode, service: Service, view: ControlView, now_s: float) -> bool:
         """Whether one more request may go to this node now."""
-        if service.warm_up_rate <= 0 or not is_cold(known, service, view, now_s):
+        if service.warm_up_rate <= 0:
+            return True
+        credit = self._credits.setdefault(known.node.incarnation, _Credit())
+        if not is_cold(known, service, view, now_s):
+            credit.turn_at_s = None
             return True
-        share = PART * self._bound(service) / max(1, view.proxies_at_most)
-        credit = self._credits.get(known.node.incarnation)
+        share = self._share(service, view)
         if share >= 1:
-            return credit is None or credit.sends.count(now_s) < floor(share)
-        stretched_s = SPAN_S * PART / (share * CROWD_PART)
-        if credit is None:
-            credit = _Credit(SlidingWindow(SPAN_S), now_s + self.random.random() * stretched_s)
-            self._credits[known.node.incarnation] = credit
-        return now_s >= credit.opens_at_s
+            return credit.sends.count(now_s) < floor(share)
+        if credit.turn_at_s is None:
+            credit.turn_at_s = now_s + self.random.random() * _turn_s(share)
+        return now_s >= credit.turn_at_s
 
     def note_send(self, known: KnownNode, service: Service, view: ControlView, now_s: float) -> None:
         """A request goes to this node."""
-        credit = self._credits.get(known.node.incarnation)
-        if credit is None:
-            credit = self._credits[known.node.incarnation] = _Credit(SlidingWindow(SPAN_S), 0.0)
+        if service.warm_up_rate <= 0:
+            return
+        credit = self._credits.setdefault(known.node.incarnation, _Credit())
         credit.sends.add(now_s)
-        credit.sends.count(now_s)
-        share = PART * self._bound(service) / max(1, view.proxies_at_most)
-        if 0 < share < 1 and is_cold(known, service, view, now_s):
-            stretched_s = SPAN_S * PART / (share * CROWD_PART)
-            credit.opens_at_s = now_s + stretched_s * (0.5 + self.random.random())
+        credit.sends.count(now_s)  # forgets the old ones
+        share = self._share(service, view)
+        if share < 1 and credit.turn_at_s is not None:
+            credit.turn_at_s = now_s + _turn_s(share) * (0.5 + self.random.random())
+
+    def _share(self, service: Service, view: ControlView) -> float:
+        """Requests in a span that are this proxy's."""
+        bound = service.warm_up_rate * self.overshoot + self.slack
+        return PART * bound / max(1, view.proxies_at_most)
 
     def forget_all_but(self, incarnations: frozenset[str]) -> None:
         """Drop what is known of nodes that are gone."""
         for gone in self._credits.keys() - incarnations:
             del self._credits[gone]
+
+
+def _turn_s(share: float) -> float:
+    """How long one turn of this proxy is, on average."""
+    return SPAN_S / (TURNS_PART * share)
--- /dev/null
+++ b/tests/system/proxy/test_event_stream_joints.py
@@ -0,0 +1,93 @@
+"""Cutting streams at events, and joining what another node continues."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coveport.system.proxy.event_stream import EventCutter, EventOrder, event_id
+
+LINE = st.binary(min_size=1, max_size=6).filter(lambda line: b"\n" not in line and b"\r" not in line)
+LINES = st.lists(LINE, max_size=4)
+ENDS = st.sampled_from([b"\n", b"\r\n"])
+
+
+@st.composite
+def streams(draw: st.DrawFn) -> tuple[bytes, int]:
+    events = []
+    for number in range(draw(st.integers(0, 6))):
+        end = draw(ENDS)
+        lines = [b"id: %d" % number, *draw(LINES)]
+        events.append(end.join(lines) + end + draw(ENDS))
+    return b"".join(events), len(events)
+
+
+@given(streams(), st.lists(st.integers(0, 200)), st.binary(max_size=5))
+def test_whole_events_come_out_however_the_bytes_come_in(
+    stream: tuple[bytes, int], cuts: list[int], tail: bytes
+) -> None:
+    data, count = stream
+    tail = tail.replace(b"\n", b"").replace(b"\r", b"")
+    edges = sorted({0, len(data) + len(tail), *(cut for cut in cuts if cut < len(data) + len(tail))})
+    cutter = EventCutter()
+    events = []
+    for begin, end in pairwise(edges):
+        events += cutter.feed((data + tail)[begin:end])
+    assert b"".join(events) == data and bytes(cutter.rest) == tail
+    assert len(events) == count
+    assert [event_id(event) for event in events] == [str(number) for number in range(count)]
+
+
+def test_a_carriage_return_that_comes_late_belongs_to_its_event() -> None:
+    cutter = EventCutter()
+    assert cutter.feed(b"id: 1\r\n\r") == []
+    assert cutter.feed(b"\nid: 2\r\n") == [b"id: 1\r\n\r\n"]
+    assert bytes(cutter.rest) == b"id: 2\r\n"
+
+
+def test_ids_are_found_at_the_beginning_of_a_line_alone() -> None:
+    assert event_id(b"id: 7\ndata: x\n\n") == "7"
+    assert event_id(b"versions: 3\nid:8\ndata: id: 9\n\n") == "8"
+    assert event_id(b"data: id: 9\n\n") is None
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: x\n\n" % number
+
+
+def passed(*numbers: int, last: str | None = None) -> EventOrder:
+    order = EventOrder(last)
+    order.begin_run()
+    for number in numbers:
+        assert order.follows(event(number))
+        order.note_passed(event(number))
+    return order
+
+
+def test_ids_rise() -> None:
+    order = passed(1, 2, 3)
+    assert not order.follows(event(3)) and not order.follows(event(2))
+    assert order.follows(event(4)) and order.follows(b"data: without an id\n\n")
+
+
+def test_a_joint_leaves_nothing_out() -> None:
+    order = passed(5, 10, 15)
+    assert order.follows(event(25))  # a run may do as it likes
+    order.begin_run()
+    assert not order.follows(event(25))
+    assert order.follows(event(20)) and order.follows(event(17))  # the last event may hold less
+    order.note_passed(event(20))
+    assert order.last_id == "20" and order.follows(event(40))
+
+
+def test_what_the_client_has_counts() -> None:
+    order = passed(last="12")
+    assert not order.follows(event(12)) and order.follows(event(13))
+
+
+def test_ids_that_are_no_numbers_are_kept_and_not_compared() -> None:
+    order = EventOrder()
+    order.note_passed(b"id: one\n\n")
+    assert order.last_id == "one" and order.follows(b"id: a\n\n")
--- /dev/null
+++ b/tests/system/proxy/test_retry_budget.py
@@ -0,0 +1,67 @@
+"""Second sends over all proxies, judged in every window of the rule."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from random import Random
+
+import pytest
+
+from coveport.system.proxy.retry_budget import RetryBudget
+
+RATIO, WINDOW = 0.2, 10.0
+
+
+def test_an_idle_proxy_may_spend_its_part_of_the_slack_and_no_more() -> None:
+    budget = RetryBudget(RATIO, 58.0, WINDOW)
+    spent = 0
+    while budget.reserve("s", 9, 1.0):
+        budget.spend("s", 1.0)
+        spent += 1
+    assert spent == 5
+    assert budget.reserve("other", 9, 1.0)
+    assert not budget.reserve("s", 9, 10.9)
+    assert budget.reserve("s", 9, 11.1)
+
+
+def test_reservations_count_until_they_are_released() -> None:
+    budget = RetryBudget(0.0, 5.0, WINDOW)
+    assert [budget.reserve("s", 1, 0.0) for _ in range(5)] == [True, True, True, True, False]
+    budget.release("s")
+    assert budget.reserve("s", 1, 0.0)
+    assert not budget.reserve("s", 1, 0.0)
+
+
+@pytest.mark.parametrize("proxies", [1, 3, 9, 89, 340])
+@pytest.mark.parametrize("shape", ["even", "bursts", "falls"])
+def test_no_window_of_the_rule_holds_too_many_repeats(proxies: int, shape: str) -> None:
+    random = Random(f"{proxies} {shape}")
+    slack = 58.0 if proxies < 20 else 214.0
+    budgets = [RetryBudget(RATIO, slack, WINDOW) for _ in range(proxies)]
+    requests: list[float] = []
+    repeats: list[float] = []
+    steps = 600 if proxies < 50 else 240  # tenths of a second
+    for step in range(steps):
+        now = step / 10
+        rate = {
+            "even": 0.3,
+            "bursts": 3.0 if int(now) % 15 < 3 else 0.05,
+            "falls": 2.0 if step < steps / 2 else 0.02,
+        }[shape]
+        for budget in budgets:
+            if random.random() < min(1.0, rate):
+                budget.note_request("s", now)
+                requests.append(now)
+            while budget.reserve("s", proxies, now):  # everything fails, always
+                budget.spend("s", now)
+                repeats.append(now)
+    assert len(repeats) > 10 or proxies > 200
+    for step in range(steps):
+        begin = step / 10 + 0.05
+        counted = max(within(requests, begin - back) for back in (0.0, WINDOW / 2, WINDOW))
+        assert within(repeats, begin) <= RATIO * counted + slack, begin
+
+
+def within(times: list[float], begin: float) -> int:
+    """How many fall into the window of the rule that begins then; `times` rise."""
+    return bisect_right(times, begin + WINDOW) - bisect_right(times, begin)
