--- a/coveport/system/simulation/deployment.py
+++ b/coveport/system/simulation/deployment.py
@@ -17,7 +17,7 @@
 from coveport.system.simulation.client import RequestKind
 from coveport.system.simulation.engine import EngineFigures
 from coveport.system.simulation.figures import Objective
-from coveport.system.simulation.places import Delays, Zone
+from coveport.system.simulation.zones import Delays, Zone
 from coveport.system.wire.names import SERVES_CLIENTS, SERVES_CONTROL, SERVES_LOOKUPS
 
 HOST = "points.example"
--- a/coveport/system/simulation/disk.py
+++ b/coveport/system/simulation/disk.py
@@ -18,7 +18,7 @@
     def __init__(self, disk: SimulatedDisk) -> None:
         self._disk = disk
         self._data = bytearray()
-        self._synced = b""
+        self._synced = bytearray()
         self._unsynced: list[tuple[int, bytes]] = []
 
     def read_all(self) -> bytes:
@@ -34,13 +34,14 @@
     def set_length(self, length: int) -> None:
         """Cut or extend with zeros."""
         self._disk.check()
-        del self._data[length:]
-        self._data.extend(bytes(length - len(self._data)))
+        self._resize(self._data, length)
 
     def sync(self) -> None:
         """What was written survives a loss of power from now on."""
         self._disk.check()
-        self._synced = bytes(self._data)
+        self._resize(self._synced, len(self._data))
+        for offset, written in self._unsynced:
+            self._put(self._synced, offset, written)
         self._unsynced.clear()
 
     def close(self) -> None:
@@ -48,13 +49,18 @@
 
     def lose_power(self, chance: Random) -> None:
         """Keep what was synced, and each later write wholly, in part or not at all."""
-        data = bytearray(self._synced)
+        data = self._synced
         for offset, written in self._unsynced:
             kept = chance.choice((0, len(written), chance.randrange(len(written) + 1)))
             self._put(data, offset, written[:kept])
-        self._data, self._synced = data, bytes(data)
+        self._data, self._synced = bytearray(data), data
         self._unsynced.clear()
 
+    @staticmethod
+    def _resize(data: bytearray, length: int) -> None:
+        del data[length:]
+        data.extend(bytes(length - len(data)))
+
     @staticmethod
     def _put(data: bytearray, offset: int, written: bytes) -> None:
         data.extend(bytes(max(0, offset - len(data))))
--- /dev/null
+++ b/coveport/system/simulation/local_processes.py
@@ -0,0 +1,81 @@
+"""The real programs as processes of this machine, on loopback addresses; settings and logs in a folder."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+
+import coveport
+from coveport.system.settings.boot import BootSettings
+from coveport.system.simulation.settings_file import settings_text
+from coveport.system.wire.names import SETTINGS_VARIABLE
+
+ENDS_WITHIN_S: Final = 3.0  # beyond the time of grace
+
+
+class LocalProcess:
+    """A machine that runs one role, life after life."""
+
+    def __init__(self, role: str, folder: Path, settings: Callable[[bool], BootSettings]) -> None:
+        """`settings`: from whether it is the first boot."""
+        self._role, self._settings = role, settings
+        told = settings(True)
+        self.name = told.name
+        self._grace_s = told.bounds.grace_s
+        self._file = folder / f"{told.name}.toml"
+        self._log = folder / f"{told.name}.log"
+        self._process: asyncio.subprocess.Process | None = None
+        self._lives = 0
+
+    @property
+    def is_up(self) -> bool:
+        """Whether it runs."""
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def exit_code(self) -> int | None:
+        """Of its last life; None: it runs, or never did."""
+        return None if self._process is None else self._process.returncode
+
+    async def start(self) -> None:
+        """Begin a life."""
+        self._file.write_text(settings_text(self._settings(self._lives == 0)), encoding="utf-8")
+        self._lives += 1
+        root = str(Path(coveport.__file__).parent.parent)
+        variables = {**os.environ, SETTINGS_VARIABLE: str(self._file), "PYTHONPATH": root}
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "coveport.system", self._role, env=variables, stdout=log, stderr=log,
+                stdin=asyncio.subprocess.DEVNULL,
+            )  # fmt: skip
+
+    async def kill(self) -> None:
+        """End it at once."""
+        if self._process is not None and self.is_up:
+            self._process.kill()
+            await self._process.wait()
+
+    async def terminate(self) -> bool:
+        """Ask it to stop, and wait; whether it did within the time of grace."""
+        if self._process is None or not self.is_up:
+            return True
+        self._process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(self._grace_s + ENDS_WITHIN_S):
+                await self._process.wait()
+        except TimeoutError:
+            await self.kill()
+            return False
+        return True
+
+    def last_lines(self, count: int = 5) -> list[str]:
+        """Of its log."""
+        try:
+            return self._log.read_text(encoding="utf-8", errors="replace").splitlines()[-count:]
+        except OSError:
+            return []
--- a/coveport/system/simulation/places.py
+++ b/coveport/system/simulation/places.py
@@ -10,6 +10,7 @@
 
 from coveport.lab.virtual.wires import Network, Place, VirtualNet
 from coveport.lab.virtual.world import Process, World
+from coveport.system.simulation.zones import Delays, Zone
 
 if TYPE_CHECKING:
     from coveport.lab.virtual.wires import _Dial
@@ -19,24 +20,6 @@
 JITTER: Final = 0.1  # of every delay
 
 
-@dataclass(frozen=True, slots=True)
-class Zone:
-    """A zone and the region that it lies in."""
-
-    name: str
-    region: str
-
-
-@dataclass(frozen=True, slots=True)
-class Delays:
-    """One way, in milliseconds."""
-
-    in_zone_ms: float = 0.1
-    between_zones_ms: float = 1.4
-    between_regions_ms: float = 12.0
-    to_clients_ms: float = 3.0
-
-
 OUTSIDE: Final = -1  # the zone of clients and operators, who reach every machine alike
 
 
--- /dev/null
+++ b/coveport/system/simulation/settings_file.py
@@ -0,0 +1,69 @@
+"""Boot settings as a TOML file, for real processes of a small deployment."""
+
+from __future__ import annotations
+
+from coveport.net.address import Address
+from coveport.system.settings.boot import BootSettings
+from coveport.system.wire import settings as wire
+from coveport.system.wire.settings import Boot
+
+Plain = str | int | float | bool | list[str] | list[int]
+
+
+def settings_text(settings: BootSettings) -> str:
+    """The settings as TOML; read back they are the same."""
+    top: dict[str, Plain] = {
+        Boot.NAME: settings.name,
+        Boot.SERVES: list(settings.serves),
+        Boot.IP: settings.ip,
+        Boot.ZONE: settings.zone,
+        Boot.REGION: settings.region,
+        Boot.INNER_PORTS: list(settings.inner_ports),
+        Boot.SEEDS: [_text(seed) for seed in settings.seeds],
+        Boot.FIRST_BOOT: settings.first_boot,
+        Boot.LOSS_COUNTED: settings.loss_counted,
+        Boot.HEARTBEAT_MS: settings.heartbeat_ms,
+    }
+    if settings.data_dir is not None:
+        top[Boot.DATA_DIR] = settings.data_dir
+    listen = {
+        name: _text(address)
+        for field, name in wire.LISTEN.items()
+        if (address := getattr(settings, field)) is not None
+    }
+    lines = [
+        *_lines(top),
+        *_table(Boot.REGIONS, settings.regions),
+        *_table(Boot.LISTEN, listen),
+        *_table(Boot.LIMITS, _fields(settings.limits, wire.LIMITS)),
+        *_table(Boot.TOLERATED, _fields(settings.tolerated, wire.TOLERATED)),
+        *_table(Boot.BOUNDS, _fields(settings.bounds, wire.BOUNDS)),
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def _fields(part: object, names: dict[str, str]) -> dict[str, Plain]:
+    return {name: getattr(part, field) for field, name in names.items()}
+
+
+def _table(name: str, fields: dict[str, Plain] | dict[str, str]) -> list[str]:
+    return [f"[{name}]", *_lines(dict(fields))]
+
+
+def _lines(fields: dict[str, Plain]) -> list[str]:
+    return [f"{name} = {_value(value)}" for name, value in fields.items()]
+
+
+def _value(value: Plain) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, list):
+        return "[" + ", ".join(_value(one) for one in value) + "]"
+    if isinstance(value, str):
+        escaped = value.replace("\\", "\\\\").replace('"', '\\"')
+        return f'"{escaped}"'
+    return repr(value)
+
+
+def _text(address: Address) -> str:
+    return "{}:{}".format(*address)
--- /dev/null
+++ b/coveport/system/simulation/try_day.py
@@ -0,0 +1,296 @@
+"""A short day for newcomers: real coordinators and proxies on loopback, among stand-ins in this process."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import Final
+
+from coveport.net.transport import Net
+from coveport.system.model.configuration import Route, RouteKind, WeightedService
+from coveport.system.simulation.case import Breach
+from coveport.system.simulation.deployment import (
+    HOST,
+    OBJECTIVES,
+    Deployment,
+)
+from coveport.system.simulation.documents import Change
+from coveport.system.simulation.figures import KindFigures, figures
+from coveport.system.simulation.happenings import (
+    Book,
+    Ending,
+    TroubleBegan,
+    TroubleEnded,
+    TryEnded,
+    TrySent,
+    Verdict,
+)
+from coveport.system.simulation.judge import judge
+from coveport.system.simulation.local_deployment import LocalDeployment
+from coveport.system.simulation.local_processes import LocalProcess
+from coveport.system.simulation.operator import EditionNumbers, Operator, OrderAnswer, OrderNumbers
+from coveport.system.simulation.traffic import drive
+
+DEFAULT_SECONDS: Final = 20.0
+READY_WITHIN_S: Final = 30.0
+SETTLE_S: Final = 4.0  # after the traffic, for streams that still run
+PROGRESS_S: Final = 2.0
+RESTART_S: Final = 0.5
+BROKEN: Final = 1  # exit code
+
+Say = Callable[[str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class TryResult:
+    """What came of a day."""
+
+    ready: bool  # all proxies were, in time
+    breaches: tuple[Breach, ...]
+    kinds: dict[str, KindFigures]
+    book: Book
+
+    @property
+    def exit_code(self) -> int:
+        """0: no rule was broken, and requests were served."""
+        served = any(one.served for one in self.kinds.values())
+        return 0 if self.ready and served and not self.breaches else BROKEN
+
+
+class TryDay:
+    """Machines, stand-ins and the plan of one day."""
+
+    def __init__(self, net: Net, folder: Path, seconds: float, seed: int, say: Say) -> None:
+        self._net, self._seconds, self._say = net, seconds, say
+        self._deployment = Deployment()
+        self._seed = seed
+        self.book = Book()
+        self._began_s = net.now_s()
+        self._troubles = 0
+        self._editions = EditionNumbers(Random(f"editions {seed}"))
+        self._machines = LocalDeployment(net, folder, self._deployment, self.book, seed)
+        self._operator = Operator(
+            net, self._machines.control, self.book, Random(f"operator {seed}"), OrderNumbers()
+        )
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    # The day.
+
+    async def play(self) -> TryResult:
+        """Start all, play, judge."""
+        try:
+            await self._start_all()
+            ready = await self._wait_until_ready()
+            if ready:
+                await self._play_traffic()
+            return self._result(ready)
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            for server, _ in self._machines.nodes:
+                server.end(planned=True)
+            await asyncio.gather(
+                *(one.kill() for one in (*self._machines.coordinators, *self._machines.proxies))
+            )
+
+    async def _start_all(self) -> None:
+        self._tell("starting three coordinators, three proxies and five nodes")
+        for one in self._machines.coordinators:
+            await one.start()
+        for at in range(len(self._machines.proxies)):
+            await self._machines.start_proxy(at)
+        for zone_number, count in enumerate(self._deployment.nodes):
+            for number in range(count):
+                await self._machines.start_node(zone_number, number)
+        self._spawn(self._put_first())
+
+    async def _put_first(self) -> None:
+        first = self._deployment.configuration(self._editions.next())
+        while (await self._operator.put(first, 0)).verdict is not Verdict.ACKNOWLEDGED:
+            await asyncio.sleep(0.2)
+        self._tell(f"configuration {first.edition} is taken")
+
+    async def _wait_until_ready(self) -> bool:
+        until_s = self._net.now_s() + READY_WITHIN_S
+        waiting = set(range(len(self._machines.proxies)))
+        while waiting and self._net.now_s() < until_s:
+            waiting = {at for at in waiting if not await self._machines.is_ready(at)}
+            await asyncio.sleep(0.1)
+        if not waiting:
+            self._tell("all proxies are ready")
+            return True
+        for at in sorted(waiting):
+            self._tell(f"{self._machines.proxies[at].name} is not ready; the end of its log:")
+            for line in self._machines.proxies[at].last_lines():
+                self._say(f"    {line}")
+        return False
+
+    async def _play_traffic(self) -> None:
+        began_s = self._net.now_s()
+        until_s = began_s + self._seconds
+        asking = self._spawn(self._ask_until(until_s))
+        self._spawn(self._tell_progress(until_s))
+        for share, step in self._plan():
+            await asyncio.sleep(max(0.0, began_s + share * self._seconds - self._net.now_s()))
+            self._spawn(step())
+        await asyncio.wait([asking], timeout=self._seconds + SETTLE_S)
+        await self._operator.read(4.0)
+
+    def _plan(self) -> list[tuple[float, Callable[[], Awaitable[None]]]]:
+        """What is done, and after which share of the day."""
+        return [
+            (0.15, self._change),
+            (0.30, self._evacuate),
+            (0.45, self._crash_node),
+            (0.60, self._kill_coordinator),
+            (0.65, self._change),
+            (0.75, self._close_node),
+            (0.80, self._stop_proxy),
+        ]
+
+    async def _ask_until(self, until_s: float) -> None:
+        told = self._deployment
+        asking = []
+        for zone, count in zip(told.zones, told.clients, strict=True):
+            for number in range(count):
+                client = self._machines.client(zone, number)
+                for kind, rate in told.rates:
+                    share = rate / sum(told.clients)
+                    chance = Random(f"{zone.name} {number} {kind.name} {self._seed}")
+                    asking.append(drive(self._net, client, kind, share, until_s, chance))
+        await asyncio.gather(*asking)
+
+    # Steps.
+
+    async def _change(self) -> None:
+        edition = self._editions.next()
+        to = (WeightedService(self._deployment.service, 1.0),)
+        route = Route(
+            f"r-{edition}", HOST, f"/added-{edition}/", RouteKind.STREAMING, 5000.0, 1000.0, 2, to,
+            attempts=2, pinned=True, resumable=True, pause_objective_ms=400.0,
+        )  # fmt: skip
+        change = Change(edition, routes=(route,))
+        await self._order(
+            f"configuration {edition}", self._operator.patch(change, self._operator.configuration)
+        )
+
+    async def _evacuate(self) -> None:
+        zone = self._deployment.zones[1].name
+        await self._order(f"evacuation of {zone}", self._operator.evacuate(zone))
+        await asyncio.sleep(0.25 * self._seconds)
+        await self._order(f"taking back {zone}", self._operator.take_back(zone))
+
+    async def _order(self, what: str, asking: Awaitable[OrderAnswer]) -> None:
+        began_s = self._net.now_s()
+        answer = await asking
+        took_ms = (self._net.now_s() - began_s) * 1000
+        self._tell(f"{what}: {answer.verdict.value} after {took_ms:.0f} ms")
+
+    async def _crash_node(self) -> None:
+        server, _ = self._machines.nodes[0]
+        self._tell(f"node {server.incarnation} crashes")
+        server.end(planned=False)
+        await asyncio.sleep(0.15 * self._seconds)
+        back = await self._machines.start_node(0, 0, life=1)
+        self._tell(f"... and is back, cold, as {back.incarnation}")
+
+    async def _close_node(self) -> None:
+        server, registration = self._machines.nodes[1]
+        self._tell(f"node {server.incarnation} says that it closes")
+        await registration.leave(self._deployment.bounds.drain_ms / 1000)
+        self._tell(f"... and has left: {server.incarnation}")
+
+    async def _kill_coordinator(self) -> None:
+        one = self._machines.coordinators[0]
+        number = self._begin("kill", one, core=True)
+        await one.kill()
+        self._tell(f"{one.name} is killed")
+        await asyncio.sleep(RESTART_S)
+        await one.start()
+        self._end(number)
+
+    async def _stop_proxy(self) -> None:
+        one = self._machines.proxies[-1]
+        number = self._begin("term", one, planned=True)
+        self._tell(f"{one.name} is told to stop")
+        in_time = await one.terminate()
+        self._tell(f"... and has ended with {one.exit_code}" + ("" if in_time else ", too late"))
+        await asyncio.sleep(RESTART_S)
+        await self._machines.start_proxy(len(self._machines.proxies) - 1)
+        self._end(number)
+
+    def _begin(self, kind: str, one: LocalProcess, *, core: bool = False, planned: bool = False) -> int:
+        self._troubles += 1
+        now = self._net.now_s()
+        self.book.write(TroubleBegan(now, self._troubles, kind, (one.name,), core, planned))
+        return self._troubles
+
+    def _end(self, number: int) -> None:
+        self.book.write(TroubleEnded(self._net.now_s(), number))
+
+    # Words.
+
+    async def _tell_progress(self, until_s: float) -> None:
+        while self._net.now_s() < until_s:
+            await asyncio.sleep(PROGRESS_S)
+            asked = len({line.request for line in self.book.of(TrySent)})
+            served = sum(
+                line.ending is Ending.COMPLETE and line.status == 200 for line in self.book.of(TryEnded)
+            )
+            self._tell(f"{asked} requests asked, {served} served")
+
+    def _tell(self, text: str) -> None:
+        self._say(f"{self._net.now_s() - self._began_s:6.1f} s  {text}")
+
+    def _spawn(self, work: Awaitable[None]) -> asyncio.Task[None]:
+        task = asyncio.ensure_future(work)
+        assert isinstance(task, asyncio.Task)
+        self._tasks.add(task)
+        return task
+
+    def _result(self, ready: bool) -> TryResult:
+        for task in self._tasks:
+            if task.done() and not task.cancelled() and task.exception() is not None:
+                self._tell(f"a step failed: {task.exception()!r}")
+        breaches = tuple(judge(self.book, self._deployment.bounds))
+        return TryResult(ready, breaches, figures(self.book, OBJECTIVES), self.book)
+
+
+def summary(result: TryResult) -> list[str]:
+    """The day in a few lines."""
+    if not result.ready:
+        return ["", f"not played: the proxies were not ready within {READY_WITHIN_S:.0f} s"]
+    lines = ["", f"{'kind':<10}{'asked':>7}{'served':>8}{'in time':>9}{'first event, ms: median, 95%':>32}"]
+    for kind, found in result.kinds.items():
+        median, late, _ = found.first_event_ms
+        lines.append(
+            f"{kind:<10}{found.asked:>7}{found.served:>8}{found.in_time:>9}{median:>24.0f}{late:>8.0f}"
+        )
+    lines += [f"rule broken: {one}" for one in result.breaches[:20]]
+    if not result.breaches:
+        lines.append("no rule was broken")
+    return lines
+
+
+async def play(folder: Path, seconds: float, seed: int, say: Say) -> TryResult:
+    """A day in a folder."""
+    return await TryDay(Net(asyncio.get_running_loop()), folder, seconds, seed, say).play()
+
+
+def run(seconds: float = DEFAULT_SECONDS, folder: str | None = None, seed: int = 1) -> int:
+    """Play a short day and print it; 0 where no rule broke. `folder`: keeps settings, logs and data there."""
+    if folder is not None:
+        Path(folder).mkdir(parents=True, exist_ok=True)
+        return _run(Path(folder), seconds, seed)
+    with tempfile.TemporaryDirectory(prefix="coveport-try-") as made:
+        return _run(Path(made), seconds, seed)
+
+
+def _run(folder: Path, seconds: float, seed: int) -> int:
+    result = asyncio.run(play(folder, seconds, seed, lambda line: print(line, flush=True)))
+    print("\n".join(summary(result)))
+    return result.exit_code
--- a/coveport/system/simulation/world.py
+++ b/coveport/system/simulation/world.py
@@ -29,18 +29,15 @@
 from coveport.system.simulation.machines import Machine
 from coveport.system.simulation.model_server import ModelServer, NodeFigures
 from coveport.system.simulation.operator import EditionNumbers, Operator, OrderNumbers
-from coveport.system.simulation.places import OUTSIDE, PlacedNetwork, SimulatedWays, Zone
+from coveport.system.simulation.places import OUTSIDE, PlacedNetwork, SimulatedWays
 from coveport.system.simulation.registration import Registration
 from coveport.system.simulation.traffic import drive
-from coveport.system.storage.opening import Opened
-from coveport.system.storage.ring import Ring
-from coveport.system.storage.store import RecordStore
-from coveport.system.wire.codec import MessageCodec
+from coveport.system.simulation.zones import Zone
+from coveport.system.storage.opening import Opened, open_store
 
 FIRST_ORDER_S: Final = 1.0  # after the machines' start
 READ_BACK_S: Final = 4.0
 SETTLE_S: Final = 16.0  # after the traffic: the longest request has ended
-RING_FILE_BYTES: Final = 256 * 1024
 START_SPREAD_S: Final = 0.3
 LOOK_LIST_S: Final = 0.1
 
@@ -128,7 +125,7 @@
     def _run_coordinator(self, machine: Machine, first_boot: bool, log: Any, chance: Random) -> Coordinator:
         assert machine.disk is not None
         settings = coordinator_settings(self.deployment, machine.spot, self.seeds, "data", first_boot)
-        opened = open_simulated(machine, chance)
+        opened = open_simulated(machine, first_boot, chance)
         return Coordinator(machine.net, settings, opened, chance, log)
 
     def _run_proxy(self, machine: Machine, first_boot: bool, log: Any, chance: Random) -> Proxy:
@@ -202,7 +199,7 @@
 
     def listed_lookups(self, zone: Zone) -> list[Address]:
         """Where clients of a zone ask, near ones first."""
-        near = {one.spot.ip: _farness(one.spot.zone, zone) for one in self.coordinators}
+        near = {one.spot.ip: one.spot.zone.farness(zone) for one in self.coordinators}
         ips = sorted(self._listed_ips(), key=lambda ip: near[ip])
         return [(ip, self.deployment.ports.lookups) for ip in ips]
 
@@ -304,17 +301,8 @@
     return _Nothing()
 
 
-def _farness(one: Zone, other: Zone) -> int:
-    return 0 if one == other else 1 if one.region == other.region else 2
-
-
-def open_simulated(machine: Machine, chance: Random) -> Opened:
+def open_simulated(machine: Machine, first_boot: bool, chance: Random) -> Opened:
     """What a machine's disk holds, and a writer on it."""
-    from coveport.system.replication.records import RECORDS
-
     assert machine.disk is not None
-    codec: MessageCodec[Any] = MessageCodec(RECORDS)
-    ring = Ring(machine.disk, lambda: chance.randbytes(8), file_bytes=RING_FILE_BYTES)
-    store = RecordStore(ring, codec.encode, codec.decode)
-    durable = store.open()
+    store, durable = open_store(machine.disk, first_boot, chance.randbytes)
     return Opened(durable, SimulatedWriter(machine.net, machine.disk, store))
--- a/tests/system/simulation/stub_core.py
+++ b/tests/system/simulation/stub_core.py
@@ -21,8 +21,9 @@
 from coveport.system.simulation.exchange import ServerConnection
 from coveport.system.simulation.happenings import Book
 from coveport.system.simulation.model_server import ModelServer, NodeFigures
-from coveport.system.simulation.places import OUTSIDE, Delays, PlacedNet, PlacedNetwork, SimulatedWays, Zone
+from coveport.system.simulation.places import OUTSIDE, PlacedNet, PlacedNetwork, SimulatedWays
 from coveport.system.simulation.registration import Registration
+from coveport.system.simulation.zones import Delays, Zone
 
 ZONES = (Zone("hall-a", "north"), Zone("hall-b", "south"))
 SERVICE = "scribe"
--- /dev/null
+++ b/tests/system/simulation/test_settings_file.py
@@ -0,0 +1,28 @@
+"""Settings files that the simulation writes are what the program reads."""
+
+from __future__ import annotations
+
+from coveport.system.settings.reader import parse_boot_settings
+from coveport.system.simulation.deployment import (
+    Deployment,
+    MachineSpot,
+    coordinator_settings,
+    proxy_settings,
+)
+from coveport.system.simulation.settings_file import settings_text
+
+DEPLOYMENT = Deployment()
+SEEDS = (("127.0.0.11", 8262), ("127.0.0.12", 8262))
+
+
+def test_a_coordinators_settings_are_read_back() -> None:
+    spot = MachineSpot("coordinator-1", "127.0.0.11", DEPLOYMENT.zones[0])
+    settings = coordinator_settings(DEPLOYMENT, spot, SEEDS, '/tmp/a "quoted" \\ name', True)
+    assert parse_boot_settings(settings_text(settings)) == settings
+
+
+def test_a_proxys_settings_are_read_back() -> None:
+    spot = MachineSpot("proxy-1", "127.0.0.21", DEPLOYMENT.zones[1])
+    settings = proxy_settings(DEPLOYMENT, spot, SEEDS, False)
+    found = parse_boot_settings(settings_text(settings))
+    assert found == settings
--- /dev/null
+++ b/tests/system/simulation/test_simulated_days.py
@@ -0,0 +1,157 @@
+"""Days of the real programs in simulated time, each judged: what was seen on the stand-ins' sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from coveport.system.simulation.deployment import Deployment
+from coveport.system.simulation.happenings import (
+    NodeEnded,
+    NodeStarted,
+    Order,
+    OrderEnded,
+    OrderSent,
+    Verdict,
+)
+from coveport.system.simulation.troubles import Troubles
+from coveport.system.simulation.world import DayResult, SimulatedDeployment
+
+LENGTH_S = 12.0
+AT_S = 3.0
+
+
+def play(
+    trouble: Callable[[SimulatedDeployment, Troubles], object], seed: int = 1, **told: object
+) -> DayResult:
+    """A day with a trouble."""
+    day = SimulatedDeployment(Deployment(**told), seed)  # type: ignore[arg-type]
+    trouble(day, Troubles(day))
+    result = day.play(LENGTH_S)
+    assert list(result.problems) == []
+    assert [str(one) for one in result.breaches] == []
+    return result
+
+
+def nothing(day: SimulatedDeployment, troubles: Troubles) -> None:
+    pass
+
+
+def verdicts(result: DayResult, order: Order) -> list[Verdict]:
+    numbers = {one.number for one in result.book.of(OrderSent) if one.order is order}
+    return [one.verdict for one in result.book.of(OrderEnded) if one.number in numbers]
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_calm_day_serves_all_in_time(seed: int) -> None:
+    result = play(nothing, seed)
+    assert sum(one.asked for one in result.kinds.values()) > 50
+    assert result.served_share == 1.0
+    assert result.in_time_share > 0.97
+    assert verdicts(result, Order.READ) == [Verdict.ACKNOWLEDGED]
+
+
+def test_the_same_seed_gives_the_same_day_and_another_another() -> None:
+    traces = [play(nothing, seed).trace for seed in (4, 4, 5)]
+    assert traces[0] == traces[1]
+    assert traces[0] != traces[2]
+
+
+@pytest.mark.parametrize("number", [0, 1, 2])
+def test_each_coordinator_may_be_killed_and_changes_go_on(number: int) -> None:
+    def trouble(day: SimulatedDeployment, troubles: Troubles) -> None:
+        troubles.kill(AT_S, day.coordinators[number], for_s=3.0)
+        troubles.add_route(AT_S + 0.1, "added")
+
+    result = play(trouble)
+    assert result.served_share > 0.97
+    assert verdicts(result, Order.PATCH) == [Verdict.ACKNOWLEDGED]
+    sent = next(one for one in result.book.of(OrderSent) if one.order is Order.PATCH)
+    ended = next(one for one in result.book.of(OrderEnded) if one.number == sent.number)
+    assert ended.at_s - sent.at_s < 3.5
+
+
+@pytest.mark.parametrize("wipe", [False, True])
+def test_the_primary_may_lose_power_or_its_disk(wipe: bool) -> None:
+    def trouble(day: SimulatedDeployment, troubles: Troubles) -> None:
+        troubles.add_route(AT_S, "added")
+        troubles.lose_power(AT_S + 0.5, day.coordinators[0], for_s=3.0, wipe=wipe)
+
+    result = play(trouble)
+    assert result.served_share > 0.97
+    assert verdicts(result, Order.READ) == [Verdict.ACKNOWLEDGED]
+
+
+def test_a_frozen_coordinator_wakes_and_harms_nobody() -> None:
+    def trouble(day: SimulatedDeployment, troubles: Troubles) -> None:
+        troubles.freeze(AT_S, day.coordinators[0], for_s=3.0)
+        troubles.add_route(AT_S + 0.2, "added")
+
+    assert play(trouble).served_share > 0.97
+
+
+def test_proxies_stopped_in_turn_answer_what_they_took() -> None:
+    result = play(lambda day, troubles: troubles.roll(AT_S, day.proxies), proxies=(2, 1, 1))
+    assert result.served_share == 1.0
+
+
+def test_a_proxy_that_is_killed_costs_little() -> None:
+    result = play(lambda day, troubles: troubles.kill(AT_S, day.proxies[0], for_s=2.0))
+    assert result.served_share > 0.85
+
+
+def test_a_node_that_crashes_and_comes_back_cold() -> None:
+    result = play(lambda day, troubles: troubles.crash_node(AT_S, day.nodes[0], for_s=3.0))
+    assert result.served_share > 0.95
+    assert len(result.book.of(NodeStarted)) == len(result.book.of(NodeEnded)) + 5
+
+
+def test_a_node_that_goes_dark_is_left_alone() -> None:
+    result = play(lambda day, troubles: troubles.darken_node(AT_S, day.nodes[0], for_s=4.0))
+    assert result.served_share > 0.9
+
+
+def test_a_node_that_leaves_is_drained_and_loses_nothing() -> None:
+    result = play(lambda day, troubles: troubles.close_node(AT_S, day.nodes[0]))
+    assert result.served_share == 1.0
+    assert [one.planned for one in result.book.of(NodeEnded)] == [True]
+
+
+def test_a_node_at_short_notice() -> None:
+    result = play(lambda day, troubles: troubles.close_node(AT_S, day.nodes[0], None, 2.0))
+    assert result.served_share > 0.95
+
+
+def test_a_zone_is_emptied_and_taken_back() -> None:
+    result = play(lambda day, troubles: troubles.evacuate(AT_S, "gijon", for_s=7.0))
+    assert verdicts(result, Order.EVACUATE) == [Verdict.ACKNOWLEDGED]
+    assert verdicts(result, Order.TAKE_BACK) == [Verdict.ACKNOWLEDGED]
+    assert result.served_share > 0.97
+
+
+def test_of_two_operators_one_wins() -> None:
+    result = play(lambda day, troubles: troubles.race(AT_S))
+    assert sorted(one.value for one in verdicts(result, Order.PATCH)) == ["acknowledged", "refused"]
+    assert result.served_share == 1.0
+
+
+def test_invalid_configurations_change_nothing() -> None:
+    result = play(lambda day, troubles: troubles.send_invalid(AT_S))
+    assert verdicts(result, Order.PUT)[1:] == [Verdict.REFUSED, Verdict.REFUSED]
+    assert result.served_share == 1.0
+
+
+@pytest.mark.parametrize("how", ["both", "in", "out"])
+@pytest.mark.parametrize("region", ["bizkaia", "cantabria"])
+def test_a_region_is_cut_off(region: str, how: str) -> None:
+    def trouble(day: SimulatedDeployment, troubles: Troubles) -> None:
+        troubles.cut_region(AT_S, region, 5.0, how=how)
+        troubles.add_route(AT_S + 1.0, "added")
+
+    assert play(trouble).served_share > 0.6
+
+
+def test_a_node_turns_cold_without_notice() -> None:
+    result = play(lambda day, troubles: troubles.turn_cold(AT_S, day.nodes[4], 4.0))
+    assert result.served_share > 0.95
