--- /dev/null
+++ b/tests/system/simulation/test_on_loopback.py
@@ -0,0 +1,88 @@
+"""The stand-ins on real sockets of this machine, and what the day for newcomers says of its results."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from random import Random
+
+from stub_core import KIND, SERVICE
+
+from coveport.http1.codec import Request
+from coveport.net.transport import Net
+from coveport.system.settings.boot import Bounds
+from coveport.system.simulation.case import Breach
+from coveport.system.simulation.client import Client, ClientFigures
+from coveport.system.simulation.exchange import ServerConnection
+from coveport.system.simulation.figures import KindFigures
+from coveport.system.simulation.happenings import Book, HeartbeatAnswered, RequestRan, TryEnded
+from coveport.system.simulation.judge import judge
+from coveport.system.simulation.model_server import ModelServer, NodeFigures
+from coveport.system.simulation.registration import Registration
+from coveport.system.simulation.try_day import BROKEN, TryResult, summary
+
+HOST = "127.0.0.1"
+
+
+async def play_on_loopback(book: Book) -> list[bool]:
+    """A node that reports, and a client that finds it by a lookup."""
+    net = Net(asyncio.get_running_loop())
+    figures = NodeFigures(SERVICE, (HOST, free_port()), "hall-a", "north")
+    node = ModelServer(net, figures, book, Random(1))
+
+    async def answer(connection: ServerConnection, request: Request) -> None:
+        addresses = ["{}:{}".format(*figures.address)]
+        connection.answer(200, [], json.dumps({"Addresses": addresses, "TtlS": 2}).encode())
+
+    core = await net.listen(
+        lambda: ServerConnection(answer, lambda one: None), (HOST, 0), accept_most=8, waiting_most=8
+    )
+    at = [(HOST, core.port)]
+    await node.start()
+    registration = Registration(net, node, lambda: list(at), 1000.0, book, Random(2))
+    client = Client(net, ClientFigures("hall-a", "north"), lambda: list(at), book, Random(3))
+    served = [await client.ask(KIND), await client.ask(KIND)]
+    await registration.leave(0.0)
+    core.close()
+    return served
+
+
+def free_port() -> int:
+    import socket
+
+    with socket.create_server((HOST, 0)) as one:
+        port: int = one.getsockname()[1]
+    return port
+
+
+def test_the_stand_ins_speak_on_real_sockets() -> None:
+    book = Book()
+    assert asyncio.run(play_on_loopback(book)) == [True, True]
+    assert len(book.of(RequestRan)) == 2
+    assert [event.number for event in book.of(TryEnded)[1].events] == list(range(1, 11))
+    assert [line.state for line in book.of(HeartbeatAnswered)] == ["closing", "gone"]
+    assert judge(book, Bounds()) == [
+        Breach("ROUTE", ran.at_s, f"try {ran.try_id} ran at service {SERVICE}") for ran in book.of(RequestRan)
+    ]  # no configuration was ever sent
+
+
+SERVED = KindFigures(10, 9, 8, 11, (), (100.0, 200.0, 300.0))
+
+
+def test_a_day_is_good_only_if_it_was_played_served_and_broke_nothing() -> None:
+    breach = Breach("TWICE", 1.0, "a try ran twice")
+    assert TryResult(True, (), {"review": SERVED}, Book()).exit_code == 0
+    assert TryResult(True, (breach,), {"review": SERVED}, Book()).exit_code == BROKEN
+    assert TryResult(True, (), {}, Book()).exit_code == BROKEN
+    assert TryResult(False, (), {"review": SERVED}, Book()).exit_code == BROKEN
+
+
+def test_the_summary_names_figures_and_broken_rules() -> None:
+    breach = Breach("TWICE", 1.0, "a try ran twice")
+    good = "\n".join(summary(TryResult(True, (), {"review": SERVED}, Book())))
+    assert "no rule was broken" in good
+    assert ["review", "10", "9", "8", "100", "200"] in [line.split() for line in good.splitlines()]
+    bad = "\n".join(summary(TryResult(True, (breach,), {"review": SERVED}, Book())))
+    assert "rule broken: TWICE at 1.000 s: a try ran twice" in bad
+    assert "no rule" not in bad
+    assert "not played" in "\n".join(summary(TryResult(False, (), {}, Book())))
