--- a/coveport/system/configuration/route_reader.py
+++ b/coveport/system/configuration/route_reader.py
@@ -35,10 +35,12 @@
 
     def _read_route(self, read: ReadForm[RouteForm], place: str) -> Route:
         form = read.form
+        faulty = set(read.faulty)
         for field, message in _faults(form):
-            if field not in read.faulty:
+            if field not in faulty:
                 self._findings.add(f"{place}.{ROUTE[field]}", message)
-        self._check_unique(read, place)
+                faulty.add(field)
+        self._check_unique(form, faulty, place)
         return Route(
             name=form.name,
             host=form.host.lower(),
@@ -55,13 +57,13 @@
             home_regions=frozenset(form.home_regions or ()),
         )
 
-    def _check_unique(self, read: ReadForm[RouteForm], place: str) -> None:
-        form = read.form
-        if "name" not in read.faulty:
+    def _check_unique(self, form: RouteForm, faulty: set[str], place: str) -> None:
+        """Names and places must differ, those at fault aside: they have their finding."""
+        if "name" not in faulty:
             if form.name in self._names:
                 self._findings.add(f"{place}.{ROUTE['name']}", f"another route is named {form.name!r} too")
             self._names.add(form.name)
-        if read.faulty.isdisjoint(("host", "path_prefix")):
+        if faulty.isdisjoint(("host", "path_prefix")):
             first = self._places.setdefault((form.host.lower(), form.path_prefix), place)
             if first != place:
                 self._findings.add(place, f"has the same host and path prefix as {first}")
--- a/tests/system/configuration/test_configuration_reader.py
+++ b/tests/system/configuration/test_configuration_reader.py
@@ -209,6 +209,11 @@
     assert list(faults(text(whole(7, Services=[service(MaxConns="x")])))) == ["Services[0].MaxConns"]
 
 
+def test_a_place_that_is_at_fault_is_not_also_the_same_as_another() -> None:
+    bad = whole(7, route("a", PathPrefix="/x"), route("b", PathPrefix="/x"))
+    assert list(faults(text(bad))) == ["Routes[0].PathPrefix", "Routes[1].PathPrefix"]
+
+
 FIELD_FAULTS: dict[str, list[Any]] = {
     "Name": [None, 3, []],
     "Host": [None, 3, ""],
@@ -235,7 +240,7 @@
         one = route(f"r{number}")
         dropped = data.draw(st.sets(st.sampled_from(["TargetMs", "Tries", "HomeRegions", "Pinned"])))
         one = {key: value for key, value in one.items() if key not in dropped}
-        for name in data.draw(st.sets(st.sampled_from(sorted(FIELD_FAULTS)), max_size=4)):
+        for name in sorted(data.draw(st.sets(st.sampled_from(sorted(FIELD_FAULTS)), max_size=4))):
             one[name] = data.draw(st.sampled_from(FIELD_FAULTS[name]))
             expected.add(f"Routes[{number}].{name}")
         routes.append(one)
