--- /dev/null
+++ b/tests/system/proxy/test_hostile_nodes.py
@@ -0,0 +1,160 @@
+"""Any mixture of misbehaving nodes: no bytes of one answer in another, nothing twice, nothing left out."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from proxy_ground import Ground
+from scripted_node import Arrival, ScriptedClient
+
+from coveport.http1 import codec
+
+EVENTS = 6
+PATHS = ("/a/x", "/u/x", "/safe/x")
+
+
+@dataclass
+class Hostile:
+    """Nodes that answer as chance says; what they say of a request always names its try."""
+
+    random: Random
+    runs: dict[str, int] = field(default_factory=dict)  # by try
+
+    def event(self, try_id: str, number: int) -> bytes:
+        return b"id: %d\ndata: %s part %d\n\n" % (number, try_id.encode(), number)
+
+    def whole(self, try_id: str) -> bytes:
+        return b"".join(self.event(try_id, number) for number in range(1, EVENTS + 1))
+
+    def surplus(self, try_id: str) -> bytes:
+        body = b"surplus of " + try_id.encode()
+        headers = [("Coveport-Try-Id", f"old-{try_id}"), ("Coveport-Postmark", "s")]
+        return codec.write_response(200, headers, body)
+
+    async def answer(self, arrival: Arrival) -> None:
+        """One of many bad ends, or a good one."""
+        random, try_id = self.random, arrival.header("Coveport-Try-Id") or ""
+        way = random.choice(
+            ["good"] * 3 + ["refuse", "misdirect", "reset", "close", "cut", "cut", "garble", "mangle"]
+        )
+        way = random.choice([way, way, "late surplus", "extra"])
+        if way == "refuse":
+            arrival.not_run(random.choice([503, 429]))
+            return
+        if way == "misdirect":
+            arrival.not_run(421)
+            return
+        self.runs[try_id] = self.runs.get(try_id, 0) + 1
+        if way == "reset":
+            arrival.connection.abort()
+        elif way == "close":
+            arrival.connection.close()
+        elif way == "garble":
+            arrival.connection.write(random.randbytes(random.randrange(1, 60)))
+            arrival.connection.close()
+        else:
+            await self._stream(arrival, try_id, way)
+
+    async def _stream(self, arrival: Arrival, try_id: str, way: str) -> None:
+        random = self.random
+        if way == "late surplus":
+            arrival.connection.write(self.surplus(try_id))
+        data = bytearray(arrival.head(200, codec.CHUNKED, ("Keep-Alive", "timeout=5")))
+        first = int(arrival.header("Last-Event-Id") or 0) + 1
+        for number in range(first, EVENTS + 1):
+            data += codec.write_chunk(self.event(try_id, number))
+        data += codec.LAST_CHUNK
+        if way == "mangle":
+            del data[random.randrange(len(data)) :]
+            data += random.randbytes(20)
+        if way == "extra":
+            data += self.surplus(try_id)[: random.choice([1, 20, 1000])]
+        if way == "cut":
+            del data[random.randrange(len(data)) :]
+        while data and not arrival.connection.lost:
+            step = random.randrange(1, 80)
+            arrival.connection.write(bytes(data[:step]))
+            del data[:step]
+            await asyncio.sleep(random.choice([0, 0.001, 0.02]))
+        if way in ("cut", "mangle") and not arrival.connection.lost:
+            random.choice([arrival.connection.close, arrival.connection.abort])()
+
+
+def exchange(seed: int) -> int:
+    """Some clients against some hostile nodes; how many answers were whole."""
+    random = Random(seed)
+    ground = Ground()
+    hostile = Hostile(random)
+    for _ in range(random.randrange(1, 5)):
+        ground.node(hostile.answer)
+    asked: list[tuple[ScriptedClient, int, str, str]] = []
+    for number in range(random.randrange(1, 4)):
+        client = ground.client()
+        for turn in range(random.randrange(1, 4)):
+            try_id, path = f"try{seed}c{number}t{turn}", random.choice(PATHS)
+            client.ask(path, try_id=try_id)
+            asked.append((client, turn, try_id, path))
+        ground.sleep(random.choice([0.0, 0.01, 0.2]))
+    ground.sleep(12.0)
+    served = 0
+    for client, turn, try_id, path in asked:
+        if path == "/u/x":
+            assert hostile.runs.get(try_id, 0) <= 1
+        answer = client.answers[turn] if turn < len(client.answers) else None
+        if answer is None:
+            continue
+        if answer.status == 200:
+            served += 1
+            assert answer.body == hostile.whole(try_id)
+            assert answer.headers["coveport-try-id"] == [try_id] and "coveport-postmark" in answer.headers
+        else:
+            assert answer.status in (502, 503, 504) and answer.body == b""
+            if answer.status == 503:
+                assert not hostile.runs.get(try_id)
+    for client in {id(client): client for client, *_ in asked}.values():
+        check_client(client, {try_id for other, _, try_id, _ in asked if other is client})
+    ground.check()
+    return served
+
+
+def check_client(client: ScriptedClient, tries: set[str]) -> None:
+    """Nothing that was said to others, and no event of an answer twice, also where it was not whole."""
+    assert b"surplus" not in client.raw
+    for try_id, data in bodies(bytes(client.raw)):
+        said = re.findall(rb"data: (\w+) part (\d)\n\n", data)
+        assert try_id in tries and {name.decode() for name, _ in said} <= {try_id}
+        assert [int(number) for _, number in said] == list(range(1, len(said) + 1))
+
+
+def bodies(raw: bytes) -> list[tuple[str, bytes]]:
+    """The bodies of successes by their try, with what could be read of one that did not end."""
+    parser = codec.ResponseParser(1 << 30, 0)
+    parser.feed(raw)
+    found: list[tuple[str, bytes]] = []
+    while (head := parser.next_response()) is not None:
+        data, over = b"", not head.long
+        while not over:
+            more, over = parser.next_data()
+            data += more
+            if not more and not over:
+                break
+        if head.status == 200:
+            found.append((head.headers["coveport-try-id"][0], data))
+    return found
+
+
+@settings(max_examples=250)
+@given(st.integers(0, 2**40))
+def test_no_bytes_of_one_answer_reach_another(seed: int) -> None:
+    exchange(seed)
+
+
+@pytest.mark.parametrize("first", range(0, 400, 100))
+def test_hostile_nodes_still_serve_some(first: int) -> None:
+    assert sum(exchange(seed) for seed in range(first, first + 20)) > 10
