--- a/tests/system/configuration/test_control_state.py
+++ b/tests/system/configuration/test_control_state.py
@@ -176,3 +176,37 @@
 def test_bytes_that_hold_no_state_are_malformed(data: bytes) -> None:
     with pytest.raises(MalformedMessageError):
         decode_state(data)
+
+
+WORDS = ["Name", "Routes", "Services", "Limits", "Edition", "Shares", "Service", "Engine", "x"]
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=3),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.sampled_from(WORDS), inner, max_size=3),
+    max_leaves=8,
+)
+SECTIONS = st.dictionaries(st.sampled_from(WORDS), JSON_VALUES, max_size=3)
+PATCHES = st.fixed_dictionaries({"Edition": st.just(9)}, optional={"Upsert": SECTIONS, "Remove": SECTIONS})
+
+
+@given(st.one_of(st.binary(max_size=40), st.builds(text, JSON_VALUES), st.builds(text, PATCHES)))
+def test_any_body_is_answered_by_either_call(body: bytes) -> None:
+    """Whatever raised here would end the primary, and then each backup that takes its place."""
+    state, _ = run(initial_state(), put(0, 7))
+    for command in (PutConfiguration(7, body), PatchConfiguration(7, body)):
+        after, statuses = run(state, command)
+        assert statuses[0] in (200, 400)
+        assert decode_state(encode_state(after)) == after
+
+
+@given(st.data())
+def test_any_damage_to_a_sound_body_is_answered(data: st.DataObject) -> None:
+    body = bytearray(text(whole(9)))
+    for _ in range(data.draw(st.integers(1, 3))):
+        start = data.draw(st.integers(0, len(body) - 1))
+        end = data.draw(st.integers(start, min(len(body), start + 8)))
+        body[start:end] = data.draw(
+            st.binary(max_size=4) | st.sampled_from([b"[", b"{", b"}", b"0", b"null"])
+        )
+    state, _ = run(initial_state(), put(0, 7))
+    _, statuses = run(state, PutConfiguration(7, bytes(body)))
+    assert statuses[0] in (200, 400)
