--- a/coveport/system/configuration/json_text.py
+++ b/coveport/system/configuration/json_text.py
@@ -9,9 +9,10 @@
 from coveport.system.model.findings import Finding, Refusal
 
 UNREADABLE: Final = "unreadable JSON"
-DEEPEST: Final = (
-    32  # objects and lists inside one another; how deep Python reads depends on the caller's stack
-)
+# Objects and lists inside one another. How deep Python itself reads depends on the caller's stack, and a
+# primary and its backups must agree.
+DEEPEST: Final = 32
+_CONTAINERS: Final = (dict, list)
 
 
 def read_object(raw: bytes) -> dict[str, Any] | Refusal:
@@ -58,7 +59,7 @@
             inner
             for value in level
             for inner in (value.values() if isinstance(value, dict) else value)
-            if isinstance(inner, dict | list)
+            if type(inner) in _CONTAINERS
         ]
         if not level:
             return False
--- a/tests/system/cli/test_core_caller.py
+++ b/tests/system/cli/test_core_caller.py
@@ -14,7 +14,8 @@
 from coveport.lab.virtual.world import Process, World
 from coveport.system.cli.core_caller import Answer, CoreCaller, NoAnswer
 from coveport.system.cli.http_call import HttpCall
-from coveport.system.simulation.places import Delays, SimulatedWays
+from coveport.system.simulation.places import SimulatedWays
+from coveport.system.simulation.zones import Delays
 
 T = TypeVar("T")
 PORT = 80
--- /dev/null
+++ b/tests/system/cli/test_lazy_verbs.py
@@ -0,0 +1,33 @@
+"""A role's start doesn't pay for the operators' verbs."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+ROLE = """
+import sys
+from coveport.system.cli.app import app
+try:
+    app(["coordinator", "--settings", "/nothing/there"])
+except SystemExit as ended:
+    assert ended.code == 2, ended.code
+print(*[name for name in sys.modules if name.startswith("coveport.system.cli.")])
+"""
+
+
+def test_a_role_imports_none_of_the_verbs() -> None:
+    ran = subprocess.run([sys.executable, "-c", ROLE], capture_output=True, text=True, check=True)
+    assert ran.stdout.split() == ["coveport.system.cli.app"]
+
+
+def test_a_verb_imports_no_role() -> None:
+    verb = ROLE.replace(
+        '["coordinator", "--settings", "/nothing/there"]', '["check", "settings", "/nothing/there"]'
+    )
+    verb = verb.replace("coveport.system.cli.", "coveport.system.")
+    verb = verb.replace("from coveport.system.app", "from coveport.system.cli.app")
+    ran = subprocess.run([sys.executable, "-c", verb], capture_output=True, text=True, check=True)
+    loaded = ran.stdout.split()
+    assert "coveport.system.cli.check" in loaded
+    assert [name for name in loaded if ".coordinator" in name or ".proxy" in name] == []
