--- a/coveport/http1/codec.py
+++ b/coveport/http1/codec.py
@@ -85,6 +85,7 @@
     whole_most: int | None = None
     unsure: ClassVar[int] = MAX_BODY  # bytes of a body without a length that may still be whole
     opening: ClassVar[re.Pattern[bytes]]  # what the first bytes of a message match, however few there are
+    most_head: int = field(default=MAX_HEAD, kw_only=True)  # bytes of the largest head
     held: bytearray = field(default_factory=bytearray)
     _message: Message | None = None  # its head is read, its body is not
     _left: int | None = 0  # bytes of body, None: until the connection ends
@@ -206,10 +207,10 @@
             self._empty += 1
             if self._empty > MAX_HEADERS:
                 raise BadMessageError(400, "too many empty lines")
-        end = self.held.find(b"\r\n\r\n", 0, MAX_HEAD + 4)
+        end = self.held.find(b"\r\n\r\n", 0, self.most_head + 4)
         if end < 0:
             self._check_opening()
-            if len(self.held) >= MAX_HEAD + 4:
+            if len(self.held) >= self.most_head + 4:
                 raise BadMessageError(431, "head too large")
             return None
         lines = bytes(self.held[:end]).split(b"\r\n")
--- a/coveport/system/proxy/client_connection.py
+++ b/coveport/system/proxy/client_connection.py
@@ -40,7 +40,7 @@
 
     def __init__(self, net: Net, owner: ClientOwner, limits: Callable[[], ClientLimits]) -> None:
         self._net, self._owner, self._limits = net, owner, limits
-        self._parser = codec.RequestParser(limits().body_bytes)
+        self._parser = codec.RequestParser(limits().body_bytes, most_head=limits().header_bytes)
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
--- a/tests/system/proxy/scripted_node.py
+++ b/tests/system/proxy/scripted_node.py
@@ -49,7 +49,7 @@
 class Connection(asyncio.Protocol):
     def __init__(self, node: ScriptedNode) -> None:
         self.node = node
-        self.parser = codec.RequestParser(8 << 20)
+        self.parser = codec.RequestParser(8 << 20, most_head=1 << 20)
         self.transport: asyncio.Transport | None = None
         self.lost = False
 
--- a/tests/system/proxy/test_forwarding.py
+++ b/tests/system/proxy/test_forwarding.py
@@ -163,6 +163,18 @@
     ground.check()
 
 
+@pytest.mark.parametrize(("header_bytes", "status"), [(1000, 431), (40_000, 200)])
+def test_the_configurations_bound_of_a_head_counts(header_bytes: int, status: int) -> None:
+    ground = Ground()
+    ground.node(whole)
+    assert ground.view.configuration is not None
+    limits = ClientLimits(header_bytes=header_bytes)
+    ground.view.configuration = replace(ground.view.configuration, limits=limits)
+    answer = ask(ground, "/u/x", ("X-Long", "y" * 20_000))
+    assert answer is not None and answer.status == status
+    ground.check()
+
+
 def test_a_head_that_takes_too_long_and_an_idle_connection_are_ended() -> None:
     ground = Ground()
     client = ground.client()
