--- a/coveport/system/coordinator/lookup_calls.py
+++ b/coveport/system/coordinator/lookup_calls.py
@@ -9,7 +9,7 @@
 from coveport.system.wire.names import ERROR, Lookup, Path
 
 ADDRESSES_MOST = 64
-TTL_S = 2.0
+TTL_S = 1.0  # short: a proxy that was lost is not to be called for long
 
 
 class LookupCalls:
--- a/coveport/system/coordinator/subscriptions.py
+++ b/coveport/system/coordinator/subscriptions.py
@@ -92,10 +92,12 @@
             self._answer(connection)
 
     def ended(self, connection: Connection) -> None:
-        """A connection is over."""
+        """A connection is over: its proxy was killed, or asks elsewhere now."""
         waiting = self._waiting.pop(connection, None)
-        if waiting is not None:
-            waiting.timer.cancel()
+        if waiting is None:
+            return
+        waiting.timer.cancel()
+        self._leases.end(waiting.request.lease)
 
     def news(self) -> None:
         """The table or the state has changed: answer, once this turn's changes are all in."""
--- a/coveport/system/membership/leases.py
+++ b/coveport/system/membership/leases.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-LEASE_S = 2.0  # after its last renewal a proxy is no longer named to clients
+LEASE_S = 1.2  # after its last renewal a proxy is no longer named to clients
 COUNTED_S = 30.0  # ... and so long after it, its share of the budgets is still set aside
 
 
@@ -47,6 +47,12 @@
         self._held[lease.address] = _Held(lease, now_s, here)
         return known is None or known.lease.ready != lease.ready
 
+    def end(self, lease: ProxyLease) -> None:
+        """The proxy's connection broke: it is no member until it asks again; it still counts for the budgets."""
+        held = self._held.get(lease.address)
+        if held is not None and held.lease == lease:
+            held.lease = replace(lease, ready=False)
+
     def expire(self, now_s: float) -> None:
         """Forget who left long ago."""
         for address in [name for name, held in self._held.items() if now_s - held.renewed_at_s > COUNTED_S]:
--- a/coveport/system/membership/node_table.py
+++ b/coveport/system/membership/node_table.py
@@ -3,7 +3,8 @@
 Every coordinator takes heartbeats and passes them on to the others, so no coordinator owns the table: of two reports on an
 incarnation the newer one wins, and `closing` is never undone. Each change gets a revision of this table; who asks with
 the revision that it has is told what changed since. Silence removes a node only while this coordinator itself has been
-able to hear (see `forgive`), and a later heartbeat brings it back; a goodbye leaves a tombstone, and nothing does.
+able to hear (see `forgive`), and a later heartbeat brings it back; a goodbye leaves a tombstone, and nothing does. Of two
+incarnations at one address the one that was heard last is there: a node that was restarted is known by its new one at once.
 """
 
 from __future__ import annotations
@@ -52,6 +53,7 @@
         """`silence_s`: a node that was not heard for so long is removed."""
         self._silence_s = silence_s
         self._entries: dict[str, NodeEntry] = {}
+        self._at_address: dict[str, str] = {}  # incarnation by address
         self._tombstones: dict[str, float] = {}  # incarnation: when it is forgotten
         self._removals: list[tuple[int, str]] = []  # revision, incarnation
         self._removals_from = 0  # differences can be told from this revision on
@@ -90,8 +92,16 @@
             assert known is not None
             entry.revision, entry.cold_until_s = known.revision, known.cold_until_s
         self._entries[node.incarnation] = entry
+        self._take_address(node)
         return is_news
 
+    def _take_address(self, node: Node) -> None:
+        """Whoever stood at the node's address before is not there any more."""
+        before = self._at_address.get(node.address)
+        self._at_address[node.address] = node.incarnation
+        if before is not None and before != node.incarnation and before in self._entries:
+            self._remove(before)
+
     def forgive(self, now_s: float) -> None:
         """Silence up to now says nothing: this coordinator could not hear (it was frozen, cut off or just started)."""
         for entry in self._entries.values():
@@ -117,7 +127,9 @@
         return TableChanges(self.revision, False, nodes, removed)
 
     def _remove(self, incarnation: str) -> None:
-        del self._entries[incarnation]
+        entry = self._entries.pop(incarnation)
+        if self._at_address.get(entry.node.address) == incarnation:
+            del self._at_address[entry.node.address]
         self.revision += 1
         self._removals.append((self.revision, incarnation))
         if len(self._removals) > REMOVALS_KEPT:
--- a/tests/system/membership/test_leases.py
+++ b/tests/system/membership/test_leases.py
@@ -56,3 +56,21 @@
     table.renew(lease(2), 1.0, here=False)
     assert [one.name for one in table.renewed_here_since(0.5)] == ["p1"]
     assert list(table.renewed_here_since(1.0)) == []
+
+
+def test_a_broken_connection_ends_the_lease_at_once_and_the_next_asking_renews_it() -> None:
+    table = LeaseTable()
+    table.renew(lease(1, round=4), 0.0, here=True)
+    table.end(lease(1, round=4))
+    assert table.addresses_for("z1", "r1", 64, 0.1) == []
+    assert table.proxies_at_most() == 1
+    table.renew(lease(1, round=5), 0.2, here=True)
+    assert table.addresses_for("z1", "r1", 64, 0.3) == ["10.0.0.1:80"]
+
+
+def test_a_connection_that_breaks_after_the_proxy_asked_elsewhere_ends_nothing() -> None:
+    table = LeaseTable()
+    table.renew(lease(1, round=4), 0.0, here=True)
+    table.renew(lease(1, round=5), 0.1, here=False)
+    table.end(lease(1, round=4))
+    assert table.addresses_for("z1", "r1", 64, 0.2) == ["10.0.0.1:80"]
--- a/tests/system/membership/test_node_table.py
+++ b/tests/system/membership/test_node_table.py
@@ -14,7 +14,12 @@
 
 
 def node(incarnation: str = "i-1", sequence: int = 1, state: NodeState = NodeState.ACCEPTING, **other: float) -> Node:
-    return Node(incarnation, sequence, "chat", "10.0.0.1:80", "z1", "r1", 64, state, **other)
+    return Node(incarnation, sequence, "chat", f"10.0.0.1:{incarnation}", "z1", "r1", 64, state, **other)
+
+
+def restarted(incarnation: str, sequence: int) -> Node:
+    """One of several incarnations at the same address."""
+    return replace(node(incarnation, sequence), address="10.0.0.1:80")
 
 
 def test_a_newer_report_wins_and_an_older_one_is_passed_over() -> None:
@@ -144,3 +149,23 @@
         return {entry.node.incarnation: entry.node.state for entry in table.entries()}
 
     assert state_of(one) == state_of(other)
+
+
+def test_a_restarted_node_takes_the_place_of_its_incarnation_before() -> None:
+    """Found by a day on which a node that came back was still sent to by its old incarnation for 5 s."""
+    table = NodeTable(SILENCE_S)
+    table.hear(restarted("before", 8), 0.0)
+    revision = table.revision
+    table.hear(restarted("after", 1), 1.0)
+    changes = table.changes_since(revision, 1.0)
+    assert [one.incarnation for one in changes.nodes] == ["after"]
+    assert changes.removed == ("before",)
+
+
+def test_a_late_heartbeat_of_the_incarnation_before_does_not_last() -> None:
+    table = NodeTable(SILENCE_S)
+    table.hear(restarted("before", 8), 0.0)
+    table.hear(restarted("after", 1), 1.0)
+    table.hear(restarted("before", 9), 1.1)
+    table.hear(restarted("after", 2), 2.0)
+    assert [entry.node.incarnation for entry in table.entries()] == ["after"]
