--- a/coveport/system/proxy/exchange.py
+++ b/coveport/system/proxy/exchange.py
@@ -38,7 +38,9 @@
 WAIT_STEP_S = 0.02  # how often the first that waits looks for a place
 RETRY_AFTER_S = 0.3
 LEAST_LEFT_S = 0.01  # with less time left nothing is sent
-SILENT_HEAD_S = 1.2  # how long an answer that may be had elsewhere may take to begin ...
+SILENT_HEAD_S = (
+    2.0  # how long an answer that may be had elsewhere may take to begin: a long queue is no fault
+)
 SILENT_TOKEN_S = 0.00005  # ... and for each token of the prompt, which is read first
 SILENT_EVENTS_S = 1.2  # ... and to go on ...
 SILENT_PAUSES = 3  # ... or so many of the longest pauses that are in time
--- a/tests/system/proxy/test_forwarding.py
+++ b/tests/system/proxy/test_forwarding.py
@@ -608,6 +608,59 @@
     ground.check()
 
 
+def test_a_node_that_speaks_to_others_is_not_left() -> None:
+    ground = Ground()
+
+    async def script(arrival: Arrival) -> None:
+        if arrival.header("Coveport-Try-Id") == "slow":
+            await asyncio.sleep(3.5)  # as behind a long queue
+            await five_events(arrival)
+            return
+        arrival.begin_events()
+        for number in range(1, 9):
+            arrival.event(number)
+            await asyncio.sleep(0.5)
+        arrival.end_events()
+
+    busy = ground.node(script)
+    slow, other = ground.client(), ground.client()
+    slow.ask("/a/x", try_id="slow")
+    other.ask("/u/x", try_id="other")
+    ground.sleep(0.1)
+    idle = ground.node(five_events)
+    answer = ground.run(slow.answer())
+    assert answer is not None and answer.body == ALL_FIVE
+    assert idle.arrivals == [] and len(busy.arrivals) == 2
+    assert ground.run(other.answer()) is not None
+    ground.check()
+
+
+def test_an_idempotent_request_leaves_a_node_that_says_nothing_to_anyone() -> None:
+    ground = Ground()
+    ground.node(hold)
+    client = ground.client()
+    client.ask("/a/x")
+    ground.sleep(0.1)
+    ground.node(five_events)
+    answer = ground.run(client.answer(), 3.0)
+    assert answer is not None and answer.body == ALL_FIVE
+    assert ground.nodes[0].connections[0].lost
+    ground.check()
+
+
+def test_a_silent_node_is_waited_for_where_no_other_can_take_the_request() -> None:
+    ground = Ground()
+
+    async def script(arrival: Arrival) -> None:
+        await asyncio.sleep(3.0)
+        arrival.whole()
+
+    node = ground.node(script)
+    answer = ask(ground, "/safe/x")
+    assert answer is not None and answer.status == 200 and len(node.arrivals) == 1
+    ground.check()
+
+
 # Deadlines, clients that leave, drain.
 
 
