--- /dev/null
+++ b/tests/system/replication/core_explorer.py
@@ -0,0 +1,519 @@
+"""Explores all interleavings of a few members up to a depth, with the real code, and checks every state.
+
+Time stands still: nothing is suspected or repeated; who campaigns when is one of the choices. A message that isn't
+delivered is a slow link, a cut or a frozen machine. States that were seen are not explored again.
+
+After the last choice of each path, and at each new state of the disks, the closing fault follows: all machines lose
+power, at most one of them with its disk, and each that is left leads once: it must find what was acknowledged.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import io
+import pickle
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+from unittest import mock
+
+from core_world import CODE, State, change, decode_state
+
+from coveport.system.replication import takeover
+from coveport.system.replication.caretaker import Change
+from coveport.system.replication.events import (
+    Answer,
+    CommittedState,
+    Done,
+    Effect,
+    Event,
+    Newest,
+    Persist,
+    Persisted,
+    ReadNewest,
+    Received,
+    Send,
+    StateCode,
+    Submit,
+)
+from coveport.system.replication.identity import NO_EPOCH, Epoch, MemberId, Place, View
+from coveport.system.replication.member import CoreMember
+from coveport.system.replication.messages import MESSAGES, Fenced, Learn, LearnState, Message, Ping
+from coveport.system.replication.parts import Parts
+from coveport.system.replication.records import (
+    RECORDS,
+    IdentityRecord,
+    Record,
+    SettledRecord,
+    StateRecord,
+    ViewRecord,
+    recover,
+)
+from coveport.system.replication.takeover import Wish
+from coveport.system.replication.timings import Timings
+
+NOW_S = 100.0
+NOT_CARRIED = (Ping, Fenced, Learn, LearnState)  # they matter to speed only, not to safety
+
+
+_ATOMS = (
+    *MESSAGES,
+    *RECORDS,
+    MemberId,
+    Epoch,
+    Place,
+    View,
+    Timings,
+    StateCode,
+    Wish,
+)
+_interned: dict[object, int] = {}
+_values: list[object] = []
+
+
+class _Pickler(pickle.Pickler):
+    """Writes a number in place of each immutable value: quick, and equal values look equal."""
+
+    def persistent_id(self, value: object) -> int | None:
+        if type(value) not in _ATOM_TYPES:
+            return None
+        number = _interned.get(value)
+        if number is None:
+            number = _interned[value] = len(_values)
+            _values.append(value)
+        return number
+
+
+class _Unpickler(pickle.Unpickler):
+    def persistent_load(self, number: int) -> object:
+        return _values[number]
+
+
+def pack(value: object) -> bytes:
+    """A copy that nothing changes."""
+    stream = io.BytesIO()
+    _Pickler(stream, protocol=5).dump(value)
+    return stream.getvalue()
+
+
+def unpack(data: bytes) -> CoreMember:
+    """A member to work with."""
+    member = _Unpickler(io.BytesIO(data)).load()
+    assert isinstance(member, CoreMember)
+    return member
+
+
+class Fault(Exception):
+    """An invariant doesn't hold."""
+
+
+def steady() -> float:
+    """In place of the jitter."""
+    return 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Disk:
+    """Synced records, and batches on their way."""
+
+    records: tuple[Record, ...]
+    pending: tuple[Persist, ...] = ()
+
+
+_ATOM_TYPES = frozenset((*_ATOMS, Disk, Persist))
+
+
+@dataclass(frozen=True, slots=True)
+class Budget:
+    """What may still happen on a path."""
+
+    campaigns: tuple[tuple[str, str], ...] = ()  # (who, kind): kind "" or a wish's or avoided machine's name
+    crashes: tuple[str, ...] = ()  # power is lost and returns
+    wipes: tuple[str, ...] = ()  # ... without the disk
+    submits: tuple[tuple[str, bytes], ...] = ()
+    reads: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Where exploring begins, and with what."""
+
+    name: str
+    budget: Budget
+    machines: tuple[str, ...] = ("A", "B", "C")
+    syncs_are_choices: bool = False  # otherwise disks sync at once
+
+
+@dataclass(frozen=True)
+class Point:
+    """One state of all members, disks and links."""
+
+    members: tuple[bytes, ...]  # pickled, in the order of the scenario's machines
+    disks: tuple[Disk, ...]
+    links: tuple[tuple[tuple[int, int], tuple[tuple[MemberId, Message], ...]], ...]
+    budget: Budget
+    acknowledged: State = ()
+    committed: State = ()  # the longest that any member took for committed
+    reads_owed: tuple[tuple[int, int], ...] = ()  # request, how much must be seen at least
+    wiped: str = ""
+    request: int = 0
+    trail: tuple[str, ...] = field(default=(), compare=False)
+
+    def digest(self) -> bytes:
+        """The same for the same state."""
+        parts = (
+            self.members,
+            self.disks,
+            self.links,
+            self.budget,
+            self.acknowledged,
+            self.committed,
+            self.reads_owed,
+        )
+        return hashlib.blake2b(pack(parts), digest_size=16).digest()
+
+
+class Explorer:
+    """Runs one scenario."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        self.scenario = scenario
+        self.ids = [MemberId(name, f"disk-{name}") for name in scenario.machines]
+        self.states = 0
+        self.closings = 0
+        self.deepest = 0
+        self._closed: set[bytes] = set()
+
+    # -- setting up --
+
+    def _member(self, index: int, disk: Disk) -> CoreMember:
+        durable = recover(disk.records)
+        name = self.scenario.machines[index]
+        member = CoreMember(
+            MemberId(name, durable.disk),
+            Place(name, name),
+            self.scenario.machines[:3],
+            1,
+            False,
+            durable,
+            CODE,
+            steady,
+            b"",
+            NOW_S,
+        )
+        return member
+
+    def first_point(self) -> Point:
+        """Three members founded; A leads, B is its backup, C a witness; others are blank."""
+        epoch = Epoch(1, "disk-A")
+        view = View(epoch, self.ids[0], (self.ids[0], self.ids[1]), tuple(self.ids[:3]))
+        disks = []
+        for index, identity in enumerate(self.ids):
+            records: list[Record] = [IdentityRecord(identity.disk, True)]
+            if index < 3:
+                records += [ViewRecord(view), SettledRecord(epoch)]
+            if index < 2:
+                records.append(StateRecord(epoch, 0, b""))
+            disks.append(Disk(tuple(records)))
+        members = [self._member(index, disk) for index, disk in enumerate(disks)]
+        members[0]._begin_primary(NOW_S, view, kept_own_state=True)
+        members[0]._parts.outbox.take()
+        return Point(tuple(pack(member) for member in members), tuple(disks), (), self.scenario.budget)
+
+    # -- one step --
+
+    def _index(self, name: str) -> int:
+        return self.scenario.machines.index(name)
+
+    def _step(self, point: Point, index: int, event: Event | Change, note: str, **changes: object) -> Point:
+        """Let one member take an event, and apply its effects."""
+        member: CoreMember = unpack(point.members[index])
+        if isinstance(event, Change):
+            member._highest_seen = self._highest_promised(point)
+            member._start_attempt(NOW_S, event)
+            member._settle(NOW_S)
+            effects = member._parts.outbox.take()
+        else:
+            effects = member.handle(NOW_S, event)
+        point = replace(point, trail=(*point.trail, note), **changes)  # type: ignore[arg-type]
+        return self._apply(point, index, member, effects)
+
+    def _highest_promised(self, point: Point) -> Epoch:
+        highest = NO_EPOCH
+        for disk in point.disks:
+            durable = recover([*disk.records, *(record for batch in disk.pending for record in batch.records)])
+            highest = max(highest, durable.promised)
+        return highest
+
+    def _apply(self, point: Point, index: int, member: CoreMember, effects: list[Effect]) -> Point:
+        links = dict(point.links)
+        disk = point.disks[index]
+        tokens: list[int] = []
+        for effect in effects:
+            match effect:
+                case Send():
+                    if effect.to_address in self.scenario.machines and not isinstance(
+                        effect.message, NOT_CARRIED
+                    ):
+                        key = (index, self._index(effect.to_address))
+                        links[key] = (*links.get(key, ()), (member.identity, effect.message))
+                case Persist():
+                    if self.scenario.syncs_are_choices:
+                        disk = replace(disk, pending=(*disk.pending, effect))
+                    else:
+                        disk = replace(disk, records=(*disk.records, *effect.records))
+                        tokens.append(effect.token)
+                case CommittedState():
+                    point = self._check_committed(point, effect.state, member)
+                case Answer():
+                    point = self._check_answer(point, effect)
+        disks = tuple(disk if place == index else other for place, other in enumerate(point.disks))
+        members = tuple(
+            pack(member) if place == index else other for place, other in enumerate(point.members)
+        )
+        point = replace(
+            point,
+            members=members,
+            disks=disks,
+            links=tuple(sorted((key, queue) for key, queue in links.items() if queue)),
+        )
+        for token in tokens:
+            again: CoreMember = unpack(point.members[index])
+            point = self._apply(point, index, again, again.handle(NOW_S, Persisted(token)))
+        return point
+
+    # -- what must hold --
+
+    def _check_committed(self, point: Point, state: State, member: CoreMember) -> Point:
+        shorter, longer = sorted((point.committed, state), key=len)
+        if longer[: len(shorter)] != shorter:
+            raise Fault(f"forked: {shorter} and {longer} after {point.trail}")
+        if member.is_primary and state[: len(point.acknowledged)] != point.acknowledged:
+            raise Fault(f"leads without {point.acknowledged} after {point.trail}")
+        return replace(point, committed=longer)
+
+    def _check_answer(self, point: Point, effect: Answer) -> Point:
+        match effect.outcome:
+            case Done():
+                return replace(point, acknowledged=point.committed)
+            case Newest(state=state):
+                least = dict(point.reads_owed).get(effect.request, 0)
+                if len(state) < least:
+                    raise Fault(f"a read saw {len(state)} of {least} after {point.trail}")
+        return point
+
+    # -- choices --
+
+    def next_points(self, point: Point) -> Iterator[Point]:
+        """All that may happen next."""
+        for key, queue in point.links:
+            rest = tuple((other, kept) for other, kept in point.links if other != key)
+            if queue[1:]:
+                rest = tuple(sorted((*rest, (key, queue[1:]))))
+            sender, message = queue[0]
+            names = self.scenario.machines
+            note = f"{type(message).__name__} {names[key[0]]}>{names[key[1]]}"
+            yield self._step(point, key[1], Received(sender, message), note, links=rest)
+        for index, disk in enumerate(point.disks):
+            if disk.pending:
+                yield self._sync(point, index)
+        budget = point.budget
+        for place, (name, kind) in enumerate(budget.campaigns):
+            left = replace(budget, campaigns=_without(budget.campaigns, place))
+            member: CoreMember = unpack(point.members[self._index(name)])
+            if member._attempt is None and member.view is not None:
+                yield self._step(
+                    point, self._index(name), self._change(member, kind), f"campaign {name} {kind}", budget=left
+                )
+        for place, name in enumerate(budget.crashes):
+            left = replace(budget, crashes=_without(budget.crashes, place))
+            yield self._restart(replace(point, budget=left), name, wiped=False)
+        for place, name in enumerate(budget.wipes):
+            left = replace(budget, wipes=_without(budget.wipes, place))
+            yield self._restart(replace(point, budget=left, wiped=name), name, wiped=True)
+        for place, (name, command) in enumerate(budget.submits):
+            left = replace(budget, submits=_without(budget.submits, place))
+            event = Submit(point.request, command)
+            yield self._step(
+                point, self._index(name), event, f"submit {name}", budget=left, request=point.request + 1
+            )
+        for place, name in enumerate(budget.reads):
+            left = replace(budget, reads=_without(budget.reads, place))
+            owed = (*point.reads_owed, (point.request, len(point.acknowledged)))
+            yield self._step(
+                point,
+                self._index(name),
+                ReadNewest(point.request),
+                f"read {name}",
+                budget=left,
+                request=point.request + 1,
+                reads_owed=owed,
+            )
+
+    def _change(self, member: CoreMember, kind: str) -> Change:
+        view = member.view
+        assert view is not None
+        if kind.startswith("avoid "):
+            avoided = self.ids[self._index(kind.removeprefix("avoid "))]
+            return Change("explored", True, avoided=frozenset({avoided}))
+        if kind.startswith("members "):
+            names = kind.removeprefix("members ")
+            members = tuple(self.ids[self._index(name)] for name in names)
+            return Change("explored", True, Wish(view.epoch, members))
+        return Change("explored", True)
+
+    def _sync(self, point: Point, index: int) -> Point:
+        disk = point.disks[index]
+        batch = disk.pending[0]
+        synced = Disk((*disk.records, *batch.records), disk.pending[1:])
+        disks = tuple(synced if place == index else other for place, other in enumerate(point.disks))
+        note = f"sync {self.scenario.machines[index]}"
+        return self._step(point, index, Persisted(batch.token), note, disks=disks)
+
+    def _restart(self, point: Point, name: str, wiped: bool) -> Point:
+        index = self._index(name)
+        if wiped:
+            identity: Record = IdentityRecord(f"disk-{name}-new", False)
+            disk = Disk((identity,))
+        else:
+            disk = Disk(point.disks[index].records)
+        member = pack(self._member(index, disk))
+        return replace(
+            point,
+            members=tuple(member if place == index else other for place, other in enumerate(point.members)),
+            disks=tuple(disk if place == index else other for place, other in enumerate(point.disks)),
+            links=tuple(item for item in point.links if item[0][1] != index),
+            trail=(*point.trail, f"{'wipe' if wiped else 'crash'} {name}"),
+        )
+
+    # -- the closing fault --
+
+    def close(self, point: Point) -> None:
+        """Whatever may be lost now: each that is left must find what was acknowledged."""
+        losses = [""] if point.wiped else ["", *self.scenario.machines[:3]]
+        signature = pack([[disk.records for disk in point.disks], point.acknowledged, point.wiped])
+        digest = hashlib.blake2b(signature, digest_size=16).digest()
+        if digest in self._closed:
+            return
+        self._closed.add(digest)
+        for lost in losses:
+            for name in self.scenario.machines:
+                if name not in (lost, point.wiped):
+                    self._lead_once(point, name, lost)
+
+    def _lead_once(self, point: Point, name: str, lost: str) -> None:
+        members = {}
+        for index, other in enumerate(self.scenario.machines):
+            blank = Disk((IdentityRecord(f"disk-{other}-new", False),))
+            members[other] = self._member(index, blank if other == lost else Disk(point.disks[index].records))
+        leader = members[name]
+        if leader.view is None or leader.identity not in leader.view.members:
+            return
+        self.closings += 1
+        leader._highest_seen = max(member._highest_seen for member in members.values())
+        wiped = {self.ids[self._index(gone)] for gone in (lost, point.wiped) if gone}
+        leader._start_attempt(NOW_S, Change("closing", True, avoided=frozenset(wiped)))
+        leader._settle(NOW_S)
+        found = self._deliver_all(members, name, leader._parts.outbox.take())
+        story = f"all lose power, {lost or 'none'} its disk, {name} leads, after {point.trail}"
+        if found is None:
+            raise Fault(f"can't lead: {story}")
+        if found[: len(point.acknowledged)] != point.acknowledged:
+            raise Fault(f"lost {point.acknowledged}, found {found}: {story}")
+
+    def _deliver_all(self, members: dict[str, CoreMember], leader: str, effects: list[Effect]) -> State | None:
+        """Let every message arrive; the first state that the leader takes for committed."""
+        waiting = deque((leader, effect) for effect in effects)
+        while waiting:
+            name, effect = waiting.popleft()
+            event: Event
+            match effect:
+                case CommittedState() if members[name].is_primary:
+                    return effect.state  # type: ignore[no-any-return]
+                case Send(to_address=to) if to in members:
+                    event = Received(members[name].identity, effect.message)
+                    name = to
+                case Persist():
+                    event = Persisted(effect.token)
+                case _:
+                    continue
+            waiting.extend((name, following) for following in members[name].handle(NOW_S, event))
+        return None
+
+    # -- all of it --
+
+    def run(self, depth: int, most_states: int) -> None:
+        """Explore by levels; raises Fault with the path that led to it."""
+        with (
+            mock.patch.object(takeover, "MORE_PROMISES_S", 0.0),
+            mock.patch.object(Parts, "is_usable", lambda parts, member, now_s: True),
+        ):
+            seen: set[bytes] = set()
+            level = [self.first_point()]
+            for self.deepest in range(depth + 1):
+                following: list[Point] = []
+                for point in level:
+                    self.states += 1
+                    self.close(point)
+                    if self.deepest == depth or self.states + len(following) >= most_states:
+                        continue
+                    for step in self.next_points(point):
+                        digest = step.digest()
+                        if digest not in seen:
+                            seen.add(digest)
+                            following.append(step)
+                level = following
+                if not level:
+                    return
+
+
+def _without(items: tuple, place: int) -> tuple:  # type: ignore[type-arg]
+    return items[:place] + items[place + 1 :]
+
+
+X = change(0, 1, "x")
+Y = change(1, 2, "y")
+Z = change(0, 3, "z")
+
+SCENARIOS = (
+    Scenario(
+        "a change in flight, two candidates",
+        Budget(campaigns=(("B", ""), ("C", "")), submits=(("A", X),)),
+    ),
+    Scenario(
+        "a frozen primary reads and writes while others go on",
+        Budget(campaigns=(("B", "avoid A"),), submits=(("A", X), ("B", Z)), reads=("A",)),
+    ),
+    Scenario(
+        "a replica loses power in a hand-over",
+        Budget(campaigns=(("B", ""), ("C", "avoid B")), crashes=("B",), submits=(("A", X),)),
+        syncs_are_choices=True,
+    ),
+    Scenario(
+        "the witness loses power between two candidates",
+        Budget(campaigns=(("B", "avoid A"), ("A", "avoid B")), crashes=("C",)),
+        syncs_are_choices=True,
+    ),
+    Scenario(
+        "a wiped member between two candidates",
+        Budget(campaigns=(("B", "avoid A"), ("A", "avoid B")), wipes=("C",), submits=(("A", X), ("B", Z))),
+    ),
+    Scenario(
+        "a wiped backup while the primary goes on with the witness",
+        Budget(campaigns=(("A", "avoid B"), ("C", "")), wipes=("B",), submits=(("A", X),)),
+    ),
+    Scenario(
+        "a witness is replaced while the backup campaigns",
+        Budget(campaigns=(("A", "members ABD"), ("B", "avoid A")), submits=(("A", X),)),
+        machines=("A", "B", "C", "D"),
+    ),
+    Scenario(
+        "the primary's command in flight while it leads anew and another does",
+        Budget(campaigns=(("A", ""), ("B", "avoid A")), submits=(("A", X), ("B", Z))),
+    ),
+)
+
+
+def committed_in(disk: Disk) -> State:
+    """For looking at a fault by hand: what a disk's state says."""
+    return decode_state(recover(disk.records).snapshot)
--- /dev/null
+++ b/tests/system/replication/core_history.py
@@ -0,0 +1,146 @@
+"""Judges what operators saw and what coordinators took for committed. Knows nothing of the code that it judges.
+
+The one order in which changes were taken is read at the end. Everything that was ever seen must fit it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Verdict(Enum):
+    """How a call ended."""
+
+    OPEN = "open"  # never a clear answer
+    TAKEN = "taken"
+    OTHER = "another version is in place"
+    READ = "read"
+
+
+@dataclass(slots=True)
+class Call:
+    """One call of one operator, with all its repeats."""
+
+    operator: str
+    change: str  # empty: a read
+    began_s: float
+    ended_s: float = float("inf")
+    verdict: Verdict = Verdict.OPEN
+    seen: tuple[str, ...] = ()  # what a read returned
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """A coordinator took this for committed."""
+
+    where: str  # machine and life
+    at_s: float
+    state: tuple[str, ...]
+
+
+def base_of(change: str) -> int:
+    """The edition that a change builds on."""
+    return int(change.split("|")[0])
+
+
+def edition_of(change: str) -> int:
+    """The edition that a change brings."""
+    return int(change.split("|")[1])
+
+
+def judge(calls: Sequence[Call], seen: Iterable[Seen], final: tuple[str, ...]) -> list[str]:
+    """All that doesn't fit, in words; empty: nothing."""
+    faults = _chain_faults(final)
+    place = {change: position for position, change in enumerate(final, start=1)}
+    by_change = {call.change: call for call in calls if call.change}
+    for call in calls:
+        if call.verdict is Verdict.TAKEN and call.change not in place:
+            faults.append(f"lost: {call.change} of {call.operator}, acknowledged at {call.ended_s:.3f}")
+        if call.verdict is Verdict.OTHER and call.change in place:
+            faults.append(f"in force though refused: {call.change} of {call.operator}")
+    faults += [f"never sent: {change}" for change in final if change not in by_change]
+    if faults:
+        return faults
+    faults += _order_faults(calls, place)
+    faults += _read_faults(calls, place, by_change, final)
+    faults += _refusal_faults(calls, final, by_change)
+    faults += _seen_faults(seen, final, by_change)
+    return faults
+
+
+def _chain_faults(final: tuple[str, ...]) -> list[str]:
+    faults = []
+    edition = 0
+    for change in final:
+        if base_of(change) != edition:
+            faults.append(f"{change} was taken on top of {edition}")
+        edition = edition_of(change)
+    return faults
+
+
+def _order_faults(calls: Sequence[Call], place: dict[str, int]) -> list[str]:
+    """A change acknowledged before another call began comes before that one's change."""
+    taken = sorted((call for call in calls if call.change in place), key=lambda call: place[call.change])
+    faults = []
+    for position, call in enumerate(taken):
+        for later in taken[position + 1 :]:
+            if later.ended_s < call.began_s:
+                faults.append(f"{call.change} began after {later.change} ended, yet came before it")
+    return faults
+
+
+def _read_faults(
+    calls: Sequence[Call], place: dict[str, int], by_change: dict[str, Call], final: tuple[str, ...]
+) -> list[str]:
+    faults = []
+    acknowledged = sorted(
+        (call.ended_s, place[call.change]) for call in calls if call.verdict is Verdict.TAKEN
+    )
+    reads = sorted(
+        (call for call in calls if call.verdict is Verdict.READ), key=lambda call: call.began_s
+    )
+    for read in reads:
+        name = f"read of {read.operator} at {read.began_s:.3f} to {read.ended_s:.3f}"
+        if read.seen != final[: len(read.seen)]:
+            faults.append(f"{name} saw what isn't part of the history")
+            continue
+        least = max((where for ended_s, where in acknowledged if ended_s < read.began_s), default=0)
+        least = max([least, *(len(other.seen) for other in reads if other.ended_s < read.began_s)])
+        if len(read.seen) < least:
+            faults.append(f"{name} saw {len(read.seen)} changes, {least} were acknowledged or read before")
+        if any(by_change[change].began_s > read.ended_s for change in read.seen):
+            faults.append(f"{name} saw a change that was sent later")
+    return faults
+
+
+def _refusal_faults(
+    calls: Sequence[Call], final: tuple[str, ...], by_change: dict[str, Call]
+) -> list[str]:
+    """A refusal needs a moment between call and answer at which another edition was in force."""
+    successor = {base_of(change): change for change in final}
+    faults = []
+    for call in calls:
+        if call.verdict is not Verdict.OTHER:
+            continue
+        base = base_of(call.change)
+        next_change = successor.get(base)
+        is_base_last = base == (edition_of(final[-1]) if final else 0)
+        if is_base_last or (next_change and by_change[next_change].began_s > call.ended_s):
+            faults.append(f"refused for nothing: {call.change} of {call.operator}")
+    return faults
+
+
+def _seen_faults(
+    seen: Iterable[Seen], final: tuple[str, ...], by_change: dict[str, Call]
+) -> list[str]:
+    faults = []
+    last: dict[str, int] = {}
+    for item in seen:
+        if item.state != final[: len(item.state)]:
+            faults.append(f"{item.where} at {item.at_s:.3f} took for committed what isn't: {item.state[-1:]}")
+        if len(item.state) < last.get(item.where, 0):
+            faults.append(f"{item.where} went back at {item.at_s:.3f}")
+        last[item.where] = len(item.state)
+    return faults
--- /dev/null
+++ b/tests/system/replication/core_operators.py
@@ -0,0 +1,126 @@
+"""Operators who race, follow redirects, and send again what got no clear answer, unchanged, to any coordinator."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from core_history import Call, Verdict
+from core_world import OTHER, TAKEN, Machine, World, change, edition_of
+
+from coveport.system.replication.events import Done, Event, Newest, NotPrimary, Outcome, ReadNewest, Refused, Submit
+
+SILENCE_S = 1.0  # after which a call is sent to another
+REDIRECTS = 2
+
+
+class Operator:
+    """Reads, writes on top of what it read, and so on."""
+
+    def __init__(self, world: World, calls: list[Call], name: str, pause_s: float) -> None:
+        self.world = world
+        self.calls = calls
+        self.name = name
+        self.pause_s = pause_s
+        self.is_stopped = False
+        self.known: tuple[str, ...] = ()
+        self._count = 0
+
+    def begin(self) -> None:
+        """Start now."""
+        self.read(self._after_read)
+
+    def _after_read(self, call: Call) -> None:
+        if self.is_stopped:
+            return
+        self.known = call.seen
+        self.write(self._after_write)
+
+    def _after_write(self, call: Call) -> None:
+        if self.is_stopped:
+            return
+        if call.verdict is Verdict.TAKEN:
+            self.known = (*self.known, call.change)
+        read_next = call.verdict is Verdict.OTHER or self.world.random.random() < 0.4
+        following = self.begin if read_next else lambda: self.write(self._after_write)
+        self.world.after(self.pause_s * self.world.random.uniform(0.2, 2.0), following)
+
+    def read(self, then: Callable[[Call], None]) -> None:
+        """One read, repeated until it's answered."""
+        call = Call(self.name, "", self.world.now_s)
+        self.calls.append(call)
+        Attempt(self, call, ReadNewest, then).send()
+
+    def write(self, then: Callable[[Call], None]) -> None:
+        """One change on top of what is known, repeated until it's answered."""
+        self._count += 1
+        base = edition_of(self.known)
+        edition = base + self.world.random.randint(1, 4)
+        command = change(base, edition, f"{self.name}-{self._count}")
+        call = Call(self.name, command.decode(), self.world.now_s)
+        self.calls.append(call)
+        Attempt(self, call, lambda request: Submit(request, command), then).send()
+
+
+class Attempt:
+    """One call with its repeats."""
+
+    def __init__(
+        self,
+        operator: Operator,
+        call: Call,
+        make_event: Callable[[int], Event],
+        then: Callable[[Call], None],
+    ) -> None:
+        self.operator = operator
+        self.world = operator.world
+        self.call = call
+        self.make_event = make_event
+        self.then = then
+        self.tries = 0
+        self.is_over = False
+
+    def send(self, to: Machine | None = None, redirects: int = 0) -> None:
+        """Send once; again after a silence."""
+        if self.is_over:
+            return
+        self.tries += 1
+        number = self.tries
+        machines = [machine for machine in self.world.machines.values() if not machine.is_removed]
+        machine = to or self.world.random.choice(machines)
+        if machine.life is None and machine.is_powered:
+            self.again(number)  # its port resets
+            return
+        self.world.call(machine, self.make_event, lambda outcome: self.answered(number, redirects, outcome))
+        self.world.after(SILENCE_S, lambda: self.again(number))
+
+    def again(self, number: int) -> None:
+        """Try elsewhere after a growing pause, unless that happened already."""
+        if not self.is_over and number == self.tries:
+            self.tries += 1
+            pause_s = min(0.05 * 2 ** min(self.tries / 2, 6), 0.6) * self.world.random.uniform(0.5, 1.0)
+            self.world.after(pause_s, self.send)
+
+    def answered(self, number: int, redirects: int, outcome: Outcome) -> None:
+        """Take an answer, also a late one."""
+        if self.is_over:
+            return
+        match outcome:
+            case Done():
+                self.end(Verdict.TAKEN)
+            case Refused():
+                assert outcome.result in (TAKEN, OTHER)
+                self.end(Verdict.TAKEN if outcome.result == TAKEN else Verdict.OTHER)
+            case Newest():
+                self.call.seen = outcome.state
+                self.end(Verdict.READ)
+            case NotPrimary(primary=str() as address) if redirects < REDIRECTS and number == self.tries:
+                self.send(self.world.machines.get(address), redirects + 1)
+            case _:
+                self.again(number)
+
+    def end(self, verdict: Verdict) -> None:
+        """The call is over."""
+        self.is_over = True
+        self.call.ended_s = self.world.now_s
+        self.call.verdict = verdict
+        self.then(self.call)
--- /dev/null
+++ b/tests/system/replication/core_schedules.py
@@ -0,0 +1,356 @@
+"""Seeded schedules: sites, operators and troubles, each run in a world of its own and judged at its end.
+
+Run many from the command line: `python tests/system/replication/core_schedules.py --first 0 --count 10000 --jobs 8`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import concurrent.futures
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from core_history import Call, Seen, Verdict, judge
+from core_operators import Operator
+from core_world import SYNC_S, Machine, World
+
+from coveport.system.replication.identity import Place
+from coveport.system.replication.member import CoreMember
+
+CATCH_UP_S = 4.0  # after its return a machine still counts as lost for so long
+HEAL_S = 8.0  # within which a healed core must take a change again
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """What stands where."""
+
+    places: tuple[Place, ...]
+    tolerated_losses: int
+    region_s: float
+    seeds: int = 3
+
+
+def _places(*regions: str) -> tuple[Place, ...]:
+    return tuple(Place(f"{region}-{number}", region) for number, region in enumerate(regions))
+
+
+SITES = (
+    Site(_places("a", "b", "c"), 1, 0.012),
+    Site(_places("a", "b", "c"), 1, 0.035),
+    Site(_places("a", "a", "a"), 1, 0.012),
+    Site(_places("a", "b", "c", "a", "b"), 2, 0.035),
+    Site(_places("a", "b", "c", "a", "b", "c"), 2, 0.035),
+    Site(_places("a", "b", "c", "a"), 1, 0.012),
+)
+
+
+@dataclass(slots=True)
+class Report:
+    """How a schedule went."""
+
+    seed: int
+    faults: list[str]
+    troubles: list[str]
+    acknowledged: int
+    messages: int
+    longest_silence_s: float = 0.0
+    calls: list[Call] = field(default_factory=list)
+
+
+class Schedule:
+    """One world with its troubles."""
+
+    def __init__(self, seed: int, make_member: Callable[..., CoreMember] = CoreMember) -> None:
+        self.random = random.Random(seed)
+        self.seed = seed
+        self.site = self.random.choice(SITES)
+        self.world = World(
+            seed + 1,
+            list(self.site.places),
+            self.site.tolerated_losses,
+            self.site.region_s,
+            self.site.seeds,
+            make_member,
+            loss=self.random.choice((0.0, 0.0, 0.01, 0.05)),
+        )
+        self.calls: list[Call] = []
+        self.troubles: list[str] = []
+        self.operators = [
+            Operator(self.world, self.calls, f"o{number}", self.random.choice((0.05, 0.2, 0.6)))
+            for number in range(self.random.choice((1, 2, 3)))
+        ]
+
+    # -- whom --
+
+    def _standing(self) -> list[Machine]:
+        return [machine for machine in self.world.machines.values() if not machine.is_removed]
+
+    def _target(self) -> Machine:
+        primary = self.world.primary()
+        standing = self._standing()
+        if primary is None or self.random.random() < 0.4:
+            return self.random.choice(standing)
+        view = primary.life.member.view if primary.life else None
+        if view is not None and self.random.random() < 0.3:
+            replica = self.world.machines[self.random.choice(view.replicas).address]
+            return replica if not replica.is_removed else primary
+        return primary
+
+    # -- what --
+
+    def note(self, text: str) -> None:
+        """Write a trouble down."""
+        self.troubles.append(f"{self.world.now_s:.3f} {text}")
+
+    def kill(self, machine: Machine, for_s: float) -> None:
+        """Kill, start again later."""
+        power = self.random.random() < 0.5
+        self.note(f"{'power' if power else 'kill'} {machine.address} for {for_s:.2f}")
+        machine.kill(power)
+        self.world.after(for_s, machine.start)
+
+    def freeze(self, machine: Machine, for_s: float) -> None:
+        """Stand still, wake later."""
+        self.note(f"freeze {machine.address} for {for_s:.2f}")
+        machine.freeze()
+        self.world.after(for_s, machine.thaw)
+
+    def wipe(self, machine: Machine, for_s: float) -> None:
+        """Lose the disk, start again later at the same address."""
+        self.note(f"wipe {machine.address} for {for_s:.2f}")
+        machine.wipe()
+        self.world.after(for_s, machine.start)
+
+    def replace(self, machine: Machine, for_s: float) -> None:
+        """Lose the machine; another with an empty disk comes at a new address."""
+        self.note(f"replace {machine.address} after {for_s:.2f}")
+        machine.remove()
+        newcomer = self.world.add_machine(machine.place)
+        self.world.after(for_s, newcomer.start)
+
+    def disk(self, machine: Machine, for_s: float) -> None:
+        """A disk in trouble."""
+        how = self.random.choice(("slow", "hangs", "refuses"))
+        self.note(f"disk {how} {machine.address} for {for_s:.2f}")
+        disk = machine.disk
+        if how == "slow":
+            disk.sync_s = SYNC_S * 25
+        elif how == "hangs":
+            disk.hangs_until_s = self.world.now_s + for_s
+        else:
+            disk.refuses = True
+
+        def end() -> None:
+            disk.sync_s = SYNC_S
+            disk.refuses = False
+
+        self.world.after(for_s, end)
+
+    def cut(self, machine: Machine, for_s: float) -> None:
+        """Cut links in one of many shapes."""
+        others = [other for other in self._standing() if other is not machine]
+        shape = self.random.choice(("off", "out", "in", "bridge", "one link", "halves"))
+        if shape == "halves":
+            half = set(self.random.sample(others, len(others) // 2)) | {machine}
+            pairs = [(a, b) for a in half for b in others if b not in half]
+        elif shape in ("bridge", "one link"):
+            pairs = [(machine, self.random.choice(others))]
+        else:
+            pairs = [(machine, other) for other in others]
+        links = set()
+        for one, other in pairs:
+            if shape != "in":
+                links.add((one.address, other.address))
+            if shape not in ("out", "one link"):
+                links.add((other.address, one.address))
+        links -= self.world.cuts
+        self.note(f"cut {shape} {machine.address} for {for_s:.2f}")
+        self.world.cuts |= links
+        self.world.after(for_s, lambda: self.world.cuts.difference_update(links))
+
+    def stop(self, machine: Machine, for_s: float) -> None:
+        """SIGTERM, the end some time later, start again."""
+        from coveport.system.replication.events import HandOver
+
+        self.note(f"stop {machine.address} for {for_s:.2f}")
+        life = machine.life
+        if life is None:
+            return
+        machine.run(life, lambda: machine.deliver(life, HandOver()))
+
+        def end() -> None:
+            if machine.life is life:
+                machine.kill()
+                self.world.after(for_s, machine.start)
+
+        self.world.after(self.random.uniform(0.3, 1.0), end)
+
+    def all_down(self, power: bool) -> None:
+        """All of them at the same moment, back within a second."""
+        self.note(f"all down, power {power}")
+        for machine in self._standing():
+            machine.kill(power)
+            self.world.after(self.random.uniform(0.2, 1.0), machine.start)
+
+    # -- courses --
+
+    def one_after_the_other(self) -> None:
+        """Within what is tolerated: each trouble over and caught up before the next."""
+        kinds = (self.kill, self.freeze, self.wipe, self.replace, self.disk, self.cut, self.stop)
+        for _ in range(self.random.choice((1, 2))):
+            kind = self.random.choice(kinds)
+            for_s = self.random.choice((0.3, 1.2, 2.5, 4.0))
+            kind(self._target(), for_s)
+            self.world.run_for(for_s + CATCH_UP_S + 2.0)
+
+    def storm(self) -> None:
+        """More than is tolerated, but no disk is lost: nothing may be lost or forked, whatever the delay."""
+        kinds = (self.kill, self.freeze, self.disk, self.cut, self.stop)
+        for _ in range(self.random.randint(3, 9)):
+            if self.random.random() < 0.1:
+                self.all_down(self.random.random() < 0.5)
+            else:
+                self.random.choice(kinds)(self._target(), self.random.choice((0.1, 0.5, 1.2, 2.5)))
+            self.world.run_for(self.random.choice((0.0, 0.02, 0.1, 0.4, 1.0, 1.6)))
+
+    def wipe_amid(self) -> None:
+        """One disk is lost in a calm core, and the rest of the troubles come at once."""
+        self.wipe(self._target(), self.random.choice((0.2, 0.6, 2.0)))
+        if self.random.random() < 0.5:
+            self.world.run_for(self.random.choice((0.0, 0.05, 0.3, 1.0)))
+        self.storm()
+
+    def final_fault(self) -> None:
+        """Right after an acknowledgement: as many disks as tolerated, and the rest lose power or are killed."""
+        count = len([call for call in self.calls if call.verdict is Verdict.TAKEN])
+        self.world.run_for(
+            2.0,
+            until=lambda: len([call for call in self.calls if call.verdict is Verdict.TAKEN]) > count,
+        )
+        losses = self.random.randint(0, self.site.tolerated_losses)
+        primary = self.world.primary()
+        view = primary.life.member.view if primary and primary.life else None
+        victims: list[Machine] = []
+        if view is not None:
+            replicas = [self.world.machines[member.address] for member in view.replicas]
+            victims = self.random.sample(replicas, min(losses, len(replicas)))
+        for machine in victims:
+            self.wipe(machine, self.random.uniform(0.2, 1.0))
+        rest = [machine for machine in self._standing() if machine not in victims]
+        power = self.random.random() < 0.7
+        self.note(f"the rest down, power {power}")
+        for machine in rest:
+            machine.kill(power)
+            self.world.after(self.random.uniform(0.2, 1.0), machine.start)
+        self.world.run_for(1.0)
+
+    def run(self) -> Report:
+        """The whole schedule."""
+        world = self.world
+        world.start_all()
+        world.run_for(6.0, until=lambda: bool(world.primaries()))
+        if not world.primaries():
+            return self._report(["never founded"])
+        for operator in self.operators:
+            world.after(self.random.uniform(0.0, 0.3), operator.begin)
+        grown_s = 4.0 if len(self.site.places) > self.site.seeds else 1.0
+        world.run_for(grown_s)
+        course = self.random.choice((self.one_after_the_other, self.storm, self.storm, self.wipe_amid))
+        course()
+        if course == self.one_after_the_other and self.random.random() < 0.5:
+            self.final_fault()
+        self._heal()
+        return self._finish()
+
+    def _heal(self) -> None:
+        world = self.world
+        world.cuts.clear()
+        world.loss = 0.0
+        for machine in self._standing():
+            machine.thaw()
+            machine.disk.refuses = False
+            machine.disk.sync_s = SYNC_S
+            machine.disk.hangs_until_s = 0.0
+            if machine.life is None:
+                world.after(self.random.uniform(0.1, 0.5), machine.start)
+
+    def _finish(self) -> Report:
+        world = self.world
+        last = Operator(world, self.calls, "last", 0.05)
+        last_reads: list[Call] = []
+        last_writes: list[Call] = []
+
+        def write(call: Call) -> None:
+            last.known = call.seen
+            last.write(last_writes.append)
+
+        # while others race on, a write may be refused: it's the answer that counts
+        last.read(write)
+        world.run_for(HEAL_S, until=lambda: bool(last_writes))
+        if not last_writes:
+            return self._report([f"no answer {HEAL_S} s after all troubles ended"])
+        for operator in self.operators:
+            operator.is_stopped = True
+        world.run_for(2.0)
+        last.read(last_reads.append)
+        world.run_for(3.0, until=lambda: bool(last_reads))
+        if not last_reads:
+            return self._report(["no last read"])
+        seen = [
+            Seen(f"{machine.address} life {life.number}", at_s, state)
+            for machine in world.machines.values()
+            for life in machine.lives
+            for at_s, state in life.committed
+        ]
+        return self._report(judge(self.calls, seen, last_reads[0].seen))
+
+    def _report(self, faults: list[str]) -> Report:
+        ends = sorted(call.ended_s for call in self.calls if call.verdict is Verdict.TAKEN)
+        silences = [later - earlier for earlier, later in zip(ends, ends[1:], strict=False)]
+        return Report(
+            self.seed, faults, self.troubles, len(ends), self.world.messages, max(silences, default=0.0)
+        )
+
+
+def run_schedule(seed: int) -> Report:
+    """One schedule from its seed."""
+    try:
+        return Schedule(seed).run()
+    except Exception as error:  # a crash of a member is a fault of that seed, to be told with it
+        return Report(seed, [f"{type(error).__name__}: {error}"], [], 0, 0)
+
+
+def run_many(first: int, count: int, jobs: int) -> list[Report]:
+    """Many, over several processes."""
+    if jobs <= 1:
+        return [run_schedule(seed) for seed in range(first, first + count)]
+    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
+        return list(pool.map(run_schedule, range(first, first + count), chunksize=4))
+
+
+def main() -> None:
+    """Run as told on the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--count", type=int, default=200)
+    parser.add_argument("--jobs", type=int, default=4)
+    arguments = parser.parse_args()
+    began_s = time.monotonic()
+    reports = run_many(arguments.first, arguments.count, arguments.jobs)
+    bad = [report for report in reports if report.faults]
+    for report in bad[:10]:
+        print(f"seed {report.seed}: {report.faults[:3]}")
+        for trouble in report.troubles:
+            print(f"    {trouble}")
+    acknowledged = sum(report.acknowledged for report in reports)
+    print(
+        f"{len(reports)} schedules, {acknowledged} changes acknowledged, {len(bad)} with faults, "
+        f"{time.monotonic() - began_s:.0f} s"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/system/replication/core_variants.py
@@ -0,0 +1,272 @@
+"""Broken variants of the core, each with one fault that the checkers must find."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+from unittest import mock
+
+from core_world import Machine
+
+from coveport.system.replication import election, takeover
+from coveport.system.replication.acceptor import Acceptor
+from coveport.system.replication.identity import NO_EPOCH, Epoch, MemberId, View
+from coveport.system.replication.journal import Journal
+from coveport.system.replication.member import CoreMember
+from coveport.system.replication.messages import (
+    Accepted,
+    Append,
+    Appended,
+    Confirm,
+    Confirmed,
+    Installed,
+    Message,
+    Promise,
+)
+from coveport.system.replication.primary import Primary, Unconfirmed
+from coveport.system.replication.records import PromiseRecord, Record, ViewRecord
+from coveport.system.replication.takeover import Attempt
+
+Patches = list[Any]
+
+
+def _answers_before_sync(*kinds: type) -> Patches:
+    def send_when_synced(self: Journal, to_address: str, message: Message) -> None:
+        if isinstance(message, kinds):
+            self._outbox.send(to_address, message)
+        else:
+            original(self, to_address, message)
+
+    original = Journal.send_when_synced
+    return [mock.patch.object(Journal, "send_when_synced", send_when_synced)]
+
+
+def _forgets(*kinds: type) -> Patches:
+    """Records of these kinds never reach the disk."""
+
+    def write(self: Journal, record: Record) -> None:
+        original(self, record)
+        if isinstance(record, kinds):
+            self._records.pop()
+
+    original = Journal.write
+    return [mock.patch.object(Journal, "write", write)]
+
+
+def promise_not_synced() -> Patches:
+    """A promise is given but not kept on disk."""
+    return _forgets(PromiseRecord)
+
+
+def view_not_synced() -> Patches:
+    """A view is accepted but not kept on disk."""
+    return _forgets(ViewRecord)
+
+
+def append_answered_before_sync() -> Patches:
+    """A backup answers before its disk has the command."""
+    return _answers_before_sync(Appended)
+
+
+def primary_answers_alone() -> Patches:
+    """The primary doesn't wait for its backups."""
+
+    def appended(self: Primary, now_s: float, sender: MemberId, message: Appended) -> None:
+        in_flight = self._in_flight
+        if in_flight is not None and message.sequence == in_flight.sequence:
+            in_flight.appended.update(self.view.replicas)
+        original(self, now_s, sender, message)
+
+    original = Primary.appended
+    return [mock.patch.object(Primary, "appended", appended)]
+
+
+def wiped_member_counts() -> Patches:
+    """A wiped machine comes back as the member that it was."""
+
+    def start(self: Machine, first_boot: bool = False) -> None:
+        number = int(self.address.split(":")[0].split(".")[-1])
+        with mock.patch.object(self.world.random, "getrandbits", lambda bits: number):
+            original(self, first_boot)
+
+    original = Machine.start
+    return [mock.patch.object(Machine, "start", start)]
+
+
+def read_without_confirmation() -> Patches:
+    """The primary answers reads from its own belief."""
+
+    def read(self: Primary, request: int) -> None:
+        self._parts.outbox.answer(request, self._confirmed_outcome(Unconfirmed(request)))
+
+    return [mock.patch.object(Primary, "read", read)]
+
+
+def refusal_without_confirmation() -> Patches:
+    """The primary refuses commands from its own belief."""
+
+    def advance(self: Primary, now_s: float) -> None:
+        original(self, now_s)
+        for round_ in self._rounds:
+            for item in [item for item in round_.waiting if item.refusal is not None]:
+                round_.waiting.remove(item)
+                self._parts.outbox.answer(item.request, self._confirmed_outcome(item))
+
+    original = Primary.advance
+    return [mock.patch.object(Primary, "advance", advance)]
+
+
+def backup_skips_the_fence() -> Patches:
+    """A backup takes commands below what it promised, and whatever epoch its state is of."""
+
+    def append(self: Acceptor, sender: MemberId, message: Append) -> bool:
+        if message.sequence == self.durable.sequence + 1:
+            own = Append(self.durable.state_epoch, message.sequence, message.command, message.committed)
+            applied = self.try_command(message.command)
+            if hasattr(applied, "state"):
+                self._append(own)
+        self._reply_when_synced(sender, Appended(message.epoch, message.sequence))
+        return True
+
+    return [mock.patch.object(Acceptor, "append", append)]
+
+
+def confirms_though_fenced() -> Patches:
+    """A witness confirms an epoch below what it promised."""
+
+    def confirm(self: Acceptor, sender: MemberId, message: Confirm) -> None:
+        self._outbox.send(sender.address, Confirmed(message.epoch, message.round))
+
+    return [mock.patch.object(Acceptor, "confirm", confirm)]
+
+
+def takes_any_state() -> Patches:
+    """A candidate goes on from the first state that it finds, of whatever view."""
+
+    def sources(self: Attempt) -> list[MemberId]:
+        return [member for member, promise in self._promises.items() if promise.state_epoch != NO_EPOCH][:1]
+
+    return [mock.patch.object(Attempt, "_sources", sources)]
+
+
+def ignores_newer_views() -> Patches:
+    """A candidate doesn't widen to a newer view that a promise shows."""
+
+    def promised(self: Attempt, now_s: float, sender: MemberId, message: Promise) -> None:
+        own = self._newest
+        shown = Promise(message.epoch, own, message.settled, message.state_epoch, message.state_sequence)
+        original(self, now_s, sender, shown)
+
+    original = Attempt.promised
+    return [mock.patch.object(Attempt, "promised", promised)]
+
+
+def half_is_enough() -> Patches:
+    """Half of a group counts as its majority."""
+
+    def has_majorities(present: Any, groups: Any) -> bool:
+        return all(2 * sum(member in present for member in group) >= len(group) - 1 for group in groups)
+
+    return [
+        mock.patch.object(takeover, "has_majorities", has_majorities),
+        mock.patch.object(election, "has_majorities", has_majorities),
+    ]
+
+
+def old_members_dont_count() -> Patches:
+    """A change of members is decided by the new ones alone, and the old ones aren't asked."""
+
+    def groups(self: View, settled: Epoch) -> tuple[tuple[MemberId, ...], ...]:
+        return (self.members,)
+
+    return [mock.patch.object(View, "groups", groups)]
+
+
+def replicas_not_awaited() -> Patches:
+    """A view is proposed before all its replicas hold the state."""
+
+    def installed(self: Attempt, now_s: float, sender: MemberId, message: Installed) -> None:
+        self._installed.update(self._replicas)
+        original(self, now_s, sender, message)
+
+    original = Attempt.installed
+    return [mock.patch.object(Attempt, "installed", installed)]
+
+
+def view_not_awaited() -> Patches:
+    """A candidate takes its view for active before a majority has it."""
+
+    def accepted(self: Attempt, now_s: float, sender: MemberId, message: Accepted) -> None:
+        if self.view is not None:
+            self._accepted.update(self.view.members)
+        original(self, now_s, sender, message)
+
+    original = Attempt.accepted
+    return [mock.patch.object(Attempt, "accepted", accepted)]
+
+
+def shows_uncommitted() -> Patches:
+    """A backup takes for committed whatever it holds."""
+
+    def take_append(self: CoreMember, sender: MemberId, message: Append) -> None:
+        original(self, sender, message)
+        self._learn_own_state(message.epoch, message.sequence)
+
+    original = CoreMember._take_append
+    return [mock.patch.object(CoreMember, "_take_append", take_append)]
+
+
+def acceptor_keeps_no_fence() -> Patches:
+    """A member stores views and states of epochs below what it promised."""
+    return [mock.patch.object(Acceptor, "_is_fenced", lambda self, sender, epoch: False)]
+
+
+def in_flight_counts_as_done() -> Patches:
+    """A primary that leads again takes its command for done whatever state it goes on from."""
+
+    def begin(self: Primary, now_s: float, before: Primary | None, kept_own_state: bool) -> None:
+        original(self, now_s, before, True)
+
+    original = Primary.begin
+    return [mock.patch.object(Primary, "begin", begin)]
+
+
+VARIANTS: dict[str, Callable[[], Patches]] = {
+    variant.__name__: variant
+    for variant in (
+        promise_not_synced,
+        view_not_synced,
+        append_answered_before_sync,
+        primary_answers_alone,
+        wiped_member_counts,
+        read_without_confirmation,
+        refusal_without_confirmation,
+        backup_skips_the_fence,
+        confirms_though_fenced,
+        takes_any_state,
+        ignores_newer_views,
+        half_is_enough,
+        old_members_dont_count,
+        replicas_not_awaited,
+        view_not_awaited,
+        shows_uncommitted,
+        acceptor_keeps_no_fence,
+        in_flight_counts_as_done,
+    )
+}
+
+
+@contextmanager
+def broken(name: str) -> Iterator[None]:
+    """The code with one fault."""
+    patches = VARIANTS[name]()
+    for patch in patches:
+        patch.start()
+    try:
+        yield
+    finally:
+        for patch in patches:
+            patch.stop()
+
+
