--- a/coveport/system/simulation/machines.py
+++ b/coveport/system/simulation/machines.py
@@ -7,11 +7,10 @@
 from typing import Any, Protocol
 
 from coveport.lab.virtual.wires import Place
-from coveport.lab.virtual.world import Process
 from coveport.system.log import make_log
 from coveport.system.simulation.deployment import MachineSpot
 from coveport.system.simulation.disk import SimulatedDisk
-from coveport.system.simulation.places import PlacedNet, PlacedNetwork, run_in
+from coveport.system.simulation.places import PlacedNet, PlacedNetwork, SimulatedProcess, run_in
 
 
 class Program(Protocol):
@@ -39,8 +38,9 @@
         self.log_lines: list[str] = []
         self.problems: list[dict[str, Any]] = []
         self.lives = 0
+        self.is_gone = False  # taken away for good
         self._network, self._make, self._seed = network, make, seed
-        self._process: Process | None = None
+        self._process: SimulatedProcess | None = None
         self._net: PlacedNet | None = None
         self.program: Program | None = None
 
@@ -56,9 +56,11 @@
         return self._process is not None and self._process.alive
 
     def start(self, first_boot: bool = False) -> None:
-        """Begin a life."""
+        """Begin a life, if none runs."""
+        if self.is_up or self.is_gone:
+            return
         self.lives += 1
-        process = Process.start(self._network.world, f"{self.spot.name}#{self.lives}")
+        process = SimulatedProcess.begin(self._network.world, f"{self.spot.name}#{self.lives}")
         process.problems = self.problems
         process.on_exit = lambda code: self.problems.append({"message": f"exit {code}"})
         self._process = process
--- a/coveport/system/simulation/model_server.py
+++ b/coveport/system/simulation/model_server.py
@@ -16,11 +16,8 @@
 from coveport.system.model.node import NodeState
 from coveport.system.simulation.engine import (
     DEFAULT_PRIORITY,
-    Began,
-    Effect,
     Engine,
     EngineFigures,
-    Expired,
     PromptPart,
     Work,
 )
@@ -35,10 +32,10 @@
     RequestRan,
     RequestTurnedAway,
 )
-from coveport.system.simulation.texts import digest, event_block, whole_body
+from coveport.system.simulation.node_answers import AnswerFaults, NodeAnswer, NodeFaults
+from coveport.system.simulation.texts import digest
 from coveport.system.wire.names import Header, Path, Report
 
-BREAKS_WITHIN: Final = 4  # events, before which a stream that is broken off ends
 DEFAULT_WAIT_MS: Final = 60_000.0  # of a request that names no time
 
 
@@ -57,26 +54,6 @@
     falls_over_above: float = float("inf")  # requests within one second of its cold time
 
 
-@dataclass(slots=True)
-class NodeFaults:
-    """What is wrong with a node, as shares of its requests. Changed at any moment."""
-
-    break_off_share: float = 0.0  # breaks off in the middle of a stream
-    garble_share: float = 0.0  # sends bytes that are no answer
-    surplus_share: float = 0.0  # sends one more answer behind a whole one
-    refuse_share: float = 0.0  # says that it is full though it is not
-    dark: bool = False  # neither reads nor answers nor reports
-
-
-@dataclass(slots=True)
-class _Running:
-    """A request that is being handled."""
-
-    try_id: str
-    run: str
-    inbox: asyncio.Queue[Effect] = field(default_factory=asyncio.Queue)
-
-
 def parse_parts(text: str) -> tuple[PromptPart, ...]:
     """The parts of a prompt from their header, `ID:TOKENS` separated by commas."""
     pairs = (part.rpartition(":") for part in text.split(",") if part)
@@ -95,7 +72,7 @@
         self._net, self._book, self._chance = net, book, chance
         self._listening: Listening | None = None
         self._connections: dict[ServerConnection, None] = {}
-        self._running: dict[str, _Running] = {}
+        self._answers: dict[str, NodeAnswer] = {}
         self._count = 0
         self._work = asyncio.Event()
         self._steps: asyncio.Task[None] | None = None
@@ -243,26 +220,30 @@
         self, connection: ServerConnection, request: Request, try_id: str, resumes_after: int
     ) -> None:
         self._count += 1
-        running = _Running(try_id, f"{self.incarnation}.{self._count}")
-        work = self._work_of(request, running.run, resumes_after)
-        if self.engine.submit(work, self._now_ms()) is not None:
+        run = f"{self.incarnation}.{self._count}"
+        if self.engine.submit(self._work_of(request, run, resumes_after), self._now_ms()) is not None:
             self._turn_away(connection, try_id, 503)
             return
-        self._running[running.run] = running
+        answer = NodeAnswer(run, try_id, request, AnswerFaults.draw(self.faults, self._chance))
+        self._answers[run] = answer
         self._work.set()
-        ended = _Ended()
         try:
-            await self._write(connection, running, request, ended)
+            if not await answer.write(connection, lambda: self._note_run(answer, resumes_after)):
+                self._turn_away(connection, try_id, 503)
         finally:
-            self.engine.drop(running.run)
-            del self._running[running.run]
-            if ended.began:
-                self._book.write(
-                    RequestFinished(
-                        self._net.now_s(), self.incarnation, try_id, running.run, ended.status,
-                        ended.whole, ended.broke or self._stays_ended,
-                    )
-                )  # fmt: skip
+            self.engine.drop(run)
+            del self._answers[run]
+            if answer.began:
+                self._note_end(answer)
+
+    def _note_run(self, answer: NodeAnswer, resumes_after: int) -> None:
+        now, told = self._net.now_s(), (self.incarnation, answer.try_id, answer.run, answer.stamp)
+        self._book.write(RequestRan(now, *told, first_event=resumes_after + 1))
+
+    def _note_end(self, answer: NodeAnswer) -> None:
+        now, told = self._net.now_s(), (self.incarnation, answer.try_id, answer.run)
+        broke = answer.broke or self._stays_ended
+        self._book.write(RequestFinished(now, *told, status=200, whole=answer.whole, node_broke=broke))
 
     def _work_of(self, request: Request, key: str, resumes_after: int) -> Work:
         left_ms = float(request.get(Header.TIME_LEFT) or DEFAULT_WAIT_MS)
@@ -271,51 +252,6 @@
         priority = int(request.get(Header.PRIORITY) or DEFAULT_PRIORITY)
         return Work(key, parts, int(tokens[1]), self._now_ms() + left_ms, priority, resumes_after)
 
-    async def _write(
-        self, connection: ServerConnection, running: _Running, request: Request, ended: _Ended
-    ) -> None:
-        """Write the answer as the engine brings it."""
-        stamp = f"{running.run}.{digest(running.try_id.encode())}"
-        is_stream = request.get(Header.TOKENS) is not None
-        breaks = self._chance.random() < self.faults.break_off_share
-        writes_most = self._chance.randrange(BREAKS_WITHIN) if breaks else 1 << 30  # events
-        surplus = self._chance.random() < self.faults.surplus_share
-        headers = [(Header.TRY_ID, running.try_id), (Header.STAMP, stamp), (Header.VERSIONS, "1")]
-        while True:
-            effect = await running.inbox.get()
-            if isinstance(effect, Began):
-                ended.began, ended.status = True, 200
-                resumed = int(request.get(Header.LAST_EVENT_ID) or 0)
-                self._book.write(
-                    RequestRan(
-                        self._net.now_s(), self.incarnation, running.try_id, running.run, stamp, resumed + 1
-                    )
-                )
-                if is_stream:
-                    connection.begin_stream([("Content-Type", "text/event-stream"), *headers])
-            elif isinstance(effect, Expired):
-                if effect.began:
-                    ended.broke = True
-                    connection.break_off()
-                else:
-                    self._turn_away(connection, running.try_id, 503)
-                return
-            else:
-                if not is_stream:
-                    connection.answer(200, headers, whole_body(running.run, digest(request.body)))
-                elif writes_most <= 0:
-                    ended.broke = True
-                    connection.break_off()
-                    return
-                else:
-                    connection.chunk(event_block(running.run, effect.number), effect.last)
-                    writes_most -= 1
-                if effect.last:
-                    ended.whole = True
-                    if surplus:
-                        connection.answer(200, headers, b"one answer too many")
-                    return
-
     # The engine's steps.
 
     def _now_ms(self) -> float:
@@ -330,9 +266,9 @@
             if self.faults.dark:
                 continue
             for effect in self.engine.step(self._now_ms()):
-                running = self._running.get(effect.key)
-                if running is not None:
-                    running.inbox.put_nowait(effect)
+                answer = self._answers.get(effect.key)
+                if answer is not None:
+                    answer.inbox.put_nowait(effect)
 
     def turn_dark(self, dark: bool) -> None:
         """Do nothing any more, without an end; or go on."""
@@ -340,14 +276,4 @@
         self._work.set()
 
 
-@dataclass(slots=True)
-class _Ended:
-    """How the handling of a request has gone so far."""
-
-    began: bool = False
-    whole: bool = False
-    broke: bool = False
-    status: int = 0
-
-
 _JSON: Final = [("Content-Type", "application/json")]
--- /dev/null
+++ b/coveport/system/simulation/node_answers.py
@@ -0,0 +1,109 @@
+"""One answer of a node, written as its engine brings the events, with the faults drawn for it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Final
+
+from coveport.http1.codec import Request
+from coveport.system.simulation.engine import Began, Effect, Expired, Produced
+from coveport.system.simulation.exchange import ServerConnection
+from coveport.system.simulation.texts import digest, event_block, whole_body
+from coveport.system.wire.names import Header
+
+BREAKS_WITHIN: Final = 4  # events, before which a stream that is broken off ends
+NEVER: Final = 1 << 30
+
+
+@dataclass(slots=True)
+class NodeFaults:
+    """What is wrong with a node, as shares of its requests. Changed at any moment."""
+
+    break_off_share: float = 0.0  # breaks off in the middle of a stream
+    garble_share: float = 0.0  # sends bytes that are no answer
+    surplus_share: float = 0.0  # sends one more answer behind a whole one
+    refuse_share: float = 0.0  # says that it is full though it is not
+    dark: bool = False  # neither reads nor answers nor reports
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFaults:
+    """What will go wrong with one answer."""
+
+    events_most: int = NEVER  # broken off after so many
+    surplus: bool = False
+
+    @classmethod
+    def draw(cls, faults: NodeFaults, chance: Random) -> AnswerFaults:
+        """By the node's shares."""
+        breaks = chance.random() < faults.break_off_share
+        surplus = chance.random() < faults.surplus_share
+        return cls(chance.randrange(BREAKS_WITHIN) if breaks else NEVER, surplus)
+
+
+@dataclass(slots=True)
+class NodeAnswer:
+    """The answer to one request that was taken into the queue."""
+
+    run: str
+    try_id: str
+    request: Request
+    faults: AnswerFaults
+    inbox: asyncio.Queue[Effect] = field(default_factory=asyncio.Queue)
+    began: bool = False
+    whole: bool = False
+    broke: bool = False  # the node broke it off
+
+    @property
+    def stamp(self) -> str:
+        """What shows that a node wrote this."""
+        return f"{self.run}.{digest(self.try_id.encode())}"
+
+    @property
+    def _headers(self) -> list[tuple[str, str]]:
+        return [(Header.TRY_ID, self.try_id), (Header.STAMP, self.stamp), (Header.VERSIONS, "1")]
+
+    @property
+    def _is_stream(self) -> bool:
+        return self.request.get(Header.TOKENS) is not None
+
+    async def write(self, connection: ServerConnection, on_began: Callable[[], None]) -> bool:
+        """Write it to its end; False where the time was up before it began: nothing is written then."""
+        events_left = self.faults.events_most
+        while not (self.whole or self.broke):
+            effect = await self.inbox.get()
+            if isinstance(effect, Began):
+                self._begin(connection)
+                on_began()
+            elif isinstance(effect, Expired):
+                if not effect.began:
+                    return False
+                self._break_off(connection)
+            elif events_left <= 0:
+                self._break_off(connection)
+            else:
+                self._event(connection, effect)
+                events_left -= 1
+        return True
+
+    def _begin(self, connection: ServerConnection) -> None:
+        self.began = True
+        if self._is_stream:
+            connection.begin_stream([("Content-Type", "text/event-stream"), *self._headers])
+
+    def _event(self, connection: ServerConnection, effect: Produced) -> None:
+        if self._is_stream:
+            connection.chunk(event_block(self.run, effect.number), effect.last)
+        elif effect.last:
+            connection.answer(200, self._headers, whole_body(self.run, digest(self.request.body)))
+        if effect.last:
+            self.whole = True
+            if self.faults.surplus:
+                connection.answer(200, self._headers, b"one answer too many")
+
+    def _break_off(self, connection: ServerConnection) -> None:
+        self.broke = True
+        connection.break_off()
--- a/coveport/system/simulation/places.py
+++ b/coveport/system/simulation/places.py
@@ -107,20 +107,34 @@
         super()._knock(dial, address)
 
 
-def run_in(process: Process, work: Callable[[], object]) -> None:
+class SimulatedProcess(Process):
+    """A process that keeps the tasks which were put into it from outside."""
+
+    def __init__(self, world: World, name: str) -> None:
+        super().__init__(world, name)
+        self.tasks: set[asyncio.Task[object]] = set()
+
+    @classmethod
+    def begin(cls, world: World, name: str) -> SimulatedProcess:
+        """A new process."""
+        process = cls.start(world, name)
+        assert isinstance(process, cls)
+        return process
+
+
+def run_in(process: SimulatedProcess, work: Callable[[], object]) -> None:
     """Have a process call something in this instant; a coroutine that it returns is run as a task."""
 
     def begin() -> None:
         found = work()
         if asyncio.iscoroutine(found):
             task = process.create_task(found)
-            process.__dict__.setdefault("_kept_tasks", set()).add(task)
-            task.add_done_callback(lambda one: _done(process, one))
-
-    process.call_soon(begin)
+            process.tasks.add(task)
+            task.add_done_callback(ended)
 
+    def ended(task: asyncio.Task[object]) -> None:
+        process.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            process.call_exception_handler({"message": "a task failed", "exception": task.exception()})
 
-def _done(process: Process, task: asyncio.Task[object]) -> None:
-    process.__dict__["_kept_tasks"].discard(task)
-    if not task.cancelled() and task.exception() is not None:
-        process.call_exception_handler({"message": "a task failed", "exception": task.exception()})
+    process.call_soon(begin)
--- /dev/null
+++ b/coveport/system/simulation/planned_steps.py
@@ -0,0 +1,109 @@
+"""What operators and clients do in a simulated day: changes, races, evacuations, probes, bursts."""
+
+from __future__ import annotations
+
+import json
+from functools import partial
+from random import Random
+
+from coveport.system.model.configuration import Configuration, Route, RouteKind, WeightedService
+from coveport.system.simulation.client import RequestKind
+from coveport.system.simulation.deployment import HOST
+from coveport.system.simulation.documents import Change, configuration_document
+from coveport.system.simulation.happenings import Verdict
+from coveport.system.simulation.operator import Operator
+from coveport.system.simulation.stand_in_programs import ClientProgram
+from coveport.system.simulation.traffic import drive
+from coveport.system.simulation.world import SimulatedDeployment
+
+
+class PlannedSteps:
+    """Steps of a day. Times are in seconds after the traffic's start."""
+
+    def __init__(self, day: SimulatedDeployment) -> None:
+        self._day = day
+        self._chance = Random(f"troubles {day.seed}")
+
+    def evacuate(self, at_s: float, zone: str, for_s: float) -> None:
+        """A zone is emptied and taken back."""
+        operator = self._day.operators[0]
+        self._day.at(at_s, lambda: self._day.run_operator(operator, lambda: operator.evacuate(zone)))
+        self._day.at(at_s + for_s, lambda: self._day.run_operator(operator, lambda: operator.take_back(zone)))
+
+    def add_route(self, at_s: float, name: str) -> None:
+        """A route is added; a little later, and after the bound, each proxy is probed on it."""
+        operator = self._day.operators[0]
+        route = self._route(name)
+
+        async def patch() -> None:
+            change = Change(self._day.editions.next(), routes=(route,))
+            await operator.patch(change, operator.configuration)
+            for later_s in (0.5, self._day.deployment.bounds.config_apply_ms / 1000 + 0.2):
+                self._day.world.at(self._day.world.now + later_s, self.probe_all, route.path_prefix)
+
+        self._day.at(at_s, lambda: self._day.run_operator(operator, patch))
+
+    def race(self, at_s: float) -> None:
+        """Two operators change the configuration at once, on top of the same version."""
+        for at, operator in enumerate(self._day.operators):
+            route = self._route(f"race-{at}-{self._chance.randrange(1000)}")
+
+            def begin(operator: Operator = operator, route: Route = route) -> None:
+                base = max((one.configuration for one in self._day.operators), key=lambda one: one.edition)
+                change = Change(self._day.editions.next(), routes=(route,))
+
+                async def patch() -> None:
+                    answer = await operator.patch(change, base)
+                    if answer.verdict is not Verdict.UNCLEAR:
+                        apply_s = self._day.deployment.bounds.config_apply_ms / 1000 + 0.2
+                        self._day.world.at(self._day.world.now + apply_s, self.probe_all, route.path_prefix)
+
+                self._day.run_operator(operator, patch)
+
+            self._day.at(at_s + 0.01 * at, begin)
+
+    def send_invalid(self, at_s: float) -> None:
+        """A configuration with two routes at one place, and one that is cut short."""
+        operator = self._day.operators[0]
+
+        async def send() -> None:
+            base = operator.configuration
+            twin = self._day.deployment.configuration(self._day.editions.next())
+            routes = (*twin.routes, self._route("twin", twin.routes[0].path_prefix))
+            double = Configuration(twin.edition, routes, twin.services)
+            body = json.dumps(configuration_document(double)).encode()
+            await operator.put_invalid(double, body, base.edition)
+            await operator.put_invalid(twin, body[: len(body) // 2], base.edition)
+
+        self._day.at(at_s, lambda: self._day.run_operator(operator, send))
+
+    def _route(self, name: str, path_prefix: str = "") -> Route:
+        to = (WeightedService(self._day.deployment.service, 1.0),)
+        return Route(
+            f"r-{name}", HOST, path_prefix or f"/{name}/", RouteKind.STREAMING, 5000.0, 1000.0, 2, to,
+            attempts=2, pinned=True, resumable=True, pause_objective_ms=400.0,
+        )  # fmt: skip
+
+    def probe_all(self, path_prefix: str) -> None:
+        """One request to each proxy that is up, on a route."""
+        kind = RequestKind("probe", HOST, path_prefix, True, 5.0, 1.0, 0.4, ((1, 50),), 50, 5, 20, 0)
+        ports = self._day.deployment.ports
+        for at, proxy in enumerate(self._day.proxies):
+            machine = self._day.clients[at % len(self._day.clients)]
+            program = machine.program
+            if proxy.is_up and isinstance(program, ClientProgram):
+                machine.run(partial(program.client.probe, kind, (proxy.spot.ip, ports.clients)))
+
+    def burst(self, at_s: float, kind: RequestKind, rate: float, for_s: float) -> None:
+        """So many more requests of a kind come, a second."""
+        day = self._day
+
+        def begin() -> None:
+            until_s = day.world.now + for_s
+            for machine in day.clients:
+                if isinstance(machine.program, ClientProgram):
+                    chance = Random(f"burst {machine.spot.name} {day.seed} {at_s}")
+                    client, one_rate = machine.program.client, rate / len(day.clients)
+                    machine.run(partial(drive, machine.net, client, kind, one_rate, until_s, chance))
+
+        day.at(at_s, begin)
--- a/coveport/system/simulation/registration.py
+++ b/coveport/system/simulation/registration.py
@@ -23,6 +23,8 @@
 ENDS_UNHEARD_S: Final = 5.0  # a node that leaves ends so long after, though nobody acknowledged
 LINGER_S: Final = 0.3  # beyond the bound on draining
 
+MODEL: Final = {Heartbeat.MODEL_NAME: "m", Heartbeat.WEIGHTS: 1, Heartbeat.ADAPTERS: []}
+
 CoordinatorList = Callable[[], list[Address]]
 """Where coordinators are, as an outside list says that lags behind."""
 
@@ -120,12 +122,12 @@
             Heartbeat.SERVICE: figures.service,
             Heartbeat.ADDRESS: "{}:{}".format(*figures.address),
             Heartbeat.ZONE: figures.zone,
-            "Edition": "v1",
+            Heartbeat.SOFTWARE: "v1",
             Heartbeat.SLOTS: figures.engine.slots,
             Heartbeat.STATE: Heartbeat.ACCEPTING if node.state is NodeState.ACCEPTING else Heartbeat.CLOSING,
             Heartbeat.COLD_LEFT_MS: round(node.cold_left_ms),
-            "Phase": "both",
-            "Models": [{"Name": "m", "Edition": 1, "Adapters": []}],
+            Heartbeat.PHASE: "both",
+            Heartbeat.MODELS: [MODEL],
             Heartbeat.SEQUENCE: self._sequence,
         }
         if gone_at is not None:
--- a/coveport/system/simulation/troubles.py
+++ b/coveport/system/simulation/troubles.py
@@ -2,31 +2,26 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable, Iterable
 from functools import partial
-from random import Random
 from typing import Final
 
-from coveport.system.model.configuration import Route, RouteKind, WeightedService
-from coveport.system.simulation.client import RequestKind
-from coveport.system.simulation.deployment import HOST
-from coveport.system.simulation.documents import Change, configuration_document
-from coveport.system.simulation.happenings import TroubleBegan, TroubleEnded, Verdict
+from coveport.system.simulation.happenings import TroubleBegan, TroubleEnded
 from coveport.system.simulation.machines import Machine
-from coveport.system.simulation.operator import Operator
 from coveport.system.simulation.places import Cut
-from coveport.system.simulation.world import ClientProgram, SimulatedDeployment, SimulatedNode
+from coveport.system.simulation.planned_steps import PlannedSteps
+from coveport.system.simulation.stand_in_programs import SimulatedNode
+from coveport.system.simulation.world import SimulatedDeployment
 
 RESTART_S: Final = 0.5  # from a process' end to its next start
 
 
-class Troubles:
+class Troubles(PlannedSteps):
     """What can be done to a deployment. Times are in seconds after the traffic's start."""
 
     def __init__(self, day: SimulatedDeployment) -> None:
-        self._day, self._numbers = day, 0
-        self._chance = Random(f"troubles {day.seed}")
+        super().__init__(day)
+        self._numbers = 0
 
     # Machines of the system.
 
@@ -79,6 +74,33 @@
 
         machine.terminate(self._day.deployment.bounds.grace_s, ended)
 
+    def replace_coordinator(self, at_s: float, machine: Machine, after_s: float = 2.0) -> None:
+        """It loses power for good; another one with an empty disk takes its place at a new address."""
+        numbers: list[int] = []
+
+        def lose() -> None:
+            numbers.append(self._begin("replace", [machine]))
+            machine.place.silent = True
+            machine.is_gone = True
+            machine.kill()
+
+        def replace() -> None:
+            self._day.replace_coordinator(machine).start()
+            self._end(numbers[0])
+
+        self._day.at(at_s, lose)
+        self._day.at(at_s + after_s, replace)
+
+    def refusing_disk(self, at_s: float, machine: Machine, for_s: float) -> None:
+        """Its disk refuses writes for a while."""
+        disk = machine.disk
+        assert disk is not None
+
+        def refuse(refuses: bool) -> None:
+            disk.refuses = refuses
+
+        self._do(at_s, for_s, "disk", [machine], partial(refuse, True), partial(refuse, False))
+
     def slow_disk(self, at_s: float, machine: Machine, for_s: float, sync_s: float) -> None:
         """Its disk takes so long for each write."""
         disk = machine.disk
@@ -135,6 +157,11 @@
         self._day.at(at_s, crash)
         self._day.at(at_s + for_s, node.machine.start)
 
+    def reuse_address(self, at_s: float, node: SimulatedNode, service: str, after_s: float) -> None:
+        """It crashes; later a node of another service runs at its address."""
+        self.crash_node(at_s, node, after_s)
+        self._day.at(at_s, partial(setattr, node, "service", service))
+
     def darken_node(self, at_s: float, node: SimulatedNode, for_s: float = 4.0) -> None:
         """It neither answers nor reports for a while, and ends then; nobody is told."""
 
@@ -168,6 +195,16 @@
         if back_s is not None:
             self._day.at(at_s + back_s, come_back)
 
+    def spoil_node(self, at_s: float, node: SimulatedNode, for_s: float, fault: str, share: float) -> None:
+        """A share of its requests goes wrong in one way; `fault`: a field of `NodeFaults`."""
+
+        def spoil(to: float) -> None:
+            if node.server is not None:
+                setattr(node.server.faults, fault, to)
+
+        self._day.at(at_s, partial(spoil, share))
+        self._day.at(at_s + for_s, partial(spoil, 0.0))
+
     def turn_cold(self, at_s: float, node: SimulatedNode, for_s: float) -> None:
         """It is cold again, without notice."""
 
@@ -177,78 +214,6 @@
 
         self._day.at(at_s, turn)
 
-    # Operators.
-
-    def evacuate(self, at_s: float, zone: str, for_s: float) -> None:
-        """A zone is emptied and taken back."""
-        operator = self._day.operators[0]
-        self._day.at(at_s, lambda: self._day.run_operator(operator, lambda: operator.evacuate(zone)))
-        self._day.at(at_s + for_s, lambda: self._day.run_operator(operator, lambda: operator.take_back(zone)))
-
-    def add_route(self, at_s: float, name: str) -> None:
-        """A route is added; a little later, and after the bound, each proxy is probed on it."""
-        operator = self._day.operators[0]
-        route = self._route(name)
-
-        async def patch() -> None:
-            change = Change(self._day.editions.next(), routes=(route,))
-            await operator.patch(change, operator.configuration)
-            for later_s in (0.5, self._day.deployment.bounds.config_apply_ms / 1000 + 0.2):
-                self._day.world.at(self._day.world.now + later_s, self.probe_all, route.path_prefix)
-
-        self._day.at(at_s, lambda: self._day.run_operator(operator, patch))
-
-    def race(self, at_s: float) -> None:
-        """Two operators change the configuration at once, on top of the same version."""
-        for at, operator in enumerate(self._day.operators):
-            route = self._route(f"race-{at}-{self._chance.randrange(1000)}")
-
-            def begin(operator: Operator = operator, route: Route = route) -> None:
-                base = max((one.configuration for one in self._day.operators), key=lambda one: one.edition)
-                change = Change(self._day.editions.next(), routes=(route,))
-
-                async def patch() -> None:
-                    answer = await operator.patch(change, base)
-                    if answer.verdict is not Verdict.UNCLEAR:
-                        apply_s = self._day.deployment.bounds.config_apply_ms / 1000 + 0.2
-                        self._day.world.at(self._day.world.now + apply_s, self.probe_all, route.path_prefix)
-
-                self._day.run_operator(operator, patch)
-
-            self._day.at(at_s + 0.01 * at, begin)
-
-    def send_invalid(self, at_s: float) -> None:
-        """A configuration with two routes at one place, and one that is cut short."""
-        operator = self._day.operators[0]
-
-        async def send() -> None:
-            base = operator.configuration
-            twin = self._day.deployment.configuration(self._day.editions.next())
-            routes = (*twin.routes, self._route("twin", twin.routes[0].path_prefix))
-            double = type(twin)(twin.edition, routes, twin.services)
-            body = json.dumps(configuration_document(double)).encode()
-            await operator.put_invalid(double, body, base.edition)
-            await operator.put_invalid(twin, body[: len(body) // 2], base.edition)
-
-        self._day.at(at_s, lambda: self._day.run_operator(operator, send))
-
-    def _route(self, name: str, path_prefix: str = "") -> Route:
-        to = (WeightedService(self._day.deployment.service, 1.0),)
-        return Route(
-            f"r-{name}", HOST, path_prefix or f"/{name}/", RouteKind.STREAMING, 5000.0, 1000.0, 2, to,
-            attempts=2, pinned=True, resumable=True, pause_objective_ms=400.0,
-        )  # fmt: skip
-
-    def probe_all(self, path_prefix: str) -> None:
-        """One request to each proxy that is up, on a route."""
-        kind = RequestKind("probe", HOST, path_prefix, True, 5.0, 1.0, 0.4, ((1, 50),), 50, 5, 20, 0)
-        ports = self._day.deployment.ports
-        for at, proxy in enumerate(self._day.proxies):
-            machine = self._day.clients[at % len(self._day.clients)]
-            program = machine.program
-            if proxy.is_up and isinstance(program, ClientProgram):
-                machine.run(partial(program.client.probe, kind, (proxy.spot.ip, ports.clients)))
-
     # The book.
 
     def _do(
--- a/coveport/system/simulation/world.py
+++ b/coveport/system/simulation/world.py
@@ -22,7 +22,7 @@
     coordinator_settings,
     proxy_settings,
 )
-from coveport.system.simulation.disk import SimulatedDisk, SimulatedWriter
+from coveport.system.simulation.disk import SimulatedDisk
 from coveport.system.simulation.figures import KindFigures, figures
 from coveport.system.simulation.happenings import Book, ProxyStarted, Verdict
 from coveport.system.simulation.judge import judge
@@ -31,9 +31,15 @@
 from coveport.system.simulation.operator import EditionNumbers, Operator, OrderNumbers
 from coveport.system.simulation.places import OUTSIDE, PlacedNetwork, SimulatedWays
 from coveport.system.simulation.registration import Registration
-from coveport.system.simulation.traffic import drive
+from coveport.system.simulation.stand_in_programs import (
+    Asks,
+    ClientProgram,
+    NodeProgram,
+    SimulatedNode,
+    open_simulated,
+    run_nothing,
+)
 from coveport.system.simulation.zones import Zone
-from coveport.system.storage.opening import Opened, open_store
 
 FIRST_ORDER_S: Final = 1.0  # after the machines' start
 READ_BACK_S: Final = 4.0
@@ -65,15 +71,6 @@
         return sum(one.in_time for one in self.kinds.values()) / asked if asked else 0.0
 
 
-class SimulatedNode:
-    """A node's machine: its present incarnation and that one's heartbeats."""
-
-    def __init__(self, machine: Machine) -> None:
-        self.machine = machine
-        self.server: ModelServer | None = None
-        self.registration: Registration | None = None
-
-
 class SimulatedDeployment:
     """All machines of one deployment."""
 
@@ -85,22 +82,28 @@
         self.book = Book()
         self.chance = Random(f"day {seed}")
         self.began_s = self.world.now
+        self._zones_by_ip: dict[str, Zone] = {}  # of all coordinators that there ever were
         self.coordinators = [self._make_coordinator(at) for at in range(len(deployment.zones))]
         self.proxies = self._make_all(deployment.proxies, "proxy", 100, self._run_proxy)
         self.nodes = [
-            SimulatedNode(one) for one in self._make_all(deployment.nodes, "node", 50, self._run_node)
+            SimulatedNode(one, deployment.service)
+            for one in self._make_all(deployment.nodes, "node", 50, self._run_node)
         ]
         self.clients = self._make_all(deployment.clients, "client", 200, self._run_client, outside=True)
         self.editions = EditionNumbers(Random(f"editions {seed}"))
         self._numbers = OrderNumbers()
+        self._operator_machines: dict[Operator, Machine] = {}
         self.operators = [self.make_operator(at) for at in range(2)]
+        self.traffic_until_s = self.began_s  # until the day is played
         self._listed: list[tuple[float, list[str]]] = []  # coordinators' IPs that ran, by time
 
     # Making.
 
     def _make_coordinator(self, at: int) -> Machine:
         zone = self.deployment.zones[at]
-        spot = MachineSpot(f"coordinator-{zone.name}", f"10.{at + 1}.0.13", zone)
+        made = len(self._zones_by_ip) + 1
+        spot = MachineSpot(f"coordinator-{zone.name}-{made}", f"10.{at + 1}.0.{12 + made}", zone)
+        self._zones_by_ip[spot.ip] = zone
         place = self.network.place(spot.ip, at)
         return Machine(self.network, spot, place, self._run_coordinator, f"{self.seed}", SimulatedDisk())
 
@@ -140,7 +143,7 @@
         told, spot = self.deployment, machine.spot
         bounds = told.bounds
         server_figures = NodeFigures(
-            told.service, (spot.ip, told.ports.node), spot.zone.name, spot.zone.region, told.engine,
+            node.service, (spot.ip, told.ports.node), spot.zone.name, spot.zone.region, told.engine,
             warm_up_rate=told.warm_up_rate,
             falls_over_above=told.warm_up_rate * bounds.cold_overshoot + bounds.cold_slack,
         )  # fmt: skip
@@ -162,23 +165,30 @@
             machine.net, told, partial(self.listed_lookups, zone), self.book, chance,
             self.deployment.engine.tokens_per_event,
         )  # fmt: skip
-        return ClientProgram(self, client, machine, chance)
+        rates = tuple((kind, rate / len(self.clients)) for kind, rate in self.deployment.rates)
+        return ClientProgram(client, machine, Asks(rates, self.traffic_until_s, self.seed))
+
+    def replace_coordinator(self, old: Machine) -> Machine:
+        """Another machine, with an empty disk and at another address, in place of one that is gone."""
+        new = self._make_coordinator(self.deployment.zones.index(old.spot.zone))
+        self.coordinators[self.coordinators.index(old)] = new
+        return new
 
     def make_operator(self, number: int) -> Operator:
         """One more operator."""
         zone = self.deployment.zones[0]
         spot = MachineSpot(f"operator-{number + 1}", f"10.200.0.{number + 1}", zone)
         place = self.network.place(spot.ip, OUTSIDE)
-        machine = Machine(self.network, spot, place, _run_nothing, f"{self.seed}")
+        machine = Machine(self.network, spot, place, run_nothing, f"{self.seed}")
         machine.start()
         chance = Random(f"operator {number} {self.seed}")
         operator = Operator(machine.net, self.listed_control, self.book, chance, self._numbers)
-        self.__dict__.setdefault("operator_machines", {})[operator] = machine
+        self._operator_machines[operator] = machine
         return operator
 
     def run_operator(self, operator: Operator, work: Callable[[], object]) -> None:
         """Have an operator do something."""
-        self.__dict__["operator_machines"][operator].run(work)
+        self._operator_machines[operator].run(work)
 
     # The outside list of coordinators, which lags.
 
@@ -199,8 +209,7 @@
 
     def listed_lookups(self, zone: Zone) -> list[Address]:
         """Where clients of a zone ask, near ones first."""
-        near = {one.spot.ip: one.spot.zone.farness(zone) for one in self.coordinators}
-        ips = sorted(self._listed_ips(), key=lambda ip: near[ip])
+        ips = sorted(self._listed_ips(), key=lambda ip: self._zones_by_ip[ip].farness(zone))
         return [(ip, self.deployment.ports.lookups) for ip in ips]
 
     # A day.
@@ -249,60 +258,3 @@
         breaches = tuple(judge(self.book, self.deployment.bounds))
         trace = hashlib.blake2b(self.network.trace.encode(), digest_size=8).hexdigest()
         return DayResult(self.book, breaches, figures(self.book, OBJECTIVES), problems, trace)
-
-
-class NodeProgram:
-    """A node's life as a machine's program."""
-
-    def __init__(self, server: ModelServer, registration: Registration, cold_s: float) -> None:
-        self._server, self._registration, self._cold_s = server, registration, cold_s
-
-    async def start(self) -> None:
-        """Serve and report."""
-        await self._server.start(self._cold_s)
-        self._registration.start()
-
-    async def stop(self) -> None:
-        """End at once, by plan."""
-        self._server.end(planned=True)
-
-
-class ClientProgram:
-    """A client's asking as a machine's program."""
-
-    def __init__(self, day: SimulatedDeployment, client: Client, machine: Machine, chance: Random) -> None:
-        self._day, self.client, self._machine, self._chance = day, client, machine, chance
-
-    async def start(self) -> None:
-        """Ask until the day's traffic ends."""
-        day = self._day
-        for kind, rate in day.deployment.rates:
-            one_rate = rate / max(1, len(day.clients))
-            chance = Random(f"{self._machine.spot.name} {kind.name} {day.seed}")
-            self._machine.run(
-                partial(drive, self._machine.net, self.client, kind, one_rate, day.traffic_until_s, chance)
-            )
-
-    async def stop(self) -> None:
-        """Nothing is held."""
-
-
-class _Nothing:
-    """A program that does nothing by itself."""
-
-    async def start(self) -> None:
-        """Nothing."""
-
-    async def stop(self) -> None:
-        """Nothing."""
-
-
-def _run_nothing(machine: Machine, first_boot: bool, log: Any, chance: Random) -> _Nothing:
-    return _Nothing()
-
-
-def open_simulated(machine: Machine, first_boot: bool, chance: Random) -> Opened:
-    """What a machine's disk holds, and a writer on it."""
-    assert machine.disk is not None
-    store, durable = open_store(machine.disk, first_boot, chance.randbytes)
-    return Opened(durable, SimulatedWriter(machine.net, machine.disk, store))
--- a/coveport/system/wire/names.py
+++ b/coveport/system/wire/names.py
@@ -61,6 +61,12 @@
     FORWARD_TO: Final = "ForwardTo"
     ACCEPTING: Final = "accepting"
     CLOSING: Final = "closing"
+    SOFTWARE: Final = "Edition"  # of the node
+    PHASE: Final = "Phase"
+    MODELS: Final = "Models"
+    MODEL_NAME: Final = "Name"
+    WEIGHTS: Final = "Edition"  # of a model
+    ADAPTERS: Final = "Adapters"
 
 
 class Lookup:
--- a/tests/system/simulation/stub_core.py
+++ b/tests/system/simulation/stub_core.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from coveport.http1.codec import Request
-from coveport.lab.virtual.world import Process, World
+from coveport.lab.virtual.world import World
 from coveport.net.address import Address
 from coveport.system.model.configuration import (
     Configuration,
@@ -21,7 +21,14 @@
 from coveport.system.simulation.exchange import ServerConnection
 from coveport.system.simulation.happenings import Book
 from coveport.system.simulation.model_server import ModelServer, NodeFigures
-from coveport.system.simulation.places import OUTSIDE, PlacedNet, PlacedNetwork, SimulatedWays
+from coveport.system.simulation.places import (
+    OUTSIDE,
+    PlacedNet,
+    PlacedNetwork,
+    SimulatedProcess,
+    SimulatedWays,
+    run_in,
+)
 from coveport.system.simulation.registration import Registration
 from coveport.system.simulation.zones import Delays, Zone
 
@@ -111,21 +118,19 @@
         ways = SimulatedWays(ZONES, Delays(), Random(f"ways {seed}"))
         self.network = PlacedNetwork(self.world, ways)
         self.book = Book()
-        self.processes: list[Process] = []
+        self.processes: list[SimulatedProcess] = []
         self.core = StubCore(self.net("10.9.0.1", 0), ("10.9.0.1", 7000))
         self.run_in(self.core, self.core.start)
 
     def net(self, address: str, zone: int) -> PlacedNet:
         """A machine with one process."""
-        process = Process.start(self.world, address)
+        process = SimulatedProcess.begin(self.world, address)
         self.processes.append(process)
         place = self.network.places.get(address) or self.network.place(address, zone)
         return PlacedNet(process, self.network, place)
 
     def run_in(self, owner: object, work: Callable[[], object]) -> None:
         """Have a process run something."""
-        from coveport.system.simulation.places import run_in
-
         net = owner.__dict__["_net"]
         run_in(net.process, work)
 
