--- a/coveport/system/cli/app.py
+++ b/coveport/system/cli/app.py
@@ -2,28 +2,15 @@
 
 from __future__ import annotations
 
-import os
-import sys
-
 import cyclopts
 
-from coveport.system.wire.names import SETTINGS_VARIABLE
-
-NO_SETTINGS = 2  # exit code
+from coveport.system.cli.roles import run_role
 
 app = cyclopts.App(
     name="coveport-system", help="Serving for language models across regions.", version_flags=[]
 )
 
 
-def _settings_path(given: str | None) -> str:
-    path = given or os.environ.get(SETTINGS_VARIABLE)
-    if not path:
-        print(f"coveport: name a settings file, or set {SETTINGS_VARIABLE}", file=sys.stderr)
-        raise SystemExit(NO_SETTINGS)
-    return path
-
-
 @app.command
 def coordinator(settings: str | None = None) -> int:
     """Run a coordinator: keeps the configuration, knows nodes and proxies.
@@ -34,9 +21,7 @@
         The boot settings (TOML); without it, the file that COVEPORT_NODE_FILE names.
 
     """
-    from coveport.system.coordinator.process import run
-
-    return run(_settings_path(settings))
+    return run_role("coordinator", settings)
 
 
 @app.command
@@ -49,9 +34,7 @@
         The boot settings (TOML); without it, the file that COVEPORT_NODE_FILE names.
 
     """
-    from coveport.system.proxy.process import run
-
-    return run(_settings_path(settings))
+    return run_role("proxy", settings)
 
 
 # Imported only when one is called: a role's start must not pay for them.
--- a/coveport/system/coordinator/core.py
+++ b/coveport/system/coordinator/core.py
@@ -44,7 +44,9 @@
 class CoreRuntime:
     """One member of the core, alive."""
 
-    def __init__(self, net: Net, member: CoreMember, writer: RecordWriter, hooks: CoreHooks, log: Any) -> None:
+    def __init__(
+        self, net: Net, member: CoreMember, writer: RecordWriter, hooks: CoreHooks, log: Any
+    ) -> None:
         self._net, self.member, self._writer, self._hooks, self._log = net, member, writer, hooks, log
         self._waiting: dict[int, asyncio.Future[Outcome]] = {}
         self._request = 0
--- a/coveport/system/coordinator/lookup_calls.py
+++ b/coveport/system/coordinator/lookup_calls.py
@@ -16,7 +16,11 @@
     """Handlers of the clients' calls."""
 
     def __init__(
-        self, leases: LeaseTable, now_s: Callable[[], float], is_connected: Callable[[], bool], ttl_s: float = TTL_S
+        self,
+        leases: LeaseTable,
+        now_s: Callable[[], float],
+        is_connected: Callable[[], bool],
+        ttl_s: float = TTL_S,
     ) -> None:
         self._leases, self._now_s, self._is_connected, self._ttl_s = leases, now_s, is_connected, ttl_s
 
--- a/coveport/system/coordinator/node_calls.py
+++ b/coveport/system/coordinator/node_calls.py
@@ -74,7 +74,16 @@
     if findings or state is None:
         return Refusal(str(findings), tuple(findings))
     return Node(
-        incarnation, int(sequence), service, address, zone, regions[zone], int(slots), state, cold_left_ms, leaves_in_ms
+        incarnation,
+        int(sequence),
+        service,
+        address,
+        zone,
+        regions[zone],
+        int(slots),
+        state,
+        cold_left_ms,
+        leaves_in_ms,
     )
 
 
--- a/coveport/system/coordinator/process.py
+++ b/coveport/system/coordinator/process.py
@@ -33,6 +33,8 @@
 from coveport.system.web.server import CallServer
 from coveport.system.wire.connection import Connection
 from coveport.system.wire.messages import (
+    AsksElsewhere,
+    CoordinatorPlace,
     Hello,
     LeasesRenewed,
     Message,
@@ -82,10 +84,15 @@
         self.core = CoreRuntime(net, self._member, opened.writer, hooks, log)
         settle_s = 2.5 * settings.heartbeat_ms / 1000
         self.standing = CoordinatorStanding(
-            net.now_s, lambda: self._member.has_quorum(net.now_s()), settle_s, self._known_coordinators
+            net.now_s, lambda: self._member.has_quorum(net.now_s()), settle_s, self._live_coordinators
         )
         self.subscriptions = Subscriptions(
-            net, self.table, f"{chance.getrandbits(64):016x}", self.leases, self.history, self.standing,
+            net,
+            self.table,
+            f"{chance.getrandbits(64):016x}",
+            self.leases,
+            self.history,
+            self.standing,
             self._share_leases,
         )
         copies = min(settings.tolerated.machines, max(0, len(seeds) - 1))
@@ -145,7 +152,7 @@
             "core": self._member.describe(),
             "connected": self.standing.is_connected(),
             "state_sequence": self.history.sequence,
-            "coordinators": list(self._known_coordinators()),
+            "coordinators": [one.address for one in self._live_coordinators()],
             "proxies": [
                 {"name": lease.name, "address": lease.address, "zone": lease.zone, "ready": lease.ready}
                 for lease in self.leases.live(now)
@@ -163,8 +170,9 @@
             ],
         }
 
-    def _known_coordinators(self) -> tuple[str, ...]:
-        return self._member.known_coordinators(self._net.now_s())
+    def _live_coordinators(self) -> tuple[CoordinatorPlace, ...]:
+        places = self._member.live_places(self._net.now_s())
+        return tuple(CoordinatorPlace(address, place.zone, place.region) for address, place in places.items())
 
     def _came(self, connection: Connection, message: Message) -> None:
         match message:
@@ -172,6 +180,8 @@
                 connection.peer = message
             case UpdateRequest():
                 self.subscriptions.ask(connection, message)
+            case AsksElsewhere():
+                self.subscriptions.left(connection)
             case _ if isinstance(connection.peer, Hello):
                 self._peers.heard(connection.peer, message)
 
--- a/coveport/system/coordinator/reports.py
+++ b/coveport/system/coordinator/reports.py
@@ -30,8 +30,13 @@
     """Takes reports here and shares them."""
 
     def __init__(
-        self, net: Net, table: NodeTable, send: Callable[[str, Message], None], live_peers: Callable[[], list[str]],
-        copies: int, on_news: Callable[[], None],
+        self,
+        net: Net,
+        table: NodeTable,
+        send: Callable[[str, Message], None],
+        live_peers: Callable[[], list[str]],
+        copies: int,
+        on_news: Callable[[], None],
     ) -> None:
         """`copies`: how many other coordinators must hold a `closing` before it is acknowledged."""
         self._net, self._table, self._send, self._live_peers = net, table, send, live_peers
--- a/coveport/system/coordinator/standing.py
+++ b/coveport/system/coordinator/standing.py
@@ -4,13 +4,18 @@
 
 from collections.abc import Callable
 
+from coveport.system.wire.messages import CoordinatorPlace
+
 
 class CoordinatorStanding:
     """Kept from the replication core's word, looked at several times a second."""
 
     def __init__(
-        self, now_s: Callable[[], float], has_quorum: Callable[[], bool], settle_s: float,
-        coordinators: Callable[[], tuple[str, ...]],
+        self,
+        now_s: Callable[[], float],
+        has_quorum: Callable[[], bool],
+        settle_s: float,
+        coordinators: Callable[[], tuple[CoordinatorPlace, ...]],
     ) -> None:
         """`settle_s`: after so long in touch, every node that lives has been heard of."""
         self._now_s, self._has_quorum, self._settle_s = now_s, has_quorum, settle_s
@@ -34,10 +39,8 @@
 
     def is_settled(self) -> bool:
         """In touch, and for long enough to know every node."""
-        return (
-            self._connected_from_s is not None and self._now_s() - self._connected_from_s >= self._settle_s
-        )
+        return self._connected_from_s is not None and self._now_s() - self._connected_from_s >= self._settle_s
 
-    def coordinators(self) -> tuple[str, ...]:
-        """Inner addresses of the live coordinators, this one included."""
+    def coordinators(self) -> tuple[CoordinatorPlace, ...]:
+        """The live coordinators, this one included."""
         return self._coordinators()
--- a/coveport/system/coordinator/subscriptions.py
+++ b/coveport/system/coordinator/subscriptions.py
@@ -12,7 +12,7 @@
 from coveport.system.membership.leases import LeaseTable
 from coveport.system.membership.node_table import NodeTable, TableChanges
 from coveport.system.wire.connection import Connection
-from coveport.system.wire.messages import StateChange, Update, UpdateRequest
+from coveport.system.wire.messages import CoordinatorPlace, StateChange, Update, UpdateRequest
 
 HOLD_S = 0.4  # an ask without news is answered after so long; the next one renews the lease
 CHANGES_KEPT = 64  # commands from which differences are told; further back the whole state is
@@ -27,8 +27,8 @@
     def is_settled(self) -> bool:
         """Whether it has been so for long enough to know every node."""
 
-    def coordinators(self) -> tuple[str, ...]:
-        """Inner addresses of all live coordinators."""
+    def coordinators(self) -> tuple[CoordinatorPlace, ...]:
+        """All live coordinators, this one included."""
 
 
 @dataclass(slots=True)
@@ -91,8 +91,14 @@
         if self._has_news(request):
             self._answer(connection)
 
+    def left(self, connection: Connection) -> None:
+        """A proxy asks elsewhere from now on."""
+        waiting = self._waiting.pop(connection, None)
+        if waiting is not None:
+            waiting.timer.cancel()
+
     def ended(self, connection: Connection) -> None:
-        """A connection is over: its proxy was killed, or asks elsewhere now."""
+        """A connection broke: its proxy was most likely killed."""
         waiting = self._waiting.pop(connection, None)
         if waiting is None:
             return
--- a/coveport/system/log.py
+++ b/coveport/system/log.py
@@ -4,9 +4,24 @@
 
 import sys
 from collections.abc import Callable
+from types import ModuleType
 from typing import Any
 
-import structlog
+
+def _import_structlog() -> ModuleType:
+    """structlog without rich, which it would load for tracebacks on terminals: 70 ms and 6 MB that no role uses."""
+    hidden = "rich" not in sys.modules
+    if hidden:
+        sys.modules["rich"] = None  # type: ignore[assignment]  # an import of it fails, which structlog expects
+    try:
+        import structlog
+    finally:
+        if hidden:
+            del sys.modules["rich"]
+    return structlog
+
+
+structlog: Any = _import_structlog()
 
 BURST = 20  # lines of one event ...
 SPAN_S = 10.0  # ... in this long; what is left out is counted and said with the next one
@@ -34,7 +49,9 @@
         return event
 
 
-def make_log(now_s: Callable[[], float], level: int = 20, write: Callable[[str], object] | None = None) -> Any:
+def make_log(
+    now_s: Callable[[], float], level: int = 20, write: Callable[[str], object] | None = None
+) -> Any:
     """A logger of `log.info("event_name", key=value)`; `level` as in `logging`."""
     renderer = structlog.processors.LogfmtRenderer(key_order=["at", "level", "event"], drop_missing=True)
 
--- a/coveport/system/proxy/process.py
+++ b/coveport/system/proxy/process.py
@@ -13,6 +13,7 @@
 from coveport.system.membership.leases import ProxyLease
 from coveport.system.model.findings import Refusal
 from coveport.system.model.view import ControlView
+from coveport.system.proxy.coordinator_choice import CoordinatorChoice
 from coveport.system.proxy.data_path import DataPath
 from coveport.system.proxy.readiness import ReadinessCalls
 from coveport.system.proxy.subscription import Subscription
@@ -37,7 +38,8 @@
         self._life = int(net.unix_s() * 1000)
         seeds = [f"{host}:{settings.inner_ports[0]}" for host, _ in settings.seeds]
         chance.shuffle(seeds)
-        self.subscription = Subscription(net, self.view, tuple(seeds), self._make_lease, log, chance)
+        choice = CoordinatorChoice(settings.zone, settings.region, tuple(seeds))
+        self.subscription = Subscription(net, self.view, choice, self._make_lease, log, chance)
         self._readiness: CallServer | None = None
         if settings.readiness is not None:
             calls = CallTable(ReadinessCalls(self.is_ready))
--- a/coveport/system/proxy/prompt_parts.py
+++ b/coveport/system/proxy/prompt_parts.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -58,8 +59,21 @@
         return kept
 
     def prefer(self, parts: tuple[PromptPart, ...], one: str, other: str) -> str | None:
-        """The node that keeps more; None: neither."""
+        """The node that keeps more; where that is equal the one that all proxies agree on; None: no parts."""
         one_keeps, other_keeps = self.kept_tokens(parts, one), self.kept_tokens(parts, other)
-        if one_keeps == other_keeps:
+        if one_keeps != other_keeps:
+            return one if one_keeps > other_keeps else other
+        shared = shared_part(parts)
+        if shared is None:
             return None
-        return one if one_keeps > other_keeps else other
+        return max(one, other, key=lambda incarnation: _agreed_rank(shared, incarnation))
+
+
+def shared_part(parts: tuple[PromptPart, ...]) -> PromptPart | None:
+    """The last part that other requests have too: the very last belongs to the request itself."""
+    return parts[-2] if len(parts) > 1 else None
+
+
+def _agreed_rank(part: PromptPart, incarnation: str) -> int:
+    """Rendezvous hashing: every proxy ranks the nodes alike, and each part ranks them differently."""
+    return zlib.crc32(f"{part.id}/{incarnation}".encode())
--- a/coveport/system/proxy/subscription.py
+++ b/coveport/system/proxy/subscription.py
@@ -20,13 +20,14 @@
 from coveport.system.model.findings import Refusal
 from coveport.system.model.node import Node, NodeState
 from coveport.system.model.view import ControlView, KnownNode
+from coveport.system.proxy.coordinator_choice import CoordinatorChoice
 from coveport.system.wire.connection import Connection, connect
-from coveport.system.wire.messages import Message, StateChange, Update, UpdateRequest
+from coveport.system.wire.messages import AsksElsewhere, Message, StateChange, Update, UpdateRequest
 
 CONNECT_S = 0.5
 ANSWER_S = 1.2  # a coordinator that has not answered by then is left
-PAUSE_S = 0.1  # before another one is tried, growing ...
-PAUSE_MOST_S = 0.5
+PAUSE_S = 0.05  # before another one is tried, growing ...
+PAUSE_MOST_S = 0.25
 TOMBSTONES_MOST = 4096
 PROXIES_UNKNOWN = 32  # assumed until a coordinator has told how many there may be
 
@@ -38,15 +39,14 @@
         self,
         net: Net,
         view: ControlView,
-        seeds: tuple[str, ...],
+        choice: CoordinatorChoice,
         make_lease: Callable[[int], ProxyLease],
         log: Any,
         chance: random.Random,
     ) -> None:
-        """`seeds`: inner addresses to begin with, the nearest first. `make_lease`: the lease for a round."""
+        """`make_lease`: the lease for a round."""
         self._net, self._view, self._make_lease, self._log, self._chance = net, view, make_lease, log, chance
-        self._seeds = seeds
-        self._coordinators: tuple[str, ...] = ()
+        self._choice = choice
         self._state: ControlState = initial_state()
         self._sequence = -1
         self._table, self._node_revision = "", -1
@@ -72,53 +72,61 @@
 
     async def _run(self) -> None:
         pause_s = PAUSE_S
-        refused: set[str] = set()
         while True:
-            for address in self._order(refused):
-                before = self.answered_at_s
-                connection = await connect(self._net, parse_address(address), self._came, CONNECT_S)
-                if connection is not None:
-                    await self._ask_on(connection, address)
-                    connection.drop()
+            before = self.answered_at_s
+            for address in self._choice.order(self._net.now_s()):
+                await self._ask_at(address)
                 if self.answered_at_s > before:
-                    refused, pause_s = {address}, PAUSE_S
                     break
-            else:
-                refused = set()
+            pause_s = PAUSE_S if self.answered_at_s > before else min(2 * pause_s, PAUSE_MOST_S)
             await asyncio.sleep(pause_s * self._chance.uniform(0.5, 1.5))
-            pause_s = min(2 * pause_s, PAUSE_MOST_S)
 
-    def _order(self, refused: set[str]) -> list[str]:
-        """Coordinators to try: the seeds' order first (near ones), the one that was just left last."""
-        known = [*self._seeds, *self._coordinators]
-        unique = list(dict.fromkeys(known))
-        return [one for one in unique if one not in refused] + [one for one in unique if one in refused]
-
-    async def _ask_on(self, connection: Connection, address: str) -> None:
-        """Ask on one connection until it fails or its coordinator has lost touch."""
+    async def _ask_at(self, address: str) -> None:
+        """Ask one coordinator until it fails, going over to nearer ones as they are told of."""
+        connection = await self._connect(address)
+        while connection is not None:
+            nearer = await self._ask_on(connection, address)
+            if nearer is None:
+                self._choice.failed(address, self._net.now_s())
+                connection.drop()
+                return
+            other = await self._connect(nearer)
+            if other is not None:
+                connection.send(AsksElsewhere())
+                connection.close()
+                connection, address = other, nearer
+
+    async def _connect(self, address: str) -> Connection | None:
+        connection = await connect(self._net, parse_address(address), self._came, CONNECT_S)
+        if connection is None:
+            self._choice.failed(address, self._net.now_s())
+        return connection
+
+    async def _ask_on(self, connection: Connection, address: str) -> str | None:
+        """Ask on one connection; a nearer coordinator to go to, or None where this one failed."""
         while not self._answers.empty():
             self._answers.get_nowait()
         while connection.is_open:
             self._round += 1
-            connection.send(
-                UpdateRequest(
-                    self._make_lease(self._round),
-                    self._table,
-                    self._node_revision,
-                    self._sequence,
-                    self._round,
-                )
-            )
+            connection.send(self._request())
             try:
                 async with asyncio.timeout(ANSWER_S):
                     update = await self._next_answer()
             except TimeoutError:
                 self._log.warning("coordinator_silent", coordinator=address)
-                return
+                return None
             self._take(update)
             if not update.connected:
-                self._log.warning("coordinator_out_of_touch", coordinator=address)
-                return
+                self._log.debug("coordinator_out_of_touch", coordinator=address)
+                return None
+            nearer = self._choice.better_than(address, self._net.now_s())
+            if nearer is not None:
+                return nearer
+        return None
+
+    def _request(self) -> UpdateRequest:
+        lease = self._make_lease(self._round)
+        return UpdateRequest(lease, self._table, self._node_revision, self._sequence, self._round)
 
     async def _next_answer(self) -> Update:
         while True:
@@ -135,7 +143,7 @@
         if update.connected:
             self.answered_at_s = now
         if update.coordinators:
-            self._coordinators = update.coordinators
+            self._choice.learned(update.coordinators)
         changed = self._take_state(update, now)
         changed |= self._take_nodes(update, now)
         self._take_proxy_count(update)
--- a/coveport/system/wire/connection.py
+++ b/coveport/system/wire/connection.py
@@ -11,7 +11,9 @@
 from coveport.system.wire.frames import FrameReader, write_frame
 from coveport.system.wire.messages import CODEC, Message
 
-HELD_MOST = 16 * 1024 * 1024  # bytes unsent, beyond which further messages are dropped: the peer does not read
+HELD_MOST = (
+    16 * 1024 * 1024
+)  # bytes unsent, beyond which further messages are dropped: the peer does not read
 
 Receiver = Callable[["Connection", Message], None]
 
@@ -65,14 +67,24 @@
             return
         transport.write(frame)
 
+    def close(self) -> None:
+        """End it once all that was sent is on its way."""
+        if self._transport is not None:
+            self._transport.close()
+
     def drop(self) -> None:
         """End it at once."""
         if self._transport is not None:
             self._net.reset(self._transport)
 
 
-async def connect(net: Net, address: Address, on_message: Receiver, within_s: float,
-                  on_end: Callable[[Connection], None] | None = None) -> Connection | None:
+async def connect(
+    net: Net,
+    address: Address,
+    on_message: Receiver,
+    within_s: float,
+    on_end: Callable[[Connection], None] | None = None,
+) -> Connection | None:
     """A new connection, or None where it did not come up in time."""
     made: list[Connection] = []
 
--- a/coveport/system/wire/messages.py
+++ b/coveport/system/wire/messages.py
@@ -56,6 +56,11 @@
     round: int
 
 
+@dataclass(frozen=True, slots=True)
+class AsksElsewhere:
+    """A proxy's last word on a connection: it has gone to a nearer coordinator; its lease stays."""
+
+
 @dataclass(frozen=True, slots=True)
 class StateChange:
     """One committed command, to be applied to the state before it."""
@@ -64,6 +69,15 @@
     command: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class CoordinatorPlace:
+    """Where a live coordinator stands."""
+
+    address: str  # its inner address
+    zone: str
+    region: str
+
+
 @dataclass(frozen=True, slots=True)
 class Update:
     """The answer: what is newer, or nothing after a while."""
@@ -79,7 +93,7 @@
     state_sequence: int
     state: bytes | None  # the whole acknowledged state
     changes: tuple[StateChange, ...]  # or what led there from the sequence asked with
-    coordinators: tuple[str, ...]  # inner addresses
+    coordinators: tuple[CoordinatorPlace, ...]  # those that are alive, the sender included
     proxies_at_most: int  # 0: not known yet
 
 
@@ -93,6 +107,7 @@
         LeasesRenewed,
         UpdateRequest,
         Update,
+        AsksElsewhere,
         *REPLICATION_MESSAGES,
     )
 )
