--- a/coveport/system/proxy/data_path.py
+++ b/coveport/system/proxy/data_path.py
@@ -15,6 +15,7 @@
 from coveport.system.proxy.exchange import RETRY_AFTER_S, Exchange, Tools
 from coveport.system.proxy.headers import first
 from coveport.system.proxy.node_health import NodeHealth
+from coveport.system.proxy.node_pace import NodePace
 from coveport.system.proxy.node_pool import SWEEP_S, NodePool
 from coveport.system.proxy.prompt_parts import read_parts
 from coveport.system.proxy.retry_budget import RetryBudget
@@ -56,9 +57,10 @@
         bounds = settings.bounds
         self._pool = NodePool(net, settings.region)
         self._health = NodeHealth(random)
+        self._pace = NodePace()
         self._warm_up = WarmUpCredit(bounds.cold_overshoot, bounds.cold_slack, random)
         self._trials: set[asyncio.Task[None]] = set()
-        selection = NodeSelection(view, settings.region, random, self._health, self._warm_up, self._pool)
+        selection = NodeSelection(view, settings.region, random, self._health, self._warm_up, self._pool, self._pace)
         budget = RetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
         self._tools = Tools(net, view, random, self._pool, selection, budget, WaitingQueues(), self._counters)
         self.is_draining = False
@@ -180,6 +182,11 @@
         self._health.forget_all_but(known)
         self._warm_up.forget_all_but(known)
         self._pool.sweep(known.__contains__)
+        self._pace.forget_all_but(known)
+        for incarnation in self._pace.silent(self._net.now_s()):
+            self._counters.add("silent")
+            self._pace.note_reached(incarnation, self._net.now_s())  # counted anew, beside the trials
+            self._health.note_unreachable(incarnation, self._net.now_s())
         for incarnation in self._health.due_trials(self._net.now_s()):
             task = self._net.loop.create_task(self._try(incarnation))
             self._trials.add(task)
@@ -194,5 +201,6 @@
         self._counters.add("trials")
         if await self._pool.try_connect(found.node):
             self._health.note_good_end(incarnation)
+            self._pace.note_reached(incarnation, self._net.now_s())
         else:
             self._health.note_unreachable(incarnation, self._net.now_s())
--- a/coveport/system/proxy/exchange.py
+++ b/coveport/system/proxy/exchange.py
@@ -209,7 +209,11 @@
         try:
             if not self._hand_over(known, connection, chosen_s):
                 return Ended.NOT_SENT
-            ended = await self._answered(known, connection)
+            self._watch_pace(known, connection)
+            try:
+                ended = await self._answered(known, connection)
+            finally:
+                tools.selection.pace.note_ended(node.incarnation)
             is_whole = ended in (Ended.DONE, Ended.NOT_RUN)
             return ended
         finally:
@@ -219,6 +223,19 @@
             else:
                 tools.pool.drop(node, connection)
 
+    def _watch_pace(self, known: KnownNode, connection: NodeConnection) -> None:
+        """Note when bytes of this answer come."""
+        net, pace, incarnation = self.tools.net, self.tools.selection.pace, known.node.incarnation
+        before_s: float | None = None
+
+        def heard() -> None:
+            nonlocal before_s
+            now_s = net.now_s()
+            pace.note_heard(incarnation, None if before_s is None else now_s - before_s, now_s)
+            before_s = now_s
+
+        connection.on_heard = heard
+
     def _hand_over(self, known: KnownNode, connection: NodeConnection, chosen_s: float) -> bool:
         """Write the request; False where nothing was sent after all."""
         tools, now_s = self.tools, self.tools.net.now_s()
--- a/coveport/system/proxy/node_connection.py
+++ b/coveport/system/proxy/node_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from coveport.http1 import codec
 from coveport.net.transport import Net
@@ -38,6 +39,7 @@
         self.is_suspect = False  # it brought an answer to another request: used no further
         self.idle_since_s = 0.0
         self.heard_at_s = 0.0
+        self.on_heard: Callable[[], None] | None = None  # called when bytes of the present answer come
 
     # As asyncio calls it.
 
@@ -52,6 +54,8 @@
             self.close()
             return
         self.heard_at_s = self._net.now_s()
+        if self.on_heard is not None:
+            self.on_heard()
         self._parser.feed(data)
         if len(self._parser.held) > MOST_HELD and self._transport is not None and not self._paused:
             self._paused = True
@@ -150,6 +154,7 @@
     def release(self, now_s: float) -> bool:
         """The answer is whole: whether the connection can carry another request."""
         self._in_use = False
+        self.on_heard = None
         self.idle_since_s = now_s
         broken = self._ended or self._paused or self._parser.begun or self.is_suspect
         if broken or not self._keeps:
--- a/coveport/system/proxy/selection.py
+++ b/coveport/system/proxy/selection.py
@@ -11,6 +11,7 @@
 from coveport.system.model.view import ControlView, KnownNode
 from coveport.system.proxy.levels import less_busy_of_two
 from coveport.system.proxy.node_health import NodeHealth
+from coveport.system.proxy.node_pace import NodePace
 from coveport.system.proxy.node_pool import NodePool
 from coveport.system.proxy.prompt_parts import PartMemory, PromptPart
 from coveport.system.proxy.routing import Levels, is_open, open_nodes, split_levels
@@ -45,6 +46,7 @@
     health: NodeHealth
     warm_up: WarmUpCredit
     pool: NodePool
+    pace: NodePace
     parts: PartMemory = field(default_factory=PartMemory)
     in_flight: dict[str, int] = field(default_factory=dict)  # this proxy's requests by incarnation
 
@@ -54,11 +56,18 @@
         nodes = open_nodes(self.view, service.name, wanted.route.home_regions, now_s)
         others = [known for known in nodes if known.node.incarnation not in broke_at]
         levels = split_levels(others or nodes, self.region)
-        candidates = levels.first(
-            lambda known: self._has_place(known, service, now_s) and not self._is_out(known, now_s)
+        longest_pause_s = wanted.route.pause_objective_ms / 1000
+
+        def is_usable(known: KnownNode) -> bool:
+            return self._has_place(known, service, now_s) and not self._is_out(known, now_s)
+
+        def is_swift(known: KnownNode) -> bool:
+            incarnation = known.node.incarnation
+            return is_usable(known) and not self.pace.is_saturated(incarnation, longest_pause_s, now_s)
+
+        candidates = (
+            levels.first(is_swift) or levels.first(is_usable) or self._last_resort(levels, service, now_s)
         )
-        if not candidates:
-            candidates = self._last_resort(levels, service, now_s)
         if not candidates:
             return NoNode.ALL_FULL if nodes else NoNode.NONE_OPEN
         by_incarnation = {known.node.incarnation: known for known in candidates}
@@ -110,6 +119,7 @@
         if now_s > chosen_s + LATE_S:
             self.warm_up.note_send(known, wanted.service, self.view, now_s)
         self.parts.note_sent(wanted.parts, known.node.incarnation)
+        self.pace.note_sent(known.node.incarnation, now_s)
 
     def note_end(self, known: KnownNode) -> None:
         """The request is off the node."""
