--- a/coveport/system/simulation/schedules.py
+++ b/coveport/system/simulation/schedules.py
@@ -12,6 +12,7 @@
 from coveport.system.simulation.world import DayResult, SimulatedDeployment
 
 LENGTH_S: Final = 16.0
+QUIET_S: Final = 8.0  # after the traffic, and after a final fault: what is read back must be there by then
 MOST_TROUBLES: Final = 4
 LAST_BEGIN_S: Final = 9.0  # no trouble begins later, so that the end of each is seen
 
@@ -210,4 +211,5 @@
     for at, drawn in enumerate(draw_troubles(seed)):
         draw = DRAWS.get(drawn.name) or CLOSINGS[drawn.name]
         draw(day, troubles, drawn.at_s, Random(f"trouble {seed} {at}"))
+    day.quiet_s = QUIET_S
     return day.play(LENGTH_S), day
--- a/coveport/system/simulation/world.py
+++ b/coveport/system/simulation/world.py
@@ -24,7 +24,15 @@
 )
 from coveport.system.simulation.disk import SimulatedDisk
 from coveport.system.simulation.figures import KindFigures, figures
-from coveport.system.simulation.happenings import Book, ProxyStarted, Verdict
+from coveport.system.simulation.happenings import (
+    Book,
+    OrderEnded,
+    OrderSent,
+    ProxyStarted,
+    TryEnded,
+    TrySent,
+    Verdict,
+)
 from coveport.system.simulation.judge import judge
 from coveport.system.simulation.machines import Machine
 from coveport.system.simulation.model_server import ModelServer, NodeFigures
@@ -46,6 +54,7 @@
 SETTLE_S: Final = 16.0  # after the traffic: the longest request has ended
 START_SPREAD_S: Final = 0.3
 LOOK_LIST_S: Final = 0.1
+LOOK_END_S: Final = 0.25  # how often it is looked whether all has ended
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +104,7 @@
         self._operator_machines: dict[Operator, Machine] = {}
         self.operators = [self.make_operator(at) for at in range(2)]
         self.traffic_until_s = self.began_s  # until the day is played
+        self.quiet_s = 1.0  # that follow the traffic whatever has ended
         self._listed: list[tuple[float, list[str]]] = []  # coordinators' IPs that ran, by time
 
     # Making.
@@ -235,11 +245,25 @@
         self.world.at(self.began_s + START_SPREAD_S, self._look_list)
         first = self.operators[0]
         self.world.at(self.began_s + FIRST_ORDER_S, self.run_operator, first, self._put_first)
-        self.world.run(self.traffic_until_s + SETTLE_S)
+        self.world.run(self.traffic_until_s + self.quiet_s)
+        self._run_while(self._is_asking, SETTLE_S)
         self.run_operator(first, lambda: first.read(READ_BACK_S))
-        self.world.run(self.world.now + 2 * READ_BACK_S)
+        self._run_while(self._is_ordering, 2 * READ_BACK_S)
         return self._result()
 
+    def _run_while(self, wanted: Callable[[], bool], most_s: float) -> None:
+        until_s = self.world.now + most_s
+        while self.world.now < until_s:
+            self.world.run(min(until_s, self.world.now + LOOK_END_S))
+            if not wanted():
+                return
+
+    def _is_asking(self) -> bool:
+        return len(self.book.of(TryEnded)) < len(self.book.of(TrySent))
+
+    def _is_ordering(self) -> bool:
+        return len(self.book.of(OrderEnded)) < len(self.book.of(OrderSent))
+
     async def _put_first(self) -> None:
         operator = self.operators[0]
         configuration = self.deployment.configuration(self.editions.next())
