--- a/coveport/system/simulation/happenings.py
+++ b/coveport/system/simulation/happenings.py
@@ -220,8 +220,9 @@
 class TroubleBegan:
     """Something is done to a machine, or to the links between machines.
 
-    `machines`: names of those that are not in touch meanwhile; `core`: it makes the core unstable; `planned`:
-    a stop by SIGTERM, an evacuation and the like.
+    `machines`: names of those that are not in touch meanwhile; `core`: it makes the core unstable;
+    `core_machines`: those of the core that do not run, connected and at full speed; `planned`: a stop
+    by SIGTERM and the like.
     """
 
     at_s: float
@@ -230,6 +231,7 @@
     machines: tuple[str, ...] = ()
     core: bool = False
     planned: bool = False
+    core_machines: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/coveport/system/simulation/machines.py
+++ b/coveport/system/simulation/machines.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import Any, Protocol
+from typing import Any, Final, Protocol
 
 from coveport.lab.virtual.wires import Place
 from coveport.system.log import make_log
@@ -12,6 +12,8 @@
 from coveport.system.simulation.disk import SimulatedDisk
 from coveport.system.simulation.places import PlacedNet, PlacedNetwork, SimulatedProcess, run_in
 
+RESTART_S: Final = 0.5  # from a process' end to its next start
+
 
 class Program(Protocol):
     """What runs on a machine."""
@@ -38,6 +40,7 @@
         self.log_lines: list[str] = []
         self.problems: list[dict[str, Any]] = []
         self.lives = 0
+        self.own_ends = 0  # lives that ended by themselves
         self.is_gone = False  # taken away for good
         self._network, self._make, self._seed = network, make, seed
         self._process: SimulatedProcess | None = None
@@ -68,12 +71,23 @@
         chance = Random(f"{self._seed} {self.spot.name} {self.lives}")
         log = make_log(self._net.now_s, write=self.log_lines.append)
 
-        def begin() -> object:
-            self.program = self._make(self, first_boot, log, chance)
-            return self.program.start()
+        async def begin() -> None:
+            try:
+                self.program = self._make(self, first_boot, log, chance)
+                await self.program.start()
+            except OSError as refused:  # as of a disk that refuses: the platform starts it again
+                self.log_lines.append(f"ended: {refused}")
+                world = self._network.world
+                world.at(world.now, self._ended_by_itself, process)
 
         run_in(process, begin)
 
+    def _ended_by_itself(self, process: SimulatedProcess) -> None:
+        if process.alive:
+            process.kill()
+            self.own_ends += 1
+            self._network.world.at(self._network.world.now + RESTART_S, self.start)
+
     def kill(self) -> None:
         """End its life at once."""
         if self._process is not None:
--- a/tests/system/simulation/test_judge_rules.py
+++ b/tests/system/simulation/test_judge_rules.py
@@ -432,3 +432,38 @@
     found = f"digest of {digest_of} by {digest_of}"
     day.lines[-1] = OrderEnded(50.1, number, verdict, 200, edition, found)
     assert day.rules() == ["CONFIG"] * breaches
+
+
+def core_trouble(day: Day, *machines: str) -> None:
+    """From 29 s on, to the end of the day."""
+    day.lines.append(TroubleBegan(29.0, 1, "kill", machines, True, False, machines))
+
+
+def test_an_unstable_core_widens_the_bound_on_configurations(day: Day) -> None:
+    moved = (place("/once/", "reader"), place("/often/", "scribe", idempotent=True))
+    day.order(30.0, Order.PUT, 2, moved, based_on=1)
+    core_trouble(day, "coordinator-1")
+    day.served(38.0, "within the wider bound")
+    assert day.rules() == []
+    day.served(39.0, "late")
+    assert day.rules() == ["CONFIG"]
+
+
+def test_an_unstable_core_widens_the_bound_on_evacuations(day: Day) -> None:
+    day.order(30.0, Order.EVACUATE, zone="hall-a")
+    core_trouble(day, "coordinator-1")
+    day.served(41.0, "within the wider bound")
+    assert day.rules() == []
+    day.served(41.2, "late")
+    assert day.rules() == ["EVAC"]
+
+
+def test_nothing_is_bound_while_half_of_the_core_is_gone_or_the_proxy_itself_is_in_trouble(day: Day) -> None:
+    day.order(30.0, Order.EVACUATE, zone="hall-a")
+    day.served(60.0, "t")
+    core_trouble(day, "coordinator-1", "coordinator-2")
+    assert day.rules() == []
+    day.lines = [one for one in day.lines if not isinstance(one, TroubleBegan)]
+    assert day.rules() == ["EVAC"]
+    day.lines.append(TroubleBegan(58.0, 2, "freeze", ("proxy-1",)))
+    assert day.rules() == []
