--- a/coveport/system/replication/member.py
+++ b/coveport/system/replication/member.py
@@ -144,6 +144,11 @@
         alive = [peer.address for peer in self._parts.peers.alive(now_s)]
         return tuple(sorted([self._parts.own.address, *alive]))
 
+    def live_places(self, now_s: float) -> dict[str, Place]:
+        """Where each live coordinator stands, by inner address; ourselves included."""
+        places = {peer.address: peer.place for peer in self._parts.peers.alive(now_s)}
+        return places | {self._parts.own.address: self._parts.place}
+
     @property
     def contacts(self) -> tuple[str, ...]:
         """Inner addresses to stay connected to, alive or not."""
--- a/coveport/system/replication/primary.py
+++ b/coveport/system/replication/primary.py
@@ -182,10 +182,11 @@
     def _tell_committed(self, now_s: float) -> None:
         parts = self._parts
         committed = Committed(self.view.epoch, parts.learner.sequence)
-        backups = {member.address for member in self.view.replicas}
+        for member in self.view.replicas[1:]:
+            parts.send(member, committed)
+        replica_addresses = {member.address for member in self.view.replicas}
         for peer in parts.peers.alive(now_s):
-            if peer.address in backups:
-                parts.outbox.send(peer.address, committed)
+            if peer.address in replica_addresses:
                 continue
             known = peer.ping.committed if peer.ping else -1
             lesson = parts.learner.lesson(max(known, parts.learner.sequence - 1) if known >= 0 else -1)
--- /dev/null
+++ b/tests/system/replication/core_timings.py
@@ -0,0 +1,186 @@
+"""Measures, in the simulated world, how long it takes from a loss to the next acknowledgement.
+
+`PYTHONPATH=. python tests/system/replication/core_timings.py` prints the table of docs/design/replication.md.
+"""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Callable
+
+from core_history import Call, Verdict
+from core_operators import Operator
+from core_world import Machine, World
+
+from coveport.system.replication.events import HandOver
+from coveport.system.replication.identity import Place
+
+THREE = [Place("a1", "a"), Place("b1", "b"), Place("c1", "c")]
+SIX = [*THREE, Place("a2", "a"), Place("b2", "b"), Place("c2", "c")]
+TRIALS = 30
+TROUBLE_AT_S = 4.0
+WAIT_S = 15.0
+
+
+def kill(world: World, machine: Machine) -> None:
+    """The process dies, and is back after two seconds."""
+    machine.kill()
+    world.after(2.0, machine.start)
+
+
+def power(world: World, machine: Machine) -> None:
+    """The machine loses power."""
+    machine.kill(power=True)
+
+
+def freeze(world: World, machine: Machine) -> None:
+    """The machine stands still for 3.1 s."""
+    machine.freeze()
+    world.after(3.1, machine.thaw)
+
+
+def wipe(world: World, machine: Machine) -> None:
+    """The machine loses its disk and is back after a second."""
+    machine.wipe()
+    world.after(1.0, machine.start)
+
+
+def cut_in(world: World, machine: Machine) -> None:
+    """The machine sends but hears nothing of the others."""
+    world.cuts |= {(other, machine.address) for other in world.machines}
+
+
+def cut_out(world: World, machine: Machine) -> None:
+    """The machine hears but isn't heard by the others."""
+    world.cuts |= {(machine.address, other) for other in world.machines}
+
+
+def cut_off(world: World, machine: Machine) -> None:
+    """The machine is cut off from the others in both ways."""
+    cut_in(world, machine)
+    cut_out(world, machine)
+
+
+def bridge(world: World, machine: Machine) -> None:
+    """The link between primary and backup is cut; the witness reaches both."""
+    assert machine.life is not None
+    view = machine.life.member.view
+    assert view is not None
+    backup = view.replicas[1].address
+    world.cuts |= {(machine.address, backup), (backup, machine.address)}
+
+
+def slow_disk(world: World, machine: Machine) -> None:
+    """A sync takes 25 times as long."""
+    machine.disk.sync_s *= 25
+
+
+def hanging_disk(world: World, machine: Machine) -> None:
+    """The disk hangs for 4 s."""
+    machine.disk.hangs_until_s = world.now_s + 4.0
+
+
+def refusing_disk(world: World, machine: Machine) -> None:
+    """The disk refuses writes."""
+    machine.disk.refuses = True
+
+
+def backup_freezes(world: World, machine: Machine) -> None:
+    """The backup stands still."""
+    assert machine.life is not None
+    view = machine.life.member.view
+    assert view is not None
+    world.machines[view.replicas[1].address].freeze()
+
+
+def stop(world: World, machine: Machine) -> None:
+    """SIGTERM; gone after 0.7 s, back after two more."""
+    life = machine.life
+    assert life is not None
+    machine.deliver(life, HandOver())
+    world.after(0.7, machine.kill)
+    world.after(2.7, machine.start)
+
+
+def all_killed(world: World, machine: Machine) -> None:
+    """All processes are killed, and are back within a second."""
+    for each in world.machines.values():
+        each.kill()
+        world.after(world.random.uniform(0.3, 1.0), each.start)
+
+
+def all_lose_power(world: World, machine: Machine) -> None:
+    """All machines lose power, and are back within a second."""
+    for each in world.machines.values():
+        each.kill(power=True)
+        world.after(world.random.uniform(0.3, 1.0), each.start)
+
+
+TROUBLES: tuple[Callable[[World, Machine], None], ...] = (
+    kill,
+    power,
+    freeze,
+    wipe,
+    cut_in,
+    cut_out,
+    cut_off,
+    bridge,
+    slow_disk,
+    hanging_disk,
+    refusing_disk,
+    backup_freezes,
+    stop,
+    all_killed,
+    all_lose_power,
+)
+
+
+def longest_wait_s(
+    trouble: Callable[[World, Machine], None] | None, region_s: float, places: list[Place], seed: int
+) -> float:
+    """The longest time between two acknowledgements around a trouble, under an operator who writes on and on.
+
+    His own waiting counts: he gives an answer a second before he calls another coordinator.
+    """
+    world = World(seed, places, 1 if len(places) == 3 else 2, region_s)
+    world.start_all()
+    calls: list[Call] = []
+    operator = Operator(world, calls, "o", 0.05)
+    world.run_for(TROUBLE_AT_S)
+    operator.begin()
+    world.run_for(1.0 + world.random.uniform(0.0, 0.5))
+    troubled_at_s = world.now_s
+    machine = world.primary()
+    assert machine is not None
+    if trouble is not None:
+        trouble(world, machine)
+    world.run_for(WAIT_S if trouble is not None else 3.0)
+    ends = [call.ended_s for call in calls if call.verdict is Verdict.TAKEN]
+    after = [end for end in ends if end > troubled_at_s]
+    before = max((end for end in ends if end <= troubled_at_s), default=troubled_at_s)
+    times = [max(before, troubled_at_s), *after] if after else [troubled_at_s, troubled_at_s + WAIT_S]
+    return max(later - earlier for earlier, later in zip(times, times[1:], strict=False))
+
+
+def measure(
+    trouble: Callable[[World, Machine], None] | None, region_s: float, places: list[Place]
+) -> list[float]:
+    """Thirty times, sorted."""
+    return sorted(longest_wait_s(trouble, region_s, places, seed) for seed in range(TRIALS))
+
+
+def main() -> None:
+    """Print the table."""
+    print("| trouble of the primary | 3, 12 ms | 3, 35 ms | 6, 35 ms |")
+    print("|---|---|---|---|")
+    for trouble in (None, *TROUBLES):
+        cells = []
+        for region_s, places in ((0.012, THREE), (0.035, THREE), (0.035, SIX)):
+            waits = measure(trouble, region_s, places)
+            cells.append(f"{statistics.median(waits):.2f}, {waits[-1]:.2f}")
+        name = trouble.__name__.replace("_", " ") if trouble else "none (longest of three seconds)"
+        print(f"| {name} | {' | '.join(cells)} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
