--- a/coveport/system/simulation/try_day.py
+++ b/coveport/system/simulation/try_day.py
@@ -283,7 +283,18 @@
 
 
 def run(seconds: float = DEFAULT_SECONDS, folder: str | None = None, seed: int = 1) -> int:
-    """Play a short day and print it; 0 where no rule broke. `folder`: keeps settings, logs and data there."""
+    """Play a short day on loopback and print it; 0 where no rule broke.
+
+    Parameters
+    ----------
+    seconds
+        How long clients ask.
+    folder
+        Where settings, logs and data are kept; without it they are gone at the end.
+    seed
+        Of what clients ask and when.
+
+    """
     if folder is not None:
         Path(folder).mkdir(parents=True, exist_ok=True)
         return _run(Path(folder), seconds, seed)
