--- a/tests/system/simulation/test_simulated_days.py
+++ b/tests/system/simulation/test_simulated_days.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from coveport.system.simulation.deployment import Deployment
+from coveport.system.simulation.deployment import OFFER, Deployment
+from coveport.system.simulation.engine import EngineFigures
 from coveport.system.simulation.happenings import (
     NodeEnded,
     NodeStarted,
@@ -155,3 +156,49 @@
 def test_a_node_turns_cold_without_notice() -> None:
     result = play(lambda day, troubles: troubles.turn_cold(AT_S, day.nodes[4], 4.0))
     assert result.served_share > 0.95
+
+
+@pytest.mark.parametrize("number", [0, 2])
+def test_a_coordinator_is_replaced_at_a_new_address_and_the_next_loss_is_borne(number: int) -> None:
+    def trouble(day: SimulatedDeployment, troubles: Troubles) -> None:
+        troubles.replace_coordinator(0.5, day.coordinators[number], after_s=1.0)
+        troubles.kill(9.0, day.coordinators[1], for_s=2.0)
+        troubles.add_route(9.3, "added")
+
+    result = play(trouble)
+    assert verdicts(result, Order.PATCH) == [Verdict.ACKNOWLEDGED]
+    assert result.served_share > 0.97
+
+
+def test_a_disk_that_refuses_writes_costs_no_change() -> None:
+    def trouble(day: SimulatedDeployment, troubles: Troubles) -> None:
+        troubles.refusing_disk(AT_S, day.coordinators[0], 4.0)
+        troubles.add_route(AT_S + 0.5, "added")
+
+    result = play(trouble)
+    assert verdicts(result, Order.PATCH) == [Verdict.ACKNOWLEDGED]
+    assert result.served_share == 1.0
+
+
+@pytest.mark.parametrize("fault", ["break_off_share", "garble_share", "surplus_share", "refuse_share"])
+def test_what_nodes_do_wrong_reaches_no_other_answer(fault: str) -> None:
+    def trouble(day: SimulatedDeployment, troubles: Troubles) -> None:
+        for node in day.nodes:
+            troubles.spoil_node(AT_S, node, 5.0, fault, 0.4)
+
+    result = play(trouble)
+    assert result.served_share > 0.6
+
+
+def test_an_address_that_another_service_uses_again_gets_nothing_of_the_old_one() -> None:
+    result = play(lambda day, troubles: troubles.reuse_address(AT_S, day.nodes[0], "other", 2.0))
+    assert [one.service for one in result.book.of(NodeStarted)].count("other") == 1
+    assert result.served_share > 0.9
+
+
+def test_a_burst_beyond_all_slots_is_refused_and_breaks_nothing() -> None:
+    small = EngineFigures(slots=4, queue=4, memory_tokens=80_000)
+    result = play(lambda day, troubles: troubles.burst(AT_S, OFFER, 40.0, 4.0), engine=small)
+    refused = dict(result.kinds["offer"].statuses).get("complete 503", 0)
+    assert refused > 0
+    assert result.kinds["offer"].asked > 150
