--- a/coveport/system/__main__.py
+++ b/coveport/system/__main__.py
@@ -8,7 +8,10 @@
 
 
 def main() -> int:
-    """Carry out `sys.argv`; the exit code. A role by its name alone is started without the command line's library."""
+    """Carry out `sys.argv`; the exit code.
+
+    A role by its name alone is started without the command line's library.
+    """
     if len(sys.argv) == 2 and sys.argv[1] in ROLES:
         return run_role(sys.argv[1], None)
     from coveport.system.cli.app import main as command_line
--- a/coveport/system/cli/roles.py
+++ b/coveport/system/cli/roles.py
@@ -12,7 +12,10 @@
 
 
 def run_role(role: str, settings: str | None) -> int:
-    """Run a role until it is told to stop; the exit code. `settings`: its file; None: the variable names it."""
+    """Run a role until it is told to stop; the exit code.
+
+    `settings`: its file; None: the variable names it.
+    """
     path = settings or os.environ.get(SETTINGS_VARIABLE)
     if not path:
         print(f"coveport: name a settings file, or set {SETTINGS_VARIABLE}", file=sys.stderr)
--- a/coveport/system/coordinator/control.py
+++ b/coveport/system/coordinator/control.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from coveport.net.transport import Net
-from coveport.system.configuration.state import ChangeResult, ControlState, apply, decode_state, encode_state
 from coveport.system.configuration.state import Applied as Taken
+from coveport.system.configuration.state import ChangeResult, ControlState, apply, decode_state, encode_state
 from coveport.system.coordinator.core import CoreRuntime
 from coveport.system.replication.events import (
     Applied,
--- a/coveport/system/coordinator/core.py
+++ b/coveport/system/coordinator/core.py
@@ -1,4 +1,4 @@
-"""Runs the replication core: feeds it time and messages, carries out its effects, hands answers to who asked."""
+"""Runs the replication core: feeds it time and messages, carries out its effects, hands answers out."""
 
 from __future__ import annotations
 
@@ -26,6 +26,7 @@
 )
 from coveport.system.replication.identity import MemberId
 from coveport.system.replication.member import CoreMember
+from coveport.system.replication.messages import Message
 from coveport.system.storage.writer import RecordWriter
 
 TICK_S = 0.05
@@ -63,12 +64,12 @@
         if self._ticking is not None:
             self._ticking.cancel()
 
-    def receive(self, sender: MemberId, message: object) -> None:
+    def receive(self, sender: MemberId, message: Message) -> None:
         """A message of replication came from another coordinator."""
         self._handle(Received(sender, message))
 
     def hand_over(self) -> None:
-        """This process is about to stop."""
+        """Another leads from here on: this process is about to stop."""
         self._handle(HandOver())
 
     async def submit(self, command: bytes) -> Outcome:
--- a/coveport/system/coordinator/operator_calls.py
+++ b/coveport/system/coordinator/operator_calls.py
@@ -1,8 +1,8 @@
 """What operators call: the configuration, zone evacuations, and the state of the core.
 
-Changes are made by the primary; any other coordinator sends the caller there (307), and waits a moment for one while a new
-primary takes over. Whatever is answered here was confirmed by the core: a refusal too, since one that lost
-touch could refuse what has long been taken.
+Changes are made by the primary; any other coordinator sends the caller there (307), and waits a moment for
+one while a new primary takes over. Whatever is answered here was confirmed by the core: a refusal too, since
+one that lost touch could refuse what has long been taken.
 """
 
 from __future__ import annotations
@@ -103,7 +103,7 @@
         return Reply(_SENT_ON, b"", (("Location", f"http://{host}:{self._port}{call.path}"),))
 
 
-def _if_match(call: Call) -> int | None | Reply:
+def _if_match(call: Call) -> int | Reply | None:
     told = call.header(Header.IF_MATCH)
     if told is None:
         return None
--- a/coveport/system/coordinator/reports.py
+++ b/coveport/system/coordinator/reports.py
@@ -1,7 +1,8 @@
-"""Heartbeats and goodbyes of nodes: into the table, on to the other coordinators, and acknowledged when that is safe.
+"""Heartbeats and goodbyes of nodes: into the table, on to other coordinators, acknowledged when that is safe.
 
-`closing` and a goodbye are acknowledged only once as many other coordinators hold them as may be lost at one time: the one that
-acknowledges may be killed in the next millisecond, and proxies must learn of it all the same.
+`closing` and a goodbye are acknowledged only once as many other coordinators hold them as may be lost at
+one time: the one that acknowledges may be killed in the next millisecond, and proxies must learn of it all
+the same.
 """
 
 from __future__ import annotations
--- a/coveport/system/coordinator/standing.py
+++ b/coveport/system/coordinator/standing.py
@@ -1,4 +1,4 @@
-"""What a coordinator may say of itself: whether it is in touch with the core, and has been for long enough."""
+"""What a coordinator may say of itself: whether it is in touch with the core, and for long enough."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
             self._connected_from_s = self._now_s()
 
     def stalled(self) -> None:
-        """This process could not hear for a while: it begins anew."""
+        """Begin anew: for a while this process could not hear."""
         self._connected_from_s = None
 
     def is_connected(self) -> bool:
--- a/coveport/system/log.py
+++ b/coveport/system/log.py
@@ -1,4 +1,7 @@
-"""One line of key=value pairs an event, on standard error. `structlog` renders; at most a few of an event in a while."""
+"""One line of key=value pairs an event, on standard error, rendered by structlog.
+
+At most `BURST` lines of one event are written in `SPAN_S`.
+"""
 
 from __future__ import annotations
 
@@ -9,7 +12,7 @@
 
 
 def _import_structlog() -> ModuleType:
-    """structlog without rich, which it would load for tracebacks on terminals: 70 ms and 6 MB that no role uses."""
+    """Import it without rich, which it would load for tracebacks: 70 ms and 6 MB that no role uses."""
     hidden = "rich" not in sys.modules
     if hidden:
         sys.modules["rich"] = None  # type: ignore[assignment]  # an import of it fails, which structlog expects
--- a/coveport/system/membership/leases.py
+++ b/coveport/system/membership/leases.py
@@ -1,7 +1,7 @@
 """Leases of proxies: a proxy is a member while it renews, by asking any coordinator for updates.
 
-Coordinators tell each other the leases they renewed. `proxies_at_most` counts also the proxies whose lease ended a while ago:
-one that is cut off still spends its share of the budgets that all proxies have together.
+Coordinators tell each other the leases they renewed. `proxies_at_most` counts also the proxies whose lease
+ended a while ago: one that is cut off still spends its share of the budgets that all proxies have together.
 """
 
 from __future__ import annotations
@@ -40,7 +40,7 @@
         self._held: dict[str, _Held] = {}  # by address
 
     def renew(self, lease: ProxyLease, now_s: float, here: bool) -> bool:
-        """Take a renewal, made here or told by another coordinator; whether it changes what clients are told."""
+        """Take a renewal, made here or told by another coordinator; whether clients are told otherwise."""
         known = self._held.get(lease.address)
         if known is not None and (lease.life, lease.round) <= (known.lease.life, known.lease.round):
             return False
@@ -48,7 +48,7 @@
         return known is None or known.lease.ready != lease.ready
 
     def end(self, lease: ProxyLease) -> None:
-        """The proxy's connection broke: it is no member until it asks again; it still counts for the budgets."""
+        """A broken connection: the proxy is no member until it asks again, but counts for the budgets."""
         held = self._held.get(lease.address)
         if held is not None and held.lease == lease:
             held.lease = replace(lease, ready=False)
@@ -64,7 +64,9 @@
 
     def renewed_here_since(self, since_s: float) -> Iterable[ProxyLease]:
         """Leases renewed at this coordinator since then, to tell the others."""
-        return (held.lease for held in self._held.values() if held.renewed_here and held.renewed_at_s > since_s)
+        return (
+            held.lease for held in self._held.values() if held.renewed_here and held.renewed_at_s > since_s
+        )
 
     def proxies_at_most(self) -> int:
         """How many proxies there may be."""
--- a/coveport/system/membership/node_table.py
+++ b/coveport/system/membership/node_table.py
@@ -1,10 +1,11 @@
-"""The table of nodes that a coordinator keeps: what heartbeats say, merged by incarnation and sequence number.
-
-Every coordinator takes heartbeats and passes them on to the others, so no coordinator owns the table: of two reports on an
-incarnation the newer one wins, and `closing` is never undone. Each change gets a revision of this table; who asks with
-the revision that it has is told what changed since. Silence removes a node only while this coordinator itself has been
-able to hear (see `forgive`), and a later heartbeat brings it back; a goodbye leaves a tombstone, and nothing does. Of two
-incarnations at one address the one that was heard last is there: a node that was restarted is known by its new one at once.
+"""The table of nodes that a coordinator keeps: heartbeats, merged by incarnation and sequence number.
+
+Every coordinator takes heartbeats and passes them on to the others, so no coordinator owns the table: of
+two reports on an incarnation the newer one wins, and `closing` is never undone. Each change gets a revision
+of this table; who asks with the revision that it has is told what changed since. Silence removes a node
+only while this coordinator itself has been able to hear (see `forgive`), and a later heartbeat brings it
+back; a goodbye leaves a tombstone, and nothing does. Of two incarnations at one address the one that was
+heard last is there: a node that was restarted is known by its new one at once.
 """
 
 from __future__ import annotations
@@ -70,7 +71,7 @@
         return self._entries.values()
 
     def hear(self, node: Node, now_s: float) -> bool:
-        """Take a report on a node, first-hand or passed on; whether it is news that others must know at once."""
+        """Take a report on a node, first-hand or passed on; whether others must know of it at once."""
         if node.incarnation in self._tombstones:
             return False
         known = self._entries.get(node.incarnation)
@@ -103,7 +104,7 @@
             self._remove(before)
 
     def forgive(self, now_s: float) -> None:
-        """Silence up to now says nothing: this coordinator could not hear (it was frozen, cut off or just started)."""
+        """Silence up to now says nothing: this coordinator was frozen, cut off or just started."""
         for entry in self._entries.values():
             entry.heard_at_s = max(entry.heard_at_s, now_s)
 
@@ -117,7 +118,7 @@
         return silent
 
     def changes_since(self, revision: int, now_s: float) -> TableChanges:
-        """What changed after that revision; the whole table where that is no longer known, or for revision -1."""
+        """What changed after that revision; the whole table where that is not known, or for revision -1."""
         if revision < self._removals_from or revision > self.revision:
             nodes = tuple(entry.as_told_at(now_s) for entry in self._entries.values())
             return TableChanges(self.revision, True, nodes, ())
--- a/coveport/system/model/configuration.py
+++ b/coveport/system/model/configuration.py
@@ -1,4 +1,4 @@
-"""The operator's configuration as the system uses it. Durations are milliseconds where a name ends in `_ms`."""
+"""The operator's configuration as the system uses it. Names that end in `_ms` are of milliseconds."""
 
 from __future__ import annotations
 
--- a/coveport/system/model/findings.py
+++ b/coveport/system/model/findings.py
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """In place of a result: why there is none. Returned, not raised, where refusing is an ordinary outcome."""
+    """In place of a result: why there is none. Returned, not raised, as refusing is an ordinary outcome."""
 
     reason: str
     findings: tuple[Finding, ...] = ()
--- a/coveport/system/model/view.py
+++ b/coveport/system/model/view.py
@@ -25,13 +25,13 @@
 class ControlView:
     """Replaced field by field by the subscription; read by the data path at any moment.
 
-    `configuration` never goes back to an older one. `nodes` holds accepting and closing nodes by incarnation; those
-    gone are removed. `listeners` are called, without arguments, after any change.
+    `configuration` never goes back to an older one. `nodes` holds accepting and closing nodes by incarnation;
+    those gone are removed. `listeners` are called, without arguments, after any change.
     """
 
     configuration: Configuration | None = None
     evacuated_zones: frozenset[str] = frozenset()
-    evacuation_ended_at_s: dict[str, float] = field(default_factory=dict)  # by zone: its nodes may be cold since
+    evacuation_ended_at_s: dict[str, float] = field(default_factory=dict)  # by zone: its nodes may be cold
     nodes: immutables.Map[str, KnownNode] = field(default_factory=immutables.Map)
     proxies_at_most: int = 1  # how many proxies there may be by now, ourselves included, cut off ones too
     listeners: list[Callable[[], None]] = field(default_factory=list)
--- a/coveport/system/proxy/coordinator_choice.py
+++ b/coveport/system/proxy/coordinator_choice.py
@@ -1,7 +1,7 @@
 """Which coordinator a proxy asks: the nearest that is alive, others while that one fails. Pure.
 
-Near ones cost less bytes between zones and regions and answer sooner; which ones are near is known only once a first
-coordinator has told where they all stand.
+Near ones cost less bytes between zones and regions and answer sooner; which ones are near is known only
+once a first coordinator has told where they all stand.
 """
 
 from __future__ import annotations
--- a/coveport/system/proxy/data_path.py
+++ b/coveport/system/proxy/data_path.py
@@ -60,7 +60,9 @@
         self._pace = NodePace()
         self._warm_up = WarmUpCredit(bounds.cold_overshoot, bounds.cold_slack, random)
         self._trials: set[asyncio.Task[None]] = set()
-        selection = NodeSelection(view, settings.region, random, self._health, self._warm_up, self._pool, self._pace)
+        selection = NodeSelection(
+            view, settings.region, random, self._health, self._warm_up, self._pool, self._pace
+        )
         budget = RetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
         self._tools = Tools(net, view, random, self._pool, selection, budget, WaitingQueues(), self._counters)
         self.is_draining = False
--- a/coveport/system/proxy/subscription.py
+++ b/coveport/system/proxy/subscription.py
@@ -1,7 +1,7 @@
-"""Keeps the proxy's view: asks a coordinator with the versions it has, and goes to another when that one fails.
+"""Keeps the proxy's view: asks a coordinator with the versions it has, and another when that one fails.
 
-The asking renews the proxy's lease. The view never goes back: states are taken by rising sequence, reports on nodes by
-incarnation and sequence number. When nobody answers, the proxy serves on with what it has.
+The asking renews the proxy's lease. The view never goes back: states are taken by rising sequence, reports on
+nodes by incarnation and sequence number. When nobody answers, the proxy serves on with what it has.
 """
 
 from __future__ import annotations
--- a/coveport/system/storage/opening.py
+++ b/coveport/system/storage/opening.py
@@ -24,7 +24,9 @@
     writer: RecordWriter
 
 
-def open_store(disk: Disk, first_boot: bool, draw: Callable[[int], bytes]) -> tuple[RecordStore, DurableState]:
+def open_store(
+    disk: Disk, first_boot: bool, draw: Callable[[int], bytes]
+) -> tuple[RecordStore, DurableState]:
     """The store on a disk, and what it held; an empty one gets an identity, synced when this returns.
 
     `draw(n)` gives n random bytes. Raises OSError, ring.NewerFormatError and ValueError.
--- a/coveport/system/web/calls.py
+++ b/coveport/system/web/calls.py
@@ -96,4 +96,6 @@
         if handler is None:
             return json_reply(405, {"Error": "wrong method"})
         query = dict(parse_qsl(parts.query))
-        return await handler(Call(request.method, parts.path, rest, query, request.headers, request.body, local_host))
+        return await handler(
+            Call(request.method, parts.path, rest, query, request.headers, request.body, local_host)
+        )
--- a/coveport/system/wire/codec.py
+++ b/coveport/system/wire/codec.py
@@ -1,7 +1,8 @@
 """Turns frozen dataclasses into bytes and back: a `construct` format is derived from each class' annotations.
 
-Fields may be int (any size), float, bool, str, bytes, enumerations of str, `X | None`, tuples of any one type, and nested dataclasses.
-A `MessageCodec` numbers the classes that it was given in their order; peers must have been given the same ones.
+Fields may be int (any size), float, bool, str, bytes, enumerations of str, `X | None`, tuples of any one
+type, and nested dataclasses. A `MessageCodec` numbers the classes that it was given in their order; peers
+must have been given the same ones.
 """
 
 from __future__ import annotations
--- a/coveport/system/wire/frames.py
+++ b/coveport/system/wire/frames.py
@@ -1,4 +1,4 @@
-"""Frames between our own processes: four bytes of mark and format version, the length, a checksum, then the message."""
+"""Frames between our own processes: mark and format version, length, checksum, then the message."""
 
 from __future__ import annotations
 
--- a/tests/system/cli/test_lazy_verbs.py
+++ b/tests/system/cli/test_lazy_verbs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import subprocess
 import sys
 
@@ -18,7 +19,26 @@
 
 def test_a_role_imports_none_of_the_verbs() -> None:
     ran = subprocess.run([sys.executable, "-c", ROLE], capture_output=True, text=True, check=True)
-    assert ran.stdout.split() == ["coveport.system.cli.app"]
+    assert sorted(ran.stdout.split()) == ["coveport.system.cli.app", "coveport.system.cli.roles"]
+
+
+def test_a_role_by_its_name_alone_imports_no_command_line() -> None:
+    told = "import sys; sys.argv = ['coveport', 'proxy']; from coveport.system.__main__ import main"
+    told += "; print(main(), *[name for name in sys.modules if name.startswith(('coveport.s', 'cyclopts'))])"
+    environment = {name: value for name, value in os.environ.items() if name != "COVEPORT_NODE_FILE"}
+    ran = subprocess.run(
+        [sys.executable, "-c", told], capture_output=True, text=True, check=True, env=environment
+    )
+    code, *loaded = ran.stdout.split()
+    assert code == "2"
+    assert sorted(loaded) == [
+        "coveport.system",
+        "coveport.system.__main__",
+        "coveport.system.cli",
+        "coveport.system.cli.roles",
+        "coveport.system.wire",
+        "coveport.system.wire.names",
+    ]
 
 
 def test_a_verb_imports_no_role() -> None:
--- a/tests/system/membership/test_leases.py
+++ b/tests/system/membership/test_leases.py
@@ -5,7 +5,9 @@
 from coveport.system.membership.leases import COUNTED_S, LEASE_S, LeaseTable, ProxyLease
 
 
-def lease(number: int, zone: str = "z1", region: str = "r1", ready: bool = True, round: int = 1, life: int = 1) -> ProxyLease:
+def lease(
+    number: int, zone: str = "z1", region: str = "r1", ready: bool = True, round: int = 1, life: int = 1
+) -> ProxyLease:
     return ProxyLease(f"p{number}", f"10.0.0.{number}:80", zone, region, ready, round, life)
 
 
--- a/tests/system/membership/test_node_table.py
+++ b/tests/system/membership/test_node_table.py
@@ -1,4 +1,4 @@
-"""The node table: reports are merged, silence counts only where one could hear, differences add up to the whole."""
+"""The node table: merged reports, silence where one could hear, differences that add up to the whole."""
 
 from __future__ import annotations
 
@@ -13,7 +13,9 @@
 SILENCE_S = 5.0
 
 
-def node(incarnation: str = "i-1", sequence: int = 1, state: NodeState = NodeState.ACCEPTING, **other: float) -> Node:
+def node(
+    incarnation: str = "i-1", sequence: int = 1, state: NodeState = NodeState.ACCEPTING, **other: float
+) -> Node:
     return Node(incarnation, sequence, "chat", f"10.0.0.1:{incarnation}", "z1", "r1", 64, state, **other)
 
 
--- a/tests/system/replication/core_timings.py
+++ b/tests/system/replication/core_timings.py
@@ -7,6 +7,7 @@
 
 import statistics
 from collections.abc import Callable
+from itertools import pairwise
 
 from core_history import Call, Verdict
 from core_operators import Operator
@@ -159,7 +160,7 @@
     after = [end for end in ends if end > troubled_at_s]
     before = max((end for end in ends if end <= troubled_at_s), default=troubled_at_s)
     times = [max(before, troubled_at_s), *after] if after else [troubled_at_s, troubled_at_s + WAIT_S]
-    return max(later - earlier for earlier, later in zip(times, times[1:], strict=False))
+    return max(later - earlier for earlier, later in pairwise(times))
 
 
 def measure(
--- /dev/null
+++ b/tests/system/test_packaging.py
@@ -0,0 +1,56 @@
+"""What pyproject.toml says of the serving system is what there is."""
+
+from __future__ import annotations
+
+import ast
+import tomllib
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[2]
+PROJECT = tomllib.loads((ROOT / "pyproject.toml").read_text())
+SOURCES = sorted((ROOT / "coveport" / "system").rglob("*.py"))
+# Where a process gets its randomness from the operating system; everything else is handed a `Random`.
+OWN_RANDOMNESS = {"coordinator/process.py", "proxy/process.py"}
+
+
+def test_every_package_is_installed() -> None:
+    there = {
+        ".".join(made.parent.relative_to(ROOT).parts) for made in (ROOT / "coveport").rglob("__init__.py")
+    }
+    assert len(there) > 30
+    assert there - set(PROJECT["tool"]["setuptools"]["packages"]) == set()
+
+
+def test_the_extra_names_what_the_deployment_installs() -> None:
+    lines = (ROOT / "deploy" / "system-requirements.txt").read_text().splitlines()
+    named = [line for line in lines if line and not line.startswith("#")]
+    assert named == sorted(PROJECT["project"]["optional-dependencies"]["system"])
+
+
+def uses_of_random(source: Path) -> list[str]:
+    """What is taken from the module `random` other than the class, and unseeded generators."""
+    tree = ast.parse(source.read_text())
+    modules = {name.name for node in ast.walk(tree) if isinstance(node, ast.Import) for name in node.names}
+    found = []
+    for node in ast.walk(tree):
+        if isinstance(node, ast.ImportFrom) and node.module == "random":
+            found += [one.name for one in node.names if one.name != "Random"]
+        if "random" in modules and isinstance(node, ast.Attribute) and ast.unparse(node.value) == "random":
+            found += [node.attr] if node.attr[0].islower() else []
+        if isinstance(node, ast.Call) and not node.args and ast.unparse(node.func).endswith("Random"):
+            found.append("Random()")
+    return found
+
+
+@pytest.mark.parametrize("source", SOURCES, ids=lambda path: str(path.relative_to(ROOT / "coveport/system")))
+def test_randomness_comes_from_a_generator_that_is_handed_in(source: Path) -> None:
+    name = str(source.relative_to(ROOT / "coveport" / "system"))
+    assert uses_of_random(source) == (["Random()"] if name in OWN_RANDOMNESS else [])
+
+
+def test_the_look_for_randomness_sees_it(tmp_path: Path) -> None:
+    told = tmp_path / "told.py"
+    told.write_text("import random\nfrom random import choice\nrandom.random()\nrandom.Random()\n")
+    assert sorted(uses_of_random(told)) == ["Random()", "choice", "random"]
--- a/tests/system/wire/test_codec.py
+++ b/tests/system/wire/test_codec.py
@@ -66,7 +66,8 @@
 @given(st.lists(st.binary(max_size=50), max_size=5), st.integers(1, 40))
 def test_frames_survive_any_cutting(payloads: list[bytes], step: int) -> None:
     stream = b"".join(map(write_frame, payloads))
-    reader, came = FrameReader(), []
+    reader = FrameReader()
+    came: list[bytes] = []
     for start in range(0, len(stream), step):
         came.extend(reader.feed(stream[start : start + step]))
     assert came == payloads
