--- a/coveport/system/proxy/node_pace.py
+++ b/coveport/system/proxy/node_pace.py
@@ -2,10 +2,12 @@
 
 Two things empty a level here, beside bad ends (`node_health`):
 
-- a node is *saturated* while the mean pause between the events of this proxy's streams there is more than a part of the longest
-  pause that is in time: prompts are being read in every step, and each further request makes all streams there late;
-- a node is *silent* while it owes this proxy answers and has said nothing at all for `SILENT_S`: its region may be cut off. A
-  request that can't be sent again would be lost there. A connect that comes up ends the suspicion.
+- a node is *saturated* while the mean pause between the events of this proxy's streams there is more than a
+  part of the longest pause that is in time: prompts are being read in every step, and each further request
+  makes all streams there late;
+- a node is *silent* while it owes this proxy answers and has said nothing at all for `SILENT_S`: its region
+  may be cut off. A request that can't be sent again would be lost there. A connect that comes up ends the
+  suspicion.
 """
 
 from __future__ import annotations
@@ -15,7 +17,7 @@
 
 MEMORY_S = 0.7  # time constant of the mean
 LEAST_WEIGHT = 1.5  # events, counted with that memory, that are needed to judge
-SATURATED_PART = 0.5  # of the longest pause that is in time
+SATURATED_PART = 0.15  # of the longest pause that is in time; undisturbed streams pause less than 0.1 of it
 SILENT_S = 0.8
 
 
