--- a/coveport/system/cli/app.py
+++ b/coveport/system/cli/app.py
@@ -44,6 +44,16 @@
 app.command("coveport.system.cli.show:nodes", name="nodes", help="List the nodes.")
 app.command("coveport.system.cli.show:members", name="members", help="List coordinators and proxies.")
 app.command("coveport.system.cli.show:status", name="status", help="Show the state of the core.")
+app.command(
+    "coveport.system.simulation.try_day:run",
+    name="try",
+    help="Play a short day on loopback; 0: no rule broke.",
+)
+app.command(
+    "coveport.system.simulation.simulate:run",
+    name="simulate",
+    help="Play drawn days in simulated time; 0: no rule broke.",
+)
 
 
 def main() -> int:
