--- /dev/null
+++ b/coveport/system/cli/app.py
@@ -0,0 +1,62 @@
+"""The command line: each role, and each verb of the operators, is a subcommand."""
+
+from __future__ import annotations
+
+import cyclopts
+
+from coveport.system.cli.roles import run_role
+
+app = cyclopts.App(
+    name="coveport-system", help="Serving for language models across regions.", version_flags=[]
+)
+
+
+@app.command
+def coordinator(settings: str | None = None) -> int:
+    """Run a coordinator: keeps the configuration, knows nodes and proxies.
+
+    Parameters
+    ----------
+    settings
+        The boot settings (TOML); without it, the file that COVEPORT_NODE_FILE names.
+
+    """
+    return run_role("coordinator", settings)
+
+
+@app.command
+def proxy(settings: str | None = None) -> int:
+    """Run a proxy: takes clients' requests and forwards them to nodes.
+
+    Parameters
+    ----------
+    settings
+        The boot settings (TOML); without it, the file that COVEPORT_NODE_FILE names.
+
+    """
+    return run_role("proxy", settings)
+
+
+# Imported only when one is called: a role's start must not pay for them.
+app.command("coveport.system.cli.check:app", name="check", help="Check a file before it is used.")
+app.command("coveport.system.cli.config:app", name="config", help="Read or change the configuration.")
+app.command("coveport.system.cli.zones:evacuate", name="evacuate", help="Keep requests away from a zone.")
+app.command("coveport.system.cli.show:nodes", name="nodes", help="List the nodes.")
+app.command("coveport.system.cli.show:members", name="members", help="List coordinators and proxies.")
+app.command("coveport.system.cli.show:status", name="status", help="Show the state of the core.")
+app.command(
+    "coveport.system.simulation.try_day:run",
+    name="try",
+    help="Play a short day on loopback; 0: no rule broke.",
+)
+app.command(
+    "coveport.system.simulation.simulate:run",
+    name="simulate",
+    help="Play drawn days in simulated time; 0: no rule broke.",
+)
+
+
+def main() -> int:
+    """Carry out `sys.argv`; the exit code."""
+    result = app()
+    return int(result) if result is not None else 0
--- /dev/null
+++ b/tests/system/proxy/test_prompt_part_memory.py
@@ -0,0 +1,55 @@
+"""Which nodes probably keep which parts of prompts."""
+
+from __future__ import annotations
+
+from coveport.system.proxy.prompt_parts import MOST_PARTS, NODES_PER_PART, PartMemory, PromptPart, read_parts
+
+PARTS = read_parts("5c1e07a2:800,91bd3f06:410, e4402b7d:250")
+
+
+def test_parts_are_read_in_order() -> None:
+    assert (PromptPart("5c1e07a2", 800), PromptPart("91bd3f06", 410), PromptPart("e4402b7d", 250)) == PARTS
+    assert read_parts(None) == read_parts("") == read_parts("5c:x") == read_parts("5c") == ()
+
+
+def test_a_part_counts_only_behind_those_before_it() -> None:
+    memory = PartMemory()
+    memory.note_sent(PARTS[1:], "a")
+    assert memory.kept_tokens(PARTS, "a") == 0
+    memory.note_sent(PARTS[:1], "a")
+    assert memory.kept_tokens(PARTS, "a") == 1460
+    memory.note_sent(PARTS[:2], "b")
+    assert memory.kept_tokens(PARTS, "b") == 1210
+    assert memory.prefer(PARTS, "a", "b") == "a" == memory.prefer(PARTS, "b", "a")
+
+
+def test_where_both_keep_as_much_all_proxies_prefer_the_same_node_and_parts_spread_over_nodes() -> None:
+    """Each proxy has a memory of its own: without an agreed choice every node would read every part."""
+    names = [f"n{number}" for number in range(8)]
+    counts = dict.fromkeys(names, 0)
+    for number in range(400):
+        parts = (PromptPart(f"p{number}", 100), PromptPart("own", 10))
+        preferred = {PartMemory().prefer(parts, "n0", "n1"), PartMemory().prefer(parts, "n1", "n0")}
+        assert len(preferred) == 1
+        best = names[0]
+        for name in names[1:]:
+            best = PartMemory().prefer(parts, best, name) or best
+        counts[best] += 1
+    assert min(counts.values()) > 20
+
+
+def test_a_prompt_without_a_shared_part_leaves_the_tie_to_chance() -> None:
+    assert PartMemory().prefer((), "a", "b") is None
+    assert PartMemory().prefer((PromptPart("own", 10),), "a", "b") is None
+
+
+def test_memory_is_bounded() -> None:
+    memory = PartMemory()
+    for number in range(NODES_PER_PART + 1):
+        memory.note_sent(PARTS, f"n{number}")
+    assert memory.kept_tokens(PARTS, "n0") == 0
+    assert memory.kept_tokens(PARTS, f"n{NODES_PER_PART}") == 1460
+    for number in range(MOST_PARTS):
+        memory.note_sent((PromptPart(f"p{number}", 1),), "n1")
+    assert memory.kept_tokens(PARTS, "n1") == 0
+    assert memory.kept_tokens((PromptPart("p0", 1),), "n1") == 1
