--- a/coveport/system/cli/app.py
+++ b/coveport/system/cli/app.py
@@ -54,6 +54,7 @@
     name="simulate",
     help="Play drawn days in simulated time; 0: no rule broke.",
 )
+app.command("coveport.system.scale.verb:app", name="scale", help="Measure the system at a size.")
 
 
 def main() -> int:
--- a/coveport/system/coordinator/peers.py
+++ b/coveport/system/coordinator/peers.py
@@ -1,7 +1,8 @@
 """Connections to the other coordinators: one dialed to each, and those that they dial.
 
-Messages may be lost; whoever sends repeats what matters. A connection on which a peer says nothing for `SILENT_S`, though it pings
-several times in that, is dropped and dialed anew, so that a cut that has ended does not wait for TCP's long retries.
+Messages may be lost; whoever sends repeats what matters. A connection on which a peer says nothing for
+`SILENT_S`, though it pings several times in that, is dropped and dialed anew, so that a cut that has ended
+does not wait for TCP's long retries.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 from coveport.net.transport import Net
 from coveport.system.wire.connection import Connection, connect
 from coveport.system.wire.messages import Hello, Message
+from coveport.system.wire.traffic import Traffic
 
 CONNECT_S = 0.5
 REDIAL_S = 0.2
@@ -36,8 +38,14 @@
     """All other coordinators by inner address."""
 
     def __init__(
-        self, net: Net, hello: Hello, on_message: PeerReceiver, on_connected: Callable[[str], None]
+        self,
+        net: Net,
+        hello: Hello,
+        on_message: PeerReceiver,
+        on_connected: Callable[[str], None],
+        traffic: Traffic | None = None,
     ) -> None:
+        self._traffic = traffic
         self._net, self._hello, self._on_message, self._on_connected = net, hello, on_message, on_connected
         self._peers: dict[str, _Peer] = {}
 
@@ -80,10 +88,10 @@
         now = self._net.now_s()
         for peer in self._peers.values():
             connection = peer.connection
-            if connection is not None and connection.is_open:
-                if now - max(peer.heard_s, peer.dialed_s) > SILENT_S:
-                    connection.drop()
-                    peer.connection = None
+            silent_s = now - max(peer.heard_s, peer.dialed_s)
+            if connection is not None and connection.is_open and silent_s > SILENT_S:
+                connection.drop()
+                peer.connection = None
             if peer.connection is None or not peer.connection.is_open:
                 self._dial(peer)
 
@@ -108,7 +116,7 @@
     async def _connect(self, peer: _Peer) -> None:
         try:
             connection = await connect(
-                self._net, parse_address(peer.address), self._came, CONNECT_S, self._ended
+                self._net, parse_address(peer.address), self._came, CONNECT_S, self._ended, self._traffic
             )
         finally:
             peer.dialing = None
--- a/coveport/system/coordinator/process.py
+++ b/coveport/system/coordinator/process.py
@@ -26,6 +26,7 @@
 from coveport.system.replication.events import CommittedState
 from coveport.system.replication.identity import MemberId, Place
 from coveport.system.replication.member import CoreMember
+from coveport.system.replication.messages import Message as ReplicationMessage
 from coveport.system.settings.boot import BootSettings
 from coveport.system.settings.reader import read_boot_settings
 from coveport.system.storage.opening import Opened, open_storage
@@ -43,6 +44,7 @@
     TableRequest,
     UpdateRequest,
 )
+from coveport.system.wire.traffic import Traffic
 
 WRONG_SETTINGS = 2  # exit code
 TEND_S = 0.1  # how often connections, leases and silence are looked at
@@ -67,7 +69,8 @@
         self.table = NodeTable(SILENT_HEARTBEATS * settings.heartbeat_ms / 1000)
         self.leases = LeaseTable()
         self.history = StateHistory()
-        self._peers = Peers(net, self._hello, self._peer_said, self._peer_connected)
+        self.traffic = Traffic()
+        self._peers = Peers(net, self._hello, self._peer_said, self._peer_connected, self.traffic)
         self._member = CoreMember(
             self._member_id,
             Place(settings.zone, settings.region),
@@ -120,7 +123,7 @@
     async def start(self) -> None:
         """Listen, and take part in the core."""
         self._listening = await self._net.listen(
-            lambda: Connection(self._net, self._came, self._ended),
+            lambda: Connection(self._net, self._came, self._ended, self.traffic),
             self._settings.inner,
             accept_most=ACCEPT_MOST,
             waiting_most=WAITING_MOST,
@@ -152,6 +155,7 @@
             "core": self._member.describe(),
             "connected": self.standing.is_connected(),
             "state_sequence": self.history.sequence,
+            "traffic": self.traffic.describe(),
             "coordinators": [one.address for one in self._live_coordinators()],
             "proxies": [
                 {"name": lease.name, "address": lease.address, "zone": lease.zone, "ready": lease.ready}
@@ -200,7 +204,7 @@
             case TableRequest():
                 self._reporting.tell_all(hello.address)
                 self._tell_leases(hello.address)
-            case _:
+            case _ if isinstance(message, ReplicationMessage):
                 self.core.receive(MemberId(hello.address, hello.disk), message)
 
     def _peer_connected(self, address: str) -> None:
@@ -211,7 +215,7 @@
         self.subscriptions.news()
 
     def _stalled(self, late_s: float) -> None:
-        """This process stood still: what waits in its connections may be stale, and silence says nothing."""
+        """After a standstill: what waits in our connections may be stale, and silence says nothing."""
         self.standing.stalled()
         self.table.forgive(self._net.now_s())
         for server in self._servers:
--- /dev/null
+++ b/coveport/system/scale/load.py
@@ -0,0 +1,59 @@
+"""The configuration that a scale run puts in force, and the changes that it makes. No I/O."""
+
+from __future__ import annotations
+
+import json
+
+from coveport.system.model.configuration import (
+    Configuration,
+    Engine,
+    Route,
+    RouteKind,
+    Service,
+    WeightedService,
+)
+from coveport.system.scale.sizes import ScaleSize
+from coveport.system.simulation.documents import Change, change_document, configuration_document
+
+HOMED_SHARE = 0.35  # of routes that are bound to a region
+
+
+def service_name(number: int) -> str:
+    """The name of a service."""
+    return f"model-{number:02d}"
+
+
+def make_route(number: int, size: ScaleSize, timeout_ms: float = 15000.0) -> Route:
+    """A tenant's route; every twentieth in seven is bound to a home."""
+    is_homed = (number * 7) % 20 < 20 * HOMED_SHARE
+    return Route(
+        name=f"route-{number:06d}",
+        host=f"tenant-{number:06d}.example",
+        path_prefix=f"/tenant-{number:06d}/",
+        kind=RouteKind.STREAMING,
+        timeout_ms=timeout_ms,
+        objective_ms=1700,
+        precedence=number % 3,
+        services=(WeightedService(service_name(number % size.services), 1.0),),
+        attempts=2,
+        pinned=True,
+        resumable=True,
+        pause_objective_ms=50,
+        home_regions=frozenset({"north", "east"}) if is_homed else frozenset(),
+    )
+
+
+def first_configuration(size: ScaleSize) -> bytes:
+    """The whole configuration, edition 1, as JSON."""
+    routes = tuple(make_route(number, size) for number in range(size.routes))
+    services = tuple(
+        Service(service_name(number), "/health", 370, 3.0, 9.8, Engine(64, 227616, 5))
+        for number in range(size.services)
+    )
+    return json.dumps(configuration_document(Configuration(1, routes, services))).encode()
+
+
+def change_of_edition(edition: int, size: ScaleSize) -> bytes:
+    """A change that replaces one route, as JSON."""
+    route = make_route(edition % size.routes, size, timeout_ms=15000.0 + edition)
+    return json.dumps(change_document(Change(edition, (route,)))).encode()
--- /dev/null
+++ b/coveport/system/scale/machines.py
@@ -0,0 +1,186 @@
+"""All machines of a scale run: which processes there are, how they are started, read and ended."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Iterator
+from os import getpid
+from pathlib import Path
+from typing import Any
+
+from coveport.net.address import Address
+from coveport.net.transport import Net
+from coveport.system.cli.http_call import Failed, HttpCall, send_call
+from coveport.system.scale.load import service_name
+from coveport.system.scale.measures import CoordinatorReading, Counts, Reading
+from coveport.system.scale.processes import RoleProcess, Worker
+from coveport.system.scale.sightings import Sightings
+from coveport.system.scale.sizes import (
+    CORE_ZONES,
+    NODE_WEIGHTS,
+    PROXY_WEIGHTS,
+    SEEDS,
+    ZONES,
+    Addresses,
+    ScaleSize,
+    spread,
+)
+from coveport.system.settings.boot import BootSettings, Tolerated
+from coveport.system.simulation.deployment import (
+    Deployment,
+    MachineSpot,
+    coordinator_settings,
+    proxy_settings,
+)
+from coveport.system.wire.names import Path as WirePath
+
+HOLLOW_PROXIES = "coveport.system.scale.hollow_proxies"
+HOLLOW_NODES = "coveport.system.scale.hollow_nodes"
+STATUS_S = 5.0
+LOSSES_OF_SIX = 2  # machines that a core of six bears at one time
+FIRST_SECOND, SECONDS = 3, 250  # second parts of the runs' addresses
+
+
+class Machines:
+    """The processes of one run."""
+
+    def __init__(self, net: Net, folder: Path, size: ScaleSize) -> None:
+        self._net, self._folder, self.size = net, folder, size
+        self._addresses = Addresses(FIRST_SECOND + getpid() % SECONDS)
+        losses = LOSSES_OF_SIX if size.coordinators == len(CORE_ZONES) else 1
+        self._deployment = Deployment(zones=ZONES, tolerated=Tolerated(losses, 1, 1))
+        self.sightings = Sightings(net.now_s)
+        self.coordinators = [self._coordinator(number) for number in range(size.coordinators)]
+        self.real_proxies = [self._real_proxy(number) for number in range(size.real_proxies)]
+        self.proxy_workers = list(self._workers(HOLLOW_PROXIES, size.proxies, PROXY_WEIGHTS))
+        self.node_workers = list(self._workers(HOLLOW_NODES, size.nodes, NODE_WEIGHTS))
+
+    # Where things are.
+
+    def control(self, number: int) -> Address:
+        """Where operators and nodes call a coordinator."""
+        return self._addresses.coordinator(number), self._deployment.ports.control
+
+    def inner(self, number: int) -> str:
+        """Where our own processes call a coordinator."""
+        return f"{self._addresses.coordinator(number)}:{self._deployment.ports.inner}"
+
+    def coordinators_in(self, zones: set[str]) -> list[int]:
+        """Numbers of the coordinators that stand in some zones."""
+        return [n for n in range(self.size.coordinators) if ZONES[CORE_ZONES[n]].name in zones]
+
+    def workers_in(self, zones: set[str]) -> list[Worker]:
+        """All hollow workers of some zones."""
+        return [one for one in (*self.proxy_workers, *self.node_workers) if one.told["zone"] in zones]
+
+    # Making them.
+
+    def _coordinator(self, number: int) -> RoleProcess:
+        zone = ZONES[CORE_ZONES[number]]
+        spot = MachineSpot(f"coordinator-{number}", self._addresses.coordinator(number), zone)
+        data = str(self._folder / f"{spot.name}.data")
+
+        def settings(first_boot: bool) -> BootSettings:
+            # As on a platform: the seeds found the core, the others are taken in.
+            return coordinator_settings(self._deployment, spot, self._seeds(), data, first_boot)
+
+        return RoleProcess("coordinator", self._folder, settings)
+
+    def _real_proxy(self, number: int) -> RoleProcess:
+        zone = ZONES[number % len(ZONES)]
+        spot = MachineSpot(f"proxy-{number}", self._addresses.real_proxy(number), zone)
+
+        def settings(first_boot: bool) -> BootSettings:
+            return proxy_settings(self._deployment, spot, self._seeds(), first_boot)
+
+        return RoleProcess("proxy", self._folder, settings)
+
+    def _seeds(self) -> tuple[Address, ...]:
+        return tuple(self.control(number) for number in range(SEEDS))
+
+    def _workers(self, module: str, count: int, weights: tuple[float, ...]) -> Iterator[Worker]:
+        address = self._addresses.proxy if module == HOLLOW_PROXIES else self._addresses.node
+        first = 0
+        for zone, part in zip(ZONES, spread(count, weights), strict=True):
+            numbers = range(first, first + part)
+            first += part
+            if not part:
+                continue
+            told = {
+                "zone": zone.name,
+                "region": zone.region,
+                "addresses": [address(number) for number in numbers],
+                "services": [service_name(number % self.size.services) for number in numbers],
+                "seeds": [self.inner(number) for number in range(SEEDS)],
+                "coordinators": ["{}:{}".format(*self.control(n)) for n in range(self.size.coordinators)],
+                "heartbeat_s": self._deployment.heartbeat_ms / 1000,
+            }
+            kind = "proxies" if module == HOLLOW_PROXIES else "nodes"
+            log = self._folder / f"{kind}-{zone.name}.log"
+            yield Worker(module, told, self.sightings.take, log)
+
+    # Their life.
+
+    async def start(self) -> None:
+        """Start all; hollow proxies and nodes wait for their word."""
+        for coordinator in self.coordinators:
+            await coordinator.start()
+        for proxy in self.real_proxies:
+            await proxy.start()
+        for worker in (*self.proxy_workers, *self.node_workers):
+            await worker.start()
+
+    async def end(self) -> None:
+        """End every process that was started here."""
+        roles = [*self.coordinators, *self.real_proxies]
+        workers = [*self.proxy_workers, *self.node_workers]
+        await asyncio.gather(*(one.kill() for one in roles), *(one.end() for one in workers))
+
+    # Reading them.
+
+    async def status(self, number: int) -> dict[str, Any] | None:
+        """What a coordinator says of itself."""
+        answer = await send_call(self._net, self.control(number), HttpCall("GET", WirePath.STATUS), STATUS_S)
+        if isinstance(answer, Failed) or answer.status != 200:
+            return None
+        told: dict[str, Any] = json.loads(answer.body)
+        return told
+
+    async def read(self) -> Reading:
+        """All processes' figures."""
+        numbers = range(self.size.coordinators)
+        statuses = await asyncio.gather(*(self.status(number) for number in numbers))
+        counts = await asyncio.gather(*(worker.count() for worker in self.node_workers))
+        coordinators = {}
+        for number, told in zip(numbers, statuses, strict=True):
+            usage = self.coordinators[number].usage()
+            if told is not None and usage is not None:
+                traffic = told["traffic"]
+                sent, received = _counts(traffic["sent"]), _counts(traffic["received"])
+                name = self.coordinators[number].name
+                coordinators[name] = CoordinatorReading(usage.cpu_s, usage.resident_mb, sent, received)
+        proxies = [worker.usage() for worker in self.proxy_workers]
+        real = {one.name: usage for one in self.real_proxies if (usage := one.usage()) is not None}
+        told_counts = [count for count in counts if count is not None]
+        return Reading(
+            at_s=self._net.now_s(),
+            coordinators=coordinators,
+            proxy_workers_cpu_s=sum(usage.cpu_s for usage in proxies),
+            proxy_workers_mb=sum(usage.resident_mb for usage in proxies),
+            real_proxies_cpu_s={name: usage.cpu_s for name, usage in real.items()},
+            real_proxies_mb={name: usage.resident_mb for name, usage in real.items()},
+            node_workers_cpu_s=sum(worker.usage().cpu_s for worker in self.node_workers),
+            node_calls=sum(count["calls"] for count in told_counts),
+            node_request_bytes=sum(count["request_bytes"] for count in told_counts),
+        )
+
+    def resident_mb(self) -> float:
+        """Memory of all processes of the run."""
+        roles = [usage for one in (*self.coordinators, *self.real_proxies) if (usage := one.usage())]
+        workers = [one.usage() for one in (*self.proxy_workers, *self.node_workers)]
+        return sum(usage.resident_mb for usage in (*roles, *workers))
+
+
+def _counts(told: dict[str, list[int]]) -> Counts:
+    return {kind: (messages, size) for kind, (messages, size) in told.items()}
--- /dev/null
+++ b/coveport/system/scale/meters.py
@@ -0,0 +1,36 @@
+"""What a process has used so far, as the system tells it (Linux)."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+_TICKS_S = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+_USER_TIME_AT, _SYSTEM_TIME_AT = 11, 12  # fields of /proc/PID/stat behind the name
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Processor time since the start, and resident memory now."""
+
+    cpu_s: float
+    resident_mb: float
+
+
+def read_usage(pid: int) -> Usage | None:
+    """What a process has used; None where there is no such process any more."""
+    try:
+        stat = Path(f"/proc/{pid}/stat").read_text(encoding="ascii", errors="replace")
+        pages = Path(f"/proc/{pid}/statm").read_text(encoding="ascii").split()[1]
+    except (OSError, IndexError):
+        return None
+    fields = stat.rpartition(")")[2].split()
+    ticks = int(fields[_USER_TIME_AT]) + int(fields[_SYSTEM_TIME_AT])
+    return Usage(ticks / _TICKS_S, int(pages) * _PAGE_BYTES / 1e6)
+
+
+def memory_of_machine_mb() -> float:
+    """All memory of this machine."""
+    return os.sysconf("SC_PHYS_PAGES") * _PAGE_BYTES / 1e6
--- /dev/null
+++ b/coveport/system/scale/results.py
@@ -0,0 +1,97 @@
+"""What a scale run tells, and its JSON."""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass, field
+from typing import Any
+
+from coveport.system.scale.measures import Delay, WindowRates
+from coveport.system.scale.sizes import ScaleSize
+
+
+@dataclass(frozen=True, slots=True)
+class FaultCounts:
+    """What was done to the system."""
+
+    losses: int = 0
+    restarts: int = 0
+    rack: int = 0  # machines lost at one moment
+    zone_stops: int = 0
+    region_stops: int = 0
+    primary_kills: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ScaleResult:
+    """One run."""
+
+    size: ScaleSize
+    ready_s: float  # from the start of all processes until every proxy knew the configuration and all nodes
+    calm: WindowRates
+    day: WindowRates  # with faults among it
+    change: Delay  # from sending a change until it is in force, over proxies
+    change_acknowledged: Delay  # ... until the operator's answer
+    closing: Delay  # from the acknowledgement of `closing` until a proxy knows it
+    takeover: Delay  # from the kill of a primary to the next acknowledged change
+    faults: FaultCounts
+    memory_mb: float  # of all processes together, at the most
+    problems: tuple[str, ...] = field(default=())  # what did not come about; empty: all did
+
+
+def as_json(result: ScaleResult) -> dict[str, Any]:
+    """The result for scripts."""
+    return dataclasses.asdict(result)
+
+
+Rows = list[tuple[str, str]]
+
+
+def rows(result: ScaleResult) -> Rows:
+    """The result for people: name and value."""
+    size = result.size
+    told: Rows = [
+        ("proxies (hollow + real)", f"{size.proxies} + {size.real_proxies}"),
+        ("nodes", str(size.nodes)),
+        ("coordinators", str(size.coordinators)),
+        ("routes, services", f"{size.routes}, {size.services}"),
+        ("all ready after", f"{result.ready_s:.1f} s"),
+        ("change in force (median, 99th, worst)", _delay(result.change)),
+        ("change acknowledged", _delay(result.change_acknowledged)),
+        ("closing known", _delay(result.closing)),
+        ("primary killed to next acknowledgement", _delay(result.takeover)),
+    ]
+    for name, window in (("calm", result.calm), ("faults", result.day)):
+        told += [(f"{name}: {key}", value) for key, value in _window_rows(window)]
+    faults = dataclasses.asdict(result.faults)
+    told.append(("faults", ", ".join(f"{key} {value}" for key, value in faults.items())))
+    told.append(("memory of all processes", f"{result.memory_mb:.0f} MB"))
+    told += [("problem", problem) for problem in result.problems]
+    return told
+
+
+def _window_rows(window: WindowRates) -> Rows:
+    told = [
+        ("a proxy's control, core", f"{window.proxy_cores:.2%}"),
+        ("a proxy receives", _rate(window.proxy_received.messages_s, window.proxy_received.bytes_s)),
+        ("a proxy sends", _rate(window.proxy_sent.messages_s, window.proxy_sent.bytes_s)),
+        ("a real proxy", f"{window.real_proxy_cores:.2%} of a core, {window.real_proxy_mb:.0f} MB"),
+        ("heartbeats", f"{window.node_calls_s:.0f}/s"),
+    ]
+    for one in window.coordinators:
+        sent, received = one.sent, one.received
+        told.append((one.name, f"{one.cores:.1%} of a core, {one.resident_mb:.0f} MB"))
+        told.append((f"{one.name} sends", _rate(sent.messages_s, sent.bytes_s)))
+        told.append((f"{one.name} receives", _rate(received.messages_s, received.bytes_s)))
+    return told
+
+
+def _rate(messages_s: float, bytes_s: float) -> str:
+    return f"{messages_s:.1f} messages/s, {bytes_s / 1000:.2f} KB/s"
+
+
+def _delay(delay: Delay) -> str:
+    if not delay.count:
+        return "not measured" if not delay.missing else f"never ({delay.missing} missing)"
+    missing = f", {delay.missing} missing" if delay.missing else ""
+    return f"{delay.median_s:.2f}, {delay.p99_s:.2f}, {delay.worst_s:.2f} s of {delay.count}{missing}"
--- /dev/null
+++ b/coveport/system/scale/sloping.py
@@ -0,0 +1,100 @@
+"""Which figure of a scale run grows with what, and what the lines say of the target size. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from statistics import mean
+from typing import Any, Final
+
+from coveport.system.scale.slopes import Line, TooFewPointsError, fit_line
+
+__all__ = ["Slope", "TooFewPointsError", "find_slopes", "slope_rows"]
+
+TARGET_PROXIES, TARGET_NODES = 340, 600
+Result = dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """One figure against one size."""
+
+    figure: str
+    by: str
+    line: Line
+    at_target: float
+
+
+def _mean_of_core(result: Result, pick: Callable[[Result], float]) -> float:
+    return mean(map(pick, result["calm"]["coordinators"]))
+
+
+def _proxies(result: Result) -> float:
+    return float(result["size"]["proxies"] + result["size"]["real_proxies"])
+
+
+def _nodes(result: Result) -> float:
+    return float(result["size"]["nodes"])
+
+
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """One figure of a run, and the size that it grows with."""
+
+    name: str
+    by: str
+    size_of: Callable[[Result], float]
+    value_of: Callable[[Result], float]
+
+
+def _kilo(rate: dict[str, float]) -> float:
+    return rate["bytes_s"] / 1000
+
+
+def _sent(coordinator: Result) -> float:
+    return _kilo(coordinator["sent"])
+
+
+def _proxy_received(window: Result) -> float:
+    return _kilo(window["proxy_received"])
+
+
+def _received(coordinator: Result) -> float:
+    return _kilo(coordinator["received"])
+
+
+FIGURES: Final = (
+    Figure("coordinator, cores", "nodes", _nodes, lambda r: _mean_of_core(r, lambda c: c["cores"])),
+    Figure("coordinator, MB", "nodes", _nodes, lambda r: _mean_of_core(r, lambda c: c["resident_mb"])),
+    Figure("coordinator sends, KB/s", "nodes", _nodes, lambda r: _mean_of_core(r, _sent)),
+    Figure("coordinator receives, KB/s", "nodes", _nodes, lambda r: _mean_of_core(r, _received)),
+    Figure("proxy's control, cores", "proxies", _proxies, lambda r: r["calm"]["proxy_cores"]),
+    Figure("proxy's control with faults, cores", "proxies", _proxies, lambda r: r["day"]["proxy_cores"]),
+    Figure("proxy receives, KB/s", "proxies", _proxies, lambda r: _proxy_received(r["calm"])),
+    Figure("proxy receives with faults, KB/s", "proxies", _proxies, lambda r: _proxy_received(r["day"])),
+    Figure("real proxy, MB", "nodes", _nodes, lambda r: r["day"]["real_proxy_mb"]),
+    Figure("change in force, worst s", "proxies", _proxies, lambda r: r["change"]["worst_s"]),
+    Figure("closing known, worst s", "proxies", _proxies, lambda r: r["closing"]["worst_s"]),
+    Figure("takeover, s", "proxies", _proxies, lambda r: r["takeover"]["worst_s"]),
+)  # fmt: skip
+
+
+def find_slopes(results: Sequence[Result]) -> list[Slope]:
+    """A line for each figure; TooFewPointsError where all runs had one size."""
+    found = []
+    for figure in FIGURES:
+        line = fit_line([(figure.size_of(result), figure.value_of(result)) for result in results])
+        target = TARGET_NODES if figure.by == "nodes" else TARGET_PROXIES
+        found.append(Slope(figure.name, figure.by, line, line.at(target)))
+    return found
+
+
+def slope_rows(results: Sequence[Result]) -> list[tuple[str, ...]]:
+    """The lines for people and scripts."""
+    return [
+        (
+            slope.figure, slope.by, f"{slope.line.base:.4g}", f"{slope.line.slope:.3g}",
+            f"{slope.line.spread:.2g}", f"{slope.at_target:.4g}",
+        )
+        for slope in find_slopes(results)
+    ]  # fmt: skip
--- a/coveport/system/wire/connection.py
+++ b/coveport/system/wire/connection.py
@@ -8,8 +8,9 @@
 from coveport.net.address import Address
 from coveport.net.transport import Net
 from coveport.system.wire.codec import MalformedMessageError
-from coveport.system.wire.frames import FrameReader, write_frame
+from coveport.system.wire.frames import HEADER_BYTES, FrameReader, write_frame
 from coveport.system.wire.messages import CODEC, Message
+from coveport.system.wire.traffic import Traffic
 
 HELD_MOST = (
     16 * 1024 * 1024
@@ -22,9 +23,14 @@
     """One TCP connection; `on_message` is called for each message, `on_end` once at its end."""
 
     def __init__(
-        self, net: Net, on_message: Receiver, on_end: Callable[[Connection], None] | None = None
+        self,
+        net: Net,
+        on_message: Receiver,
+        on_end: Callable[[Connection], None] | None = None,
+        traffic: Traffic | None = None,
     ) -> None:
         self._net, self._on_message, self._on_end = net, on_message, on_end
+        self._traffic = traffic if traffic is not None else Traffic()
         self._reader = FrameReader()
         self._transport: asyncio.Transport | None = None
         self.last_received_s = 0.0
@@ -36,36 +42,44 @@
         return self._transport is not None and not self._transport.is_closing()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Messages can be sent from here on."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self.last_received_s = self._net.now_s()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the owner."""
         self._transport = None
         if self._on_end is not None:
             self._on_end(self)
 
     def data_received(self, data: bytes) -> None:
+        """Hand whole messages to the owner."""
         self.last_received_s = self._net.now_s()
         try:
             for payload in self._reader.feed(data):
-                self._on_message(self, CODEC.decode(payload))
+                message = CODEC.decode(payload)
+                self._traffic.note_received(type(message), HEADER_BYTES + len(payload))
+                self._on_message(self, message)
         except MalformedMessageError:
             self.drop()
 
     def send(self, message: Message) -> None:
         """Send, or drop where the connection is over or the peer does not read."""
-        self.send_encoded(write_frame(CODEC.encode(message)))
+        frame = write_frame(CODEC.encode(message))
+        if self._write(frame):
+            self._traffic.note_sent(type(message), len(frame))
 
-    def send_encoded(self, frame: bytes) -> None:
-        """Send a frame that was made already."""
+    def _write(self, frame: bytes) -> bool:
+        """Whether the frame is on its way."""
         transport = self._transport
         if transport is None or transport.is_closing():
-            return
+            return False
         if transport.get_write_buffer_size() > HELD_MOST:
             self.drop()
-            return
+            return False
         transport.write(frame)
+        return True
 
     def close(self) -> None:
         """End it once all that was sent is on its way."""
@@ -84,12 +98,13 @@
     on_message: Receiver,
     within_s: float,
     on_end: Callable[[Connection], None] | None = None,
+    traffic: Traffic | None = None,
 ) -> Connection | None:
     """A new connection, or None where it did not come up in time."""
     made: list[Connection] = []
 
     def factory() -> Connection:
-        made.append(Connection(net, on_message, on_end))
+        made.append(Connection(net, on_message, on_end, traffic))
         return made[-1]
 
     try:
