--- a/tests/system/cli/test_operator_docs.py
+++ b/tests/system/cli/test_operator_docs.py
@@ -10,10 +10,13 @@
 from coveport.system.cli.app import app
 from coveport.system.cli.exit_codes import ExitCode
 from coveport.system.wire import configuration as wire
+from coveport.system.wire import settings
+from coveport.system.wire.names import SETTINGS_VARIABLE
 
 DOCS = Path(__file__).parents[3] / "docs" / "operators"
 CONFIGURATION = (DOCS / "configuration.md").read_text()
 COMMAND_LINE = (DOCS / "command-line.md").read_text()
+START = (DOCS / "start.md").read_text()
 
 
 def first_cells(text: str, heading: str) -> list[str]:
@@ -53,3 +56,26 @@
 
 def test_every_exit_code_has_its_line() -> None:
     assert first_cells(COMMAND_LINE, "Exit code") == [str(int(code)) for code in ExitCode]
+
+
+def test_every_setting_is_told() -> None:
+    fields = {value for name, value in vars(settings.Boot).items() if name.isupper()}
+    assert len(fields) == 16
+    assert set(re.findall(r"`(\w+)`", " ".join(first_cells(START, "Field")))) == fields
+
+
+@pytest.mark.parametrize("names", [settings.LISTEN, settings.LIMITS, settings.TOLERATED, settings.BOUNDS])
+def test_every_setting_of_a_table_is_told(names: dict[str, str]) -> None:
+    assert [name for name in (*names.values(), SETTINGS_VARIABLE) if f"`{name}`" not in START] == []
+
+
+def test_links_between_pages_lead_somewhere() -> None:
+    pages = [*DOCS.glob("*.md"), *DOCS.parent.glob("*.md"), DOCS.parents[1] / "README.md"]
+    links = [
+        (page, link.partition("#")[0])
+        for page in pages
+        for link in re.findall(r"\]\(([^)]+)\)", page.read_text())
+        if "://" not in link and not link.startswith("#")
+    ]
+    assert len(links) > 30
+    assert [(page.name, link) for page, link in links if not (page.parent / link).exists()] == []
