--- a/coveport/system/proxy/prompt_parts.py
+++ b/coveport/system/proxy/prompt_parts.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import heapq
 import zlib
 from collections import OrderedDict
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 MOST_PARTS = 2048  # that are remembered; those unused the longest are forgotten
@@ -69,6 +71,14 @@
         return max(one, other, key=lambda incarnation: _agreed_rank(shared, incarnation))
 
 
+def keepers(parts: tuple[PromptPart, ...], incarnations: Sequence[str], most: int) -> Sequence[str]:
+    """Of the given nodes the few that all proxies agree on for this prompt's shared part; all, where it has none."""
+    shared = shared_part(parts)
+    if shared is None or len(incarnations) <= most:
+        return incarnations
+    return heapq.nlargest(most, incarnations, key=lambda incarnation: _agreed_rank(shared, incarnation))
+
+
 def shared_part(parts: tuple[PromptPart, ...]) -> PromptPart | None:
     """The last part that other requests have too: the very last belongs to the request itself."""
     return parts[-2] if len(parts) > 1 else None
--- a/coveport/system/proxy/selection.py
+++ b/coveport/system/proxy/selection.py
@@ -13,10 +13,11 @@
 from coveport.system.proxy.node_health import NodeHealth
 from coveport.system.proxy.node_pace import NodePace
 from coveport.system.proxy.node_pool import NodePool
-from coveport.system.proxy.prompt_parts import PartMemory, PromptPart
+from coveport.system.proxy.prompt_parts import PartMemory, PromptPart, keepers
 from coveport.system.proxy.routing import Levels, is_open, open_nodes, split_levels
 from coveport.system.proxy.warm_up import WarmUpCredit
 
+KEEPERS = 2  # nodes of a level that a prompt part is sent to while they are usable
 LATE_S = 0.1  # a request handed over so long after its choice counts a second time for a cold node
 
 
@@ -72,7 +73,7 @@
             return NoNode.ALL_FULL if nodes else NoNode.NONE_OPEN
         by_incarnation = {known.node.incarnation: known for known in candidates}
         chosen = less_busy_of_two(
-            tuple(by_incarnation),
+            keepers(wanted.parts, tuple(by_incarnation), KEEPERS),
             self.in_flight,
             self.random,
             lambda one, other: self.parts.prefer(wanted.parts, one, other),
