--- a/coveport/system/scale/processes.py
+++ b/coveport/system/scale/processes.py
@@ -5,16 +5,14 @@
 import asyncio
 import contextlib
 import json
-import os
 import signal
 import sys
 from collections.abc import Callable
 from pathlib import Path
 
-import coveport
 from coveport.system.scale.meters import Usage, read_usage
 from coveport.system.scale.worker_lines import LINE_MOST, Line
-from coveport.system.simulation.local_processes import LocalProcess
+from coveport.system.simulation.local_processes import LocalProcess, own_variables
 
 COUNT_WITHIN_S = 5.0
 END_WITHIN_S = 3.0
@@ -50,10 +48,9 @@
 
     async def start(self) -> None:
         """Run it; its proxies or nodes wait for `start`."""
-        variables = {**os.environ, "PYTHONPATH": str(Path(coveport.__file__).parent.parent)}
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", self._module, json.dumps(self.told), env=variables,
+                sys.executable, "-m", self._module, json.dumps(self.told), env=own_variables(),
                 stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=log, limit=LINE_MOST,
             )  # fmt: skip
         self._reading = asyncio.get_running_loop().create_task(self._read())
--- a/coveport/system/simulation/local_processes.py
+++ b/coveport/system/simulation/local_processes.py
@@ -18,6 +18,13 @@
 ENDS_WITHIN_S: Final = 3.0  # beyond the time of grace
 
 
+def own_variables() -> dict[str, str]:
+    """The variables of a process of ours: this program is found there, and all that is found here."""
+    root = str(Path(coveport.__file__).parent.parent)
+    found = os.environ.get("PYTHONPATH")
+    return {**os.environ, "PYTHONPATH": os.pathsep.join([root, found] if found else [root])}
+
+
 class LocalProcess:
     """A machine that runs one role, life after life."""
 
@@ -46,8 +53,7 @@
         """Begin a life."""
         self._file.write_text(settings_text(self._settings(self._lives == 0)), encoding="utf-8")
         self._lives += 1
-        root = str(Path(coveport.__file__).parent.parent)
-        variables = {**os.environ, SETTINGS_VARIABLE: str(self._file), "PYTHONPATH": root}
+        variables = {**own_variables(), SETTINGS_VARIABLE: str(self._file)}
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "coveport.system", self._role, env=variables, stdout=log, stderr=log,
