--- a/coveport/system/configuration/json_text.py
+++ b/coveport/system/configuration/json_text.py
@@ -32,9 +32,20 @@
     return data
 
 
+class ObjectWriter:
+    """Writes the canonical text of many values: no spaces, fields in the order in which they came."""
+
+    def __init__(self) -> None:
+        self._encoder = json.JSONEncoder(ensure_ascii=False, allow_nan=False, separators=(",", ":"))
+
+    def write(self, data: Any) -> bytes:
+        """The text of a value."""
+        return self._encoder.encode(data).encode()
+
+
 def write_object(data: Any) -> bytes:
-    """The canonical text: no spaces, fields in the order in which they came."""
-    return json.dumps(data, ensure_ascii=False, allow_nan=False, separators=(",", ":")).encode()
+    """The canonical text of one value."""
+    return ObjectWriter().write(data)
 
 
 def _refusal(message: str) -> Refusal:
--- a/coveport/system/configuration/reader.py
+++ b/coveport/system/configuration/reader.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from functools import lru_cache
 from typing import Any, Final
 
+from coveport.system.configuration.document import Document, NewestDocuments, make_document
 from coveport.system.configuration.form_reader import FormReader
 from coveport.system.configuration.forms import ClientLimitsForm, ConfigurationForm, EngineForm, ServiceForm
 from coveport.system.configuration.json_text import read_object
@@ -16,14 +16,38 @@
 INVALID: Final = "invalid configuration"
 
 
-@lru_cache(maxsize=1)
+_NEWEST: Final = NewestDocuments()
+
+
 def read_configuration(raw: bytes) -> Configuration | Refusal:
-    """The configuration in a JSON text, or why it can't be used, with a finding for each fault.
+    """The configuration in a JSON text, or why it can't be used, with a finding for each fault."""
+    document = read_document(raw)
+    return document if isinstance(document, Refusal) else document.configuration
 
-    The newest result is kept: what checks a change and what then uses it read the same text.
-    """
+
+def read_document(raw: bytes) -> Document | Refusal:
+    """The configuration in a JSON text with its parts; the newest are not read again."""
+    known = _NEWEST.find(raw)
+    if known is not None:
+        return known
     data = read_object(raw)
-    return data if isinstance(data, Refusal) else _read(data)
+    document = data if isinstance(data, Refusal) else check_document(data)
+    if isinstance(document, Document):
+        _NEWEST.remember(raw, document)
+    return document
+
+
+def keep_document(document: Document) -> bytes:
+    """The text of a document, which will not be read again soon."""
+    text = document.text()
+    _NEWEST.remember(text, document)
+    return text
+
+
+def check_document(data: dict[str, Any]) -> Document | Refusal:
+    """A whole configuration as a JSON object, checked."""
+    configuration = _read(data)
+    return configuration if isinstance(configuration, Refusal) else make_document(data, configuration)
 
 
 def _read(data: dict[str, Any]) -> Configuration | Refusal:
--- a/coveport/system/configuration/state.py
+++ b/coveport/system/configuration/state.py
@@ -16,10 +16,10 @@
     decode_command,
     encode_command,
 )
-from coveport.system.configuration.json_text import read_object, write_object
+from coveport.system.configuration.document import Document, changed_routes
+from coveport.system.configuration.json_text import read_object
 from coveport.system.configuration.patch import patch
-from coveport.system.configuration.reader import read_configuration
-from coveport.system.model.configuration import Configuration
+from coveport.system.configuration.reader import check_document, keep_document, read_document
 from coveport.system.model.findings import Finding, Refusal
 from coveport.system.replication.outcomes import Applied, Refused
 from coveport.system.wire.codec import MalformedMessageError, MessageCodec
@@ -149,12 +149,12 @@
     made = _put(command) if isinstance(command, PutConfiguration) else _patch(state, command)
     if isinstance(made, Refusal):
         return _refused(state, INVALID, *made.findings)
-    configuration, text = made
-    if configuration.edition <= state.edition:
+    edition = made.configuration.edition
+    if edition <= state.edition:
         message = f"must be above the current one, which is {state.edition}"
         return _refused(state, INVALID, Finding(Config.EDITION, message))
-    taken = (*state.taken, TakenChange(configuration.edition, digest))[-MOST_TAKEN:]
-    return _applied(replace(state, configuration_text=text, edition=configuration.edition, taken=taken))
+    taken = (*state.taken, TakenChange(edition, digest))[-MOST_TAKEN:]
+    return _applied(replace(state, configuration_text=keep_document(made), edition=edition, taken=taken))
 
 
 def _refused(state: ControlState, status: int, *findings: Finding) -> Refused:
@@ -168,23 +168,28 @@
     return hashlib.blake2b(head + command.body, digest_size=_DIGEST_BYTES).digest()
 
 
-def _put(command: PutConfiguration) -> tuple[Configuration, bytes] | Refusal:
+def _put(command: PutConfiguration) -> Document | Refusal:
     data = read_object(command.body)
-    return data if isinstance(data, Refusal) else _check(data)
+    return data if isinstance(data, Refusal) else check_document(data)
 
 
-def _patch(state: ControlState, command: PatchConfiguration) -> tuple[Configuration, bytes] | Refusal:
+def _patch(state: ControlState, command: PatchConfiguration) -> Document | Refusal:
     change = read_object(command.body)
     if isinstance(change, Refusal):
         return change
-    current = read_object(state.configuration_text or b"{}")
-    assert not isinstance(current, Refusal)  # written by `_check`
-    patched = patch(current, change)
-    return patched if isinstance(patched, Refusal) else _check(patched)
+    return _change_routes(state, change) or _change_whole(state, change)
+
 
+def _change_routes(state: ControlState, change: dict[str, Any]) -> Document | None:
+    """What a change of routes alone makes; None: it is another, or maybe at fault."""
+    if state.configuration_text is None:
+        return None
+    document = read_document(state.configuration_text)
+    return None if isinstance(document, Refusal) else changed_routes(document, change)
 
-def _check(data: dict[str, Any]) -> tuple[Configuration, bytes] | Refusal:
-    """The configuration, and the text that is kept of it."""
-    text = write_object(data)
-    configuration = read_configuration(text)
-    return configuration if isinstance(configuration, Refusal) else (configuration, text)
+
+def _change_whole(state: ControlState, change: dict[str, Any]) -> Document | Refusal:
+    current = read_object(state.configuration_text or b"{}")
+    assert not isinstance(current, Refusal)  # the text of a document
+    patched = patch(current, change)
+    return patched if isinstance(patched, Refusal) else check_document(patched)
--- /dev/null
+++ b/tests/system/configuration/test_changed_routes.py
@@ -0,0 +1,153 @@
+"""A change of some routes makes the same of a configuration as reading and writing the whole does."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from coveport.system.configuration import state as control_state
+from coveport.system.configuration.document import NewestDocuments, changed_routes
+from coveport.system.configuration.reader import read_document
+from coveport.system.configuration.state import (
+    Applied,
+    ControlState,
+    PatchConfiguration,
+    PutConfiguration,
+    Refused,
+    apply_command,
+    initial_state,
+)
+from coveport.system.model.findings import Refusal
+
+NAMES = st.sampled_from(["a", "b", "c", "d", "é"])
+ROUTES = st.fixed_dictionaries(
+    {
+        "Name": NAMES,
+        "Host": st.sampled_from(["one.example", "ONE.example", "two.example"]),
+        "PathPrefix": st.sampled_from(["/", "/x/", "/y/"]),
+        "Kind": st.just("safe"),
+        "DeadlineMs": st.sampled_from([1000, 2000.5]),
+        "Service": st.sampled_from(["s", "t"]),
+    },
+    optional={"Extra": st.sampled_from([None, "ü", {"deep": [1, 2.5e-7]}]), "Tries": st.sampled_from([1, 2])},
+)
+FAULTY = st.sampled_from(
+    [
+        {"Name": "a"},
+        {"Name": 3},
+        "none",
+        {"Name": "a", "Host": "h", "PathPrefix": "x", "Kind": "safe", "DeadlineMs": 0, "Service": "u"},
+    ]
+)
+SERVICES = [{"Name": "s", "MaxConns": 3}, {"Name": "t"}]
+CHANGES = st.fixed_dictionaries(
+    {"Edition": st.sampled_from([8, 9, 9, 9, 7, 0, "9", 9.0, True])},
+    optional={
+        "Upsert": st.one_of(
+            st.fixed_dictionaries(
+                {"Routes": st.lists(ROUTES, max_size=3)}, optional={"Services": st.just([])}
+            ),
+            st.fixed_dictionaries({"Routes": st.lists(st.one_of(ROUTES, FAULTY), max_size=2)}),
+            st.just({"Services": [{"Name": "u"}]}),
+            st.just({"Limits": []}),
+            st.just(None),
+        ),
+        "Remove": st.one_of(
+            st.fixed_dictionaries({"Routes": st.lists(NAMES, max_size=2)}),
+            st.just({"Routes": [1]}),
+            st.just({"Services": ["t"]}),
+        ),
+        "Limits": st.just({"IdleMs": 5}),
+    },
+)
+
+
+def whole(routes: list[dict[str, Any]]) -> bytes:
+    return json.dumps(
+        {"Services": SERVICES, "Edition": 7, "Routes": routes, "Note": "kept", "Limits": {}}
+    ).encode()
+
+
+def put(routes: list[dict[str, Any]]) -> ControlState | None:
+    outcome = apply_command(initial_state(), PutConfiguration(0, whole(routes)))
+    return outcome.state if isinstance(outcome, Applied) else None
+
+
+def apply_by_whole(state: ControlState, command: PatchConfiguration) -> Applied | Refused:
+    """As `apply_command`, reading and writing everything."""
+    with pytest.MonkeyPatch.context() as patched:
+        patched.setattr(control_state, "_change_routes", lambda state, change: None)
+        return apply_command(state, command)
+
+
+@settings(max_examples=600, deadline=None)
+@given(st.lists(ROUTES, max_size=4, unique_by=lambda route: route["Name"]), CHANGES)
+def test_a_change_gives_the_same_state_and_findings_either_way(
+    routes: list[dict[str, Any]], change: dict[str, Any]
+) -> None:
+    state = put(routes)
+    if state is None:
+        return
+    command = PatchConfiguration(7, json.dumps(change, ensure_ascii=False).encode())
+    assert apply_command(state, command) == apply_by_whole(state, command)
+
+
+def route(name: str, prefix: str, **more: Any) -> dict[str, Any]:
+    plain = {"Name": name, "Host": "one.example", "PathPrefix": prefix, "Kind": "safe"}
+    return {**plain, "DeadlineMs": 1000, "Service": "s", **more}
+
+
+def test_changes_of_routes_alone_do_not_need_the_whole() -> None:
+    document = read_document(whole([route("a", "/a/"), route("b", "/b/"), route("c", "/c/")]))
+    assert not isinstance(document, Refusal)
+    upserts = [route("b", "/d/", Tries=2), route("e", "/c/")]
+    change = {
+        "Edition": 9,
+        "Upsert": {"Routes": upserts, "Services": []},
+        "Remove": {"Routes": ["c"], "Services": []},
+    }
+    made = changed_routes(document, change)
+    assert made is not None
+    assert [one.name for one in made.configuration.routes] == ["a", "b", "e"]
+    assert list(json.loads(made.text())) == ["Services", "Edition", "Routes", "Note", "Limits"]
+    assert json.loads(made.text())["Routes"] == [route("a", "/a/"), *upserts]
+
+
+def test_places_that_clash_are_left_to_the_whole_reading() -> None:
+    document = read_document(whole([route("a", "/a/"), route("b", "/b/")]))
+    assert not isinstance(document, Refusal)
+    assert changed_routes(document, {"Edition": 9, "Upsert": {"Routes": [route("e", "/a/")]}}) is None
+    taken_over = {
+        "Edition": 9,
+        "Upsert": {"Routes": [route("e", "/a/")]},
+        "Remove": {"Routes": ["a"]},
+    }
+    assert changed_routes(document, taken_over) is not None
+
+
+def test_the_two_newest_documents_are_kept() -> None:
+    kept = NewestDocuments()
+    document = read_document(whole([]))
+    assert not isinstance(document, Refusal)
+    for text in (b"1", b"2", b"2", b"3"):
+        kept.remember(text, document)
+    assert kept.find(b"1") is None
+    assert kept.find(b"2") is document
+    assert kept.find(b"3") is document
+
+
+def test_a_whole_configuration_is_written_as_it_was_before() -> None:
+    state = put([route("a", "/a/", Extra={"z": "ü", "a": [1.50]})])
+    assert state is not None
+    assert (
+        state.configuration_text
+        == (
+            '{"Services":[{"Name":"s","MaxConns":3},{"Name":"t"}],"Edition":7,"Routes":[{"Name":"a",'
+            '"Host":"one.example","PathPrefix":"/a/","Kind":"safe","DeadlineMs":1000,"Service":"s",'
+            '"Extra":{"z":"ü","a":[1.5]}}],"Note":"kept","Limits":{}}'
+        ).encode()
+    )
