--- a/coveport/system/replication/election.py
+++ b/coveport/system/replication/election.py
@@ -42,6 +42,18 @@
         alive = {member for group in groups for member in group if self._parts.peers.is_alive(member, now_s)}
         return has_majorities(alive, groups)
 
+    def hears_majorities_now(self, view: View, now_s: float) -> bool:
+        """Whether an attempt started now would be answered."""
+        groups = view.groups(self._parts.journal.durable.settled)
+        peers = self._parts.peers
+        fresh = {
+            member
+            for group in groups
+            for member in group
+            if peers.is_alive(member, now_s) and peers.is_fresh(member, now_s)
+        }
+        return has_majorities(fresh, groups)
+
     def is_called(self, view: View | None, now_s: float) -> bool:
         """Whether to start an attempt now."""
         if view is None or self._parts.own not in view.members or self.leader(view, now_s):
@@ -58,7 +70,7 @@
         parts = self._parts
         if now_s < self._not_before_s or not parts.is_usable(parts.own, now_s):
             return False
-        if not self.reaches_majorities(view, now_s):
+        if not self.hears_majorities_now(view, now_s):
             return False
         return not self._is_led_for_others(view, now_s)
 
--- a/coveport/system/replication/member.py
+++ b/coveport/system/replication/member.py
@@ -465,7 +465,7 @@
         is_outvoted = self._outvoted_since_s is not None and now_s - self._outvoted_since_s >= 0.6
         if change is None and is_outvoted:
             change = Change("a member promised a higher epoch", True)
-        if change is None or not self._election.reaches_majorities(primary.view, now_s):
+        if change is None or not self._election.hears_majorities_now(primary.view, now_s):
             return
         if change.is_urgent or now_s - self._last_change_s >= self._parts.timings.change_gap_s:
             self._start_attempt(now_s, change)
--- a/coveport/system/replication/peers.py
+++ b/coveport/system/replication/peers.py
@@ -94,6 +94,14 @@
         peer = self._peers.get(member.address)
         return peer is not None and peer.identity == member and self._is_alive(peer, now_s)
 
+    def is_fresh(self, member: MemberId, now_s: float) -> bool:
+        """Whether it was heard a short while ago, not just within the time after which it's suspected.
+
+        One that hears nobody any more loses its peers one after the other; the last ones look alive a little
+        longer, and an attempt with them would only hold the others up.
+        """
+        return member == self._own or self.silent_s(member, now_s) < self._timings.fresh_s
+
     def is_suspect(self, member: MemberId, now_s: float) -> bool:
         """Whether it has been silent for too long, counted only while we were awake."""
         awake_s = now_s - self.awake_since_s
--- a/coveport/system/replication/timings.py
+++ b/coveport/system/replication/timings.py
@@ -11,6 +11,7 @@
 
     ping_s: float = 0.15
     suspect_s: float = 0.9  # a peer that didn't echo a ping younger than this isn't alive
+    fresh_s: float = 0.6  # a majority heard within this is needed to start an attempt
     disk_s: float = 0.9  # a sync that takes longer makes a disk unwell
     disk_rest_s: float = 3.0  # an unwell disk counts as such for this long after its last trouble
     stagger_s: float = 0.3  # between candidates
--- a/coveport/system/storage/store.py
+++ b/coveport/system/storage/store.py
@@ -24,9 +24,13 @@
         records = [self._decode(data) for data in self._ring.open()]
         self._held = recover(records)
         if records:
-            self._begin()
+            self._begin_after_opening()
         return recover(records)
 
+    def _begin_after_opening(self) -> None:
+        """What was read may not have been synced: a killed process may have left it so."""
+        self._begin()
+
     def append(self, records: Sequence[Record]) -> None:
         """Add records, synced when this returns. After an OSError they are written with the next call."""
         for record in records:
--- /dev/null
+++ b/tests/system/storage/faulty_disk.py
@@ -0,0 +1,122 @@
+"""A disk in memory that loses power after any write or sync, and keeps what a seed chooses of the rest."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+SECTOR = 64  # writes are torn at multiples of this
+
+
+class PowerLossError(Exception):
+    """The machine lost power here."""
+
+
+@dataclass(slots=True)
+class Content:
+    """One file: what survives, and the writes and lengths since the last sync, in order."""
+
+    synced: bytearray = field(default_factory=bytearray)
+    pending: list[tuple[int, bytes] | int] = field(default_factory=list)  # (offset, data) or a length
+    now: bytearray = field(default_factory=bytearray)
+
+
+def _apply(content: bytearray, step: tuple[int, bytes] | int) -> None:
+    if isinstance(step, int):
+        del content[step:]
+        content.extend(bytes(step - len(content)))
+        return
+    offset, data = step
+    if len(content) < offset + len(data):
+        content.extend(bytes(offset + len(data) - len(content)))
+    content[offset : offset + len(data)] = data
+
+
+class FaultyDisk:
+    """Counts calls; raises PowerLossError at the one that it was told, and OSError while it refuses."""
+
+    def __init__(self, power_lost_at: int = -1) -> None:
+        self.power_lost_at = power_lost_at
+        self.calls = 0
+        self.refuses = False
+        self.contents: dict[str, Content] = {}
+
+    def names(self) -> list[str]:
+        return list(self.contents)
+
+    def open(self, name: str) -> FaultyFile:
+        content = self.contents.setdefault(name, Content())
+        return FaultyFile(self, content)
+
+    def sync_names(self) -> None:
+        self.call()
+
+    def call(self) -> None:
+        """One write, length or sync begins."""
+        if self.refuses:
+            raise OSError(5, "refused")
+        self.calls += 1
+        if self.calls - 1 == self.power_lost_at:
+            raise PowerLossError
+
+    def lose_power(self, seed: int) -> FaultyDisk:
+        """The disk after the loss: writes that weren't synced are there, missing or torn."""
+        chooser = random.Random(seed)
+        style = chooser.choice(("none", "all", "any", "torn"))
+        survivor = FaultyDisk()
+        for name, content in self.contents.items():
+            left = bytearray(content.synced)
+            for step in content.pending:
+                if style == "none" or (style in ("any", "torn") and chooser.random() < 0.5):
+                    continue
+                if style == "torn" and isinstance(step, tuple):
+                    self._apply_torn(chooser, left, step)
+                else:
+                    _apply(left, step)
+            survivor.contents[name] = Content(bytearray(left), [], bytearray(left))
+        return survivor
+
+    def _apply_torn(self, chooser: random.Random, left: bytearray, step: tuple[int, bytes]) -> None:
+        offset, data = step
+        for start in range(0, len(data), SECTOR):
+            if chooser.random() < 0.5:
+                _apply(left, (offset + start, data[start : start + SECTOR]))
+
+    def kill(self) -> FaultyDisk:
+        """The process died, the machine goes on: everything written is there, but not synced yet."""
+        survivor = FaultyDisk()
+        for name, content in self.contents.items():
+            survivor.contents[name] = Content(
+                bytearray(content.synced), list(content.pending), bytearray(content.now)
+            )
+        return survivor
+
+
+class FaultyFile:
+    """One open file."""
+
+    def __init__(self, disk: FaultyDisk, content: Content) -> None:
+        self._disk = disk
+        self._content = content
+
+    def read_all(self) -> bytes:
+        return bytes(self._content.now)
+
+    def write(self, offset: int, data: bytes) -> None:
+        # a write that is cut short by the loss of power may still leave a part behind
+        self._content.pending.append((offset, data))
+        self._disk.call()
+        _apply(self._content.now, (offset, data))
+
+    def set_length(self, length: int) -> None:
+        self._disk.call()
+        self._content.pending.append(length)
+        _apply(self._content.now, length)
+
+    def sync(self) -> None:
+        self._disk.call()
+        self._content.synced = bytearray(self._content.now)
+        self._content.pending = []
+
+    def close(self) -> None:
+        pass
--- /dev/null
+++ b/tests/system/storage/test_store_crashes.py
@@ -0,0 +1,230 @@
+"""Power is lost, or the process killed, at every write and sync: what was synced is there after."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import random
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import replace
+from unittest import mock
+
+import pytest
+from faulty_disk import FaultyDisk, FaultyFile, PowerLossError
+
+from coveport.system.replication.identity import Epoch
+from coveport.system.replication.records import (
+    RECORDS,
+    CommandRecord,
+    DurableState,
+    IdentityRecord,
+    PromiseRecord,
+    Record,
+    StateRecord,
+    recover,
+)
+from coveport.system.storage import ring
+from coveport.system.storage.ring import Generation, Ring
+from coveport.system.storage.store import RecordStore
+from coveport.system.wire.codec import MalformedMessageError, MessageCodec
+
+FILE_BYTES = 700  # so small that the ring goes round often
+SEEDS_AT_EACH_CALL = 4
+CODEC: MessageCodec[Record] = MessageCodec(RECORDS)
+
+
+def decode(data: bytes) -> Record:
+    return CODEC.decode(data)
+
+
+def salts(seed: int) -> Callable[[], bytes]:
+    chooser = random.Random(seed)
+    return lambda: chooser.randbytes(8)
+
+
+def store_on(disk: FaultyDisk, seed: int = 0) -> RecordStore:
+    return RecordStore(Ring(disk, salts(seed), files=3, file_bytes=FILE_BYTES), CODEC.encode, decode)
+
+
+def batches() -> Iterator[list[Record]]:
+    """What a member writes: an identity, a state, then promises, commands and states anew."""
+    epoch = Epoch(1, "d")
+    yield [IdentityRecord("disk", True)]
+    yield [StateRecord(epoch, 0, b"s" * 40)]
+    for number in itertools.count(1):
+        if number % 7 == 0:
+            yield [StateRecord(epoch, number, b"s" * 90)]
+        elif number % 3 == 0:
+            yield [PromiseRecord(Epoch(number + 1, "x")), CommandRecord(epoch, number, b"c" * 60)]
+        else:
+            yield [CommandRecord(epoch, number, b"c%d" % number)]
+
+
+def run(disk: FaultyDisk, count: int) -> list[DurableState]:
+    """Write batches until power is lost; what may be found then.
+
+    That is what was synced, and that with the first few records of the batch that was on its way.
+    """
+    synced: list[Record] = []
+    batch: list[Record] = []
+    store = store_on(disk)
+    with contextlib.suppress(PowerLossError):
+        store.open()
+        for batch in itertools.islice(batches(), count):
+            store.append(batch)
+            synced += batch
+            batch = []
+    return [normal(recover(synced + batch[:part])) for part in range(len(batch) + 1)]
+
+
+def normal(durable: DurableState) -> DurableState:
+    durable.commands = list(durable.commands or [])
+    return durable
+
+
+def calls_of(count: int) -> int:
+    disk = FaultyDisk()
+    run(disk, count)
+    return disk.calls
+
+
+BATCHES = 90
+CALLS = calls_of(BATCHES)
+
+
+def test_the_ring_goes_round_several_times() -> None:
+    disk = FaultyDisk()
+    run(disk, BATCHES)
+    numbers = {
+        generation.number
+        for index, content in enumerate(disk.contents.values())
+        if (generation := ring.read_generation(index, bytes(content.now))) is not None
+    }
+    assert len(disk.contents) == 3
+    assert max(numbers) > 5
+
+
+@pytest.mark.parametrize("call", range(CALLS))
+def test_power_lost_at_any_write_or_sync_loses_nothing_synced(call: int) -> None:
+    for seed in range(SEEDS_AT_EACH_CALL):
+        disk = FaultyDisk(power_lost_at=call)
+        allowed = run(disk, BATCHES)
+        survivor = disk.lose_power(call * 100 + seed)
+        found = normal(store_on(survivor, seed).open())
+        assert found in allowed, f"call {call}, seed {seed}"
+        # the opening itself is synced: another loss right after changes nothing
+        again = normal(store_on(survivor.lose_power(seed + 1000), seed).open())
+        assert again == found
+
+
+@pytest.mark.parametrize("call", range(0, CALLS, 9))
+def test_power_lost_while_opening_after_a_loss_or_a_kill(call: int) -> None:
+    for seed, dies in itertools.product(range(3), ("kill", "power")):
+        disk = FaultyDisk(power_lost_at=call)
+        allowed = run(disk, BATCHES)
+        survivor = disk.kill() if dies == "kill" else disk.lose_power(call * 100 + seed)
+        for second in range(6):
+            once = survivor.kill()
+            once.power_lost_at = second
+            with contextlib.suppress(PowerLossError):
+                store_on(once, seed + 7).open()
+            found = normal(store_on(once.lose_power(seed + second), seed + 9).open())
+            assert found in allowed, f"call {call}, seed {seed}, {dies}, then at {second}"
+
+
+def is_found_broken() -> bool:
+    """Whether any loss of power shows that something synced is gone, or that nonsense is read."""
+    for call, seed in itertools.product(range(CALLS), range(8)):
+        disk = FaultyDisk(power_lost_at=call)
+        allowed = run(disk, BATCHES)
+        survivor = disk.kill() if seed % 2 else disk.lose_power(call * 100 + seed)
+        try:
+            found = normal(store_on(survivor, seed).open())
+            again = normal(store_on(survivor.lose_power(call * 100 + seed + 50), seed).open())
+        except (ValueError, MalformedMessageError):
+            return True
+        if found not in allowed or again != found:
+            return True
+    return False
+
+
+def no_sync(file: FaultyFile) -> None:
+    """In place of a sync."""
+
+
+def begin_without_sync(self: Ring, snapshot: Sequence[bytes]) -> None:
+    with mock.patch.object(FaultyFile, "sync", no_sync):
+        BEGIN(self, snapshot)
+
+
+def append_without_sync(self: Ring, records: Sequence[bytes]) -> None:
+    with mock.patch.object(FaultyFile, "sync", no_sync):
+        APPEND(self, records)
+
+
+def always_the_same_file(self: Ring) -> int:
+    return 0
+
+
+def any_generation(file_index: int, data: bytes) -> Generation | None:
+    generation = READ(file_index, data)
+    return replace(generation, is_whole=True) if generation else None
+
+
+BEGIN, APPEND, READ = Ring.begin, Ring.append, ring.read_generation
+
+
+@pytest.mark.parametrize(
+    ("target", "name", "broken"),
+    [
+        (Ring, "begin", begin_without_sync),
+        (Ring, "append", append_without_sync),
+        (Ring, "_next_index", always_the_same_file),
+        (ring, "read_generation", any_generation),
+        (ring, "checksum", lambda salt, place, record: len(record)),
+        (RecordStore, "_begin_after_opening", lambda self: None),
+    ],
+    ids=lambda value: getattr(value, "__name__", str(value)),
+)
+def test_a_broken_ring_is_caught(target: object, name: str, broken: object) -> None:
+    with mock.patch.object(target, name, broken):
+        assert is_found_broken()
+
+
+def test_what_a_refusing_disk_kept_back_is_written_with_the_next() -> None:
+    for refused_at, seed in itertools.product(range(1, 20), range(4)):
+        disk = FaultyDisk()
+        store = store_on(disk)
+        store.open()
+        expected = DurableState()
+        for number, batch in enumerate(itertools.islice(batches(), 24)):
+            for record in batch:
+                expected.absorb(record)
+            disk.refuses = refused_at <= number < refused_at + 3
+            if disk.refuses:
+                with pytest.raises(OSError, match="refused"):
+                    store.append(batch)
+            else:
+                store.append(batch)
+        found = normal(store_on(disk.lose_power(seed), 5).open())
+        assert found == normal(expected)
+
+
+def test_garbage_in_every_file_is_an_empty_disk() -> None:
+    disk = FaultyDisk()
+    chooser = random.Random(4)
+    for index in range(3):
+        disk.open(f"ring-{index}").write(0, chooser.randbytes(500))
+    assert store_on(disk).open() == DurableState()
+
+
+def test_a_state_of_five_megabytes_fits() -> None:
+    disk = FaultyDisk()
+    store = RecordStore(Ring(disk, salts(1)), CODEC.encode, decode)
+    store.open()
+    epoch = Epoch(1, "d")
+    for number in range(12):
+        store.append([StateRecord(epoch, number, bytes(5_000_000))])
+    assert sum(len(content.now) for content in disk.contents.values()) < 100_000_000
+    found = RecordStore(Ring(disk, salts(2)), CODEC.encode, decode).open()
+    assert (found.sequence, len(found.snapshot)) == (11, 5_000_000)
