--- a/coveport/system/coordinator/process.py
+++ b/coveport/system/coordinator/process.py
@@ -256,7 +256,7 @@
 
 def run(settings_path: str) -> int:
     """Run a coordinator until it is told to stop; the exit code."""
-    settings = read_boot_settings(settings_path)
+    settings = read_boot_settings(settings_path, needed=("data_dir",))
     if isinstance(settings, Refusal):
         for finding in settings.findings:
             print(f"coveport: settings: {finding}", file=sys.stderr)
--- a/coveport/system/proxy/process.py
+++ b/coveport/system/proxy/process.py
@@ -112,7 +112,7 @@
 
 def run(settings_path: str) -> int:
     """Run a proxy until it is told to stop; the exit code."""
-    settings = read_boot_settings(settings_path)
+    settings = read_boot_settings(settings_path, needed=("clients",))
     if isinstance(settings, Refusal):
         for finding in settings.findings:
             print(f"coveport: settings: {finding}", file=sys.stderr)
--- a/coveport/system/settings/reader.py
+++ b/coveport/system/settings/reader.py
@@ -4,7 +4,7 @@
 
 import math
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import replace
 from pathlib import Path
 from typing import Any, Final, TypeVar
@@ -30,32 +30,36 @@
 }
 
 
-def read_boot_settings(path: str) -> BootSettings | Refusal:
-    """The settings in a file, or why there are none."""
+def read_boot_settings(path: str, needed: Collection[str] = ()) -> BootSettings | Refusal:
+    """The settings in a file, or why there are none; `needed` as in `parse_boot_settings`."""
     try:
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, ValueError) as problem:
         return Refusal(UNREADABLE, (Finding("", f"can't be read: {problem}"),))
-    return parse_boot_settings(text)
+    return parse_boot_settings(text, needed)
 
 
-def parse_boot_settings(text: str) -> BootSettings | Refusal:
-    """The settings in a TOML text, or a finding for each fault. Unknown fields are ignored."""
+def parse_boot_settings(text: str, needed: Collection[str] = ()) -> BootSettings | Refusal:
+    """The settings in a TOML text, or a finding for each fault. Unknown fields are ignored.
+
+    `needed`: what the role can't be without, of `data_dir` and the names of addresses to listen on.
+    """
     try:
         data = tomllib.loads(text)
     except tomllib.TOMLDecodeError as problem:
         return Refusal(INVALID, (Finding("", f"is not TOML: {problem}"),))
     findings = Findings()
-    settings = _Reader(data, findings).read()
+    settings = _Reader(data, findings, needed).read()
     return Refusal(INVALID, tuple(findings)) if findings else settings
 
 
 class _Reader:
     """Reads one file's fields; faults go to the findings and give way to a harmless value."""
 
-    def __init__(self, data: Mapping[str, Any], findings: Findings) -> None:
+    def __init__(self, data: Mapping[str, Any], findings: Findings, needed: Collection[str]) -> None:
         self._data = data
         self._findings = findings
+        self._needed = needed
 
     def read(self) -> BootSettings:
         """The settings; of no use where there are findings."""
@@ -70,7 +74,7 @@
             seeds=self._seeds(),
             first_boot=self._field(Boot.FIRST_BOOT, bool, False),
             loss_counted=self._field(Boot.LOSS_COUNTED, bool, False),
-            data_dir=self._field(Boot.DATA_DIR, str, "") if Boot.DATA_DIR in self._data else None,
+            data_dir=self._data_dir(),
             serves=serves,
             heartbeat_ms=self._number(self._data, Boot.HEARTBEAT_MS, Boot.HEARTBEAT_MS, is_0_useful=False),
             regions=self._regions(),
@@ -150,7 +154,7 @@
 
     def _listen(self, serves: tuple[str, ...]) -> dict[str, Address | None]:
         table = self._table(Boot.LISTEN)
-        needed = {field for served in serves for field in _LISTENERS.get(served, ())}
+        needed = {field for served in serves for field in _LISTENERS.get(served, ())}.union(self._needed)
         listen: dict[str, Address | None] = {}
         for field, name in wire.LISTEN.items():
             place = f"{Boot.LISTEN}.{name}"
@@ -159,6 +163,11 @@
                 self._findings.add(place, "is missing")
         return listen
 
+    def _data_dir(self) -> str | None:
+        if Boot.DATA_DIR in self._data or "data_dir" in self._needed:
+            return self._field(Boot.DATA_DIR, str, "")
+        return None
+
     def _regions(self) -> dict[str, str]:
         regions = {}
         for zone, region in self._table(Boot.REGIONS).items():
--- a/tests/system/settings/test_boot_settings_reader.py
+++ b/tests/system/settings/test_boot_settings_reader.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -165,3 +167,24 @@
         read: Any = read_boot_settings(str(path))
         assert isinstance(read, Refusal)
         assert len(read.findings) == 1
+
+
+@pytest.mark.parametrize(
+    ("role", "text", "finding"),
+    [
+        ("coordinator", COORDINATOR.replace('DataDir = "/data/x"', ""), "DataDir: is missing"),
+        (
+            "proxy",
+            PROXY.replace('Serves = ["counter"]', "Serves = []").replace("FrontHttp", "Other"),
+            "FrontHttp",
+        ),
+    ],
+)
+def test_a_role_says_what_it_can_not_be_without(role: str, text: str, finding: str, tmp_path: Path) -> None:
+    file = tmp_path / "boot.toml"
+    file.write_text(text)
+    command = [sys.executable, "-m", "coveport.system", role, "--settings", str(file)]
+    ran = subprocess.run(command, capture_output=True, text=True, check=False, timeout=60)
+    assert ran.returncode == 2
+    (line,) = ran.stderr.splitlines()
+    assert line.startswith("coveport: settings: ") and finding in line
