--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	$(BIN)/python -m coveport.system try
 
 test: $(MADE)
-	$(BIN)/python -m pytest -q -n auto --dist worksteal
+	$(BIN)/python -m pytest -q -n auto --dist worksteal --durations 10
 	$(BIN)/behave --format progress features
 
 check: $(MADE)
--- a/coveport/system/coordinator/process.py
+++ b/coveport/system/coordinator/process.py
@@ -146,6 +146,7 @@
         self._peers.close()
         if self._tending is not None:
             self._tending.cancel()
+        self._log.info("coordinator_stopped")
 
     def describe(self) -> dict[str, Any]:
         """The core, proxies and nodes for people and scripts."""
