--- /dev/null
+++ b/tests/system/storage/test_writer.py
@@ -0,0 +1,65 @@
+"""The writer's thread: in order, told of refusals, and what was refused is written with the next."""
+
+from __future__ import annotations
+
+import queue
+import random
+from collections.abc import Callable
+
+import pytest
+from faulty_disk import FaultyDisk
+
+from coveport.system.replication.identity import Epoch
+from coveport.system.replication.records import RECORDS, IdentityRecord, PromiseRecord, Record
+from coveport.system.storage.ring import Ring
+from coveport.system.storage.store import RecordStore
+from coveport.system.storage.writer import InlineWriter, RecordWriter, ThreadWriter
+from coveport.system.wire.codec import MessageCodec
+
+CODEC: MessageCodec[Record] = MessageCodec(RECORDS)
+WAIT_S = 20.0  # a test that waits this long has failed
+
+
+def store_on(disk: FaultyDisk) -> RecordStore:
+    store = RecordStore(Ring(disk, lambda: random.Random(1).randbytes(8)), CODEC.encode, CODEC.decode)
+    store.open()
+    return store
+
+
+@pytest.mark.parametrize("kind", ["thread", "inline"])
+def test_records_are_written_in_order_and_refusals_told(kind: str) -> None:
+    disk = FaultyDisk()
+    calls: queue.Queue[Callable[[], None]] = queue.Queue()
+    store = store_on(disk)
+    writer: RecordWriter = ThreadWriter(store, calls.put) if kind == "thread" else InlineWriter(store)
+    told: list[OSError | None] = []
+
+    def write(record: Record) -> None:
+        writer.submit([record], told.append)
+        if kind == "thread":
+            calls.get(timeout=WAIT_S)()
+
+    write(IdentityRecord("disk", True))
+    disk.refuses = True
+    write(PromiseRecord(Epoch(3, "x")))
+    disk.refuses = False
+    write(PromiseRecord(Epoch(2, "y")))
+    assert [type(error) for error in told] == [type(None), OSError, type(None)]
+    if isinstance(writer, ThreadWriter):
+        writer.close(WAIT_S)
+    found = store_on(disk.lose_power(0)).open()
+    assert (found.disk, found.promised) == ("disk", Epoch(3, "x"))
+
+
+def test_a_writer_ends_after_what_was_handed_in() -> None:
+    disk = FaultyDisk()
+    calls: queue.Queue[Callable[[], None]] = queue.Queue()
+    told: list[OSError | None] = []
+    writer = ThreadWriter(store_on(disk), calls.put)
+    for number in range(50):
+        writer.submit([PromiseRecord(Epoch(number, "x"))], told.append)
+    writer.close(WAIT_S)
+    while not calls.empty():
+        calls.get()()
+    assert told == [None] * 50
+    assert store_on(disk.lose_power(0)).open().promised == Epoch(49, "x")
