--- a/tests/system/simulation/test_recorded_days.py
+++ b/tests/system/simulation/test_recorded_days.py
@@ -23,6 +23,10 @@
 POWER_LOST_S = 14.0  # everywhere
 POWER_BACK_S = 15.0
 LENGTH_S = 20.0
+FROZEN_S = 5.0  # the primary of the first day
+KILLED_S = 4.52  # that of the second
+TAKEN_OVER_S = 1.3  # until another one leads
+LED_AGAIN_S = 0.8  # after all power was lost
 ACK_S = 5.0  # the operators' bound for an acknowledgement
 
 
@@ -39,7 +43,7 @@
     troubles.race(1.0)
     troubles.race(2.0)
     troubles.crash_node(4.0, day.nodes[4], for_s=4.0)
-    troubles.freeze(5.0, day.coordinators[0], for_s=3.3)
+    troubles.freeze(FROZEN_S, day.coordinators[0], for_s=3.3)
     troubles.add_route(5.5, "while-frozen")
     troubles.race(8.35)  # just when it is back
     troubles.close_node(9.5, day.nodes[0])
@@ -50,7 +54,7 @@
     """whda-coveport: the primary dies at an order's acknowledgement, the zone just taken back goes down."""
     troubles.evacuate(0.5, "gijon", for_s=4.0)
     troubles.add_route(1.0, "added")
-    troubles.kill(4.52, day.coordinators[0], for_s=1.0)  # the order to take back is on its way
+    troubles.kill(KILLED_S, day.coordinators[0], for_s=1.0)  # the order to take back is on its way
     for node in day.nodes[2:4]:
         troubles.crash_node(5.0, node, for_s=4.0)
     troubles.race(6.0)
@@ -86,6 +90,17 @@
     return len(asked & served) / len(asked)
 
 
+def led_from_s(day: SimulatedDeployment, epoch: int) -> float:
+    """When a primary of this epoch first said in its log that it leads, in seconds of traffic."""
+    times = [
+        float(line.split()[0].removeprefix("at=")) - day.traffic_from_s
+        for machine in day.coordinators
+        for line in machine.log_lines
+        if f"event=core role=primary epoch={epoch} " in line
+    ]
+    return min(times)
+
+
 def changes(result: DayResult) -> list[tuple[OrderSent, OrderEnded]]:
     """Every change of the configuration or of a zone, with its end."""
     ended = {one.number: one for one in result.book.of(OrderEnded)}
@@ -112,6 +127,7 @@
     assert_changes_answered(result)
     frozen = day.coordinators[0]
     assert any("event=stalled" in line for line in frozen.log_lines)  # how operators see it
+    assert led_from_s(day, 2) - FROZEN_S < TAKEN_OVER_S
     assert served_between(day, result, 4.0, 9.0) > 0.97  # while it stood still, and with a node less
 
 
@@ -120,6 +136,7 @@
     day, result = play(evacuated_zone_that_goes_down, seed)
     assert_changes_answered(result)
     taken_back = [ended for sent, ended in changes(result) if sent.order is Order.TAKE_BACK]
+    assert led_from_s(day, 2) - KILLED_S < TAKEN_OVER_S
     assert [one.verdict for one in taken_back] == [Verdict.ACKNOWLEDGED]
     assert len(result.book.of(NodeStarted)) == 5 + 3
     assert len(result.book.of(NodeCold)) >= 3  # and FAILBACK held
@@ -131,4 +148,5 @@
 @pytest.mark.parametrize("recorded", [frozen_primary_and_a_cold_zone, evacuated_zone_that_goes_down])
 def test_all_is_served_again_soon_after_all_power_was_lost(recorded: Day) -> None:
     day, result = play(recorded, 4)
+    assert led_from_s(day, 3) - POWER_BACK_S < LED_AGAIN_S
     assert served_between(day, result, POWER_BACK_S + 1.5, LENGTH_S) == 1.0
