--- a/coveport/system/coordinator/subscriptions.py
+++ b/coveport/system/coordinator/subscriptions.py
@@ -13,8 +13,10 @@
 from coveport.system.membership.node_table import NodeTable, TableChanges
 from coveport.system.wire.connection import Connection
 from coveport.system.wire.messages import CoordinatorPlace, StateChange, Update, UpdateRequest
+from coveport.system.wire.shared_update import SharedUpdate
 
 HOLD_S = 0.4  # an ask without news is answered after so long; the next one renews the lease
+SHARED_S = 0.05  # proxies that ask within this are told the same, times that remain included
 CHANGES_KEPT = 64  # commands from which differences are told; further back the whole state is
 
 
@@ -63,6 +65,45 @@
         return changes if is_gapless and sequence >= 0 else None
 
 
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """The versions that proxies ask with; who asks with the same is told the same."""
+
+    node_revision: int  # -1: the whole table
+    state_sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Told:
+    """What all answers of a moment say."""
+
+    connected: bool
+    settled: bool
+    node_revision: int
+    state_sequence: int
+    coordinators: tuple[CoordinatorPlace, ...]
+
+
+class _SharedUpdates:
+    """Updates that were encoded a moment ago, while they still say what is so."""
+
+    def __init__(self) -> None:
+        self._made: dict[_Asked, SharedUpdate] = {}
+        self._told: _Told | None = None
+        self._since_s = 0.0
+
+    def find(self, asked: _Asked, told: _Told, now_s: float) -> SharedUpdate | None:
+        """The update made for others, if nothing has changed since."""
+        if told != self._told or now_s - self._since_s > SHARED_S:
+            self._made.clear()
+            self._told, self._since_s = told, now_s
+        return self._made.get(asked)
+
+    def add(self, asked: _Asked, update: SharedUpdate) -> None:
+        """One was made; `find` came before."""
+        self._made[asked] = update
+
+
 class Subscriptions:
     """All proxies that wait for an answer here."""
 
@@ -81,6 +122,7 @@
         self._on_lease_news = on_lease_news
         self._waiting: dict[Connection, _Waiting] = {}
         self._scheduled = False
+        self._shared = _SharedUpdates()
 
     def ask(self, connection: Connection, request: UpdateRequest) -> None:
         """A proxy asks; the lease that it renews is taken."""
@@ -130,25 +172,45 @@
         if waiting is None:
             return
         waiting.timer.cancel()
-        connection.send(self._update(waiting.request))
+        request = waiting.request
+        proxies = self._leases.proxies_at_most() if self._standing.is_settled() else 0
+        connection.send_frame(Update, self._update(request).frame(request.round, proxies))
 
-    def _update(self, request: UpdateRequest) -> Update:
+    def _update(self, request: UpdateRequest) -> SharedUpdate:
         revision = request.node_revision if request.table == self._table_identity else -1
-        nodes: TableChanges = self._table.changes_since(revision, self._net.now_s())
-        changes = self._history.changes_since(request.state_sequence)
-        is_connected, is_settled = self._standing.is_connected(), self._standing.is_settled()
+        asked = _Asked(revision, request.state_sequence)
+        told = self._told()
+        now_s = self._net.now_s()
+        update = self._shared.find(asked, told, now_s)
+        if update is None:
+            update = SharedUpdate(self._make(asked, told, now_s))
+            self._shared.add(asked, update)
+        return update
+
+    def _told(self) -> _Told:
+        return _Told(
+            self._standing.is_connected(),
+            self._standing.is_settled(),
+            self._table.revision,
+            self._history.sequence,
+            self._standing.coordinators(),
+        )
+
+    def _make(self, asked: _Asked, told: _Told, now_s: float) -> Update:
+        nodes: TableChanges = self._table.changes_since(asked.node_revision, now_s)
+        changes = self._history.changes_since(asked.state_sequence)
         return Update(
-            round=request.round,
-            connected=is_connected,
-            settled=is_settled,
+            round=0,
+            connected=told.connected,
+            settled=told.settled,
             table=self._table_identity,
             node_revision=nodes.revision,
             whole_table=nodes.whole,
             nodes=nodes.nodes,
             removed=nodes.removed,
-            state_sequence=self._history.sequence,
+            state_sequence=told.state_sequence,
             state=self._history.encoded if changes is None else None,
             changes=changes or (),
-            coordinators=self._standing.coordinators(),
-            proxies_at_most=self._leases.proxies_at_most() if is_settled else 0,
+            coordinators=told.coordinators,
+            proxies_at_most=0,
         )
--- a/coveport/system/membership/node_table.py
+++ b/coveport/system/membership/node_table.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from itertools import takewhile
 
 from coveport.system.model.node import Node, NodeState
 
@@ -53,7 +54,7 @@
     def __init__(self, silence_s: float) -> None:
         """`silence_s`: a node that was not heard for so long is removed."""
         self._silence_s = silence_s
-        self._entries: dict[str, NodeEntry] = {}
+        self._entries: dict[str, NodeEntry] = {}  # by rising revision
         self._at_address: dict[str, str] = {}  # incarnation by address
         self._tombstones: dict[str, float] = {}  # incarnation: when it is forgotten
         self._removals: list[tuple[int, str]] = []  # revision, incarnation
@@ -89,6 +90,7 @@
         if is_news:
             self.revision += 1
             entry.revision = self.revision
+            self._entries.pop(node.incarnation, None)  # it goes to the end
         else:
             assert known is not None
             entry.revision, entry.cold_until_s = known.revision, known.cold_until_s
@@ -122,9 +124,11 @@
         if revision < self._removals_from or revision > self.revision:
             nodes = tuple(entry.as_told_at(now_s) for entry in self._entries.values())
             return TableChanges(self.revision, True, nodes, ())
-        changed = (entry for entry in self._entries.values() if entry.revision > revision)
+        newest_first = reversed(self._entries.values())
+        changed = takewhile(lambda entry: entry.revision > revision, newest_first)
         nodes = tuple(entry.as_told_at(now_s) for entry in changed)
-        removed = tuple(name for at, name in self._removals if at > revision and name not in self._entries)
+        removals = takewhile(lambda removal: removal[0] > revision, reversed(self._removals))
+        removed = tuple(name for _, name in removals if name not in self._entries)
         return TableChanges(self.revision, False, nodes, removed)
 
     def _remove(self, incarnation: str) -> None:
--- a/coveport/system/wire/connection.py
+++ b/coveport/system/wire/connection.py
@@ -66,9 +66,12 @@
 
     def send(self, message: Message) -> None:
         """Send, or drop where the connection is over or the peer does not read."""
-        frame = write_frame(CODEC.encode(message))
+        self.send_frame(type(message), write_frame(CODEC.encode(message)))
+
+    def send_frame(self, kind: type, frame: bytes) -> None:
+        """Send a message of that kind that was framed already."""
         if self._write(frame):
-            self._traffic.note_sent(type(message), len(frame))
+            self._traffic.note_sent(kind, len(frame))
 
     def _write(self, frame: bytes) -> bool:
         """Whether the frame is on its way."""
--- /dev/null
+++ b/tests/system/coordinator/test_subscription_sharing.py
@@ -0,0 +1,144 @@
+"""Proxies that ask with the same versions share one encoded update, and nobody is told something old."""
+
+from __future__ import annotations
+
+import pytest
+
+from coveport.net.transport import Net
+from coveport.system.coordinator.subscriptions import StateHistory, Subscriptions
+from coveport.system.membership.leases import LeaseTable, ProxyLease
+from coveport.system.membership.node_table import NodeTable
+from coveport.system.model.node import Node, NodeState
+from coveport.system.wire.frames import FrameReader
+from coveport.system.wire.messages import CODEC, CoordinatorPlace, Update, UpdateRequest
+from coveport.system.wire.shared_update import SharedUpdate
+
+
+class Standing:
+    connected = True
+
+    def is_connected(self) -> bool:
+        return self.connected
+
+    def is_settled(self) -> bool:
+        return True
+
+    def coordinators(self) -> tuple[CoordinatorPlace, ...]:
+        return (CoordinatorPlace("127.0.0.1:7300", "a", "north"),)
+
+
+class Timer:
+    def cancel(self) -> None:
+        pass
+
+
+class Loop:
+    def call_later(self, delay_s: float, call: object, *arguments: object) -> Timer:
+        return Timer()
+
+    def call_soon(self, call: object) -> None:
+        pass
+
+
+class Clock(Net):
+    def __init__(self) -> None:
+        self.loop = Loop()  # type: ignore[assignment]
+        self.time_s = 100.0
+
+    def now_s(self) -> float:
+        return self.time_s
+
+
+class Caller:
+    """In place of a connection."""
+
+    def __init__(self) -> None:
+        self.updates: list[Update] = []
+
+    def send_frame(self, kind: type, frame: bytes) -> None:
+        (payload,) = FrameReader().feed(frame)
+        update = CODEC.decode(payload)
+        assert isinstance(update, Update)
+        assert kind is Update
+        self.updates.append(update)
+
+
+class Core:
+    def __init__(self) -> None:
+        self.net, self.standing = Clock(), Standing()
+        self.table, self.leases, self.history = NodeTable(5.0), LeaseTable(), StateHistory()
+        self.subscriptions = Subscriptions(
+            self.net, self.table, "t", self.leases, self.history, self.standing, lambda: None
+        )
+
+    def ask(self, number: int, revision: int = -1, sequence: int = -1) -> Update:
+        lease = ProxyLease(f"p{number}", f"127.0.0.2:{number}", "a", "north", True, number, 1)
+        caller = Caller()
+        table = "t" if revision >= 0 else ""
+        request = UpdateRequest(lease, table, revision, sequence, number)
+        self.subscriptions.ask(caller, request)  # type: ignore[arg-type]
+        (update,) = caller.updates
+        return update
+
+
+def node(number: int, cold_left_ms: float = 0.0) -> Node:
+    address = f"127.0.1.1:{number}"
+    return Node(f"i-{number}", 1, "s", address, "a", "north", 8, NodeState.ACCEPTING, cold_left_ms)
+
+
+@pytest.fixture
+def made(monkeypatch: pytest.MonkeyPatch) -> list[Update]:
+    """Updates that were encoded."""
+    encoded: list[Update] = []
+
+    def note(update: Update) -> object:
+        encoded.append(update)
+        return SharedUpdate(update)
+
+    monkeypatch.setattr("coveport.system.coordinator.subscriptions.SharedUpdate", note)
+    return encoded
+
+
+def test_a_whole_table_is_encoded_once_for_all_who_ask(made: list[Update]) -> None:
+    core = Core()
+    for number in range(20):
+        core.table.hear(node(number), 100.0)
+    updates = [core.ask(number) for number in range(20)]
+    assert [update.round for update in updates] == list(range(20))
+    assert all(len(update.nodes) == 20 and update.whole_table for update in updates)
+    assert [update.proxies_at_most for update in updates] == list(range(1, 21))
+    assert len(made) == 1
+
+
+def test_whoever_asks_after_a_change_is_told_of_it(made: list[Update]) -> None:
+    core = Core()
+    core.table.hear(node(1), 100.0)
+    assert [one.incarnation for one in core.ask(1).nodes] == ["i-1"]
+    core.table.hear(node(2), 100.0)
+    assert sorted(one.incarnation for one in core.ask(1).nodes) == ["i-1", "i-2"]
+    core.history.advance(0, b"state", None)
+    assert core.ask(1).state == b"state"
+    core.standing.connected = False
+    assert not core.ask(1).connected
+    assert len(made) == 4
+
+
+def test_versions_that_differ_are_told_different_things(made: list[Update]) -> None:
+    core = Core()
+    core.table.hear(node(1), 100.0)
+    first = core.table.revision
+    core.table.hear(node(2), 100.0)
+    assert len(core.ask(1).nodes) == 2
+    assert [one.incarnation for one in core.ask(1, revision=first).nodes] == ["i-2"]
+    assert len(made) == 2
+
+
+def test_times_that_remain_are_told_anew_after_a_moment() -> None:
+    core = Core()
+    core.table.hear(node(1, cold_left_ms=3000.0), 100.0)
+    core.net.time_s = 100.04
+    assert core.ask(1).nodes[0].cold_left_ms == pytest.approx(2960.0)
+    core.net.time_s = 100.08
+    assert core.ask(1).nodes[0].cold_left_ms == pytest.approx(2960.0)
+    core.net.time_s = 100.1
+    assert core.ask(1).nodes[0].cold_left_ms == pytest.approx(2900.0)
--- a/tests/system/membership/test_node_table.py
+++ b/tests/system/membership/test_node_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from random import Random
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -171,3 +172,28 @@
     table.hear(restarted("before", 9), 1.1)
     table.hear(restarted("after", 2), 2.0)
     assert [entry.node.incarnation for entry in table.entries()] == ["after"]
+
+
+def test_changes_since_each_revision_are_those_that_came_after_it() -> None:
+    """As told from a plain scan of all entries and removals."""
+    chance = Random(5)
+    table = NodeTable(5.0)
+    alive: list[str] = []
+    heard: dict[str, int] = {}
+    for step in range(300):
+        if alive and chance.random() < 0.3:
+            incarnation = chance.choice(alive)
+            state = chance.choice([NodeState.CLOSING, NodeState.GONE])
+        else:
+            incarnation, state = f"i-{step}", NodeState.ACCEPTING
+        address = f"127.0.0.1:{chance.randrange(1, 12)}" if state is NodeState.ACCEPTING else "127.0.0.1:99"
+        table.hear(Node(incarnation, step, "s", address, "a", "north", 8, state), 0.0)
+        alive = [entry.node.incarnation for entry in table.entries()]
+        heard.setdefault(incarnation, step)
+        for revision in (0, chance.randrange(table.revision + 1), table.revision):
+            changes = table.changes_since(revision, 0.0)
+            expected = {one.node.incarnation for one in table.entries() if one.revision > revision}
+            assert {one.incarnation for one in changes.nodes} == expected
+            assert not set(changes.removed) & set(alive)
+    everything = table.changes_since(0, 0.0)
+    assert set(everything.removed) | set(alive) == set(heard)
--- /dev/null
+++ b/tests/system/wire/test_shared_update.py
@@ -0,0 +1,32 @@
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from coveport.system.wire.frames import write_frame
+from coveport.system.wire.messages import CODEC, CoordinatorPlace, StateChange, Update
+from coveport.system.wire.shared_update import SharedUpdate
+
+UPDATE = Update(
+    round=77,
+    connected=True,
+    settled=False,
+    table="t",
+    node_revision=3,
+    whole_table=True,
+    nodes=(),
+    removed=("i-1",),
+    state_sequence=5,
+    state=None,
+    changes=(StateChange(5, b"change"),),
+    coordinators=(CoordinatorPlace("127.0.0.1:7300", "a", "north"),),
+    proxies_at_most=340,
+)
+
+
+@pytest.mark.parametrize("round_number", [0, 1, 63, 64, 100_000, 2**40])
+def test_a_shared_update_is_to_the_byte_what_encoding_it_for_the_round_gives(round_number: int) -> None:
+    for proxies in (0, 1, 340, 10_000):
+        whole = replace(UPDATE, round=round_number, proxies_at_most=proxies)
+        assert SharedUpdate(UPDATE).frame(round_number, proxies) == write_frame(CODEC.encode(whole))
