--- a/coveport/system/coordinator/process.py
+++ b/coveport/system/coordinator/process.py
@@ -29,6 +29,7 @@
 from coveport.system.replication.messages import Message as ReplicationMessage
 from coveport.system.settings.boot import BootSettings
 from coveport.system.settings.reader import read_boot_settings
+from coveport.system.settings.reload import reload_settings
 from coveport.system.storage.opening import Opened, open_storage
 from coveport.system.web.calls import CallTable
 from coveport.system.web.server import CallServer
@@ -262,11 +263,11 @@
         for finding in settings.findings:
             print(f"coveport: settings: {finding}", file=sys.stderr)
         return WRONG_SETTINGS
-    asyncio.run(_run(settings))
+    asyncio.run(_run(settings_path, settings))
     return 0
 
 
-async def _run(settings: BootSettings) -> None:
+async def _run(path: str, settings: BootSettings) -> None:
     loop = asyncio.get_running_loop()
     net = Net(loop)
     log = make_log(net.now_s)
@@ -276,7 +277,7 @@
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log.info("settings_changed"))
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, path, settings, log)
     await coordinator.start()
     await stopping.wait()
     await coordinator.stop()
--- a/coveport/system/proxy/exchange.py
+++ b/coveport/system/proxy/exchange.py
@@ -232,7 +232,9 @@
         def heard() -> None:
             nonlocal before_s
             now_s = net.now_s()
-            pace.note_heard(incarnation, None if before_s is None else now_s - before_s, now_s, longest_pause_s)
+            pace.note_heard(
+                incarnation, None if before_s is None else now_s - before_s, now_s, longest_pause_s
+            )
             before_s = now_s
 
         connection.on_heard = heard
--- a/coveport/system/proxy/node_pace.py
+++ b/coveport/system/proxy/node_pace.py
@@ -1,7 +1,7 @@
 """How fast nodes answer this proxy's streams, and whether they answer at all. Pure.
 
-A node whose streams here paused for longer than is in time is *strained*: it is too slow to read long prompts beside streams, and
-gets none of them while another node of its level is usable.
+A node whose streams here paused for longer than is in time is *strained*: it is too slow to read long prompts
+beside streams, and gets none of them while another node of its level is usable.
 
 Two things empty a level, beside bad ends (`node_health`):
 
--- a/coveport/system/proxy/process.py
+++ b/coveport/system/proxy/process.py
@@ -19,6 +19,7 @@
 from coveport.system.proxy.subscription import Subscription
 from coveport.system.settings.boot import BootSettings
 from coveport.system.settings.reader import read_boot_settings
+from coveport.system.settings.reload import reload_settings
 from coveport.system.web.calls import CallTable
 from coveport.system.web.server import CallServer
 
@@ -117,11 +118,11 @@
         for finding in settings.findings:
             print(f"coveport: settings: {finding}", file=sys.stderr)
         return WRONG_SETTINGS
-    asyncio.run(_run(settings))
+    asyncio.run(_run(settings_path, settings))
     return 0
 
 
-async def _run(settings: BootSettings) -> None:
+async def _run(path: str, settings: BootSettings) -> None:
     loop = asyncio.get_running_loop()
     net = Net(loop)
     log = make_log(net.now_s)
@@ -129,7 +130,7 @@
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log.info("settings_changed"))
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, path, settings, log)
     await proxy.start()
     await stopping.wait()
     await proxy.stop()
