--- a/coveport/system/replication/caretaker.py
+++ b/coveport/system/replication/caretaker.py
@@ -88,7 +88,7 @@
                 found.append(parts.machine(member, now_s))
         return sorted(found, key=lambda machine: machine.member)
 
-    def serve(self, view: View, peer: Peer, now_s: float) -> None:
+    def serve(self, view: View, peer: Peer) -> None:
         """Send a peer that pinged what it lacks of the view."""
         ping = peer.ping
         if ping is None or (ping.view_epoch >= view.epoch and ping.settled >= view.epoch):
--- a/tests/system/replication/core_explorer.py
+++ b/tests/system/replication/core_explorer.py
@@ -226,7 +226,7 @@
                 records.append(StateRecord(epoch, 0, b""))
             disks.append(Disk(tuple(records)))
         members = [self._member(index, disk) for index, disk in enumerate(disks)]
-        members[0]._begin_primary(NOW_S, view, kept_own_state=True)
+        members[0]._leading.begin_primary(NOW_S, view, kept_own_state=True)
         members[0]._parts.outbox.take()
         packed = tuple(pack(member) for member in members)
         point = Point(packed, tuple(disks), (), self.scenario.budget)
@@ -243,8 +243,8 @@
         """Let one member take an event, and apply its effects."""
         member: CoreMember = unpack(point.members[index])
         if isinstance(event, Change):
-            member._highest_seen = self._highest_promised(point)
-            member._start_attempt(NOW_S, event)
+            member._leading.highest_seen = self._highest_promised(point)
+            member._leading.start_attempt(NOW_S, event)
             member._settle(NOW_S)
             effects = member._parts.outbox.take()
         else:
@@ -350,7 +350,7 @@
         for place, (name, kind) in enumerate(budget.campaigns):
             left = replace(budget, campaigns=_without(budget.campaigns, place))
             member: CoreMember = unpack(point.members[self._index(name)])
-            if member._attempt is None and member.view is not None:
+            if member._leading.attempt is None and member.view is not None:
                 yield self._step(
                     point,
                     self._index(name),
@@ -449,9 +449,9 @@
         if leader.view is None or leader.identity not in leader.view.members:
             return
         self.closings += 1
-        leader._highest_seen = max(member._highest_seen for member in members.values())
+        leader._leading.highest_seen = max(member._leading.highest_seen for member in members.values())
         wiped = {self.ids[self._index(gone)] for gone in (lost, point.wiped) if gone}
-        leader._start_attempt(NOW_S, Change("closing", True, avoided=frozenset(wiped)))
+        leader._leading.start_attempt(NOW_S, Change("closing", True, avoided=frozenset(wiped)))
         leader._settle(NOW_S)
         found = self._deliver_all(members, name, leader._parts.outbox.take())
         story = f"all lose power, {lost or 'none'} its disk, {name} leads, after {point.trail}"
