--- a/coveport/system/proxy/prompt_parts.py
+++ b/coveport/system/proxy/prompt_parts.py
@@ -76,7 +76,7 @@
 
 
 def keepers(parts: tuple[PromptPart, ...], incarnations: Sequence[str], most: int) -> Sequence[str]:
-    """Of the given nodes the few that all proxies agree on for the prompt's shared part; all, if it has none."""
+    """The few of the nodes that all proxies agree on for the prompt's shared part; all, if it has none."""
     shared = shared_part(parts)
     if shared is None or len(incarnations) <= most:
         return incarnations
--- a/coveport/system/settings/reload.py
+++ b/coveport/system/settings/reload.py
@@ -1,7 +1,7 @@
 """SIGHUP: the settings file has changed. It is read and checked again; what differs is told.
 
-Addresses, places and bounds hold for a process' life: they take effect at its next start, and nothing that is being served
-is touched. A file that can't be used changes nothing and is told with its findings.
+Addresses, places and bounds hold for a process' life: they take effect at its next start, and nothing that is
+being served is touched. A file that can't be used changes nothing and is told with its findings.
 """
 
 from __future__ import annotations
