--- a/coveport/system/coordinator/subscriptions.py
+++ b/coveport/system/coordinator/subscriptions.py
@@ -16,7 +16,8 @@
 from coveport.system.wire.shared_update import SharedUpdate
 
 HOLD_S = 0.4  # an ask without news is answered after so long; the next one renews the lease
-SHARED_S = 0.05  # proxies that ask within this are told the same, times that remain included
+SHARED_S = 0.25  # proxies that ask within this are told the same, times that remain included ...
+SHARED_LEAVING_S = 0.05  # ... or within this, where one of the nodes says when it will be gone
 CHANGES_KEPT = 64  # commands from which differences are told; further back the whole state is
 
 
@@ -88,20 +89,24 @@
     """Updates that were encoded a moment ago, while they still say what is so."""
 
     def __init__(self) -> None:
-        self._made: dict[_Asked, SharedUpdate] = {}
+        self._made: dict[_Asked, tuple[SharedUpdate, float]] = {}  # and until when it holds
         self._told: _Told | None = None
-        self._since_s = 0.0
 
     def find(self, asked: _Asked, told: _Told, now_s: float) -> SharedUpdate | None:
         """The update made for others, if nothing has changed since."""
-        if told != self._told or now_s - self._since_s > SHARED_S:
+        if told != self._told:
             self._made.clear()
-            self._told, self._since_s = told, now_s
-        return self._made.get(asked)
+            self._told = told
+        update, until_s = self._made.get(asked, (None, 0.0))
+        return update if now_s <= until_s else None
 
-    def add(self, asked: _Asked, update: SharedUpdate) -> None:
+    def add(self, asked: _Asked, update: Update, now_s: float) -> SharedUpdate:
         """One was made; `find` came before."""
-        self._made[asked] = update
+        is_leaving = any(node.leaves_in_ms for node in update.nodes)
+        until_s = now_s + (SHARED_LEAVING_S if is_leaving else SHARED_S)
+        shared = SharedUpdate(update)
+        self._made[asked] = shared, until_s
+        return shared
 
 
 class Subscriptions:
@@ -181,11 +186,8 @@
         asked = _Asked(revision, request.state_sequence)
         told = self._told()
         now_s = self._net.now_s()
-        update = self._shared.find(asked, told, now_s)
-        if update is None:
-            update = SharedUpdate(self._make(asked, told, now_s))
-            self._shared.add(asked, update)
-        return update
+        shared = self._shared.find(asked, told, now_s)
+        return shared or self._shared.add(asked, self._make(asked, told, now_s), now_s)
 
     def _told(self) -> _Told:
         return _Told(
--- a/coveport/system/membership/node_table.py
+++ b/coveport/system/membership/node_table.py
@@ -35,6 +35,8 @@
         """The node with its remaining times counted from now."""
         cold_left_ms = max(0.0, self.cold_until_s - now_s) * 1000
         leaves_in_ms = max(1.0, (self.leaves_at_s - now_s) * 1000) if self.leaves_at_s else 0.0
+        if (cold_left_ms, leaves_in_ms) == (self.node.cold_left_ms, self.node.leaves_in_ms):
+            return self.node
         return replace(self.node, cold_left_ms=cold_left_ms, leaves_in_ms=leaves_in_ms)
 
 
--- a/coveport/system/wire/codec.py
+++ b/coveport/system/wire/codec.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import enum
+import functools
 import types
 import typing
 from collections.abc import Sequence
@@ -18,6 +19,8 @@
 
 T = TypeVar("T")
 
+_REMEMBERED: set[type] = set()
+
 _STRING = c.PascalString(c.VarInt, "utf8")
 _BYTES = c.Prefixed(c.VarInt, c.GreedyBytes)
 _SCALARS: dict[type, Any] = {int: c.ZigZag, float: c.Float64b, bool: c.Flag, str: _STRING, bytes: _BYTES}
@@ -27,6 +30,15 @@
     """Bytes that are no message of ours."""
 
 
+def remembered(kind: type[T]) -> type[T]:
+    """Keep the bytes of a dataclass' values, as parts of other messages; for what is sent often.
+
+    Equal values must have equal bytes.
+    """
+    _REMEMBERED.add(kind)
+    return kind
+
+
 class _Dataclass(c.Construct):  # type: ignore[misc]  # construct has no types
     """One dataclass: its fields one after the other."""
 
@@ -45,6 +57,24 @@
         return value
 
 
+class _Remembered(c.Construct):  # type: ignore[misc]
+    """A dataclass whose values are sent again and again: the bytes of those sent last are kept."""
+
+    KEPT = 4096
+
+    def __init__(self, kind: type) -> None:
+        super().__init__()
+        self.format = _Dataclass(kind)
+        self.encode = functools.lru_cache(self.KEPT)(self.format.build)
+
+    def _parse(self, stream: Any, context: Any, path: str) -> Any:
+        return self.format._parsereport(stream, context, path)
+
+    def _build(self, value: Any, stream: Any, context: Any, path: str) -> Any:
+        stream.write(self.encode(value))
+        return value
+
+
 class _Tuple(c.Construct):  # type: ignore[misc]
     """A tuple of one type: how many, then each."""
 
@@ -109,7 +139,7 @@
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
         return _Enumeration(hint)
     if isinstance(hint, type) and dataclasses.is_dataclass(hint):
-        return _Dataclass(hint)
+        return _Remembered(hint) if hint in _REMEMBERED else _Dataclass(hint)
     raise TypeError(f"no format for {hint!r}")
 
 
--- a/coveport/system/wire/messages.py
+++ b/coveport/system/wire/messages.py
@@ -7,7 +7,10 @@
 from coveport.system.membership.leases import ProxyLease
 from coveport.system.model.node import Node
 from coveport.system.replication.messages import MESSAGES as REPLICATION_MESSAGES
-from coveport.system.wire.codec import MessageCodec
+from coveport.system.wire.codec import MessageCodec, remembered
+
+remembered(Node)
+remembered(ProxyLease)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/system/wire/test_codec.py
+++ b/tests/system/wire/test_codec.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from coveport.system.wire.codec import MalformedMessageError, MessageCodec
+from coveport.system.wire.codec import MalformedMessageError, MessageCodec, remembered
 from coveport.system.wire.frames import HEADER_BYTES, FrameReader, write_frame
 
 
@@ -91,3 +91,32 @@
     with pytest.raises(MalformedMessageError):
         list(FrameReader().feed(bytes(frame)))
     assert HEADER_BYTES == 12
+
+
+@dataclass(frozen=True, slots=True)
+class Often:
+    number: int
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class ManyOften:
+    many: tuple[Often, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ManyInner:
+    many: tuple[Inner, ...]
+
+
+remembered(Often)
+
+
+@given(st.lists(st.tuples(st.integers(-5, 5), st.sampled_from("ab")), max_size=30))
+def test_remembered_parts_are_written_and_read_as_others_are(pairs: list[tuple[int, str]]) -> None:
+    codec: MessageCodec[object] = MessageCodec((ManyOften, ManyInner))
+    often = ManyOften(tuple(Often(*pair) for pair in pairs))
+    encoded = codec.encode(often)
+    plain = codec.encode(ManyInner(tuple(Inner(*pair) for pair in pairs)))
+    assert encoded[1:] == plain[1:]
+    assert codec.decode(encoded) == often
