--- a/coveport/system/coordinator/node_calls.py
+++ b/coveport/system/coordinator/node_calls.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from typing import Any
 
 from coveport.net.address import parse_address
 from coveport.system.coordinator.reports import NodeReporting
-from coveport.system.membership.node_table import NodeTable
 from coveport.system.model.findings import Findings, Refusal
 from coveport.system.model.node import Node, NodeState
 from coveport.system.web.calls import Call, Reply, answers, json_reply
@@ -20,8 +20,13 @@
 class NodeCalls:
     """Handlers of the nodes' calls."""
 
-    def __init__(self, reporting: NodeReporting, table: NodeTable, regions: dict[str, str], log: Any) -> None:
-        self._reporting, self._table, self._regions, self._log = reporting, table, regions, log
+    def __init__(
+        self, reporting: NodeReporting, is_connected: Callable[[], bool], regions: dict[str, str], log: Any
+    ) -> None:
+        """`is_connected`: whether this coordinator is in touch with the core; one that isn't takes what nodes say,
+        but sends them to another, as nobody else would hear of them through it.
+        """
+        self._reporting, self._is_connected, self._regions, self._log = reporting, is_connected, regions, log
 
     @answers("PUT", Path.NODES)
     async def heartbeat(self, call: Call) -> Reply:
@@ -33,6 +38,8 @@
         if not await self._reporting.take(node):
             self._log.warning("heartbeat_unconfirmed", node=node.incarnation, state=node.state.value)
             return json_reply(503, {ERROR: "no other coordinator confirmed it"})
+        if not self._is_connected():
+            return json_reply(503, {ERROR: "out of touch with the core"})
         return json_reply(200, {})
 
     @answers("DELETE", Path.NODES)
--- a/coveport/system/coordinator/process.py
+++ b/coveport/system/coordinator/process.py
@@ -114,7 +114,7 @@
         if settings.control is not None:
             control = Control(self._net, self.core, self.describe)
             operators = OperatorCalls(control, settings.control[1], frozenset(settings.regions))
-            nodes = NodeCalls(self._reporting, self.table, settings.regions, self._log)
+            nodes = NodeCalls(self._reporting, self.standing.is_connected, settings.regions, self._log)
             servers.append(CallServer(self._net, settings.control, CallTable(operators, nodes).answer))
         if settings.lookups is not None:
             lookups = LookupCalls(self.leases, self._net.now_s, self.standing.is_connected)
