--- a/coveport/system/coordinator/process.py
+++ b/coveport/system/coordinator/process.py
@@ -214,6 +214,7 @@
 
     def _committed(self, effect: CommittedState) -> None:
         self.history.advance(effect.sequence, encode_state(effect.state), effect.command)
+        self.standing.look()
         self.subscriptions.news()
 
     def _stalled(self, late_s: float) -> None:
@@ -232,8 +233,8 @@
         self.standing.look()
         if not self.standing.is_connected():
             self.table.forgive(now)
-            if was_connected:
-                self.subscriptions.news()
+        if self.standing.is_connected() != was_connected:
+            self.subscriptions.news()
         for incarnation in self.table.expire(now):
             self._log.warning("node_silent", node=incarnation)
             self.subscriptions.news()
--- a/coveport/system/coordinator/subscriptions.py
+++ b/coveport/system/coordinator/subscriptions.py
@@ -165,6 +165,8 @@
                 self._answer(waiting.connection)
 
     def _has_news(self, request: UpdateRequest) -> bool:
+        if request.state_sequence < 0 and self._history.sequence < 0 and not self._standing.is_connected():
+            return False  # both have just started: what it needs will be here in a moment, if anywhere
         return (
             request.table != self._table_identity
             or request.node_revision < self._table.revision
--- a/coveport/system/proxy/subscription.py
+++ b/coveport/system/proxy/subscription.py
@@ -78,7 +78,8 @@
                 await self._ask_at(address)
                 if self.answered_at_s > before:
                     break
-            pause_s = PAUSE_S if self.answered_at_s > before else min(2 * pause_s, PAUSE_MOST_S)
+            is_quick = self.answered_at_s > before or self._sequence < 0  # without a state it serves nothing
+            pause_s = PAUSE_S if is_quick else min(2 * pause_s, PAUSE_MOST_S)
             await asyncio.sleep(pause_s * self._chance.uniform(0.5, 1.5))
 
     async def _ask_at(self, address: str) -> None:
