--- a/coveport/system/scale/meters.py
+++ b/coveport/system/scale/meters.py
@@ -31,6 +31,11 @@
     return Usage(ticks / _TICKS_S, int(pages) * _PAGE_BYTES / 1e6)
 
 
+def load_of_machine() -> float:
+    """Processes that wait for a processor or run, as a mean of the last minute, by processor."""
+    return os.getloadavg()[0] / (os.cpu_count() or 1)
+
+
 def memory_of_machine_mb() -> float:
     """All memory of this machine."""
     return os.sysconf("SC_PHYS_PAGES") * _PAGE_BYTES / 1e6
--- a/coveport/system/scale/results.py
+++ b/coveport/system/scale/results.py
@@ -36,6 +36,7 @@
     takeover: Delay  # from the kill of a primary to the next acknowledged change
     faults: FaultCounts
     memory_mb: float  # of all processes together, at the most
+    machine_load: float  # at the end, by processor; above 1 all times are too long
     problems: tuple[str, ...] = field(default=())  # what did not come about; empty: all did
 
 
@@ -66,6 +67,7 @@
     faults = dataclasses.asdict(result.faults)
     told.append(("faults", ", ".join(f"{key} {value}" for key, value in faults.items())))
     told.append(("memory of all processes", f"{result.memory_mb:.0f} MB"))
+    told.append(("load of this machine, a processor", f"{result.machine_load:.1f}"))
     told += [("problem", problem) for problem in result.problems]
     return told
 
--- a/coveport/system/scale/run.py
+++ b/coveport/system/scale/run.py
@@ -17,6 +17,7 @@
 from coveport.system.scale.load import change_of_edition, first_configuration
 from coveport.system.scale.machines import Machines
 from coveport.system.scale.measures import Reading, WindowRates, summarize, window_rates
+from coveport.system.scale.meters import load_of_machine
 from coveport.system.scale.processes import RoleProcess, Worker
 from coveport.system.scale.results import FaultCounts, ScaleResult
 from coveport.system.scale.sizes import ZONES, ScaleSize
@@ -91,6 +92,7 @@
             takeover=summarize(takeover, 1 - len(takeover)),
             faults=self._faults,
             memory_mb=self._most_mb,
+            machine_load=load_of_machine(),
             problems=tuple(self._problems),
         )
 
@@ -154,20 +156,22 @@
         in_force: list[float] = []
         acknowledged: list[float] = []
         missing = 0
+        began_s: float | None = None  # when this change was first sent
         for _ in range(CHANGES):
-            began_s = self._net.now_s()
+            began_s = self._net.now_s() if began_s is None else began_s
             answer = await caller.call(self._change(), IN_FORCE_WITHIN_S)
             if not isinstance(answer, Answer) or not answer.is_success:
                 self._problems.append(f"a change was not taken: {answer}")
                 continue
             self._edition += 1
             acknowledged.append(self._net.now_s() - began_s)
-            left_s = IN_FORCE_WITHIN_S - acknowledged[-1]
+            left_s = began_s + IN_FORCE_WITHIN_S - self._net.now_s()
             seen = await self._machines.sightings.wait_for(
                 "edition", str(self._edition), self._size.proxies, left_s
             )
             in_force += [at_s - began_s for at_s in seen.values()]
             missing += self._size.proxies - len(seen)
+            began_s = None
         return in_force, acknowledged, missing
 
     async def _closings(self) -> tuple[list[float], int]:
