--- a/tests/system/coordinator/test_control.py
+++ b/tests/system/coordinator/test_control.py
@@ -36,7 +36,7 @@
 
 
 def run(core: Core, ask: Callable[[Control], Coroutine[Any, Any, Any]], at: Any = None) -> tuple[Any, float]:
-    """What a call gives in simulated time, and after how many seconds; `at`: when something happens, and what."""
+    """What a call gives in simulated time, and after how long; `at`: when something happens, and what."""
     world = World()
     process = Process(world, "coordinator")
     net = SimpleNamespace(now_s=lambda: world.now)
