--- a/coveport/http1/codec.py
+++ b/coveport/http1/codec.py
@@ -85,7 +85,7 @@
     whole_most: int | None = None
     unsure: ClassVar[int] = MAX_BODY  # bytes of a body without a length that may still be whole
     opening: ClassVar[re.Pattern[bytes]]  # what the first bytes of a message match, however few there are
-    most_head: int = field(default=MAX_HEAD, kw_only=True)  # bytes of the largest head
+    most_head: int = field(default_factory=lambda: MAX_HEAD, kw_only=True)  # bytes of the largest head
     held: bytearray = field(default_factory=bytearray)
     _message: Message | None = None  # its head is read, its body is not
     _left: int | None = 0  # bytes of body, None: until the connection ends
