--- a/tests/system/coordinator/test_control.py
+++ b/tests/system/coordinator/test_control.py
@@ -38,7 +38,7 @@
 def run(core: Core, ask: Callable[[Control], Coroutine[Any, Any, Any]], at: Any = None) -> tuple[Any, float]:
     """What a call gives in simulated time, and after how long; `at`: when something happens, and what."""
     world = World()
-    process = Process(world, "coordinator")
+    process = Process.start(world, "coordinator")
     net = SimpleNamespace(now_s=lambda: world.now)
     control = Control(net, core, dict)  # type: ignore[arg-type]
     began = world.now
