--- a/coveport/system/coordinator/process.py
+++ b/coveport/system/coordinator/process.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import random
-import signal
-import sys
 from typing import Any
 
 from coveport.net.transport import Net
@@ -19,18 +17,16 @@
 from coveport.system.coordinator.reports import NodeReporting
 from coveport.system.coordinator.standing import CoordinatorStanding
 from coveport.system.coordinator.subscriptions import StateHistory, Subscriptions
-from coveport.system.log import make_log
 from coveport.system.membership.leases import LeaseTable
 from coveport.system.membership.node_table import NodeTable
-from coveport.system.model.findings import Refusal
 from coveport.system.replication.events import CommittedState
 from coveport.system.replication.identity import MemberId, Place
 from coveport.system.replication.member import CoreMember
 from coveport.system.replication.messages import Message as ReplicationMessage
+from coveport.system.role_process import CannotStartError, run_process
 from coveport.system.settings.boot import BootSettings
-from coveport.system.settings.reader import read_boot_settings
-from coveport.system.settings.reload import reload_settings
 from coveport.system.storage.opening import Opened, open_storage
+from coveport.system.storage.ring import NewerFormatError
 from coveport.system.web.calls import CallTable
 from coveport.system.web.server import CallServer
 from coveport.system.wire.connection import Connection
@@ -47,7 +43,6 @@
 )
 from coveport.system.wire.traffic import Traffic
 
-WRONG_SETTINGS = 2  # exit code
 TEND_S = 0.1  # how often connections, leases and silence are looked at
 SHARE_LEASES_S = 0.5
 SILENT_HEARTBEATS = 4.5  # a node that missed so many is taken for gone
@@ -259,26 +254,13 @@
 
 def run(settings_path: str) -> int:
     """Run a coordinator until it is told to stop; the exit code."""
-    settings = read_boot_settings(settings_path, needed=("data_dir",))
-    if isinstance(settings, Refusal):
-        for finding in settings.findings:
-            print(f"coveport: settings: {finding}", file=sys.stderr)
-        return WRONG_SETTINGS
-    asyncio.run(_run(settings_path, settings))
-    return 0
+    return run_process(settings_path, ("data_dir",), _make)
 
 
-async def _run(path: str, settings: BootSettings) -> None:
-    loop = asyncio.get_running_loop()
-    net = Net(loop)
-    log = make_log(net.now_s)
+def _make(net: Net, settings: BootSettings, log: Any) -> Coordinator:
     assert settings.data_dir is not None
-    opened = open_storage(settings.data_dir, settings.first_boot, loop.call_soon_threadsafe)
-    coordinator = Coordinator(net, settings, opened, random.Random(), log)
-    stopping = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings, path, settings, log)
-    await coordinator.start()
-    await stopping.wait()
-    await coordinator.stop()
+    try:
+        opened = open_storage(settings.data_dir, settings.first_boot, net.loop.call_soon_threadsafe)
+    except (NewerFormatError, OSError, ValueError) as problem:
+        raise CannotStartError(f"{settings.data_dir}: {problem}") from problem
+    return Coordinator(net, settings, opened, random.Random(), log)
--- a/coveport/system/proxy/process.py
+++ b/coveport/system/proxy/process.py
@@ -4,26 +4,20 @@
 
 import asyncio
 import random
-import signal
-import sys
 from typing import Any
 
 from coveport.net.transport import Net
-from coveport.system.log import make_log
 from coveport.system.membership.leases import ProxyLease
-from coveport.system.model.findings import Refusal
 from coveport.system.model.view import ControlView
 from coveport.system.proxy.coordinator_choice import CoordinatorChoice
 from coveport.system.proxy.data_path import DataPath
 from coveport.system.proxy.readiness import ReadinessCalls
 from coveport.system.proxy.subscription import Subscription
+from coveport.system.role_process import run_process
 from coveport.system.settings.boot import BootSettings
-from coveport.system.settings.reader import read_boot_settings
-from coveport.system.settings.reload import reload_settings
 from coveport.system.web.calls import CallTable
 from coveport.system.web.server import CallServer
 
-WRONG_SETTINGS = 2  # exit code
 STOP_PART = 0.9  # of the time that the platform grants a stop
 FIGURES_S = 10.0  # between two log lines of figures
 
@@ -113,24 +107,8 @@
 
 def run(settings_path: str) -> int:
     """Run a proxy until it is told to stop; the exit code."""
-    settings = read_boot_settings(settings_path, needed=("clients",))
-    if isinstance(settings, Refusal):
-        for finding in settings.findings:
-            print(f"coveport: settings: {finding}", file=sys.stderr)
-        return WRONG_SETTINGS
-    asyncio.run(_run(settings_path, settings))
-    return 0
-
-
-async def _run(path: str, settings: BootSettings) -> None:
-    loop = asyncio.get_running_loop()
-    net = Net(loop)
-    log = make_log(net.now_s)
-    proxy = Proxy(net, settings, random.Random(), log)
-    stopping = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings, path, settings, log)
-    await proxy.start()
-    await stopping.wait()
-    await proxy.stop()
+    return run_process(settings_path, ("clients",), _make)
+
+
+def _make(net: Net, settings: BootSettings, log: Any) -> Proxy:
+    return Proxy(net, settings, random.Random(), log)
--- /dev/null
+++ b/tests/system/settings/test_role_process.py
@@ -0,0 +1,70 @@
+"""A role as a process: what it can't start without is said in one line, with an exit code."""
+
+from __future__ import annotations
+
+import os
+import signal
+import struct
+import subprocess
+import sys
+import zlib
+from pathlib import Path
+
+from test_boot_settings_reader import COORDINATOR
+
+from coveport.system.role_process import CANNOT_START
+from coveport.system.storage.ring import FORMAT_VERSION, MAGIC, SALT_BYTES
+
+BOUND_S = 60
+
+
+def start(tmp_path: Path, data: Path) -> subprocess.Popen[str]:
+    settings = tmp_path / "boot.toml"
+    lines = [
+        f'DataDir = "{data}"' if line.startswith("DataDir") else line for line in COORDINATOR.splitlines()
+    ]
+    settings.write_text("\n".join(lines).replace("10.1.0.13", "127.0.0.1"), encoding="utf-8")
+    command = [sys.executable, "-m", "coveport.system", "coordinator"]
+    environment = {**os.environ, "COVEPORT_NODE_FILE": str(settings)}
+    return subprocess.Popen(command, env=environment, stderr=subprocess.PIPE, text=True)
+
+
+def test_a_newer_format_on_disk_is_refused_in_one_line(tmp_path: Path) -> None:
+    data = tmp_path / "data"
+    data.mkdir()
+    process = start(tmp_path, data)
+    assert process.stderr is not None
+    for line in process.stderr:
+        if "coordinator_started" in line:
+            break
+    process.send_signal(signal.SIGTERM)
+    process.communicate(timeout=BOUND_S)
+    _make_newer(data)
+    said = start(tmp_path, data).communicate(timeout=BOUND_S)[1]
+    assert len(said.splitlines()) == 1, said
+    assert said.startswith(f"coveport: {data}: ")
+
+
+def _make_newer(data: Path) -> None:
+    """Rewrite each file's header as the next version of the program would."""
+    header = struct.Struct(">4sHQ8sI")
+    changed = 0
+    for path in data.iterdir():
+        raw = bytearray(path.read_bytes())
+        if raw[: len(MAGIC)] != MAGIC:
+            continue
+        _, _, generation, salt, records = header.unpack_from(raw)
+        made = header.pack(MAGIC, FORMAT_VERSION + 1, generation, salt, records)
+        raw[: header.size + 4] = made + struct.pack(">I", zlib.crc32(made))
+        path.write_bytes(raw)
+        changed += 1
+    assert changed and SALT_BYTES == 8
+
+
+def test_a_folder_that_cannot_be_made_is_refused_in_one_line(tmp_path: Path) -> None:
+    file = tmp_path / "file"
+    file.write_text("", encoding="utf-8")
+    process = start(tmp_path, file / "data")
+    said = process.communicate(timeout=BOUND_S)[1]
+    assert process.returncode == CANNOT_START
+    assert len(said.splitlines()) == 1, said
