--- a/coveport/system/coordinator/process.py
+++ b/coveport/system/coordinator/process.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import random
-import signal
-import sys
 from typing import Any
 
 from coveport.net.transport import Net
@@ -19,16 +17,16 @@
 from coveport.system.coordinator.reports import NodeReporting
 from coveport.system.coordinator.standing import CoordinatorStanding
 from coveport.system.coordinator.subscriptions import StateHistory, Subscriptions
-from coveport.system.log import make_log
 from coveport.system.membership.leases import LeaseTable
 from coveport.system.membership.node_table import NodeTable
-from coveport.system.model.findings import Refusal
 from coveport.system.replication.events import CommittedState
 from coveport.system.replication.identity import MemberId, Place
 from coveport.system.replication.member import CoreMember
+from coveport.system.replication.messages import Message as ReplicationMessage
+from coveport.system.role_process import CannotStartError, run_process
 from coveport.system.settings.boot import BootSettings
-from coveport.system.settings.reader import read_boot_settings
 from coveport.system.storage.opening import Opened, open_storage
+from coveport.system.storage.ring import NewerFormatError
 from coveport.system.web.calls import CallTable
 from coveport.system.web.server import CallServer
 from coveport.system.wire.connection import Connection
@@ -43,8 +41,8 @@
     TableRequest,
     UpdateRequest,
 )
+from coveport.system.wire.traffic import Traffic
 
-WRONG_SETTINGS = 2  # exit code
 TEND_S = 0.1  # how often connections, leases and silence are looked at
 SHARE_LEASES_S = 0.5
 SILENT_HEARTBEATS = 4.5  # a node that missed so many is taken for gone
@@ -67,7 +65,8 @@
         self.table = NodeTable(SILENT_HEARTBEATS * settings.heartbeat_ms / 1000)
         self.leases = LeaseTable()
         self.history = StateHistory()
-        self._peers = Peers(net, self._hello, self._peer_said, self._peer_connected)
+        self.traffic = Traffic()
+        self._peers = Peers(net, self._hello, self._peer_said, self._peer_connected, self.traffic)
         self._member = CoreMember(
             self._member_id,
             Place(settings.zone, settings.region),
@@ -110,7 +109,7 @@
         if settings.control is not None:
             control = Control(self._net, self.core, self.describe)
             operators = OperatorCalls(control, settings.control[1], frozenset(settings.regions))
-            nodes = NodeCalls(self._reporting, self.table, settings.regions, self._log)
+            nodes = NodeCalls(self._reporting, self.standing.is_connected, settings.regions, self._log)
             servers.append(CallServer(self._net, settings.control, CallTable(operators, nodes).answer))
         if settings.lookups is not None:
             lookups = LookupCalls(self.leases, self._net.now_s, self.standing.is_connected)
@@ -120,7 +119,7 @@
     async def start(self) -> None:
         """Listen, and take part in the core."""
         self._listening = await self._net.listen(
-            lambda: Connection(self._net, self._came, self._ended),
+            lambda: Connection(self._net, self._came, self._ended, self.traffic),
             self._settings.inner,
             accept_most=ACCEPT_MOST,
             waiting_most=WAITING_MOST,
@@ -143,6 +142,7 @@
         self._peers.close()
         if self._tending is not None:
             self._tending.cancel()
+        self._log.info("coordinator_stopped")
 
     def describe(self) -> dict[str, Any]:
         """The core, proxies and nodes for people and scripts."""
@@ -152,6 +152,7 @@
             "core": self._member.describe(),
             "connected": self.standing.is_connected(),
             "state_sequence": self.history.sequence,
+            "traffic": self.traffic.describe(),
             "coordinators": [one.address for one in self._live_coordinators()],
             "proxies": [
                 {"name": lease.name, "address": lease.address, "zone": lease.zone, "ready": lease.ready}
@@ -200,7 +201,7 @@
             case TableRequest():
                 self._reporting.tell_all(hello.address)
                 self._tell_leases(hello.address)
-            case _:
+            case _ if isinstance(message, ReplicationMessage):
                 self.core.receive(MemberId(hello.address, hello.disk), message)
 
     def _peer_connected(self, address: str) -> None:
@@ -208,10 +209,11 @@
 
     def _committed(self, effect: CommittedState) -> None:
         self.history.advance(effect.sequence, encode_state(effect.state), effect.command)
+        self.standing.look()
         self.subscriptions.news()
 
     def _stalled(self, late_s: float) -> None:
-        """This process stood still: what waits in its connections may be stale, and silence says nothing."""
+        """After a standstill: what waits in our connections may be stale, and silence says nothing."""
         self.standing.stalled()
         self.table.forgive(self._net.now_s())
         for server in self._servers:
@@ -226,8 +228,8 @@
         self.standing.look()
         if not self.standing.is_connected():
             self.table.forgive(now)
-            if was_connected:
-                self.subscriptions.news()
+        if self.standing.is_connected() != was_connected:
+            self.subscriptions.news()
         for incarnation in self.table.expire(now):
             self._log.warning("node_silent", node=incarnation)
             self.subscriptions.news()
@@ -252,26 +254,13 @@
 
 def run(settings_path: str) -> int:
     """Run a coordinator until it is told to stop; the exit code."""
-    settings = read_boot_settings(settings_path)
-    if isinstance(settings, Refusal):
-        for finding in settings.findings:
-            print(f"coveport: settings: {finding}", file=sys.stderr)
-        return WRONG_SETTINGS
-    asyncio.run(_run(settings))
-    return 0
+    return run_process(settings_path, ("data_dir",), _make)
 
 
-async def _run(settings: BootSettings) -> None:
-    loop = asyncio.get_running_loop()
-    net = Net(loop)
-    log = make_log(net.now_s)
+def _make(net: Net, settings: BootSettings, log: Any) -> Coordinator:
     assert settings.data_dir is not None
-    opened = open_storage(settings.data_dir, settings.first_boot, loop.call_soon_threadsafe)
-    coordinator = Coordinator(net, settings, opened, random.Random(), log)
-    stopping = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log.info("settings_changed"))
-    await coordinator.start()
-    await stopping.wait()
-    await coordinator.stop()
+    try:
+        opened = open_storage(settings.data_dir, settings.first_boot, net.loop.call_soon_threadsafe)
+    except (NewerFormatError, OSError, ValueError) as problem:
+        raise CannotStartError(f"{settings.data_dir}: {problem}") from problem
+    return Coordinator(net, settings, opened, random.Random(), log)
--- a/coveport/system/proxy/prompt_parts.py
+++ b/coveport/system/proxy/prompt_parts.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import heapq
 import zlib
 from collections import OrderedDict
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 MOST_PARTS = 2048  # that are remembered; those unused the longest are forgotten
@@ -58,6 +60,10 @@
             kept += part.tokens
         return kept
 
+    def unread_tokens(self, parts: tuple[PromptPart, ...], incarnation: str) -> int:
+        """Tokens of the prompt that the node has yet to read, as far as this proxy knows."""
+        return sum(part.tokens for part in parts) - self.kept_tokens(parts, incarnation)
+
     def prefer(self, parts: tuple[PromptPart, ...], one: str, other: str) -> str | None:
         """The node that keeps more; where that is equal the one that all proxies agree on; None: no parts."""
         one_keeps, other_keeps = self.kept_tokens(parts, one), self.kept_tokens(parts, other)
@@ -69,6 +75,14 @@
         return max(one, other, key=lambda incarnation: _agreed_rank(shared, incarnation))
 
 
+def keepers(parts: tuple[PromptPart, ...], incarnations: Sequence[str], most: int) -> Sequence[str]:
+    """The few of the nodes that all proxies agree on for the prompt's shared part; all, if it has none."""
+    shared = shared_part(parts)
+    if shared is None or len(incarnations) <= most:
+        return incarnations
+    return heapq.nlargest(most, incarnations, key=lambda incarnation: _agreed_rank(shared, incarnation))
+
+
 def shared_part(parts: tuple[PromptPart, ...]) -> PromptPart | None:
     """The last part that other requests have too: the very last belongs to the request itself."""
     return parts[-2] if len(parts) > 1 else None
