--- a/micaflow/decide.py
+++ b/micaflow/decide.py
@@ -265,10 +265,9 @@
             return None
         levels = self.local, self.wide, self.all
         stops = levels if self.soon < request.cross_at else levels[1:]  # where nothing further is tried
-        last = first_usable_level(stops, lambda host: host.trial_at == inf)
         for level in levels:
             host = self._draw(level, request) if level is self.local or len(level) > len(self.local) else None
-            if host or level is last:
+            if host or level is first_usable_level(stops, lambda one: one.trial_at == inf):
                 return host
         for one in self.all:  # every host looks bad: a fault of our own view is likelier
             one.trial_at = inf
