--- a/coveport/system/proxy/levels.py
+++ b/coveport/system/proxy/levels.py
@@ -22,30 +22,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
-from random import Random
-from typing import TypeVar
-
-Candidate = TypeVar("Candidate")
-TieBreak = Callable[[Candidate, Candidate], Candidate | None]
-
-
-def less_busy_of_two(
-    candidates: Sequence[Candidate],
-    in_flight: Mapping[Candidate, int],
-    random: Random,
-    tie_break: TieBreak[Candidate] | None = None,
-) -> Candidate:
-    """Of two candidates drawn at random, the one with fewer requests in flight.
-
-    Equals are decided by `tie_break` where it prefers one of them, else at random. `candidates` may not be
-    empty.
-    """
-    if len(candidates) == 1:
-        return candidates[0]
-    first, second = random.sample(candidates, 2)
-    first_load, second_load = in_flight.get(first, 0), in_flight.get(second, 0)
-    if first_load != second_load:
-        return first if first_load < second_load else second
-    preferred = tie_break(first, second) if tie_break is not None else None
-    return first if preferred is None else preferred  # they were drawn in random order
+from micaflow.levels import less_busy_of_two
+
+__all__ = ["less_busy_of_two"]
