--- a/coveport/lab/virtual/play.py
+++ b/coveport/lab/virtual/play.py
@@ -27,14 +27,15 @@
     write_faults,
 )
 from coveport.lab.day import Change, Day, SidecarDrawn, Wish, sidecar_settings
+from coveport.lab.faults import OF_STAFF
 from coveport.lab.model import KeyMemory
 from coveport.lab.playing import Played
-from coveport.lab.scenario import OF_STAFF
 from coveport.lab.standins import staff
 from coveport.lab.standins.discovery import Discovery
 from coveport.lab.standins.health import wait_until_ready
-from coveport.lab.standins.nodes import LedgerNode, WorkBook
+from coveport.lab.standins.nodes import LedgerNode
 from coveport.lab.standins.tills import Tills
+from coveport.lab.standins.work_book import WorkBook
 from coveport.lab.virtual.harsh import Harsh
 from coveport.lab.virtual.hosts import VirtualHost
 from coveport.lab.virtual.wires import Network, VirtualNet
