--- a/coveport/system/coordinator/core.py
+++ b/coveport/system/coordinator/core.py
@@ -11,6 +11,7 @@
 from coveport.system.replication.events import (
     Answer,
     CommittedState,
+    Connected,
     Effect,
     Event,
     HandOver,
@@ -68,6 +69,10 @@
         """A message of replication came from another coordinator."""
         self._handle(Received(sender, message))
 
+    def connected(self, address: str) -> None:
+        """A connection to another coordinator has come up."""
+        self._handle(Connected(address))
+
     def hand_over(self) -> None:
         """Another leads from here on: this process is about to stop."""
         self._handle(HandOver())
--- a/coveport/system/coordinator/peers.py
+++ b/coveport/system/coordinator/peers.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from coveport.net.address import parse_address
 from coveport.net.transport import Net
@@ -19,6 +19,7 @@
 
 CONNECT_S = 0.5
 REDIAL_S = 0.2
+HEARD_REDIAL_S = 0.02  # ... to a peer that has just been heard
 SILENT_S = 1.0
 
 PeerReceiver = Callable[[Hello, Message], None]
@@ -31,7 +32,6 @@
     heard_s: float = 0.0  # when it last said anything to us, on any connection
     dialing: asyncio.Task[None] | None = None
     dialed_s: float = -1.0
-    waiting: list[Message] = field(default_factory=list)
 
 
 class Peers:
@@ -80,9 +80,15 @@
         """Something came on a connection that a peer dialed."""
         peer = self._peers.get(hello.address)
         if peer is not None:
-            peer.heard_s = self._net.now_s()
+            self._note_heard(peer)
         self._on_message(hello, message)
 
+    def _note_heard(self, peer: _Peer) -> None:
+        """It is up: where we are not connected to it, dial without waiting for our turn."""
+        peer.heard_s = self._net.now_s()
+        if peer.dialing is None and (peer.connection is None or not peer.connection.is_open):
+            self._dial(peer, HEARD_REDIAL_S)
+
     def tend(self) -> None:
         """Redial what is down or silent; to be called several times a second."""
         now = self._net.now_s()
@@ -107,9 +113,9 @@
         if peer.connection is not None:
             peer.connection.drop()
 
-    def _dial(self, peer: _Peer) -> None:
+    def _dial(self, peer: _Peer, gap_s: float = REDIAL_S) -> None:
         now = self._net.now_s()
-        if peer.dialing is None and now - peer.dialed_s >= REDIAL_S:
+        if peer.dialing is None and now - peer.dialed_s >= gap_s:
             peer.dialed_s = now
             peer.dialing = self._net.loop.create_task(self._connect(peer))
 
--- a/coveport/system/coordinator/process.py
+++ b/coveport/system/coordinator/process.py
@@ -205,6 +205,7 @@
                 self.core.receive(MemberId(hello.address, hello.disk), message)
 
     def _peer_connected(self, address: str) -> None:
+        self.core.connected(address)
         self._peers.send(address, TableRequest())
 
     def _committed(self, effect: CommittedState) -> None:
--- a/coveport/system/proxy/data_path.py
+++ b/coveport/system/proxy/data_path.py
@@ -21,6 +21,7 @@
 from coveport.system.proxy.retry_budget import RetryBudget
 from coveport.system.proxy.routing import RouteTable, choose_service
 from coveport.system.proxy.selection import NodeSelection, Wanted
+from coveport.system.proxy.startup_hold import StartupHold
 from coveport.system.proxy.warm_up import WarmUpCredit
 from coveport.system.settings.boot import BootSettings
 from coveport.system.wire.names import Header, Spelled
@@ -53,6 +54,7 @@
         self._listening: Listening | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._table: RouteTable | None = None
+        self._startup = StartupHold(net, view)
         self._counters = _Counters()
         bounds = settings.bounds
         self._pool = NodePool(net, settings.region)
@@ -127,6 +129,7 @@
         self._counters.add("requests")
         self._serving += 1
         try:
+            await self._startup.wait()
             table = self._current_table()
             if table is None:  # not told of any configuration yet
                 connection.answer(503, [(Spelled.RETRY_AFTER, str(RETRY_AFTER_S))])
@@ -185,6 +188,7 @@
         self._warm_up.forget_all_but(known)
         self._pool.sweep(known.__contains__)
         self._pace.forget_all_but(known)
+        self._tools.selection.strain.forget_all_but(known)
         for incarnation in self._pace.silent(self._net.now_s()):
             self._counters.add("silent")
             self._pace.note_reached(incarnation, self._net.now_s())  # counted anew, beside the trials
--- a/coveport/system/proxy/exchange.py
+++ b/coveport/system/proxy/exchange.py
@@ -30,8 +30,10 @@
 from coveport.system.proxy.headers import first, passed_on
 from coveport.system.proxy.node_connection import NodeClosedError, NodeConnection
 from coveport.system.proxy.node_pool import ConnectFailedError, NodePool
+from coveport.system.proxy.node_strain import StreamPauses
 from coveport.system.proxy.retry_budget import RetryBudget
 from coveport.system.proxy.selection import NodeSelection, NoNode, Wanted
+from coveport.system.proxy.urgency import priority
 from coveport.system.wire.names import Header, Spelled
 
 CONNECTS_AT_MOST = 4  # failed connects of one request
@@ -45,7 +47,9 @@
 SILENT_EVENTS_S = 1.2  # ... and to go on ...
 SILENT_PAUSES = 3  # ... or so many of the longest pauses that are in time
 SILENT_NODE_S = 0.8  # ... where the node says nothing to other requests either
-_WRITTEN_ANEW = frozenset({Header.TIME_LEFT, Header.EXPECT_INCARNATION, Header.LAST_EVENT_ID})
+_WRITTEN_ANEW = frozenset(
+    {Header.TIME_LEFT, Header.EXPECT_INCARNATION, Header.LAST_EVENT_ID, Header.PRIORITY}
+)
 
 
 @dataclass(slots=True)
@@ -225,17 +229,11 @@
 
     def _watch_pace(self, known: KnownNode, connection: NodeConnection) -> None:
         """Note when bytes of this answer come."""
-        net, pace, incarnation = self.tools.net, self.tools.selection.pace, known.node.incarnation
-        longest_pause_s = self.wanted.route.pause_objective_ms / 1000
-        before_s: float | None = None
+        net, selection, wanted = self.tools.net, self.tools.selection, self.wanted
+        pauses = StreamPauses()
 
         def heard() -> None:
-            nonlocal before_s
-            now_s = net.now_s()
-            pace.note_heard(
-                incarnation, None if before_s is None else now_s - before_s, now_s, longest_pause_s
-            )
-            before_s = now_s
+            selection.note_heard(known, wanted, pauses, net.now_s())
 
         connection.on_heard = heard
 
@@ -320,6 +318,15 @@
             yield Spelled.LAST_EVENT_ID, self._order.last_id
         yield Spelled.TIME_LEFT, str(max(1, int((self.deadline_s - now_s) * 1000)))
         yield Spelled.EXPECT_INCARNATION, incarnation
+        if self.wanted.parts:
+            yield Spelled.PRIORITY, str(self._priority(incarnation, now_s))
+
+    def _priority(self, incarnation: str, now_s: float) -> int:
+        """What a client waited before it came here is known by the time that it has left."""
+        route = self.wanted.route
+        spent_s = max(0.0, route.timeout_ms / 1000 - (self.deadline_s - now_s))
+        unread_tokens = self.tools.selection.parts.unread_tokens(self.wanted.parts, incarnation)
+        return priority(unread_tokens, route.objective_ms / 1000 - spent_s)
 
 
 async def _wait(woken: asyncio.Event, within_s: float) -> None:
--- a/coveport/system/proxy/node_pace.py
+++ b/coveport/system/proxy/node_pace.py
@@ -1,9 +1,6 @@
 """How fast nodes answer this proxy's streams, and whether they answer at all. Pure.
 
-A node whose streams here paused for longer than is in time is *strained*: it is too slow to read long prompts
-beside streams, and gets none of them while another node of its level is usable.
-
-Two things empty a level, beside bad ends (`node_health`):
+Two things empty a level, beside bad ends (`node_health`) and strain (`node_strain`):
 
 - a node is *saturated* while the mean pause between the events of this proxy's streams there is more than a
   part of the longest pause that is in time: prompts are being read in every step, and each further request
@@ -16,14 +13,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from math import exp, inf
+from math import exp
 
 MEMORY_S = 0.7  # time constant of the mean
 LEAST_WEIGHT = 1.5  # events, counted with that memory, that are needed to judge
 SATURATED_PART = 0.15  # of the longest pause that is in time; undisturbed streams pause less than 0.1 of it
 SILENT_S = 0.8
-STRAINED_S = 30.0  # how long a late pause is remembered
-OUTAGE_PAUSES = 2.0  # longer than so many of the longest pauses in time: not strain but an outage
 
 
 @dataclass(slots=True)
@@ -33,7 +28,6 @@
     noted_at_s: float = 0.0
     owing: int = 0  # requests of ours that it has not answered whole
     heard_at_s: float = 0.0  # when it last said anything, or began to owe, or was connected to
-    strained_at_s: float = -inf  # when a stream last paused for too long
 
     def decay(self, now_s: float) -> None:
         factor = exp(-max(0.0, now_s - self.noted_at_s) / MEMORY_S)
@@ -61,21 +55,14 @@
         if pace is not None and pace.owing:
             pace.owing -= 1
 
-    def note_heard(
-        self, incarnation: str, pause_s: float | None, now_s: float, longest_pause_s: float = 0.0
-    ) -> None:
-        """Bytes of an answer came, so long after the ones before; None: they are its first.
-
-        `longest_pause_s`: the longest pause that is in time for it; 0: not bounded.
-        """
+    def note_heard(self, incarnation: str, pause_s: float | None, now_s: float) -> None:
+        """Bytes of an answer came, so long after the ones before; None: they are its first."""
         pace = self._paces.setdefault(incarnation, _Pace())
         pace.heard_at_s = now_s
         if pause_s is not None:
             pace.decay(now_s)
             pace.pauses_s += pause_s
             pace.events += 1
-            if 0 < longest_pause_s < pause_s <= OUTAGE_PAUSES * longest_pause_s:
-                pace.strained_at_s = now_s
 
     def note_reached(self, incarnation: str, now_s: float) -> None:
         """A connect came up: whatever it owes, it can be reached."""
@@ -91,11 +78,6 @@
         pace.decay(now_s)
         return pace.events >= LEAST_WEIGHT and pace.pauses_s > SATURATED_PART * longest_pause_s * pace.events
 
-    def is_strained(self, incarnation: str, now_s: float) -> bool:
-        """Whether a stream there paused for too long lately."""
-        pace = self._paces.get(incarnation)
-        return pace is not None and now_s - pace.strained_at_s < STRAINED_S
-
     def silent(self, now_s: float) -> list[str]:
         """Nodes that owe answers and have said nothing for too long."""
         return [
--- a/coveport/system/proxy/process.py
+++ b/coveport/system/proxy/process.py
@@ -42,15 +42,15 @@
         self._is_serving = False
         self._is_stopping = False
         self._figures: asyncio.TimerHandle | None = None
-        self._starting: asyncio.Task[None] | None = None
 
     def is_ready(self) -> bool:
         """Whether clients are welcome."""
         return self._is_serving and not self._is_stopping and bool(self.view.nodes)
 
     async def start(self) -> None:
-        """Ask for the configuration, and serve once it is there."""
+        """Ask for the configuration. Clients that come before it is there wait a moment."""
         self.view.listeners.append(self._view_changed)
+        await self.data_path.start()
         if self._readiness is not None:
             await self._readiness.start()
         self.subscription.start()
@@ -62,8 +62,7 @@
         self._is_stopping = True
         self._log.info("proxy_stopping", **self.data_path.figures())
         until_s = self._net.now_s() + self._settings.bounds.grace_s * STOP_PART
-        if self._is_serving:
-            await self.data_path.drain(until_s)
+        await self.data_path.drain(until_s)
         self.subscription.stop()
         if self._readiness is not None:
             self._readiness.stop()
@@ -72,17 +71,8 @@
         self._log.info("proxy_stopped", **self.data_path.figures())
 
     def _view_changed(self) -> None:
-        if (
-            self._is_serving
-            or self._starting is not None
-            or self.view.configuration is None
-            or not self.view.nodes
-        ):
+        if self._is_serving or self.view.configuration is None or not self.view.nodes:
             return
-        self._starting = self._net.loop.create_task(self._serve())
-
-    async def _serve(self) -> None:
-        await self.data_path.start()
         self._is_serving = True
         self._log.info("proxy_serving", nodes=len(self.view.nodes))
 
--- a/coveport/system/proxy/selection.py
+++ b/coveport/system/proxy/selection.py
@@ -13,12 +13,13 @@
 from coveport.system.proxy.node_health import NodeHealth
 from coveport.system.proxy.node_pace import NodePace
 from coveport.system.proxy.node_pool import NodePool
+from coveport.system.proxy.node_strain import NodeStrain, StreamPauses
 from coveport.system.proxy.prompt_parts import PartMemory, PromptPart, keepers
 from coveport.system.proxy.routing import Levels, is_open, open_nodes, split_levels
 from coveport.system.proxy.warm_up import WarmUpCredit
 
 KEEPERS = 2  # nodes of a level that a prompt part is sent to while they are usable
-LONG_READ_TOKENS = 6000  # that a node has yet to read: several steps in a row
+LONG_READ_TOKENS = 4000  # that a node has yet to read: several steps in a row
 LATE_S = 0.1  # a request handed over so long after its choice counts a second time for a cold node
 
 
@@ -49,6 +50,7 @@
     warm_up: WarmUpCredit
     pool: NodePool
     pace: NodePace
+    strain: NodeStrain = field(default_factory=NodeStrain)
     parts: PartMemory = field(default_factory=PartMemory)
     in_flight: dict[str, int] = field(default_factory=dict)  # this proxy's requests by incarnation
 
@@ -67,12 +69,17 @@
             incarnation = known.node.incarnation
             return is_usable(known) and not self.pace.is_saturated(incarnation, longest_pause_s, now_s)
 
+        def is_fit(known: KnownNode) -> bool:
+            return is_swift(known) and not self._is_strained_for(wanted, known.node.incarnation, now_s)
+
         candidates = (
-            levels.first(is_swift) or levels.first(is_usable) or self._last_resort(levels, service, now_s)
+            levels.first(is_fit)
+            or levels.first(is_swift)
+            or levels.first(is_usable)
+            or self._last_resort(levels, service, now_s)
         )
         if not candidates:
             return NoNode.ALL_FULL if nodes else NoNode.NONE_OPEN
-        candidates = self._without_strained(wanted, candidates, now_s)
         by_incarnation = {known.node.incarnation: known for known in candidates}
         chosen = less_busy_of_two(
             keepers(wanted.parts, tuple(by_incarnation), KEEPERS),
@@ -82,16 +89,11 @@
         )
         return by_incarnation[chosen]
 
-    def _without_strained(self, wanted: Wanted, candidates: list[KnownNode], now_s: float) -> list[KnownNode]:
-        """Of a level's nodes those that can read the prompt beside their streams; all, where none can."""
-
-        def is_fit(known: KnownNode) -> bool:
-            incarnation = known.node.incarnation
-            if not self.pace.is_strained(incarnation, now_s):
-                return True
-            return self.parts.unread_tokens(wanted.parts, incarnation) < LONG_READ_TOKENS
-
-        return [known for known in candidates if is_fit(known)] or candidates
+    def _is_strained_for(self, wanted: Wanted, incarnation: str, now_s: float) -> bool:
+        """Whether the node would read the prompt for so long that its streams pause for too long."""
+        if self.parts.unread_tokens(wanted.parts, incarnation) < LONG_READ_TOKENS:
+            return False
+        return self.strain.is_strained(incarnation, wanted.route.pause_objective_ms / 1000, now_s)
 
     def _is_out(self, known: KnownNode, now_s: float) -> bool:
         return self.health.is_out(known.node.incarnation, now_s)
@@ -135,6 +137,14 @@
         self.parts.note_sent(wanted.parts, known.node.incarnation)
         self.pace.note_sent(known.node.incarnation, now_s)
 
+    def note_heard(self, known: KnownNode, wanted: Wanted, pauses: StreamPauses, now_s: float) -> None:
+        """Bytes of the answer came."""
+        incarnation, pause_s = known.node.incarnation, pauses.note_event(now_s)
+        self.pace.note_heard(incarnation, pause_s, now_s)
+        if pause_s is not None:
+            longest_pause_s = wanted.route.pause_objective_ms / 1000
+            self.strain.note_pause(incarnation, pause_s, pauses.mean_s, longest_pause_s, now_s)
+
     def note_end(self, known: KnownNode) -> None:
         """The request is off the node."""
         incarnation = known.node.incarnation
--- a/coveport/system/replication/election.py
+++ b/coveport/system/replication/election.py
@@ -18,15 +18,16 @@
         self._parts = parts
         self._leaderless_since_s: float | None = None
         self._not_before_s = now_s
+        self._listening_until_s = now_s
+
+    def listen(self, until_s: float) -> None:
+        """Until then make an attempt only when every member was heard: the process has just started."""
+        self._listening_until_s = until_s
 
     def hold_off(self, until_s: float) -> None:
         """Start no attempt before that."""
         self._not_before_s = max(self._not_before_s, until_s)
 
-    def hurry(self) -> None:
-        """Someone asked us to take over at once."""
-        self._not_before_s = float("-inf")
-
     def leader(self, view: View | None, now_s: float) -> str:
         """Address of the active primary that we hear; empty: none."""
         if view is None or view.primary == self._parts.own:
@@ -45,15 +46,13 @@
     def hears_majorities_now(self, view: View, now_s: float) -> bool:
         """Whether an attempt started now would be answered."""
         groups = view.groups(self._parts.journal.durable.settled)
-        peers = self._parts.peers
-        fresh = {
-            member
-            for group in groups
-            for member in group
-            if peers.is_alive(member, now_s) and peers.is_fresh(member, now_s)
-        }
+        fresh = {member for group in groups for member in group if self._is_heard_now(member, now_s)}
         return has_majorities(fresh, groups)
 
+    def _is_heard_now(self, member: MemberId, now_s: float) -> bool:
+        peers = self._parts.peers
+        return peers.is_alive(member, now_s) and peers.is_fresh(member, now_s)
+
     def is_called(self, view: View | None, now_s: float) -> bool:
         """Whether to start an attempt now."""
         if view is None or self._parts.own not in view.members or self.leader(view, now_s):
@@ -72,6 +71,10 @@
             return False
         if not self.hears_majorities_now(view, now_s):
             return False
+        if now_s < self._listening_until_s and not all(
+            self._is_heard_now(member, now_s) for member in view.members
+        ):
+            return False
         return not self._is_led_for_others(view, now_s)
 
     def _is_led_for_others(self, view: View, now_s: float) -> bool:
--- a/coveport/system/replication/events.py
+++ b/coveport/system/replication/events.py
@@ -43,6 +43,13 @@
     """Time has passed; to be told every 50 ms or so."""
 
 
+@dataclass(frozen=True, slots=True)
+class Connected:
+    """Messages to this coordinator arrive from now on."""
+
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class Received:
     """A message arrived. Messages may be lost, doubled and late."""
@@ -85,7 +92,7 @@
     """The process is about to stop: others should lead and hold the state."""
 
 
-Event = Tick | Received | Persisted | PersistFailed | Submit | ReadNewest | HandOver
+Event = Tick | Connected | Received | Persisted | PersistFailed | Submit | ReadNewest | HandOver
 
 
 @dataclass(frozen=True, slots=True)
--- a/coveport/system/replication/leading.py
+++ b/coveport/system/replication/leading.py
@@ -163,7 +163,14 @@
         self._tick_founding(now_s)
         if self.primary is not None and not self.primary.is_paused:
             self._tick_primary(now_s, self.primary)
-        elif self.attempt is None and self.election.is_called(self._parts.journal.durable.view, now_s):
+        else:
+            self.stand_if_called(now_s)
+
+    def stand_if_called(self, now_s: float) -> None:
+        """Start an attempt where nobody leads and it is this member's turn."""
+        if self.primary is not None or self.attempt is not None or self._founding is not None:
+            return
+        if self.election.is_called(self._parts.journal.durable.view, now_s):
             self.start_attempt(now_s, Change("nobody leads", True))
 
     def _tick_attempt(self, now_s: float) -> None:
--- a/coveport/system/replication/member.py
+++ b/coveport/system/replication/member.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from coveport.system.replication.acceptor import Acceptor
 from coveport.system.replication.events import (
+    Connected,
     Effect,
     Event,
     HandOver,
@@ -46,12 +47,13 @@
 )
 from coveport.system.replication.outbox import Outbox
 from coveport.system.replication.parts import Parts
-from coveport.system.replication.peers import Peers
+from coveport.system.replication.peers import Peer, Peers
 from coveport.system.replication.records import DurableState
 from coveport.system.replication.timings import Timings
 
-AFTER_START_S = 0.5  # a member that just started or woke first listens who leads
-PREFERENCE_S = 10.0  # how long an attempt keeps avoiding those that a change avoided
+AFTER_START_S = 0.25  # a member that just started listens who leads, unless all members said it before that
+AFTER_WAKING_S = 0.5  # one that stood still waits: what it last heard is old
+ANSWER_GAP_S = 0.02  # a peer that comes up is answered out of turn, but no more often than this
 
 
 class CoreMember:
@@ -87,7 +89,7 @@
             peers=Peers(identity, timings, now_s),
         )
         self._leading = Leadership(self._parts, now_s, seeds, may_found, initial_state)
-        self._leading.election.hold_off(now_s + AFTER_START_S)
+        self._leading.election.listen(now_s + AFTER_START_S)
         self._last_tick_s = now_s
         self._last_ping_s = float("-inf")
         self._now_s = now_s
@@ -161,6 +163,8 @@
         match event:
             case Tick():
                 self._tick(now_s)
+            case Connected():
+                self._connected(now_s, event.address)
             case Received():
                 self._received(now_s, event.sender, event.message)
             case Persisted():
@@ -271,7 +275,10 @@
 
     def _take_ping(self, now_s: float, sender: MemberId, ping: Ping) -> None:
         peer = self._parts.peers.heard(now_s, sender, ping)
+        if peer.alive_since_s == now_s:
+            self._answer_ping(now_s, peer)
         self._leading.take_ping(now_s, sender, ping)
+        self._leading.stand_if_called(now_s)
         if now_s - peer.served_at_s < self._parts.timings.learn_again_s:
             return
         is_served = self._leading.serve(peer, ping)
@@ -283,7 +290,18 @@
         if is_served:
             peer.served_at_s = now_s
 
-    def _send_pings(self, now_s: float) -> None:
+    def _connected(self, now_s: float, address: str) -> None:
+        """What was sent to it before is lost: say at once who and how we are."""
+        peer = self._parts.peers.get(address)
+        if peer is not None:
+            self._send_pings(now_s, [peer])
+
+    def _answer_ping(self, now_s: float, peer: Peer) -> None:
+        """Let a peer that just came up know at once that it is heard."""
+        if now_s - peer.pinged_at_s >= ANSWER_GAP_S:
+            self._send_pings(now_s, [peer])
+
+    def _send_pings(self, now_s: float, peers: Iterable[Peer]) -> None:
         parts = self._parts
         durable = parts.journal.durable
         view = self.view
@@ -293,7 +311,8 @@
         if is_leading and view is not None:
             is_leading = self._leading.election.reaches_majorities(view, now_s)
         primary = parts.own.address if is_leading else self._leading.election.leader(view, now_s)
-        for peer in parts.peers:
+        for peer in peers:
+            peer.pinged_at_s = now_s
             ping = Ping(
                 counter=int(now_s * 1000),
                 echo=peer.heard_counter,
@@ -326,13 +345,13 @@
         self._last_tick_s = now_s
         if now_s - self._last_ping_s >= parts.timings.ping_s:
             self._last_ping_s = now_s
-            self._send_pings(now_s)
+            self._send_pings(now_s, self._parts.peers)
         self._leading.tick(now_s)
 
     def _wake(self, now_s: float) -> None:
         """The process stood still: judge nobody by that time."""
         self._parts.journal.slept(now_s)
         self._parts.peers.awake_since_s = now_s
-        self._leading.election.hold_off(now_s + AFTER_START_S)
+        self._leading.election.hold_off(now_s + AFTER_WAKING_S)
         if self._leading.primary is not None:
             self._leading.primary.slept(now_s)
--- a/coveport/system/replication/peers.py
+++ b/coveport/system/replication/peers.py
@@ -30,6 +30,7 @@
     echoed_at_s: float = float("-inf")  # when the newest ping of ours that it echoed was sent
     alive_since_s: float = 0.0
     served_at_s: float = float("-inf")  # when it was last sent something that it lacked
+    pinged_at_s: float = float("-inf")  # when we last sent it a ping
 
     @property
     def place(self) -> Place:
--- a/coveport/system/replication/primary.py
+++ b/coveport/system/replication/primary.py
@@ -91,6 +91,7 @@
         command = in_flight.command if in_flight and kept_own_state else None
         parts.learner.became(sequence, parts.acceptor.state, command)
         self._tell_committed(now_s)
+        self._teach_those_without_state(now_s)
         if before is None:
             return
         self._take_waiting(before)
@@ -193,6 +194,18 @@
             if isinstance(lesson, Learn):
                 parts.outbox.send(peer.address, lesson)
 
+    def _teach_those_without_state(self, now_s: float) -> None:
+        """Send the whole state to coordinators that just started: their proxies serve nothing without it."""
+        parts = self._parts
+        for peer in parts.peers.alive(now_s):
+            is_replica = peer.identity in self.view.replicas
+            if is_replica or peer.ping is None or peer.ping.committed >= 0:
+                continue
+            lesson = parts.learner.lesson(peer.ping.committed)
+            if lesson is not None:
+                parts.outbox.send(peer.address, lesson)
+                peer.served_at_s = now_s
+
     # -- confirmation --
 
     def _start_round(self, now_s: float) -> None:
--- a/tests/system/proxy/test_levels.py
+++ b/tests/system/proxy/test_levels.py
@@ -125,11 +125,12 @@
     assert chosen(one, now_s=NOW + 0.2) == "near"
 
 
-def test_a_strained_node_gets_no_long_prompts_while_another_of_its_level_is_usable() -> None:
+def test_a_strained_node_belongs_to_no_level_for_long_prompts() -> None:
     one = selection(known("slow"), known("swift"), known("far", "q"))
-    one.pace.note_heard("slow", 0.41, NOW, 0.4)
-    long = Wanted(ROUTE, SERVICE, (PromptPart("p", LONG_READ_TOKENS),))
-    short = Wanted(ROUTE, SERVICE, (PromptPart("p", LONG_READ_TOKENS - 1),))
+    one.strain.note_pause("slow", 0.39, None, 0.4, NOW)
+    route = replace(ROUTE, pause_objective_ms=400)
+    long = Wanted(route, SERVICE, (PromptPart("p", LONG_READ_TOKENS),))
+    short = Wanted(route, SERVICE, (PromptPart("p", LONG_READ_TOKENS - 1),))
 
     def all_chosen(wanted: Wanted) -> set[object]:
         found = [one.choose(wanted, (), NOW) for _ in range(50)]
@@ -139,7 +140,10 @@
     assert all_chosen(short) == {"slow", "swift"}
     for _ in range(2):
         one.health.note_bad_end("swift", NOW)
-    assert all_chosen(long) == {"slow"}  # never to another level for it
+    assert all_chosen(long) == {"far"}  # its own level is empty for it
+    assert all_chosen(short) == {"slow"}
+    one.strain.note_pause("far", 0.39, None, 0.4, NOW)
+    assert all_chosen(long) == {"slow"}  # none is fit: as if none were strained
 
 
 def test_where_bad_ends_alone_keep_all_out_they_are_tried() -> None:
--- a/tests/system/proxy/test_node_pace.py
+++ b/tests/system/proxy/test_node_pace.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from coveport.system.proxy.node_pace import SILENT_S, STRAINED_S, NodePace
+from coveport.system.proxy.node_pace import SILENT_S, NodePace
 
 LONGEST_PAUSE_S = 0.4
 
@@ -88,12 +88,3 @@
     pace.note_ended("n")
     pace.forget_all_but(frozenset())
     assert pace.silent(12.0) == []
-
-
-def test_a_pause_that_is_late_strains_a_node_for_a_while_and_an_outage_does_not() -> None:
-    pace = NodePace()
-    pace.note_heard("slow", 0.41, 1.0, LONGEST_PAUSE_S)
-    pace.note_heard("cut off", 5.0, 1.0, LONGEST_PAUSE_S)
-    pace.note_heard("swift", 0.39, 1.0, LONGEST_PAUSE_S)
-    assert [pace.is_strained(node, 2.0) for node in ("slow", "cut off", "swift")] == [True, False, False]
-    assert not pace.is_strained("slow", 1.0 + STRAINED_S)
--- a/tests/system/replication/test_core_basics.py
+++ b/tests/system/replication/test_core_basics.py
@@ -70,3 +70,44 @@
     world.run_for(5.0, until=lambda: bool(world.primaries()))
     assert world.now_s - started_at_s < 2.0
     assert read(world) == Newest(1, ("0|5|x",))
+
+
+def test_members_that_all_started_anew_do_not_wait_to_listen() -> None:
+    world = founded()
+    assert write(world, change(0, 5, "x")) == Done("done")
+    for machine in world.machines.values():
+        machine.kill()
+    world.run_for(0.5)
+    world.start_all(first_boot=False)
+    started_at_s = world.now_s
+    world.run_for(5.0, until=lambda: bool(world.primaries()))
+    assert world.now_s - started_at_s < 0.45
+    world.run_for(0.1)
+    for machine in world.machines.values():
+        assert machine.life is not None
+        assert machine.life.committed[-1][1] == ("0|5|x",), "a new primary teaches those without a state"
+
+
+def test_a_founder_does_not_stand_against_its_own_founding() -> None:
+    for seed in range(1, 8):
+        world = founded(seed)
+        world.run_for(1.0)
+        primary = world.primary()
+        assert primary is not None and primary.life is not None
+        assert primary.life.member.describe()["epoch"] == 1
+
+
+def test_one_that_starts_anew_beside_a_primary_leaves_it_in_place() -> None:
+    for seed in range(1, 8):
+        world = founded(seed)
+        primary = world.primary()
+        assert primary is not None
+        others = [machine for machine in world.machines.values() if machine is not primary]
+        for machine in others:
+            machine.kill()
+            world.run_for(0.1)
+            machine.start()
+            world.run_for(1.5)
+        assert world.primary() is primary
+        assert primary.life is not None
+        assert primary.life.member.describe()["epoch"] == 1
