--- a/coveport/system/cli/app.py
+++ b/coveport/system/cli/app.py
@@ -44,6 +44,7 @@
 app.command("coveport.system.cli.show:nodes", name="nodes", help="List the nodes.")
 app.command("coveport.system.cli.show:members", name="members", help="List coordinators and proxies.")
 app.command("coveport.system.cli.show:status", name="status", help="Show the state of the core.")
+app.command("coveport.system.cli.explain:explain", name="explain", help="Say where a day's worth went.")
 app.command(
     "coveport.system.simulation.try_day:run",
     name="try",
--- a/coveport/system/proxy/node_strain.py
+++ b/coveport/system/proxy/node_strain.py
@@ -24,6 +24,7 @@
 MEANS_TO_JUDGE = 20  # until then a node's speed is unknown
 QUANTILE = 0.2  # of a node's means: one without prompts being read
 ADJUST_PART = 0.03  # how far one mean moves the estimate
+LOOK_S = 0.5  # how often the fastest node is looked for
 SLOWER_PART = 1.12  # steady pauses that differ by less are of equally fast nodes
 
 
@@ -81,6 +82,8 @@
 
     _speeds: dict[str, _Speed] = field(default_factory=dict)
     _worst: _WorstPause = _WorstPause(0.0, 1.0, -inf)
+    _fastest_s: float = inf  # the shortest steady pause of all nodes ...
+    _fastest_at_s: float = -inf  # ... when that was looked for
 
     def note_pause(
         self, incarnation: str, pause_s: float, mean_s: float | None, longest_pause_s: float, now_s: float
@@ -112,11 +115,17 @@
         if not speed.is_known or not self._is_fresh(now_s):
             return False
         expected_s = self._worst.pause_s * speed.steady_pause_s / max(self._worst.steady_pause_s, 1e-6)
-        return expected_s > NEAR_PART * longest_pause_s and self._is_slower(speed)
-
-    def _is_slower(self, speed: _Speed) -> bool:
-        limit_s = speed.steady_pause_s / SLOWER_PART
-        return any(other.is_known and other.steady_pause_s < limit_s for other in self._speeds.values())
+        if expected_s <= NEAR_PART * longest_pause_s:
+            return False
+        return speed.steady_pause_s > SLOWER_PART * self._fastest_pause_s(now_s)
+
+    def _fastest_pause_s(self, now_s: float) -> float:
+        """Looked for now and then only: there may be hundreds of nodes, and each is asked about."""
+        if now_s - self._fastest_at_s >= LOOK_S:
+            self._fastest_at_s = now_s
+            known = (speed.steady_pause_s for speed in self._speeds.values() if speed.is_known)
+            self._fastest_s = min(known, default=inf)
+        return self._fastest_s
 
     def forget_all_but(self, incarnations: frozenset[str]) -> None:
         """Drop what is known of nodes that are gone."""
--- a/coveport/system/proxy/prompt_parts.py
+++ b/coveport/system/proxy/prompt_parts.py
@@ -14,6 +14,7 @@
 
 MOST_PARTS = 2048  # that are remembered; those unused the longest are forgotten
 NODES_PER_PART = 4  # the last so many that it was sent to
+WORTH_KEEPING_TOKENS = 1000  # shared parts shorter than this, together, are read anew rather than sent after
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,10 +77,15 @@
 
 
 def keepers(parts: tuple[PromptPart, ...], incarnations: Sequence[str], most: int) -> Sequence[str]:
-    """The few of the nodes that all proxies agree on for the prompt's shared part; all, if it has none."""
+    """The few of the nodes that all proxies agree on for the prompt's shared part.
+
+    All of them where it has none, or short ones: those are read in a step, and fewer nodes share the load.
+    """
     shared = shared_part(parts)
     if shared is None or len(incarnations) <= most:
         return incarnations
+    if sum(part.tokens for part in parts[:-1]) < WORTH_KEEPING_TOKENS:
+        return incarnations
     return heapq.nlargest(most, incarnations, key=lambda incarnation: _agreed_rank(shared, incarnation))
 
 
--- a/tests/system/proxy/test_prompt_part_memory.py
+++ b/tests/system/proxy/test_prompt_part_memory.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from coveport.system.proxy.prompt_parts import MOST_PARTS, NODES_PER_PART, PartMemory, PromptPart, read_parts
+from coveport.system.proxy.prompt_parts import (
+    MOST_PARTS,
+    NODES_PER_PART,
+    WORTH_KEEPING_TOKENS,
+    PartMemory,
+    PromptPart,
+    keepers,
+    read_parts,
+)
 
 PARTS = read_parts("5c1e07a2:800,91bd3f06:410, e4402b7d:250")
 
@@ -60,3 +68,13 @@
     assert memory.unread_tokens(PARTS, "a") == 1460
     memory.note_sent(PARTS[:2], "a")
     assert memory.unread_tokens(PARTS, "a") == 250
+
+
+def test_prompts_with_long_shared_parts_keep_to_few_nodes_and_others_go_anywhere() -> None:
+    names = tuple(f"n{number}" for number in range(8))
+    long = (PromptPart("a", WORTH_KEEPING_TOKENS - 10), PromptPart("b", 10), PromptPart("own", 5000))
+    short = (PromptPart("a", WORTH_KEEPING_TOKENS - 11), PromptPart("b", 10), PromptPart("own", 5000))
+    kept = keepers(long, names, 2)
+    assert len(kept) == 2 and set(kept) == set(keepers(long, names[::-1], 2))
+    assert keepers(short, names, 2) == names == keepers((), names, 2)
+    assert keepers(long, names[:2], 2) == names[:2]
