--- a/coveport/system/proxy/answer_relay.py
+++ b/coveport/system/proxy/answer_relay.py
@@ -27,6 +27,7 @@
     """What came of a send."""
 
     PASSED_ON = "the client has the whole answer"
+    FAILURE_PASSED_ON = "the client has the node's own failure"
     NOT_RUN = "the node is full: it did not run the request"
     MISDIRECTED = "another incarnation answered: it did not run the request"
     FAILED = "the node ran it and failed, and another may be asked"
@@ -78,7 +79,8 @@
             await self._read_over(connection, response)
             return Answer.FAILED
         await self._pass_bytes(connection, response)
-        return Answer.PASSED_ON
+        is_failure = response.status in FAILURES_TO_REPEAT
+        return Answer.FAILURE_PASSED_ON if is_failure else Answer.PASSED_ON
 
     async def _our_head(self, connection: NodeConnection, patience: Patience | None) -> codec.Response:
         """The head of our answer; whole answers to others in front of it are read over."""
--- a/coveport/system/proxy/exchange.py
+++ b/coveport/system/proxy/exchange.py
@@ -272,12 +272,15 @@
         elif answer is Answer.MISDIRECTED:
             counters.add("misdirected")
             health.note_misdirected(incarnation, net.now_s())
+        elif answer is Answer.PASSED_ON:
+            health.note_served(incarnation, net.now_s())
         else:
-            health.note_good_end(incarnation)
+            counters.add("node_failures")
+            health.note_failed(incarnation, net.now_s())
         if answer is Answer.FAILED:
             self.broke_at.add(incarnation)
             return Ended.BROKEN
-        if answer is Answer.PASSED_ON:
+        if answer in (Answer.PASSED_ON, Answer.FAILURE_PASSED_ON):
             return Ended.DONE
         self.may_have_run = ran_before
         return Ended.NOT_RUN
