--- a/coveport/system/configuration/state.py
+++ b/coveport/system/configuration/state.py
@@ -50,6 +50,7 @@
 OK: Final = 200
 INVALID: Final = 400
 STALE: Final = 412
+UNCLEAR: Final = 503
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,6 +145,9 @@
         return _applied(state)
     if command.if_match is None:
         return _refused(state, INVALID, Finding("If-Match", "is missing; 0 is the first"))
+    if _may_have_been_forgotten(state, command.if_match):
+        message = f"{command.if_match} was in force over {MOST_TAKEN} changes ago: this may have been taken"
+        return _refused(state, UNCLEAR, Finding("If-Match", message))
     if command.if_match != state.edition:
         return _refused(state, STALE, Finding("If-Match", f"the current edition is {state.edition}"))
     made = _put(command) if isinstance(command, PutConfiguration) else _patch(state, command)
@@ -157,6 +161,14 @@
     return _applied(replace(state, configuration_text=keep_document(made), edition=edition, taken=taken))
 
 
+def _may_have_been_forgotten(state: ControlState, if_match: int) -> bool:
+    """Whether a change that builds on this edition may have been taken so long ago that nobody knows.
+
+    One that was taken must not be refused when it is sent again, so it gets no clear answer.
+    """
+    return len(state.taken) == MOST_TAKEN and if_match < state.taken[0].edition
+
+
 def _refused(state: ControlState, status: int, *findings: Finding) -> Refused:
     return Refused(ChangeResult(status, state.edition, findings))
 
--- a/coveport/system/coordinator/control.py
+++ b/coveport/system/coordinator/control.py
@@ -26,6 +26,7 @@
 PRIMARY_WAIT_S = 0.88  # callers move on after a second of silence; the way takes up to 0.1 s of it
 PRIMARY_LOOK_S = 0.02
 ANSWER_S = 4.0  # after which nobody waits for a command any more
+HOLD_S = 0.15  # of an order without a version: more than a round trip, within which its caller's end is seen
 
 
 def _apply(state: Any, command: bytes) -> Applied | Refused:
@@ -64,6 +65,10 @@
             await asyncio.sleep(PRIMARY_LOOK_S)
         return None
 
+    async def hold(self) -> None:
+        """Wait a moment; ends with the call where its caller leaves meanwhile."""
+        await asyncio.sleep(HOLD_S)
+
     async def submit(self, command: bytes) -> Reply:
         """Run a command here; 503 where this isn't the primary, or it is unclear what became of it."""
         return _reply(await self._within(self._core.submit(command)))
--- a/coveport/system/coordinator/core.py
+++ b/coveport/system/coordinator/core.py
@@ -24,6 +24,7 @@
     Send,
     Submit,
     Tick,
+    Withdraw,
 )
 from coveport.system.replication.identity import MemberId
 from coveport.system.replication.member import CoreMember
@@ -95,13 +96,21 @@
             return await answer
         finally:
             self._waiting.pop(request, None)
+            if not answer.done() or answer.cancelled():
+                self._handle(Withdraw(request))
 
-    def _tick(self) -> None:
+    def look_for_stall(self) -> None:
+        """Notice that the process stood still; to be called before anything that came meanwhile is taken."""
         now = self._net.now_s()
-        late_s, self._ticked_s = now - self._ticked_s - TICK_S, now
+        late_s = now - self._ticked_s - TICK_S
         if late_s > STALL_S:
+            self._ticked_s = now
             self._log.warning("stalled", seconds=round(late_s, 2))
             self._hooks.stalled(late_s)
+
+    def _tick(self) -> None:
+        self.look_for_stall()
+        self._ticked_s = self._net.now_s()
         self._handle(Tick())
         self._ticking = self._net.loop.call_later(TICK_S, self._tick)
 
--- a/coveport/system/coordinator/node_calls.py
+++ b/coveport/system/coordinator/node_calls.py
@@ -9,11 +9,10 @@
 from coveport.net.address import parse_address
 from coveport.system.coordinator.reports import NodeReporting
 from coveport.system.model.findings import Findings, Refusal
-from coveport.system.model.node import Node, NodeState
+from coveport.system.model.node import Node, NodeState, goodbye
 from coveport.system.web.calls import Call, Reply, answers, json_reply
 from coveport.system.wire.names import ERROR, Heartbeat, Path
 
-GOODBYE_SEQUENCE = 1 << 60  # newer than every heartbeat
 _STATES = {Heartbeat.ACCEPTING: NodeState.ACCEPTING, Heartbeat.CLOSING: NodeState.CLOSING}
 
 
@@ -26,6 +25,7 @@
         """`is_connected`: whether this coordinator is in touch with the core.
 
         One that isn't takes what nodes say, but sends them to another: nobody else hears of them through it.
+        What was confirmed by a majority (`closing`, a goodbye) needs no such check.
         """
         self._reporting, self._is_connected, self._regions, self._log = reporting, is_connected, regions, log
 
@@ -39,15 +39,14 @@
         if not await self._reporting.take(node):
             self._log.warning("heartbeat_unconfirmed", node=node.incarnation, state=node.state.value)
             return json_reply(503, {ERROR: "no other coordinator confirmed it"})
-        if not self._is_connected():
+        if node.state is NodeState.ACCEPTING and not self._is_connected():
             return json_reply(503, {ERROR: "out of touch with the core"})
         return json_reply(200, {})
 
     @answers("DELETE", Path.NODES)
     async def goodbye(self, call: Call) -> Reply:
         """A node leaves."""
-        gone = Node(call.rest, GOODBYE_SEQUENCE, "", "", "", "", 0, NodeState.GONE)
-        if not await self._reporting.take(gone):
+        if not await self._reporting.take(goodbye(call.rest)):
             return json_reply(503, {ERROR: "no other coordinator confirmed it"})
         self._log.info("node_left", node=call.rest)
         return json_reply(200, {})
--- a/coveport/system/coordinator/operator_calls.py
+++ b/coveport/system/coordinator/operator_calls.py
@@ -3,6 +3,11 @@
 Changes are made by the primary; any other coordinator sends the caller there (307), and waits a moment for
 one while a new primary takes over. Whatever is answered here was confirmed by the core: a refusal too, since
 one that lost touch could refuse what has long been taken.
+
+An order for an evacuation bears no version, so an old copy of it looks like a new one. A copy is old when
+its caller has left: it waited in a queue, a link or a process that stood still. Hence the short hold before
+such an order is submitted, in which the end of the caller's connection is seen; a call whose caller leaves is
+dropped.
 """
 
 from __future__ import annotations
@@ -33,6 +38,9 @@
     async def read_configuration(self) -> Reply:
         """The newest configuration as the core confirms it."""
 
+    async def hold(self) -> None:
+        """Wait a moment; ends with the call where its caller leaves meanwhile."""
+
     async def primary_elsewhere(self) -> str | None:
         """The inner address of the primary if that is another; None: it is this one, or nobody for now."""
 
@@ -78,14 +86,14 @@
         """Nothing more is to be sent to a zone's nodes."""
         if call.rest not in self._zones:
             return json_reply(404, {ERROR: f"unknown zone {call.rest!r}"})
-        return await self._change(call, encode_command(StartEvacuation(call.rest)))
+        return await self._change_unversioned(call, encode_command(StartEvacuation(call.rest)))
 
     @answers("DELETE", Path.EVACUATION)
     async def end_evacuation(self, call: Call) -> Reply:
         """A zone's nodes may be used again."""
         if call.rest not in self._zones:
             return json_reply(404, {ERROR: f"unknown zone {call.rest!r}"})
-        return await self._change(call, encode_command(EndEvacuation(call.rest)))
+        return await self._change_unversioned(call, encode_command(EndEvacuation(call.rest)))
 
     @answers("GET", Path.STATUS)
     async def status(self, call: Call) -> Reply:
@@ -98,6 +106,13 @@
             return self._sent_on(call, elsewhere)
         return await self._control.submit(command)
 
+    async def _change_unversioned(self, call: Call, command: bytes) -> Reply:
+        elsewhere = await self._control.primary_elsewhere()
+        if elsewhere is not None:
+            return self._sent_on(call, elsewhere)
+        await self._control.hold()
+        return await self._control.submit(command)
+
     def _sent_on(self, call: Call, inner_address: str) -> Reply:
         host, _ = parse_address(inner_address)
         return Reply(_SENT_ON, b"", (("Location", f"http://{host}:{self._port}{call.path}"),))
--- a/coveport/system/coordinator/peers.py
+++ b/coveport/system/coordinator/peers.py
@@ -67,6 +67,10 @@
         else:
             self._dial(peer)
 
+    def known(self) -> list[str]:
+        """All peers, connected or not."""
+        return list(self._peers)
+
     def live(self, within_s: float = SILENT_S) -> list[str]:
         """Peers that are connected and said something lately."""
         since = self._net.now_s() - within_s
--- a/coveport/system/coordinator/process.py
+++ b/coveport/system/coordinator/process.py
@@ -14,7 +14,7 @@
 from coveport.system.coordinator.node_calls import NodeCalls
 from coveport.system.coordinator.operator_calls import OperatorCalls
 from coveport.system.coordinator.peers import Peers
-from coveport.system.coordinator.reports import NodeReporting
+from coveport.system.coordinator.reports import NodeReporting, ReportPeers
 from coveport.system.coordinator.standing import CoordinatorStanding
 from coveport.system.coordinator.subscriptions import StateHistory, Subscriptions
 from coveport.system.membership.leases import LeaseTable
@@ -46,7 +46,9 @@
 TEND_S = 0.1  # how often connections, leases and silence are looked at
 SHARE_LEASES_S = 0.5
 SILENT_HEARTBEATS = 4.5  # a node that missed so many is taken for gone
-HAND_OVER_S = 0.4  # time that a stop leaves for another primary to take over
+HAND_OVER_S = 0.4  # a stop leaves at least so much time for another primary to take over ...
+HAND_OVER_PART = 0.5  # ... and at most this part of the time of grace
+HAND_OVER_LOOK_S = 0.05  # how often it is looked whether that has happened
 ACCEPT_MOST, WAITING_MOST = 64, 1024
 
 
@@ -72,7 +74,6 @@
             Place(settings.zone, settings.region),
             seeds,
             settings.tolerated.machines,
-            settings.first_boot,
             opened.durable,
             STATE_CODE,
             chance.random,
@@ -95,9 +96,12 @@
             self._share_leases,
         )
         copies = min(settings.tolerated.machines, max(0, len(seeds) - 1))
+        peers = self._peers
+        report_peers = ReportPeers(peers.send, peers.live, peers.known, self._member.is_majority)
         self._reporting = NodeReporting(
-            net, self.table, self._peers.send, self._peers.live, copies, self.subscriptions.news
+            net, self.table, report_peers, copies, self.subscriptions.news, chance.getrandbits(48)
         )
+        self._damage = opened.damage
         self._servers = self._make_servers()
         self._listening: Any = None
         self._tending: asyncio.TimerHandle | None = None
@@ -110,14 +114,20 @@
             control = Control(self._net, self.core, self.describe)
             operators = OperatorCalls(control, settings.control[1], frozenset(settings.regions))
             nodes = NodeCalls(self._reporting, self.standing.is_connected, settings.regions, self._log)
-            servers.append(CallServer(self._net, settings.control, CallTable(operators, nodes).answer))
+            table = CallTable(operators, nodes)
+            stall = self.core.look_for_stall
+            servers.append(CallServer(self._net, settings.control, table.answer, stall))
         if settings.lookups is not None:
             lookups = LookupCalls(self.leases, self._net.now_s, self.standing.is_connected)
-            servers.append(CallServer(self._net, settings.lookups, CallTable(lookups).answer))
+            servers.append(
+                CallServer(self._net, settings.lookups, CallTable(lookups).answer, self.core.look_for_stall)
+            )
         return servers
 
     async def start(self) -> None:
         """Listen, and take part in the core."""
+        if self._damage:
+            self._log.error("disk_damaged", problem=self._damage)
         self._listening = await self._net.listen(
             lambda: Connection(self._net, self._came, self._ended, self.traffic),
             self._settings.inner,
@@ -131,10 +141,17 @@
         self._log.info("coordinator_started", name=self._settings.name, zone=self._settings.zone)
 
     async def stop(self) -> None:
-        """The planned end: another leads, callers are answered."""
+        """The planned end: another leads and holds the state, callers are answered.
+
+        It waits until a view without this coordinator is active; within half of the time of grace, for where
+        too few others are there no such view comes.
+        """
         self._log.info("coordinator_stopping")
         self.core.hand_over()
+        until_s = self._net.now_s() + self._settings.bounds.grace_s * HAND_OVER_PART
         await asyncio.sleep(HAND_OVER_S)
+        while self._net.now_s() < until_s and not self._member.has_left(self._net.now_s()):
+            await asyncio.sleep(HAND_OVER_LOOK_S)
         for server in self._servers:
             server.stop()
         self._listening.close()
@@ -176,16 +193,28 @@
         return tuple(CoordinatorPlace(address, place.zone, place.region) for address, place in places.items())
 
     def _came(self, connection: Connection, message: Message) -> None:
+        self.core.look_for_stall()
         match message:
             case Hello():
-                connection.peer = message
+                self._greeted(connection, message)
             case UpdateRequest():
+                self._reporting.told_departed(message.departed)
                 self.subscriptions.ask(connection, message)
             case AsksElsewhere():
                 self.subscriptions.left(connection)
             case _ if isinstance(connection.peer, Hello):
                 self._peers.heard(connection.peer, message)
 
+    def _greeted(self, connection: Connection, hello: Hello) -> None:
+        """A peer says who it is, once a connection; our own identity elsewhere is a copied disk."""
+        if hello.disk == self._member_id.disk:
+            self._log.error("identity_of_ours", address=hello.address)
+            connection.drop()
+        elif connection.peer is not None:
+            connection.drop()
+        else:
+            connection.peer = hello
+
     def _ended(self, connection: Connection) -> None:
         self.subscriptions.ended(connection)
 
@@ -205,6 +234,9 @@
                 self.core.receive(MemberId(hello.address, hello.disk), message)
 
     def _peer_connected(self, address: str) -> None:
+        # Before our first ping: once the peer counts us as reached, it holds what we know of nodes.
+        self._reporting.tell_all(address)
+        self._tell_leases(address)
         self.core.connected(address)
         self._peers.send(address, TableRequest())
 
--- a/coveport/system/coordinator/reports.py
+++ b/coveport/system/coordinator/reports.py
@@ -1,19 +1,21 @@
 """Heartbeats and goodbyes of nodes: into the table, on to other coordinators, acknowledged when that is safe.
 
-`closing` and a goodbye are acknowledged only once as many other coordinators hold them as may be lost at
-one time: the one that acknowledges may be killed in the next millisecond, and proxies must learn of it all
-the same.
+`closing` and a goodbye are acknowledged only once a majority of the core's members hold them, asked after
+the call came, and as many other coordinators as may be lost at one time. Whoever takes one in for the first
+time passes it on, and a connection that comes up brings the whole table, tombstones included, in front of all
+else. So a coordinator in touch with a majority hears of each that was acknowledged, whoever else was cut off,
+and those that are cut off with the one that was called can't acknowledge among themselves.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from coveport.net.transport import Net
 from coveport.system.membership.node_table import NodeTable
-from coveport.system.model.node import Node, NodeState
+from coveport.system.model.node import Node, NodeState, goodbye
 from coveport.system.wire.messages import Message, NodeReports, NodeReportsTaken
 
 CONFIRM_S = 0.75  # the node waits a second for the acknowledgement
@@ -21,10 +23,26 @@
 
 
 @dataclass(slots=True)
-class _Confirmation:
-    needed: int
+class Confirmation:
+    """A report that waits until enough coordinators hold it."""
+
+    number: int
     done: asyncio.Future[bool]
-    by: set[str] = field(default_factory=set)
+    by: set[str] = field(default_factory=set)  # inner addresses
+
+
+class ReportPeers:
+    """What reporting needs of the other coordinators. Addresses are inner ones."""
+
+    def __init__(
+        self,
+        send: Callable[[str, Message], None],
+        live: Callable[[], list[str]],
+        known: Callable[[], list[str]],
+        is_majority: Callable[[set[str]], bool],
+    ) -> None:
+        """`live`: who said something lately; `known`: all; `is_majority`: whether these, with us, decide."""
+        self.send, self.live, self.known, self.is_majority = send, live, known, is_majority
 
 
 class NodeReporting:
@@ -34,17 +52,21 @@
         self,
         net: Net,
         table: NodeTable,
-        send: Callable[[str, Message], None],
-        live_peers: Callable[[], list[str]],
+        peers: ReportPeers,
         copies: int,
         on_news: Callable[[], None],
+        first_number: int,
     ) -> None:
-        """`copies`: how many other coordinators must hold a `closing` before it is acknowledged."""
-        self._net, self._table, self._send, self._live_peers = net, table, send, live_peers
+        """`copies`: how many other coordinators must hold a `closing` before it is acknowledged.
+
+        `first_number`: drawn at random, so that a confirmation meant for an earlier life of this process,
+        which may come late, is not taken for one of this life.
+        """
+        self._net, self._table, self._peers = net, table, peers
         self._copies, self._on_news = copies, on_news
         self._batch: dict[str, Node] = {}
-        self._confirmations: dict[int, _Confirmation] = {}
-        self._number = 0
+        self._confirmations: dict[int, Confirmation] = {}
+        self._number = first_number
 
     async def take(self, node: Node) -> bool:
         """A node reports here; whether it may be acknowledged."""
@@ -52,21 +74,32 @@
         if is_news:
             self._on_news()
         if node.state is not NodeState.ACCEPTING:
-            return await self._confirm(node)
+            return await self._confirmed(node)
         if is_news:
-            self._share(0, (node,), self._live_peers())
+            self._share(0, (node,), self._peers.live())
         else:
             self._add_to_batch(node)
         return True
 
     def passed_on(self, sender: str, reports: NodeReports) -> None:
-        """Another coordinator took these."""
-        now = self._net.now_s()
-        news = [self._table.hear(node, now) for node in reports.nodes]
-        if any(news):
-            self._on_news()
+        """Another coordinator took these, or heard of them from a third."""
+        self._take_in(reports.nodes, sender)
         if reports.confirm:
-            self._send(sender, NodeReportsTaken(reports.confirm))
+            self._peers.send(sender, NodeReportsTaken(reports.confirm))
+
+    def told_departed(self, incarnations: Iterable[str]) -> None:
+        """A proxy remembers that these have left: after all coordinators were restarted, it alone does."""
+        self._take_in(tuple(goodbye(incarnation) for incarnation in incarnations), "")
+
+    def _take_in(self, nodes: tuple[Node, ...], sender: str) -> None:
+        now = self._net.now_s()
+        news = tuple(node for node in nodes if self._table.hear(node, now))
+        if not news:
+            return
+        self._on_news()
+        leaving = tuple(node for node in news if node.state is not NodeState.ACCEPTING)
+        if leaving:
+            self._share(0, leaving, [peer for peer in self._peers.known() if peer != sender])
 
     def taken(self, sender: str, message: NodeReportsTaken) -> None:
         """Another coordinator holds what we shared."""
@@ -74,37 +107,42 @@
         if confirmation is None:
             return
         confirmation.by.add(sender)
-        if len(confirmation.by) >= confirmation.needed and not confirmation.done.done():
+        if self._is_kept(confirmation.by) and not confirmation.done.done():
             confirmation.done.set_result(True)
 
+    def _is_kept(self, by: set[str]) -> bool:
+        return len(by) >= self._copies and self._peers.is_majority(by)
+
     def tell_all(self, peer: str) -> None:
-        """Send the whole table to a peer."""
+        """Send the whole table to a peer, with who has left."""
         now = self._net.now_s()
-        nodes = tuple(entry.as_told_at(now) for entry in self._table.entries())
+        nodes = (*(entry.as_told_at(now) for entry in self._table.entries()), *self._table.departed(now))
         if nodes:
-            self._send(peer, NodeReports(0, nodes))
+            self._peers.send(peer, NodeReports(0, nodes))
 
     def _share(self, confirm: int, nodes: tuple[Node, ...], peers: list[str]) -> None:
         for peer in peers:
-            self._send(peer, NodeReports(confirm, nodes))
+            self._peers.send(peer, NodeReports(confirm, nodes))
 
-    async def _confirm(self, node: Node) -> bool:
-        peers = self._live_peers()
-        if self._copies == 0:
-            self._share(0, (node,), peers)
-            return True
+    def begin_confirmation(self, node: Node) -> Confirmation:
+        """Share a report with all and ask who holds it."""
         self._number += 1
-        number = self._number
-        confirmation = _Confirmation(self._copies, self._net.loop.create_future())
-        self._confirmations[number] = confirmation
-        self._share(number, (node,), peers)
+        confirmation = Confirmation(self._number, self._net.loop.create_future())
+        self._confirmations[self._number] = confirmation
+        if self._is_kept(confirmation.by):
+            confirmation.done.set_result(True)
+        self._share(self._number, (node,), self._peers.known())
+        return confirmation
+
+    async def _confirmed(self, node: Node) -> bool:
+        confirmation = self.begin_confirmation(node)
         try:
             async with asyncio.timeout(CONFIRM_S):
                 return await confirmation.done
         except TimeoutError:
             return False
         finally:
-            del self._confirmations[number]
+            del self._confirmations[confirmation.number]
 
     def _add_to_batch(self, node: Node) -> None:
         if not self._batch:
@@ -114,4 +152,4 @@
     def _send_batch(self) -> None:
         nodes = tuple(self._batch.values())
         self._batch = {}
-        self._share(0, nodes, self._live_peers())
+        self._share(0, nodes, self._peers.live())
--- a/coveport/system/coordinator/subscriptions.py
+++ b/coveport/system/coordinator/subscriptions.py
@@ -212,6 +212,7 @@
             whole_table=nodes.whole,
             nodes=nodes.nodes,
             removed=nodes.removed,
+            departed=nodes.departed,
             state_sequence=told.state_sequence,
             state=self._history.encoded if changes is None else None,
             changes=changes or (),
--- a/coveport/system/membership/node_table.py
+++ b/coveport/system/membership/node_table.py
@@ -4,8 +4,10 @@
 two reports on an incarnation the newer one wins, and `closing` is never undone. Each change gets a revision
 of this table; who asks with the revision that it has is told what changed since. Silence removes a node
 only while this coordinator itself has been able to hear (see `forgive`), and a later heartbeat brings it
-back; a goodbye leaves a tombstone, and nothing does. Of two incarnations at one address the one that was
-heard last is there: a node that was restarted is known by its new one at once.
+back; a goodbye leaves a tombstone, and nothing does. A tombstone is told like an entry: to coordinators that
+were cut off or restarted meanwhile, and to proxies. It outlives heartbeats that were held up on their way. Of
+two incarnations at one address the one that was heard last is there: a node that was restarted is known by
+its new one at once.
 """
 
 from __future__ import annotations
@@ -14,10 +16,13 @@
 from dataclasses import dataclass, replace
 from itertools import takewhile
 
-from coveport.system.model.node import Node, NodeState
+from coveport.system.model.node import Node, NodeState, goodbye
 
 COLD_CHANGE_S = 0.3  # by so much another end of a warm-up counts as news
-TOMBSTONE_S = 60.0  # how long it is remembered that an incarnation is gone
+TOMBSTONE_S = (
+    600.0  # how long it is remembered that an incarnation is gone; longer than cuts hold messages up
+)
+TOMBSTONES_MOST = 8192  # beyond which the oldest are forgotten
 REMOVALS_KEPT = 4096  # further back a whole table is sent in place of differences
 
 
@@ -48,6 +53,7 @@
     whole: bool
     nodes: tuple[Node, ...]
     removed: tuple[str, ...]  # incarnations
+    departed: tuple[str, ...] = ()  # incarnations that never come back, whether they were told before or not
 
 
 class NodeTable:
@@ -79,9 +85,8 @@
             return False
         known = self._entries.get(node.incarnation)
         if node.state is NodeState.GONE:
-            self._tombstones[node.incarnation] = now_s + TOMBSTONE_S
-            if known is not None:
-                self._remove(node.incarnation)
+            remembered_s = min(node.leaves_in_ms / 1000 or TOMBSTONE_S, TOMBSTONE_S)
+            self._bury(node.incarnation, now_s + remembered_s)
             return True
         if known is not None and not node.is_newer_than(known.node):
             return False
@@ -113,10 +118,16 @@
             entry.heard_at_s = max(entry.heard_at_s, now_s)
 
     def expire(self, now_s: float) -> list[str]:
-        """Remove the silent ones and forget old tombstones; the incarnations that were removed."""
+        """Remove the silent ones and forget old tombstones; the incarnations that were removed.
+
+        One that said it was closing never comes back: an earlier heartbeat, held up, must not undo that.
+        """
         silent = [name for name, entry in self._entries.items() if now_s - entry.heard_at_s > self._silence_s]
         for incarnation in silent:
-            self._remove(incarnation)
+            if self._entries[incarnation].node.state is NodeState.CLOSING:
+                self._bury(incarnation, now_s + TOMBSTONE_S)
+            else:
+                self._remove(incarnation)
         for incarnation in [name for name, until_s in self._tombstones.items() if now_s > until_s]:
             del self._tombstones[incarnation]
         return silent
@@ -125,17 +136,33 @@
         """What changed after that revision; the whole table where that is not known, or for revision -1."""
         if revision < self._removals_from or revision > self.revision:
             nodes = tuple(entry.as_told_at(now_s) for entry in self._entries.values())
-            return TableChanges(self.revision, True, nodes, ())
+            return TableChanges(self.revision, True, nodes, (), tuple(self._tombstones))
         newest_first = reversed(self._entries.values())
         changed = takewhile(lambda entry: entry.revision > revision, newest_first)
         nodes = tuple(entry.as_told_at(now_s) for entry in changed)
         removals = takewhile(lambda removal: removal[0] > revision, reversed(self._removals))
         removed = tuple(name for _, name in removals if name not in self._entries)
-        return TableChanges(self.revision, False, nodes, removed)
+        departed = tuple(name for name in removed if name in self._tombstones)
+        return TableChanges(self.revision, False, nodes, removed, departed)
+
+    def departed(self, now_s: float) -> list[Node]:
+        """Tombstones as goodbyes to pass on; `leaves_in_ms` tells for how long each is still remembered."""
+        return [
+            goodbye(name, 1000 * (until_s - now_s))
+            for name, until_s in self._tombstones.items()
+            if until_s > now_s
+        ]
+
+    def _bury(self, incarnation: str, until_s: float) -> None:
+        """Remove for good; told as news also where the incarnation was not known here."""
+        self._tombstones[incarnation] = until_s
+        if len(self._tombstones) > TOMBSTONES_MOST:
+            del self._tombstones[next(iter(self._tombstones))]
+        self._remove(incarnation)
 
     def _remove(self, incarnation: str) -> None:
-        entry = self._entries.pop(incarnation)
-        if self._at_address.get(entry.node.address) == incarnation:
+        entry = self._entries.pop(incarnation, None)
+        if entry is not None and self._at_address.get(entry.node.address) == incarnation:
             del self._at_address[entry.node.address]
         self.revision += 1
         self._removals.append((self.revision, incarnation))
--- a/coveport/system/model/node.py
+++ b/coveport/system/model/node.py
@@ -34,3 +34,11 @@
         order = (NodeState.ACCEPTING, NodeState.CLOSING, NodeState.GONE)
         rank, other_rank = order.index(self.state), order.index(other.state)
         return rank > other_rank or (rank == other_rank and self.sequence > other.sequence)
+
+
+GOODBYE_SEQUENCE = 1 << 60  # newer than every heartbeat
+
+
+def goodbye(incarnation: str, remembered_ms: float = 0.0) -> Node:
+    """The report that an incarnation has left for good; 0: remember it for as long as any."""
+    return Node(incarnation, GOODBYE_SEQUENCE, "", "", "", "", 0, NodeState.GONE, leaves_in_ms=remembered_ms)
--- a/coveport/system/proxy/subscription.py
+++ b/coveport/system/proxy/subscription.py
@@ -28,7 +28,8 @@
 ANSWER_S = 1.2  # a coordinator that has not answered by then is left
 PAUSE_S = 0.05  # before another one is tried, growing ...
 PAUSE_MOST_S = 0.25
-TOMBSTONES_MOST = 4096
+DEPARTED_MOST = 4096  # remembered
+DEPARTED_TOLD_S = 60.0  # so long after it was learned, a coordinator that is asked anew is told
 PROXIES_UNKNOWN = 32  # assumed until a coordinator has told how many there may be
 
 
@@ -53,7 +54,9 @@
         self._is_table_confirmed = (
             False  # a settled coordinator has told the whole table since we asked there
         )
-        self._gone: dict[str, None] = {}  # incarnations that are gone for good, the oldest first
+        self._departed: dict[
+            str, float
+        ] = {}  # incarnations that are gone for good, and since when; oldest first
         self._answers: asyncio.Queue[Update] = asyncio.Queue()
         self._round = 0
         self._task: asyncio.Task[None] | None = None
@@ -107,9 +110,11 @@
         """Ask on one connection; a nearer coordinator to go to, or None where this one failed."""
         while not self._answers.empty():
             self._answers.get_nowait()
+        departed = self._departed_lately()
         while connection.is_open:
             self._round += 1
-            connection.send(self._request())
+            connection.send(self._request(departed))
+            departed = ()
             try:
                 async with asyncio.timeout(ANSWER_S):
                     update = await self._next_answer()
@@ -125,9 +130,14 @@
                 return nearer
         return None
 
-    def _request(self) -> UpdateRequest:
+    def _request(self, departed: tuple[str, ...]) -> UpdateRequest:
         lease = self._make_lease(self._round)
-        return UpdateRequest(lease, self._table, self._node_revision, self._sequence, self._round)
+        return UpdateRequest(lease, self._table, self._node_revision, self._sequence, self._round, departed)
+
+    def _departed_lately(self) -> tuple[str, ...]:
+        """For a coordinator that may have been restarted or cut off while these left."""
+        since_s = self._net.now_s() - DEPARTED_TOLD_S
+        return tuple(name for name, learned_s in self._departed.items() if learned_s >= since_s)
 
     async def _next_answer(self) -> Update:
         while True:
@@ -195,15 +205,18 @@
     def _take_nodes(self, update: Update, now: float) -> bool:
         before = self._view.nodes
         nodes = before
+        for incarnation in update.departed:
+            self._note_departed(incarnation, now)
+            nodes = nodes.delete(incarnation) if incarnation in nodes else nodes
         for node in update.nodes:
-            if node.incarnation in self._gone:
+            if node.incarnation in self._departed:
                 continue
             known = nodes.get(node.incarnation)
             is_same_report = known is not None and known.node.sequence == node.sequence
             if known is None or node.is_newer_than(known.node) or is_same_report:
                 nodes = nodes.set(node.incarnation, _known(node, now, known))
         for incarnation in update.removed:
-            nodes = self._remove(nodes, incarnation)
+            nodes = self._remove(nodes, incarnation, now)
         if update.whole_table and update.settled:
             named = {node.incarnation for node in update.nodes}
             for incarnation in [one for one in nodes if one not in named]:
@@ -222,16 +235,19 @@
             if not update.whole_table:
                 self._node_revision = -1
 
-    def _remove(self, nodes: Any, incarnation: str) -> Any:
+    def _remove(self, nodes: Any, incarnation: str, now: float) -> Any:
         known = nodes.get(incarnation)
         if known is None:
             return nodes
         if known.node.state is NodeState.CLOSING:
-            self._gone[incarnation] = None  # it said that it leaves
-            if len(self._gone) > TOMBSTONES_MOST:
-                del self._gone[next(iter(self._gone))]
+            self._note_departed(incarnation, now)  # it said that it leaves
         return nodes.delete(incarnation)
 
+    def _note_departed(self, incarnation: str, now: float) -> None:
+        self._departed.setdefault(incarnation, now)
+        if len(self._departed) > DEPARTED_MOST:
+            del self._departed[next(iter(self._departed))]
+
 
 def _known(node: Node, now: float, before: KnownNode | None) -> KnownNode:
     cold_until_s = now + node.cold_left_ms / 1000 if node.cold_left_ms > 0 else 0.0
--- a/coveport/system/replication/events.py
+++ b/coveport/system/replication/events.py
@@ -87,12 +87,19 @@
     request: int
 
 
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Nobody waits for a call any more. What wasn't started is never run; what was started goes on."""
+
+    request: int
+
+
 @dataclass(frozen=True, slots=True)
 class HandOver:
     """The process is about to stop: others should lead and hold the state."""
 
 
-Event = Tick | Connected | Received | Persisted | PersistFailed | Submit | ReadNewest | HandOver
+Event = Tick | Connected | Received | Persisted | PersistFailed | Submit | ReadNewest | Withdraw | HandOver
 
 
 @dataclass(frozen=True, slots=True)
--- a/coveport/system/replication/member.py
+++ b/coveport/system/replication/member.py
@@ -18,8 +18,9 @@
     StateCode,
     Submit,
     Tick,
+    Withdraw,
 )
-from coveport.system.replication.identity import Epoch, MemberId, Place, View
+from coveport.system.replication.identity import Epoch, MemberId, Place, View, has_majorities
 from coveport.system.replication.journal import Journal
 from coveport.system.replication.leading import Leadership
 from coveport.system.replication.learner import Learner
@@ -65,7 +66,6 @@
         place: Place,
         seeds: tuple[str, ...],  # inner addresses
         tolerated_losses: int,  # machines
-        first_boot: bool,  # the whole system starts for the first time
         durable: DurableState,
         code: StateCode,
         jitter: Callable[[], float],  # 0 to 1, seeded by the caller
@@ -75,7 +75,7 @@
     ) -> None:
         outbox = Outbox(identity)
         journal = Journal(durable, outbox, timings)
-        may_found = first_boot or durable.born_at_founding
+        may_found = durable.born_at_founding
         self._parts = Parts(
             own=identity,
             place=place,
@@ -126,6 +126,19 @@
             return False
         return self.is_primary or bool(self._leading.election.leader(view, now_s))
 
+    def is_majority(self, addresses: set[str]) -> bool:
+        """Whether the members at these inner addresses, with us, are a majority of each group that decides.
+
+        True where no view is known yet.
+        """
+        view = self.view
+        if view is None:
+            return True
+        groups = view.groups(self._parts.journal.durable.settled)
+        holders = addresses | {self._parts.own.address}
+        present = {member for group in groups for member in group if member.address in holders}
+        return has_majorities(present, groups)
+
     def known_coordinators(self, now_s: float) -> tuple[str, ...]:
         """Inner addresses of live coordinators, ourselves included, members of the core or not."""
         alive = [peer.address for peer in self._parts.peers.alive(now_s)]
@@ -141,6 +154,21 @@
         """Inner addresses to stay connected to, alive or not."""
         return tuple(peer.address for peer in self._parts.peers)
 
+    def has_left(self, now_s: float) -> bool:
+        """Whether this process may end: no view needs what it holds, and another has its vote if one can."""
+        view = self.view
+        if view is None:
+            return True
+        own = self._parts.own
+        if own in view.replicas or self._parts.journal.durable.settled < view.epoch:
+            return False
+        return own not in view.members or not self._is_spare_there(view, now_s)
+
+    def _is_spare_there(self, view: View, now_s: float) -> bool:
+        """Whether a live coordinator could take our vote."""
+        others = [peer.identity for peer in self._parts.peers.alive(now_s) if peer.identity is not None]
+        return any(one not in view.members and self._parts.is_usable(one, now_s) for one in others)
+
     def describe(self) -> dict[str, object]:
         """For a line of the log."""
         durable = self._parts.journal.durable
@@ -173,6 +201,9 @@
                 self._parts.journal.failed(now_s)
             case Submit() | ReadNewest():
                 self._take_call(event)
+            case Withdraw():
+                if self._leading.primary is not None:
+                    self._leading.primary.withdraw(event.request)
             case HandOver():
                 self._parts.is_leaving = True
                 self._last_ping_s = float("-inf")
--- a/coveport/system/replication/parts.py
+++ b/coveport/system/replication/parts.py
@@ -51,11 +51,13 @@
         """What is known of a member."""
         silent_s = self.peers.silent_s(member, now_s)
         is_replaced = self.peers.is_replaced(member)
+        ping = self.peers.ping_of(member, now_s)
+        is_leaving = ping is not None and ping.is_leaving
         return Machine(
             member=member,
             place=self.place_of(member),
             is_usable=self.is_usable(member, now_s),
-            is_lost=is_replaced or silent_s >= self.timings.replace_s,
+            is_lost=is_replaced or is_leaving or silent_s >= self.timings.replace_s,
             is_gone=is_replaced or silent_s >= self.timings.drop_s,
         )
 
--- a/coveport/system/replication/primary.py
+++ b/coveport/system/replication/primary.py
@@ -135,6 +135,16 @@
         """Queue a read of the newest."""
         self._unconfirmed.append(Unconfirmed(request))
 
+    def withdraw(self, request: int) -> None:
+        """Nobody waits for a call any more: run it only if that has begun.
+
+        A caller that got no answer sends the same again elsewhere; this copy must not take effect much later.
+        """
+        self._queue = deque(waiting for waiting in self._queue if waiting.request != request)
+        self._unconfirmed = [item for item in self._unconfirmed if item.request != request]
+        for round_ in self._rounds:
+            round_.waiting = [item for item in round_.waiting if item.request != request]
+
     def advance(self, now_s: float) -> None:
         """Start what can be started."""
         if self.is_paused or self.is_closing:
--- a/coveport/system/replication/takeover.py
+++ b/coveport/system/replication/takeover.py
@@ -2,7 +2,7 @@
 
 The steps, each repeated to those that don't answer:
 1. Promises of a majority of each group of the newest view seen; a newer view in a promise widens the asking.
-2. The state of one that promised and whose state is of the newest view's epoch or a later one.
+2. The state of one that promised: a replica of the newest view, or one whose state is of a later epoch.
 3. The state synced at all replicas of the view to be.
 4. The view synced at a majority of its members and, when these changed, of the members before.
 """
@@ -129,11 +129,20 @@
 
     def _sources(self) -> list[MemberId]:
         """Those that promised and hold all that was acknowledged in the newest view and before."""
-        return [
-            member
-            for member, promise in self._promises.items()
-            if promise.state_epoch != NO_EPOCH and promise.state_epoch >= self._newest.epoch
-        ]
+        return [member for member, promise in self._promises.items() if self._holds_all(member, promise)]
+
+    def _holds_all(self, member: MemberId, promise: Promise) -> bool:
+        """A replica of the newest view does, and who installed a state under a later epoch.
+
+        Who installed under the view's own epoch but was given up as too slow before the view was proposed
+        holds only what there was then: the view's commands never went there.
+        """
+        newest = self._newest
+        if promise.state_epoch == NO_EPOCH:
+            return False
+        if promise.state_epoch == newest.epoch:
+            return member in newest.replicas
+        return promise.state_epoch > newest.epoch
 
     # -- step 2 --
 
--- a/coveport/system/simulation/disk.py
+++ b/coveport/system/simulation/disk.py
@@ -75,6 +75,7 @@
     refuses: bool = False  # every write fails
     hangs: bool = False  # no write ends
     files: dict[str, SimulatedFile] = field(default_factory=dict)
+    unsynced_names: set[str] = field(default_factory=set)  # of files created since names were last synced
 
     def names(self) -> list[str]:
         """Of all files."""
@@ -82,10 +83,15 @@
 
     def open(self, name: str) -> SimulatedFile:
         """For reading and writing; created when it isn't there."""
-        return self.files.setdefault(name, SimulatedFile(self))
+        if name not in self.files:
+            self.files[name] = SimulatedFile(self)
+            self.unsynced_names.add(name)
+        return self.files[name]
 
     def sync_names(self) -> None:
-        """Names are kept at once."""
+        """Created names survive a loss of power from now on."""
+        self.check()
+        self.unsynced_names.clear()
 
     def check(self) -> None:
         """OSError where it refuses writes."""
@@ -93,13 +99,18 @@
             raise OSError("the disk refuses")
 
     def lose_power(self, chance: Random) -> None:
-        """What was not synced may be gone."""
+        """What was not synced may be gone: writes of synced files, and whole files with their names."""
+        for name in sorted(self.unsynced_names):
+            if chance.random() < 0.5:
+                del self.files[name]
+        self.unsynced_names.clear()
         for file in self.files.values():
             file.lose_power(chance)
 
     def wipe(self) -> None:
         """It comes back empty."""
         self.files.clear()
+        self.unsynced_names.clear()
 
 
 Done = Callable[[OSError | None], None]
--- a/coveport/system/simulation/stand_in_programs.py
+++ b/coveport/system/simulation/stand_in_programs.py
@@ -85,5 +85,5 @@
 def open_simulated(machine: Machine, first_boot: bool, chance: Random) -> Opened:
     """What a machine's disk holds, and a writer on it."""
     assert machine.disk is not None
-    store, durable = open_store(machine.disk, first_boot, chance.randbytes)
-    return Opened(durable, SimulatedWriter(machine.net, machine.disk, store))
+    opened = open_store(machine.disk, first_boot, chance.randbytes)
+    return Opened(opened.durable, SimulatedWriter(machine.net, machine.disk, opened.store), opened.damage)
--- a/coveport/system/storage/disk.py
+++ b/coveport/system/storage/disk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 from typing import Protocol
 
@@ -94,9 +95,16 @@
         return OsFile(os.path.join(self._folder, name))
 
     def sync_names(self) -> None:
-        """Make created and removed names survive a loss of power."""
-        descriptor = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        """Make created and removed names survive a loss of power, that of the folder itself included."""
+        sync_folder(self._folder)
+        with contextlib.suppress(PermissionError):  # whose folder it stands in may be another's
+            sync_folder(os.path.dirname(os.path.abspath(self._folder)))
+
+
+def sync_folder(folder: str) -> None:
+    """Make the names in a folder survive a loss of power. Raises OSError."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- a/coveport/system/web/server.py
+++ b/coveport/system/web/server.py
@@ -20,8 +20,11 @@
 class CallServer:
     """One listening address."""
 
-    def __init__(self, net: Net, address: Address, answer: Answer) -> None:
-        self.net, self._address, self.answer = net, address, answer
+    def __init__(
+        self, net: Net, address: Address, answer: Answer, before_data: Callable[[], None] | None = None
+    ) -> None:
+        """`before_data` is called before anything that arrived is looked at; it may reset connections."""
+        self.net, self._address, self.answer, self.before_data = net, address, answer, before_data
         self._listening: Listening | None = None
         self.connections: set[_Connection] = set()
 
@@ -64,10 +67,24 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.connections.discard(self)
         self._transport = None
+        self._give_up()
         if self._idle is not None:
             self._idle.cancel()
 
+    def eof_received(self) -> None:
+        """The caller has left; the transport closes itself."""
+        self._give_up()
+
+    def _give_up(self) -> None:
+        """Nobody waits for the answer: what the call asks for is not begun any more."""
+        if self._task is not None:
+            self._task.cancel()
+
     def data_received(self, data: bytes) -> None:
+        if self._server.before_data is not None:
+            self._server.before_data()
+        if self._transport is None or self._transport.is_closing():
+            return
         self._parser.feed(data)
         self._advance()
 
--- a/coveport/system/wire/messages.py
+++ b/coveport/system/wire/messages.py
@@ -57,6 +57,7 @@
     node_revision: int
     state_sequence: int  # of the acknowledged state; -1: none
     round: int
+    departed: tuple[str, ...] = ()  # incarnations known to be gone for good; told once a connection
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +94,7 @@
     whole_table: bool
     nodes: tuple[Node, ...]
     removed: tuple[str, ...]
+    departed: tuple[str, ...]  # incarnations that never come back
     state_sequence: int
     state: bytes | None  # the whole acknowledged state
     changes: tuple[StateChange, ...]  # or what led there from the sequence asked with
--- a/tests/system/cli/loopback_core.py
+++ b/tests/system/cli/loopback_core.py
@@ -62,6 +62,9 @@
         text = self.state.configuration_text
         return json_reply(404, {"Error": "none yet"}) if text is None else Reply(200, text)
 
+    async def hold(self) -> None:
+        """Its callers stay."""
+
     async def primary_elsewhere(self) -> str | None:
         return None
 
--- a/tests/system/wire/test_shared_update.py
+++ b/tests/system/wire/test_shared_update.py
@@ -16,6 +16,7 @@
     node_revision=3,
     whole_table=True,
     nodes=(),
+    departed=(),
     removed=("i-1",),
     state_sequence=5,
     state=None,
