--- a/tests/system/replication/core_history.py
+++ b/tests/system/replication/core_history.py
@@ -40,6 +40,14 @@
     state: tuple[str, ...]
 
 
+ORDER = "order|"  # begins what bears no version
+
+
+def is_order(text: str) -> bool:
+    """Whether it bears no version; copies of it may all have taken effect."""
+    return text.startswith(ORDER)
+
+
 def base_of(change: str) -> int:
     """The edition that a change builds on."""
     return int(change.split("|")[0])
@@ -52,7 +60,8 @@
 
 def judge(calls: Sequence[Call], seen: Iterable[Seen], final: tuple[str, ...]) -> list[str]:
     """All that doesn't fit, in words; empty: nothing."""
-    faults = _chain_faults(final)
+    chain = tuple(change for change in final if not is_order(change))
+    faults = _chain_faults(chain)
     place = {change: position for position, change in enumerate(final, start=1)}
     by_change = {call.change: call for call in calls if call.change}
     for call in calls:
@@ -65,7 +74,7 @@
         return faults
     faults += _order_faults(calls, place)
     faults += _read_faults(calls, place, by_change, final)
-    faults += _refusal_faults(calls, final, by_change)
+    faults += _refusal_faults(calls, chain, by_change)
     faults += _seen_faults(seen, final, by_change)
     return faults
 
@@ -81,7 +90,7 @@
 
 
 def _order_faults(calls: Sequence[Call], place: dict[str, int]) -> list[str]:
-    """A change acknowledged before another call began comes before that one's change."""
+    """A change acknowledged before another call began comes before that one's change, with all its copies."""
     taken = sorted((call for call in calls if call.change in place), key=lambda call: place[call.change])
     faults = []
     for position, call in enumerate(taken):
--- a/tests/system/replication/core_operators.py
+++ b/tests/system/replication/core_operators.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from core_history import Call, Verdict
-from core_world import OTHER, TAKEN, Machine, World, change, edition_of
+from core_world import OTHER, TAKEN, Machine, World, change, edition_of, order
 
 from coveport.system.replication.events import (
     Done,
@@ -20,6 +20,7 @@
 
 SILENCE_S = 1.0  # after which a call is sent to another
 REDIRECTS = 2
+ORDERS_SHARE = 0.25  # of changes that bear no version
 
 
 class Operator:
@@ -50,9 +51,19 @@
         if call.verdict is Verdict.TAKEN:
             self.known = (*self.known, call.change)
         read_next = call.verdict is Verdict.OTHER or self.world.random.random() < 0.4
-        following = self.begin if read_next else lambda: self.write(self._after_write)
+        following = self.begin if read_next else self._next_change
         self.world.after(self.pause_s * self.world.random.uniform(0.2, 2.0), following)
 
+    def _next_change(self) -> None:
+        if self.world.random.random() < ORDERS_SHARE:
+            self.order(self._after_order)
+        else:
+            self.write(self._after_write)
+
+    def _after_order(self, call: Call) -> None:
+        if not self.is_stopped:
+            self.write(self._after_write)
+
     def read(self, then: Callable[[Call], None]) -> None:
         """One read, repeated until it's answered."""
         call = Call(self.name, "", self.world.now_s)
@@ -69,6 +80,14 @@
         self.calls.append(call)
         Attempt(self, call, lambda request: Submit(request, command), then).send()
 
+    def order(self, then: Callable[[Call], None]) -> None:
+        """One order without a version, repeated until it's answered."""
+        self._count += 1
+        command = order(self.name, self._count)
+        call = Call(self.name, command.decode(), self.world.now_s)
+        self.calls.append(call)
+        Attempt(self, call, lambda request: Submit(request, command), then, is_held=True).send()
+
 
 class Attempt:
     """One call with its repeats."""
@@ -79,7 +98,10 @@
         call: Call,
         make_event: Callable[[int], Event],
         then: Callable[[Call], None],
+        is_held: bool = False,
     ) -> None:
+        self.is_held = is_held
+        self.sent: list[tuple[Machine, int]] = []
         self.operator = operator
         self.world = operator.world
         self.call = call
@@ -93,6 +115,8 @@
         """Send once; again after a silence."""
         if self.is_over:
             return
+        if self.call.change and self.tries and not redirects:
+            self.world.situations["2: an order was sent again after silence or an unclear answer"] += 1
         self.tries += 1
         number = self.tries
         machines = [machine for machine in self.world.machines.values() if not machine.is_removed]
@@ -102,24 +126,41 @@
         if machine.life is None and machine.is_powered:
             self.again(number)  # its port resets
             return
-        self.world.call(machine, self.make_event, lambda outcome: self.answered(number, redirects, outcome))
+        request = self.world.call(
+            machine,
+            self.make_event,
+            lambda outcome: self.answered(number, redirects, outcome),
+            self.is_held,
+        )
+        self.sent.append((machine, request))
         self.world.after(SILENCE_S, lambda: self.again(number))
 
     def again(self, number: int) -> None:
         """Try elsewhere after a growing pause, unless that happened already."""
         if not self.is_over and number == self.tries:
+            self._leave()
             self.tries += 1
             pause_s = min(0.05 * 2 ** min(self.tries / 2, 6), 0.6) * self.world.random.uniform(0.5, 1.0)
             self.world.after(pause_s, self.send)
 
+    def _leave(self) -> None:
+        """Close the connections on which nothing came."""
+        for machine, request in self.sent:
+            self.world.withdraw(machine, request)
+        self.sent = []
+
     def answered(self, number: int, redirects: int, outcome: Outcome) -> None:
-        """Take an answer, also a late one."""
-        if self.is_over:
+        """Take an answer, also a late one; of an order without a version only where the caller stayed."""
+        if self.is_over or (self.is_held and number != self.tries):
             return
         match outcome:
             case Done():
                 self.end(Verdict.TAKEN)
+            case Refused(result="taken"):
+                self.world.situations["2: an order that had been taken was acknowledged when sent again"] += 1
+                self.end(Verdict.TAKEN)
             case Refused():
+                self.world.situations["2: of two operators on one edition one was refused"] += 1
                 assert outcome.result in (TAKEN, OTHER)
                 self.end(Verdict.TAKEN if outcome.result == TAKEN else Verdict.OTHER)
             case Newest():
--- a/tests/system/replication/core_schedules.py
+++ b/tests/system/replication/core_schedules.py
@@ -10,6 +10,7 @@
 import itertools
 import random
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -22,6 +23,7 @@
 from coveport.system.replication.member import CoreMember
 
 CATCH_UP_S = 4.0  # after its return a machine still counts as lost for so long
+GRACE_PART_S = 4.0  # for which a stop may wait
 HEAL_S = 8.0  # within which a healed core must take a change again
 
 
@@ -60,6 +62,7 @@
     messages: int
     longest_silence_s: float = 0.0
     calls: list[Call] = field(default_factory=list)
+    situations: Counter[str] = field(default_factory=Counter)  # how often each was brought about
 
 
 class Schedule:
@@ -188,6 +191,20 @@
 
         self.world.after(self.random.uniform(0.3, 1.0), end)
 
+    def leave(self, machine: Machine) -> None:
+        """SIGTERM, and the end as soon as it may, for good: nothing is waited for after it."""
+        self.note(f"leave {machine.address}")
+        life = machine.life
+        if life is None or machine.is_frozen:
+            return
+        machine.deliver(life, HandOver())
+        began_s = self.world.now_s
+        self.world.run_for(GRACE_PART_S, until=lambda: life.member.has_left(self.world.now_s))
+        if life.member.has_left(self.world.now_s):
+            self.world.situations["3: a planned leave ended before its time was over"] += 1
+        self.note(f"left after {self.world.now_s - began_s:.2f}")
+        machine.remove()
+
     def all_down(self, power: bool) -> None:
         """All of them at the same moment, back within a second."""
         self.note(f"all down, power {power}")
@@ -223,6 +240,86 @@
             self.world.run_for(self.random.choice((0.0, 0.05, 0.3, 1.0)))
         self.storm()
 
+    def cut_off_long(self) -> None:
+        """One machine, by its role, is cut off for twenty seconds while changes and troubles go on."""
+        machine, role = self._by_role()
+        for_s = self.random.choice((20.0, 26.0))
+        self.cut(machine, for_s)
+        self.world.situations[f"1: the {role} was cut off for 20 s or more"] += 1
+        began_s = self.world.now_s
+        while self.world.now_s < began_s + for_s - 6.0:
+            self.world.run_for(self.random.uniform(1.0, 5.0))
+            kind = self.random.choice((self.freeze, self.kill, self.disk, self.cut, None))
+            if kind is not None:
+                kind(self._target(), self.random.choice((0.5, 1.2, 2.5)))
+        if self.random.random() < 0.3:
+            self.all_down(self.random.random() < 0.5)
+        self.world.run_until(began_s + for_s + self.random.choice((0.01, 0.3, 2.0)))
+        if self.random.random() < 0.5:
+            others = [other for other in self._standing() if other is not machine]
+            for other in self.random.sample(others, max(1, len(others) // 2)):
+                self.kill(other, 2.0)
+            self.world.situations["1: others were killed just after the cut had healed"] += 1
+        self.world.run_for(CATCH_UP_S)
+
+    def _by_role(self) -> tuple[Machine, str]:
+        """A machine and what it is in the newest view."""
+        primary = self.world.primary()
+        view = primary.life.member.view if primary and primary.life else None
+        if view is None:
+            return self.random.choice(self._standing()), "machine of no known role"
+        addresses = {
+            "primary": [view.primary.address],
+            "backup": [member.address for member in view.replicas[1:]],
+            "witness": [member.address for member in view.members if member not in view.replicas],
+        }
+        members = {member.address for member in view.members}
+        addresses["learner"] = [one.address for one in self._standing() if one.address not in members]
+        role = self.random.choice([name for name, found in addresses.items() if found])
+        machine = self.world.machines[self.random.choice(addresses[role])]
+        return machine, role
+
+    def second_loss(self) -> None:
+        """A replacement, planned or not, and the next loss as soon as that is to be borne."""
+        machine = self._target()
+        if self.random.random() < 0.5:
+            newcomer = self.world.add_machine(machine.place)
+            newcomer.start()
+            started_s = self.world.now_s
+            self.world.run_for(self.random.choice((0.5, 1.5, 3.0)))
+            self.leave(machine)
+            self.world.run_until(max(self.world.now_s, started_s + CATCH_UP_S))
+            how = "planned"
+        else:
+            self.replace(machine, 1.0)
+            self.world.run_for(1.0 + CATCH_UP_S)
+            how = "unplanned"
+        self.world.situations[f"3: a loss right after a {how} replacement"] += 1
+        self.random.choice((self.kill, self.wipe, self.replace))(self._target(), 2.0)
+        self.world.run_for(2.0 + CATCH_UP_S + 1.0)
+
+    def left_behind(self) -> None:
+        """A member misses many changes; then the others go, one with its disk, and it must catch up."""
+        quick = Operator(self.world, self.calls, "quick", 0.002)
+        self.operators.append(quick)
+        machine, role = self._by_role()
+        for_s = self.random.choice((6.0, 12.0))
+        self.cut(machine, for_s)
+        before = len(self.calls)
+        quick.begin()
+        self.world.run_for(for_s - 0.5)
+        quick.is_stopped = True
+        missed = sum(call.verdict is Verdict.TAKEN for call in self.calls[before:])
+        self.world.situations[f"4: the {role} was cut off for {missed // 50 * 50} changes or more"] += 1
+        others = [other for other in self._standing() if other is not machine and not other.is_frozen]
+        if self.random.random() < 0.5:
+            self.wipe(self.random.choice(others), 1.0)
+            self.world.run_for(CATCH_UP_S)
+        self.world.run_for(self.random.choice((0.6, 1.0, 3.0)))
+        for other in others:
+            self.kill(other, self.random.choice((1.0, 3.0)))
+        self.world.run_for(4.0 + CATCH_UP_S)
+
     def final_fault(self) -> None:
         """Right after an acknowledgement some lose their disks, as tolerated, and the rest goes down."""
         count = len([call for call in self.calls if call.verdict is Verdict.TAKEN])
@@ -237,16 +334,25 @@
         if view is not None:
             replicas = [self.world.machines[member.address] for member in view.replicas]
             victims = self.random.sample(replicas, min(losses, len(replicas)))
+        if self.random.random() < 0.4:
+            victims = sorted(self._standing(), key=lambda one: one.disk.since_s)[:losses]
+            self.world.situations["3: at the end the oldest disks are lost"] += bool(losses)
         for machine in victims:
             self.wipe(machine, self.random.uniform(0.2, 1.0))
         rest = [machine for machine in self._standing() if machine not in victims]
         power = self.random.random() < 0.7
+        if power and victims:
+            self.world.situations["3: disks are lost while all others lose power"] += 1
         self.note(f"the rest down, power {power}")
         for machine in rest:
             machine.kill(power)
             self.world.after(self.random.uniform(0.2, 1.0), machine.start)
         self.world.run_for(1.0)
 
+    def _courses(self) -> list[Callable[[], None]]:
+        often = [self.one_after_the_other, self.second_loss, self.wipe_amid, self.storm, self.storm]
+        return [*often, *often, self.cut_off_long, self.left_behind]
+
     def run(self) -> Report:
         """The whole schedule."""
         world = self.world
@@ -258,9 +364,12 @@
             world.after(self.random.uniform(0.0, 0.3), operator.begin)
         grown_s = 4.0 if len(self.site.places) > self.site.seeds else 1.0
         world.run_for(grown_s)
-        course = self.random.choice((self.one_after_the_other, self.storm, self.storm, self.wipe_amid))
+        course = self.random.choice(self._courses())
         course()
-        if course == self.one_after_the_other and self.random.random() < 0.5:
+        calm = (self.one_after_the_other, self.second_loss, self.left_behind, self.cut_off_long)
+        if course in calm and self.random.random() < 0.5:
+            self._heal()
+            self.world.run_for(CATCH_UP_S + 2.0)
             self.final_fault()
         self._heal()
         return self._finish()
@@ -311,7 +420,13 @@
         ends = sorted(call.ended_s for call in self.calls if call.verdict is Verdict.TAKEN)
         silences = [later - earlier for earlier, later in itertools.pairwise(ends)]
         return Report(
-            self.seed, faults, self.troubles, len(ends), self.world.messages, max(silences, default=0.0)
+            self.seed,
+            faults,
+            self.troubles,
+            len(ends),
+            self.world.messages,
+            max(silences, default=0.0),
+            situations=self.world.situations,
         )
 
 
@@ -346,6 +461,9 @@
         for trouble in report.troubles:
             print(f"    {trouble}")
     acknowledged = sum(report.acknowledged for report in reports)
+    situations = sum((report.situations for report in reports), Counter[str]())
+    for name, count in sorted(situations.items()):
+        print(f"{count:8} {name}")
     print(
         f"{len(reports)} schedules, {acknowledged} changes acknowledged, {len(bad)} with faults, "
         f"{time.monotonic() - began_s:.0f} s"
--- a/tests/system/replication/core_variants.py
+++ b/tests/system/replication/core_variants.py
@@ -154,6 +154,32 @@
     return [mock.patch.object(Attempt, "_sources", sources)]
 
 
+def state_by_sequence_alone() -> Patches:
+    """A candidate goes on from the longest state, of whatever view."""
+
+    def sources(self: Attempt) -> list[MemberId]:
+        return [member for member, promise in self._promises.items() if promise.state_epoch != NO_EPOCH]
+
+    return [mock.patch.object(Attempt, "_sources", sources)]
+
+
+def own_state_preferred() -> Patches:
+    """A candidate goes on from what it holds itself, if it holds any."""
+
+    def sources(self: Attempt) -> list[MemberId]:
+        own = self._promises.get(self._parts.own)
+        has_own = own is not None and own.state_epoch != NO_EPOCH
+        return [self._parts.own] if has_own else original(self)
+
+    original = Attempt._sources
+    return [mock.patch.object(Attempt, "_sources", sources)]
+
+
+def install_answered_before_sync() -> Patches:
+    """A replica answers before its disk has the state."""
+    return _answers_before_sync(Installed)
+
+
 def ignores_newer_views() -> Patches:
     """A candidate doesn't widen to a newer view that a promise shows."""
 
@@ -249,6 +275,9 @@
         backup_skips_the_fence,
         confirms_though_fenced,
         takes_any_state,
+        state_by_sequence_alone,
+        own_state_preferred,
+        install_answered_before_sync,
         ignores_newer_views,
         half_is_enough,
         old_members_dont_count,
--- a/tests/system/replication/core_world.py
+++ b/tests/system/replication/core_world.py
@@ -9,6 +9,7 @@
 import functools
 import heapq
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -27,6 +28,7 @@
     Send,
     StateCode,
     Tick,
+    Withdraw,
 )
 from coveport.system.replication.identity import MemberId, Place
 from coveport.system.replication.member import CoreMember
@@ -39,6 +41,9 @@
 CLIENT_S = 0.003  # one way between a client and a machine
 TAKEN = "taken"  # that very change is in force already
 OTHER = "another version is in place"
+ORDER = "order|"  # begins what bears no version
+HOLD_S = 0.15  # as a coordinator holds such an order, while it looks whether its caller stays
+STALL_S = 0.6  # after which a coordinator drops what waited in its callers' connections
 
 State = tuple[str, ...]  # all changes taken, the oldest first
 
@@ -48,14 +53,22 @@
     return f"{base}|{edition}|{value}".encode()
 
 
+def order(operator: str, number: int) -> bytes:
+    """A command without a version, as an evacuation is: it takes effect whenever it is run."""
+    return f"{ORDER}{operator}|{number}".encode()
+
+
 def edition_of(state: State) -> int:
     """The edition in force."""
-    return int(state[-1].split("|")[1]) if state else 0
+    last = next((text for text in reversed(state) if not text.startswith(ORDER)), None)
+    return int(last.split("|")[1]) if last else 0
 
 
 def apply_change(state: State, command: bytes) -> Applied | Refused:
     """What the members run."""
     text = command.decode()
+    if text.startswith(ORDER):
+        return Applied((*state, text), "done")
     if text in state:
         return Refused(TAKEN)
     if int(text.split("|")[0]) != edition_of(state):
@@ -86,6 +99,7 @@
     hangs_until_s: float = 0.0
     refuses: bool = False
     busy_until_s: float = 0.0
+    since_s: float = 0.0  # when it was new
 
 
 @dataclass(slots=True)
@@ -110,7 +124,9 @@
         self.is_frozen = False
         self.is_powered = True
         self.is_removed = False
+        self.frozen_at_s = 0.0
         self._held: list[Callable[[], None]] = []
+        self.life_of_calls = 0  # rises when callers' connections are reset
 
     def start(self, first_boot: bool = False) -> None:
         """Start the process on what the disk holds."""
@@ -157,7 +173,7 @@
     def wipe(self) -> None:
         """Lose the disk, and the process with it."""
         self.kill(power=True)
-        self.disk = SimDisk()
+        self.disk = SimDisk(since_s=self.world.now_s)
 
     def remove(self) -> None:
         """Lose the machine for good."""
@@ -167,12 +183,15 @@
     def freeze(self) -> None:
         """Stand still; what arrives waits."""
         self.is_frozen = self.life is not None
+        self.frozen_at_s = self.world.now_s
 
     def thaw(self) -> None:
         """Go on with what waited."""
         if not self.is_frozen:
             return
         self.is_frozen = False
+        if self.world.now_s - self.frozen_at_s > STALL_S:
+            self.life_of_calls += 1
         held, self._held = self._held, []
         for run in held:
             run()
@@ -255,6 +274,8 @@
         self.cuts: set[tuple[str, str]] = set()  # from, to
         self.messages = 0
         self.on_answer: dict[int, Callable[[Outcome], None]] = {}
+        self.withdrawn: set[int] = set()  # calls whose caller has left
+        self.situations: Counter[str] = Counter()  # how often what was brought about
         self._arrivals: dict[tuple[str, str], float] = {}
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = 0
@@ -317,9 +338,14 @@
         arrival_s = max(self.now_s + self.delay_s(sender, receiver), self._arrivals.get(link, 0.0))
         self._arrivals[link] = arrival_s
         event = Received(life.member.identity, message)
+        meant_for = receiver.life
 
         def arrive() -> None:
             receiving = receiver.life
+            if receiving is not None and receiving is not meant_for:
+                self.situations["5: a message reached a later life than it was sent to"] += 1
+            if sender.life is not life:
+                self.situations["5: a message of an earlier life of its sender arrived"] += 1
             if receiving is not None and link not in self.cuts:
                 receiver.run(receiving, lambda: receiver.deliver(receiving, event))
 
@@ -328,19 +354,52 @@
     # -- clients --
 
     def call(
-        self, machine: Machine, make_event: Callable[[int], Event], on_outcome: Callable[[Outcome], None]
-    ) -> None:
-        """Bring a client's call to a machine; nothing is answered when it is lost on the way."""
+        self,
+        machine: Machine,
+        make_event: Callable[[int], Event],
+        on_outcome: Callable[[Outcome], None],
+        is_held: bool = False,  # it bears no version
+    ) -> int:
+        """Bring a client's call to a machine; nothing is answered when it is lost on the way. Its number."""
         self._request += 1
         request = self._request
         life = machine.life
+        calls = machine.life_of_calls
         self.on_answer[request] = on_outcome
 
+        def take() -> None:
+            if life is None:
+                return
+            if machine.life_of_calls != calls:
+                self.situations["2: what waited in the sockets of a frozen machine was dropped"] += 1
+                return
+            if request not in self.withdrawn:
+                machine.deliver(life, make_event(request))
+            elif is_held:
+                self.situations["2: an old copy of an order without a version was dropped"] += 1
+
         def arrive() -> None:
-            if life is not None:
-                machine.run(life, lambda: machine.deliver(life, make_event(request)))
+            if life is None:
+                return
+            if is_held:
+                machine.run(life, lambda: self.after(HOLD_S, lambda: machine.run(life, take)))
+            else:
+                machine.run(life, take)
 
         self.after(CLIENT_S * self.random.uniform(1.0, 2.0), arrive)
+        return request
+
+    def withdraw(self, machine: Machine, request: int) -> None:
+        """The caller leaves: the machine sees that a little later, when it runs."""
+        life = machine.life
+
+        def see() -> None:
+            self.withdrawn.add(request)
+            if life is not None and machine.life is life:
+                machine.deliver(life, Withdraw(request))
+
+        if life is not None:
+            self.after(CLIENT_S, lambda: machine.run(life, see))
 
     def answered(self, machine: Machine, request: int, outcome: Outcome) -> None:
         """A machine answered a call."""
