--- a/coveport/system/coordinator/control.py
+++ b/coveport/system/coordinator/control.py
@@ -58,23 +58,32 @@
         until_s = self._net.now_s() + PRIMARY_WAIT_S
         while self._net.now_s() < until_s:
             member = self._core.member
-            if member.is_primary:
+            if self._leads():
                 return None
-            if member.primary_address is not None:
+            if not member.is_primary and member.primary_address is not None:
                 return member.primary_address
             await asyncio.sleep(PRIMARY_LOOK_S)
         return None
 
+    def _leads(self) -> bool:
+        """Whether this is the primary and hears a majority: one that is cut off can only hold its callers."""
+        member = self._core.member
+        return member.is_primary and member.has_quorum(self._net.now_s())
+
     async def hold(self) -> None:
         """Wait a moment; ends with the call where its caller leaves meanwhile."""
         await asyncio.sleep(HOLD_S)
 
     async def submit(self, command: bytes) -> Reply:
-        """Run a command here; 503 where this isn't the primary, or it is unclear what became of it."""
+        """Run a command here; 503 where this doesn't lead, or it is unclear what became of it."""
+        if not self._leads():
+            return _reply(NotPrimary(None))
         return _reply(await self._within(self._core.submit(command)))
 
     async def read_configuration(self) -> Reply:
-        """The newest configuration."""
+        """The newest configuration; 503 where this doesn't lead."""
+        if not self._leads():
+            return _reply(NotPrimary(None))
         outcome = await self._within(self._core.read_newest())
         if not isinstance(outcome, Newest):
             return _reply(outcome)
--- a/coveport/system/simulation/registration.py
+++ b/coveport/system/simulation/registration.py
@@ -62,6 +62,19 @@
         """Begin to report."""
         self._task = asyncio.get_running_loop().create_task(self._report_on())
 
+    async def leave_at_once(self, drain_s: float) -> None:
+        """Say goodbye first, never `closing`; serve until that has been heard and drained, end."""
+        if self._task is not None:
+            self._task.cancel()
+        self._node.say_closing()
+        until = self._net.now_s() + ENDS_UNHEARD_S
+        while self._net.now_s() < until and not self._node.ended:
+            if await self._tell("DELETE", "gone", None):
+                await asyncio.sleep(drain_s + LINGER_S)
+                break
+            await asyncio.sleep(0.1)
+        self._node.end(planned=True)
+
     async def leave(self, drain_s: float, gone_in_s: float | None = None) -> None:
         """Say `closing`, serve until that has been heard and drained, say goodbye, end.
 
--- a/coveport/system/simulation/troubles.py
+++ b/coveport/system/simulation/troubles.py
@@ -48,6 +48,12 @@
         """It runs nothing for a while."""
         self._do(at_s, for_s, "freeze", [machine], partial(machine.freeze, for_s), _nothing)
 
+    def end_with_lost_disks(self, at_s: float, machines: Iterable[Machine], for_s: float = 1.0) -> None:
+        """These lose their disks, and all other machines lose power at the same moment, proxies too."""
+        lost = list(machines)
+        for machine in (*self._day.coordinators, *self._day.proxies):
+            self.lose_power(at_s, machine, for_s, wipe=machine in lost)
+
     def roll(self, at_s: float, machines: Iterable[Machine], gap_s: float = 1.0) -> None:
         """Stop them by SIGTERM one after the other, each started again before the next one stops."""
         rest = list(machines)
@@ -111,10 +117,18 @@
 
     # Cuts.
 
-    def cut_off(self, at_s: float, machines: Iterable[Machine], for_s: float, *, how: str = "both") -> None:
-        """Nothing passes between these and all others. `how`: both, in (they hear nothing) or out."""
+    def cut_off(
+        self,
+        at_s: float,
+        machines: Iterable[Machine],
+        for_s: float,
+        *,
+        how: str = "both",
+        from_machines: Iterable[Machine] | None = None,
+    ) -> None:
+        """Nothing passes between these and others (or all). `how`: both, in (they hear nothing) or out."""
         inside = {one.spot.ip for one in machines}
-        others = {one.spot.ip for one in self._all_inner()} - inside
+        others = {one.spot.ip for one in from_machines or self._all_inner()} - inside
         into = {(other, one) for one in inside for other in others}
         out_of = {(one, other) for one in inside for other in others}
         pairs = into if how == "in" else out_of if how == "out" else into | out_of
--- a/tests/system/coordinator/test_callers_who_leave.py
+++ b/tests/system/coordinator/test_callers_who_leave.py
@@ -57,6 +57,9 @@
             return [Answer(event.request, self.outcome)]
         return []
 
+    def has_quorum(self, now_s: float) -> bool:
+        return True
+
     def describe(self) -> dict[str, object]:
         return {}
 
--- a/tests/system/coordinator/test_control.py
+++ b/tests/system/coordinator/test_control.py
@@ -23,7 +23,10 @@
     """A core whose word a test decides; without an outcome it never answers."""
 
     def __init__(self) -> None:
-        self.member = SimpleNamespace(is_primary=False, primary_address=None)
+        self.hears_majority = True
+        self.member = SimpleNamespace(
+            is_primary=False, primary_address=None, has_quorum=lambda now_s: self.hears_majority
+        )
         self.outcome: Any = None
 
     async def submit(self, command: bytes) -> Any:
@@ -93,6 +96,7 @@
 )
 def test_an_outcome_becomes_its_answer(outcome: Any, status: int) -> None:
     core = Core()
+    core.member.is_primary = True
     core.outcome = outcome
     reply, _ = run(core, lambda control: control.submit(b""))
     assert reply.status == status
@@ -100,6 +104,7 @@
 
 def test_what_is_refused_is_told_with_its_findings() -> None:
     core = Core()
+    core.member.is_primary = True
     core.outcome = Refused(ChangeResult(412, 5, (Finding("If-Match", "the current edition is 5"),)))
     reply, _ = run(core, lambda control: control.submit(b""))
     assert json.loads(reply.body) == {"Edition": 5, "Error": ["If-Match: the current edition is 5"]}
@@ -107,13 +112,16 @@
 
 def test_a_command_that_is_never_decided_is_unclear_and_not_refused() -> None:
     """Any 4xx would end the operator's tries though the change may be taken."""
-    reply, took_s = run(Core(), lambda control: control.submit(b""))
+    core = Core()
+    core.member.is_primary = True
+    reply, took_s = run(core, lambda control: control.submit(b""))
     assert reply.status == 503
     assert took_s == pytest.approx(ANSWER_S)
 
 
 def test_the_newest_configuration_is_handed_out_as_it_was_sent() -> None:
     core = Core()
+    core.member.is_primary = True
     core.outcome = Newest(3, ControlState(configuration_text=b'{"Edition":7}', edition=7))
     reply, _ = run(core, Control.read_configuration)
     assert (reply.status, reply.body) == (200, b'{"Edition":7}')
@@ -121,6 +129,35 @@
 
 def test_without_a_configuration_there_is_none_to_read() -> None:
     core = Core()
+    core.member.is_primary = True
     core.outcome = Newest(0, ControlState())
     reply, _ = run(core, Control.read_configuration)
     assert reply.status == 404
+
+
+def test_a_primary_that_hears_no_majority_starts_nothing_and_says_so_before_its_caller_gives_up() -> None:
+    """It could only hold the caller, and the command might come into force after a later one elsewhere."""
+    core = Core()
+    core.member.is_primary = True
+    core.member.primary_address = "10.0.0.1:7300"  # its own
+    core.hears_majority = False
+    core.outcome = Done(ChangeResult(200, 7))
+    found, took_s = run(core, Control.primary_elsewhere)
+    assert found is None
+    assert PRIMARY_WAIT_S <= took_s < CALLERS_WAIT_S
+    for ask in (lambda control: control.submit(b""), Control.read_configuration):
+        reply, took_s = run(core, ask)
+        assert (reply.status, took_s) == (503, 0.0)
+
+
+def test_a_primary_that_hears_a_majority_again_takes_the_call_that_waited() -> None:
+    core = Core()
+    core.member.is_primary = True
+    core.hears_majority = False
+
+    def heal() -> None:
+        core.hears_majority = True
+
+    found, took_s = run(core, Control.primary_elsewhere, (0.4, heal))
+    assert found is None
+    assert 0.4 <= took_s < 0.45
--- /dev/null
+++ b/tests/system/simulation/test_control_days.py
@@ -0,0 +1,327 @@
+"""The five points of the control side under its worst days, each brought about with the real programs.
+
+What was brought about is asserted first; then the day's judge, and what the point itself demands.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+
+import pytest
+
+from coveport.http1.codec import write_request
+from coveport.net.address import Address
+from coveport.system.configuration.state import ControlState
+from coveport.system.coordinator.process import Coordinator
+from coveport.system.simulation.deployment import Deployment
+from coveport.system.simulation.exchange import call
+from coveport.system.simulation.happenings import HeartbeatAnswered, Order, OrderEnded, OrderSent, Verdict
+from coveport.system.simulation.machines import Machine
+from coveport.system.simulation.troubles import Troubles
+from coveport.system.simulation.world import DayResult, SimulatedDeployment
+from coveport.system.wire.names import Heartbeat, Path
+
+AT_S = 3.0
+LONG_CUT_S = 21.0
+SEEDS_THAT_REACH_IT = (1, 2, 2)  # by coordinator: the node reports its leave to another one
+
+
+class ControlDay:
+    """A day whose troubles are written here; `play` judges it."""
+
+    def __init__(self, seed: int, **told: object) -> None:
+        self.day = SimulatedDeployment(Deployment(**told), seed)  # type: ignore[arg-type]
+        self.troubles = Troubles(self.day)
+
+    def play(self, length_s: float) -> DayResult:
+        result = self.day.play(length_s)
+        assert list(result.problems) == []
+        assert [str(one) for one in result.breaches] == []
+        return result
+
+    def at(self, at_s: float, step: Callable[[], object]) -> None:
+        self.day.at(at_s, step)
+
+    def order(self, at_s: float, step: Callable[[], object]) -> None:
+        """Have the first operator do something."""
+        self.day.at(at_s, lambda: self.day.run_operator(self.day.operators[0], step))
+
+    def program(self, machine: Machine) -> Coordinator:
+        assert isinstance(machine.program, Coordinator)
+        return machine.program
+
+    def state(self, machine: Machine) -> ControlState:
+        state: ControlState = self.program(machine)._member._parts.learner.state
+        return state
+
+    def primary(self) -> Machine:
+        return next(one for one in self.day.coordinators if self.program(one)._member.is_primary)
+
+    def control(self, machine: Machine) -> Address:
+        return (machine.spot.ip, self.day.deployment.ports.control)
+
+    def listed(self, machine: Machine) -> set[str]:
+        """Nodes that a coordinator tells its proxies to send to."""
+        return {
+            entry.node.incarnation
+            for entry in self.program(machine).table.entries()
+            if entry.node.state.value == "accepting"
+        }
+
+
+# -- 1. A control machine cut off for some twenty seconds --
+
+
+@pytest.mark.parametrize("number", [0, 1, 2])
+@pytest.mark.parametrize("goodbye_first", [False, True])
+def test_a_coordinator_that_was_cut_off_lists_nobody_who_left_meanwhile(
+    number: int, goodbye_first: bool
+) -> None:
+    """Main listed the node for another silence after the cut had healed: 5.4 s, with InTouchMs at 4 s."""
+    told = ControlDay(SEEDS_THAT_REACH_IT[number])
+    day = told.day
+    machine = day.coordinators[number]
+    told.troubles.cut_off(AT_S, [machine], LONG_CUT_S, from_machines=day.coordinators)
+    node = day.nodes[0]
+    drain_s = day.deployment.bounds.drain_ms / 1000
+    names: list[str] = []
+
+    def leave() -> None:
+        assert node.registration is not None and node.server is not None
+        names.append(node.server.incarnation)
+        registration = node.registration
+        leaving = registration.leave_at_once if goodbye_first else registration.leave
+        node.machine.run(lambda: leaving(drain_s))
+
+    told.at(AT_S + 5.0, leave)
+    was_listed: list[bool] = []
+    told.at(AT_S + 10.0, lambda: was_listed.append(names[0] in told.listed(machine)))
+    lists: list[set[str]] = []
+    told.at(AT_S + LONG_CUT_S + 1.0, lambda: lists.append(told.listed(machine)))
+    result = told.play(AT_S + LONG_CUT_S + 6.0)
+    answered = [one for one in result.book.of(HeartbeatAnswered) if one.incarnation == names[0]]
+    assert any(one.state != "accepting" for one in answered), "the leave was acknowledged"
+    assert was_listed == [True], "the one that is cut off did not hear of it"
+    assert names[0] not in lists[0]
+
+
+def test_one_cut_off_confirms_and_refuses_nothing_and_hands_out_nothing_old() -> None:
+    """Asked all the time, directly and by all operators' and nodes' calls."""
+    told = ControlDay(2)
+    day = told.day
+    machine = day.coordinators[0]
+    told.troubles.cut_off(AT_S, [machine], LONG_CUT_S, from_machines=day.coordinators)
+    told.troubles.add_route(AT_S + 2.0, "added")
+    statuses: list[tuple[str, int]] = []
+    zone = day.deployment.zones[1].name
+
+    async def ask() -> None:
+        host = [("Host", "core")]
+        beat: dict[str, object] = {
+            Heartbeat.SERVICE: "s",
+            Heartbeat.STATE: Heartbeat.CLOSING,
+            Heartbeat.SLOTS: 1,
+        }
+        beat |= {Heartbeat.ADDRESS: "10.9.9.9:80", Heartbeat.ZONE: zone, Heartbeat.SEQUENCE: 5}
+        calls = (
+            write_request("GET", Path.CONFIG, host),
+            write_request("PUT", Path.CONFIG, [*host, ("If-Match", "1")], b'{"Edition": 2}'),
+            write_request("PATCH", Path.CONFIG, [*host, ("If-Match", "1")], b"{}"),
+            write_request("POST", Path.EVACUATION + zone, host),
+            write_request("DELETE", Path.EVACUATION + zone, host),
+            write_request("PUT", Path.NODES + "i-asked", host, json.dumps(beat).encode()),
+            write_request("DELETE", Path.NODES + "i-asked", host),
+        )
+        operator_net = day.operators[1]._net
+        until_s = day.traffic_from_s + AT_S + LONG_CUT_S - 2.0
+        while True:
+            for request in calls:
+                if day.world.now > until_s:
+                    return
+                answer = await call(operator_net, told.control(machine), request, 1.5)
+                if answer is not None:
+                    statuses.append((request.split(b" ", 1)[0].decode(), answer.status))
+            await asyncio.sleep(0.2)
+
+    told.at(AT_S + 2.0, lambda: day.run_operator(day.operators[1], ask))
+    told.play(AT_S + LONG_CUT_S + 6.0)
+    assert len(statuses) > 12
+    assert {one for one in statuses if one[1] not in (503, 307)} == set()
+
+
+# -- 2. An order sent again, an old copy --
+
+
+@pytest.mark.parametrize("frozen_s", [0.5, 0.9, 3.0, 9.0])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_an_old_order_in_a_frozen_primary_takes_no_effect(frozen_s: float, seed: int) -> None:
+    """POST waits in its socket; its copy is acknowledged elsewhere, and so is the DELETE; then it wakes."""
+    told = ControlDay(seed)
+    day = told.day
+    zone = day.deployment.zones[2].name
+    frozen: list[Machine] = []
+    ended: list[str] = []
+
+    def freeze() -> None:
+        frozen.append(told.primary())
+        frozen[0].freeze(frozen_s)
+
+    async def give() -> None:
+        request = write_request("POST", Path.EVACUATION + zone, [("Host", "core")])
+        lost = await call(day.operators[0]._net, told.control(frozen[0]), request, 1.0)
+        ended.append("lost" if lost is None else str(lost.status))
+        first = await day.operators[0].evacuate(zone)
+        second = await day.operators[0].take_back(zone)
+        ended.extend([first.verdict.value, second.verdict.value])
+
+    told.at(AT_S, freeze)
+    told.order(AT_S + 0.05, give)
+    told.play(16.0)
+    assert ended[1:] == [Verdict.ACKNOWLEDGED.value] * 2
+    assert ended[0] == "lost" or frozen_s < 1.0, "the situation is reached"
+    for machine in day.coordinators:
+        assert told.state(machine).evacuated == frozenset(), machine.spot.name
+
+
+def test_an_order_whose_caller_resets_while_nobody_leads_takes_no_effect() -> None:
+    """The one that is left waits for a primary, and the others come back while it does."""
+    told = ControlDay(3)
+    day = told.day
+    zone = day.deployment.zones[0].name
+    reached: list[bool] = []
+    left: list[Machine] = []
+
+    def kill_all_but_one() -> None:
+        primary = told.primary()
+        left.extend([one for one in day.coordinators if one is not primary][:1])
+        for machine in day.coordinators:
+            if machine is not left[0]:
+                machine.kill()
+                day.world.at(day.world.now + 3.0, machine.start)
+
+    async def give() -> None:
+        request = write_request("POST", Path.EVACUATION + zone, [("Host", "core")])
+        reached.append(told.program(left[0])._member.primary_address is None)
+        answer = await call(day.operators[0]._net, told.control(left[0]), request, 0.3)
+        reached.append(answer is None)
+
+    told.at(AT_S, kill_all_but_one)
+    told.order(AT_S + 2.95, give)
+    told.play(14.0)
+    assert reached == [True, True], "nobody led, and the caller left without an answer"
+    for machine in day.coordinators:
+        assert told.state(machine).evacuated == frozenset()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_eight_orders_at_once_around_a_lost_primary_are_each_answered_alike_again(seed: int) -> None:
+    """All are sent again, byte for byte, after a restart of all: none is refused that was taken."""
+    told = ControlDay(seed)
+    day = told.day
+    told.at(AT_S + 0.02, lambda: told.primary().kill())
+    for at in range(8):
+        told.troubles.race(AT_S + 0.005 * at)
+    for machine in day.coordinators:
+        told.troubles.kill(AT_S + 6.0, machine, for_s=0.5)
+    result = told.play(16.0)
+    ended = {one.number: one for one in result.book.of(OrderEnded)}
+    patches = [one for one in result.book.of(OrderSent) if one.order is Order.PATCH]
+    assert len(patches) == 16
+    by_base: dict[int, int] = {}
+    for one in patches:
+        by_base[one.based_on] = by_base.get(one.based_on, 0) + (
+            ended[one.number].verdict is Verdict.ACKNOWLEDGED
+        )
+    assert max(by_base.values()) == 1, "two changes on one edition were both confirmed"
+
+
+# -- 3. Disks lost at the end while all others lose power --
+
+
+@pytest.mark.parametrize("lost", [0, 1, 2])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_at_the_end_a_disk_is_lost_while_all_other_machines_lose_power(lost: int, seed: int) -> None:
+    told = ControlDay(seed)
+    told.troubles.add_route(AT_S, "added")
+    told.troubles.evacuate(AT_S + 0.2, told.day.deployment.zones[1].name, for_s=60.0)
+    told.troubles.end_with_lost_disks(AT_S + 4.0, [told.day.coordinators[lost]])
+    result = told.play(16.0)
+    assert [one.verdict for one in result.book.of(OrderEnded)][-1] is Verdict.ACKNOWLEDGED, "read back"
+    for machine in told.day.coordinators:
+        assert told.state(machine).evacuated == {told.day.deployment.zones[1].name}
+    assert result.served_share > 0.4
+
+
+def test_names_and_writes_that_were_never_synced_are_lost_at_the_first_start() -> None:
+    """Power goes within the first second, when files were just created: the core is founded all the same."""
+    for seed in range(3):
+        told = ControlDay(seed)
+        for machine in told.day.coordinators:
+            told.troubles.lose_power(-told.day.deployment.lead_s + 0.2 + 0.15 * seed, machine, for_s=0.5)
+        result = told.play(6.0)
+        assert result.served_share > 0.9
+
+
+# -- 4 and 5. Back after all were restarted; the wrong life --
+
+
+def test_after_all_coordinators_restarted_a_held_up_heartbeat_brings_nobody_back() -> None:
+    """Nothing of the goodbye is on disk: the proxies give it back."""
+    told = ControlDay(4)
+    day = told.day
+    node = day.nodes[1]
+    names: list[str] = []
+    drain_s = day.deployment.bounds.drain_ms / 1000
+
+    def leave() -> None:
+        assert node.registration is not None and node.server is not None
+        names.append(node.server.incarnation)
+        registration = node.registration
+        node.machine.run(lambda: registration.leave_at_once(drain_s))
+
+    told.at(AT_S, leave)
+    for machine in day.coordinators:
+        told.troubles.kill(AT_S + 1.0, machine, for_s=0.5)
+    listed: list[set[str]] = []
+
+    async def late() -> None:
+        spot = node.machine.spot
+        beat: dict[str, object] = {
+            Heartbeat.SERVICE: day.deployment.service,
+            Heartbeat.STATE: Heartbeat.ACCEPTING,
+        }
+        beat |= {Heartbeat.ADDRESS: f"{spot.ip}:{day.deployment.ports.node}", Heartbeat.ZONE: spot.zone.name}
+        beat |= {Heartbeat.SEQUENCE: 2, Heartbeat.SLOTS: 8}
+        body = json.dumps(beat).encode()
+        request = write_request("PUT", Path.NODES + names[0], [("Host", "core")], body)
+        for machine in day.coordinators:
+            await call(day.operators[0]._net, told.control(machine), request, 1.0)
+        await asyncio.sleep(0.5)
+        listed.extend(told.listed(machine) for machine in day.coordinators)
+
+    told.order(AT_S + 3.0, late)
+    told.play(14.0)
+    assert len(listed) == len(day.coordinators)
+    assert all(names[0] not in one for one in listed)
+
+
+def test_a_coordinator_refuses_what_its_own_identity_says_from_elsewhere() -> None:
+    """A copied disk would vote twice."""
+    told = ControlDay(5)
+    day = told.day
+    real, other = day.coordinators[0], day.coordinators[1]
+
+    def impersonate() -> None:
+        program = told.program(other)
+        hello = program._hello
+        object.__setattr__(hello, "disk", told.program(real)._member_id.disk)
+        for peer in list(program._peers._peers.values()):
+            if peer.connection is not None:
+                peer.connection.drop()
+
+    told.at(AT_S, impersonate)
+    day.play(AT_S + 4.0)
+    assert any("identity_of_ours" in line for line in real.log_lines)
+    assert not any("identity_of_ours" in line for line in day.coordinators[2].log_lines)
