The lab tells a sidecar to stop only when it can be told

The program was not at fault, nor the test: the lab's orchestrator sends SIGHUP only to a process that is ready, and did not do so for SIGTERM. Change: the planned end waits until the process is ready, within the time that a start may take; a stand-in that starts slowly shows it (fails before: exit -15).

--- a/coveport/lab/real/sidecars.py
+++ b/coveport/lab/real/sidecars.py
@@ -116,6 +116,7 @@
     async def stop(self) -> None:
         """End it as a planned stop does, within `end_s`."""
         self._over, self._again = True, False
+        await self._until_it_can_be_told()
         for task in list(self._tasks):
             task.cancel()
         for timer in self._timers:
@@ -125,6 +126,12 @@
             self._term()
             await self._child.ended.wait()
 
+    async def _until_it_can_be_told(self) -> None:
+        """Guards against a stop that comes before there is a handler: it would end the process with -15."""
+        loop = asyncio.get_running_loop()
+        while self.running and not (self.ready or self._asked) and loop.time() < self._started_at + READY_S:
+            await asyncio.sleep(POLL_S)
+
     def sample(self) -> None:
         """Enter what its process holds."""
         if self._child is None or not self._child.running:
--- a/tests/lab/real_helpers.py
+++ b/tests/lab/real_helpers.py
@@ -30,6 +30,8 @@
         open(os.path.join(os.environ["LAB_TEST_FOLDER"], str(left)), "w").close()
         sys.exit("nothing goes")
     time.sleep(60)
+if trouble == "starts slowly":
+    time.sleep(1.5)
 signal.signal(signal.SIGTERM, signal.SIG_IGN if trouble == "hangs" else lambda *_: sys.exit(0))
 signal.signal(signal.SIGHUP, lambda *_: print("moved to", told()["discovery"], flush=True))
 ip, _, port = told()["listen"].rpartition(":")
--- a/tests/lab/test_real.py
+++ b/tests/lab/test_real.py
@@ -283,6 +283,17 @@
     assert shown[-1] == 1.0 and shown == sorted(shown)
 
 
+def test_a_sidecar_that_is_still_starting_as_the_day_ends_is_told_when_it_can_be(
+    folder: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Seen on a busy machine: its second start met the end of the day, and it ended with -15."""
+    monkeypatch.setenv(real_helpers.TROUBLE, "starts slowly")
+    played = play_day(tiny_day(Change(50, 0, "kill", target=0), Change(60, 0, "launch", target=0), length_s=0.3),
+                      command=SIDECAR, parts="real_helpers")
+    assert lives(played, 0)[2:] == ["kill", "exit -9", "start 2", "ready", "term", "exit 0"]
+    assert troubles(played) == []
+
+
 def test_sidecars_that_die_at_their_start_end_the_day(folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setenv(real_helpers.TROUBLE, "dies at its start")
     played = play(length_s=20)
