--- a/tests/lab/test_real.py
+++ b/tests/lab/test_real.py
@@ -288,8 +288,8 @@
 ) -> None:
     """Seen on a busy machine: its second start met the end of the day, and it ended with -15."""
     monkeypatch.setenv(real_helpers.TROUBLE, "starts slowly")
-    played = play_day(tiny_day(Change(50, 0, "kill", target=0), Change(60, 0, "launch", target=0), length_s=0.3),
-                      command=SIDECAR, parts="real_helpers")
+    day = tiny_day(Change(50, 0, "kill", target=0), Change(60, 0, "launch", target=0), length_s=0.3)
+    played = play_day(day, command=SIDECAR, parts="real_helpers")
     assert lives(played, 0)[2:] == ["kill", "exit -9", "start 2", "ready", "term", "exit 0"]
     assert troubles(played) == []
 
--- /dev/null
+++ b/tests/system/replication/core_risk.py
@@ -0,0 +1,199 @@
+"""Measures how long the core bears less than before: after a loss, and for a member left behind.
+
+`PYTHONPATH=. python tests/system/replication/core_risk.py --count 10000 --jobs 8` prints the tables of
+docs/design/control-safety.md.
+"""
+
+from __future__ import annotations
+
+import argparse
+import concurrent.futures
+import statistics
+from dataclasses import dataclass
+
+from core_world import Machine, World, change, edition_of
+
+from coveport.system.replication.events import Done, Outcome, Submit
+from coveport.system.replication.identity import Place
+
+BYTES_A_SECOND = 120e6  # of a link of 1,000 Mbit/s, and of a disk
+MOST_S = 20.0  # beyond which nothing is waited for
+
+
+@dataclass(frozen=True, slots=True)
+class Core:
+    """Whose losses are looked at."""
+
+    machines: int
+    losses: int
+    region_s: float
+
+
+CORES = (Core(3, 1, 0.012), Core(3, 1, 0.035), Core(5, 2, 0.035), Core(6, 2, 0.012), Core(6, 2, 0.035))
+SIZES = (1_000, 1_000_000, 8_000_000)  # bytes of the state
+KINDS = ("kill", "wipe", "replace")
+
+
+def founded(core: Core, seed: int, size: int) -> World:
+    """A core whose state has that size."""
+    places = [Place(f"{region}{at // 3}", region) for at, region in enumerate("abcabc"[: core.machines])]
+    world = World(seed, places, core.losses, core.region_s, bytes_a_second=BYTES_A_SECOND)
+    world.start_all()
+    world.run_for(6.0, until=lambda: bool(world.primaries()))
+    world.run_for(6.0, until=lambda: bears_all(world))
+    world.run_for(1.0)
+    assert _submit(world, change(0, 1, "v" * size)), "the large change is taken"
+    world.run_for(6.0, until=lambda: bears_all(world))
+    assert bears_all(world)
+    return world
+
+
+def _submit(world: World, command: bytes) -> bool:
+    """Have the primary take a command; whether it did."""
+    outcomes: list[Outcome] = []
+
+    def submit(request: int) -> Submit:
+        return Submit(request, command)
+
+    machine = world.primary()
+    assert machine is not None
+    world.call(machine, submit, outcomes.append)
+    world.run_for(9.0, until=lambda: bool(outcomes))
+    return bool(outcomes) and isinstance(outcomes[0], Done)
+
+
+def bears_all(world: World) -> bool:
+    """Whether as many copies and spare votes are there as the core asks for."""
+    machine = world.primary()
+    if machine is None or machine.life is None:
+        return False
+    view = machine.life.member.view
+    if view is None or machine.life.member._leading.primary is None:
+        return False
+    running = {
+        other.life.member.identity
+        for other in world.machines.values()
+        if other.life is not None and not other.is_frozen
+    }
+    spare = len(running & set(view.members)) - (len(view.members) // 2 + 1)
+    return len(running & set(view.replicas)) > world.tolerated_losses and spare >= world.tolerated_losses
+
+
+def time_at_risk(core: Core, seed: int, size: int, kind: str) -> float:
+    """Seconds from the moment at which the machine is back, or its successor started, until all is borne."""
+    world = founded(core, seed, size)
+    world.run_for(world.random.random())
+    victim = _victim(world)
+    if kind == "replace":
+        victim.remove()
+        back = world.add_machine(victim.place)
+    else:
+        back = victim
+        if kind == "wipe":
+            victim.wipe()
+        else:
+            victim.kill(power=True)
+    world.run_for(1.0)
+    back.start()
+    began_s = world.now_s
+    world.run_for(MOST_S, until=lambda: bears_all(world))
+    return world.now_s - began_s
+
+
+def _victim(world: World) -> Machine:
+    machine = world.primary()
+    assert machine is not None and machine.life is not None
+    view = machine.life.member.view
+    assert view is not None
+    return world.machines[world.random.choice(view.members).address]
+
+
+def catch_up(core: Core, seed: int, size: int, changes: int) -> tuple[float, int]:
+    """Seconds from the end of a cut until the member has the newest state, and the bytes sent to it."""
+    world = founded(core, seed, size)
+    machine = world.primary()
+    assert machine is not None and machine.life is not None
+    behind = next(other for other in world.machines.values() if other is not machine)
+    world.cuts |= {(behind.address, other) for other in world.machines}
+    world.cuts |= {(other, behind.address) for other in world.machines}
+    world.run_for(3.0, until=lambda: bool(world.primaries()))
+    world.run_for(2.0)
+    _change_often(world, changes)
+    newest = _sequence(world)
+    sent = Sent(world, behind.address)
+    world.cuts.clear()
+    began_s = world.now_s
+
+    def has_all() -> bool:
+        life = behind.life
+        return life is not None and life.member._parts.learner.sequence >= newest
+
+    world.run_for(MOST_S, until=has_all)
+    assert has_all(), "it catches up"
+    return world.now_s - began_s, sent.bytes
+
+
+def _change_often(world: World, changes: int) -> None:
+    for edition in range(1, changes + 1):
+        assert _submit(world, change(edition, edition + 1, "small"))
+    machine = world.primary()
+    assert machine is not None and machine.life is not None
+    assert edition_of(machine.life.member._parts.learner.state) == changes + 1
+
+
+def _sequence(world: World) -> int:
+    machine = world.primary()
+    assert machine is not None and machine.life is not None
+    return machine.life.member._parts.learner.sequence
+
+
+class Sent:
+    """Counts the bytes of states and commands sent to one address."""
+
+    def __init__(self, world: World, address: str) -> None:
+        from core_world import bytes_in
+
+        self.bytes = 0
+        original = world.send
+
+        def send(sender: Machine, life: object, to_address: str, message: object) -> None:
+            if to_address == address:
+                self.bytes += bytes_in(message)
+            original(sender, life, to_address, message)  # type: ignore[arg-type]
+
+        world.send = send  # type: ignore[method-assign]
+
+
+def _risk(case: tuple[Core, int, int, str]) -> tuple[Core, int, str, float]:
+    core, seed, size, kind = case
+    return core, size, kind, time_at_risk(core, seed, size, kind)
+
+
+def main() -> None:
+    """Run as told on the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--count", type=int, default=450)
+    parser.add_argument("--jobs", type=int, default=4)
+    arguments = parser.parse_args()
+    kinds = [(core, size, kind) for core in CORES for size in SIZES for kind in KINDS]
+    cases = [(*kinds[at % len(kinds)], at) for at in range(arguments.count)]
+    found: dict[tuple[Core, int, str], list[float]] = {}
+    with concurrent.futures.ProcessPoolExecutor(arguments.jobs) as pool:
+        jobs = [(core, seed, size, kind) for core, size, kind, seed in cases]
+        for core, size, kind, took_s in pool.map(_risk, jobs, chunksize=8):
+            found.setdefault((core, size, kind), []).append(took_s)
+    print("| machines, losses, way | state | kill | wipe | replace |\n| --- | --- | --- | --- | --- |")
+    for core in CORES:
+        for size in SIZES:
+            cells = [found.get((core, size, kind), [0.0]) for kind in KINDS]
+            told = " | ".join(f"{statistics.median(cell):.2f}, {max(cell):.2f}" for cell in cells)
+            name = f"{core.machines}, {core.losses}, {core.region_s * 1000:.0f} ms"
+            print(f"| {name} | {size // 1000} KB | {told} |")
+    print("\n| missed changes | 1 KB: s, KB sent | 1,000 KB: s, KB sent |\n| --- | --- | --- |")
+    for changes in (0, 100, 1_000, 10_000):
+        cells_ = [catch_up(CORES[0], 3, size, changes) for size in SIZES[:2]]
+        print(f"| {changes} | " + " | ".join(f"{took:.2f}, {sent // 1000}" for took, sent in cells_) + " |")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/system/replication/core_world.py
+++ b/tests/system/replication/core_world.py
@@ -89,6 +89,12 @@
 CODE = StateCode(apply_change, encode_state, decode_state)
 
 
+def bytes_in(thing: object) -> int:
+    """Of the states and commands in a message or record."""
+    commands: tuple[bytes, ...] = getattr(thing, "commands", ())
+    return len(getattr(thing, "state", b"")) + len(getattr(thing, "command", b"")) + sum(map(len, commands))
+
+
 @dataclass(slots=True)
 class SimDisk:
     """One machine's disk."""
@@ -238,7 +244,9 @@
         disk.records.extend(effect.records)
         count = len(disk.records)
         begin_s = max(self.world.now_s, disk.busy_until_s, disk.hangs_until_s)
+        written = 2 * sum(bytes_in(record) for record in effect.records)
         disk.busy_until_s = begin_s + disk.sync_s * self.world.random.uniform(0.8, 1.5)
+        disk.busy_until_s += written / self.world.bytes_a_second
 
         def synced() -> None:
             if self.life is not life or self.disk is not disk:
@@ -262,7 +270,9 @@
         make_member: Callable[..., CoreMember] = CoreMember,
         timings: Timings = Timings(),  # noqa: B008 - frozen
         loss: float = 0.0,
+        bytes_a_second: float = float("inf"),  # of links, and of disks, where everything is written twice
     ) -> None:
+        self.bytes_a_second = bytes_a_second
         self.random = random.Random(seed)
         self.now_s = 100.0
         self.tolerated_losses = tolerated_losses
@@ -335,7 +345,8 @@
         link = (sender.address, to_address)
         if link in self.cuts or self.random.random() < self.loss:
             return
-        arrival_s = max(self.now_s + self.delay_s(sender, receiver), self._arrivals.get(link, 0.0))
+        way_s = self.delay_s(sender, receiver) + bytes_in(message) / self.bytes_a_second
+        arrival_s = max(self.now_s + way_s, self._arrivals.get(link, 0.0))
         self._arrivals[link] = arrival_s
         event = Received(life.member.identity, message)
         meant_for = receiver.life
--- /dev/null
+++ b/tests/system/replication/test_strangers.py
@@ -0,0 +1,104 @@
+"""Votes, copies and states of those that are no members, or are too old, count for nothing."""
+
+from __future__ import annotations
+
+import pytest
+from core_world import Machine, World, change
+from test_core_faults import THREE, founded, leader
+
+from coveport.system.replication.events import Outcome, ReadNewest, Received, Submit
+from coveport.system.replication.identity import Epoch, MemberId, View
+from coveport.system.replication.messages import (
+    Accepted,
+    Append,
+    Appended,
+    Confirmed,
+    Install,
+    Installed,
+    Message,
+    Promise,
+)
+
+
+def alone() -> tuple[World, Machine, View, list[Outcome]]:
+    """A primary that no other can answer, asked to change and to read."""
+    world, machine, view = founded(THREE)
+    world.run_for(1.0)
+    machine, view = leader(world)
+    for other in world.machines:
+        world.cuts |= {(machine.address, other), (other, machine.address)}
+    outcomes: list[Outcome] = []
+    world.call(machine, lambda request: Submit(request, change(0, 5, "x")), outcomes.append)
+    world.call(machine, ReadNewest, outcomes.append)
+    world.run_for(0.1)
+    return world, machine, view, outcomes
+
+
+def tell(machine: Machine, sender: MemberId, message: Message) -> None:
+    assert machine.life is not None
+    machine.deliver(machine.life, Received(sender, message))
+
+
+STRANGER = MemberId("10.0.0.77:7300", "another disk")
+
+
+@pytest.mark.parametrize("who", ["stranger", "other disk at a member's address", "itself once more"])
+def test_a_copy_or_confirmation_of_no_member_counts_for_nothing(who: str) -> None:
+    world, machine, view, outcomes = alone()
+    backup = view.replicas[1]
+    senders = {
+        "stranger": STRANGER,
+        "other disk at a member's address": MemberId(backup.address, "another disk"),
+        "itself once more": view.primary,
+    }
+    for round_number in range(1, 4):
+        tell(machine, senders[who], Confirmed(view.epoch, round_number))
+    tell(machine, senders[who], Appended(view.epoch, 1))
+    world.run_for(0.1)
+    assert outcomes == []
+
+
+def test_an_answer_of_another_epoch_counts_for_nothing() -> None:
+    world, machine, view, outcomes = alone()
+    backup = view.replicas[1]
+    for epoch in (Epoch(view.epoch.number - 1, view.epoch.candidate), Epoch(view.epoch.number, "another")):
+        tell(machine, backup, Appended(epoch, 1))
+        for round_number in range(1, 4):
+            tell(machine, backup, Confirmed(epoch, round_number))
+    world.run_for(0.1)
+    assert outcomes == []
+
+
+def test_promises_and_acceptances_of_strangers_bring_no_view_up() -> None:
+    world, machine, view, _ = alone()
+    world.run_for(1.5)
+    assert machine.life is not None
+    member = machine.life.member
+    attempt = member._leading.attempt
+    epoch = attempt.epoch if attempt is not None else Epoch(view.epoch.number + 1, view.primary.disk)
+    for sender in (STRANGER, MemberId(view.replicas[1].address, "another disk")):
+        tell(machine, sender, Promise(epoch, view, view.epoch, view.epoch, 99))
+        tell(machine, sender, Installed(epoch))
+        tell(machine, sender, Accepted(epoch))
+    world.run_for(0.05)
+    assert member.view is not None
+    assert member.view.epoch == view.epoch
+
+
+@pytest.mark.parametrize("kind", ["append", "install"])
+def test_a_backup_takes_nothing_below_its_promise(kind: str) -> None:
+    world, _, view = founded(THREE)
+    world.run_for(1.0)
+    _, view = leader(world)
+    backup = world.machines[view.replicas[1].address]
+    assert backup.life is not None
+    before = backup.life.member._parts.journal.durable
+    held = (before.state_epoch, before.sequence, before.snapshot)
+    old = Epoch(0, "a former primary")
+    message: Message = Append(old, before.sequence + 1, change(0, 9, "old"), 0)
+    if kind == "install":
+        message = Install(old, 50, b"0|1|old")
+    tell(backup, STRANGER, message)
+    world.run_for(0.2)
+    after = backup.life.member._parts.journal.durable
+    assert (after.state_epoch, after.sequence, after.snapshot) == held
