What a proxy knows of nodes stands in a module of its own

Cause: the subscription asked, renewed the lease, put states in force and merged reports on nodes, with the memory of who left among it. Change: proxy/node_directory.py merges and remembers; tests of a coordinator that is behind in each way.

--- a/coveport/system/proxy/subscription.py
+++ b/coveport/system/proxy/subscription.py
@@ -18,9 +18,9 @@
 from coveport.system.configuration.state import Applied, ControlState, apply, decode_state, initial_state
 from coveport.system.membership.leases import ProxyLease
 from coveport.system.model.findings import Refusal
-from coveport.system.model.node import Node, NodeState
-from coveport.system.model.view import ControlView, KnownNode
+from coveport.system.model.view import ControlView
 from coveport.system.proxy.coordinator_choice import CoordinatorChoice
+from coveport.system.proxy.node_directory import NodeDirectory
 from coveport.system.wire.connection import Connection, connect
 from coveport.system.wire.messages import AsksElsewhere, Message, StateChange, Update, UpdateRequest
 
@@ -28,8 +28,6 @@
 ANSWER_S = 1.2  # a coordinator that has not answered by then is left
 PAUSE_S = 0.05  # before another one is tried, growing ...
 PAUSE_MOST_S = 0.25
-DEPARTED_MOST = 4096  # remembered
-DEPARTED_TOLD_S = 60.0  # so long after it was learned, a coordinator that is asked anew is told
 PROXIES_UNKNOWN = 32  # assumed until a coordinator has told how many there may be
 
 
@@ -54,9 +52,7 @@
         self._is_table_confirmed = (
             False  # a settled coordinator has told the whole table since we asked there
         )
-        self._departed: dict[
-            str, float
-        ] = {}  # incarnations that are gone for good, and since when; oldest first
+        self._directory = NodeDirectory()
         self._answers: asyncio.Queue[Update] = asyncio.Queue()
         self._round = 0
         self._task: asyncio.Task[None] | None = None
@@ -110,7 +106,7 @@
         """Ask on one connection; a nearer coordinator to go to, or None where this one failed."""
         while not self._answers.empty():
             self._answers.get_nowait()
-        departed = self._departed_lately()
+        departed = self._directory.departed_lately(self._net.now_s())
         while connection.is_open:
             self._round += 1
             connection.send(self._request(departed))
@@ -134,11 +130,6 @@
         lease = self._make_lease(self._round)
         return UpdateRequest(lease, self._table, self._node_revision, self._sequence, self._round, departed)
 
-    def _departed_lately(self) -> tuple[str, ...]:
-        """For a coordinator that may have been restarted or cut off while these left."""
-        since_s = self._net.now_s() - DEPARTED_TOLD_S
-        return tuple(name for name, learned_s in self._departed.items() if learned_s >= since_s)
-
     async def _next_answer(self) -> Update:
         while True:
             update = await self._answers.get()
@@ -204,26 +195,9 @@
 
     def _take_nodes(self, update: Update, now: float) -> bool:
         before = self._view.nodes
-        nodes = before
-        for incarnation in update.departed:
-            self._note_departed(incarnation, now)
-            nodes = nodes.delete(incarnation) if incarnation in nodes else nodes
-        for node in update.nodes:
-            if node.incarnation in self._departed:
-                continue
-            known = nodes.get(node.incarnation)
-            is_same_report = known is not None and known.node.sequence == node.sequence
-            if known is None or node.is_newer_than(known.node) or is_same_report:
-                nodes = nodes.set(node.incarnation, _known(node, now, known))
-        for incarnation in update.removed:
-            nodes = self._remove(nodes, incarnation, now)
-        if update.whole_table and update.settled:
-            named = {node.incarnation for node in update.nodes}
-            for incarnation in [one for one in nodes if one not in named]:
-                nodes = nodes.delete(incarnation)
+        self._view.nodes = self._directory.merge(before, update, now)
         self._note_table(update)
-        self._view.nodes = nodes
-        return nodes is not before
+        return self._view.nodes is not before
 
     def _note_table(self, update: Update) -> None:
         """Which differences to ask for next; once a table has settled, the whole of it is asked for again."""
@@ -234,24 +208,3 @@
             self._is_table_confirmed = update.whole_table
             if not update.whole_table:
                 self._node_revision = -1
-
-    def _remove(self, nodes: Any, incarnation: str, now: float) -> Any:
-        known = nodes.get(incarnation)
-        if known is None:
-            return nodes
-        if known.node.state is NodeState.CLOSING:
-            self._note_departed(incarnation, now)  # it said that it leaves
-        return nodes.delete(incarnation)
-
-    def _note_departed(self, incarnation: str, now: float) -> None:
-        self._departed.setdefault(incarnation, now)
-        if len(self._departed) > DEPARTED_MOST:
-            del self._departed[next(iter(self._departed))]
-
-
-def _known(node: Node, now: float, before: KnownNode | None) -> KnownNode:
-    cold_until_s = now + node.cold_left_ms / 1000 if node.cold_left_ms > 0 else 0.0
-    leaves_at_s = now + node.leaves_in_ms / 1000 if node.leaves_in_ms > 0 else inf
-    if before is not None:
-        leaves_at_s = min(leaves_at_s, before.leaves_at_s)
-    return KnownNode(node, now, cold_until_s, leaves_at_s)
--- /dev/null
+++ b/tests/system/proxy/test_node_directory.py
@@ -0,0 +1,77 @@
+"""What a proxy takes in of nodes from coordinators that may be behind."""
+
+from __future__ import annotations
+
+import pytest
+
+from coveport.system.model.node import Node, NodeState
+from coveport.system.proxy.node_directory import DEPARTED_MOST, DEPARTED_TOLD_S, NodeDirectory, Nodes
+from coveport.system.wire.messages import Update
+
+
+def node(sequence: int = 1, state: NodeState = NodeState.ACCEPTING, incarnation: str = "i-1") -> Node:
+    return Node(incarnation, sequence, "chat", "10.0.0.1:80", "z1", "r1", 64, state)
+
+
+def update(
+    *nodes: Node, removed: tuple[str, ...] = (), departed: tuple[str, ...] = (), whole: bool = False
+) -> Update:
+    return Update(1, True, True, "t", 1, whole, nodes, removed, departed, 1, None, (), (), 0)
+
+
+def run(*updates: Update) -> tuple[NodeDirectory, Nodes]:
+    directory, nodes = NodeDirectory(), Nodes()
+    for at, one in enumerate(updates):
+        nodes = directory.merge(nodes, one, float(at))
+    return directory, nodes
+
+
+@pytest.mark.parametrize(
+    "behind", [update(node(2)), update(node(9), whole=True)], ids=["difference", "whole"]
+)
+@pytest.mark.parametrize(
+    "left",
+    [
+        update(departed=("i-1",)),
+        update(removed=("i-1",), departed=("i-1",)),
+        update(departed=("i-1",), whole=True),
+    ],
+    ids=["told alone", "with its removal", "in a whole table"],
+)
+def test_one_that_left_is_not_taken_in_again_from_a_coordinator_that_is_behind(
+    left: Update, behind: Update
+) -> None:
+    _, nodes = run(update(node(1)), left, behind)
+    assert "i-1" not in nodes
+
+
+def test_one_that_left_before_it_was_ever_known_is_not_taken_in() -> None:
+    _, nodes = run(update(departed=("i-1",)), update(node(1)))
+    assert "i-1" not in nodes
+
+
+def test_closing_is_not_undone_by_an_older_report_nor_by_its_removal_elsewhere() -> None:
+    closing = update(node(5, NodeState.CLOSING))
+    _, nodes = run(closing, update(node(9)))
+    assert nodes["i-1"].node.state is NodeState.CLOSING
+    _, nodes = run(closing, update(removed=("i-1",)), update(node(4)))
+    assert "i-1" not in nodes
+
+
+def test_one_that_was_only_silent_comes_back() -> None:
+    _, nodes = run(update(node(1)), update(removed=("i-1",)), update(node(2)))
+    assert nodes["i-1"].node.sequence == 2
+
+
+def test_an_update_that_says_nothing_new_changes_nothing() -> None:
+    directory, nodes = run(update(node(3)))
+    assert directory.merge(nodes, update(node(2), departed=("i-9",)), 2.0) is nodes
+
+
+def test_a_coordinator_asked_anew_is_told_who_left_lately_and_the_memory_is_bounded() -> None:
+    directory, _ = run(update(departed=("i-1",)))
+    assert directory.departed_lately(DEPARTED_TOLD_S) == ("i-1",)
+    assert directory.departed_lately(DEPARTED_TOLD_S + 0.1) == ()
+    many = tuple(f"i-{number}" for number in range(DEPARTED_MOST + 50))
+    directory, _ = run(update(departed=many))
+    assert len(directory.departed_lately(0.0)) == DEPARTED_MOST
