--- a/tests/system/membership/test_report_interleavings.py
+++ b/tests/system/membership/test_report_interleavings.py
@@ -4,6 +4,7 @@
 
 import os
 from collections.abc import Callable
+from typing import Any
 from unittest import mock
 
 import pytest
@@ -97,6 +98,17 @@
     assert asked.done.done()
 
 
+def test_numbers_that_begin_anew_in_each_life_are_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    original = NodeReporting.__init__
+
+    def begin_at_0(self: NodeReporting, *arguments: Any) -> None:
+        original(self, *arguments[:-1], 0)
+
+    monkeypatch.setattr(NodeReporting, "__init__", begin_at_0)
+    with pytest.raises(AssertionError):
+        test_a_confirmation_meant_for_an_earlier_life_counts_for_nothing()
+
+
 def test_after_all_coordinators_were_restarted_a_proxy_brings_back_who_left() -> None:
     """Nobody else remembers the goodbye; the heartbeat that was held up comes first and last."""
     for order in ("before", "after"):
