--- a/tests/system/membership/test_report_interleavings.py
+++ b/tests/system/membership/test_report_interleavings.py
@@ -102,7 +102,8 @@
     original = NodeReporting.__init__
 
     def begin_at_0(self: NodeReporting, *arguments: Any) -> None:
-        original(self, *arguments[:-1], 0)
+        original(self, *arguments)
+        self._number = 0
 
     monkeypatch.setattr(NodeReporting, "__init__", begin_at_0)
     with pytest.raises(AssertionError):
