A test of supervisors waits for who stands by, not for two seconds

Cause: in a fresh clone beside other work (a load of 20 on 8 cores) the third supervisor had not entered itself after two seconds, so that the first one, told to end, was alone and ended the whole. Ruled out: the supervisor; it asks the store who else is there. Change: the test waits until the store names the one that stands by, and then as before.

--- a/tests/fleet/test_fleet_processes.py
+++ b/tests/fleet/test_fleet_processes.py
@@ -14,6 +14,9 @@
 
 from coveport.fleet import locks
 from coveport.lab.trials.fleet.real import FleetTrialReal
+from coveport.leases.keeper import INSTANCE
+from coveport.leases.sqlite import SqliteStore
+from coveport.leases.store import Done
 
 LONG = 60.0
 
@@ -28,6 +31,22 @@
     asyncio.run(asyncio.wait_for(whole(), 180.0))
 
 
+async def stands_by(one: FleetTrialReal, process: subprocess.Popen[bytes]) -> None:
+    """Wait until a supervisor has entered itself in the store: on a busy machine its start takes long."""
+    store = SqliteStore(one.folder / "store.db", watched=False)
+    try:
+        end = time.monotonic() + LONG
+        while time.monotonic() < end:
+            read = await store.read("")
+            keys = [entry.key for entry in read.entries] if isinstance(read, Done) else []
+            if any(INSTANCE in key and f"-{process.pid}-" in key for key in keys):
+                return
+            await asyncio.sleep(0.1)
+    finally:
+        await store.close()
+    raise AssertionError(f"supervisor {process.pid} never stood by")
+
+
 def test_a_rolling_restart_under_load_loses_no_client(tmp_path: Path) -> None:
     async def work(one: FleetTrialReal) -> None:
         before = one.lives()
@@ -48,6 +67,7 @@
         before = one.lives()
         first = one.supervisors[0]
         second = one.supervise("--standby")
+        await stands_by(one, second)
         await asyncio.sleep(1.0)
         refused = one.supervise()
         assert await asyncio.to_thread(refused.wait, LONG) == 1, "a further one, by mistake"
@@ -64,6 +84,7 @@
         await one.all_serve()
         assert one.lives() == before, "nobody was restarted by any of it"
         third = one.supervise("--standby")
+        await stands_by(one, third)
         await asyncio.sleep(2.0)
         first.terminate()
         assert await asyncio.to_thread(first.wait, LONG) == 0
