Only word of a view itself settles it: a branch and a lost acceptance forked the core

Cause: a member that had accepted a view which never became active (with other members), and heard that a later view was active without that view itself (its acceptance was lost with a connection), took its own branch for settled. It then needed the branch's members alone, and led without what the later view had acknowledged; no disk needed to be lost. Ruled out: views of members that saw the later view (they widen to it).

--- a/coveport/system/replication/acceptor.py
+++ b/coveport/system/replication/acceptor.py
@@ -125,8 +125,8 @@
         self._reply_when_synced(sender, Accepted(view.epoch))
 
     def settled(self, message: Settled) -> None:
-        """Note that a view is active. Nobody waits for this."""
-        if message.epoch > self.durable.settled:
+        """Note that the view accepted here is active; of another view it is of no use. Nobody waits for this."""
+        if message.epoch == self.view_epoch and message.epoch > self.durable.settled:
             self._journal.write(SettledRecord(message.epoch))
 
     def append(self, sender: MemberId, message: Append) -> bool:
--- a/tests/system/replication/core_explorer.py
+++ b/tests/system/replication/core_explorer.py
@@ -136,6 +136,7 @@
     wipes: tuple[str, ...] = ()  # ... without the disk
     submits: tuple[tuple[str, bytes], ...] = ()
     reads: tuple[str, ...] = ()
+    losses: tuple[str, ...] = ()  # kinds of messages, each of which a broken connection may lose once
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,13 +153,16 @@
     ] = ()  # steps taken before all interleavings are explored; those impossible are left out
 
 
+Links = tuple[tuple[tuple[int, int], tuple[tuple[MemberId, Message], ...]], ...]
+
+
 @dataclass(frozen=True)
 class Point:
     """One state of all members, disks and links."""
 
     members: tuple[bytes, ...]  # pickled, in the order of the scenario's machines
     disks: tuple[Disk, ...]
-    links: tuple[tuple[tuple[int, int], tuple[tuple[MemberId, Message], ...]], ...]
+    links: Links
     budget: Budget
     acknowledged: State = ()
     committed: State = ()  # the longest that any member took for committed
@@ -343,6 +347,8 @@
             names = self.scenario.machines
             note = f"{type(message).__name__} {names[key[0]]}>{names[key[1]]}"
             yield self._step(point, key[1], Received(sender, message), note, links=rest)
+            if type(message).__name__ in point.budget.losses:
+                yield self._lose(point, rest, type(message).__name__, note)
         for index, disk in enumerate(point.disks):
             if disk.pending:
                 yield self._sync(point, index)
@@ -389,6 +395,12 @@
                 reads_owed=owed,
             )
 
+    def _lose(self, point: Point, rest: Links, kind: str, note: str) -> Point:
+        """A connection breaks with a message on its way; those behind it come on the next connection."""
+        losses = point.budget.losses
+        left = replace(point.budget, losses=_without(losses, losses.index(kind)))
+        return replace(point, links=rest, budget=left, trail=(*point.trail, f"lose {note}"))
+
     def _change(self, member: CoreMember, kind: str) -> Change:
         view = member.view
         assert view is not None
@@ -645,6 +657,27 @@
             "Accepted D>A",
         ),
     ),
+    Scenario(
+        "a former primary hears that a later view is active, but not which members it has",
+        Budget(
+            campaigns=(("A", "members ABD avoid B"), ("B", "avoid A"), ("A", "avoid BC")),
+            submits=(("B", Z),),
+            losses=("Accept",),
+        ),
+        machines=("A", "B", "C", "D"),
+        prefix=(
+            "campaign A members ABD avoid B",
+            "Prepare A>C",
+            "Promise C>A",
+            "Install A>D",
+            "Installed D>A",
+            "Accept A>D",
+            "Accepted D>A",
+            "campaign B avoid A",
+            "Prepare B>A",
+            *B_LEADS_WITH_C[1:],
+        ),
+    ),
     Scenario(
         "two candidates of five, with one witness in common",
         Budget(campaigns=(("A", "avoid B"), ("B", "avoid AC")), submits=(("A", X), ("B", Z))),
--- a/tests/system/replication/core_variants.py
+++ b/tests/system/replication/core_variants.py
@@ -24,9 +24,10 @@
     Installed,
     Message,
     Promise,
+    Settled,
 )
 from coveport.system.replication.primary import Primary, Unconfirmed
-from coveport.system.replication.records import PromiseRecord, Record, ViewRecord
+from coveport.system.replication.records import PromiseRecord, Record, SettledRecord, ViewRecord
 from coveport.system.replication.takeover import Attempt
 
 Patches = list[Any]
@@ -262,6 +263,21 @@
     return [mock.patch.object(Primary, "begin", begin)]
 
 
+def later_view_settles_earlier_ones() -> Patches:
+    """That some later view is active counts for the view accepted here: as it was on main."""
+
+    def groups(self: View, settled: Epoch) -> tuple[tuple[MemberId, ...], ...]:
+        if not self.previous_members or settled >= self.epoch:
+            return (self.members,)
+        return self.members, self.previous_members
+
+    def settled(self: Acceptor, message: Settled) -> None:
+        if message.epoch > self.durable.settled:
+            self._journal.write(SettledRecord(message.epoch))
+
+    return [mock.patch.object(View, "groups", groups), mock.patch.object(Acceptor, "settled", settled)]
+
+
 VARIANTS: dict[str, Callable[[], Patches]] = {
     variant.__name__: variant
     for variant in (
@@ -286,6 +302,7 @@
         shows_uncommitted,
         acceptor_keeps_no_fence,
         in_flight_counts_as_done,
+        later_view_settles_earlier_ones,
     )
 }
 
--- a/tests/system/replication/test_core_variants.py
+++ b/tests/system/replication/test_core_variants.py
@@ -11,6 +11,7 @@
 TAKEN_IN = "a member is taken in while the excluded backup campaigns with the members before"
 SUPERSEDED_READS = "a superseded primary reads, writes and campaigns"
 SUPERSEDED_WRITES = "a superseded primary with a command in flight campaigns"
+NOT_WHICH_MEMBERS = "a former primary hears that a later view is active, but not which members it has"
 CAUGHT_IN = {
     "promise_not_synced": "the witness loses power after it promised to a second candidate",
     "view_not_synced": SUPERSEDED_WRITES,
@@ -33,6 +34,7 @@
     "shows_uncommitted": SUPERSEDED_WRITES,
     "acceptor_keeps_no_fence": "the witness loses power after it promised to a second candidate",
     "in_flight_counts_as_done": SUPERSEDED_WRITES,
+    "later_view_settles_earlier_ones": NOT_WHICH_MEMBERS,
 }
 
 
--- a/tests/system/replication/test_second_losses.py
+++ b/tests/system/replication/test_second_losses.py
@@ -8,9 +8,9 @@
 from test_core_faults import SIX, THREE, founded, leader, write_one
 
 from coveport.system.replication import takeover
-from coveport.system.replication.events import HandOver, Outcome, ReadNewest, Submit, Withdraw
+from coveport.system.replication.events import HandOver, Outcome, ReadNewest, Received, Submit, Withdraw
 from coveport.system.replication.identity import Epoch, MemberId, View
-from coveport.system.replication.messages import Promise
+from coveport.system.replication.messages import Promise, Settled
 from coveport.system.replication.takeover import Attempt
 
 GRACE_PART_S = 4.0  # that a stop may wait for the view without it
@@ -199,6 +199,29 @@
     assert leading.member._parts.acceptor.state[:1] != taken, "an acknowledged change is lost"
 
 
+# -- which members decide --
+
+
+def test_a_view_is_settled_by_word_of_itself_alone() -> None:
+    """A later view that is active may descend from the members before, not from this one."""
+    branch = View(E5, IDS[1], (IDS[1], IDS[2]), (IDS[1], IDS[2], IDS[3]), (IDS[0], IDS[1], IDS[2]))
+    assert branch.groups(E5) == (branch.members,)
+    assert branch.groups(E4) == (branch.members, branch.previous_members)
+    assert branch.groups(E6) == (branch.members, branch.previous_members)
+
+
+def test_that_a_view_is_active_is_not_noted_by_one_that_has_not_accepted_it() -> None:
+    world, machine, view = founded(THREE)
+    world.run_for(1.0)
+    machine, view = leader(world)
+    other = world.machines[view.replicas[1].address]
+    assert other.life is not None
+    settled = other.life.member._parts.journal.durable.settled
+    later = Epoch(view.epoch.number + 1, "another candidate")
+    other.deliver(other.life, Received(machine.life.member.identity, Settled(later)))  # type: ignore[union-attr]
+    assert other.life.member._parts.journal.durable.settled == settled == view.epoch
+
+
 # -- calls that nobody waits for --
 
 
