--- a/coveport/lab/real/sidecars.py
+++ b/coveport/lab/real/sidecars.py
@@ -133,8 +133,8 @@
             await asyncio.sleep(POLL_S)
 
     def sample(self) -> None:
-        """Enter what its process holds."""
-        if self._child is None or not self._child.running:
+        """Enter what its process holds, once it is up: just after its exec it holds next to nothing."""
+        if self._child is None or not self._child.running or not self.ready:
             return
         place = Path(f"/proc/{self._child.pid}")
         # Guards against a process that ends while it is looked at.
@@ -142,6 +142,8 @@
             status = (place / "status").read_text()
             memory = next((int(line.split()[1]) for line in status.splitlines()
                            if line.startswith("VmRSS:")), 0)
+            if not memory:
+                return  # it has ended, which nobody has noticed yet
             times = (place / "stat").read_text().rpartition(")")[2].split()
             self._setting.books.write(Sample(
                 self._setting.clock.day_ms(), self.drawn.number, memory / PAGE_KB,
--- a/tests/lab/test_real.py
+++ b/tests/lab/test_real.py
@@ -12,7 +12,8 @@
 import time
 from collections.abc import Callable, Coroutine, Iterator
 from pathlib import Path
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 import real_helpers
@@ -26,6 +27,7 @@
 from coveport.lab.real.hosts import RealHost, address_of
 from coveport.lab.real.orchestrator import check_fits, shares
 from coveport.lab.real.shaping import ShapedNet
+from coveport.lab.real.sidecars import Sidecar
 from coveport.lab.real.timing import DayClock, LagWatch, new_loop
 
 WAY_S = 0.03
@@ -283,6 +285,38 @@
     assert shown[-1] == 1.0 and shown == sorted(shown)
 
 
+class LookedAt:
+    """A process that runs as far as anybody has noticed."""
+
+    running = True
+
+    def __init__(self, pid: int) -> None:
+        self.pid = pid
+
+
+def sampled(pid: int, is_ready: bool) -> list[Sample]:
+    """What is entered of a process."""
+    books = Books()
+    sidecar = Sidecar.__new__(Sidecar)
+    sidecar._child, sidecar.ready = cast(Any, LookedAt(pid)), is_ready
+    sidecar._setting = cast(Any, SimpleNamespace(books=books, clock=SimpleNamespace(day_ms=lambda: 5.0)))
+    sidecar.drawn = cast(Any, SimpleNamespace(number=0))
+    sidecar.sample()
+    return [row for row in books.rows if isinstance(row, Sample)]
+
+
+def test_a_process_that_has_ended_or_is_not_up_yet_is_no_sample() -> None:
+    """Seen in CI: a process killed a moment ago was entered with no memory and no descriptors."""
+    assert len(sampled(os.getpid(), True)) == 1
+    assert sampled(os.getpid(), False) == []
+    process = subprocess.Popen([sys.executable, "-S", "-c", "pass"])
+    os.waitid(os.P_PID, process.pid, os.WEXITED | os.WNOWAIT)  # it has ended, and nobody has waited for it
+    try:
+        assert sampled(process.pid, True) == []
+    finally:
+        process.wait()
+
+
 def test_a_sidecar_that_is_still_starting_as_the_day_ends_is_told_when_it_can_be(
     folder: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
