A candidate that is no member of the newest view leaves leading to the members

No loss of an acknowledged change could be shown within what is to be borne, since the former member itself leads again; the others only took over because its own view stayed old. Change: an attempt that finds such a view ends, and the process stands no more until it knows that view.

--- a/coveport/system/replication/leading.py
+++ b/coveport/system/replication/leading.py
@@ -37,6 +37,7 @@
         self._seeds = seeds
         self._initial_state = initial_state
         self._founding: Founding | None = None
+        self._excluded_by: View | None = None  # seen in an attempt; we are no member of it
         self._last_change_s = now_s
 
     @property
@@ -133,7 +134,10 @@
 
     def _follow_attempt(self, now_s: float) -> None:
         attempt = self.attempt
-        if attempt is not None and attempt.step is Step.ACTIVE and attempt.view is not None:
+        if attempt is not None and attempt.excluded_by is not None:
+            self._excluded_by = attempt.excluded_by
+            self._give_up_attempt(now_s)
+        elif attempt is not None and attempt.step is Step.ACTIVE and attempt.view is not None:
             self.attempt = None
             self.begin_primary(now_s, attempt.view, attempt.kept_own_state)
 
@@ -170,7 +174,10 @@
         """Start an attempt where nobody leads and it is this member's turn."""
         if self.primary is not None or self.attempt is not None or self._founding is not None:
             return
-        if self.election.is_called(self._parts.journal.durable.view, now_s):
+        view = self._parts.journal.durable.view
+        if view is not None and self._excluded_by is not None and self._excluded_by.epoch > view.epoch:
+            return  # others are members by now: they lead, and will tell us of the view
+        if self.election.is_called(view, now_s):
             self.start_attempt(now_s, Change("nobody leads", True))
 
     def _tick_attempt(self, now_s: float) -> None:
--- a/coveport/system/replication/takeover.py
+++ b/coveport/system/replication/takeover.py
@@ -68,6 +68,7 @@
         self.step = Step.PREPARING
         self.moved_at_s = now_s
         self.view: View | None = None  # the view to be, once proposed
+        self.excluded_by: View | None = None  # a newer view of which the candidate is no member
         self.sequence = -1
         self._parts = parts
         self._wish = wish
@@ -111,10 +112,20 @@
         self._settled = max(self._settled, message.settled)
         if message.view is not None and message.view.epoch > self._newest.epoch:
             self._newest = message.view
+        if not self._is_among(self._newest):
+            self.excluded_by = self._newest
+            return
         if is_first or self._asked() - asked_before:
             self._send_prepares(now_s)
         self._advance_from_promises(now_s)
 
+    def _is_among(self, view: View) -> bool:
+        """Whether the candidate may lead the next view after this one.
+
+        A primary is a replica, and only members are asked for the state: at one that is no member it is lost.
+        """
+        return self._parts.own in view.members
+
     def _advance_from_promises(self, now_s: float) -> None:
         if not has_majorities(self._promises, self._groups()) or not self._sources():
             self._majority_at_s = None
