--- a/tests/system/replication/core_operators.py
+++ b/tests/system/replication/core_operators.py
@@ -89,6 +89,14 @@
         Attempt(self, call, lambda request: Submit(request, command), then, is_held=True).send()
 
 
+class Reader(Operator):
+    """Reads all the time, at any machine."""
+
+    def _after_read(self, call: Call) -> None:
+        if not self.is_stopped:
+            self.world.after(self.pause_s * self.world.random.uniform(0.2, 2.0), self.begin)
+
+
 class Attempt:
     """One call with its repeats."""
 
--- a/tests/system/replication/core_schedules.py
+++ b/tests/system/replication/core_schedules.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 
 from core_history import Call, Seen, Verdict, judge
-from core_operators import Operator
+from core_operators import Operator, Reader
 from core_world import SYNC_S, Machine, World
 
 from coveport.system.replication.events import HandOver
@@ -176,6 +176,18 @@
         self.world.cuts |= links
         self.world.after(for_s, lambda: self.world.cuts.difference_update(links))
 
+    def reset(self, machine: Machine, for_s: float) -> None:
+        """Its connections break again and again."""
+        self.note(f"reset {machine.address} for {for_s:.2f}")
+        until_s = self.world.now_s + for_s
+
+        def again() -> None:
+            self.world.break_connections(machine)
+            if self.world.now_s < until_s:
+                self.world.after(self.random.uniform(0.01, 0.2), again)
+
+        again()
+
     def stop(self, machine: Machine, for_s: float) -> None:
         """SIGTERM, the end some time later, start again."""
         self.note(f"stop {machine.address} for {for_s:.2f}")
@@ -216,7 +228,16 @@
 
     def one_after_the_other(self) -> None:
         """Within what is tolerated: each trouble over and caught up before the next."""
-        kinds = (self.kill, self.freeze, self.wipe, self.replace, self.disk, self.cut, self.stop)
+        kinds = (
+            self.kill,
+            self.freeze,
+            self.wipe,
+            self.replace,
+            self.disk,
+            self.cut,
+            self.stop,
+            self.reset,
+        )
         for _ in range(self.random.choice((1, 2))):
             kind = self.random.choice(kinds)
             for_s = self.random.choice((0.3, 1.2, 2.5, 4.0))
@@ -225,7 +246,7 @@
 
     def storm(self) -> None:
         """More than is tolerated, but no disk is lost: nothing may be lost or forked, whatever the delay."""
-        kinds = (self.kill, self.freeze, self.disk, self.cut, self.stop)
+        kinds = (self.kill, self.freeze, self.disk, self.cut, self.stop, self.reset)
         for _ in range(self.random.randint(3, 9)):
             if self.random.random() < 0.1:
                 self.all_down(self.random.random() < 0.5)
@@ -249,7 +270,7 @@
         began_s = self.world.now_s
         while self.world.now_s < began_s + for_s - 6.0:
             self.world.run_for(self.random.uniform(1.0, 5.0))
-            kind = self.random.choice((self.freeze, self.kill, self.disk, self.cut, None))
+            kind = self.random.choice((self.freeze, self.kill, self.disk, self.cut, self.reset, None))
             if kind is not None:
                 kind(self._target(), self.random.choice((0.5, 1.2, 2.5)))
         if self.random.random() < 0.3:
@@ -360,6 +381,7 @@
         world.run_for(6.0, until=lambda: bool(world.primaries()))
         if not world.primaries():
             return self._report(["never founded"])
+        self.operators.append(Reader(world, self.calls, "reader", 0.2))
         for operator in self.operators:
             world.after(self.random.uniform(0.0, 0.3), operator.begin)
         grown_s = 4.0 if len(self.site.places) > self.site.seeds else 1.0
--- a/tests/system/replication/core_world.py
+++ b/tests/system/replication/core_world.py
@@ -291,6 +291,7 @@
         self.withdrawn: set[int] = set()  # calls whose caller has left
         self.situations: Counter[str] = Counter()  # how often what was brought about
         self._arrivals: dict[tuple[str, str], float] = {}
+        self._connections: Counter[tuple[str, str]] = Counter()  # how often the one of each link broke
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = 0
         self._request = 0
@@ -354,8 +355,12 @@
         self._arrivals[link] = arrival_s
         event = Received(life.member.identity, message)
         meant_for = receiver.life
+        connection = self._connections[link]
 
         def arrive() -> None:
+            if connection != self._connections[link]:
+                self.situations["5: a message was lost with its connection, later ones came"] += 1
+                return
             receiving = receiver.life
             if receiving is not None and receiving is not meant_for:
                 self.situations["5: a message reached a later life than it was sent to"] += 1
@@ -366,6 +371,12 @@
 
         self.at(arrival_s, arrive)
 
+    def break_connections(self, machine: Machine) -> None:
+        """Reset all connections from and to a machine: what is on its way is lost, what follows is not."""
+        for other in self.machines:
+            self._connections[machine.address, other] += 1
+            self._connections[other, machine.address] += 1
+
     # -- clients --
 
     def call(
