--- a/coveport/system/replication/member.py
+++ b/coveport/system/replication/member.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection
 
 from coveport.system.replication.acceptor import Acceptor
 from coveport.system.replication.events import (
@@ -48,13 +48,13 @@
 )
 from coveport.system.replication.outbox import Outbox
 from coveport.system.replication.parts import Parts
-from coveport.system.replication.peers import Peer, Peers
+from coveport.system.replication.peers import Peers
+from coveport.system.replication.pinging import Pinger
 from coveport.system.replication.records import DurableState
 from coveport.system.replication.timings import Timings
 
 AFTER_START_S = 0.25  # a member that just started listens who leads, unless all members said it before that
 AFTER_WAKING_S = 0.5  # one that stood still waits: what it last heard is old
-ANSWER_GAP_S = 0.02  # a peer that comes up is answered out of turn, but no more often than this
 
 
 class CoreMember:
@@ -91,7 +91,7 @@
         self._leading = Leadership(self._parts, now_s, seeds, may_found, initial_state)
         self._leading.election.listen(now_s + AFTER_START_S)
         self._last_tick_s = now_s
-        self._last_ping_s = float("-inf")
+        self._pinger = Pinger(self._parts, self._leading)
         self._now_s = now_s
         for seed in seeds:
             self._parts.peers.add(seed, now_s)
@@ -206,7 +206,7 @@
                     self._leading.primary.withdraw(event.request)
             case HandOver():
                 self._parts.is_leaving = True
-                self._last_ping_s = float("-inf")
+                self._pinger.make_due()
                 self._tick(now_s)
         self._settle(now_s)
         return self._parts.outbox.take()
@@ -307,7 +307,7 @@
     def _take_ping(self, now_s: float, sender: MemberId, ping: Ping) -> None:
         peer = self._parts.peers.heard(now_s, sender, ping)
         if peer.alive_since_s == now_s:
-            self._answer_ping(now_s, peer)
+            self._pinger.answer(now_s, peer)
         self._leading.take_ping(now_s, sender, ping)
         self._leading.stand_if_called(now_s)
         if now_s - peer.served_at_s < self._parts.timings.learn_again_s:
@@ -325,41 +325,7 @@
         """What was sent to it before is lost: say at once who and how we are."""
         peer = self._parts.peers.get(address)
         if peer is not None:
-            self._send_pings(now_s, [peer])
-
-    def _answer_ping(self, now_s: float, peer: Peer) -> None:
-        """Let a peer that just came up know at once that it is heard."""
-        if now_s - peer.pinged_at_s >= ANSWER_GAP_S:
-            self._send_pings(now_s, [peer])
-
-    def _send_pings(self, now_s: float, peers: Iterable[Peer]) -> None:
-        parts = self._parts
-        durable = parts.journal.durable
-        view = self.view
-        reaches = tuple(peer.address for peer in parts.peers.alive(now_s))
-        is_well = parts.journal.is_well(now_s)
-        is_leading = self.is_primary and is_well and view is not None
-        if is_leading and view is not None:
-            is_leading = self._leading.election.reaches_majorities(view, now_s)
-        primary = parts.own.address if is_leading else self._leading.election.leader(view, now_s)
-        for peer in peers:
-            peer.pinged_at_s = now_s
-            ping = Ping(
-                counter=int(now_s * 1000),
-                echo=peer.heard_counter,
-                place=parts.place,
-                promised=durable.promised,
-                view_epoch=parts.acceptor.view_epoch,
-                settled=durable.settled,
-                committed=parts.learner.sequence,
-                primary=primary,
-                is_leading=is_leading,
-                is_well=is_well,
-                is_leaving=parts.is_leaving,
-                may_found=self._leading.may_found and parts.acceptor.is_blank,
-                reaches=reaches,
-            )
-            parts.outbox.send(peer.address, ping)
+            self._pinger.send(now_s, [peer])
 
     def _add_peers_of_view(self) -> None:
         view = self.view
@@ -374,9 +340,7 @@
         if now_s - self._last_tick_s >= parts.timings.slept_s:
             self._wake(now_s)
         self._last_tick_s = now_s
-        if now_s - self._last_ping_s >= parts.timings.ping_s:
-            self._last_ping_s = now_s
-            self._send_pings(now_s, self._parts.peers)
+        self._pinger.tick(now_s)
         self._leading.tick(now_s)
 
     def _wake(self, now_s: float) -> None:
--- /dev/null
+++ b/coveport/system/replication/pinging.py
@@ -0,0 +1,69 @@
+"""Tells the other coordinators several times a second who this one is, and how it is."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from coveport.system.replication.identity import View
+from coveport.system.replication.leading import Leadership
+from coveport.system.replication.messages import Ping
+from coveport.system.replication.parts import Parts
+from coveport.system.replication.peers import Peer
+
+ANSWER_GAP_S = 0.02  # a peer that comes up is answered out of turn, but no more often than this
+
+
+class Pinger:
+    """Sends one member's pings."""
+
+    def __init__(self, parts: Parts, leading: Leadership) -> None:
+        self._parts = parts
+        self._leading = leading
+        self._sent_at_s = float("-inf")
+
+    def make_due(self) -> None:
+        """Something has changed that the others must know at once: the next tick tells them."""
+        self._sent_at_s = float("-inf")
+
+    def tick(self, now_s: float) -> None:
+        """Tell all, when it is time."""
+        if now_s - self._sent_at_s >= self._parts.timings.ping_s:
+            self._sent_at_s = now_s
+            self.send(now_s, self._parts.peers)
+
+    def answer(self, now_s: float, peer: Peer) -> None:
+        """Let a peer that just came up know at once that it is heard."""
+        if now_s - peer.pinged_at_s >= ANSWER_GAP_S:
+            self.send(now_s, [peer])
+
+    def send(self, now_s: float, peers: Iterable[Peer]) -> None:
+        """Tell these now."""
+        parts = self._parts
+        durable = parts.journal.durable
+        reaches = tuple(peer.address for peer in parts.peers.alive(now_s))
+        is_well = parts.journal.is_well(now_s)
+        is_leading = is_well and self._leads_majorities(durable.view, now_s)
+        primary = parts.own.address if is_leading else self._leading.election.leader(durable.view, now_s)
+        for peer in peers:
+            peer.pinged_at_s = now_s
+            ping = Ping(
+                counter=int(now_s * 1000),
+                echo=peer.heard_counter,
+                place=parts.place,
+                promised=durable.promised,
+                view_epoch=parts.acceptor.view_epoch,
+                settled=durable.settled,
+                committed=parts.learner.sequence,
+                primary=primary,
+                is_leading=is_leading,
+                is_well=is_well,
+                is_leaving=parts.is_leaving,
+                may_found=self._leading.may_found and parts.acceptor.is_blank,
+                reaches=reaches,
+            )
+            parts.outbox.send(peer.address, ping)
+
+    def _leads_majorities(self, view: View | None, now_s: float) -> bool:
+        if view is None or not self._leading.is_active:
+            return False
+        return self._leading.election.reaches_majorities(view, now_s)
