A large state is not sent again while it is on its way, and its parts count as an answer

Now a state is awaited for its bytes at 1 MB/s, and a coordinator is left when nothing came for 1.2 s.

--- a/coveport/system/proxy/subscription.py
+++ b/coveport/system/proxy/subscription.py
@@ -26,7 +26,7 @@
 from coveport.system.wire.messages import AsksElsewhere, Message, StateChange, Update, UpdateRequest
 
 CONNECT_S = 0.5
-ANSWER_S = 1.2  # a coordinator that has not answered by then is left
+ANSWER_S = 1.2  # a coordinator of which nothing has come for so long is left
 PAUSE_S = 0.05  # before another one is tried, growing ...
 PAUSE_MOST_S = 0.25
 PROXIES_UNKNOWN = 32  # assumed until a coordinator has told how many there may be
@@ -113,10 +113,8 @@
             self._round += 1
             connection.send(self._request(departed))
             departed = ()
-            try:
-                async with asyncio.timeout(ANSWER_S):
-                    update = await self._next_answer()
-            except TimeoutError:
+            update = await self._answer_on(connection)
+            if update is None:
                 self._log.warning("coordinator_silent", coordinator=address)
                 return None
             self._take(update)
@@ -135,6 +133,16 @@
         sequence = -1 if self._wants_whole_state else self._sequence
         return UpdateRequest(lease, self._table, self._node_revision, sequence, self._round, departed)
 
+    async def _answer_on(self, connection: Connection) -> Update | None:
+        """The answer to the present round; None where not even a part of it has come for `ANSWER_S`."""
+        while True:
+            try:
+                async with asyncio.timeout(ANSWER_S):
+                    return await self._next_answer()
+            except TimeoutError:
+                if self._net.now_s() - connection.last_received_s >= ANSWER_S:
+                    return None
+
     async def _next_answer(self) -> Update:
         while True:
             update = await self._answers.get()
--- a/coveport/system/replication/learner.py
+++ b/coveport/system/replication/learner.py
@@ -9,7 +9,10 @@
 from coveport.system.replication.identity import MemberId
 from coveport.system.replication.messages import Learn, LearnState
 from coveport.system.replication.outbox import Outbox
+from coveport.system.replication.peers import Peer, StateOnItsWay
 
+LEAST_WAY_S = 0.4  # a state that was sent has arrived after this ...
+SLOWEST_BYTES_A_SECOND = 1e6  # ... and the time for its bytes, or is lost
 RECENT_COMMANDS = 64
 RECENT_BYTES = 1024 * 1024
 
@@ -63,6 +66,21 @@
         except UnreadableStateError as problem:
             self._outbox.complain(sender, problem)
 
+    def teach(self, now_s: float, peer: Peer, sequence: int) -> bool:
+        """Send a peer that knows up to `sequence` what it lacks; not a whole state while one is on its way.
+
+        A large one that was sent again and again would never arrive over a slow link.
+        """
+        if peer.sent_state is not None and peer.sent_state.is_awaited(sequence, now_s):
+            return False
+        lesson = self.lesson(sequence)
+        if isinstance(lesson, LearnState):
+            way_s = LEAST_WAY_S + len(lesson.state) / SLOWEST_BYTES_A_SECOND
+            peer.sent_state = StateOnItsWay(lesson.sequence, now_s + way_s)
+        if lesson is not None:
+            self._outbox.send(peer.address, lesson)
+        return lesson is not None
+
     def lesson(self, sequence: int) -> Learn | LearnState | None:
         """What one that knows up to `sequence` lacks."""
         lacking = self.sequence - sequence
--- a/coveport/system/replication/member.py
+++ b/coveport/system/replication/member.py
@@ -314,10 +314,7 @@
             return
         is_served = self._leading.serve(peer, ping)
         if ping.committed < self._parts.learner.sequence and (self.is_primary or not ping.primary):
-            lesson = self._parts.learner.lesson(ping.committed)
-            if lesson is not None:
-                is_served = True
-                self._parts.outbox.send(peer.address, lesson)
+            is_served |= self._parts.learner.teach(now_s, peer, ping.committed)
         if is_served:
             peer.served_at_s = now_s
 
@@ -325,6 +322,7 @@
         """What was sent to it before is lost: say at once who and how we are."""
         peer = self._parts.peers.get(address)
         if peer is not None:
+            peer.sent_state = None
             self._pinger.send(now_s, [peer])
 
     def _add_peers_of_view(self) -> None:
--- a/coveport/system/replication/peers.py
+++ b/coveport/system/replication/peers.py
@@ -18,6 +18,18 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class StateOnItsWay:
+    """A whole state that was sent to a peer."""
+
+    sequence: int
+    until_s: float  # by then it has arrived, or is lost
+
+    def is_awaited(self, committed: int, now_s: float) -> bool:
+        """Whether it may still arrive at a peer that knows the state of `committed`."""
+        return committed < self.sequence and now_s < self.until_s
+
+
 @dataclass(slots=True)
 class Peer:
     """One address."""
@@ -30,6 +42,7 @@
     echoed_at_s: float = float("-inf")  # when the newest ping of ours that it echoed was sent
     alive_since_s: float = 0.0
     served_at_s: float = float("-inf")  # when it was last sent something that it lacked
+    sent_state: StateOnItsWay | None = None  # the whole state that it was last sent
     pinged_at_s: float = float("-inf")  # when we last sent it a ping
 
     @property
@@ -73,6 +86,7 @@
         was_alive = self._is_alive(peer, now_s) and peer.identity == sender
         if peer.identity != sender:
             peer.echoed_at_s = float("-inf")
+            peer.sent_state = None
         peer.identity = sender
         peer.ping = ping
         peer.heard_counter = ping.counter
--- a/coveport/system/replication/primary.py
+++ b/coveport/system/replication/primary.py
@@ -211,9 +211,7 @@
             is_replica = peer.identity in self.view.replicas
             if is_replica or peer.ping is None or peer.ping.committed >= 0:
                 continue
-            lesson = parts.learner.lesson(peer.ping.committed)
-            if lesson is not None:
-                parts.outbox.send(peer.address, lesson)
+            if parts.learner.teach(now_s, peer, peer.ping.committed):
                 peer.served_at_s = now_s
 
     # -- confirmation --
--- a/tests/system/proxy/test_subscription.py
+++ b/tests/system/proxy/test_subscription.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import random
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
+from coveport.lab.virtual.world import Process, World
 from coveport.net.transport import Net
 from coveport.system.configuration.commands import PutConfiguration, StartEvacuation, encode_command
 from coveport.system.configuration.state import ControlState, encode_state
 from coveport.system.membership.leases import ProxyLease
 from coveport.system.model.view import ControlView
 from coveport.system.proxy.coordinator_choice import CoordinatorChoice
-from coveport.system.proxy.subscription import Subscription
+from coveport.system.proxy.subscription import ANSWER_S, Subscription
 from coveport.system.wire.messages import StateChange, Update
 
 
@@ -87,3 +89,39 @@
     subscription._take(update(5, None, *(encode_command(StartEvacuation(zone)) for zone in "bc")))
     assert view.evacuated_zones == {"a", "b", "c"}
     assert subscription._request(()).state_sequence == 5
+
+
+def wait_for_answer(heard_every_s: float, answered_at_s: float) -> tuple[Update | None, float]:
+    """What comes of a wait in simulated time, and how long it takes."""
+    subscription, _, _ = made()
+    world = World()
+    process = Process.start(world, "proxy")
+    subscription._net = SimpleNamespace(now_s=lambda: world.now)  # type: ignore[assignment]
+    connection = SimpleNamespace(last_received_s=world.now)
+    began_s = world.now
+
+    def hear() -> None:
+        connection.last_received_s = world.now
+        if world.now - began_s < answered_at_s:
+            world.at(world.now + heard_every_s, hear, process=process)
+
+    if heard_every_s:
+        world.at(began_s + heard_every_s, hear, process=process)
+    answer = update(0, WHOLE)
+    world.at(began_s + answered_at_s, lambda: subscription._answers.put_nowait(answer), process=process)
+    task = process.create_task(subscription._answer_on(connection))  # type: ignore[arg-type]
+    ended_s: list[float] = []
+    task.add_done_callback(lambda _: ended_s.append(world.now))
+    world.run(began_s + 60)
+    return task.result(), ended_s[0] - began_s
+
+
+def test_a_large_answer_whose_parts_come_is_waited_for() -> None:
+    """Main left the coordinator after 1.2 s, and so for ever: a state that took longer never came."""
+    answer, took_s = wait_for_answer(heard_every_s=0.3, answered_at_s=9.0)
+    assert answer is not None and took_s == pytest.approx(9.0, abs=0.01)
+
+
+def test_a_coordinator_of_which_nothing_comes_is_left() -> None:
+    answer, took_s = wait_for_answer(heard_every_s=0.0, answered_at_s=9.0)
+    assert answer is None and took_s == pytest.approx(ANSWER_S, abs=0.01)
--- a/tests/system/replication/test_left_behind.py
+++ b/tests/system/replication/test_left_behind.py
@@ -107,6 +107,31 @@
     assert submit(world, CHANGES)
 
 
+def test_a_large_state_that_takes_seconds_on_its_way_is_sent_once_by_each_that_has_it() -> None:
+    """Sent again every half second it filled the connection, which was dropped, and never arrived."""
+    world = World(4, [*THREE, THREE[0]], 1, 0.012)
+    world.start_all()
+    world.run_for(6.0)
+    machine, view = leader(world)
+    learner = next(
+        one for one in world.machines.values() if one.address not in {m.address for m in view.members}
+    )
+    heal = cut_off(world, learner)
+    world.run_for(2.0)
+    outcomes: list[Outcome] = []
+    size = 3_000_000
+    large = change(0, 1, "v" * size)
+    world.call(machine, lambda request: Submit(request, large), outcomes.append)
+    world.run_for(1.0)
+    assert outcomes == [Done("done")]
+    world.bytes_a_second = 1.5e6
+    heal()
+    sent = Sent(world, learner.address)
+    world.run_for(8.0, until=lambda: newest_known_to(learner) == 1)
+    assert newest_known_to(learner) == 1
+    assert sent.bytes < (len(world.machines) - 0.5) * size
+
+
 def make_it_lead(world: World, victim: Machine) -> None:
     """The others fail one after the other, each given its time, until the victim leads."""
     for _ in range(8):
