--- a/tests/system/replication/core_schedules.py
+++ b/tests/system/replication/core_schedules.py
@@ -261,6 +261,20 @@
             self.world.run_for(self.random.choice((0.0, 0.05, 0.3, 1.0)))
         self.storm()
 
+    def founding_amid(self) -> None:
+        """Troubles while the core is founded; no disk is lost: a blank member founds only with all seeds."""
+        kinds = (self.kill, self.freeze, self.disk, self.cut, self.reset)
+        for _ in range(self.random.randint(1, 6)):
+            self.world.run_for(self.random.choice((0.05, 0.1, 0.15, 0.3)))
+            started = [machine for machine in self._standing() if machine.lives]
+            if self.random.random() < 0.15 and len(started) == len(self._standing()):
+                self.all_down(self.random.random() < 0.5)
+            elif started:
+                self.random.choice(kinds)(self.random.choice(started), self.random.choice((0.1, 0.5, 1.2)))
+        self.world.situations["3: troubles while the core was founded"] += 1
+        self.world.run_for(2.0)
+        self._heal()
+
     def cut_off_long(self) -> None:
         """One machine, by its role, is cut off for twenty seconds while changes and troubles go on."""
         machine, role = self._by_role()
@@ -378,6 +392,8 @@
         """The whole schedule."""
         world = self.world
         world.start_all()
+        if self.random.random() < 0.15:
+            self.founding_amid()
         world.run_for(6.0, until=lambda: bool(world.primaries()))
         if not world.primaries():
             return self._report(["never founded"])
