--- a/tests/system/proxy/test_hostile_nodes.py
+++ b/tests/system/proxy/test_hostile_nodes.py
@@ -158,3 +158,8 @@
 @pytest.mark.parametrize("first", range(0, 400, 100))
 def test_hostile_nodes_still_serve_some(first: int) -> None:
     assert sum(exchange(seed) for seed in range(first, first + 20)) > 10
+
+
+def test_what_comes_late_behind_an_answer_is_not_read_into_the_next_one() -> None:
+    """A stray byte 20 ms behind a whole answer, on a connection that carries the next request by then."""
+    exchange(204398)
