--- a/tests/system/replication/core_explorer.py
+++ b/tests/system/replication/core_explorer.py
@@ -524,8 +524,8 @@
                 if not level:
                     return
 
-    def walk(self, chance: Random) -> None:
-        """One path to its end, each step drawn: as deep as the scenario goes. Raises FaultError."""
+    def walk(self, chance: Random) -> Point:
+        """One path, each step drawn, to its end, which is returned. Raises FaultError."""
         with standing_still():
             point = self.first_point()
             while True:
@@ -536,6 +536,7 @@
                     break
                 point = chance.choice(steps)
             self.deepest = max(self.deepest, len(point.trail))
+            return point
 
 
 @contextmanager
--- a/tests/system/replication/test_core_interleavings.py
+++ b/tests/system/replication/test_core_interleavings.py
@@ -4,10 +4,12 @@
 
 import os
 import random
+from dataclasses import replace
 
 import pytest
 from core_explorer import FROM_THE_MIDST, SCENARIOS, Explorer, Scenario, standing_still
 
+LOSABLE = ("Prepare", "Promise", "Install", "Accept", "Settled", "Append", "Committed", "Confirm")
 WALKS = int(os.environ.get("COVEPORT_CORE_WALKS", "6"))
 STATES = int(os.environ.get("COVEPORT_CORE_STATES", "500"))
 DEPTH = 60
@@ -37,3 +39,16 @@
         explorer.walk(random.Random(seed))
     print(f"{scenario.name}: {WALKS} paths, {explorer.states} states, longest {explorer.deepest}")
     assert explorer.deepest >= 15
+
+
+@pytest.mark.parametrize("scenario", SCENARIOS, ids=lambda scenario: scenario.name)
+def test_drawn_paths_with_lost_messages_keep_what_was_acknowledged(scenario: Scenario) -> None:
+    """Two messages of one kind are lost with their connections, and what was sent after them arrives."""
+    lost = 0
+    for seed in range(2 * WALKS):
+        chance = random.Random(seed)
+        kind = chance.choice(LOSABLE)
+        budget = replace(scenario.budget, losses=(kind, kind))
+        explorer = Explorer(replace(scenario, budget=budget))
+        lost += sum(note.startswith("lose") for note in explorer.walk(chance).trail)
+    assert lost, "the situation is reached"
