--- a/tests/system/replication/core_explorer.py
+++ b/tests/system/replication/core_explorer.py
@@ -572,6 +572,15 @@
     "Accept A>C",
     "Accepted C>A",
 )
+A_TAKES_D_IN = (
+    "campaign A members ABD avoid B",
+    "Prepare A>C",
+    "Promise C>A",
+    "Install A>D",
+    "Installed D>A",
+    "Accept A>D",
+    "Accepted D>A",
+)
 B_LEADS_WITH_C = (
     "campaign B avoid A",
     "Prepare B>C",
@@ -656,15 +665,7 @@
         "a member is taken in while the excluded backup campaigns with the members before",
         Budget(campaigns=(("A", "members ABD avoid B"), ("B", "avoid A")), submits=(("A", X), ("B", Z))),
         machines=("A", "B", "C", "D"),
-        prefix=(
-            "campaign A members ABD avoid B",
-            "Prepare A>C",
-            "Promise C>A",
-            "Install A>D",
-            "Installed D>A",
-            "Accept A>D",
-            "Accepted D>A",
-        ),
+        prefix=A_TAKES_D_IN,
     ),
     Scenario(
         "a former primary hears that a later view is active, but not which members it has",
@@ -675,13 +676,7 @@
         ),
         machines=("A", "B", "C", "D"),
         prefix=(
-            "campaign A members ABD avoid B",
-            "Prepare A>C",
-            "Promise C>A",
-            "Install A>D",
-            "Installed D>A",
-            "Accept A>D",
-            "Accepted D>A",
+            *A_TAKES_D_IN,
             "campaign B avoid A",
             "Prepare B>A",
             *B_LEADS_WITH_C[1:],
