A late byte inside the next answer's head no longer hides how that answer ends

Ruled out: a rest on the connection (clashes with the bound on connections); bytes in front of the head (they were refused already). Change: on a connection that carried an answer before, one without Content-Length and Transfer-Encoding that does not say Connection: close is no answer.

--- a/coveport/system/proxy/headers.py
+++ b/coveport/system/proxy/headers.py
@@ -23,6 +23,7 @@
         "upgrade",
     }
 )
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _REASONS = {
     200: "OK",
     400: "Bad Request",
@@ -39,9 +40,15 @@
 }
 
 
+def connection_options(headers: Headers) -> frozenset[str]:
+    """What the `Connection` headers name, in lower case."""
+    lines = headers.get("connection", ())
+    return frozenset(part.strip(" \t").lower() for line in lines for part in line.split(","))
+
+
 def passed_on(headers: Headers, but: frozenset[str] = frozenset()) -> Iterator[tuple[str, str]]:
     """Headers that concern more than one connection, without those named by `but`."""
-    named = {part.strip(" \t").lower() for line in headers.get("connection", ()) for part in line.split(",")}
+    named = connection_options(headers)
     for name, values in headers.items():
         if name in _ONE_CONNECTION_ONLY or name in named or name in but:
             continue
@@ -73,3 +80,14 @@
 def write_answer(status: int, headers: list[tuple[str, str]], body: bytes = b"") -> bytes:
     """A whole answer of our own."""
     return codec.write_head(status_line(status), [*headers, ("Content-Length", str(len(body)))]) + body
+
+
+def is_unframed(status: int, headers: Headers) -> bool:
+    """Whether a node's answer claims to end with its connection, without saying that the connection closes.
+
+    A node that keeps connections frames its answers: bytes of another answer that came late, in the middle of
+    this one's head, have spoiled the header that does.
+    """
+    if status in STATUSES_WITHOUT_BODY or "content-length" in headers or "transfer-encoding" in headers:
+        return False
+    return "close" not in connection_options(headers)
--- a/coveport/system/proxy/node_connection.py
+++ b/coveport/system/proxy/node_connection.py
@@ -7,7 +7,7 @@
 
 from coveport.http1 import codec
 from coveport.net.transport import Net
-from coveport.system.proxy.headers import keep_alive_s
+from coveport.system.proxy.headers import is_unframed, keep_alive_s
 
 MOST_HELD = 64 * 1024  # bytes of an answer that wait for a slow client
 MOST_ANSWER = 1 << 40  # no bound: answers are passed on as they come
@@ -34,6 +34,7 @@
         self._paused = False
         self._in_use = False
         self._keeps = True
+        self._has_carried = False  # another answer than the present one
         self._silence_ms = 0
         self._idle_s = IDLE_S
         self.is_suspect = False  # it brought an answer to another request: used no further
@@ -115,6 +116,9 @@
             except codec.BadMessageError as problem:
                 raise NodeClosedError(f"no answer in the protocol: {problem}") from None
             if response is not None:
+                if self._has_carried and is_unframed(response.status, response.headers):
+                    raise NodeClosedError("an answer without a length on a kept connection")
+                self._has_carried = True
                 self._keeps = response.keep_alive
                 told_s = keep_alive_s(response.headers)
                 self._idle_s = IDLE_S if told_s is None else told_s
--- a/tests/system/proxy/test_hostile_nodes.py
+++ b/tests/system/proxy/test_hostile_nodes.py
@@ -163,3 +163,9 @@
 def test_what_comes_late_behind_an_answer_is_not_read_into_the_next_one() -> None:
     """A stray byte 20 ms behind a whole answer, on a connection that carries the next request by then."""
     exchange(204398)
+
+
+@pytest.mark.parametrize("first", range(204_000, 206_000, 500))
+def test_late_bytes_in_the_middle_of_the_next_head(first: int) -> None:
+    for seed in range(first, first + 500):
+        exchange(seed)
