Parts are ranked by a hash in place of a checksum: every node gets its share

Cause: rendezvous hashing went by CRC-32, which is linear: of 36 nodes one got 2.95 times its share of the parts and another 0.21 times, and all parts of a node had the same second choice. Change: blake2b of part and incarnation. Figures: 1.22 and 0.79 times the share at 36 nodes, second choices spread (0.11); the new test fails on CRC-32.

--- a/coveport/system/proxy/prompt_parts.py
+++ b/coveport/system/proxy/prompt_parts.py
@@ -6,14 +6,15 @@
 
 from __future__ import annotations
 
+import hashlib
 import heapq
-import zlib
 from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 MOST_PARTS = 2048  # that are remembered; those unused the longest are forgotten
 NODES_PER_PART = 4  # the last so many that it was sent to
+RANK_BYTES = 8  # of a hash: no two nodes get the same
 WORTH_KEEPING_TOKENS = 1000  # shared parts shorter than this, together, are read anew rather than sent after
 
 
@@ -94,6 +95,10 @@
     return parts[-2] if len(parts) > 1 else None
 
 
-def _agreed_rank(part: PromptPart, incarnation: str) -> int:
-    """Rendezvous hashing: every proxy ranks the nodes alike, and each part ranks them differently."""
-    return zlib.crc32(f"{part.id}/{incarnation}".encode())
+def _agreed_rank(part: PromptPart, incarnation: str) -> bytes:
+    """Rendezvous hashing: every proxy ranks the nodes alike, and each part ranks them differently.
+
+    A checksum would not do: CRC-32 is linear, so nodes would get very unequal shares of the parts, and all
+    parts of a node the same second choice.
+    """
+    return hashlib.blake2b(f"{part.id}/{incarnation}".encode(), digest_size=RANK_BYTES).digest()
--- a/tests/system/proxy/test_prompt_part_memory.py
+++ b/tests/system/proxy/test_prompt_part_memory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter, defaultdict
+
 from coveport.system.proxy.prompt_parts import (
     MOST_PARTS,
     NODES_PER_PART,
@@ -78,3 +80,19 @@
     assert len(kept) == 2 and set(kept) == set(keepers(long, names[::-1], 2))
     assert keepers(short, names, 2) == names == keepers((), names, 2)
     assert keepers(long, names[:2], 2) == names[:2]
+
+
+def test_every_node_gets_its_share_of_the_parts_and_their_second_choices_spread() -> None:
+    """A checksum gave one of 36 nodes three times its share, and all parts of a node one second choice."""
+    names = [f"i-{number * 7919:08x}" for number in range(36)]
+    first: Counter[str] = Counter()
+    second: dict[str, Counter[str]] = defaultdict(Counter)
+    for number in range(7200):
+        parts = (PromptPart(f"{number * 104729:010x}", WORTH_KEEPING_TOKENS), PromptPart("own", 10))
+        top, other = keepers(parts, names, 2)
+        first[top] += 1
+        second[top][other] += 1
+    share = 7200 / len(names)
+    assert 0.7 * share < min(first[name] for name in names)
+    assert max(first.values()) < 1.3 * share
+    assert all(max(others.values()) < 0.15 * sum(others.values()) for others in second.values())
