Test: after an end with all losses every coordinator answers the newest configuration, over and over

Change: a test that asks each coordinator for twice InTouchMs, following 307. Work-arounds for an end with 139 or a lost tail of a stream: looked for in coveport, tests, deploy and docs by their words, there was none.

--- /dev/null
+++ b/tests/system/simulation/test_reading_back.py
@@ -0,0 +1,89 @@
+"""After a day that ends with losses the newest configuration is read back, again and again, everywhere."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pytest
+
+from coveport.http1.codec import write_request
+from coveport.system.simulation.deployment import Deployment
+from coveport.system.simulation.machines import Machine
+from coveport.system.simulation.operator import read_edition
+from coveport.system.simulation.registration import call_following
+from coveport.system.simulation.troubles import Troubles
+from coveport.system.simulation.world import SimulatedDeployment
+from coveport.system.wire.names import Path
+
+CHANGE_S = 3.0
+END_S = 5.0
+DOWN_S = 1.0
+ASKED_EACH_S = 0.2
+CALL_S = 1.0
+
+
+def all_processes_killed(day: SimulatedDeployment, troubles: Troubles) -> None:
+    for machine in (*day.coordinators, *day.proxies):
+        troubles.kill(END_S, machine, DOWN_S)
+
+
+def all_power_lost(day: SimulatedDeployment, troubles: Troubles) -> None:
+    for machine in (*day.coordinators, *day.proxies):
+        troubles.lose_power(END_S, machine, DOWN_S)
+
+
+def a_disk_lost_while_all_others_lose_power(day: SimulatedDeployment, troubles: Troubles) -> None:
+    troubles.end_with_lost_disks(END_S, [day.coordinators[0]], DOWN_S)
+
+
+@dataclass
+class Reader:
+    """Asks every coordinator, follows where it sends, and keeps the editions by who was asked."""
+
+    day: SimulatedDeployment
+    until_s: float
+    editions: dict[str, list[int]] = field(default_factory=dict)
+    statuses: set[int] = field(default_factory=set)
+
+    async def read(self) -> None:
+        await asyncio.gather(*(self._read_at(machine) for machine in self.day.coordinators))
+
+    async def _read_at(self, machine: Machine) -> None:
+        address = (machine.spot.ip, self.day.deployment.ports.control)
+        request = write_request("GET", Path.CONFIG, [("Host", "core")])
+        found = self.editions.setdefault(machine.spot.ip, [])
+        while self.day.world.now < self.until_s:
+            called = await call_following(self.day.operators[1]._net, address, request, CALL_S)
+            if called is not None:
+                self.statuses.add(called[1].status)
+            if called is not None and called[1].status == 200:
+                found.append(read_edition(called[1].body)[0])
+            await asyncio.sleep(ASKED_EACH_S)
+
+
+@pytest.mark.parametrize(
+    "end", [all_processes_killed, all_power_lost, a_disk_lost_while_all_others_lose_power]
+)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_every_coordinator_answers_the_newest_again_and_again(
+    end: Callable[[SimulatedDeployment, Troubles], None], seed: int
+) -> None:
+    day = SimulatedDeployment(Deployment(), seed)
+    troubles = Troubles(day)
+    troubles.add_route(CHANGE_S, "added")
+    end(day, troubles)
+    in_touch_s = day.deployment.bounds.in_touch_ms / 1000
+    asked_for_s = 2.0 * in_touch_s
+    began_s = day.traffic_from_s + END_S + DOWN_S
+    reader = Reader(day, began_s + asked_for_s)
+    day.at(END_S + DOWN_S, lambda: day.run_operator(day.operators[1], reader.read))
+    result = day.play(END_S + DOWN_S + asked_for_s + 2.0)
+    assert [str(one) for one in result.breaches] == [] and list(result.problems) == []
+    newest = day.operators[0].configuration.edition
+    assert newest > 0
+    assert reader.statuses <= {200, 503}, "an older one is never told: who can't be sure says 503"
+    for editions in reader.editions.values():
+        assert set(editions) == {newest}
+        assert len(editions) > in_touch_s / (ASKED_EACH_S + CALL_S), "answered for longer than `InTouchMs`"
