--- a/tests/lab/test_trials_real.py
+++ b/tests/lab/test_trials_real.py
@@ -16,15 +16,22 @@
 
 import pytest
 
-from coveport.lab.trials import judge
+from coveport.lab.trials import judge, real
 from coveport.lab.trials.clocked import Clocks
 from coveport.lab.trials.real import RealTrial, Running, free_port, play
 from coveport.lab.trials.schedules import HOLDER, Fault, Trial
 from coveport.leases.clock import boot_s
 
+STARTS_S = 60.0  # for instances to serve, as in the fleet's trials
 LONG = 40.0  # for what comes in a second or two on a machine with nothing else to do
 
 
+@pytest.fixture(autouse=True)
+def _starts_take_long_on_a_busy_machine(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Instances are waited for until they serve: at a load of twenty on eight cores that took over 20 s."""
+    monkeypatch.setattr(real, "UP_S", STARTS_S)
+
+
 def run(folder: Path, trial: Trial, work: Callable[[RealTrial], Awaitable[None]], **options: object) -> None:
     async def whole() -> None:
         async with RealTrial(folder, trial, **options) as one:  # type: ignore[arg-type]
