Known red: a start of the fleet's supervisor is dropped while its lease lapses

Cause, traced by the log: _carry_out drops orders while the lease can't be counted on, the member is already 'starting', and without a process it stays 'killing' for ever. Ruled out: a slow start, an address in use, the test's bound.

--- a/tests/fleet/test_life.py
+++ b/tests/fleet/test_life.py
@@ -162,3 +162,15 @@
     assert one.tick(2.0) == [] and one.tick(3.5) == [Kill("h-1", "a")]
     one.ended(3.6, "a", End.CRASH)
     assert one.may_start(3.6) and not one.failing
+
+
+def test_a_start_that_nobody_carried_out_is_tried_again() -> None:
+    """The supervisor drops orders while its lease has lapsed for a moment: then no process ever comes to be."""
+    one = Member("h-1", TERMS, random.Random(1))
+    one.want(0.0, True)
+    assert one.start(1.0) == [Start("h-1")]
+    now = 1.0
+    while now < 1.0 + 10 * TERMS.ready_s and one.state is not State.WAITING:
+        now += 0.1
+        one.tick(now)
+    assert one.state is State.WAITING, f"without a process it is {one.state.value} for ever"
