--- a/tests/fleet/test_life.py
+++ b/tests/fleet/test_life.py
@@ -165,7 +165,7 @@
 
 
 def test_a_start_that_nobody_carried_out_is_tried_again() -> None:
-    """The supervisor drops orders while its lease has lapsed for a moment: then no process ever comes to be."""
+    """The supervisor drops orders while its lease has lapsed for a moment: no process ever comes to be."""
     one = Member("h-1", TERMS, random.Random(1))
     one.want(0.0, True)
     assert one.start(1.0) == [Start("h-1")]
