--- a/coveport/testbed/discrete_event/clients.py
+++ b/coveport/testbed/discrete_event/clients.py
@@ -43,13 +43,13 @@
 class Errand:
     """What the tries of a wish have in common."""
 
-    __slots__ = ("backoff", "chance", "end", "risky", "wish")
+    __slots__ = ("backoff", "end", "risky", "rng", "wish")
 
     def __init__(self, wish: Wish, end: float) -> None:
         self.wish = wish
         self.end = end
         self.risky = inf
-        self.chance: random.Random | None = None
+        self.rng: random.Random | None = None
         self.backoff = 0.0
 
 
@@ -171,12 +171,12 @@
                 return
         if number >= wish.tries or wish.leaves_ms >= 0:
             return
-        if errand.chance is None:
-            errand.chance = random.Random(f"retries {self._day.seed} {wish.op}")
-            errand.backoff = errand.chance.uniform(*ends(self._retries.backoff_ms))
+        if errand.rng is None:
+            errand.rng = random.Random(f"retries {self._day.seed} {wish.op}")
+            errand.backoff = errand.rng.uniform(*ends(self._retries.backoff_ms))
         wait = errand.backoff * (2.0**one.number if self._retries.growing else 1.0)
         rules = self._day.scenario.rules
-        if after_ms > 0 and rules.retry_after and errand.chance.random() < self._retries.honour:
+        if after_ms > 0 and rules.retry_after and errand.rng.random() < self._retries.honour:
             wait = max(wait, min(after_ms, rules.max_retry_after_ms))
         due = now + wait
         if due + 1 > errand.end or (cls.repeats != "safe" and due > errand.risky + cls.window_ms):
--- a/coveport/testbed/discrete_event/listing.py
+++ b/coveport/testbed/discrete_event/listing.py
@@ -109,9 +109,9 @@
             return
         low, high = ends(self._day.scenario.discovery.spread_ms)
         late = sum(self._late.values())
-        for sidecar, chance in enumerate(self._spread):
+        for sidecar, rng in enumerate(self._spread):
             self._agenda.at(
-                self._agenda.now + chance.uniform(low, high) + late, self._hear, sidecar, number, node.seen
+                self._agenda.now + rng.uniform(low, high) + late, self._hear, sidecar, number, node.seen
             )
 
     def _hear(self, sidecar: int, number: int, seen: tuple[str, float]) -> None:
--- a/coveport/testbed/drawing.py
+++ b/coveport/testbed/drawing.py
@@ -23,9 +23,9 @@
     capacity = sum(node.cores * node.speed for node in nodes)
     drawn_faults = [draw_fault(scenario, seed, number, nodes) for number in range(len(scenario.faults))]
     fault_schedule = FaultSchedule(scenario, seed, nodes, drawn_faults)
-    network, chance = scenario.network, stream(seed, "network")
+    network, rng = scenario.network, stream(seed, "network")
     same, client, jitter, notice, add = (
-        drawn(chance, one)
+        drawn(rng, one)
         for one in (
             network.same_ms,
             network.client_ms,
@@ -38,7 +38,7 @@
     cross = [[same] * zones for _ in range(zones)]
     for one in range(zones):
         for other in range(one):
-            cross[one][other] = cross[other][one] = drawn(chance, network.cross_ms)
+            cross[one][other] = cross[other][one] = drawn(rng, network.cross_ms)
     return Day(
         scenario,
         seed,
--- a/coveport/testbed/fault_injection/broken_variants.py
+++ b/coveport/testbed/fault_injection/broken_variants.py
@@ -71,8 +71,8 @@
         return self.ttl_s * 1.05  # no margin, no drift, and a timer's grace as one might grant oneself
 
 
-def _no_margin(incarnation: str, duties: tuple[str, ...], terms: LeaseTerms, chance: Any) -> LeaseState:
-    return LeaseState(incarnation, duties, _WholeTtl(terms.ttl_s, 1e-6, 0.0), chance)
+def _no_margin(incarnation: str, duties: tuple[str, ...], terms: LeaseTerms, rng: Any) -> LeaseState:
+    return LeaseState(incarnation, duties, _WholeTtl(terms.ttl_s, 1e-6, 0.0), rng)
 
 
 class _UnknownIsDone(LeaseState):
--- a/coveport/testbed/fault_injection/parts.py
+++ b/coveport/testbed/fault_injection/parts.py
@@ -38,7 +38,7 @@
         now_s: Callable[[], float],
         world_s: Callable[[], float],
         history: History,
-        chance: random.Random,
+        rng: random.Random,
     ) -> None:
         self._lease_client = lease_client
         self._name = name
@@ -47,7 +47,7 @@
         self._now_s = now_s
         self._world_s = world_s
         self._history = history
-        self._chance = chance
+        self._rng = rng
         self._follower = RolloutFollower(name)
         self._capacity = CapacityClient(incarnation)
         self._tasks: list[asyncio.Task[None]] = []
@@ -90,7 +90,7 @@
                     self._lease_client.publish(REQUEST_PREFIX + self._name, request)
 
     async def _use(self, until: float, count: int) -> None:
-        await asyncio.sleep(max(0.0, until - self._now_s()) * self._chance.random())
+        await asyncio.sleep(max(0.0, until - self._now_s()) * self._rng.random())
         if self._now_s() < until:
             self._history("used", node=NODE, count=count)
 
--- a/coveport/testbed/fault_injection/real.py
+++ b/coveport/testbed/fault_injection/real.py
@@ -433,11 +433,11 @@
             return self.holder(self.trial.duties[0]) or self.instances[0]
         return self.instances[int(fault.target) % len(self.instances)]
 
-    async def strike(self, fault: Fault, chance: random.Random) -> None:
+    async def strike(self, fault: Fault, rng: random.Random) -> None:
         """Let a fault happen and see to its end; TrialError where this store's ground can't play it."""
         kind = fault.kind
         if kind == "halves":
-            hit = [one for one in self.instances if chance.random() < fault.share]
+            hit = [one for one in self.instances if rng.random() < fault.share]
         elif kind in ("store_stall", "store_away", "compact", "act-unheard", "claim-unheard"):
             await self._strike_store(fault)
             return
@@ -570,14 +570,14 @@
 
 async def play(trial: Trial, seed: int, folder: Path, store: str) -> PlayedReal:
     """Play a trial on real ground and judge it."""
-    chance = random.Random(f"real {seed}")
+    rng = random.Random(f"real {seed}")
     async with RealTrial(folder, trial, store=store) as one:
         await one.held(trial.duties[0], trial.ttl_s + UP_S)
         start = boot_s()
 
         async def later(fault: Fault) -> None:
             await asyncio.sleep(max(0.0, start + fault.at_s - boot_s()))
-            await one.strike(fault, chance)
+            await one.strike(fault, rng)
 
         await asyncio.gather(*(later(fault) for fault in trial.faults))
         await one.until(lambda: all(self.alive for self in one.instances), UP_S, "all to be back")
--- a/coveport/testbed/fault_injection/schedules.py
+++ b/coveport/testbed/fault_injection/schedules.py
@@ -98,41 +98,41 @@
     wild: float = 0.1,
 ) -> Trial:
     """A trial from its seed. `wild`: share of trials whose clocks keep to no bound."""
-    chance = random.Random(f"trial {seed}")
+    rng = random.Random(f"trial {seed}")
     drawn = list[Fault]()
-    for _ in range(chance.randint(1, faults)):
-        kind = chance.choice((*KINDS, *TRAPS, "slow", "slow"))  # slow alone harms nobody
-        if drawn and chance.random() < CHAINED:
+    for _ in range(rng.randint(1, faults)):
+        kind = rng.choice((*KINDS, *TRAPS, "slow", "slow"))  # slow alone harms nobody
+        if drawn and rng.random() < CHAINED:
             # One on top of the other, at whom it hit: slow and then gone, cut and then stalled.
             before = drawn[-1]
-            at = before.at_s + before.lasts_s * chance.random()
+            at = before.at_s + before.lasts_s * rng.random()
             drawn.append(
                 Fault(
                     round(at, 3),
-                    chance.choice(CHAIN),
+                    rng.choice(CHAIN),
                     before.target or HOLDER,
-                    round(chance.uniform(1.0, 3.0) * ttl_s, 3),
-                    round(chance.uniform(0.05, 0.9), 2),
+                    round(rng.uniform(1.0, 3.0) * ttl_s, 3),
+                    round(rng.uniform(0.05, 0.9), 2),
                 )
             )
             continue
-        lasts = min(30.0, 0.1 * 300 ** chance.random())  # 0.1 to 30 s, as many short as long
-        target = HOLDER if chance.random() < 0.6 else str(chance.randrange(instances))
+        lasts = min(30.0, 0.1 * 300 ** rng.random())  # 0.1 to 30 s, as many short as long
+        target = HOLDER if rng.random() < 0.6 else str(rng.randrange(instances))
         if kind in ("store_stall", "store_away"):
             lasts = min(lasts, 15.0)
         if kind in ("store_stall", "store_away", "compact", "halves", "lose_answers", *TRAPS):
             target = ""
         if kind in ("yield", "compact"):
             lasts = 0.0
-        at = round(chance.uniform(2.0, over_s), 3)
+        at = round(rng.uniform(2.0, over_s), 3)
         if kind.startswith("claim"):
             drawn.append(Fault(round(at + 0.01, 3), "yield", HOLDER))  # else nobody claims for a long while
-        drawn.append(Fault(at, kind, target, round(lasts, 3), round(chance.uniform(0.05, 0.9), 2)))
+        drawn.append(Fault(at, kind, target, round(lasts, 3), round(rng.uniform(0.05, 0.9), 2)))
     duties: tuple[str, ...] = ("drill",)
-    kind_of = chance.random()
+    kind_of = rng.random()
     if kind_of < 0.3:
         duties = ("drill", "rollout")
-        drawn += [Fault(round(chance.uniform(2.0, over_s), 3), chance.choice(STAFF)) for _ in range(2)]
+        drawn += [Fault(round(rng.uniform(2.0, over_s), 3), rng.choice(STAFF)) for _ in range(2)]
     elif kind_of < 0.6:
         duties = ("drill", "warden@0")
     # Every act is told to all that watch: with many instances fewer of them show as much.
@@ -142,7 +142,7 @@
         duties=duties,
         drill_s=0.1 if instances <= FEW else 0.5,
         faults=tuple(sorted(drawn, key=lambda one: one.at_s)),
-        wild_clocks=chance.random() < wild,
+        wild_clocks=rng.random() < wild,
     )
 
 
--- a/coveport/testbed/fault_injection/simstore.py
+++ b/coveport/testbed/fault_injection/simstore.py
@@ -100,11 +100,11 @@
 class SimStore(Store):
     """The store as an instance of a simulated trial reaches it."""
 
-    def __init__(self, process: Process, host: Host, way: Way, chance: random.Random) -> None:
+    def __init__(self, process: Process, host: Host, way: Way, rng: random.Random) -> None:
         self._process = process
         self._host = host
         self._way = way
-        self._chance = chance
+        self._rng = rng
 
     async def read(self, prefix: str) -> Done | Unknown:
         """All keys that begin so."""
@@ -170,15 +170,13 @@
                 return
             outcome = deed()
             self._host.tick()
-            if (trap is None or trap.how != "unheard") and way.back and self._chance.random() >= way.lose:
-                world.at(
-                    world.now + self._chance.uniform(*way.back_s), answer, outcome, process=self._process
-                )
-
-        for _ in range(2 if self._chance.random() < way.double else 1):
-            if way.out and self._chance.random() >= way.lose:
-                late = way.late_s * self._chance.random() if self._chance.random() < way.late else 0.0
-                world.at(world.now + self._chance.uniform(*way.delay_s) + late + held, arrive)
+            if (trap is None or trap.how != "unheard") and way.back and self._rng.random() >= way.lose:
+                world.at(world.now + self._rng.uniform(*way.back_s), answer, outcome, process=self._process)
+
+        for _ in range(2 if self._rng.random() < way.double else 1):
+            if way.out and self._rng.random() >= way.lose:
+                late = way.late_s * self._rng.random() if self._rng.random() < way.late else 0.0
+                world.at(world.now + self._rng.uniform(*way.delay_s) + late + held, arrive)
         return await done
 
     async def watch(self, prefix: str, after: int) -> AsyncIterator[Sequence[Change]]:
@@ -194,7 +192,7 @@
                 if host.engine.revision != seen:
                     changes = host.engine.changes(prefix, seen)
                     seen = host.engine.revision
-                    await asyncio.sleep(self._chance.uniform(*way.back_s))
+                    await asyncio.sleep(self._rng.uniform(*way.back_s))
                     if changes:
                         yield changes
                     continue
--- a/coveport/testbed/fault_injection/virtual.py
+++ b/coveport/testbed/fault_injection/virtual.py
@@ -64,7 +64,7 @@
     def __init__(self, trial: Trial, seed: int, variant: Variant) -> None:
         self.trial = trial
         self.variant = variant
-        self.chance = random.Random(f"play {seed}")
+        self.rng = random.Random(f"play {seed}")
         self.world = World(START_S)
         self.host = Host(self.world, rate=self._rate())
         self.histories = Histories()
@@ -80,7 +80,7 @@
     def _rate(self) -> float:
         # Any two within the stated drift; wild ones run at up to three times each other's pace.
         most = 3.0 if self.trial.wild_clocks else 1 + self.trial.drift
-        return float(most ** self.chance.uniform(-0.5, 0.5))
+        return float(most ** self.rng.uniform(-0.5, 0.5))
 
     def launch(self, one: _Instance) -> None:
         """A process of that name, with nothing of the one before."""
@@ -96,9 +96,9 @@
         def history(event: str, **fields: object) -> None:
             self.histories.add(Record(self.world.now, f"s{one.number}", incarnation, event, now_s(), fields))
 
-        chance = random.Random(self.chance.random())
+        rng = random.Random(self.rng.random())
         terms = LeaseTerms(self.trial.ttl_s, self.trial.margin_s, self.trial.drift)
-        store = SimStore(process, self.host, one.way, chance)
+        store = SimStore(process, self.host, one.way, rng)
         lease_client = self.variant.lease_client(
             store,
             name=f"s{one.number}",
@@ -107,7 +107,7 @@
             terms=terms,
             now_s=now_s,
             history=history,
-            rng=chance,
+            rng=rng,
             lease_state=self.variant.holder,
         )
         drill = self.variant.drill(incarnation)
@@ -129,7 +129,7 @@
             now_s,
             lambda: self.world.now - START_S,
             history,
-            chance,
+            rng,
         )
         process.call_soon(part.start)
 
@@ -149,7 +149,7 @@
         """Play it."""
         self.host.start()
         for one in self.instances:
-            self.world.at(START_S + self.chance.uniform(0, 0.5), partial(self.launch, one))
+            self.world.at(START_S + self.rng.uniform(0, 0.5), partial(self.launch, one))
         for fault in self.trial.faults:
             self.world.at(START_S + fault.at_s, self.strike, fault)
         self.world.run(START_S + self.trial.lasts_s)
@@ -206,9 +206,7 @@
         elif kind == "compact":
             self.host.engine.compact(self.host.engine.revision)
         elif kind in ("halves", "lose_answers"):
-            hit = [
-                one for one in self.instances if kind == "lose_answers" or self.chance.random() < fault.share
-            ]
+            hit = [one for one in self.instances if kind == "lose_answers" or self.rng.random() < fault.share]
             for one in hit:
                 self.way(one, "cut" if kind == "halves" else "lossy", fault.share, over)
         else:
--- a/coveport/testbed/fault_injection/work/executors.py
+++ b/coveport/testbed/fault_injection/work/executors.py
@@ -100,7 +100,7 @@
         else:
             # News from outside, not a timer: it comes before what came later, however long we stood still.
             hands.world.at(
-                hands.world.now + hands.chance.uniform(*CONNECT_S), hands.process.call_soon, self.connected
+                hands.world.now + hands.rng.uniform(*CONNECT_S), hands.process.call_soon, self.connected
             )
             if hands.stall_s:
                 hands.process.stall(hands.stall_s)
@@ -116,7 +116,7 @@
             return
         self.handed = True
         if hands.way.out:
-            world.at(world.now + hands.chance.uniform(*WIRE_S), self.arrived)
+            world.at(world.now + hands.rng.uniform(*WIRE_S), self.arrived)
 
     def arrived(self) -> None:
         """At the node, whoever sent it may be dead by now."""
@@ -124,8 +124,8 @@
         if not node.up:
             return
         body = node.arrive(world.now, self.cls, self.asked)
-        if not node.mute and hands.way.back and hands.chance.random() >= hands.way.lose:
-            wait = hands.chance.uniform(*node.service_s) + hands.chance.uniform(*WIRE_S)
+        if not node.mute and hands.way.back and hands.rng.random() >= hands.way.lose:
+            wait = hands.rng.uniform(*node.service_s) + hands.rng.uniform(*WIRE_S)
             world.at(world.now + wait, self.came, body, process=hands.process)
 
     def came(self, body: bytes) -> None:
@@ -165,17 +165,17 @@
         nodes: list[SimNode],
         settings: balancing.Settings,
         way: NodeWay,
-        chance: random.Random,
+        rng: random.Random,
     ) -> None:
         self.world = world
         self.process = process
         self.nodes = nodes
         self.way = way
         self.settings = settings
-        self.chance = chance
+        self.rng = rng
         self.records: Any = None
         self.pending = 0
-        self._reducer = Reducer(settings, chance.randrange(1 << 30))
+        self._reducer = Reducer(settings, rng.randrange(1 << 30))
         self._open: dict[int, _Open] = {}
         self._inputs: deque[core.Input] = deque()
         self._busy = False
@@ -331,9 +331,9 @@
 class SimTills:
     """Tills that ask again, at any instance, until they know."""
 
-    def __init__(self, world: World, chance: random.Random, wait_s: float, asks: int) -> None:
+    def __init__(self, world: World, rng: random.Random, wait_s: float, asks: int) -> None:
         self._world = world
-        self._chance = chance
+        self._rng = rng
         self._wait_s = wait_s
         self._asks = asks
         self.wishes: list[Wish] = []
@@ -345,13 +345,13 @@
         one = Wish(f"{cls[0]}{len(self.wishes)}", cls, self._world.now)
         self.wishes.append(one)
         # Some tills ask several at once: two lanes of a till, or a person who presses twice.
-        for _ in range(3 if self._chance.random() < 0.08 else 1):
+        for _ in range(3 if self._rng.random() < 0.08 else 1):
             self._ask(one)
 
     def _ask(self, one: Wish) -> None:
         if one.over or one.asks >= self._asks:
             return
-        hands = self._chance.choice(self.reach())
+        hands = self._rng.choice(self.reach())
         one.asks += 1
         one.out += 1
         _Ask(self, one, hands, one.asks > 1)
@@ -364,8 +364,8 @@
             one.over = True
         elif not one.over:
             # Most come again soon; some go away and come back when the window is nearly over, or just is.
-            soon = self._chance.random() < 0.65
-            wait = self._chance.uniform(0.05, 1.5) if soon else self._chance.uniform(3.0, 8.0)
+            soon = self._rng.random() < 0.65
+            wait = self._rng.uniform(0.05, 1.5) if soon else self._rng.uniform(3.0, 8.0)
             self._world.at(self._world.now + wait, self._ask, one)
 
     def next_id(self) -> str:
@@ -390,7 +390,7 @@
             world.at(world.now + 0.002, self.end, "broken", b"")
             return
         hands.process.at_death.append(lambda: self.end("broken", b""))
-        world.at(world.now + tills._chance.uniform(*WIRE_S), self.arrive, process=hands.process)
+        world.at(world.now + tills._rng.uniform(*WIRE_S), self.arrive, process=hands.process)
         self.timer = world.at(world.now + tills._wait_s + 0.02, self.patience)
 
     def arrive(self) -> None:
@@ -424,7 +424,7 @@
         """The one final answer."""
         world = self.tills._world
         body = answer.body if answer is not None else b""
-        world.at(world.now + self.tills._chance.uniform(*WIRE_S), self.end, verdict.value, body)
+        world.at(world.now + self.tills._rng.uniform(*WIRE_S), self.end, verdict.value, body)
 
     def patience(self) -> None:
         """Its time is over: it closes its connection."""
--- a/coveport/testbed/fault_injection/work/sim.py
+++ b/coveport/testbed/fault_injection/work/sim.py
@@ -93,40 +93,38 @@
 
 def draw(seed: int, instances: int = 5, faults: int = 4) -> WorkTrial:
     """A trial from its seed."""
-    chance = random.Random(f"work {seed}")
+    rng = random.Random(f"work {seed}")
     drawn: list[Fault] = []
-    for _ in range(chance.randint(1, faults)):
-        kind = chance.choice(KINDS)
-        if drawn and chance.random() < CHAINED:
+    for _ in range(rng.randint(1, faults)):
+        kind = rng.choice(KINDS)
+        if drawn and rng.random() < CHAINED:
             # A takeover that is taken over: whoever took it up is lost as well.
             drawn.append(
                 Fault(
-                    round(drawn[-1].at_s + chance.uniform(0.1, 6.0), 3),
-                    chance.choice(("kill", "stall", "half_killed", "cut")),
-                    str(chance.randrange(instances)),
-                    round(chance.uniform(0.5, 8.0), 3),
+                    round(drawn[-1].at_s + rng.uniform(0.1, 6.0), 3),
+                    rng.choice(("kill", "stall", "half_killed", "cut")),
+                    str(rng.randrange(instances)),
+                    round(rng.uniform(0.5, 8.0), 3),
                 )
             )
             continue
-        lasts = min(30.0, 0.1 * 300 ** chance.random())
+        lasts = min(30.0, 0.1 * 300 ** rng.random())
         if kind.startswith("store"):
             lasts = min(lasts, 8.0)
-        target = (
-            "" if kind in ("half_killed", "store_away", "store_stall") else str(chance.randrange(instances))
-        )
+        target = "" if kind in ("half_killed", "store_away", "store_stall") else str(rng.randrange(instances))
         drawn.append(
             Fault(
-                round(chance.uniform(1.5, 12.0), 3),
+                round(rng.uniform(1.5, 12.0), 3),
                 kind,
                 target,
                 round(lasts, 3),
-                round(chance.uniform(0.1, 0.9), 2),
+                round(rng.uniform(0.1, 0.9), 2),
             )
         )
     return WorkTrial(
         instances=instances,
         rate=5.0 * min(instances, 10),
-        refuse=("earn", "redeem") if chance.random() < 0.6 else (),
+        refuse=("earn", "redeem") if rng.random() < 0.6 else (),
         faults=tuple(sorted(drawn, key=lambda one: one.at_s)),
     )
 
@@ -168,7 +166,7 @@
     def __init__(self, trial: WorkTrial, seed: int, variant: WorkVariant) -> None:
         self.trial = trial
         self.variant = variant
-        self.chance = random.Random(f"work play {seed}")
+        self.rng = random.Random(f"work play {seed}")
         self.world = World(START_S)
         self.host = Host(self.world)
         self.settings = parse_settings(json.dumps(SETTINGS | {"peers_total": trial.instances}))
@@ -184,7 +182,7 @@
         self.instances = [
             _Instance(
                 number,
-                self.chance.uniform(0.99, 1.01),
+                self.rng.uniform(0.99, 1.01),
                 Way(),
                 NodeWay(),
                 Process.start(self.world, f"s{number}"),
@@ -200,7 +198,7 @@
         one.lives += 1
         name, incarnation = f"s{one.number}", f"s{one.number}.{one.lives}"
         one.process = process = Process.start(self.world, name)
-        chance = random.Random(self.chance.random())
+        rng = random.Random(self.rng.random())
 
         def now_s() -> float:
             return self.world.now * one.rate
@@ -216,22 +214,22 @@
 
         variant, trial = self.variant, self.trial
         lease_client = LeaseClient(
-            SimStore(process, self.host, one.way, chance),
+            SimStore(process, self.host, one.way, rng),
             name=name,
             incarnation=incarnation,
             roles=(),
             terms=LeaseTerms(trial.ttl_s, 0.2, 0.02),
             now_s=now_s,
             history=say,
-            rng=chance,
+            rng=rng,
         )
         one.lease_client = lease_client
-        one.hands = hands = SimHands(self.world, process, self.nodes, self.settings, one.node_way, chance)
+        one.hands = hands = SimHands(self.world, process, self.nodes, self.settings, one.node_way, rng)
         presence = Presence(incarnation, trial.ttl_s)
         intent_log_settings = IntentLogSettings(
             frozenset({"earn", "redeem"}), frozenset(trial.refuse), store_timeout_s=CALL_S
         )
-        journal = variant.journal(SimStore(process, self.host, one.way, chance), now_s, CALL_S, say)
+        journal = variant.journal(SimStore(process, self.host, one.way, rng), now_s, CALL_S, say)
 
         def token() -> int:
             entry = lease_client.entries.get(INSTANCE_PREFIX + name)
@@ -243,7 +241,7 @@
             incarnation=incarnation,
             session_token=token,
             now_s=now_s,
-            rng=chance,
+            rng=rng,
             count=count,
             log_event=say,
             unix_s=unix_s,
@@ -343,7 +341,7 @@
             self.world.at(over, lambda: setattr(self.host, "away", False))
         elif kind == "half_killed":
             for one in self.instances[:-1]:
-                if self.chance.random() < 0.7:
+                if self.rng.random() < 0.7:
                     self.end(one)
                     self.world.at(over, self.again, one)
         elif kind in ("node_mute", "node_down"):
@@ -409,11 +407,11 @@
         """Play it."""
         self.host.start()
         for one in self.instances:
-            self.world.at(START_S + self.chance.uniform(0, 0.3), partial(self.launch, one))
+            self.world.at(START_S + self.rng.uniform(0, 0.3), partial(self.launch, one))
         at = START_S + 1.0
         while at < START_S + 1.0 + self.trial.over_s:
-            at += self.chance.expovariate(self.trial.rate)
-            self.world.at(at, self.tills.wish, "redeem" if self.chance.random() < 0.5 else "earn")
+            at += self.rng.expovariate(self.trial.rate)
+            self.world.at(at, self.tills.wish, "redeem" if self.rng.random() < 0.5 else "earn")
         for fault in self.trial.faults:
             self.world.at(START_S + fault.at_s, self.strike, fault)
         self.world.run(START_S + self.trial.lasts_s)
--- a/coveport/testbed/fault_schedule.py
+++ b/coveport/testbed/fault_schedule.py
@@ -68,24 +68,24 @@
 def draw_fault(scenario: Scenario, seed: int, number: int, nodes: Sequence[NodeDrawn]) -> DrawnFault:
     """Return the fault at index `number` with its figures and targets, drawn from a stream of its own."""
     fault = scenario.faults[number]
-    chance = stream(seed, "fault", number)
-    begin = drawn(chance, fault.at_s) * 1000
-    length = drawn(chance, fault.for_s) * 1000
+    rng = stream(seed, "fault", number)
+    begin = drawn(rng, fault.at_s) * 1000
+    length = drawn(rng, fault.for_s) * 1000
     drawn_fault = DrawnFault(
         number, fault, begin, length, begin + length if length else scenario.length_s * 1000
     )
-    drawn_fault.size = drawn(chance, getattr(fault, "size", 0.0))
+    drawn_fault.size = drawn(rng, getattr(fault, "size", 0.0))
     if isinstance(fault, HeavyTail):
-        drawn_fault.share = drawn(chance, fault.share)
-        drawn_fault.which = _named(chance, [cls.name for cls in scenario.classes], fault.cls)
+        drawn_fault.share = drawn(rng, fault.share)
+        drawn_fault.which = _named(rng, [cls.name for cls in scenario.classes], fault.cls)
     elif isinstance(fault, Cut):
-        drawn_fault.which = _named(chance, scenario.fleet.zones, fault.zone)
+        drawn_fault.which = _named(rng, scenario.fleet.zones, fault.zone)
     elif isinstance(fault, Delay):
-        drawn_fault.size = drawn(chance, fault.added_ms)
+        drawn_fault.size = drawn(rng, fault.added_ms)
     elif not isinstance(fault, Loss | Burst | DiscoveryFault):
-        drawn_fault.targets = _chosen(chance, scenario, nodes, fault.whom, isinstance(fault, OF_SIDECARS))
+        drawn_fault.targets = _chosen(rng, scenario, nodes, fault.whom, isinstance(fault, OF_SIDECARS))
     if isinstance(fault, SlowReader):
-        drawn_fault.share = drawn(chance, fault.share)
+        drawn_fault.share = drawn(rng, fault.share)
     behind = max(len(drawn_fault.targets) - 1, 0)
     if isinstance(fault, Rolling):
         drawn_fault.end = begin + (behind * fault.every_s + fault.gone_s + fault.down_s) * 1000
@@ -99,14 +99,14 @@
     return drawn_fault
 
 
-def _named(chance: random.Random, names: Sequence[str], name: str) -> int:
+def _named(rng: random.Random, names: Sequence[str], name: str) -> int:
     """Return the index of a name; a drawn one where no name is given."""
-    random_index = chance.randrange(len(names))
+    random_index = rng.randrange(len(names))
     return names.index(name) if name else random_index
 
 
 def _chosen(
-    chance: random.Random, scenario: Scenario, nodes: Sequence[NodeDrawn], whom: Whom, sidecars: bool
+    rng: random.Random, scenario: Scenario, nodes: Sequence[NodeDrawn], whom: Whom, sidecars: bool
 ) -> tuple[int, ...]:
     fleet = scenario.fleet
     if whom.numbers:
@@ -118,7 +118,7 @@
     ]
     if whom.kind:
         pool = [number for number in pool if nodes[number].kind == whom.kind]
-    chance.shuffle(pool)  # then a prefix, so that a larger share takes the same targets and more
+    rng.shuffle(pool)  # then a prefix, so that a larger share takes the same targets and more
     if whom.share:
         pool = pool[: max(1, int(whom.share * len(pool) + 0.5))]
     elif whom.count:
--- a/coveport/testbed/fleet.py
+++ b/coveport/testbed/fleet.py
@@ -53,14 +53,14 @@
 ) -> NodeDrawn:
     """One node, drawn from a stream of its own by `number`; its name is added to those `taken`."""
     fleet, cores = scenario.fleet, kind.cores
-    chance = stream(seed, "node", number)
-    name = f"s-{chance.getrandbits(32):08x}"
+    rng = stream(seed, "node", number)
+    name = f"s-{rng.getrandbits(32):08x}"
     while name in taken:
-        name = f"s-{chance.getrandbits(32):08x}"
+        name = f"s-{rng.getrandbits(32):08x}"
     taken.add(name)
 
     def of(figure: Figure) -> float:
-        return drawn(chance, figure)
+        return drawn(rng, figure)
 
     return NodeDrawn(
         number=number,
@@ -96,5 +96,5 @@
         jam_below=fleet.jam.below,
         jam_rest_ms=fleet.jam.rest_s * 1000,
         jam_most_ms=fleet.jam.most_s * 1000,
-        seed=chance.getrandbits(32),
+        seed=rng.getrandbits(32),
     )
--- a/coveport/testbed/fuzz/guided.py
+++ b/coveport/testbed/fuzz/guided.py
@@ -41,11 +41,11 @@
                 file.write(json.dumps({"kind": find.kind, "text": find.text, "data": find.data.hex()}) + "\n")
 
     def mutate(data: bytes, most: int, seed: int) -> bytes:
-        chance = random.Random(seed)
-        share = chance.random()
+        rng = random.Random(seed)
+        share = rng.random()
         if share >= OURS:
             return bytes(atheris.Mutate(data, most))
-        mutator.reseed(chance.getrandbits(64))
+        mutator.reseed(rng.getrandbits(64))
         return (next(iter(mutator)) if share < OURS * AFRESH else mutator.mutated(data))[:most]
 
     atheris.Setup([sys.argv[0], *sys.argv[4:]], one, custom_mutator=mutate)
--- a/coveport/testbed/fuzz/mutate.py
+++ b/coveport/testbed/fuzz/mutate.py
@@ -65,7 +65,7 @@
 
     def __init__(self, seed: str, corpus: Sequence[bytes], words: Sequence[bytes]) -> None:
         """`seed`: all chance comes of it. An empty corpus stands for one empty input."""
-        self._chance = random.Random(seed)
+        self._rng = random.Random(seed)
         self._corpus = list(corpus) or [b""]
         self._words = list(words) or [b"\0"]
         self._ways: tuple[Callable[[bytes], bytes], ...] = (
@@ -88,36 +88,36 @@
     def __iter__(self) -> Iterator[bytes]:
         """Inputs without an end."""
         while True:
-            yield self.mutated(self._chance.choice(self._corpus))
+            yield self.mutated(self._rng.choice(self._corpus))
 
     def reseed(self, seed: int) -> None:
         """Let all chance come of another seed from here on."""
-        self._chance.seed(seed)
+        self._rng.seed(seed)
 
     def mutated(self, data: bytes) -> bytes:
         """One input made out of another by a few changes."""
-        for _ in range(min(12, int(self._chance.expovariate(0.4)) + 1)):
-            data = self._chance.choice(self._ways)(data)[:MOST]
-        if self._chance.random() < HUGE_SHARE:
+        for _ in range(min(12, int(self._rng.expovariate(0.4)) + 1)):
+            data = self._rng.choice(self._ways)(data)[:MOST]
+        if self._rng.random() < HUGE_SHARE:
             data = self._blow_up(data)
         return data
 
     def _at(self, data: bytes) -> int:
-        return self._chance.randint(0, len(data))
+        return self._rng.randint(0, len(data))
 
     def _span(self, data: bytes) -> tuple[int, int]:
         low = self._at(data)
-        return low, min(len(data), low + int(self._chance.expovariate(0.1)) + 1)
+        return low, min(len(data), low + int(self._rng.expovariate(0.1)) + 1)
 
     def _flip(self, data: bytes) -> bytes:
         if not data:
             return data
-        at = self._chance.randrange(len(data))
-        return data[:at] + bytes([data[at] ^ 1 << self._chance.randrange(8)]) + data[at + 1 :]
+        at = self._rng.randrange(len(data))
+        return data[:at] + bytes([data[at] ^ 1 << self._rng.randrange(8)]) + data[at + 1 :]
 
     def _put(self, data: bytes) -> bytes:
         at = self._at(data)
-        return data[:at] + bytes([self._chance.choice(_BYTES)]) + data[at + self._chance.randrange(2) :]
+        return data[:at] + bytes([self._rng.choice(_BYTES)]) + data[at + self._rng.randrange(2) :]
 
     def _drop(self, data: bytes) -> bytes:
         low, high = self._span(data)
@@ -125,30 +125,30 @@
 
     def _double(self, data: bytes) -> bytes:
         low, high = self._span(data)
-        return data[:high] + data[low:high] * self._chance.choice((1, 1, 2, 9)) + data[high:]
+        return data[:high] + data[low:high] * self._rng.choice((1, 1, 2, 9)) + data[high:]
 
     def _insert(self, data: bytes) -> bytes:
         at = self._at(data)
-        return data[:at] + self._chance.choice(self._words) + data[at:]
+        return data[:at] + self._rng.choice(self._words) + data[at:]
 
     def _replace(self, data: bytes) -> bytes:
         low, high = self._span(data)
-        return data[:low] + self._chance.choice(self._words) + data[high:]
+        return data[:low] + self._rng.choice(self._words) + data[high:]
 
     def _splice(self, data: bytes) -> bytes:
-        other = self._chance.choice(self._corpus)
+        other = self._rng.choice(self._corpus)
         return data[: self._at(data)] + other[self._at(other) :]
 
     def _number(self, data: bytes) -> bytes:
         places = [match.span() for match in _NUMBER.finditer(data)]
         if not places:
             return self._put(data)
-        low, high = self._chance.choice(places)
+        low, high = self._rng.choice(places)
         value = data[low:high]
         new = (
-            b"%d" % max(0, int(value) + self._chance.choice((-1, 1)))
-            if self._chance.random() < 0.4 and len(value) < 20
-            else self._chance.choice(_NUMBERS)
+            b"%d" % max(0, int(value) + self._rng.choice((-1, 1)))
+            if self._rng.random() < 0.4 and len(value) < 20
+            else self._rng.choice(_NUMBERS)
         )
         return data[:low] + new + data[high:]
 
@@ -156,8 +156,8 @@
         """Drop, double or move a line."""
         end = b"\r\n" if b"\r\n" in data else b"\n"
         lines = data.split(end)
-        at, to = self._chance.randrange(len(lines)), self._chance.randrange(len(lines))
-        way = self._chance.randrange(3)
+        at, to = self._rng.randrange(len(lines)), self._rng.randrange(len(lines))
+        way = self._rng.randrange(3)
         line = lines[at] if way == 1 else lines.pop(at)
         if way:
             lines.insert(to, line)
@@ -173,5 +173,5 @@
     def _blow_up(self, data: bytes) -> bytes:
         low, high = self._span(data)
         part = data[low:high] or b"a"
-        size = self._chance.choice((500, 20_000, HUGE))
+        size = self._rng.choice((500, 20_000, HUGE))
         return (data[:low] + part * (size // len(part)) + data[high:])[:HUGE]
--- a/coveport/testbed/fuzz/targets.py
+++ b/coveport/testbed/fuzz/targets.py
@@ -83,11 +83,11 @@
 
 def cuts(data: bytes) -> Iterator[list[bytes]]:
     """Some ways to cut bytes into pieces, always the same ones for the same bytes."""
-    chance = random.Random(zlib.crc32(data))
+    rng = random.Random(zlib.crc32(data))
     if len(data) <= BYTEWISE:
         yield [data[at : at + 1] for at in range(len(data))]
     for several in (1, 2, 7):
-        at = sorted({0, len(data), *(chance.randint(0, len(data)) for _ in range(several))})
+        at = sorted({0, len(data), *(rng.randint(0, len(data)) for _ in range(several))})
         yield [data[low:high] for low, high in pairwise(at)]
 
 
--- a/coveport/testbed/search/schedules.py
+++ b/coveport/testbed/search/schedules.py
@@ -43,20 +43,20 @@
 
 
 def _even(low: float, high: float) -> Draw:
-    return lambda chance: _rounded(chance.uniform(low, high))
+    return lambda rng: _rounded(rng.uniform(low, high))
 
 
 def _log(low: float, high: float) -> Draw:
     """As often between 1 and 2 as between 10 and 20."""
-    return lambda chance: _rounded(math.exp(chance.uniform(math.log(low), math.log(high))))
+    return lambda rng: _rounded(math.exp(rng.uniform(math.log(low), math.log(high))))
 
 
 def _whole(low: float, high: float) -> Draw:
-    return lambda chance: round(math.exp(chance.uniform(math.log(low), math.log(high))))
+    return lambda rng: round(math.exp(rng.uniform(math.log(low), math.log(high))))
 
 
 def _of(*values: Any) -> Draw:
-    return lambda chance: chance.choice(values)
+    return lambda rng: rng.choice(values)
 
 
 def _rounded(number: float) -> float:
@@ -91,7 +91,7 @@
 
 SETTINGS: dict[str, tuple[float, Draw]] = {
     "load.level": (0.9, _even(0.2, 1.2)),
-    "fleet.sidecars": (0.9, lambda chance: 40 if chance.random() < 0.03 else chance.randint(1, 8)),
+    "fleet.sidecars": (0.9, lambda rng: 40 if rng.random() < 0.03 else rng.randint(1, 8)),
     "fleet.nodes": (0.7, _whole(1, 16)),
     "fleet.zones": (0.2, _of(["one"], ["one", "two"])),
     "fleet.cell_size": (0.2, _whole(1, 8)),
@@ -166,9 +166,9 @@
 
 def draw_schedule(base: Scenario, seed: int, run: int) -> Scenario:
     """The schedule of number `run` from `seed`, with the seed of its day in it; always a valid scenario."""
-    chance = stream(seed, "schedule", run)
-    sets = [f"seed={chance.randrange(1, 1_000_000)}"]
-    sets += [f"{place}={_spelt(value)}" for place, value in _settings(base, chance).items()]
+    rng = stream(seed, "schedule", run)
+    sets = [f"seed={rng.randrange(1, 1_000_000)}"]
+    sets += [f"{place}={_spelt(value)}" for place, value in _settings(base, rng).items()]
     plain = msgspec.structs.replace(
         base,
         title=f"{base.title}, schedule {run} of seed {seed}",
@@ -179,14 +179,14 @@
     )
     day = _sensible(plain, sets)
     faults = [_pressed(fault, base.length_s) for fault in base.faults]
-    for _ in range(chance.randint(1, MOST_FAULTS)):
-        fault = _fault(day, faults, chance)
+    for _ in range(rng.randint(1, MOST_FAULTS)):
+        fault = _fault(day, faults, rng)
         if fault is not None:
             faults.append(fault)
     day = msgspec.structs.replace(day, faults=tuple(faults))
     ends = max([LAST_S / 2, *(end for _, end in spans_s(day))])
     day = msgspec.structs.replace(
-        day, length_s=math.ceil(2 * max(SHORTEST_S, ends + chance.uniform(*QUIET_S))) / 2
+        day, length_s=math.ceil(2 * max(SHORTEST_S, ends + rng.uniform(*QUIET_S))) / 2
     )
     if getattr(day, "quiet_s", RESTED_S) < RESTED_S:
         day = msgspec.structs.replace(day, quiet_s=RESTED_S)
@@ -206,10 +206,10 @@
 # Figures.
 
 
-def _settings(base: Scenario, chance: random.Random) -> dict[str, Any]:
+def _settings(base: Scenario, rng: random.Random) -> dict[str, Any]:
     own, drawn = sparse(base), {}
     for place, (share, how) in SETTINGS.items():
-        wanted, value = chance.random() < share, how(chance)
+        wanted, value = rng.random() < share, how(rng)
         if wanted and not _there(own, place) and _known(base, place):
             drawn[place] = value
     for section in OPEN_SECTIONS:
@@ -217,13 +217,13 @@
             place = f"{section}.{one.name}"
             if any(known == place or known.startswith(f"{place}.") for known in (*SETTINGS, *LEFT)):
                 continue
-            wanted, value = chance.random() < NEW_SHARE, _by_type(one, chance)
+            wanted, value = rng.random() < NEW_SHARE, _by_type(one, rng)
             if wanted and value is not None and not _there(own, place):
                 drawn[place] = value
     if not _there(own, "fleet.kinds"):
         for share, figures in MACHINES:
-            values = {key: how(chance) for key, how in figures.items()}
-            if chance.random() < share:
+            values = {key: how(rng) for key, how in figures.items()}
+            if rng.random() < share:
                 for number in range(len(base.fleet.kinds)):
                     drawn |= {f"fleet.kinds.{number}.{key}": value for key, value in values.items()}
     return drawn
@@ -279,41 +279,41 @@
         return day
 
 
-def _by_type(one: msgspec.structs.FieldInfo, chance: random.Random) -> Any:
+def _by_type(one: msgspec.structs.FieldInfo, rng: random.Random) -> Any:
     """A value for a key that no table knows; None where nothing can be told of it."""
     kind, bounds = one.type, Bounds(-math.inf)
     if get_origin(kind) is Annotated:
         rules = [rule for rule in kind.__metadata__ if isinstance(rule, Bounds)]
         kind, bounds = kind.__origin__, (rules or [bounds])[0]
     if get_origin(kind) is Literal:
-        return chance.choice(get_args(kind))
+        return rng.choice(get_args(kind))
     if kind is bool:
-        return chance.random() < 0.5
+        return rng.random() < 0.5
     if kind is not int and kind is not float and float not in get_args(kind):
         return None
     if (bounds.low, bounds.high) == (0, 1):
-        return min(1.0, _log(0.01, 1.2)(chance))
+        return min(1.0, _log(0.01, 1.2)(rng))
     default = one.default if one.default is not NODEFAULT else 1.0
     low, high = default if isinstance(default, tuple) else (default, default)
     if low <= 0 < high or low == high == 0:
-        value = _even(max(bounds.low, 5 * low), min(bounds.high, 5 * high or 1.0))(chance)
+        value = _even(max(bounds.low, 5 * low), min(bounds.high, 5 * high or 1.0))(rng)
     else:
-        value = _log(max(bounds.low, low / 5), min(bounds.high, 5 * high))(chance)
+        value = _log(max(bounds.low, low / 5), min(bounds.high, 5 * high))(rng)
     return round(value) if kind is int else min(max(value, bounds.low), bounds.high)
 
 
 # Faults.
 
 
-def _fault(day: Scenario, before: list[Any], chance: random.Random) -> Any:
+def _fault(day: Scenario, before: list[Any], rng: random.Random) -> Any:
     """One more fault that makes sense on that day, placed by those before it; None where none was found."""
     for _ in range(TRIES):
-        kind = chance.choice(KINDS)
-        begin, length = _placed(day, before, chance)
-        table = _drawn(kind, day, chance) | {"at_s": begin, "for_s": length}
+        kind = rng.choice(KINDS)
+        begin, length = _placed(day, before, rng)
+        table = _drawn(kind, day, rng) | {"at_s": begin, "for_s": length}
         if kind.__struct_config__.tag in OWN_LENGTH or table.get("how") == "moves":
             del table["for_s"]
-        elif kind.__struct_config__.tag in ("crash", "drain") and chance.random() < 0.15:
+        elif kind.__struct_config__.tag in ("crash", "drain") and rng.random() < 0.15:
             table["for_s"] = 0.0  # they never come back
         try:
             fault = msgspec.convert(table, kind)
@@ -325,7 +325,7 @@
     return None
 
 
-def _drawn(kind: type[Struct], day: Scenario, chance: random.Random) -> dict[str, Any]:
+def _drawn(kind: type[Struct], day: Scenario, rng: random.Random) -> dict[str, Any]:
     """A fault's own figures, as a table."""
     config = kind.__struct_config__
     table: dict[str, Any] = {str(config.tag_field): config.tag}
@@ -334,42 +334,42 @@
         if one.name in ("at_s", "for_s"):
             continue
         if one.type is Whom:
-            table[one.name] = _whom(day, kind in OF_SIDECARS, chance)
-        elif (value := how(chance) if how else _by_type(one, chance)) is not None:
+            table[one.name] = _whom(day, kind in OF_SIDECARS, rng)
+        elif (value := how(rng) if how else _by_type(one, rng)) is not None:
             table[one.name] = value
     return table
 
 
-def _whom(day: Scenario, sidecars: bool, chance: random.Random) -> dict[str, Any]:
+def _whom(day: Scenario, sidecars: bool, rng: random.Random) -> dict[str, Any]:
     total = day.fleet.sidecars if sidecars else day.fleet.nodes
-    how = chance.choice(("one", "count", "share", "zone", "zone", "all"))
+    how = rng.choice(("one", "count", "share", "zone", "zone", "all"))
     if how == "one":
         return {"count": 1}
     if how == "count":
-        return {"count": chance.randint(1, total)}
+        return {"count": rng.randint(1, total)}
     if how == "share":
-        return {"share": _rounded(chance.uniform(0.05, 1.0))}
+        return {"share": _rounded(rng.uniform(0.05, 1.0))}
     if how == "zone":
-        return {"zone": chance.choice(day.fleet.zones), **chance.choice(({}, {"share": 0.5}, {"count": 1}))}
+        return {"zone": rng.choice(day.fleet.zones), **rng.choice(({}, {"share": 0.5}, {"count": 1}))}
     return {"all": True}
 
 
-def _placed(day: Scenario, before: list[Any], chance: random.Random) -> tuple[float, float]:
+def _placed(day: Scenario, before: list[Any], rng: random.Random) -> tuple[float, float]:
     """(begin, length) in s: somewhere by a fault that is there already."""
-    length = min(_log(0.05, 8)(chance), LAST_S - FIRST_S[1])
+    length = min(_log(0.05, 8)(rng), LAST_S - FIRST_S[1])
     if not before:
-        return _rounded(chance.uniform(*FIRST_S)), length
-    begin, end = chance.choice(spans_s(msgspec.structs.replace(day, faults=tuple(before))))
+        return _rounded(rng.uniform(*FIRST_S)), length
+    begin, end = rng.choice(spans_s(msgspec.structs.replace(day, faults=tuple(before))))
     at = {
-        "within": chance.uniform(begin, end),
+        "within": rng.uniform(begin, end),
         "at its end": end,
-        "just before": end - chance.uniform(0, 0.3),
-        "just after": end + chance.uniform(0, 0.3),
+        "just before": end - rng.uniform(0, 0.3),
+        "just after": end + rng.uniform(0, 0.3),
         "at once": begin,
-        "when it is noticed": begin + chance.uniform(0.5, 6),
-        "when it is told": end + chance.uniform(0.3, 4),
+        "when it is noticed": begin + rng.uniform(0.5, 6),
+        "when it is told": end + rng.uniform(0.3, 4),
     }[
-        chance.choice(
+        rng.choice(
             (
                 "within",
                 "within",
--- a/coveport/testbed/simulated_network/harsh.py
+++ b/coveport/testbed/simulated_network/harsh.py
@@ -41,18 +41,18 @@
 
     def segments(self, size: int) -> list[tuple[int, float]]:
         """Where a message of so many bytes is cut: the end of each segment, and how many s later it comes."""
-        chance = self._split
-        if size < 2 or chance.random() >= self._network.split:
+        rng = self._split
+        if size < 2 or rng.random() >= self._network.split:
             return [(size, 0.0)]
-        cuts = sorted(chance.sample(range(1, size), min(chance.randint(1, MOST_CUTS), size - 1)))
-        last_s = drawn(chance, self._network.split_ms) / 1000
-        later = [0.0, *sorted(chance.random() * last_s for _ in cuts[1:]), last_s]
+        cuts = sorted(rng.sample(range(1, size), min(rng.randint(1, MOST_CUTS), size - 1)))
+        last_s = drawn(rng, self._network.split_ms) / 1000
+        later = [0.0, *sorted(rng.random() * last_s for _ in cuts[1:]), last_s]
         return list(zip([*cuts, size], later, strict=True))
 
     def wait_s(self) -> float:
         """How long a message waits for the next one; 0: not at all."""
-        chance = self._merge
-        return drawn(chance, self._network.merge_ms) / 1000 if chance.random() < self._network.merge else 0.0
+        rng = self._merge
+        return drawn(rng, self._network.merge_ms) / 1000 if rng.random() < self._network.merge else 0.0
 
     def window(self) -> int:
         """Bytes of one direction of a new connection that may be sent and not read."""
@@ -60,21 +60,21 @@
 
     def break_at(self, size: int) -> tuple[int, bool] | None:
         """At which byte of a message (0 to its size) the network breaks the connection; True: by a reset."""
-        for chance, share, resets in (
+        for rng, share, resets in (
             (self._reset, self._network.reset_mid, True),
             (self._end, self._network.end_mid, False),
         ):
-            if share and chance.random() < share:
-                return chance.randint(0, size), resets
+            if share and rng.random() < share:
+                return rng.randint(0, size), resets
         return None
 
     def late_s(self) -> tuple[float, bool]:
         """How much later a connect comes up (0: not), and whether that is its way back."""
-        chance = self._late
-        if chance.random() >= self._network.late_connect:
+        rng = self._late
+        if rng.random() >= self._network.late_connect:
             return 0.0, False
-        late_ms = _of_all_magnitudes(chance.random(), self._network.late_connect_ms)
-        return late_ms / 1000, chance.random() < 0.5
+        late_ms = _of_all_magnitudes(rng.random(), self._network.late_connect_ms)
+        return late_ms / 1000, rng.random() < 0.5
 
     def accept_s(self, party: str) -> float:
         """From one accept to the next, for who listens at an address."""
--- a/coveport/testbed/standins/clients.py
+++ b/coveport/testbed/standins/clients.py
@@ -61,7 +61,7 @@
 class _Errand:
     """A wish on its way: what its tries have in common."""
 
-    __slots__ = ("wish", "end", "over", "current", "risky", "chance", "backoff")
+    __slots__ = ("wish", "end", "over", "current", "risky", "rng", "backoff")
 
     def __init__(self, wish: Wish, end: float) -> None:
         self.wish = wish
@@ -69,7 +69,7 @@
         self.over = False  # no further try will come of it
         self.current: _Try
         self.risky = math.inf  # when the first try that may have run was asked
-        self.chance: random.Random | None = None
+        self.rng: random.Random | None = None
         self.backoff = 0.0
 
 
@@ -406,10 +406,10 @@
             self._read_slowly(connection, one, now)
 
     def _read_slowly(self, connection: _Connection, one: _Try, now: float) -> None:
-        chance, waits = self._slow_random, 0.0
+        rng, waits = self._slow_random, 0.0
         for change in self._slow.values():
-            if chance.random() < change.share:
-                waits = max(waits, chance.random() * change.value)
+            if rng.random() < change.share:
+                waits = max(waits, rng.random() * change.value)
         if waits and connection.transport is not None:
             connection.slow = connection.paused = True
             connection.transport.pause_reading()
@@ -501,12 +501,12 @@
                 return
         if number >= wish.tries:
             return
-        if errand.chance is None:
-            errand.chance = random.Random(f"retries {self._day.seed} {wish.op}")
+        if errand.rng is None:
+            errand.rng = random.Random(f"retries {self._day.seed} {wish.op}")
             figure = self._retries.backoff_ms
-            errand.backoff = errand.chance.uniform(*figure) if isinstance(figure, tuple) else figure
+            errand.backoff = errand.rng.uniform(*figure) if isinstance(figure, tuple) else figure
         wait = errand.backoff * (2.0**one.number if self._retries.growing else 1.0)
-        if after_ms > 0 and self._rules.retry_after and errand.chance.random() < self._retries.honour:
+        if after_ms > 0 and self._rules.retry_after and errand.rng.random() < self._retries.honour:
             wait = max(wait, min(after_ms, self._rules.max_retry_after_ms))
         due = now + wait
         if due + 1 > errand.end or (cls.repeats != "safe" and due > errand.risky + cls.window_ms):
--- a/coveport/testbed/standins/discovery.py
+++ b/coveport/testbed/standins/discovery.py
@@ -299,8 +299,8 @@
         if self._closed or not node.notice(news):
             return
         for view in self._views.values():
-            chance = random.Random(f"spread {self._day.seed} {view.sidecar} {number} {node.version}")
-            delay = _drawn(self._day.scenario.discovery.spread_ms, chance)
+            rng = random.Random(f"spread {self._day.seed} {view.sidecar} {number} {node.version}")
+            delay = _drawn(self._day.scenario.discovery.spread_ms, rng)
             delay += sum(one.value for one in self._on("discovery-late", view))
             self.net.loop.call_later(delay / 1000, self._hear, view, number, node.seen, node.version)
 
@@ -437,14 +437,14 @@
             for number in kept
         ]
         if known == "old" and self._first:
-            chance = random.Random(f"gone {self._day.seed} {sidecar}")
+            rng = random.Random(f"gone {self._day.seed} {sidecar}")
             for place in range(1 + len(self._first) // 5):
-                like = self._static[chance.choice(self._first)]
+                like = self._static[rng.choice(self._first)]
                 hosts.insert(
-                    chance.randrange(len(hosts) + 1),
+                    rng.randrange(len(hosts) + 1),
                     {
                         **like,
-                        "host": f"s-{chance.getrandbits(32):08x}",
+                        "host": f"s-{rng.getrandbits(32):08x}",
                         "dial": _nowhere(place),
                         "health": "active",
                     },
@@ -465,24 +465,24 @@
         if known == "none":
             return []
         if known == "old" and len(self._first) > 1:
-            chance = random.Random(f"known {self._day.seed} {sidecar}")
-            missing = chance.sample(self._first, max(1, len(self._first) // 5))
+            rng = random.Random(f"known {self._day.seed} {sidecar}")
+            missing = rng.sample(self._first, max(1, len(self._first) // 5))
             return [number for number in self._first if number not in missing]
         return self._first
 
     def _extra_entries(self) -> list[bytes]:
         """Entries of zones that nobody here is in; leaving, so that nothing goes there."""
         count = self._day.scenario.discovery.extra
-        chance = random.Random(f"extra {self._day.seed}")
+        rng = random.Random(f"extra {self._day.seed}")
         kinds = [kind.name for kind in self._day.scenario.fleet.kinds]
         cells = 1 + max((node.cell for node in self._day.nodes), default=0)
         return [
             msgspec.json.encode(
                 {
-                    "host": f"x-{chance.getrandbits(32):08x}-{place}",
+                    "host": f"x-{rng.getrandbits(32):08x}-{place}",
                     "dial": _nowhere(1000 + place),
                     "site": f"far-{place % 7}",
-                    "class": chance.choice(kinds),
+                    "class": rng.choice(kinds),
                     "block": cells + place // 4,
                     "health": "leaving",
                     "share": 1.0,
@@ -508,5 +508,5 @@
     return f"127.254.{place // 250 % 250}.{place % 250 + 1}:{9 + place // 62_500}"
 
 
-def _drawn(figure: Figure, chance: random.Random) -> float:
-    return chance.uniform(*figure) if isinstance(figure, tuple) else figure
+def _drawn(figure: Figure, rng: random.Random) -> float:
+    return rng.uniform(*figure) if isinstance(figure, tuple) else figure
--- a/coveport/testbed/standins/fates.py
+++ b/coveport/testbed/standins/fates.py
@@ -74,10 +74,10 @@
 nothing."""
 
 
-def spoilt_answer(kind: str, head: bytes, body: bytes, chance: random.Random) -> bytes:
+def spoilt_answer(kind: str, head: bytes, body: bytes, rng: random.Random) -> bytes:
     """The bytes of an answer that is spoilt in one of the ways of `SPOILT`."""
     if kind == "noise":
-        return chance.randbytes(chance.randrange(64, 512))
+        return rng.randbytes(rng.randrange(64, 512))
     if kind == "chunks":
         return b"%bTransfer-Encoding: chunked\r\n\r\nzz\r\n%b" % (head, body)
     length = {"long": len(body) + 1000, "drip": CLAIMED}.get(kind, len(body))
--- a/coveport/testbed/standins/nodes.py
+++ b/coveport/testbed/standins/nodes.py
@@ -547,9 +547,9 @@
 
     def _spoil(self, link: NodeLink, attempt: Attempt, now: float) -> None:
         """Answer so that nobody can read it, or (one in six) so that it can be read all the same."""
-        chance, body = self._fates.random, attempt.run.answer
-        kind = SPOILT[chance.randrange(len(SPOILT))]
-        link.transport.write(spoilt_answer(kind, self._head(200, now), body, chance))
+        rng, body = self._fates.random, attempt.run.answer
+        kind = SPOILT[rng.randrange(len(SPOILT))]
+        link.transport.write(spoilt_answer(kind, self._head(200, now), body, rng))
         whole = kind == "junk"
         self._write(
             Replied(
--- a/coveport/testbed/workload.py
+++ b/coveport/testbed/workload.py
@@ -57,9 +57,9 @@
 
 
 def _asking(scenario: Scenario, seed: int, capacity: float) -> _Asking:
-    load, chance = scenario.load, stream(seed, "load")
+    load, rng = scenario.load, stream(seed, "load")
     rate, level, swing, phase, most, skew, spread = (
-        drawn(chance, one)
+        drawn(rng, one)
         for one in (
             load.rate,
             load.level,
@@ -205,27 +205,26 @@
 
     Each figure takes one draw a wish, whether it is needed or not, so that settings move nothing else.
     """
-    chance = arrays(seed, *names)
+    rng = arrays(seed, *names)
     done = np.concatenate([[0.0], np.cumsum((intensity[1:] + intensity[:-1]) / 2 * np.diff(times))])
-    count = int(chance.poisson(done[-1]))
-    due = _rounded(np.interp(np.sort(chance.random(count)) * done[-1], done, times))
+    count = int(rng.poisson(done[-1]))
+    due = _rounded(np.interp(np.sort(rng.random(count)) * done[-1], done, times))
     classes, load = scenario.classes, scenario.load
-    cls = _shared(chance.random(count), [one.share for one in classes])
-    sidecar = _shared(chance.random(count), asking.shares)
-    even, normal = chance.standard_exponential(count), chance.standard_normal(count)
+    cls = _shared(rng.random(count), [one.share for one in classes])
+    sidecar = _shared(rng.random(count), asking.shares)
+    even, normal = rng.standard_exponential(count), rng.standard_normal(count)
     work = np.zeros(count)
     for at, one in enumerate(classes):
         work = np.where(cls == at, asking.means[at] * _spread(one, asking.cvs[at], even, normal), work)
     body, answer = (
-        _whole(chance.random(count), cls, [getattr(one, name) for one in classes])
-        for name in ("body", "answer")
+        _whole(rng.random(count), cls, [getattr(one, name) for one in classes]) for name in ("body", "answer")
     )
     body = np.where(np.array([one.repeats == "safe" for one in classes])[cls], 0, body)
-    tries = 1 + int(asking.most) + (chance.random(count) < asking.most % 1).astype(np.int64)
+    tries = 1 + int(asking.most) + (rng.random(count) < asking.most % 1).astype(np.int64)
     low, high = ends(load.retries.try_share)
-    try_share = low + chance.random(count) * (high - low)
+    try_share = low + rng.random(count) * (high - low)
     patience = np.array([one.deadline_ms for one in classes])[cls] * try_share
-    impatient, moment, half, stays = (chance.random(count) for _ in range(4))
+    impatient, moment, half, stays = (rng.random(count) for _ in range(4))
     return _Batch(
         due,
         cls,
--- a/tests/testbed/bookkeeping.py
+++ b/tests/testbed/bookkeeping.py
@@ -157,35 +157,35 @@
 
 def legal_book(seed: int, told: bool) -> Book:
     """Of sidecars that keep every rule, in bad weather; `told`: whether the ground tells when they sent."""
-    chance = random.Random(seed)
+    rng = random.Random(seed)
     cut = Change(CUT[0], 0, "cut", target=1), Change(CUT[1], 0, "cut", on=False)
     book = Book(*cut, jitter=JITTER).life(*UP, (STALL[0], "stall"), (STALL[1], "resume"))
     for number in range(40):
-        _play(book, chance, number % 2, f"op {number}", chance.randrange(3), told)
+        _play(book, rng, number % 2, f"op {number}", rng.randrange(3), told)
     return book
 
 
-def _play(book: Book, chance: random.Random, sidecar: int, op: str, cls: int, told: bool) -> None:
+def _play(book: Book, rng: random.Random, sidecar: int, op: str, cls: int, told: bool) -> None:
     def act(at: float) -> float:  # when the sidecar does what it would do at `at`
         return STALL[1] if sidecar == 0 and STALL[0] <= at < STALL[1] else at
 
     def client(at: float) -> float:
-        return at + CLIENT * chance.uniform(1, 1 + JITTER)
+        return at + CLIENT * rng.uniform(1, 1 + JITTER)
 
     def way(at: float, node: int) -> float:  # when a message between the sidecar and the node comes
-        near, slower = PLACES[node][0] == 0, chance.uniform(1, 1 + JITTER)
+        near, slower = PLACES[node][0] == 0, rng.uniform(1, 1 + JITTER)
         there = at + (SAME if near else CROSS) * slower
         return CUT[1] + CROSS * slower if not near and at <= CUT[1] and there >= CUT[0] else there
 
     def attempt(now: float, node: int, until: float, effect: bool) -> tuple[float, int, bool]:
         """When and how it ends for the sidecar, and whether it has taken effect."""
         came = way(now, node)
-        over = came + chance.uniform(0, 300)
+        over = came + rng.uniform(0, 300)
         closed, known = max(way(until, node), came), act(way(over, node))
-        what = chance.choice((200, 200, 500, 503, "cut", "spoilt"))
+        what = rng.choice((200, 200, 500, 503, "cut", "spoilt"))
         row: dict[str, Any] = {"op": op, "came": came, "told": told}
         if what in (200, 500, "spoilt") and (cls == BALANCE or not effect):
-            at = chance.uniform(came, over)
+            at = rng.uniform(came, over)
             row |= {"ran": at} if at < closed else {}
         given_up = known > until or what == "spoilt"
         row |= {"closed": closed} if given_up else {}
@@ -199,16 +199,16 @@
         status = what if isinstance(what, int) and not given_up else 502
         return until if given_up else known, status, "ran" in row
 
-    asked, patience = chance.uniform(1, 3000), chance.uniform(100, 900)
-    leaves = asked + chance.uniform(1, 400) if chance.random() < 0.2 else inf
+    asked, patience = rng.uniform(1, 3000), rng.uniform(100, 900)
+    leaves = asked + rng.uniform(1, 400) if rng.random() < 0.2 else inf
     book.ask(op, asked, cls, sidecar=sidecar, patience=patience)
     now, gone, limit = act(client(asked)), act(client(leaves)), act(asked + patience + 2)
     cell, status, effect = -1, 504, False
-    for _ in range(chance.randint(1, 3)):
+    for _ in range(rng.randint(1, 3)):
         if now >= min(gone, limit) or status == 200:
             break
-        node = chance.choice([node for node, place in enumerate(PLACES) if cell in (-1, place[1])])
-        until = act(min(gone, limit, now + chance.uniform(5, 400)))
+        node = rng.choice([node for node, place in enumerate(PLACES) if cell in (-1, place[1])])
+        until = act(min(gone, limit, now + rng.uniform(5, 400)))
         now, status, ran = attempt(now, node, until, effect)
         effect = effect or ran
         if status != 503 and cls == EARN:
@@ -216,7 +216,7 @@
         if status != 503 and cls == REDEEM:
             break
         status = 502 if cell != -1 and status == 503 else status
-    done = client(act(now + chance.uniform(0, 10)))
+    done = client(act(now + rng.uniform(0, 10)))
     if gone <= now or done >= leaves:
         book.left(leaves, op=op)
     else:
--- a/tests/testbed/test_loopback.py
+++ b/tests/testbed/test_loopback.py
@@ -135,8 +135,8 @@
 
 @on_ground
 async def test_what_passes_stays_in_order_up_to_the_end(ground: Ground) -> None:
-    chance = random.Random(1)
-    ground.way_s = lambda: chance.random() * 0.02
+    rng = random.Random(1)
+    ground.way_s = lambda: rng.random() * 0.02
     mine = await ground.dial()
     sent = b""
     for number in range(30):
--- a/tests/testbed/test_search.py
+++ b/tests/testbed/test_search.py
@@ -86,8 +86,8 @@
 
 
 def test_a_kind_that_no_table_knows_is_drawn_by_its_bounds() -> None:
-    chance = random.Random(1)
-    tables = [schedules._drawn(Fog, CALM, chance) for _ in range(200)]
+    rng = random.Random(1)
+    tables = [schedules._drawn(Fog, CALM, rng) for _ in range(200)]
     assert {one["how"] for one in tables} == {"thick", "thin"}
     assert {one["lifts"] for one in tables} == {True, False}
     assert min(one["size"] for one in tables) < 0.05 and 0.5 < max(one["size"] for one in tables) <= 1
