Neighbouring versions work together; who crashed during a partition is not listed after it

Cause: frames of another version ended their connection, so all processes had to be restarted together. A coordinator that was partitioned or frozen listed nodes that had crashed meanwhile for one more time-out, and its table brought them back at all others. SIGHUP took nothing; most bounds were not used.

--- a/coveport/serving/coordinator/coordinator.py
+++ b/coveport/serving/coordinator/coordinator.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 from typing import Final
 
 from coveport.net.transport import Net
@@ -19,6 +20,7 @@
 from coveport.serving.coordinator.node_report_replication import NodeReportReplicator, ReportPeers
 from coveport.serving.coordinator.operator_api import OperatorApi
 from coveport.serving.coordinator.peer_connections import PeerConnections
+from coveport.serving.coordinator.peer_versions import PeerVersions
 from coveport.serving.coordinator.quorum_status import QuorumStatus
 from coveport.serving.coordinator.replica_runtime import ReplicaCallbacks, ReplicaRuntime
 from coveport.serving.coordinator.stall_detector import StallDetector
@@ -28,6 +30,7 @@
 from coveport.serving.log import EventLogger
 from coveport.serving.membership.leases import LeaseTable
 from coveport.serving.membership.node_table import NodeTable
+from coveport.serving.model.node import Node
 from coveport.serving.replication.events import CommittedState
 from coveport.serving.replication.identity import Locality, MemberId
 from coveport.serving.replication.messages import Message as ReplicationMessage
@@ -37,6 +40,7 @@
 from coveport.serving.web.router import Router
 from coveport.serving.web.server import HttpServer
 from coveport.serving.wire.connection import Connection
+from coveport.serving.wire.errors import RemoteProtocolError
 from coveport.serving.wire.messages import (
     CoordinatorEndpoint,
     Hello,
@@ -48,7 +52,9 @@
     Unsubscribe,
     UpdateRequest,
 )
+from coveport.serving.wire.rejection_throttle import RejectionThrottle
 from coveport.serving.wire.traffic import Traffic
+from coveport.serving.wire.versions import PROTOCOL_VERSION
 
 MAINTENANCE_INTERVAL_S: Final = 0.1
 NODE_TIMEOUT_HEARTBEATS: Final = 4.5  # a node that missed so many is removed
@@ -62,6 +68,8 @@
 class Coordinator:
     """The tables of one coordinator, its replica of the core, and its servers."""
 
+    reloadable = frozenset({"seeds", "bounds.grace_s", "bounds.ttl_max_s"})
+
     def __init__(
         self,
         net: Net,
@@ -80,16 +88,23 @@
         self._disk_damage = opened.damage
         host, port = settings.inner
         own_address = f"{host}:{port}"
-        seeds = tuple(f"{seed}:{port}" for seed, _ in settings.seeds)
+        seeds = _inner_addresses(settings)
         self._endpoint = CoordinatorEndpoint(own_address, settings.zone, settings.region)
         self._member_id = MemberId(own_address, opened.durable.disk)
-        self._hello = Hello(own_address, self._member_id.disk)
+        self._hello = Hello(own_address, self._member_id.disk, PROTOCOL_VERSION)
         self.table = NodeTable(NODE_TIMEOUT_HEARTBEATS * settings.heartbeat_ms / 1000)
         self.leases = LeaseTable()
         self.history = StateHistory()
         self.traffic = Traffic()
+        self._versions = PeerVersions()
+        self._rejections = RejectionThrottle(net.now_s)
         self._peers = PeerConnections(
-            net, self._hello, self._receive_from_peer, self._on_peer_connected, self.traffic
+            net,
+            self._hello,
+            self._receive_from_peer,
+            self._on_peer_connected,
+            self.traffic,
+            self._on_protocol_error,
         )
         self._stall_detector = StallDetector(net.now_s, self._on_stall, log)
         self._replica = self._make_replica(seeds, opened, random_source)
@@ -102,6 +117,7 @@
         self._subscriptions = self._make_subscriptions(f"{random_source.getrandbits(64):016x}")
         self._reports = self._make_report_replicator(len(seeds), random_source.getrandbits(48))
         self._liveness = CoordinatorLiveness(self._endpoint)
+        self._lookup_api = LookupApi(self.leases, self._liveness, net.now_s, settings.bounds.ttl_max_s)
         self._listener = self._make_listener()
         self._servers = self._make_servers()
         self._maintenance_timer: asyncio.TimerHandle | None = None
@@ -149,6 +165,7 @@
             self._peers.known,
             lambda: self._replica.view_epoch,
             self._replica.is_majority,
+            self._quorum_status.has_quorum,
         )
         return NodeReportReplicator(
             self._net,
@@ -167,6 +184,8 @@
             self._receive,
             self._subscriptions.connection_lost,
             self.traffic,
+            self._versions,
+            self._on_protocol_error,
             self._log,
         )
 
@@ -183,7 +202,7 @@
                 HttpServer(self._net, settings.control, router.dispatch, self._stall_detector.check)
             )
         if settings.lookups is not None:
-            router = Router(LookupApi(self.leases, self._liveness, self._net.now_s))
+            router = Router(self._lookup_api)
             servers.append(
                 HttpServer(self._net, settings.lookups, router.dispatch, self._stall_detector.check)
             )
@@ -197,6 +216,7 @@
             self._quorum_status,
             self.history,
             self.traffic,
+            self._versions,
             self.leases,
             self.table,
         )
@@ -212,6 +232,12 @@
         self._run_maintenance()
         self._log.info("coordinator_started", name=self._settings.name, zone=self._settings.zone)
 
+    def apply_settings(self, settings: BootSettings) -> None:
+        """Take the settings that can change while this coordinator runs (`reloadable`)."""
+        self._settings = settings
+        self._lookup_api.max_ttl_s = settings.bounds.ttl_max_s
+        self._replica.add_peers(_inner_addresses(settings))
+
     async def stop(self) -> None:
         """Hand over to another primary and to other replicas, respond to what was received, and close."""
         self._log.info("coordinator_stopping")
@@ -250,6 +276,7 @@
     def _receive(self, connection: Connection, message: Message) -> None:
         match message:
             case UpdateRequest():
+                self._versions.record_proxy(message.lease.name, message.protocol_version)
                 self._reports.receive_departed(message.deregistered)
                 self._subscriptions.receive(connection, message)
             case Unsubscribe():
@@ -261,6 +288,8 @@
         match message:
             case NodeReports():
                 self._reports.receive_reports(hello.address, message)
+                if message.is_complete_table:
+                    self._remove_unlisted_nodes(message.nodes)
             case NodeReportsAck():
                 self._reports.receive_ack(MemberId(hello.address, hello.disk), message)
             case LeasesRenewed():
@@ -270,6 +299,10 @@
             case _ if isinstance(message, ReplicationMessage):
                 self._runtime.receive(MemberId(hello.address, hello.disk), message)
 
+    def _on_protocol_error(self, connection: Connection, error: RemoteProtocolError) -> None:
+        if self._rejections.should_log(connection.peer_host):
+            self._log.error("frame_rejected", sender=connection.peer_host, error=str(error))
+
     def _on_peer_connected(self, address: str) -> None:
         # The tables go before our first ping: once the peer counts us as live, it has our node table.
         self._send_tables(address)
@@ -277,7 +310,7 @@
         self._peers.send(address, TableRequest())
 
     def _send_tables(self, address: str) -> None:
-        self._reports.send_table(address)
+        self._reports.send_table(address, knows_all_nodes=self._quorum_status.knows_all_nodes())
         self._lease_replicator.send_all(address)
 
     def _on_committed(self, effect: CommittedState) -> None:
@@ -316,6 +349,20 @@
             self._subscriptions.notify()
 
     def _remove_timed_out_nodes(self, now_s: float) -> None:
-        for incarnation in self.table.expire(now_s):
+        self._record_timed_out(self.table.expire(now_s))
+
+    def _remove_unlisted_nodes(self, listed: Iterable[Node]) -> None:
+        """Remove nodes that a peer's complete table lacks: they timed out while we could not receive."""
+        incarnations = {node.incarnation for node in listed}
+        self._record_timed_out(self.table.expire_unlisted(incarnations, self._net.now_s()))
+
+    def _record_timed_out(self, incarnations: Iterable[str]) -> None:
+        for incarnation in incarnations:
             self._log.warning("node_timed_out", node=incarnation)
             self._subscriptions.notify()
+
+
+def _inner_addresses(settings: BootSettings) -> tuple[str, ...]:
+    """Return the inner addresses of the seeds: ports are alike on all machines."""
+    _, port = settings.inner
+    return tuple(f"{seed}:{port}" for seed, _ in settings.seeds)
--- a/coveport/serving/coordinator/inner_listener.py
+++ b/coveport/serving/coordinator/inner_listener.py
@@ -7,10 +7,10 @@
 
 from coveport.net.address import Address
 from coveport.net.transport import Listening, Net
+from coveport.serving.coordinator.peer_versions import PeerVersions
 from coveport.serving.coordinator.stall_detector import StallDetector
 from coveport.serving.log import EventLogger
-from coveport.serving.wire.connection import Connection
-from coveport.serving.wire.errors import RemoteProtocolError
+from coveport.serving.wire.connection import Connection, ProtocolErrorHandler
 from coveport.serving.wire.messages import Hello, Message
 from coveport.serving.wire.traffic import Traffic
 
@@ -32,11 +32,14 @@
         on_message: MessageHandler,
         on_closed: ClosedHandler,
         traffic: Traffic,
+        versions: PeerVersions,
+        on_protocol_error: ProtocolErrorHandler,
         log: EventLogger,
     ) -> None:
         """Create a listener; `own_disk` is the identity of this coordinator's disk.
 
         `on_message` gets every message but `Hello`, and `on_closed` each connection at its end.
+        `on_protocol_error` is called where another program, or another version of ours, connected.
         """
         self._net = net
         self._own_disk = own_disk
@@ -44,6 +47,8 @@
         self._on_message = on_message
         self._on_closed = on_closed
         self._traffic = traffic
+        self._versions = versions
+        self._on_protocol_error = on_protocol_error
         self._log = log
         self._listening: Listening | None = None
 
@@ -59,7 +64,7 @@
             self._listening.close()
 
     def _make_connection(self) -> Connection:
-        return Connection(self._net, self._receive, self._on_closed, self._traffic, self._log_rejected_frame)
+        return Connection(self._net, self._receive, self._on_closed, self._traffic, self._on_protocol_error)
 
     def _receive(self, connection: Connection, message: Message) -> None:
         self._stall_detector.check()
@@ -77,7 +82,4 @@
             connection.abort()
         else:
             connection.peer = hello
-
-    def _log_rejected_frame(self, connection: Connection, error: RemoteProtocolError) -> None:
-        """Log that the peer is another program, or a coordinator or proxy of another version."""
-        self._log.error("frame_rejected", sender=connection.peer_host, error=str(error))
+            self._versions.record_coordinator(hello.address, hello.protocol_version)
--- a/coveport/serving/coordinator/lookup_api.py
+++ b/coveport/serving/coordinator/lookup_api.py
@@ -21,7 +21,15 @@
 class LookupApi:
     """Handlers of the clients' requests."""
 
-    def __init__(self, leases: LeaseTable, liveness: CoordinatorLiveness, now_s: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        leases: LeaseTable,
+        liveness: CoordinatorLiveness,
+        now_s: Callable[[], float],
+        max_ttl_s: float,
+    ) -> None:
+        """`max_ttl_s`: the longest time, in seconds, for which a client may keep an answer."""
+        self.max_ttl_s = max_ttl_s
         self._leases = leases
         self._liveness = liveness
         self._now_s = now_s
@@ -37,4 +45,4 @@
             return json_response(503, {ERROR: "no proxy is ready"})
         is_delayed = self._liveness.is_lookup_delayed(zone, region, now_s)
         ttl_s = TTL_WHILE_DELAYED_S if is_delayed else TTL_S
-        return json_response(200, {Lookup.ADDRESSES: addresses, Lookup.TTL_S: ttl_s})
+        return json_response(200, {Lookup.ADDRESSES: addresses, Lookup.TTL_S: min(ttl_s, self.max_ttl_s)})
--- a/coveport/serving/coordinator/node_report_replication.py
+++ b/coveport/serving/coordinator/node_report_replication.py
@@ -48,6 +48,7 @@
     known: Callable[[], list[str]]  # all
     view_epoch: Callable[[], Epoch]  # of the view that this coordinator knows
     is_majority: Callable[[Collection[MemberId]], bool]  # with this coordinator, in that view
+    has_quorum: Callable[[], bool]  # this coordinator: what comes without one may have been held up
 
 
 class NodeReportReplicator:
@@ -110,15 +111,15 @@
         if self._is_replicated(pending) and not pending.replicated.done():
             pending.replicated.set_result(True)
 
-    def send_table(self, peer: str) -> None:
-        """Send the complete node table to a peer, tombstones included."""
+    def send_table(self, peer: str, *, knows_all_nodes: bool = False) -> None:
+        """Send all nodes that were reported lately to a peer, tombstones included.
+
+        `knows_all_nodes`: this coordinator has heard of every live node, so the peer may drop others.
+        """
         now_s = self._net.now_s()
-        nodes = (
-            *(entry.snapshot_at(now_s) for entry in self._table.entries()),
-            *self._table.deregistrations(now_s),
-        )
-        if nodes:
-            self._peers.send(peer, NodeReports(NO_ACK, nodes))
+        nodes = (*self._table.confirmed_nodes(now_s), *self._table.deregistrations(now_s))
+        if nodes or knows_all_nodes:
+            self._peers.send(peer, NodeReports(NO_ACK, nodes, knows_all_nodes))
 
     def start_replication(self, node: Node) -> PendingReport:
         """Send a report to all peers and request their acknowledgements."""
@@ -150,7 +151,10 @@
 
     def _apply(self, nodes: tuple[Node, ...], sender: str) -> None:
         now_s = self._net.now_s()
-        changed = tuple(node for node in nodes if self._table.apply_report(node, now_s))
+        is_confirmed = self._peers.has_quorum()
+        changed = tuple(
+            node for node in nodes if self._table.apply_report(node, now_s, is_confirmed=is_confirmed)
+        )
         if not changed:
             return
         self._on_table_changed()
--- a/coveport/serving/coordinator/peer_connections.py
+++ b/coveport/serving/coordinator/peer_connections.py
@@ -14,7 +14,7 @@
 
 from coveport.net.address import parse_address
 from coveport.net.transport import Net
-from coveport.serving.wire.connection import Connection, connect
+from coveport.serving.wire.connection import Connection, ProtocolErrorHandler, connect
 from coveport.serving.wire.messages import Hello, Message
 from coveport.serving.wire.traffic import Traffic
 
@@ -46,13 +46,18 @@
         on_message: PeerMessageHandler,
         on_connected: PeerConnectedHandler,
         traffic: Traffic | None = None,
+        on_protocol_error: ProtocolErrorHandler | None = None,
     ) -> None:
-        """Create an empty set of peers; `hello` is the first message on each connection that is dialed."""
+        """Create an empty set of peers; `hello` is the first message on each connection that is dialed.
+
+        `on_protocol_error`: called where a peer can't read our messages.
+        """
         self._net = net
         self._hello = hello
         self._on_message = on_message
         self._on_connected = on_connected
         self._traffic = traffic
+        self._on_protocol_error = on_protocol_error
         self._peers: dict[str, _Peer] = {}
 
     def set_addresses(self, addresses: Iterable[str]) -> None:
@@ -138,6 +143,7 @@
                 CONNECT_TIMEOUT_S,
                 self._on_closed,
                 self._traffic,
+                self._on_protocol_error,
             )
         finally:
             peer.dial_task = None
@@ -150,7 +156,7 @@
         self._on_connected(peer.address)
 
     def _ignore_message(self, connection: Connection, message: Message) -> None:
-        """Peers send on the connections that they dial themselves; nothing comes here."""
+        """Peers send on the connections that they dial themselves; nothing else comes here."""
 
     def _on_closed(self, connection: Connection) -> None:
         peer = connection.peer
--- a/coveport/serving/coordinator/status_report.py
+++ b/coveport/serving/coordinator/status_report.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from coveport.serving.coordinator.peer_versions import PeerVersions
 from coveport.serving.coordinator.quorum_status import QuorumStatus
 from coveport.serving.coordinator.state_history import StateHistory
 from coveport.serving.membership.leases import LeaseTable
@@ -24,18 +25,22 @@
     quorum_status: QuorumStatus
     history: StateHistory
     traffic: Traffic
+    versions: PeerVersions
     leases: LeaseTable
     table: NodeTable
 
     def describe(self) -> dict[str, Any]:
         """Return the body of the status call; its keys are fixed, see the operators' pages."""
+        coordinators = [endpoint.address for endpoint in self.quorum_status.live_coordinators()]
+        proxies = [lease.name for lease in self.leases.active(self.now_s())]
         return {
             "name": self.name,
             "core": self.replica.describe(),
             "connected": self.quorum_status.has_quorum(),
             "state_sequence": self.history.sequence,
             "traffic": self.traffic.describe(),
-            "coordinators": [endpoint.address for endpoint in self.quorum_status.live_coordinators()],
+            "protocol": self.versions.describe(coordinators, proxies),
+            "coordinators": coordinators,
             "proxies": self._describe_proxies(),
             "nodes": self._describe_nodes(),
         }
--- a/coveport/serving/membership/node_table.py
+++ b/coveport/serving/membership/node_table.py
@@ -5,7 +5,8 @@
 - Of two reports on an incarnation the newer one wins, and draining is never undone.
 - Each change gets a revision of this table; a subscriber that names its revision gets the changes since.
 - An incarnation that times out is removed, and a later heartbeat brings it back. Time counts only while this
-  coordinator was able to receive (see `NodeTable.reset_timeouts`).
+  coordinator was able to receive (see `NodeTable.reset_timeouts`); what it missed, the complete table of a
+  coordinator that heard of every node makes up for (see `NodeTable.expire_unlisted`).
 - A deregistration leaves a tombstone, and nothing brings the incarnation back. Tombstones are sent like
   entries, to proxies and to coordinators that were partitioned or restarted, and outlive delayed heartbeats.
 - Of two incarnations at one address the one that reported last is valid: a restarted node is known by its new
@@ -14,9 +15,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, replace
 from itertools import takewhile
+from math import inf
 from typing import Final
 
 from coveport.serving.model.node import Node, NodeState, deregistration
@@ -25,6 +27,7 @@
 # jitter of heartbeats, which give the time left.
 WARM_UP_CHANGE_S: Final = 0.3
 TOMBSTONE_S: Final = 600.0  # longer than a partition delays messages
+UNCONFIRMED: Final = -inf  # as the time of a report
 MAX_TOMBSTONES: Final = 8192  # beyond that the oldest are dropped
 MAX_REMOVALS: Final = 4096  # a subscriber that missed more gets the complete table
 
@@ -34,7 +37,8 @@
     """An incarnation, with its times on this coordinator's clock."""
 
     node: Node
-    last_seen_s: float
+    reported_at_s: float  # when the newest report arrived; UNCONFIRMED where it may have been held up
+    last_seen_s: float  # the same, or later: when its time-out began
     warming_until_s: float  # 0.0: it has warmed up
     shutdown_at_s: float  # 0.0: not announced
     revision: int  # of the table, when the entry last changed
@@ -89,8 +93,23 @@
         """Return all entries."""
         return self._entries.values()
 
-    def apply_report(self, node: Node, now_s: float) -> bool:
-        """Apply a report, from the node itself or forwarded; return whether peers must get it at once."""
+    def confirmed_nodes(self, now_s: float) -> tuple[Node, ...]:
+        """Return the nodes that were reported within the time-out, to be sent to another coordinator.
+
+        One that is kept only because its time-out began anew may have crashed: the receiver would take it for
+        newly reported.
+        """
+        return tuple(
+            entry.snapshot_at(now_s)
+            for entry in self._entries.values()
+            if now_s - entry.reported_at_s <= self._timeout_s
+        )
+
+    def apply_report(self, node: Node, now_s: float, *, is_confirmed: bool = True) -> bool:
+        """Apply a report, from the node itself or forwarded; return whether peers must get it at once.
+
+        `is_confirmed`: it can't have been held up for long, by a partition or a stall of this coordinator.
+        """
         if node.incarnation in self._tombstones:
             return False
         known = self._entries.get(node.incarnation)
@@ -100,7 +119,7 @@
             return True
         if known is not None and not node.is_newer_than(known.node):
             return False
-        entry = _make_entry(node, now_s)
+        entry = _make_entry(node, now_s, is_confirmed=is_confirmed)
         is_change = known is None or _differs(known, entry)
         if is_change:
             self.revision += 1
@@ -135,14 +154,33 @@
             name for name, entry in self._entries.items() if now_s - entry.last_seen_s > self._timeout_s
         ]
         for incarnation in timed_out:
-            if self._entries[incarnation].node.state is NodeState.DRAINING:
-                self._add_tombstone(incarnation, now_s + TOMBSTONE_S)
-            else:
-                self._remove(incarnation)
+            self._expire(incarnation, now_s)
         for incarnation in [name for name, until_s in self._tombstones.items() if now_s > until_s]:
             del self._tombstones[incarnation]
         return timed_out
 
+    def expire_unlisted(self, listed: Collection[str], now_s: float) -> list[str]:
+        """Remove nodes without a report for the time-out that are not listed; return their incarnations.
+
+        `listed`: the complete table of a coordinator that has heard of every live node. This one may have
+        been frozen or partitioned, so that the time-outs of its own entries began anew. A listed node stays,
+        and counts as reported from its next report on: the table may itself have been held up.
+        """
+        unlisted = [
+            name
+            for name, entry in self._entries.items()
+            if name not in listed and now_s - entry.reported_at_s > self._timeout_s
+        ]
+        for incarnation in unlisted:
+            self._expire(incarnation, now_s)
+        return unlisted
+
+    def _expire(self, incarnation: str, now_s: float) -> None:
+        if self._entries[incarnation].node.state is NodeState.DRAINING:
+            self._add_tombstone(incarnation, now_s + TOMBSTONE_S)
+        else:
+            self._remove(incarnation)
+
     def changes_since(self, revision: int, now_s: float) -> TableChanges:
         """Return the changes since a revision; the complete table where it is too old or -1."""
         if revision < self._removals_from or revision > self.revision:
@@ -184,11 +222,12 @@
             self._removals_from = dropped.revision
 
 
-def _make_entry(node: Node, now_s: float) -> NodeEntry:
+def _make_entry(node: Node, now_s: float, *, is_confirmed: bool) -> NodeEntry:
     """Return the entry of a report received now; its revision is still open."""
+    reported_at_s = now_s if is_confirmed else UNCONFIRMED
     warming_until_s = now_s + node.warm_up_left_ms / 1000 if node.warm_up_left_ms > 0 else 0.0
     shutdown_at_s = now_s + node.shutdown_in_ms / 1000 if node.shutdown_in_ms > 0 else 0.0
-    return NodeEntry(node, now_s, warming_until_s, shutdown_at_s, 0)
+    return NodeEntry(node, reported_at_s, now_s, warming_until_s, shutdown_at_s, 0)
 
 
 def _differs(known: NodeEntry, entry: NodeEntry) -> bool:
--- a/coveport/serving/proxy/data_path.py
+++ b/coveport/serving/proxy/data_path.py
@@ -34,13 +34,17 @@
 from coveport.serving.proxy.retry_budget import RetryBudget
 from coveport.serving.proxy.slow_start import SlowStartLimiter
 from coveport.serving.proxy.startup_gate import StartupGate
-from coveport.serving.settings.boot import BootSettings
+from coveport.serving.settings.boot import BootSettings, Bounds
 from coveport.serving.wire.names import CanonicalHeader, Header
 
 
 class DataPath:
     """Everything between clients and nodes."""
 
+    reloadable = frozenset(
+        {"bounds.retry_ratio", "bounds.retry_slack", "bounds.warm_up_overshoot", "bounds.warm_up_slack"}
+    )
+
     def __init__(self, net: Net, settings: BootSettings, view: ControlView, random: Random) -> None:
         """`random` is the source of every draw of the data path."""
         self._net = net
@@ -56,6 +60,15 @@
         )
         self._requests_in_flight = 0
 
+    def apply_bounds(self, bounds: Bounds) -> None:
+        """Take the bounds that can change while the data path runs (`reloadable`)."""
+        budget = self._context.budget
+        budget.ratio = bounds.retry_ratio
+        budget.slack = bounds.retry_slack
+        slow_start = self._context.observations.slow_start
+        slow_start.overshoot = bounds.warm_up_overshoot
+        slow_start.slack = bounds.warm_up_slack
+
     async def start(self) -> None:
         """Begin to serve clients.
 
--- a/coveport/serving/proxy/process.py
+++ b/coveport/serving/proxy/process.py
@@ -25,6 +25,8 @@
 class Proxy:
     """One run of a proxy."""
 
+    reloadable = frozenset({"seeds", "bounds.grace_s", *DataPath.reloadable})
+
     def __init__(self, net: Net, settings: BootSettings, random: Random, log: EventLogger) -> None:
         assert settings.clients is not None
         self._net = net
@@ -33,10 +35,9 @@
         self.view = ControlView()
         self.data_path = DataPath(net, settings, self.view, random)
         self._incarnation = int(net.unix_s() * 1000)
-        seeds = [f"{host}:{settings.inner_ports[0]}" for host, _ in settings.seeds]
-        random.shuffle(seeds)
-        selector = CoordinatorSelector(settings.zone, settings.region, tuple(seeds))
-        self.subscription = Subscription(net, self.view, selector, self._make_lease, log, random)
+        self._random = random
+        self._selector = CoordinatorSelector(settings.zone, settings.region, self._shuffled_seeds())
+        self.subscription = Subscription(net, self.view, self._selector, self._make_lease, log, random)
         self._readiness: HttpServer | None = None
         if settings.readiness is not None:
             router = Router(ReadinessApi(self.is_ready))
@@ -49,6 +50,18 @@
         """Return whether the proxy serves clients."""
         return self._is_serving and not self._is_stopping and bool(self.view.nodes)
 
+    def apply_settings(self, settings: BootSettings) -> None:
+        """Take the settings that can change while this proxy runs (`reloadable`)."""
+        self._settings = settings
+        self._selector.seeds = self._shuffled_seeds()
+        self.data_path.apply_bounds(settings.bounds)
+
+    def _shuffled_seeds(self) -> tuple[str, ...]:
+        """Return the inner addresses of the seeds in an order of this proxy's own."""
+        seeds = [f"{host}:{self._settings.inner_ports[0]}" for host, _ in self._settings.seeds]
+        self._random.shuffle(seeds)
+        return tuple(seeds)
+
     async def start(self) -> None:
         """Listen to clients, and subscribe to the configuration that their first requests wait for."""
         self.view.listeners.append(self._on_view_changed)
--- a/coveport/serving/proxy/subscription.py
+++ b/coveport/serving/proxy/subscription.py
@@ -18,7 +18,9 @@
 from coveport.serving.proxy.coordinator_selection import CoordinatorSelector
 from coveport.serving.proxy.view_updater import ViewUpdater
 from coveport.serving.wire.connection import Connection, connect
+from coveport.serving.wire.errors import RemoteProtocolError
 from coveport.serving.wire.messages import Message, Unsubscribe, Update, UpdateRequest
+from coveport.serving.wire.rejection_throttle import RejectionThrottle
 
 CONNECT_TIMEOUT_S = 0.5  # a round trip between regions and a retransmission fit; not measured
 ANSWER_TIMEOUT_S = (
@@ -47,6 +49,7 @@
         self._log = log
         self._random = random
         self._updater = ViewUpdater(view, log)
+        self._rejections = RejectionThrottle(net.now_s)
         self._updates: asyncio.Queue[Update] = asyncio.Queue()
         self._request_number = 0
         self._task: asyncio.Task[None] | None = None
@@ -91,7 +94,13 @@
                 address = nearer
 
     async def _connect(self, address: str) -> Connection | None:
-        connection = await connect(self._net, parse_address(address), self._on_message, CONNECT_TIMEOUT_S)
+        connection = await connect(
+            self._net,
+            parse_address(address),
+            self._on_message,
+            CONNECT_TIMEOUT_S,
+            on_protocol_error=self._on_protocol_error,
+        )
         if connection is None:
             self._selector.record_failure(address, self._net.now_s())
         return connection
@@ -144,6 +153,10 @@
         if isinstance(message, Update):
             self._updates.put_nowait(message)
 
+    def _on_protocol_error(self, connection: Connection, error: RemoteProtocolError) -> None:
+        if self._rejections.should_log(connection.peer_host):
+            self._log.error("frame_rejected", sender=connection.peer_host, error=str(error))
+
     def _apply(self, update: Update) -> None:
         now_s = self._net.now_s()
         if update.has_quorum:
--- a/coveport/serving/proxy/view_updater.py
+++ b/coveport/serving/proxy/view_updater.py
@@ -18,6 +18,7 @@
 from coveport.serving.replication.state_machine import Applied
 from coveport.serving.wire.errors import MalformedMessageError
 from coveport.serving.wire.messages import StateChange, Update, UpdateRequest
+from coveport.serving.wire.versions import PROTOCOL_VERSION
 
 INITIAL_MAX_PROXIES = (
     32  # until a coordinator names a number: quotas are small rather than exceeded; not measured
@@ -55,7 +56,13 @@
         """Return the request for what is newer than the versions here."""
         sequence = NO_STATE_SEQUENCE if self.needs_full_state else self._sequence
         return UpdateRequest(
-            lease, self._table_id, self._node_revision, sequence, request_number, deregistered
+            lease,
+            self._table_id,
+            self._node_revision,
+            sequence,
+            request_number,
+            deregistered,
+            PROTOCOL_VERSION,
         )
 
     def apply(self, update: Update, now_s: float) -> None:
--- a/coveport/serving/replication/replica.py
+++ b/coveport/serving/replication/replica.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 from coveport.serving.replication.acceptor import Acceptor
 from coveport.serving.replication.catch_up import CatchUp
@@ -98,10 +98,14 @@
         self._catch_up = CatchUp(self._context, self._leader_role)
         self._last_tick_s = now_s
         self._now_s = now_s
-        for seed in seeds:
-            self._context.peers.add(seed)
+        self.add_peers(seeds)
         self._add_peers_of_view()
 
+    def add_peers(self, addresses: Iterable[str]) -> None:
+        """Stay in contact with these inner addresses too, members or not."""
+        for address in addresses:
+            self._context.peers.add(address)
+
     # -- queries --
 
     @property
--- a/coveport/serving/role_process.py
+++ b/coveport/serving/role_process.py
@@ -15,8 +15,9 @@
 from coveport.serving.log import EventLogger, create_logger
 from coveport.serving.model.findings import Refusal
 from coveport.serving.settings.boot import BootSettings
+from coveport.serving.settings.bound_checks import tight_bounds
 from coveport.serving.settings.reader import RoleSetting, read_boot_settings
-from coveport.serving.settings.reload import reload_settings
+from coveport.serving.settings.reload import ReloadingRole, SettingsReloader
 
 EXIT_CANNOT_START: Final = 1  # the disk can't be used
 EXIT_INVALID_SETTINGS: Final = 2
@@ -26,7 +27,7 @@
     """Something that a role needs can't be used; its text is the one line on standard error."""
 
 
-class Role(Protocol):
+class Role(ReloadingRole, Protocol):
     """A program that is run until a signal stops it."""
 
     async def start(self) -> None:
@@ -65,7 +66,26 @@
     shutdown_requested = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, shutdown_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings, settings_path, settings, log)
+    reloader = SettingsReloader(settings_path, settings, role)
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, reloader, log)
+    log_tight_bounds(settings, log)
     await role.start()
     await shutdown_requested.wait()
     await role.stop()
+
+
+def reload_settings(reloader: SettingsReloader, log: EventLogger) -> None:
+    """Read the settings file again, and log what changed or why it can't be used."""
+    outcome = reloader.reload()
+    if isinstance(outcome, Refusal):
+        log.error("settings_rejected", findings=[str(finding) for finding in outcome.findings])
+    else:
+        log.info("settings_changed", applied=list(outcome.applied), at_next_start=list(outcome.at_next_start))
+
+
+def log_tight_bounds(settings: BootSettings, log: EventLogger) -> None:
+    """Log one line for each bound that is tighter than our own times."""
+    for tight in tight_bounds(settings.bounds):
+        log.warning(
+            "bound_too_tight", key=tight.key, bound=tight.bound, needed=tight.needed, reason=tight.reason
+        )
--- a/coveport/serving/settings/reload.py
+++ b/coveport/serving/settings/reload.py
@@ -1,29 +1,80 @@
-"""SIGHUP: reads and checks the settings file again, and logs what the next start will change.
+"""SIGHUP: reads and checks the settings file again; what a role can take at once takes effect.
 
-Addresses, localities and bounds hold until the next start: nothing that is being served is touched. A file
-that can't be used changes nothing; its findings are logged.
+The rest waits for the next start. A file that can't be used changes nothing.
 """
 
 from __future__ import annotations
 
-from dataclasses import fields
-from typing import Any
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass, fields, is_dataclass, replace
+from typing import Any, Protocol
 
 from coveport.serving.model.findings import Refusal
 from coveport.serving.settings.boot import BootSettings
 from coveport.serving.settings.reader import read_boot_settings
 
 
-def changed_fields(running: BootSettings, candidate: BootSettings) -> tuple[str, ...]:
-    """Return the names of the settings that differ."""
-    names = (field.name for field in fields(running))
-    return tuple(name for name in names if getattr(running, name) != getattr(candidate, name))
+class ReloadingRole(Protocol):
+    """A role that takes some settings while it runs."""
 
+    reloadable: frozenset[str]  # the names of those settings, as `changed_settings` has them
 
-def reload_settings(path: str, running: BootSettings, log: Any) -> None:
-    """Read the file again, and log what differs from the running settings or why it can't be used."""
-    candidate = read_boot_settings(path)
-    if isinstance(candidate, Refusal):
-        log.error("settings_rejected", findings=[str(finding) for finding in candidate.findings])
-        return
-    log.info("settings_changed", at_next_start=list(changed_fields(running, candidate)))
+    def apply_settings(self, settings: BootSettings) -> None:
+        """Take the reloadable ones of these settings."""
+
+
+def changed_settings(running: BootSettings, candidate: BootSettings) -> tuple[str, ...]:
+    """Return the names of the settings that differ; within a table as in `bounds.grace_s`."""
+    return tuple(_changed(running, candidate, ""))
+
+
+def _changed(running: Any, candidate: Any, prefix: str) -> Iterator[str]:
+    for field in fields(running):
+        before = getattr(running, field.name)
+        after = getattr(candidate, field.name)
+        if is_dataclass(before):
+            yield from _changed(before, after, f"{field.name}.")
+        elif before != after:
+            yield prefix + field.name
+
+
+def with_changes(running: BootSettings, candidate: BootSettings, names: Collection[str]) -> BootSettings:
+    """Return the running settings with the candidate's values of these names."""
+    values: dict[str, Any] = {}
+    for name in names:
+        table, _, key = name.rpartition(".")
+        if table:
+            before = values.get(table, getattr(running, table))
+            values[table] = replace(before, **{key: getattr(getattr(candidate, table), key)})
+        else:
+            values[name] = getattr(candidate, name)
+    return replace(running, **values)
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsChange:
+    """The names of the settings that differ from those in effect before."""
+
+    applied: tuple[str, ...]  # in effect from here on
+    at_next_start: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class SettingsReloader:
+    """Owns the settings that are in effect."""
+
+    path: str
+    running: BootSettings
+    role: ReloadingRole
+
+    def reload(self) -> SettingsChange | Refusal:
+        """Read the file again and apply what can be; refuse a file that can't be used, with its findings."""
+        candidate = read_boot_settings(self.path)
+        if isinstance(candidate, Refusal):
+            return candidate
+        changed = changed_settings(self.running, candidate)
+        applied = tuple(name for name in changed if name in self.role.reloadable)
+        if applied:
+            self.running = with_changes(self.running, candidate, applied)
+            self.role.apply_settings(self.running)
+        return SettingsChange(applied, tuple(name for name in changed if name not in applied))
--- a/coveport/serving/simulation/faults.py
+++ b/coveport/serving/simulation/faults.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable
 from functools import partial
+from typing import Final
 
 from coveport.serving.simulation.events import FaultBegan, FaultEnded
 from coveport.serving.simulation.machines import RESTART_S, Machine
@@ -12,6 +13,8 @@
 from coveport.serving.simulation.topology import Partition
 from coveport.serving.simulation.world import SimulatedDeployment
 
+QUOTA_PERIOD_S: Final = 0.1  # of a processor's quota, as the platform accounts for it
+
 
 class FaultInjector(PlannedSteps):
     """Schedules faults of a deployment; times are in seconds after the traffic's start."""
@@ -48,6 +51,22 @@
         """Suspend a machine for `for_s`."""
         self._do(at_s, for_s, "freeze", [machine], partial(machine.freeze, for_s), _nothing)
 
+    def throttle(self, at_s: float, machines: Iterable[Machine], for_s: float, ran_s: float = 0.01) -> None:
+        """Give machines a processor quota that is spent after `ran_s` of each tenth of a second.
+
+        It is no fault in the event log: every rule holds meanwhile.
+        """
+        throttled = list(machines)
+        periods = round(for_s / QUOTA_PERIOD_S)
+
+        def spend_quota() -> None:
+            for machine in throttled:
+                if machine.is_up:
+                    machine.freeze(QUOTA_PERIOD_S - ran_s)
+
+        for period in range(periods):
+            self._day.at(at_s + period * QUOTA_PERIOD_S, spend_quota)
+
     def end_with_lost_disks(self, at_s: float, machines: Iterable[Machine], for_s: float = 1.0) -> None:
         """Wipe the disks of some machines while all coordinators and proxies lose power."""
         lost = list(machines)
--- a/coveport/serving/simulation/local_day.py
+++ b/coveport/serving/simulation/local_day.py
@@ -59,9 +59,10 @@
 
 
 class LocalDay:
-    """The deployment and the steps of one day."""
+    """The deployment and the steps of one day; a subclass has other steps."""
 
     def __init__(self, net: Net, folder: Path, seconds: float, seed: int, say: Say) -> None:
+        """`seconds`: of traffic. `say` gets each line of the progress."""
         self._net = net
         self._seconds = seconds
         self._say = say
@@ -143,7 +144,7 @@
         await self._operator.read(4.0)
 
     def _plan(self) -> list[tuple[float, Callable[[], Awaitable[None]]]]:
-        """Return the steps, each after which fraction of the day."""
+        """Return the steps, each with the fraction of the day after which it begins."""
         return [
             (0.15, self._change),
             (0.30, self._evacuate),
--- a/coveport/serving/wire/connection.py
+++ b/coveport/serving/wire/connection.py
@@ -8,10 +8,11 @@
 
 from coveport.net.address import Address
 from coveport.net.transport import Net
-from coveport.serving.wire.errors import RemoteProtocolError
+from coveport.serving.wire.errors import RemoteProtocolError, UnsupportedVersionError, VersionRejectedError
 from coveport.serving.wire.frames import HEADER_BYTES, FrameReader, write_frame
-from coveport.serving.wire.messages import CODEC, Message
+from coveport.serving.wire.messages import CODEC, Message, VersionRejected
 from coveport.serving.wire.traffic import Traffic
+from coveport.serving.wire.versions import FRAME_VERSION
 
 # Beyond this the peer doesn't read: the connection is aborted, so that a frozen peer can't fill the memory.
 MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
@@ -36,7 +37,7 @@
 
         `on_message`: called for each message. `on_closed`: called once, when the connection is over.
         `traffic`: counts the messages; several connections may share it. `on_protocol_error`: called before
-        the connection is aborted because the peer sent something that is no message.
+        the connection ends because the peer sent something that is no message, or can't read ours.
         """
         self._net = net
         self._on_message = on_message
@@ -78,12 +79,21 @@
             for payload in self._reader.feed(data):
                 message = CODEC.decode(payload)
                 self._traffic.record_received(type(message), HEADER_BYTES + len(payload))
+                if isinstance(message, VersionRejected):
+                    raise VersionRejectedError(message.frame_version)
                 self._on_message(self, message)
+        except UnsupportedVersionError as error:
+            self._notify_protocol_error(error)
+            self.send(VersionRejected(FRAME_VERSION))
+            self.close()
         except RemoteProtocolError as error:
-            if self._on_protocol_error is not None:
-                self._on_protocol_error(self, error)
+            self._notify_protocol_error(error)
             self.abort()
 
+    def _notify_protocol_error(self, error: RemoteProtocolError) -> None:
+        if self._on_protocol_error is not None:
+            self._on_protocol_error(self, error)
+
     def send(self, message: Message) -> None:
         """Send a message; it is dropped where the connection is over or the peer doesn't read."""
         self.send_frame(type(message), write_frame(CODEC.encode(message)))
@@ -122,12 +132,13 @@
     timeout_s: float,
     on_closed: CloseHandler | None = None,
     traffic: Traffic | None = None,
+    on_protocol_error: ProtocolErrorHandler | None = None,
 ) -> Connection | None:
     """Open a connection; return None where it is refused or takes longer than `timeout_s`."""
     created: list[Connection] = []
 
     def factory() -> Connection:
-        created.append(Connection(net, on_message, on_closed, traffic))
+        created.append(Connection(net, on_message, on_closed, traffic, on_protocol_error))
         return created[-1]
 
     try:
--- a/coveport/serving/wire/dataclass_formats.py
+++ b/coveport/serving/wire/dataclass_formats.py
@@ -2,7 +2,8 @@
 
 Fields may be int (any size), float, bool, str, bytes, enumerations of str, `X | None`, tuples of any one
 type, and nested dataclasses. They follow each other in their order, without names: renaming one leaves the
-bytes as they are.
+bytes as they are. Fields that a later version added (`versions.added_in`) may be absent at the end of a whole
+message, not within a nested value, which has no end of its own.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 import construct as c
 
 from coveport.serving.wire.errors import LocalProtocolError
+from coveport.serving.wire.versions import is_added
 
 T = TypeVar("T")
 
@@ -51,10 +53,20 @@
         super().__init__()
         self._kind = kind
         hints = typing.get_type_hints(kind)
-        self._fields = [(field.name, _format_of(hints[field.name])) for field in dataclasses.fields(kind)]
+        declared = dataclasses.fields(kind)
+        self._fields = [(field.name, _format_of(hints[field.name])) for field in declared]
+        self._original_count = sum(not is_added(field) for field in declared)
+        if any(is_added(field) for field in declared[: self._original_count]):
+            raise LocalProtocolError(f"{kind.__qualname__}: added fields must stand behind all others")
 
     def _parse(self, stream: Any, context: Any, path: str) -> Any:
-        return self._kind(*[item._parsereport(stream, context, path) for _, item in self._fields])
+        original = self._fields[: self._original_count]
+        values = [item._parsereport(stream, context, path) for _, item in original]
+        for _, item in self._fields[self._original_count :]:
+            if _is_at_end(stream):
+                break  # written by an older version: the dataclass has the defaults
+            values.append(item._parsereport(stream, context, path))
+        return self._kind(*values)
 
     def _build(self, value: Any, stream: Any, context: Any, path: str) -> Any:
         for name, item in self._fields:
@@ -130,6 +142,21 @@
         return value
 
 
+def _is_at_end(stream: Any) -> bool:
+    """Return whether a seekable stream has no further byte; its position stays."""
+    position = stream.tell()
+    has_more = bool(stream.read(1))
+    stream.seek(position)
+    return not has_more
+
+
+def _nested_format(kind: type) -> Any:
+    """Return the format of a dataclass within another one."""
+    if any(is_added(field) for field in dataclasses.fields(kind)):
+        raise LocalProtocolError(f"{kind.__qualname__} is nested: it can't have added fields")
+    return _CachedDataclassFormat(kind) if kind in _cached_kinds else DataclassFormat(kind)
+
+
 def _format_of(hint: Any) -> Any:
     """Return the format of an annotation; raise LocalProtocolError where there is none."""
     if hint in _SCALARS:
@@ -143,5 +170,5 @@
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
         return _EnumerationFormat(hint)
     if isinstance(hint, type) and dataclasses.is_dataclass(hint):
-        return _CachedDataclassFormat(hint) if hint in _cached_kinds else DataclassFormat(hint)
+        return _nested_format(hint)
     raise LocalProtocolError(f"a field is annotated with {hint!r}, which has no format")
--- a/coveport/serving/wire/frames.py
+++ b/coveport/serving/wire/frames.py
@@ -1,6 +1,6 @@
 """Frames between this system's own processes: magic and version, length, CRC-32, then one message.
 
-All numbers of the header are big-endian. A peer of another version is refused: its messages may differ.
+All numbers of the header are big-endian. Frames of another version can't be read (see `versions`).
 """
 
 from __future__ import annotations
@@ -11,14 +11,14 @@
 
 import construct as c
 
-from coveport.serving.wire.errors import MalformedFrameError
+from coveport.serving.wire.errors import MalformedFrameError, UnsupportedVersionError
+from coveport.serving.wire.versions import FRAME_VERSION
 
-FORMAT_VERSION: Final = 3  # 2: updates have departed nodes; 3: acknowledgements have the sender's view
 MAX_PAYLOAD_BYTES: Final = 48 * 1024 * 1024  # a whole configuration and every node fit well below
 
 _HEADER = c.Struct(
     "magic" / c.Const(b"CVP"),
-    "version" / c.Const(FORMAT_VERSION, c.Int8ub),
+    "version" / c.Int8ub,
     "length" / c.Int32ub,
     "checksum" / c.Int32ub,
 )
@@ -27,7 +27,7 @@
 
 def write_frame(payload: bytes) -> bytes:
     """Return a message's bytes with the header in front."""
-    header = {"length": len(payload), "checksum": zlib.crc32(payload)}
+    header = {"version": FRAME_VERSION, "length": len(payload), "checksum": zlib.crc32(payload)}
     return bytes(_HEADER.build(header)) + payload
 
 
@@ -40,7 +40,7 @@
     def feed(self, data: bytes) -> Iterator[bytes]:
         """Take more bytes of the stream and yield the payloads that are complete.
 
-        Raises MalformedFrameError; the stream can't be read on after it.
+        Raises MalformedFrameError or UnsupportedVersionError; the stream can't be read on after it.
         """
         self._buffer += data
         while len(self._buffer) >= HEADER_BYTES:
@@ -63,6 +63,8 @@
         header = _HEADER.parse(data)
     except c.ConstructError as error:
         raise MalformedFrameError(str(error)) from error
+    if header.version != FRAME_VERSION:
+        raise UnsupportedVersionError(header.version)
     if header.length > MAX_PAYLOAD_BYTES:
         raise MalformedFrameError(
             f"a frame of {header.length} bytes; at most {MAX_PAYLOAD_BYTES} are allowed"
--- a/coveport/serving/wire/message_labels.py
+++ b/coveport/serving/wire/message_labels.py
@@ -19,6 +19,7 @@
     messages.UpdateRequest: "UpdateRequest",
     messages.Update: "Update",
     messages.Unsubscribe: "AsksElsewhere",
+    messages.VersionRejected: "VersionRejected",
     replication.Ping: "Ping",
     replication.Prepare: "Prepare",
     replication.Promise: "Promise",
--- a/coveport/serving/wire/messages.py
+++ b/coveport/serving/wire/messages.py
@@ -1,7 +1,8 @@
 """Messages among coordinators, and between proxies and coordinators, beside those of replication.
 
 Fields are encoded by their order and type (see `dataclass_formats`), classes by their position in `MESSAGES`:
-neither may be moved, and another type or a new field needs a new version of the frames.
+neither may be moved. A new field goes to the end of its message, declared with `added_in`; another type, or a
+new field of a nested dataclass, needs a new version of the frames (see `versions`).
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 from coveport.serving.replication.messages import MESSAGES as REPLICATION_MESSAGES
 from coveport.serving.wire.codec import MessageCodec
 from coveport.serving.wire.dataclass_formats import cache_encodings
+from coveport.serving.wire.versions import UNANNOUNCED_VERSION, added_in
 
 cache_encodings(Node)
 cache_encodings(ProxyLease)
@@ -26,6 +28,7 @@
 
     address: str  # its inner address, ip:port
     disk: str  # identity of its disk
+    protocol_version: int = added_in(4, UNANNOUNCED_VERSION)  # of the program that dialed
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +37,9 @@
 
     confirmation_id: int  # not 0: answer with a `NodeReportsAck` of this number
     nodes: tuple[Node, ...]
+    is_complete_table: bool = added_in(
+        4, default=False
+    )  # `nodes` is all that the sender lists, tombstones too
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +72,7 @@
     state_sequence: int  # of the acknowledged state; -1: none
     request_number: int
     deregistered: tuple[str, ...] = ()  # incarnations known to be gone for good; sent once a connection
+    protocol_version: int = added_in(4, UNANNOUNCED_VERSION)  # of the proxy's program
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +117,13 @@
     max_proxies: int  # upper bound of the number of proxies; 0: not known yet
 
 
+@dataclass(frozen=True, slots=True)
+class VersionRejected:
+    """The last message on a connection: the sender can't read the frames that it got."""
+
+    frame_version: int  # that the sender reads
+
+
 Message = object
 MESSAGES: Final[tuple[type, ...]] = (  # the order gives each kind its number on the wire
     Hello,
@@ -121,5 +135,6 @@
     Update,
     Unsubscribe,
     *REPLICATION_MESSAGES,
+    VersionRejected,  # since version 4
 )
 CODEC: MessageCodec[Message] = MessageCodec(MESSAGES)
--- a/tests/golden/golden_wire_cases.py
+++ b/tests/golden/golden_wire_cases.py
@@ -81,6 +81,10 @@
     "update with the whole state": UPDATE,
     "update with changes": UPDATE_OF_CHANGES,
     "asks elsewhere": wire.Unsubscribe(),
+    "version rejected": wire.VersionRejected(3),
+    "announced hello": wire.Hello("10.0.0.1:7000", "aa01", 4),
+    "complete table": wire.NodeReports(0, (ACCEPTING_NODE,), True),
+    "announced update request": wire.UpdateRequest(LEASE, "table-1", 44, 9, 5, (), 4),
     "ping": core.Ping(
         counter=1000,
         echo=999,
--- a/tests/serving/membership/test_node_table.py
+++ b/tests/serving/membership/test_node_table.py
@@ -203,3 +203,69 @@
             assert not set(changes.removed) & set(alive)
     all_changes = table.changes_since(0, 0.0)
     assert set(all_changes.removed) | set(alive) == set(seen)
+
+
+def test_a_node_that_a_complete_table_lacks_is_removed_once_it_has_timed_out_here() -> None:
+    """Time-outs began anew after a partition; the others have counted on."""
+    table = NodeTable(TIMEOUT_S)
+    table.apply_report(node("i-crashed", 3), 0.0)
+    table.apply_report(node("i-live", 3), 0.0)
+    table.apply_report(node("i-here", 3), 0.0)
+    table.reset_timeouts(20.0)
+    table.apply_report(node("i-here", 9), 19.0)  # within the partition, it reported to this coordinator alone
+    revision = table.revision
+    assert table.expire_unlisted({"i-live"}, 20.0) == ["i-crashed"]
+    assert "i-crashed" not in table
+    assert "i-live" in table
+    assert "i-here" in table
+    assert table.changes_since(revision, 20.0).removed == ("i-crashed",)
+    assert table.expire_unlisted({"i-live"}, 20.0) == []
+
+
+def test_a_node_that_was_kept_over_a_partition_is_not_passed_on_until_it_reports() -> None:
+    """Passed on as newly reported, a crashed node would come back everywhere: it did."""
+    table = NodeTable(TIMEOUT_S)
+    table.apply_report(node("i-crashed", 3), 0.0)
+    table.apply_report(node("i-live", 3), 0.0)
+    table.reset_timeouts(20.0)
+    assert table.confirmed_nodes(20.0) == ()
+    table.apply_report(node("i-live", 4), 20.1)
+    assert [one.incarnation for one in table.confirmed_nodes(20.2)] == ["i-live"]
+    assert [one.incarnation for one in table.confirmed_nodes(20.1 + TIMEOUT_S)] == ["i-live"]
+
+
+def test_a_report_that_may_have_been_held_up_counts_for_nothing_against_a_later_complete_table() -> None:
+    """It came as the partition healed, sent before it began, and so did a table of that time."""
+    table = NodeTable(TIMEOUT_S)
+    table.apply_report(node("i-crashed", 3), 20.0, is_confirmed=False)
+    table.apply_report(node("i-live", 3), 20.0, is_confirmed=False)
+    assert table.confirmed_nodes(20.0) == ()
+    assert table.expire_unlisted({"i-crashed", "i-live"}, 20.1) == []
+    assert table.confirmed_nodes(20.1) == ()
+    assert table.expire_unlisted({"i-live"}, 20.2) == ["i-crashed"]
+    table.apply_report(node("i-live", 4), 20.3)
+    assert [one.incarnation for one in table.confirmed_nodes(20.4)] == ["i-live"]
+
+
+def test_a_node_that_a_complete_table_lacks_stays_until_its_time_out() -> None:
+    """The sender may not have heard of it yet."""
+    table = NodeTable(TIMEOUT_S)
+    table.apply_report(node("i-new", 1), 10.0)
+    assert table.expire_unlisted(set(), 10.0 + TIMEOUT_S) == []
+    assert table.expire_unlisted(set(), 10.1 + TIMEOUT_S) == ["i-new"]
+
+
+def test_a_draining_node_that_a_complete_table_lacks_is_not_brought_back_by_an_older_heartbeat() -> None:
+    table = NodeTable(TIMEOUT_S)
+    table.apply_report(node(sequence=2, state=NodeState.DRAINING), 0.0)
+    assert table.expire_unlisted(set(), 20.0) == ["i-1"]
+    assert not table.apply_report(node(sequence=1), 20.1)
+    assert len(table) == 0
+
+
+def test_a_node_that_was_dropped_as_unlisted_comes_back_with_its_next_heartbeat() -> None:
+    table = NodeTable(TIMEOUT_S)
+    table.apply_report(node(sequence=1), 0.0)
+    assert table.expire_unlisted(set(), 20.0) == ["i-1"]
+    assert table.apply_report(node(sequence=2), 20.1)
+    assert "i-1" in table
