The core is founded though a seed lost its disk before; schedules keep a record

Cause: a seed whose disk is lost before the first view may never bootstrap again, and the others waited for it for ever. Change: the first view is made by the seeds that may, if they are a majority and each other one says that its disk is new and knows no view; a bootstrap whose member's disk is lost under it is given up. Schedules lose a disk during the bootstrap, and keep their count in a file by source.

--- a/coveport/serving/replication/bootstrap.py
+++ b/coveport/serving/replication/bootstrap.py
@@ -1,12 +1,20 @@
-"""The first view of all: the lowest of the seeds proposes it, and every seed must accept it.
+"""The first view of all: the lowest seed that may bootstrap proposes it, and all such seeds must accept it.
 
-A member that has a view accepts no bootstrap view, so two bootstraps can't both have all seeds. A proposer
-that restarted proposes again, under a higher epoch than any that a seed promised.
+A seed may bootstrap while its disk, created when the whole system started, holds no view. One that lost this
+disk comes back with another and never may: the first view is made without it, if the others are a majority of
+the seeds and none of them has a view. At most one bootstrap gets every acceptance that it needs:
+
+- Two first views are proposed by majorities of the seeds, so one seed belongs to both, and it accepts one.
+- A view that a seed accepted without the others counts as inactive: that seed may not bootstrap any more, and
+  those that have not accepted are no majority, or see its view and wait for it.
+
+A proposer that restarted proposes again, under a higher epoch than any that a seed promised. One whose member
+lost its disk gives up; its view is then changed as any other, which a majority of its members decides.
 """
 
 from __future__ import annotations
 
-from coveport.serving.replication.identity import Epoch, MemberId, View
+from coveport.serving.replication.identity import NO_EPOCH, Epoch, MemberId, View
 from coveport.serving.replication.messages import Accept, Accepted, Install, Installed, Message
 from coveport.serving.replication.placement import choose_replicas
 from coveport.serving.replication.replica_context import ReplicaContext
@@ -66,6 +74,11 @@
                 self._accepted.add(sender)
                 self.is_active = self._accepted.issuperset(self.view.members)
 
+    def is_hopeless(self) -> bool:
+        """Return whether a seed that had to accept will never answer: its disk is lost."""
+        peers = self._context.peers
+        return any(peers.is_replaced(member) for member in self.view.members)
+
     def tick(self, now_s: float) -> None:
         """Repeat what wasn't answered."""
         if now_s - self._last_send_s >= self._context.timings.resend_s:
@@ -73,12 +86,12 @@
 
 
 def ready_seeds(context: ReplicaContext, seeds: tuple[str, ...], now_s: float) -> tuple[MemberId, ...] | None:
-    """Return the members at the seeds' addresses, ourselves first, if we may propose the first view.
+    """Return the members of the first view, ourselves first, if we may propose it; else None.
 
-    Only the lowest seed proposes, and only when all others are usable and may bootstrap too; else None.
+    All seeds must be usable. `seeds` are inner addresses.
     """
     own_address = context.own_id.address
-    if own_address not in seeds or own_address != min(seeds):
+    if own_address not in seeds:
         return None
     members = [context.own_id]
     for address in seeds:
@@ -87,7 +100,10 @@
         peer = context.peers.get(address)
         if peer is None or peer.identity is None or not context.is_usable(peer.identity, now_s):
             return None
-        if peer.ping is None or not peer.ping.may_bootstrap:
+        if peer.ping is None or peer.ping.view_epoch != NO_EPOCH:
             return None
-        members.append(peer.identity)
-    return tuple(members)
+        if peer.ping.may_bootstrap:
+            members.append(peer.identity)
+    is_majority = 2 * len(members) > len(seeds)
+    is_lowest = own_address == min(member.address for member in members)
+    return tuple(members) if is_majority and is_lowest else None
--- a/tests/serving/replication/core_operators.py
+++ b/tests/serving/replication/core_operators.py
@@ -116,7 +116,7 @@
         if self.is_over:
             return
         if self.call.change and self.tries and not redirects:
-            self.world.situations["2: an order was sent again after silence or an unclear answer"] += 1
+            self.world.situations["2: a command was retried after a time-out or an unclear answer"] += 1
         self.tries += 1
         number = self.tries
         machines = [machine for machine in self.world.machines.values() if not machine.is_removed]
@@ -157,10 +157,10 @@
             case Done():
                 self.end(Verdict.ACCEPTED)
             case Refused(result="taken"):
-                self.world.situations["2: an order that had been taken was acknowledged when sent again"] += 1
+                self.world.situations["2: a committed command was acknowledged again when retried"] += 1
                 self.end(Verdict.ACCEPTED)
             case Refused():
-                self.world.situations["2: of two operators on one edition one was refused"] += 1
+                self.world.situations["2: of two commands on one edition one was refused"] += 1
                 assert outcome.result in (ACCEPTED, CONFLICT)
                 self.end(Verdict.ACCEPTED if outcome.result == ACCEPTED else Verdict.CONFLICT)
             case Newest():
--- a/tests/serving/replication/core_schedules.py
+++ b/tests/serving/replication/core_schedules.py
@@ -13,9 +13,11 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from core_history import Call, ObservedState, Verdict, check_history
 from core_operators import Operator, Reader
+from core_schedule_record import ScheduleRecord, load, source_digest
 from core_world import SYNC_S, Machine, World
 
 from coveport.serving.replication.events import ShutdownRequested
@@ -213,7 +215,7 @@
         began_s = self.world.now_s
         self.world.run_for(GRACE_PART_S, until=lambda: incarnation.replica.is_safe_to_stop(self.world.now_s))
         if incarnation.replica.is_safe_to_stop(self.world.now_s):
-            self.world.situations["3: a planned leave ended before its time was over"] += 1
+            self.world.situations["3: a graceful shutdown ended before its grace period"] += 1
         self.note(f"left after {self.world.now_s - began_s:.2f}")
         machine.remove()
 
@@ -262,16 +264,21 @@
         self.overlapping_faults()
 
     def faults_during_bootstrap(self) -> None:
-        """Troubles while the core is founded; no disk is lost: a blank member founds only with all seeds."""
+        """Troubles while the core is founded; at times one disk is lost."""
         kinds = (self.kill, self.freeze, self.disk, self.partition, self.reset)
-        for _ in range(self.random.randint(1, 6)):
+        wiped_at = self.random.randrange(12)
+        for step in range(self.random.randint(1, 6)):
             self.world.run_for(self.random.choice((0.05, 0.1, 0.15, 0.3)))
             started = [machine for machine in self._present_machines() if machine.incarnations]
+            if started and step == wiped_at:
+                self.wipe(self.random.choice(started), self.random.choice((0.1, 0.5, 1.2)))
+                self.world.situations["3: a disk was lost during the bootstrap"] += 1
+                continue
             if self.random.random() < 0.15 and len(started) == len(self._present_machines()):
                 self.all_down(self.random.random() < 0.5)
             elif started:
                 self.random.choice(kinds)(self.random.choice(started), self.random.choice((0.1, 0.5, 1.2)))
-        self.world.situations["3: troubles while the core was founded"] += 1
+        self.world.situations["3: faults during the bootstrap"] += 1
         self.world.run_for(2.0)
         self._heal()
 
@@ -280,7 +287,7 @@
         machine, role = self._machine_by_role()
         for_s = self.random.choice((20.0, 26.0))
         self.partition(machine, for_s)
-        self.world.situations[f"1: the {role} was cut off for 20 s or more"] += 1
+        self.world.situations[f"1: the {role} was partitioned for 20 s or more"] += 1
         began_s = self.world.now_s
         while self.world.now_s < began_s + for_s - 6.0:
             self.world.run_for(self.random.uniform(1.0, 5.0))
@@ -294,7 +301,7 @@
             peers = [peer for peer in self._present_machines() if peer is not machine]
             for peer in self.random.sample(peers, max(1, len(peers) // 2)):
                 self.kill(peer, 2.0)
-            self.world.situations["1: others were killed just after the cut had healed"] += 1
+            self.world.situations["1: others were killed just after the partition had healed"] += 1
         self.world.run_for(CATCH_UP_S)
 
     def _machine_by_role(self) -> tuple[Machine, str]:
@@ -347,7 +354,7 @@
         self.world.run_for(for_s - 0.5)
         quick.is_stopped = True
         missed = sum(call.verdict is Verdict.ACCEPTED for call in self.calls[before:])
-        self.world.situations[f"4: the {role} was cut off for {missed // 50 * 50} changes or more"] += 1
+        self.world.situations[f"4: the {role} missed {missed // 50 * 50} changes or more"] += 1
         peers = [peer for peer in self._present_machines() if peer is not machine and not peer.is_frozen]
         if self.random.random() < 0.5:
             self.wipe(self.random.choice(peers), 1.0)
@@ -492,27 +499,41 @@
         return list(pool.map(run_schedule, range(first, first + count), chunksize=4))
 
 
+def print_faults(reports: list[Report]) -> None:
+    """Print what the faulty schedules did, ten at most."""
+    for report in [report for report in reports if report.violations][:10]:
+        print(f"seed {report.seed}: {report.violations[:3]}")
+        for fault in report.faults_injected:
+            print(f"    {fault}")
+
+
 def main() -> None:
     """Run as told on the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--count", type=int, default=200)
     parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--batch", type=int, default=2000, help="schedules between two writes of the record")
+    parser.add_argument("--record", type=Path, help="keep the count over runs here, and go on behind it")
     arguments = parser.parse_args()
     began_s = time.monotonic()
-    reports = run_many(arguments.first, arguments.count, arguments.jobs)
-    bad = [report for report in reports if report.violations]
-    for report in bad[:10]:
-        print(f"seed {report.seed}: {report.violations[:3]}")
-        for fault in report.faults_injected:
-            print(f"    {fault}")
-    acknowledged = sum(report.acknowledged for report in reports)
-    situations = sum((report.situations for report in reports), Counter[str]())
-    for name, count in sorted(situations.items()):
-        print(f"{count:8} {name}")
+    record = load(arguments.record) if arguments.record else ScheduleRecord(source_digest(), arguments.first)
+    until = record.next_seed + arguments.count
+    while record.next_seed < until:
+        first = record.next_seed
+        count = min(arguments.batch, until - first)
+        reports = run_many(first, count, arguments.jobs)
+        print_faults(reports)
+        faulty = [report.seed for report in reports if report.violations]
+        situations = sum((report.situations for report in reports), Counter[str]())
+        record.add(first, count, sum(report.acknowledged for report in reports), faulty, situations)
+        if arguments.record:
+            record.save(arguments.record)
+    for name, times in record.situations.items():
+        print(f"{times:8} {name}")
     print(
-        f"{len(reports)} schedules, {acknowledged} changes acknowledged, {len(bad)} with faults, "
-        f"{time.monotonic() - began_s:.0f} s"
+        f"{record.schedules} schedules, {record.acknowledged} changes acknowledged, "
+        f"{len(record.faulty_seeds)} with faults; this run took {time.monotonic() - began_s:.0f} s"
     )
 
 
--- a/tests/serving/replication/core_world.py
+++ b/tests/serving/replication/core_world.py
@@ -358,13 +358,13 @@
 
         def arrive() -> None:
             if connection != self._connections[link]:
-                self.situations["5: a message was lost with its connection, later ones came"] += 1
+                self.situations["5: a message was lost with its connection, later ones arrived"] += 1
                 return
             receiving = receiver.incarnation
             if receiving is not None and receiving is not meant_for:
-                self.situations["5: a message reached a later life than it was sent to"] += 1
+                self.situations["5: a message reached a later incarnation than it was sent to"] += 1
             if sender.incarnation is not incarnation:
-                self.situations["5: a message of an earlier life of its sender arrived"] += 1
+                self.situations["5: a message of an earlier incarnation of its sender arrived"] += 1
             if receiving is not None and link not in self.blocked_links:
                 receiver.run(receiving, lambda: receiver.deliver(receiving, event))
 
@@ -401,7 +401,7 @@
             if request not in self.cancelled:
                 machine.deliver(incarnation, make_event(request))
             elif is_delayed:
-                self.situations["2: an old copy of an order without a version was dropped"] += 1
+                self.situations["2: a delayed copy of a command without a version was dropped"] += 1
 
         def arrive() -> None:
             if incarnation is None:
--- /dev/null
+++ b/tests/serving/replication/test_bootstrap.py
@@ -0,0 +1,70 @@
+"""The first view of all: seeds whose disk is lost before or while it is made, and what must never happen."""
+
+from __future__ import annotations
+
+import pytest
+from core_world import World, change
+from test_core_basics import THREE, read, write
+
+from coveport.serving.replication.events import Done, Newest
+from coveport.serving.replication.identity import Locality
+
+FIVE = [*THREE, Locality("a2", "a"), Locality("b2", "b")]
+FOUND_WITHIN_S = 5.0
+STEPS_S = [0.05, 0.25, 0.3, 0.35, 0.4, 0.45, 0.5, 0.55, 0.6, 0.7, 0.8, 1.0]  # around the first view
+
+
+def found_after_wipes(places: list[Locality], seed: int, wipes: dict[int, float]) -> World:
+    """Return a world in which the disks of some machines (by number) were lost so long after the start."""
+    world = World(seed, places)
+    world.start_all()
+    machines = list(world.machines.values())
+    for number, at_s in sorted(wipes.items(), key=lambda item: item[1]):
+        world.run_until(at_s)
+        machine = machines[number]
+        machine.wipe()
+        world.after(0.2, machine.start)  # not the first boot any more
+    world.run_for(FOUND_WITHIN_S, until=lambda: bool(world.primaries()))
+    return world
+
+
+@pytest.mark.parametrize("number", [0, 1, 2])
+@pytest.mark.parametrize("at_s", STEPS_S)
+def test_a_core_is_founded_though_a_seed_lost_its_disk(number: int, at_s: float) -> None:
+    """Before, the others waited for ever for a seed that may never bootstrap again."""
+    for places in (THREE, FIVE):
+        world = found_after_wipes(places, 7 + number, {number: at_s})
+        assert world.primaries()
+        assert write(world, change(0, 5, "x")) == Done("done")
+        world.run_for(6.0)
+        assert read(world) == Newest(1, ("0|5|x",))
+        members = {member.address for member in world.primaries()[0].incarnation.replica.view.members}  # type: ignore[union-attr]
+        assert len(members) == 3, "the machine with a new disk is taken in, or a spare in its stead"
+
+
+@pytest.mark.parametrize("at_s", STEPS_S)
+def test_two_seeds_with_new_disks_found_no_core_of_their_own(at_s: float) -> None:
+    """One seed is no majority; where a core was founded before, it must be the one that goes on."""
+    world = found_after_wipes(THREE, 3, {0: at_s, 1: at_s})
+    views = [
+        machine.incarnation.replica.view
+        for machine in world.machines.values()
+        if machine.incarnation is not None and machine.incarnation.replica.is_primary
+    ]
+    for view in views:
+        assert view is not None
+        assert any(member.address == list(world.machines)[2] for member in view.members)
+
+
+def test_seeds_of_a_first_boot_do_not_found_beside_one_that_knows_a_view() -> None:
+    """All seeds are there, and one already belongs to a core: the others are no majority without it."""
+    world = found_after_wipes(THREE, 5, {})
+    assert write(world, change(0, 5, "x")) == Done("done")
+    epochs = {machine.incarnation.replica.view_epoch for machine in world.primaries() if machine.incarnation}
+    machines = list(world.machines.values())
+    machines[0].wipe()
+    machines[0].start()
+    world.run_for(6.0)
+    assert read(world) == Newest(1, ("0|5|x",))
+    after = {machine.incarnation.replica.view_epoch for machine in world.primaries() if machine.incarnation}
+    assert min(after) >= min(epochs)
