Bootstrap: no give-up of its own; variants that found alone or wait for ever are caught

Cause: the give-up of a bootstrap whose member lost its disk was not needed: a seed that accepted starts an election, and the proposer promises. Change: it is removed; a variant that founds without a majority and the former one, which waits for all seeds, are each caught by a test.

--- a/coveport/serving/replication/leader_role.py
+++ b/coveport/serving/replication/leader_role.py
@@ -263,10 +263,7 @@
 
     def _tick_bootstrap(self, now_s: float) -> None:
         if self._bootstrap is not None:
-            if self._bootstrap.is_hopeless():
-                self._bootstrap = None
-            else:
-                self._bootstrap.tick(now_s)
+            self._bootstrap.tick(now_s)
             return
         if not self.may_bootstrap or not self._context.acceptor.has_no_view:
             return
--- a/tests/serving/replication/test_bootstrap.py
+++ b/tests/serving/replication/test_bootstrap.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import pytest
 from core_world import World, change
 from test_core_basics import THREE, read, write
 
+from coveport.serving.replication import bootstrap, leader_role
 from coveport.serving.replication.events import Done, Newest
-from coveport.serving.replication.identity import Locality
+from coveport.serving.replication.identity import Locality, MemberId
+from coveport.serving.replication.replica_context import ReplicaContext
 
 FIVE = [*THREE, Locality("a2", "a"), Locality("b2", "b")]
 FOUND_WITHIN_S = 5.0
@@ -68,3 +72,44 @@
     assert read(world) == Newest(1, ("0|5|x",))
     after = {machine.incarnation.replica.view_epoch for machine in world.primaries() if machine.incarnation}
     assert min(after) >= min(epochs)
+
+
+def test_a_seed_alone_founds_nothing_while_the_others_have_new_disks() -> None:
+    """They may have belonged to a core that it has not heard of."""
+    world = World(3, THREE)
+    for number, machine in enumerate(world.machines.values()):
+        machine.start(first_boot=number == 2)
+    world.run_for(FOUND_WITHIN_S)
+    assert world.primaries() == []
+
+
+def without_majority(
+    context: ReplicaContext, seeds: tuple[str, ...], now_s: float
+) -> tuple[MemberId, ...] | None:
+    """Return whoever may bootstrap, however few."""
+    return bootstrap.ready_seeds(context, seeds[-1:], now_s)
+
+
+def with_all_seeds(
+    context: ReplicaContext, seeds: tuple[str, ...], now_s: float
+) -> tuple[MemberId, ...] | None:
+    """Return the seeds only where all of them may bootstrap."""
+    members = bootstrap.ready_seeds(context, seeds, now_s)
+    return members if members is not None and len(members) == len(seeds) else None
+
+
+def test_a_variant_that_founds_without_a_majority_is_caught() -> None:
+    with mock.patch.object(leader_role, "ready_seeds", without_majority), pytest.raises(AssertionError):
+        test_a_seed_alone_founds_nothing_while_the_others_have_new_disks()
+
+
+def test_a_variant_that_waits_for_all_seeds_is_caught() -> None:
+    """As it was: one that has a new disk may never bootstrap, and was waited for."""
+    with mock.patch.object(leader_role, "ready_seeds", with_all_seeds):
+        never_founded = [
+            (number, at_s)
+            for number in range(3)
+            for at_s in STEPS_S
+            if not found_after_wipes(THREE, 7 + number, {number: at_s}).primaries()
+        ]
+    assert never_founded
