--- a/tests/serving/storage/test_store_crashes.py
+++ b/tests/serving/storage/test_store_crashes.py
@@ -212,6 +212,49 @@
         assert recovered == normalized(expected)
 
 
+def test_records_whose_sync_failed_and_dropped_them_are_written_with_the_next() -> None:
+    """A second sync that succeeds proves nothing of what the first should have written."""
+    for failed_at, failures, seed in itertools.product(range(1, 20), (1, 2), range(4)):
+        disk = FaultyDisk()
+        store = store_on(disk)
+        store.open()
+        expected = DurableState()
+        for number, batch in enumerate(itertools.islice(batches(), 24)):
+            for record in batch:
+                expected.absorb(record)
+            disk.failing_syncs = failures if number == failed_at else 0
+            with contextlib.suppress(OSError):
+                store.append(batch)
+        recovered = normalized(store_on(disk.lose_power(seed), 5).open())
+        assert recovered == normalized(expected), (failed_at, failures, seed)
+
+
+def test_a_write_that_is_cut_short_by_a_full_disk_loses_nothing_before_it() -> None:
+    """The disk fills up in the middle of a record, or of a snapshot, and has room again later."""
+    for free_bytes, seed in itertools.product(range(0, 2400, 37), range(2)):
+        disk = FaultyDisk()
+        store = store_on(disk)
+        store.open()
+        expected = DurableState()
+        refused = 0
+        for number, batch in enumerate(itertools.islice(batches(), 24)):
+            for record in batch:
+                expected.absorb(record)
+            if number == 3:
+                disk.free_bytes = free_bytes
+            if refused >= 3:
+                disk.free_bytes = None
+            try:
+                store.append(batch)
+            except OSError:
+                refused += 1
+        disk.free_bytes = None
+        store.append([PromisedEpochRecord(Epoch(9000, "x"))])
+        expected.absorb(PromisedEpochRecord(Epoch(9000, "x")))
+        recovered = normalized(store_on(disk.lose_power(seed), 5).open())
+        assert recovered == normalized(expected), (free_bytes, seed)
+
+
 def test_garbage_in_every_file_reads_as_an_empty_disk() -> None:
     disk = FaultyDisk()
     random_source = random.Random(4)
