--- a/tests/serving/simulation/test_control_days.py
+++ b/tests/serving/simulation/test_control_days.py
@@ -8,8 +8,9 @@
 import asyncio
 import json
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
+from unittest import mock
 
 import pytest
 from linearizability import is_linearizable
@@ -19,6 +20,8 @@
 from coveport.net.address import Address
 from coveport.serving.configuration.state import ControlState
 from coveport.serving.coordinator.coordinator import Coordinator
+from coveport.serving.membership.node_table import NodeTable
+from coveport.serving.model.node import Node
 from coveport.serving.replication.identity import Epoch
 from coveport.serving.simulation.deployment import Deployment
 from coveport.serving.simulation.events import HeartbeatAnswered, Order, OrderEnded, OrderStarted, Verdict
@@ -145,6 +148,39 @@
     assert all(live[0] <= listed for listed in lists), "no live node is dropped with it"
 
 
+def keeps_unlisted_nodes(self: NodeTable, listed: Collection[str], now_s: float) -> list[str]:
+    """Let each node stay for its own time-out, as it was."""
+    return []
+
+
+def passes_on_all_nodes(self: NodeTable, now_s: float) -> tuple[Node, ...]:
+    """Send peers whatever is listed, as it was."""
+    return tuple(entry.snapshot_at(now_s) for entry in self.entries())
+
+
+def trusts_what_was_held_up(self: NodeTable, node: Node, now_s: float, *, is_confirmed: bool = True) -> bool:
+    """Take each report for one that was just sent."""
+    return ORIGINAL_APPLY_REPORT(self, node, now_s)
+
+
+ORIGINAL_APPLY_REPORT = NodeTable.apply_report
+
+
+@pytest.mark.parametrize(
+    ("method", "variant", "number", "trouble"),
+    [
+        ("expire_unlisted", keeps_unlisted_nodes, 0, "partition"),
+        ("confirmed_nodes", passes_on_all_nodes, 0, "partition"),
+        ("apply_report", trusts_what_was_held_up, 2, "freeze"),
+    ],
+)
+def test_a_variant_that_keeps_or_brings_back_a_crashed_node_is_caught(
+    method: str, variant: Callable[..., object], number: int, trouble: str
+) -> None:
+    with mock.patch.object(NodeTable, method, variant), pytest.raises(AssertionError):
+        test_a_coordinator_that_was_away_lists_no_node_that_crashed_meanwhile(number, trouble)
+
+
 def test_one_cut_off_confirms_and_refuses_nothing_and_hands_out_nothing_old() -> None:
     """Asked all the time, directly and by all operators' and nodes' calls."""
     told = ControlDay(2)
