--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -126,12 +126,13 @@
     parser.add_argument("--instances", type=int, default=0)
     parser.add_argument("--plays", type=int, default=10)
     parser.add_argument("--json", action="store_true")
-    told = parser.parse_args()
+    arguments = parser.parse_args()
     where = machine()
-    rows = asyncio.run(
-        kill(told.instances or 5, told.plays) if told.what == "kill" else restart(told.instances or 40)
-    )
-    if told.json:
+    if arguments.what == "kill":
+        rows = asyncio.run(kill(arguments.instances or 5, arguments.plays))
+    else:
+        rows = asyncio.run(restart(arguments.instances or 40))
+    if arguments.json:
         print(json.dumps({"machine": where, "rows": rows}, indent=2))
     else:
         print(where + "\n")
--- a/benchmarks/ground_agreement.py
+++ b/benchmarks/ground_agreement.py
@@ -108,15 +108,15 @@
     parser.add_argument("--seeds", default="1-3", help="first and last (default 1-3)")
     parser.add_argument("--again", type=int, default=2, help="plays of a void day beyond the first")
     parser.add_argument("--json", type=Path, help="where to keep all figures")
-    told = parser.parse_args()
-    first, _, last = told.seeds.partition("-")
+    arguments = parser.parse_args()
+    first, _, last = arguments.seeds.partition("-")
     print(machine(), flush=True)
     pairs, unplayed = list[Pair](), list[str]()
-    for name in told.scenario or SCENARIOS:
+    for name in arguments.scenario or SCENARIOS:
         scenario = load(find(name))
         for seed in range(int(first), int(last or first) + 1):
             try:
-                pairs.append(play_pair(scenario, name, seed, told.again))
+                pairs.append(play_pair(scenario, name, seed, arguments.again))
             except GroundError as problem:
                 unplayed.append(f"{name} {seed} could not be played: {problem}")
             else:
@@ -137,8 +137,8 @@
                     f"{pair.scenario} {pair.seed}, {ground}: {one.rule} at {one.at_ms / 1000:.3f} s: "
                     f"{one.what}"
                 )
-    if told.json:
-        told.json.write_bytes(msgspec.json.format(msgspec.json.encode(pairs), indent=2) + b"\n")
+    if arguments.json:
+        arguments.json.write_bytes(msgspec.json.format(msgspec.json.encode(pairs), indent=2) + b"\n")
     return 0 if all(pair.agreed for pair in pairs) and not unplayed else 1
 
 
--- a/benchmarks/lab_speed.py
+++ b/benchmarks/lab_speed.py
@@ -240,17 +240,17 @@
     parser.add_argument("--profile", choices=SIZES, help="play this one under cProfile instead")
     parser.add_argument("--rows", type=int, default=15, help="of each table of the profile")
     parser.add_argument("--one", choices=SIZES, help=argparse.SUPPRESS)
-    told = parser.parse_args()
-    if told.one:
-        print(msgspec.json.encode(time_one(told.one, told.seed)).decode())
+    arguments = parser.parse_args()
+    if arguments.one:
+        print(msgspec.json.encode(time_one(arguments.one, arguments.seed)).decode())
         return 0
     print(machine(), flush=True)
-    if told.profile:
-        profile(told.profile, told.seed, told.rows)
+    if arguments.profile:
+        profile(arguments.profile, arguments.seed, arguments.rows)
         return 0
     figures, problems = list[Timed](), list[str]()
-    for size in told.size or SIZES:
-        best, wrong = best_of(size, told.seed, told.runs)
+    for size in arguments.size or SIZES:
+        best, wrong = best_of(size, arguments.seed, arguments.runs)
         problems += wrong
         if best is not None:
             figures.append(best)
@@ -261,8 +261,8 @@
         if one.ratio < SIZES[one.size].wanted
     ]
     print("\n".join(problems))
-    if told.json:
-        told.json.write_bytes(msgspec.json.format(msgspec.json.encode(figures), indent=2) + b"\n")
+    if arguments.json:
+        arguments.json.write_bytes(msgspec.json.format(msgspec.json.encode(figures), indent=2) + b"\n")
     return 1 if problems else 0
 
 
--- a/benchmarks/load_accuracy.py
+++ b/benchmarks/load_accuracy.py
@@ -131,11 +131,11 @@
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--json", type=Path, help="where to keep the figures")
-    told = parser.parse_args()
+    arguments = parser.parse_args()
     print(machine(), flush=True)
     figures = []
-    for rate in told.rate or (500.0, 1000.0):
-        figures.append(measure_one(rate, told.seconds, told.seed))
+    for rate in arguments.rate or (500.0, 1000.0):
+        figures.append(measure_one(rate, arguments.seconds, arguments.seed))
     print(
         table(
             (
@@ -173,8 +173,8 @@
         for note in one.notes:
             print(f"{one.rate:g}/s: {note}")
     print(f"load on the machine at the end: {os.getloadavg()[0]:.1f}")
-    if told.json:
-        told.json.write_bytes(msgspec.json.format(msgspec.json.encode(figures), indent=2) + b"\n")
+    if arguments.json:
+        arguments.json.write_bytes(msgspec.json.format(msgspec.json.encode(figures), indent=2) + b"\n")
     return 1 if any(one.p99 > SOUGHT_P99_MS or one.void or one.broken for one in figures) else 0
 
 
--- a/benchmarks/model_check.py
+++ b/benchmarks/model_check.py
@@ -58,20 +58,22 @@
     parser.add_argument("--seed", type=int, help="go at random, path after path to its end")
     parser.add_argument("--audit", action="store_true", help="check the keys of states too")
     parser.add_argument("--small", action="store_true", help="the worlds of the tests instead")
-    told = parser.parse_args()
-    names = told.worlds or [world.name for world in (SMALL if told.small else LARGE)]
+    arguments = parser.parse_args()
+    names = arguments.worlds or [world.name for world in (SMALL if arguments.small else LARGE)]
     loads = "/".join(f"{one:.1f}" for one in os.getloadavg())
     print(
         f"{os.cpu_count()} cores ({platform.machine()}), {platform.python_implementation()} "
-        f"{platform.python_version()}, load before {loads}, {told.jobs} at once, "
-        f"at most {told.states} states\n"
+        f"{platform.python_version()}, load before {loads}, {arguments.jobs} at once, "
+        f"at most {arguments.states} states\n"
     )
     print(f"| {' | '.join(HEAD)} |\n| {' | '.join(['---'] + ['---:'] * (len(HEAD) - 3) + ['---'] * 2)} |")
     tests, doubts = [], 0
-    with ProcessPoolExecutor(told.jobs) as pool:
-        for done in [pool.submit(explore, name, told.states, told.audit, told.seed) for name in names]:
+    with ProcessPoolExecutor(arguments.jobs) as pool:
+        for done in [
+            pool.submit(explore, name, arguments.states, arguments.audit, arguments.seed) for name in names
+        ]:
             report = done.result()
-            print(line(report, told.audit), flush=True)
+            print(line(report, arguments.audit), flush=True)
             tests += [printed(report.world, one) for one in report.found]
             doubts += report.doubts
     print("".join(f"\n{test}" for test in tests), end="")
--- a/benchmarks/search.py
+++ b/benchmarks/search.py
@@ -49,14 +49,14 @@
     call.add_argument("variants", nargs="*", metavar="VARIANT")
     call.add_argument("--most", type=int, default=MOST)
     call.add_argument("--seed", type=int, default=1)
-    told = call.parse_args()
+    arguments = call.parse_args()
     missed = 0
-    for name in told.variants or [one.name for one in VARIANTS.values() if one.rule]:
+    for name in arguments.variants or [one.name for one in VARIANTS.values() if one.rule]:
         began = time.perf_counter()
-        runs = runs_until(name, told.seed, told.most)
+        runs = runs_until(name, arguments.seed, arguments.most)
         missed += runs is None
         print(
-            f"{name:18} {VARIANTS[name].rule:12} {runs or f'not in {told.most}':>12} "
+            f"{name:18} {VARIANTS[name].rule:12} {runs or f'not in {arguments.most}':>12} "
             f"{time.perf_counter() - began:7.1f} s",
             flush=True,
         )
--- a/benchmarks/yardstick.py
+++ b/benchmarks/yardstick.py
@@ -133,10 +133,12 @@
     rows, against = list[list[str]](), list[str]()
     for one, other in combinations(VARIANTS, 2):
         (ours, our_error), (theirs, their_error) = lab.difference(one, other), outside.difference(one, other)
-        told = abs(ours) > 2 * our_error, abs(theirs) > 2 * their_error
+        is_distinguished = abs(ours) > 2 * our_error, abs(theirs) > 2 * their_error
         verdict = "alike" if ours * theirs > 0 else "unlike"
-        if not all(told):
-            blind = [side for side, tells in zip(("lab", "simulator"), told, strict=True) if not tells]
+        if not all(is_distinguished):
+            blind = [
+                side for side, tells in zip(("lab", "simulator"), is_distinguished, strict=True) if not tells
+            ]
             verdict = f"not told apart by {' or '.join(blind)}"
         elif verdict == "unlike":
             against.append(
@@ -174,22 +176,22 @@
         help="laid over a scenario of the lab",
     )
     parser.add_argument("--json", type=Path, help="where to keep the figures")
-    told = parser.parse_args()
+    arguments = parser.parse_args()
     print(machine(), flush=True)
     sides: dict[str, tuple[Side, Side]] = {}
-    for text in told.day:
+    for text in arguments.day:
         scenario, _, there = text.partition("=")
         kind, _, seeds = there.rpartition(":")
-        sets = [one.partition(":")[2] for one in told.set if one.partition(":")[0] == scenario]
+        sets = [one.partition(":")[2] for one in arguments.set if one.partition(":")[0] == scenario]
         lab = Side(
             {
-                variant: [play_inside(scenario, sets, seed, variant) for seed in seeds_of(told.seeds)]
+                variant: [play_inside(scenario, sets, seed, variant) for seed in seeds_of(arguments.seeds)]
                 for variant in VARIANTS
             }
         )
         outside = Side(
             {
-                variant: [play_outside(told.simulator, kind, seed, variant) for seed in seeds_of(seeds)]
+                variant: [play_outside(arguments.simulator, kind, seed, variant) for seed in seeds_of(seeds)]
                 for variant in VARIANTS
             }
         )
@@ -242,8 +244,8 @@
         if abs(ours - theirs) >= SOUGHT:
             problems.append("the calm day differs")
     print("\n".join(problems))
-    if told.json:
-        told.json.write_bytes(msgspec.json.format(msgspec.json.encode(sides), indent=2) + b"\n")
+    if arguments.json:
+        arguments.json.write_bytes(msgspec.json.format(msgspec.json.encode(sides), indent=2) + b"\n")
     return 1 if problems else 0
 
 
