--- a/coveport/serving/replication/bootstrap.py
+++ b/coveport/serving/replication/bootstrap.py
@@ -8,9 +8,9 @@
 - A view that a seed accepted without the others counts as inactive: that seed may not bootstrap any more, and
   those that have not accepted are no majority, or see its view and wait for it.
 
-A proposer that restarted proposes again, under a higher epoch than any that a seed promised. Where a seed
-loses its disk before it accepted, another one that has accepted starts an election, as in any view that
-nobody leads: a majority of its members decides, and the proposer promises and gives up.
+A proposer that restarted proposes again, under a higher epoch than any that a seed promised. One whose
+member lost its disk gives up: where nobody has accepted it proposes again without that seed, else a seed that
+accepted starts an election, as in any view that nobody leads, and a majority of its members decides.
 """
 
 from __future__ import annotations
@@ -75,6 +75,10 @@
                 self._accepted.add(sender)
                 self.is_active = self._accepted.issuperset(self.view.members)
 
+    def has_lost_member(self) -> bool:
+        """Return whether a seed that must answer never will: another disk is at its address."""
+        return any(self._context.peers.is_replaced(member) for member in self.view.members)
+
     def tick(self, now_s: float) -> None:
         """Repeat what wasn't answered."""
         if now_s - self._last_send_s >= self._context.timings.resend_s:
--- a/coveport/serving/replication/leader_role.py
+++ b/coveport/serving/replication/leader_role.py
@@ -263,13 +263,17 @@
 
     def _tick_bootstrap(self, now_s: float) -> None:
         if self._bootstrap is not None:
-            self._bootstrap.tick(now_s)
+            if self._bootstrap.has_lost_member():
+                self._bootstrap = None
+            else:
+                self._bootstrap.tick(now_s)
             return
         if not self.may_bootstrap or not self._context.acceptor.has_no_view:
             return
         members = ready_seeds(self._context, self._seeds, now_s)
         if members is not None:
             epoch = self.highest_seen.after(self._context.own_id.disk)
+            self.highest_seen = epoch  # no other proposal has this number
             self._bootstrap = Bootstrap(self._context, now_s, members, epoch, self._initial_state)
 
     def _tick_primary(self, now_s: float, primary: Primary) -> None:
--- a/tests/serving/replication/test_bootstrap.py
+++ b/tests/serving/replication/test_bootstrap.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import pytest
+from core_schedules import run_schedule
 from core_world import World, change
 from test_core_basics import THREE, read, write
 
@@ -18,9 +19,12 @@
 STEPS_S = [0.05, 0.25, 0.3, 0.35, 0.4, 0.45, 0.5, 0.55, 0.6, 0.7, 0.8, 1.0]  # around the first view
 
 
-def found_after_wipes(places: list[Locality], seed: int, wipes: dict[int, float]) -> World:
-    """Return a world in which the disks of some machines (by number) were lost so long after the start."""
-    world = World(seed, places)
+def found_after_wipes(places: list[Locality], seed: int, wipes: dict[int, float], losses: int = 1) -> World:
+    """Return a world in which the disks of some machines (by number) were lost so long after the start.
+
+    `losses`: of machines that are tolerated; with two all three seeds are replicas of the first view.
+    """
+    world = World(seed, places, tolerated_losses=losses)
     world.start_all()
     machines = list(world.machines.values())
     for number, at_s in sorted(wipes.items(), key=lambda item: item[1]):
@@ -90,6 +94,29 @@
     return bootstrap.ready_seeds(context, seeds[-1:], now_s)
 
 
+@pytest.mark.parametrize("number", [0, 1, 2])
+@pytest.mark.parametrize("at_s", STEPS_S)
+def test_a_core_is_founded_though_a_replica_of_the_first_view_lost_its_disk(number: int, at_s: float) -> None:
+    """With two losses to be tolerated all three seeds are replicas."""
+    for seed in range(4):
+        world = found_after_wipes(FIVE, seed, {number: at_s}, losses=2)
+        assert world.primaries(), seed
+        assert write(world, change(0, 5, "x")) == Done("done")
+
+
+INSTALLS_ON_A_LOST_DISK = 12  # the schedule that loses a replica's disk while the first state is on its way
+
+
+def test_a_proposer_gives_up_when_a_replica_of_its_first_view_lost_its_disk() -> None:
+    assert run_schedule(INSTALLS_ON_A_LOST_DISK).violations == []
+
+
+def test_a_variant_whose_proposer_never_gives_up_is_caught() -> None:
+    """It asks the lost disk for ever, and nobody else has a view to start an election in."""
+    with mock.patch.object(bootstrap.Bootstrap, "has_lost_member", return_value=False):
+        assert run_schedule(INSTALLS_ON_A_LOST_DISK).violations == ["never founded"]
+
+
 def with_all_seeds(
     context: ReplicaContext, seeds: tuple[str, ...], now_s: float
 ) -> tuple[MemberId, ...] | None:
