--- a/tests/testbed/test_loopback.py
+++ b/tests/testbed/test_loopback.py
@@ -424,6 +424,7 @@
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
 def test_nothing_is_left_when_the_lab_is_stopped(folder: Path, number: signal.Signals) -> None:
     program = (
+        "import signal; signal.signal(signal.SIGINT, signal.default_int_handler); "
         "from real_helpers import *; from coveport.testbed.loopback import play_day; "
         "play_day(tiny_day(length_s=30), command=SIDECAR, parts='real_helpers')"
     )
