Tenants and API keys: read, checked, required by proxies, and never shown to nodes

Cause: Senders, ApiKeys and Public were unknown fields, which are ignored, and X-Api-Key a header like any other. Now a request on a route that is not public needs exactly one key of a tenant, else 401; the node gets the tenant's name alone; a tenant's priority and home regions count; a request that waits is routed anew when the configuration changes before it is sent.

--- a/coveport/serving/configuration/raw_types.py
+++ b/coveport/serving/configuration/raw_types.py
@@ -29,6 +29,7 @@
     resumable: bool = False
     inter_token_target_ms: float = 0.0
     home_regions: list[str] | None = None
+    is_public: bool = False
 
 
 @dataclass(slots=True)
@@ -49,6 +50,16 @@
     warm_up_s: float = 0.0
     warm_up_rate: float = 0.0
     engine: dict[str, Any] | None = None
+    scaling: dict[str, Any] | None = None
+
+
+@dataclass(slots=True)
+class RawScaling:
+    """The number of a service's nodes in a zone."""
+
+    min_nodes: float
+    max_nodes: float
+    boot_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -70,6 +81,16 @@
     idle_ms: float = 15000.0
 
 
+@dataclass(slots=True)
+class RawTenant:
+    """A tenant."""
+
+    name: str
+    api_keys: list[str] = field(default_factory=list)
+    priority: float | None = None
+    home_regions: list[str] | None = None
+
+
 @dataclass(slots=True)
 class RawConfiguration:
     """A configuration, its items not yet checked."""
@@ -78,6 +99,7 @@
     routes: list[Any]
     services: list[Any]
     limits: dict[str, Any] = field(default_factory=dict)
+    tenants: list[Any] | None = None
 
 
 FIELD_NAMES: Final[dict[type, dict[str, str]]] = {
@@ -85,10 +107,12 @@
     RawWeightedService: wire.WEIGHTED_SERVICE,
     RawService: wire.SERVICE,
     RawEngine: wire.ENGINE,
+    RawScaling: wire.SCALING,
+    RawTenant: wire.TENANT,
     RawClientLimits: wire.CLIENT_LIMITS,
     RawConfiguration: wire.CONFIGURATION,
 }
 """The external name of each field, by class."""
 
-WHOLE_NUMBERS: Final = frozenset({"edition", "priority", "max_attempts"})
+WHOLE_NUMBERS: Final = frozenset({"edition", "priority", "max_attempts", "min_nodes", "max_nodes"})
 """Fields whose numbers must not have a fraction; 2.0 is the same as 2."""
--- a/coveport/serving/configuration/reader.py
+++ b/coveport/serving/configuration/reader.py
@@ -10,6 +10,7 @@
 from coveport.serving.configuration.raw_types import RawClientLimits, RawConfiguration
 from coveport.serving.configuration.route_reader import RouteReader
 from coveport.serving.configuration.service_reader import read_services, service_names
+from coveport.serving.configuration.tenant_reader import TenantReader
 from coveport.serving.configuration.type_checker import TypeChecker
 from coveport.serving.model.configuration import ClientLimits, Configuration
 from coveport.serving.model.findings import Findings, Refusal
@@ -63,9 +64,10 @@
     known_services = None if "services" in checked.invalid_fields else service_names(raw.services)
     routes = RouteReader(checker, findings, known_services).read(raw.routes)
     limits = _read_limits(raw.limits, checker)
+    tenants = None if raw.tenants is None else TenantReader(checker, findings).read(raw.tenants)
     if findings:
         return Refusal(INVALID, tuple(findings))
-    return Configuration(raw.edition, routes, services, limits)
+    return Configuration(raw.edition, routes, services, limits, tenants)
 
 
 def _read_limits(data: JsonObject, checker: TypeChecker) -> ClientLimits:
--- a/coveport/serving/configuration/route_changes.py
+++ b/coveport/serving/configuration/route_changes.py
@@ -20,6 +20,7 @@
 from coveport.serving.model.findings import Findings
 from coveport.serving.wire.names import Config
 
+_LISTS: Final = (Config.ROUTES, Config.SERVICES, Config.TENANTS)
 _FIELDS_OF_A_ROUTE_CHANGE: Final = frozenset({Config.EDITION, Config.UPSERT, Config.REMOVE})
 
 
@@ -73,7 +74,7 @@
     if not isinstance(section, dict):
         return None
     for name, items in section.items():
-        is_empty = items == [] and name in (Config.ROUTES, Config.SERVICES)
+        is_empty = items == [] and name in _LISTS
         if not is_empty and not (name == Config.ROUTES and isinstance(items, list)):
             return None
     routes: list[Any] = section.get(Config.ROUTES, [])
--- a/coveport/serving/configuration/route_reader.py
+++ b/coveport/serving/configuration/route_reader.py
@@ -57,6 +57,7 @@
             resumable=raw.resumable,
             inter_token_target_ms=raw.inter_token_target_ms,
             home_regions=frozenset(raw.home_regions or ()),
+            is_public=raw.is_public,
         )
 
     def _check_unique(self, raw: RawRoute, invalid_fields: set[str], location: str) -> None:
--- a/coveport/serving/configuration/type_checker.py
+++ b/coveport/serving/configuration/type_checker.py
@@ -96,9 +96,10 @@
         kind = type(checked.value)
         invalid_fields = []
         for field in _NUMBER_FIELDS[kind]:
-            if field in checked.invalid_fields:
+            value = getattr(checked.value, field)
+            if field in checked.invalid_fields or value is None:
                 continue
-            fault = _number_fault(field, getattr(checked.value, field))
+            fault = _number_fault(field, value)
             if fault is not None:
                 self._findings.add(join_location(location, FIELD_NAMES[kind][field]), fault)
                 invalid_fields.append(field)
--- a/coveport/serving/model/configuration.py
+++ b/coveport/serving/model/configuration.py
@@ -39,6 +39,7 @@
     resumable: bool = False  # a stream may go on at another node, behind its last event
     inter_token_target_ms: float = 0.0  # the longest gap between two events that is still in time
     home_regions: frozenset[str] = frozenset()  # empty: anywhere
+    is_public: bool = False  # needs no API key
 
     @property
     def is_idempotent(self) -> bool:
@@ -55,6 +56,15 @@
     tokens_per_event: int = 1
 
 
+@dataclass(frozen=True, slots=True)
+class Scaling:
+    """How many nodes of a service the platform may be asked for, in each zone."""
+
+    min_nodes: int
+    max_nodes: int
+    boot_s: float = 0.0  # from an order until the new nodes serve
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
     """A group of nodes that serve the same models."""
@@ -65,6 +75,17 @@
     warm_up_s: float = 0.0
     warm_up_rate: float = 0.0  # requests a second that a node takes while it warms up; 0: no limit
     engine: Engine | None = None
+    scaling: Scaling | None = None  # None: the number of nodes can't be changed
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """A customer whose requests carry one of its API keys."""
+
+    name: str
+    api_keys: tuple[str, ...] = field(default=(), repr=False)
+    priority: int | None = None  # goes before that of the route; None: the route's
+    home_regions: frozenset[str] = frozenset()  # they bind beside those of the route; empty: anywhere
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,3 +106,4 @@
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     limits: ClientLimits = field(default_factory=ClientLimits)
+    tenants: tuple[Tenant, ...] | None = None  # None: requests need no API key
--- a/coveport/serving/proxy/data_path.py
+++ b/coveport/serving/proxy/data_path.py
@@ -22,7 +22,7 @@
 from coveport.serving.proxy.counters import Counters
 from coveport.serving.proxy.event_stream import EventSequence
 from coveport.serving.proxy.exchange import Exchange
-from coveport.serving.proxy.failure_response import RETRY_AFTER_S
+from coveport.serving.proxy.failure_response import RETRY_AFTER_S, send_routing_failure
 from coveport.serving.proxy.headers import first
 from coveport.serving.proxy.in_flight_request import InFlightRequest
 from coveport.serving.proxy.node_maintenance import NodeMaintenance
@@ -30,7 +30,7 @@
 from coveport.serving.proxy.node_selection import NodeSelector
 from coveport.serving.proxy.outlier_ejection import OutlierDetector
 from coveport.serving.proxy.proxy_context import ProxyContext
-from coveport.serving.proxy.request_routing import RequestRouter, request_timeout_s
+from coveport.serving.proxy.request_routing import RequestRouter, RoutingFailure, request_timeout_s
 from coveport.serving.proxy.retry_budget import RetryBudget
 from coveport.serving.proxy.slow_start import SlowStartLimiter
 from coveport.serving.proxy.startup_gate import StartupGate
@@ -54,7 +54,7 @@
         self._router = RequestRouter(view, random)
         self._listener = ClientListener(net, self._handle, self._limits)
         self._counters = Counters()
-        self._context = _make_context(net, settings, view, random, self._counters)
+        self._context = _make_context(net, settings, self._router, random, self._counters)
         self._maintenance = NodeMaintenance(
             net, view, self._context.pool, self._context.observations, self._counters
         )
@@ -114,9 +114,8 @@
                 client.answer(503, [(CanonicalHeader.RETRY_AFTER, str(RETRY_AFTER_S))])
                 return
             routed = self._router.route(message)
-            if routed is None:
-                self._counters.add("no_route")
-                client.answer(404, [])
+            if isinstance(routed, RoutingFailure):
+                send_routing_failure(client, self._counters, routed)
                 return
             deadline_s = arrived_s + request_timeout_s(message, routed.route)
             sequence = EventSequence(first(message.headers, Header.LAST_EVENT_ID))
@@ -128,12 +127,14 @@
 
 
 def _make_context(
-    net: Net, settings: BootSettings, view: ControlView, random: Random, counters: Counters
+    net: Net, settings: BootSettings, router: RequestRouter, random: Random, counters: Counters
 ) -> ProxyContext:
+    view = router.view
     bounds = settings.bounds
     pool = ConnectionPool(net, settings.region)
     slow_start = SlowStartLimiter(bounds.warm_up_overshoot, bounds.warm_up_slack, random)
     observations = NodeObservations(view, OutlierDetector(random), slow_start)
     selector = NodeSelector(view, settings.region, random, pool, observations)
     budget = RetryBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
-    return ProxyContext(net, view, random, pool, selector, observations, budget, AdmissionQueues(), counters)
+    queues = AdmissionQueues()
+    return ProxyContext(net, view, random, pool, selector, observations, budget, queues, counters, router)
--- a/coveport/serving/proxy/exchange.py
+++ b/coveport/serving/proxy/exchange.py
@@ -5,12 +5,13 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from coveport.serving.proxy.failure_response import send_failure
+from coveport.serving.proxy.failure_response import send_failure, send_routing_failure
 from coveport.serving.proxy.headers import first
 from coveport.serving.proxy.in_flight_request import InFlightRequest
 from coveport.serving.proxy.node_acquisition import acquire_node
 from coveport.serving.proxy.proxy_context import ProxyContext
 from coveport.serving.proxy.request_forwarder import RequestForwarder
+from coveport.serving.proxy.request_routing import RoutingFailure
 from coveport.serving.proxy.response_relay import ResponseRelay
 from coveport.serving.proxy.retry_policy import AttemptOutcome, RetryPolicy
 from coveport.serving.wire.names import Header
@@ -22,12 +23,13 @@
 
     context: ProxyContext
     request: InFlightRequest
+    _relay: ResponseRelay = field(init=False)
     _retries: RetryPolicy = field(init=False)
     _forwarder: RequestForwarder = field(init=False)
 
     def __post_init__(self) -> None:
         request = self.request
-        relay = ResponseRelay(
+        self._relay = ResponseRelay(
             request.client,
             first(request.message.headers, Header.ATTEMPT_ID),
             request.routed.route.resumable,
@@ -35,7 +37,7 @@
             request.sequence,
         )
         self._retries = RetryPolicy(self.context, request)
-        self._forwarder = RequestForwarder(self.context, request, self._retries, relay)
+        self._forwarder = RequestForwarder(self.context, request, self._retries, self._relay)
 
     async def run(self) -> None:
         """Answer the request: with a node's response, else with a failure, at its deadline at the latest."""
@@ -54,6 +56,10 @@
                 known = await acquire_node(self.context, self.request)
                 if known is None:
                     return False
+                if not self._is_routed_by_newest():
+                    if self._route_anew():
+                        continue
+                    return True
                 outcome = await self._forwarder.forward(known)
                 if outcome is AttemptOutcome.COMPLETE:
                     return True
@@ -61,3 +67,18 @@
                     return False
         finally:
             self._retries.release()
+
+    def _is_routed_by_newest(self) -> bool:
+        """Return whether the newest configuration decided; a request that was sent keeps its route."""
+        return self.request.attempts > 0 or self.context.router.is_current(self.request.routed)
+
+    def _route_anew(self) -> bool:
+        """Route the request by the newest configuration; False: it was answered, as it is refused there."""
+        request = self.request
+        routed = self.context.router.route(request.message)
+        if isinstance(routed, RoutingFailure):
+            send_routing_failure(request.client, self.context.counters, routed)
+            return False
+        request.routed = routed
+        self._relay.is_resumable = routed.route.resumable
+        return True
--- a/coveport/serving/proxy/forwarded_request.py
+++ b/coveport/serving/proxy/forwarded_request.py
@@ -12,7 +12,14 @@
 from coveport.serving.wire.names import CanonicalHeader, Header
 
 _REPLACED_HEADERS = frozenset(
-    {Header.TIME_LEFT, Header.EXPECT_INCARNATION, Header.LAST_EVENT_ID, Header.PRIORITY}
+    {
+        Header.TIME_LEFT,
+        Header.EXPECT_INCARNATION,
+        Header.LAST_EVENT_ID,
+        Header.PRIORITY,
+        Header.API_KEY,
+        Header.TENANT,
+    }
 )
 
 
@@ -33,6 +40,8 @@
         yield CanonicalHeader.LAST_EVENT_ID, request.sequence.last_id
     yield CanonicalHeader.TIME_LEFT, str(max(1, int((request.deadline_s - now_s) * 1000)))
     yield CanonicalHeader.EXPECT_INCARNATION, incarnation
+    if request.routed.tenant is not None:
+        yield CanonicalHeader.TENANT, request.routed.tenant
     if request.routed.segments:
         yield CanonicalHeader.PRIORITY, str(_priority(request, incarnation, prefix_cache, now_s))
 
--- a/coveport/serving/proxy/proxy_context.py
+++ b/coveport/serving/proxy/proxy_context.py
@@ -12,6 +12,7 @@
 from coveport.serving.proxy.counters import Counters
 from coveport.serving.proxy.node_observations import NodeObservations
 from coveport.serving.proxy.node_selection import NodeSelector
+from coveport.serving.proxy.request_routing import RequestRouter
 from coveport.serving.proxy.retry_budget import RetryBudget
 
 
@@ -28,3 +29,4 @@
     budget: RetryBudget
     queues: AdmissionQueues
     counters: Counters
+    router: RequestRouter
--- a/coveport/serving/proxy/route_table.py
+++ b/coveport/serving/proxy/route_table.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from coveport.serving.model.configuration import Configuration, Route, Service
+from coveport.serving.proxy.tenant_index import TenantIndex
 
 
 def host_name(host: str) -> str:
@@ -23,6 +24,7 @@
     configuration: Configuration
     routes_by_host: dict[str, tuple[Route, ...]]  # longest prefix first
     services: dict[str, Service]
+    tenants: TenantIndex | None  # None: requests need no API key
 
     @classmethod
     def of(cls, configuration: Configuration) -> RouteTable:
@@ -34,7 +36,9 @@
             host: tuple(sorted(routes, key=lambda route: -len(route.path_prefix)))
             for host, routes in by_host.items()
         }
-        return cls(configuration, ordered, {service.name: service for service in configuration.services})
+        services = {service.name: service for service in configuration.services}
+        tenants = None if configuration.tenants is None else TenantIndex.of(configuration.tenants)
+        return cls(configuration, ordered, services, tenants)
 
     def find(self, host: str, target: str) -> Route | None:
         """Return the route with the longest prefix of the path, or None where no route matches."""
--- a/coveport/serving/proxy/routed_request.py
+++ b/coveport/serving/proxy/routed_request.py
@@ -10,8 +10,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutedRequest:
-    """A request's route, the service drawn for it, and the segments of its prompt."""
+    """A request's route, the service drawn for it, the segments of its prompt, and its tenant."""
 
-    route: Route
+    route: Route  # with the tenant's priority and home regions
     service: Service
     segments: tuple[PromptSegment, ...] = ()
+    tenant: str | None = None  # name; None: its route is public, or there are no tenants
+    edition: int = 0  # of the configuration that decided
--- /dev/null
+++ b/coveport/serving/proxy/tenant_index.py
@@ -0,0 +1,53 @@
+"""Finds the tenant of a request by its API key, and what the tenant changes of a route. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import Final
+
+from coveport.serving.model.configuration import Route, Tenant
+from coveport.serving.proxy.headers import Headers
+from coveport.serving.wire.names import Header
+
+# Stands for the home regions of a request that no region may serve: none has an empty name.
+NO_REGION: Final = frozenset({""})
+
+
+@dataclass(frozen=True, slots=True)
+class TenantIndex:
+    """The tenants of one configuration, by API key.
+
+    A lookup by hash takes no longer for a key that is nearly right: Python's hash of strings is keyed by a
+    random secret of the process, so its time tells a caller nothing of the keys.
+    """
+
+    tenants_by_key: dict[str, Tenant]
+
+    @classmethod
+    def of(cls, tenants: Iterable[Tenant]) -> TenantIndex:
+        """Index the tenants of a configuration."""
+        return cls({key: tenant for tenant in tenants for key in tenant.api_keys})
+
+    def find(self, headers: Headers) -> Tenant | None:
+        """Return the tenant of a request; None unless it carries exactly one key, which is known."""
+        keys = headers.get(Header.API_KEY, ())
+        return self.tenants_by_key.get(keys[0]) if len(keys) == 1 else None
+
+
+def route_for_tenant(route: Route, tenant: Tenant | None) -> Route:
+    """Return the route with the tenant's priority, and with the home regions that both allow."""
+    if tenant is None:
+        return route
+    priority = route.priority if tenant.priority is None else tenant.priority
+    home_regions = _common_regions(route.home_regions, tenant.home_regions)
+    if priority == route.priority and home_regions == route.home_regions:
+        return route
+    return replace(route, priority=priority, home_regions=home_regions)
+
+
+def _common_regions(first: frozenset[str], second: frozenset[str]) -> frozenset[str]:
+    """Return the regions that both allow; an empty set allows any."""
+    if not first or not second:
+        return first or second
+    return first & second or NO_REGION
--- a/coveport/serving/proxy/view_updater.py
+++ b/coveport/serving/proxy/view_updater.py
@@ -24,6 +24,7 @@
     32  # until a coordinator names a number: quotas are small rather than exceeded; not measured
 )
 NO_STATE_SEQUENCE = -1  # requests the complete state
+NO_TENANTS = -1  # in the log: requests need no API key
 NO_NODE_REVISION = -1  # requests the complete node table
 
 
@@ -124,7 +125,13 @@
             self._log.error("configuration_rejected", edition=state.edition, reason=configuration.reason)
             return
         self._view.configuration = configuration
-        self._log.info("configuration_activated", edition=state.edition, sequence=self._sequence)
+        self._log.info(
+            "configuration_activated",
+            edition=state.edition,
+            sequence=self._sequence,
+            tenants=NO_TENANTS if configuration.tenants is None else len(configuration.tenants),
+            api_keys=sum(len(tenant.api_keys) for tenant in configuration.tenants or ()),
+        )
 
     def _apply_nodes(self, update: Update, now_s: float) -> bool:
         before = self._view.nodes
--- a/coveport/serving/wire/configuration.py
+++ b/coveport/serving/wire/configuration.py
@@ -19,6 +19,7 @@
     "resumable": "Resumable",
     "inter_token_target_ms": "gap_aim_ms",
     "home_regions": "HomeRegions",
+    "is_public": "Public",
 }
 WEIGHTED_SERVICE: Final = {"service": "Service", "weight": "Share"}
 SERVICE: Final = {
@@ -28,6 +29,14 @@
     "warm_up_s": "WarmupS",
     "warm_up_rate": "ColdRateS",
     "engine": "Engine",
+    "scaling": "Scaling",
+}
+SCALING: Final = {"min_nodes": "Min", "max_nodes": "Max", "boot_s": "BootS"}
+TENANT: Final = {
+    "name": "Name",
+    "api_keys": "ApiKeys",
+    "priority": "Precedence",
+    "home_regions": "HomeRegions",
 }
 ENGINE: Final = {"slots": "Berths", "kv_cache_tokens": "KvCapacity", "tokens_per_event": "stride"}
 CLIENT_LIMITS: Final = {
@@ -36,4 +45,10 @@
     "header_read_ms": "HeaderReadMs",
     "idle_ms": "IdleMs",
 }
-CONFIGURATION: Final = {"edition": "Edition", "routes": "Routes", "services": "Services", "limits": "Limits"}
+CONFIGURATION: Final = {
+    "edition": "Edition",
+    "routes": "Routes",
+    "services": "Services",
+    "limits": "Limits",
+    "tenants": "Senders",
+}
--- a/coveport/serving/wire/names.py
+++ b/coveport/serving/wire/names.py
@@ -26,6 +26,8 @@
     TOKENS: Final = "coveport-tokens"
     PRIORITY: Final = "priority"
     VERSIONS: Final = "versions"
+    API_KEY: Final = "x-api-key"
+    TENANT: Final = "coveport-sender"
 
 
 class CanonicalHeader:
@@ -36,6 +38,8 @@
     EXPECT_INCARNATION: Final = "Coveport-Addressee"
     RETRY_AFTER: Final = "Retry-After"
     PRIORITY: Final = "Priority"
+    TENANT: Final = "Coveport-Sender"
+    AUTHENTICATE: Final = "WWW-Authenticate"
 
 
 class Path:
@@ -89,6 +93,7 @@
     ROUTES: Final = "Routes"
     SERVICES: Final = "Services"
     LIMITS: Final = "Limits"
+    TENANTS: Final = "Senders"
     UPSERT: Final = "Upsert"
     REMOVE: Final = "Remove"
     NAME: Final = "Name"
--- a/tests/serving/cli/test_operator_docs.py
+++ b/tests/serving/cli/test_operator_docs.py
@@ -30,6 +30,7 @@
     [
         ("Field of a route", wire.ROUTE),
         ("Field of a service", wire.SERVICE),
+        ("Field of a tenant", wire.TENANT),
         ("Field of the limits", wire.CLIENT_LIMITS),
     ],
 )
@@ -37,7 +38,7 @@
     assert sorted(first_cells(CONFIGURATION, heading)) == sorted(f"`{name}`" for name in names.values())
 
 
-@pytest.mark.parametrize("names", [wire.CONFIGURATION, wire.ENGINE, wire.WEIGHTED_SERVICE])
+@pytest.mark.parametrize("names", [wire.CONFIGURATION, wire.ENGINE, wire.SCALING, wire.WEIGHTED_SERVICE])
 def test_fields_without_a_table_are_named(names: dict[str, str]) -> None:
     assert [name for name in names.values() if f"`{name}`" not in CONFIGURATION] == []
 
