--- a/coveport/serving/configuration/document.py
+++ b/coveport/serving/configuration/document.py
@@ -7,12 +7,15 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Final
 
 from coveport.serving.configuration.json_text import ObjectWriter
 from coveport.serving.model.configuration import Configuration
+from coveport.serving.wire.configuration import CONFIGURATION
 from coveport.serving.wire.names import Config
 
+_READ_FIELDS: Final = frozenset(CONFIGURATION.values())
+
 
 @dataclass(frozen=True, slots=True)
 class Document:
@@ -22,6 +25,11 @@
     field_texts: dict[str, bytes]  # JSON of each top-level field by its name, in order; of the routes: empty
     route_texts: dict[str, bytes]  # JSON of each route by its name, in order
 
+    @property
+    def ignored_fields(self) -> tuple[str, ...]:
+        """Return the names of the top-level fields that this program keeps but doesn't act on."""
+        return tuple(name for name in self.field_texts if name not in _READ_FIELDS)
+
     def text(self) -> bytes:
         """Return the canonical text, as `write_object` would write the whole."""
         write = ObjectWriter().write
--- a/coveport/serving/proxy/view_updater.py
+++ b/coveport/serving/proxy/view_updater.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from coveport.serving.configuration.reader import read_configuration
+from coveport.serving.configuration.reader import read_document
 from coveport.serving.configuration.state import ControlState, initial_state
 from coveport.serving.configuration.state_codec import decode_state
 from coveport.serving.configuration.state_machine import apply
@@ -120,10 +120,11 @@
         self._view.evacuated_zones = state.evacuated_zones
         if state.edition == before.edition or state.configuration_text is None:
             return
-        configuration = read_configuration(state.configuration_text)
-        if isinstance(configuration, Refusal):
-            self._log.error("configuration_rejected", edition=state.edition, reason=configuration.reason)
+        document = read_document(state.configuration_text)
+        if isinstance(document, Refusal):
+            self._log.error("configuration_rejected", edition=state.edition, reason=document.reason)
             return
+        configuration = document.configuration
         self._view.configuration = configuration
         self._log.info(
             "configuration_activated",
@@ -132,6 +133,9 @@
             tenants=NO_TENANTS if configuration.tenants is None else len(configuration.tenants),
             api_keys=sum(len(tenant.api_keys) for tenant in configuration.tenants or ()),
         )
+        if document.ignored_fields:
+            fields = ",".join(document.ignored_fields)
+            self._log.warning("configuration_fields_ignored", edition=state.edition, fields=fields)
 
     def _apply_nodes(self, update: Update, now_s: float) -> bool:
         before = self._view.nodes
--- a/tests/serving/proxy/test_subscription.py
+++ b/tests/serving/proxy/test_subscription.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+from configuration_examples import Json, encode_json, make_configuration
 
 from coveport.net.transport import Net
 from coveport.serving.configuration.commands import PutConfiguration, StartEvacuation, encode_command
@@ -85,6 +86,21 @@
     assert view.evacuated_zones == {"a"}, "it never goes back"
 
 
+@pytest.mark.parametrize(
+    ("more", "events"),
+    [
+        ({}, ["configuration_activated"]),
+        ({"Remark": 1}, ["configuration_activated", "configuration_fields_ignored"]),
+    ],
+)
+def test_fields_that_are_not_acted_on_are_logged(more: Json, events: list[str]) -> None:
+    subscription, view, log = make_subscription()
+    text = encode_json(make_configuration(7, **more))
+    subscription._apply(update(3, encode_state(ControlState(configuration_text=text, edition=7))))
+    assert view.configuration is not None and view.configuration.edition == 7
+    assert log.events == events
+
+
 def test_valid_changes_are_applied_in_order() -> None:
     subscription, view, _ = make_subscription()
     subscription._apply(update(3, SNAPSHOT))
