Tests of a body behind an early answer, and of a prompt's headers on a resumed stream

Cause: of what else makes a node run a changed request, two sentences had no test: bytes that follow a body whose answer came early, and `Coveport-Model`, `-Tokens` and `-Prompt-Prefix` on a second send. Change: one test each in test_forwarding.py; no change of the program.

--- a/tests/serving/proxy/test_forwarding.py
+++ b/tests/serving/proxy/test_forwarding.py
@@ -6,8 +6,9 @@
 from dataclasses import replace
 
 import pytest
+import scripted_node
 from proxy_environment import RESUMABLE, SAFE, SERVICE, UNSAFE_STREAM, ProxyEnvironment
-from scripted_node import Arrival, ScriptedClient, event_bytes
+from scripted_node import Arrival, Connection, ScriptedClient, event_bytes
 
 from coveport import http1
 from coveport.serving.model.configuration import ClientLimits, Configuration, WeightedService
@@ -214,6 +215,68 @@
     environment.check()
 
 
+class EarlyConnection(Connection):
+    """Rejects its first request at the first bytes, and reads the rest of the body later."""
+
+    has_rejected = False
+
+    def data_received(self, data: bytes) -> None:
+        if not self.has_rejected:
+            self.has_rejected = True
+            headers = [("Coveport-Try-Id", "t-1"), ("Coveport-Not-Run", "1"), ("Keep-Alive", "timeout=9")]
+            self.write(http1.write_response(503, headers))
+            assert self.transport is not None
+            self.transport.pause_reading()
+            asyncio.get_running_loop().call_later(0.2, self.transport.resume_reading)
+        super().data_received(data)
+
+
+def test_rest_of_a_body_precedes_the_next_request_after_an_early_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(scripted_node, "Connection", EarlyConnection)
+    environment = ProxyEnvironment()
+    body = bytes(range(256)) * 8000
+    node = environment.node(lambda arrival: arrival.respond() if len(node.arrivals) > 1 else None)
+    client = environment.client()
+    client.send_request("/u/x", body=body)
+    response = environment.run(client.response())
+    assert response is not None and response.status == 200
+    assert len(node.connections) == 1
+    assert [arrival.request.body == body for arrival in node.arrivals] == [True, True]
+    environment.check()
+
+
+def test_headers_of_the_prompt_reach_every_node_of_a_resumed_stream_unchanged() -> None:
+    environment = ProxyEnvironment()
+    prompt = {
+        "coveport-model": ["m"],
+        "coveport-tokens": ["1460,80"],
+        "coveport-prompt-prefix": ["5c1e07a2:800,91bd3f06:410"],
+        "coveport-try-id": ["t-1"],
+    }
+    order: list[Arrival] = []
+
+    async def script(arrival: Arrival) -> None:
+        order.append(arrival)
+        if len(order) > 1:
+            await five_events(arrival)
+            return
+        arrival.begin_events()
+        arrival.send_event(1)
+        arrival.connection.close()
+
+    environment.node(script)
+    environment.node(script)
+    headers = [(name, values[0]) for name, values in prompt.items() if name != "coveport-try-id"]
+    response = request_once(environment, "/a/x", *headers)
+    assert response is not None and response.body == ALL_FIVE
+    assert len(order) == 2
+    for arrival in order:
+        assert prompt.items() <= arrival.request.headers.items()
+    environment.check()
+
+
 # At most once, and retries.
 
 
