Simulation: clients with keys, changes of tenants, and the judge's rules on keys

Deployment.tenants gives each client a key; an operator can change tenants and send a shared key; nodes record the tenant's name and a key that reaches them. A deployment without tenants sends and judges as before.

--- a/coveport/serving/simulation/client.py
+++ b/coveport/serving/simulation/client.py
@@ -56,6 +56,7 @@
     holds_answers: float = 1.0  # factor on the TTL of a lookup answer
     ttl_most_s: float = 5.0
     honours_retry_after: bool = True
+    api_key: str = ""  # none: its requests carry no key
 
 
 @dataclass(slots=True)
@@ -103,20 +104,31 @@
             await asyncio.sleep(progress.waits_s)
         return False
 
-    async def send_direct(self, kind: RequestKind, proxy: Address) -> None:
-        """Send one request to a given proxy, to observe the configuration in force there."""
+    async def send_direct(self, kind: RequestKind, proxy: Address, api_key: str | None = None) -> None:
+        """Send one request to a given proxy, to observe the configuration in force there.
+
+        `api_key`: the key that it carries in place of the client's own.
+        """
         target = f"{kind.path_prefix}{self._rng.getrandbits(16):x}"
         progress = _Progress(f"{self._rng.getrandbits(64):016x}", self._net.now_s())
         await self._attempt(
-            kind, target, self._draw_prompt(kind), b"probe", progress, fresh=True, proxy=proxy
+            kind,
+            target,
+            self._draw_prompt(kind),
+            b"probe",
+            progress,
+            fresh=True,
+            proxy=proxy,
+            api_key=api_key,
         )
 
     async def _attempt(
         self, kind: RequestKind, target: str, prompt: list[tuple[str, int]], body: bytes, progress: _Progress,
-        *, fresh: bool, proxy: Address | None = None,
+        *, fresh: bool, proxy: Address | None = None, api_key: str | None = None,
     ) -> bool | None:  # fmt: skip
         """Make one attempt; return None if it was served, else whether another may follow."""
         is_direct = proxy is not None
+        key = self.figures.api_key if api_key is None else api_key
         progress.waits_s = 0.0
         deadline_s = progress.request_started_s + kind.deadline_s
         found = await self._connect(fresh, proxy)
@@ -126,12 +138,12 @@
         address, connection = found
         now = self._net.now_s()
         attempt_id = f"{self._rng.getrandbits(64):016x}"
-        request = self._write(kind, target, prompt, body, attempt_id, deadline_s - now, progress.events)
+        request = self._write(kind, target, prompt, body, attempt_id, deadline_s - now, progress.events, key)
         self._event_log.write(
             AttemptStarted(
                 now, progress.request, attempt_id, "POST", target, kind.host, digest(body), _text(address),
                 self.figures.region, deadline_s, progress.request_started_s,
-                -(-kind.answer_tokens // self._tokens_per_event), progress.events, is_direct, kind.name,
+                -(-kind.answer_tokens // self._tokens_per_event), progress.events, is_direct, kind.name, key,
             )
         )  # fmt: skip
         limits = ReadLimits(
@@ -165,7 +177,7 @@
 
     def _write(
         self, kind: RequestKind, target: str, prompt: list[tuple[str, int]], body: bytes, attempt_id: str,
-        left_s: float, resumes_after: int,
+        left_s: float, resumes_after: int, api_key: str,
     ) -> bytes:  # fmt: skip
         prompt_tokens = sum(tokens for _, tokens in prompt)
         headers = [
@@ -178,6 +190,8 @@
         ]
         if resumes_after:
             headers.append((Header.LAST_EVENT_ID, str(resumes_after)))
+        if api_key:
+            headers.append((Header.API_KEY, api_key))
         return write_request("POST", target, headers, body)
 
     def _draw_prompt(self, kind: RequestKind) -> list[tuple[str, int]]:
--- a/coveport/serving/simulation/control_rules.py
+++ b/coveport/serving/simulation/control_rules.py
@@ -20,6 +20,7 @@
 )
 from coveport.serving.simulation.history import Breach, History, Version
 
+DENIALS = frozenset({401, 403, 404})
 SLOWED_TIMES = 8  # factor on the bound on reverting, for a machine with a fault
 
 
@@ -149,15 +150,15 @@
 
     started: AttemptStarted
     services: frozenset[str]  # that ran it
-    not_found: bool
+    denied_with: int  # the status that denied it: no route, or no tenant with its key; 0: none did
     seen_s: float  # when the effect was seen
 
     def fits(self, version: Version) -> bool:
         """Return whether a version allows the effect."""
         route = version.route(self.started.host, self.started.target)
-        if route is None:
+        if route is None or not version.admits(self.started.api_key):
             return not self.services
-        return not self.not_found and self.services <= route.services
+        return not self.denied_with and self.services <= route.services
 
 
 def _handlings(history: History) -> Iterator[_Handling]:
@@ -165,10 +166,10 @@
         ended = history.ended.get(attempt_id)
         runs = history.ran.get(attempt_id, [])
         services = frozenset(history.nodes[ran.incarnation].service for ran in runs)
-        not_found = ended is not None and ended.status == 404 and not runs
-        if services or not_found:
+        denied_with = ended.status if ended is not None and ended.status in DENIALS and not runs else 0
+        if services or denied_with:
             seen_s = runs[0].at_s if runs else ended.at_s if ended is not None else started.at_s
-            yield _Handling(started, services, not_found, seen_s)
+            yield _Handling(started, services, denied_with, seen_s)
 
 
 def _in_force(history: History) -> Iterator[Breach]:
@@ -189,7 +190,7 @@
     newest = 0  # that must be in force
     if allowance_s is not None:
         bound_s = history.bounds.config_apply_ms / 1000 + allowance_s
-        newest = _acknowledged_before(history, handling.started.at_s - bound_s)
+        newest = history.newest_acknowledged(handling.started.at_s - bound_s)
     if any(handling.fits(version) for version in possible if version.edition >= newest):
         return None
     if any(handling.fits(version) for version in possible):
@@ -197,16 +198,9 @@
     never = [version for version in history.versions if not version.may_be_in_force]
     if handling.services and any(handling.fits(version) for version in never):
         return "was handled as only a refused configuration allows"
-    return "got 404 though its route is there" if handling.not_found and newest else None
-
-
-def _acknowledged_before(history: History, at_s: float) -> int:
-    editions = (
-        version.edition
-        for version in history.versions
-        if version.verdict is Verdict.ACKNOWLEDGED and version.started.valid and version.ended_s <= at_s
-    )
-    return max(editions, default=0)
+    if handling.denied_with and newest:
+        return f"got {handling.denied_with} though its route and its key are there"
+    return None
 
 
 def _going_back(history: History) -> Iterator[Breach]:
@@ -254,7 +248,7 @@
     if not reads:
         return
     started, end = reads[-1]
-    newest = _acknowledged_before(history, started.at_s)
+    newest = history.newest_acknowledged(started.at_s)
     if end is None or end.verdict is not Verdict.ACKNOWLEDGED or not end.edition:
         if newest:
             yield Breach("CONFIG", started.at_s, "the configuration could not be read back")
--- a/coveport/serving/simulation/deployment.py
+++ b/coveport/serving/simulation/deployment.py
@@ -11,6 +11,7 @@
     Route,
     RouteKind,
     Service,
+    Tenant,
     WeightedService,
 )
 from coveport.serving.settings.boot import BootSettings, Bounds, FaultTolerance
@@ -62,6 +63,7 @@
     rates: tuple[tuple[RequestKind, float], ...] = ((REVIEW, 3.0), (OFFER, 6.0))
     service: str = "norte-lm"
     homes: tuple[tuple[str, tuple[str, ...]], ...] = (("offer", ("bizkaia", "asturias")),)
+    tenants: tuple[Tenant, ...] | None = None  # None: requests need no key
     engine: EngineFigures = field(default_factory=EngineFigures)
     delays: Delays = field(default_factory=Delays)
     bounds: Bounds = field(default_factory=lambda: BOUNDS)
@@ -77,7 +79,13 @@
         routes = tuple(self.route(kind) for kind, _ in self.rates)
         engine = Engine(self.engine.slots, self.engine.kv_cache_tokens, self.engine.tokens_per_event)
         service = Service(self.service, "/health", 370, self.warm_up_s, self.warm_up_rate, engine)
-        return Configuration(edition, (*routes, *extra), (service,))
+        return Configuration(edition, (*routes, *extra), (service,), tenants=self.tenants)
+
+    def api_key(self, client: int) -> str:
+        """Return the key of a client by its number: the first one of its tenant; none without tenants."""
+        if not self.tenants:
+            return ""
+        return next(iter(self.tenants[client % len(self.tenants)].api_keys), "")
 
     def route(self, kind: RequestKind, timeout_ms: float | None = None) -> Route:
         """Return the route of a kind of request."""
--- a/coveport/serving/simulation/events.py
+++ b/coveport/serving/simulation/events.py
@@ -48,6 +48,7 @@
     resumes_after: int = 0  # last event that an earlier attempt received
     is_direct: bool = False
     kind: str = ""  # of request, for the figures
+    api_key: str = ""  # none: it carries no key
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +112,8 @@
     host: str
     body_digest: str
     resumes_after: int = 0
+    tenant: str = ""  # that the request names
+    api_key: str = ""  # that the request still carries
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,9 +192,21 @@
     timeout_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class JudgedTenant:
+    """The properties of a tenant that the judge reads."""
+
+    name: str
+    api_keys: frozenset[str]
+    homes: frozenset[str] = frozenset()
+
+
 @dataclass(frozen=True, slots=True)
 class OrderStarted:
-    """An operator has begun an order. For configurations: the edition, what it builds on and its routes."""
+    """An operator has begun an order.
+
+    For configurations: the edition, what it builds on, its routes, and its tenants if it has some.
+    """
 
     at_s: float
     number: int
@@ -202,6 +217,7 @@
     routes: tuple[JudgedRoute, ...] = ()
     digest: str = ""  # of the configuration that results
     zone: str = ""
+    tenants: tuple[JudgedTenant, ...] | None = None  # None: requests need no key
 
 
 @dataclass(frozen=True, slots=True)
--- a/coveport/serving/simulation/history.py
+++ b/coveport/serving/simulation/history.py
@@ -15,6 +15,7 @@
     FaultBegan,
     FaultEnded,
     JudgedRoute,
+    JudgedTenant,
     NodeStarted,
     Order,
     OrderEnded,
@@ -70,6 +71,19 @@
         ]
         return max(fits, key=lambda route: len(route.path_prefix), default=None)
 
+    def tenant(self, api_key: str) -> JudgedTenant | None:
+        """Return the tenant that holds a key in this version."""
+        holders = (tenant for tenant in self.started.tenants or () if api_key in tenant.api_keys)
+        return next(holders, None)
+
+    def admits(self, api_key: str) -> bool:
+        """Return whether requests with a key may run in this version, as far as the key goes."""
+        return self.started.tenants is None or self.tenant(api_key) is not None
+
+    def allows(self, attempt: AttemptStarted) -> bool:
+        """Return whether a request has a route in this version, and its key a tenant."""
+        return self.route(attempt.host, attempt.target) is not None and self.admits(attempt.api_key)
+
 
 @dataclass(frozen=True, slots=True)
 class Span:
@@ -145,6 +159,15 @@
 
     # Queries of the rules.
 
+    def newest_acknowledged(self, at_s: float) -> int:
+        """Return the newest edition that was acknowledged by a time; 0: none."""
+        editions = (
+            version.edition
+            for version in self.versions
+            if version.verdict is Verdict.ACKNOWLEDGED and version.started.valid and version.ended_s <= at_s
+        )
+        return max(editions, default=0)
+
     def passed_on(self) -> Iterable[RequestArrived]:
         """Return arrivals without those that a node rejected as misdirected (421)."""
         for arrival in self.arrivals:
--- a/coveport/serving/simulation/judge.py
+++ b/coveport/serving/simulation/judge.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from coveport.serving.settings.boot import Bounds
-from coveport.serving.simulation import control_rules, request_rules
+from coveport.serving.simulation import control_rules, request_rules, tenant_rules
 from coveport.serving.simulation.events import EventLog
 from coveport.serving.simulation.history import Breach, History
 
@@ -21,6 +21,8 @@
     request_rules.denied,
     request_rules.route,
     request_rules.home,
+    tenant_rules.unknown_key,
+    tenant_rules.tenant_name,
     request_rules.lost,
     control_rules.drain,
     control_rules.evacuation,
--- a/coveport/serving/simulation/model_server.py
+++ b/coveport/serving/simulation/model_server.py
@@ -181,8 +181,9 @@
         body = digest(request.body)
         host = request.get("host") or ""
         arrival = RequestArrived(
-            now, self.incarnation, attempt_id, request.method, request.target, host, body, resumes_after
-        )
+            now, self.incarnation, attempt_id, request.method, request.target, host, body, resumes_after,
+            request.get(Header.TENANT) or "", request.get(Header.API_KEY) or "",
+        )  # fmt: skip
         self._event_log.write(arrival)
         named = request.get(Header.EXPECT_INCARNATION)
         if named not in (None, self.incarnation):
--- a/coveport/serving/simulation/operator.py
+++ b/coveport/serving/simulation/operator.py
@@ -19,8 +19,9 @@
     configuration_document,
     document_digest,
     judged_routes,
+    judged_tenants,
 )
-from coveport.serving.simulation.events import EventLog, JudgedRoute, Order, OrderEnded, OrderStarted, Verdict
+from coveport.serving.simulation.events import EventLog, Order, OrderEnded, OrderStarted, Verdict
 from coveport.serving.simulation.exchange import CompleteAnswer
 from coveport.serving.simulation.registration import CoordinatorEndpoints, call_following
 from coveport.serving.wire.names import Config, Header, Path
@@ -140,7 +141,7 @@
 
     async def read(self, for_s: float) -> OrderAnswer:
         """Read the configuration, retrying for `for_s` seconds."""
-        number = self._begin(Order.READ)
+        number = self._begin(OrderStarted(self._net.now_s(), self._numbers.next(), Order.READ))
         answer = await self._send("GET", Path.CONFIG, b"", [], for_s)
         edition, found = read_edition(answer.body) if answer.verdict is Verdict.ACKNOWLEDGED else (0, "")
         self._end(number, answer, edition, found)
@@ -157,28 +158,35 @@
         self, order: Order, method: str, body: bytes, made: Configuration, based_on: int, valid: bool,
         gives_up_s: float,
     ) -> OrderAnswer:  # fmt: skip
-        number = self._begin(
-            order, made.edition, based_on, valid, judged_routes(made.routes),
-            document_digest(configuration_document(made)),
-        )  # fmt: skip
+        number = self._begin_change(order, made, based_on, valid)
         answer = await self._send(method, Path.CONFIG, body, [(Header.IF_MATCH, str(based_on))], gives_up_s)
         self._end(number, answer, made.edition)
         return answer
 
     async def _zone_order(self, order: Order, method: str, zone: str) -> OrderAnswer:
-        number = self._begin(order, zone=zone)
+        number = self._begin(OrderStarted(self._net.now_s(), self._numbers.next(), order, zone=zone))
         answer = await self._send(method, Path.EVACUATION + zone, b"", [], GIVES_UP_S)
         self._end(number, answer)
         return answer
 
-    def _begin(
-        self, order: Order, edition: int = 0, based_on: int = 0, valid: bool = True,
-        routes: tuple[JudgedRoute, ...] = (), found: str = "", zone: str = "",
-    ) -> int:  # fmt: skip
-        number = self._numbers.next()
-        now = self._net.now_s()
-        self._event_log.write(OrderStarted(now, number, order, edition, based_on, valid, routes, found, zone))
-        return number
+    def _begin_change(self, order: Order, made: Configuration, based_on: int, valid: bool) -> int:
+        return self._begin(
+            OrderStarted(
+                self._net.now_s(),
+                self._numbers.next(),
+                order,
+                made.edition,
+                based_on,
+                valid,
+                judged_routes(made.routes),
+                document_digest(configuration_document(made)),
+                tenants=judged_tenants(made.tenants),
+            )
+        )
+
+    def _begin(self, started: OrderStarted) -> int:
+        self._event_log.write(started)
+        return started.number
 
     def _end(self, number: int, answer: OrderAnswer, edition: int = 0, found: str = "") -> None:
         now = self._net.now_s()
--- a/coveport/serving/simulation/planned_steps.py
+++ b/coveport/serving/simulation/planned_steps.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from functools import partial
 from random import Random
 
-from coveport.serving.model.configuration import Configuration, Route
+from coveport.serving.model.configuration import Configuration, Route, Tenant
 from coveport.serving.simulation.client import RequestKind
 from coveport.serving.simulation.deployment import HOST
 from coveport.serving.simulation.documents import Change, configuration_document
@@ -82,18 +83,47 @@
 
         self._day.at(at_s, lambda: self._day.run_operator(operator, send))
 
+    def change_tenants(self, at_s: float, *tenants: Tenant, checked_keys: tuple[str, ...] = ()) -> None:
+        """Add or replace tenants; send requests with some keys to each proxy, soon and after the bound."""
+        operator = self._day.operators[0]
+        path_prefix = self._day.deployment.rates[0][0].path_prefix
+
+        async def patch() -> None:
+            change = Change(self._day.editions.next(), tenants=tenants)
+            await operator.patch(change, operator.configuration)
+            for later_s in (0.5, self._day.deployment.bounds.config_apply_ms / 1000 + 0.2):
+                for key in checked_keys:
+                    check = partial(self.check_proxies, path_prefix, key)
+                    self._day.world.at(self._day.world.now + later_s, check)
+
+        self._day.at(at_s, lambda: self._day.run_operator(operator, patch))
+
+    def send_shared_key(self, at_s: float) -> None:
+        """Send a configuration in which another tenant holds the first key of the first one too."""
+        operator = self._day.operators[0]
+
+        async def send() -> None:
+            base = operator.configuration
+            first = (base.tenants or ())[0]
+            twin = Tenant("twin", first.api_keys[:1])
+            bad = replace(base, edition=self._day.editions.next(), tenants=(*(base.tenants or ()), twin))
+            await operator.put_invalid(bad, json.dumps(configuration_document(bad)).encode(), base.edition)
+
+        self._day.at(at_s, lambda: self._day.run_operator(operator, send))
+
     def _route(self, name: str, path_prefix: str = "") -> Route:
         return self._day.deployment.added_route(name, path_prefix or f"/{name}/")
 
-    def check_proxies(self, path_prefix: str) -> None:
-        """Send one request on a route to each proxy that is up."""
+    def check_proxies(self, path_prefix: str, api_key: str | None = None) -> None:
+        """Send one request on a route to each proxy that is up, with a key or with the client's own."""
         kind = RequestKind("probe", HOST, path_prefix, True, 5.0, 1.0, 0.4, ((1, 50),), 50, 5, 20, 0)
         ports = self._day.deployment.ports
         for at, proxy in enumerate(self._day.proxies):
             machine = self._day.clients[at % len(self._day.clients)]
             program = machine.program
             if proxy.is_up and isinstance(program, ClientProgram):
-                machine.run(partial(program.client.send_direct, kind, (proxy.spot.ip, ports.clients)))
+                address = (proxy.spot.ip, ports.clients)
+                machine.run(partial(program.client.send_direct, kind, address, api_key))
 
     def burst(self, at_s: float, kind: RequestKind, rate: float, for_s: float) -> None:
         """Add so many requests of a kind a second, for `for_s`."""
--- a/coveport/serving/simulation/request_rules.py
+++ b/coveport/serving/simulation/request_rules.py
@@ -121,9 +121,7 @@
             and not history.ran.get(attempt_id)
         )
         allowed = history.versions and all(
-            version.route(started.host, started.target)
-            for version in history.versions
-            if version.may_be_in_force
+            version.allows(started) for version in history.versions if version.may_be_in_force
         )
         if own and allowed and not started.is_direct and history.proxy_in_touch(attempt_id, started.at_s):
             denials.append(ended)
--- a/coveport/serving/simulation/world.py
+++ b/coveport/serving/simulation/world.py
@@ -168,7 +168,7 @@
         client_figures = ClientFigures(
             zone.name, zone.region, keeps_connections=number % 3 != 0,
             holds_answers=3.0 if number % 4 == 0 else 1.0, ttl_most_s=self.deployment.bounds.ttl_max_s,
-            honours_retry_after=number % 5 != 0,
+            honours_retry_after=number % 5 != 0, api_key=self.deployment.api_key(number),
         )  # fmt: skip
         client = Client(
             machine.net, client_figures, partial(self.listed_lookups, zone), self.event_log, rng,
