--- a/coveport/serving/configuration/reader.py
+++ b/coveport/serving/configuration/reader.py
@@ -64,6 +64,8 @@
     known_services = None if "services" in checked.invalid_fields else service_names(raw.services)
     routes = RouteReader(checker, findings, known_services).read(raw.routes)
     limits = _read_limits(raw.limits, checker)
+    if raw.tenants is None and CONFIGURATION["tenants"] in data:
+        findings.add(CONFIGURATION["tenants"], "must be a list")
     tenants = None if raw.tenants is None else TenantReader(checker, findings).read(raw.tenants)
     if findings:
         return Refusal(INVALID, tuple(findings))
