Settings of the duties: the platform's API, and the bounds of lease, usage and revoked keys

Cause: `CarrierApi` and eight `Bounds` of the operators' sheets were ignored; the duties need them. Change: `BootSettings.platform` (None: no duties) with address, kinds of duties and rate; `Bounds` takes `Fenced`, `LeaseMs`, `ThawSlackMs`, `UsageWindowS`, `UsageError`, `UsageDelayS`, `RevokedClosed`, `RevokeMs`, of which two are true or false. Names of duties that are not known are ignored. A platform that comes or goes at SIGHUP is one changed setting (`platform`). The golden settings files get the new lines at their ends, and no other difference; the page of the start names each.

--- a/coveport/serving/settings/boot.py
+++ b/coveport/serving/settings/boot.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from coveport.net.address import Address
+from coveport.serving.duties.kinds import DutyKind
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,8 +35,8 @@
 class Bounds:
     """Bounds of the operators' rules, in the units that the names say.
 
-    A process is steered by `grace_s`, `retry_*` and `warm_up_*`. The others are what its behaviour is
-    measured by: the simulation checks them.
+    A process is steered by `grace_s`, `retry_*`, `warm_up_*`, `lease_ms` and `usage_window_s`. The others are
+    what its behaviour is measured by: the simulation checks them.
     """
 
     seed_lag_s: float = 3.0
@@ -58,6 +59,23 @@
     recover_s: float = 12.0
     pass_ms: float = 250.0
     ttl_max_s: float = 5.0
+    is_fenced: bool = False  # the platform refuses calls with a lower fence than it has seen
+    lease_ms: float = 3000.0
+    thaw_slack_ms: float = 300.0
+    usage_window_s: float = 5.0
+    usage_error: float = 0.05  # part of the true count
+    usage_delay_s: float = 10.0
+    revoked_closed: bool = False
+    revoke_ms: float = 5000.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """The platform's API for the duties of one coordinator at a time."""
+
+    address: Address
+    duties: frozenset[DutyKind] = frozenset()
+    calls_per_s: float = 1.0  # that it takes of all coordinators together
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +104,7 @@
     limits: ProcessLimits = ProcessLimits()
     tolerated: FaultTolerance = FaultTolerance()
     bounds: Bounds = Bounds()
+    platform: PlatformSettings | None = None  # None: there are no duties
 
     @property
     def inner(self) -> Address:
--- a/coveport/serving/settings/field_reader.py
+++ b/coveport/serving/settings/field_reader.py
@@ -37,13 +37,25 @@
         return value
 
     def required_strings(self, name: str) -> tuple[str, ...]:
-        """Return a list of strings, which must be there."""
-        value = self.data.get(name)
+        """Return a list of strings at the top, which must be there."""
+        return self.strings(self.data, name, name)
+
+    def strings(self, table: Mapping[str, Any], name: str, location: str) -> tuple[str, ...]:
+        """Return a list of strings of a table, which must be there."""
+        value = table.get(name)
         if isinstance(value, list) and all(isinstance(item, str) for item in value):
             return tuple(value)
-        self.findings.add(name, "is missing" if value is None else "must be a list of strings")
+        self.findings.add(location, "is missing" if value is None else "must be a list of strings")
         return ()
 
+    def flag(self, table: Mapping[str, Any], name: str, location: str) -> bool:
+        """Return a boolean of a table, which must be there."""
+        value = table[name]
+        if isinstance(value, bool):
+            return value
+        self.findings.add(location, "must be true or false")
+        return False
+
     def table(self, name: str) -> Mapping[str, Any]:
         """Return a table; empty where it is missing."""
         value = self.data.get(name, {})
--- a/coveport/serving/settings/reader.py
+++ b/coveport/serving/settings/reader.py
@@ -13,7 +13,13 @@
 
 from coveport.net.address import Address, parse_address
 from coveport.serving.model.findings import Finding, Findings, Refusal
-from coveport.serving.settings.boot import BootSettings, Bounds, FaultTolerance, ProcessLimits
+from coveport.serving.settings.boot import (
+    BootSettings,
+    Bounds,
+    FaultTolerance,
+    PlatformSettings,
+    ProcessLimits,
+)
 from coveport.serving.settings.field_reader import FieldReader
 from coveport.serving.wire import names
 from coveport.serving.wire import settings as wire
@@ -95,6 +101,7 @@
             limits=self._numbers(Boot.LIMITS, wire.LIMITS, ProcessLimits()),
             tolerated=self._numbers(Boot.TOLERATED, wire.TOLERATED, FaultTolerance()),
             bounds=self._numbers(Boot.BOUNDS, wire.BOUNDS, Bounds()),
+            platform=self._platform(),
         )
         self._check_locality(settings)
         return settings
@@ -162,19 +169,37 @@
         if region is not None and settings.region and region != settings.region:
             self._findings.add(Boot.REGION, f"{Boot.REGIONS} has {region!r} for this zone")
 
+    def _platform(self) -> PlatformSettings | None:
+        """Return the platform's API; None where the file has none. Duties with other names are ignored."""
+        if Boot.PLATFORM not in self._data:
+            return None
+        table = self._fields.table(Boot.PLATFORM)
+        address, duties, calls_per_s = (wire.PLATFORM[key] for key in ("address", "duties", "calls_per_s"))
+        read_address = self._fields.address(table.get(address), f"{Boot.PLATFORM}.{address}")
+        wanted = self._fields.strings(table, duties, f"{Boot.PLATFORM}.{duties}")
+        return PlatformSettings(
+            read_address or ("", 0),
+            frozenset(kind for kind, name in wire.DUTIES.items() if name in wanted),
+            self._fields.number(table, calls_per_s, f"{Boot.PLATFORM}.{calls_per_s}", is_zero_allowed=False),
+        )
+
     def _numbers(self, name: str, keys: Mapping[str, str], defaults: Numbers) -> Numbers:
-        """Return a table of numbers; those that are missing keep their defaults.
+        """Return a table of numbers and flags; those that are missing keep their defaults.
 
         `keys`: the keys of the table by field of the result. A field whose default is an int takes whole
-        numbers.
+        numbers, one whose default is a bool takes true or false.
         """
         table = self._fields.table(name)
         values: dict[str, Any] = {}
         for field, key in keys.items():
             if key not in table:
                 continue
+            default = getattr(defaults, field)
+            if isinstance(default, bool):
+                values[field] = self._fields.flag(table, key, f"{name}.{key}")
+                continue
             value = self._fields.number(table, key, f"{name}.{key}")
-            is_integer = isinstance(getattr(defaults, field), int)
+            is_integer = isinstance(default, int)
             if is_integer and value != int(value):
                 self._findings.add(f"{name}.{key}", "must be a whole number")
             values[field] = int(value) if is_integer else float(value)
--- a/coveport/serving/settings/reload.py
+++ b/coveport/serving/settings/reload.py
@@ -32,7 +32,7 @@
     for field in fields(running):
         before = getattr(running, field.name)
         after = getattr(candidate, field.name)
-        if is_dataclass(before):
+        if is_dataclass(before) and is_dataclass(after):
             yield from _changed(before, after, f"{field.name}.")
         elif before != after:
             yield prefix + field.name
--- a/coveport/serving/simulation/settings_file.py
+++ b/coveport/serving/simulation/settings_file.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from coveport.net.address import Address
-from coveport.serving.settings.boot import BootSettings
+from coveport.serving.settings.boot import BootSettings, PlatformSettings
 from coveport.serving.wire import settings as wire
 from coveport.serving.wire.settings import Boot
 
@@ -38,10 +38,23 @@
         *_table(Boot.LIMITS, _fields(settings.limits, wire.LIMITS)),
         *_table(Boot.TOLERATED, _fields(settings.tolerated, wire.TOLERATED)),
         *_table(Boot.BOUNDS, _fields(settings.bounds, wire.BOUNDS)),
+        *_platform(settings.platform),
     ]
     return "\n".join(lines) + "\n"
 
 
+def _platform(platform: PlatformSettings | None) -> list[str]:
+    """Return the lines of the platform's API, if there is one."""
+    if platform is None:
+        return []
+    fields: dict[str, Plain] = {
+        wire.PLATFORM["address"]: _text(platform.address),
+        wire.PLATFORM["duties"]: [name for kind, name in wire.DUTIES.items() if kind in platform.duties],
+        wire.PLATFORM["calls_per_s"]: platform.calls_per_s,
+    }
+    return _table(Boot.PLATFORM, fields)
+
+
 def _fields(section: object, names: dict[str, str]) -> dict[str, Plain]:
     return {name: getattr(section, field) for field, name in names.items()}
 
--- a/coveport/serving/wire/settings.py
+++ b/coveport/serving/wire/settings.py
@@ -4,6 +4,8 @@
 
 from typing import Final
 
+from coveport.serving.duties.kinds import DutyKind
+
 
 class Boot:
     """Fields at the top of the settings file."""
@@ -24,6 +26,7 @@
     LIMITS: Final = "Limits"
     TOLERATED: Final = "Tolerate"
     BOUNDS: Final = "Bounds"
+    PLATFORM: Final = "CarrierApi"
 
 
 LISTEN: Final = {
@@ -60,4 +63,14 @@
     "recover_s": "RecoverS",
     "pass_ms": "pass_ms",
     "ttl_max_s": "ttl_max_s",
+    "is_fenced": "Fenced",
+    "lease_ms": "LeaseMs",
+    "thaw_slack_ms": "ThawSlackMs",
+    "usage_window_s": "UsageWindowS",
+    "usage_error": "UsageError",
+    "usage_delay_s": "UsageDelayS",
+    "revoked_closed": "RevokedClosed",
+    "revoke_ms": "RevokeMs",
 }
+PLATFORM: Final = {"address": "Address", "duties": "Duties", "calls_per_s": "DutyRateS"}
+DUTIES: Final = {DutyKind.USAGE_REPORTS: "metering", DutyKind.FLEET_ORDERS: "fleet_size"}
--- a/tests/golden/golden_settings_cases.py
+++ b/tests/golden/golden_settings_cases.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from typing import Any
+
 from coveport.serving.configuration.commands import (
     Command,
     EndEvacuation,
@@ -10,6 +13,7 @@
     StartEvacuation,
 )
 from coveport.serving.configuration.state import AppliedChange, ControlState
+from coveport.serving.duties.kinds import DutyKind
 from coveport.serving.model.configuration import (
     ClientLimits,
     Configuration,
@@ -19,7 +23,13 @@
     Service,
     WeightedService,
 )
-from coveport.serving.settings.boot import BootSettings, Bounds, FaultTolerance, ProcessLimits
+from coveport.serving.settings.boot import (
+    BootSettings,
+    Bounds,
+    FaultTolerance,
+    PlatformSettings,
+    ProcessLimits,
+)
 
 ZONES = {"hall": "south", "mill": "north"}
 COORDINATOR_TEXT = """\
@@ -70,7 +80,20 @@
 RecoverS = 18.5
 pass_ms = 19.5
 ttl_max_s = 20.5
+Fenced = true
+LeaseMs = 21.5
+ThawSlackMs = 22.5
+UsageWindowS = 23.5
+UsageError = 24.5
+UsageDelayS = 25.5
+RevokedClosed = true
+RevokeMs = 26.5
+[CarrierApi]
+Address = "10.200.0.1:8346"
+Duties = ["metering", "fleet_size"]
+DutyRateS = 27.5
 """
+FIRST_BOUNDS: tuple[Any, ...] = tuple(number + 0.5 for number in range(1, 21))
 COORDINATOR = BootSettings(
     name="counter-hall-1",
     ip="10.1.0.10",
@@ -88,7 +111,18 @@
     lookups=("10.1.0.10", 8268),
     limits=ProcessLimits(300.5, 4100, 900.0, 64.0),
     tolerated=FaultTolerance(1, 2, 3),
-    bounds=Bounds(*(number + 0.5 for number in range(1, 21))),
+    bounds=replace(
+        Bounds(*FIRST_BOUNDS),
+        is_fenced=True,
+        lease_ms=21.5,
+        thaw_slack_ms=22.5,
+        usage_window_s=23.5,
+        usage_error=24.5,
+        usage_delay_s=25.5,
+        revoked_closed=True,
+        revoke_ms=26.5,
+    ),
+    platform=PlatformSettings(("10.200.0.1", 8346), frozenset(DutyKind), 27.5),
 )
 PROXY_TEXT = """\
 NodeName = "counter-mill-1"
@@ -135,6 +169,7 @@
 DEFAULT_BOUNDS = (
     *(3.0, 2.0, 4000.0, 5000.0, 4.0, 2500.0, 8.0, 200.0, 2500.0, 250.0),
     *(6000.0, 0.2, 10.0, 0.0, 1.0, 0.0, 5000.0, 12.0, 250.0, 5.0),
+    *(False, 3000.0, 300.0, 5.0, 0.05, 10.0, False, 5000.0),
 )
 
 # As an operator sends it: with spaces, fields that are not known, numbers of both kinds.
--- a/tests/serving/cli/test_operator_docs.py
+++ b/tests/serving/cli/test_operator_docs.py
@@ -61,11 +61,13 @@
 
 def test_every_setting_is_in_the_page() -> None:
     fields = {value for name, value in vars(settings.Boot).items() if name.isupper()}
-    assert len(fields) == 16
+    assert len(fields) == 17
     assert set(re.findall(r"`(\w+)`", " ".join(first_cells(START, "Field")))) == fields
 
 
-@pytest.mark.parametrize("names", [settings.LISTEN, settings.LIMITS, settings.TOLERATED, settings.BOUNDS])
+@pytest.mark.parametrize(
+    "names", [settings.LISTEN, settings.LIMITS, settings.TOLERATED, settings.BOUNDS, settings.PLATFORM]
+)
 def test_every_setting_of_a_table_is_in_the_page(names: dict[str, str]) -> None:
     assert [name for name in (*names.values(), SETTINGS_VARIABLE) if f"`{name}`" not in START] == []
 
--- a/tests/serving/settings/test_boot_settings_reader.py
+++ b/tests/serving/settings/test_boot_settings_reader.py
@@ -11,10 +11,24 @@
 import pytest
 from settings_examples import COORDINATOR, PROXY, read_valid
 
+from coveport.serving.duties.kinds import DutyKind
 from coveport.serving.model.findings import Refusal
-from coveport.serving.settings.boot import Bounds
+from coveport.serving.settings.boot import Bounds, PlatformSettings
 from coveport.serving.settings.reader import parse_boot_settings, read_boot_settings
 
+PLATFORM = (
+    PROXY
+    + """\
+Fenced = true
+LeaseMs = 3000
+[CarrierApi]
+Address = "10.200.0.1:8346"
+RatePerS = 50.0
+Duties = ["metering"]
+DutyRateS = 50.0
+"""
+)
+
 
 def fault_locations(text: str) -> list[str]:
     """Return the location of each fault of a text."""
@@ -47,6 +61,34 @@
     assert read_valid(PROXY).bounds.evacuate_ms == Bounds().evacuate_ms
 
 
+def test_without_a_platform_there_are_no_duties() -> None:
+    assert read_valid(PROXY).platform is None
+
+
+def test_duties_that_are_not_known_are_ignored() -> None:
+    text = PLATFORM.replace('"metering"', '"metering", "sweeping"')
+    expected = PlatformSettings(("10.200.0.1", 8346), frozenset({DutyKind.USAGE_REPORTS}), 50.0)
+    assert read_valid(text).platform == read_valid(PLATFORM).platform == expected
+
+
+@pytest.mark.parametrize(
+    ("line", "bad", "location"),
+    [
+        ('Address = "10.200.0.1:8346"', 'Address = "there"', "CarrierApi.Address"),
+        ('Address = "10.200.0.1:8346"', "", "CarrierApi.Address"),
+        ('Duties = ["metering"]', 'Duties = "metering"', "CarrierApi.Duties"),
+        ('Duties = ["metering"]', "", "CarrierApi.Duties"),
+        ("DutyRateS = 50.0", "DutyRateS = 0", "CarrierApi.DutyRateS"),
+        ("DutyRateS = 50.0", "", "CarrierApi.DutyRateS"),
+        ("Fenced = true", "Fenced = 1", "Bounds.Fenced"),
+        ("LeaseMs = 3000", "LeaseMs = true", "Bounds.LeaseMs"),
+    ],
+)
+def test_a_faulty_field_of_the_duties_has_one_finding(line: str, bad: str, location: str) -> None:
+    assert line in PLATFORM
+    assert fault_locations(PLATFORM.replace(line, bad)) == [location]
+
+
 @pytest.mark.parametrize("name", [name for name in tomllib.loads(PROXY) if name not in ("Role", "Contracts")])
 def test_a_missing_field_at_the_top_is_a_fault_unless_it_has_defaults(name: str) -> None:
     text = "\n".join(line for line in PROXY.splitlines() if not line.startswith(f"{name} ="))
--- a/tests/serving/settings/test_settings_reload.py
+++ b/tests/serving/settings/test_settings_reload.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, field, fields, replace
 from pathlib import Path
 from typing import Any
 
@@ -12,7 +12,7 @@
 from coveport.serving.coordinator.coordinator import Coordinator
 from coveport.serving.proxy.process import Proxy
 from coveport.serving.role_process import reload_settings
-from coveport.serving.settings.boot import BootSettings
+from coveport.serving.settings.boot import BootSettings, PlatformSettings
 from coveport.serving.settings.reload import SettingsReloader, changed_settings, with_changes
 
 OTHER_SEEDS = PROXY.replace("SeedAddrs = [", 'SeedAddrs = ["10.9.9.9:8262", ')
@@ -94,6 +94,13 @@
     assert after.seeds == candidate.seeds
 
 
+def test_a_platform_that_comes_or_goes_is_one_setting() -> None:
+    without = read_valid(PROXY)
+    with_platform = replace(without, platform=PlatformSettings(("10.200.0.1", 8346)))
+    assert changed_settings(without, with_platform) == ("platform",)
+    assert changed_settings(with_platform, without) == ("platform",)
+
+
 @pytest.mark.parametrize("role", [Coordinator, Proxy])
 def test_every_reloadable_name_is_one_that_changed_settings_can_have(role: Any) -> None:
     settings = read_valid(PROXY)
@@ -121,6 +128,6 @@
 def test_the_names_in_the_log_stay_as_they_are() -> None:
     names = """
         name ip zone region inner_ports seeds first_boot loss_counted data_dir serves heartbeat_ms regions
-        clients readiness control lookups limits tolerated bounds
+        clients readiness control lookups limits tolerated bounds platform
     """
     assert [field.name for field in fields(BootSettings)] == names.split()
