Duties: their commands are applied, stored and replicated; proxies get none of them

Cause: the types of the duties stood alone; nothing applied them or kept their state. Change: `duties/state_machine.py` (pure) with typed refusals; a window once fixed keeps its counts, and beyond 50,000 counts of unsent reports further windows stay unfixed and wait at those who count. `ControlState.duties` is MessagePack behind the fields of version 4: a state without duties has the same bytes, an older program ignores what is behind. Commands 4 to 6 at the end of the codec's order; version 5 of the messages. Updates to proxies leave the duties out: a commit of theirs wakes no proxy, is sent to none, and only the sequence number rises. `PeerVersions.all_read` tells whether an older program is around. Golden files get new cases; none changed.

--- a/coveport/serving/configuration/state.py
+++ b/coveport/serving/configuration/state.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
+from coveport.serving.duties.state import DutyState
 from coveport.serving.model.findings import Finding
 
 # How many changes are recognised when a client sends them again. Older ones get no clear answer
@@ -22,12 +23,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlState:
-    """What the operators were promised is durable."""
+    """What the operators were promised is durable, and what outlives a holder of the duties."""
 
     configuration_text: bytes | None = None  # JSON of the newest configuration, exactly as it is handed out
     edition: int = 0  # of that configuration; 0: there is none
     evacuated_zones: frozenset[str] = frozenset()
     applied_changes: tuple[AppliedChange, ...] = ()  # the newest `MAX_APPLIED_CHANGES`, oldest first
+    duties: DutyState = DutyState()  # noqa: RUF009 - frozen
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +41,11 @@
     findings: tuple[Finding, ...] = ()
 
 
+def without_duties(state: ControlState) -> ControlState:
+    """Return what proxies need of a state."""
+    return replace(state, duties=DutyState())
+
+
 def initial_state() -> ControlState:
-    """Return the state of a new system: no configuration, no evacuation."""
+    """Return the state of a new system: no configuration, no evacuation, no holder."""
     return ControlState()
--- a/coveport/serving/configuration/state_codec.py
+++ b/coveport/serving/configuration/state_codec.py
@@ -7,9 +7,11 @@
 from typing import Final
 
 from coveport.serving.configuration.digest import DIGEST_BYTES, digest_of
+from coveport.serving.configuration.duty_state_codec import decode_duties, encode_duties
 from coveport.serving.configuration.state import AppliedChange, ControlState
 from coveport.serving.wire.codec import MessageCodec
 from coveport.serving.wire.errors import MalformedMessageError
+from coveport.serving.wire.versions import added_in
 
 _APPLIED_CHANGE: Final = struct.Struct(f">Q{DIGEST_BYTES}s")  # edition, digest
 # First byte of a state with a digest. A state without one begins with the codec's number of its class, 0.
@@ -26,7 +28,20 @@
     applied_changes: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class _StoredStateWithDuties:
+    """The same, with the state of the duties behind it: programs before version 5 ignore that."""
+
+    configuration_text: bytes | None
+    edition: int
+    evacuated_zones: tuple[str, ...]
+    applied_changes: bytes
+    duties: bytes = added_in(5, b"")
+
+
+# Both have the same number. A state without duties is written as before version 5, and read by either.
 _CODEC: Final[MessageCodec[_StoredState]] = MessageCodec((_StoredState,))
+_CODEC_WITH_DUTIES: Final[MessageCodec[_StoredStateWithDuties]] = MessageCodec((_StoredStateWithDuties,))
 
 
 def encode_state(state: ControlState) -> bytes:
@@ -35,7 +50,13 @@
         _APPLIED_CHANGE.pack(change.edition, change.digest) for change in state.applied_changes
     )
     zones = tuple(sorted(state.evacuated_zones))
-    stored = _CODEC.encode(_StoredState(state.configuration_text, state.edition, zones, changes))
+    fields = (state.configuration_text, state.edition, zones, changes)
+    duties = encode_duties(state.duties)
+    stored = (
+        _CODEC_WITH_DUTIES.encode(_StoredStateWithDuties(*fields, duties))
+        if duties
+        else _CODEC.encode(_StoredState(*fields))
+    )
     return _DIGEST_MARKER + digest_of(stored) + stored
 
 
@@ -44,7 +65,7 @@
 
     Raises MalformedMessageError where the bytes hold no state, or not the one that was encoded.
     """
-    stored = _CODEC.decode(_verified(data) if data.startswith(_DIGEST_MARKER) else data)
+    stored = _CODEC_WITH_DUTIES.decode(_verified(data) if data.startswith(_DIGEST_MARKER) else data)
     length = len(stored.applied_changes)
     if length % _APPLIED_CHANGE.size:
         raise MalformedMessageError(
@@ -55,7 +76,11 @@
         for edition, digest in _APPLIED_CHANGE.iter_unpack(stored.applied_changes)
     )
     return ControlState(
-        stored.configuration_text, stored.edition, frozenset(stored.evacuated_zones), tuple(changes)
+        stored.configuration_text,
+        stored.edition,
+        frozenset(stored.evacuated_zones),
+        tuple(changes),
+        decode_duties(stored.duties),
     )
 
 
--- a/coveport/serving/configuration/state_machine.py
+++ b/coveport/serving/configuration/state_machine.py
@@ -25,6 +25,8 @@
     ChangeResult,
     ControlState,
 )
+from coveport.serving.duties.commands import AcquireDuties, DutyCommand, FixUsageReports, RecordFleetOrders
+from coveport.serving.duties.state_machine import DutyRefusal, apply_duty_command
 from coveport.serving.model.findings import Finding, Refusal
 from coveport.serving.replication.state_machine import Applied, Refused
 from coveport.serving.wire.names import Config
@@ -54,6 +56,15 @@
             return _applied(replace(state, evacuated_zones=state.evacuated_zones - {zone}))
         case PutConfiguration() | PatchConfiguration():
             return _change_configuration(state, command)
+        case AcquireDuties() | FixUsageReports() | RecordFleetOrders():
+            return _change_duties(state, command)
+
+
+def _change_duties(state: ControlState, command: DutyCommand) -> Applied | Refused:
+    duties = apply_duty_command(state.duties, command)
+    if isinstance(duties, DutyRefusal):
+        return Refused(duties)
+    return _applied(replace(state, duties=duties))
 
 
 def _applied(state: ControlState) -> Applied:
--- a/coveport/serving/coordinator/coordinator.py
+++ b/coveport/serving/coordinator/coordinator.py
@@ -8,7 +8,8 @@
 from typing import Final
 
 from coveport.net.transport import Net
-from coveport.serving.configuration.state import initial_state
+from coveport.serving.configuration.commands import is_duty_command
+from coveport.serving.configuration.state import initial_state, without_duties
 from coveport.serving.configuration.state_codec import encode_state
 from coveport.serving.coordinator.control_service import ControlService
 from coveport.serving.coordinator.control_state_machine import STATE_MACHINE
@@ -314,8 +315,13 @@
         self._lease_replicator.send_all(address)
 
     def _on_committed(self, effect: CommittedState) -> None:
-        self.history.advance(effect.sequence, encode_state(effect.state), effect.command)
         self._quorum_status.refresh()
+        is_of_duties = effect.command is not None and is_duty_command(effect.command)
+        if is_of_duties and self.history.is_next(effect.sequence):
+            self.history.advance_duties()
+            return
+        state = encode_state(without_duties(effect.state))
+        self.history.advance(effect.sequence, state, effect.command)
         self._subscriptions.notify()
 
     def _on_stall(self, stall_s: float) -> None:
--- a/coveport/serving/coordinator/peer_versions.py
+++ b/coveport/serving/coordinator/peer_versions.py
@@ -1,4 +1,4 @@
-"""Versions of the programs that are connected to a coordinator, for the operators' status call."""
+"""Versions of the programs that are connected to a coordinator: its status and upgrades depend on them."""
 
 from __future__ import annotations
 
@@ -24,6 +24,10 @@
         """Record what a proxy announced with a request."""
         self._of_proxies[name] = version
 
+    def all_read(self, version: int, coordinators: Iterable[str]) -> bool:
+        """Whether none of these (inner addresses) has announced an older version, when it last connected."""
+        return all(self._of_coordinators.get(address, version) >= version for address in coordinators)
+
     def describe(self, coordinators: Iterable[str], proxies: Iterable[str]) -> dict[str, Any]:
         """Return the versions of the given live coordinators (inner addresses) and proxies (names).
 
--- a/coveport/serving/coordinator/state_history.py
+++ b/coveport/serving/coordinator/state_history.py
@@ -1,4 +1,7 @@
-"""The newest acknowledged state and the commands that led there, for updates that send differences."""
+"""The newest acknowledged state and the commands that led there, for updates that send differences.
+
+Proxies get no state of the duties and none of its commands: they learn the sequence number alone.
+"""
 
 from __future__ import annotations
 
@@ -16,24 +19,34 @@
     def __init__(self) -> None:
         self.sequence = -1
         self.encoded_state = b""
-        self._changes: deque[StateChange] = deque(maxlen=MAX_CHANGES)
+        self._changes: deque[StateChange | None] = deque(maxlen=MAX_CHANGES)  # None: of the duties alone
 
     def advance(self, sequence: int, encoded_state: bytes, command: bytes | None) -> None:
         """Record a newer committed state.
 
         `command` led there from the state before; None where that isn't known, as after a snapshot.
         """
-        if command is None or sequence != self.sequence + 1:
+        if command is None or not self.is_next(sequence):
             self._changes.clear()
         else:
             self._changes.append(StateChange(sequence, command))
         self.sequence = sequence
         self.encoded_state = encoded_state
 
+    def is_next(self, sequence: int) -> bool:
+        """Whether this is the sequence number after the newest state's."""
+        return sequence == self.sequence + 1
+
+    def advance_duties(self) -> None:
+        """Record the next committed state, which differs from the one before in the duties alone."""
+        self._changes.append(None)
+        self.sequence += 1
+
     def changes_since(self, sequence: int) -> tuple[StateChange, ...] | None:
         """Return what led from that state to the newest one; None where the complete state is needed."""
         if sequence >= self.sequence:
             return ()
-        changes = tuple(change for change in self._changes if change.sequence > sequence)
-        is_gapless = len(changes) == self.sequence - sequence
-        return changes if is_gapless and sequence >= 0 else None
+        lacking = self.sequence - sequence
+        if sequence < 0 or lacking > len(self._changes):
+            return None
+        return tuple(change for change in list(self._changes)[-lacking:] if change is not None)
--- /dev/null
+++ b/coveport/serving/duties/state_machine.py
@@ -0,0 +1,90 @@
+"""Applies the commands of the duty holder to their state: deterministic, so that all replicas agree."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import Enum
+from itertools import pairwise
+from typing import Final
+
+from coveport.serving.duties.commands import AcquireDuties, DutyCommand, FixUsageReports, RecordFleetOrders
+from coveport.serving.duties.state import DutyState, UsageReport
+
+# Tenants in all unsent reports together, about 1 MB of state. Windows beyond that aren't fixed: their counts
+# wait at the proxies and coordinators, and are offered again once the platform has accepted older ones.
+MAX_UNSENT_COUNTS: Final = 50_000
+
+
+class RefusalReason(Enum):
+    """Why a command was refused."""
+
+    FENCE_CHANGED = "another holder has acquired the duties meanwhile"
+    WINDOWS_NOT_RISING = "the windows of the reports do not rise"
+    NEGATIVE_WINDOW = "a window is below 0"
+
+
+@dataclass(frozen=True, slots=True)
+class DutyRefusal:
+    """The answer to the caller of a refused command."""
+
+    reason: RefusalReason
+    fence: int  # current
+
+
+def apply_duty_command(state: DutyState, command: DutyCommand) -> DutyState | DutyRefusal:
+    """Return the state after a command, or why it is refused."""
+    match command:
+        case AcquireDuties(holder, previous_fence):
+            if previous_fence != state.fence:
+                return DutyRefusal(RefusalReason.FENCE_CHANGED, state.fence)
+            return replace(state, holder=holder, fence=state.fence + 1)
+        case FixUsageReports():
+            return _fix_usage_reports(state, command)
+        case RecordFleetOrders():
+            return _record_fleet_orders(state, command)
+
+
+def _fix_usage_reports(state: DutyState, command: FixUsageReports) -> DutyState | DutyRefusal:
+    reason = _fault_of_reports(state, command)
+    if reason is not None:
+        return DutyRefusal(reason, state.fence)
+    accepted = set(command.accepted_windows)
+    unsent = tuple(report for report in state.unsent_reports if report.window not in accepted)
+    candidates = tuple(report for report in command.reports if report.window > state.last_fixed_window)
+    fixed = _that_fit(unsent, candidates)
+    last_fixed_window = fixed[-1].window if fixed else state.last_fixed_window
+    return replace(state, last_fixed_window=last_fixed_window, unsent_reports=(*unsent, *fixed))
+
+
+def _fault_of_reports(state: DutyState, command: FixUsageReports) -> RefusalReason | None:
+    windows = [report.window for report in command.reports]
+    if command.fence != state.fence:
+        return RefusalReason.FENCE_CHANGED
+    if any(window < 0 for window in windows):
+        return RefusalReason.NEGATIVE_WINDOW
+    if any(later <= earlier for earlier, later in pairwise(windows)):
+        return RefusalReason.WINDOWS_NOT_RISING
+    return None
+
+
+def _that_fit(
+    unsent: tuple[UsageReport, ...], candidates: tuple[UsageReport, ...]
+) -> tuple[UsageReport, ...]:
+    """Return the first candidates that `MAX_UNSENT_COUNTS` leaves room for."""
+    used = sum(_size(report) for report in unsent)
+    for index, report in enumerate(candidates):
+        used += _size(report)
+        if used > MAX_UNSENT_COUNTS and (unsent or index):  # a single report always fits
+            return candidates[:index]
+    return candidates
+
+
+def _size(report: UsageReport) -> int:
+    return max(1, len(report.counts))
+
+
+def _record_fleet_orders(state: DutyState, command: RecordFleetOrders) -> DutyState | DutyRefusal:
+    if command.fence != state.fence:
+        return DutyRefusal(RefusalReason.FENCE_CHANGED, state.fence)
+    orders = {(order.service, order.zone): order for order in (*state.fleet_orders, *command.orders)}
+    return replace(state, fleet_orders=tuple(orders[subject] for subject in sorted(orders)))
--- a/coveport/serving/proxy/view_updater.py
+++ b/coveport/serving/proxy/view_updater.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from coveport.serving.configuration.reader import read_document
-from coveport.serving.configuration.state import ControlState, initial_state
+from coveport.serving.configuration.state import ControlState, initial_state, without_duties
 from coveport.serving.configuration.state_codec import decode_state
 from coveport.serving.configuration.state_machine import apply
 from coveport.serving.log import EventLogger
@@ -84,17 +84,19 @@
             self._view.max_proxies = update.max_proxies
 
     def _apply_state(self, update: Update, now_s: float) -> bool:
+        """Take a newer state; return whether the view changed: other commands than the duties' came."""
         if update.state_sequence <= self._sequence:
             return False
         state = self._decode(update.state) if update.state is not None else self._replay(update.changes)
         self.needs_full_state = state is None
         if state is None:
             return False
+        is_first = not self.has_state
         before = self._state
         self._state = state
         self._sequence = update.state_sequence
         self._activate(before, state, now_s)
-        return True
+        return is_first or without_duties(state) != without_duties(before)
 
     def _decode(self, data: bytes) -> ControlState | None:
         try:
--- a/coveport/serving/wire/versions.py
+++ b/coveport/serving/wire/versions.py
@@ -17,7 +17,9 @@
 
 FRAME_VERSION: Final = 3  # in the header of each frame; a program with another one can't read our messages
 UNANNOUNCED_VERSION: Final = 3  # of a peer that announces none: the last program before announcements
-PROTOCOL_VERSION: Final = 4  # 4: announcements, complete node tables marked as such, refusals by version
+# 4: announcements, complete node tables marked as such, refusals by version; 5: duties and telemetry
+PROTOCOL_VERSION: Final = 5
+DUTIES_VERSION: Final = 5  # older coordinators can't read the commands of the duties
 
 _ADDED_IN: Final = "added_in"
 
--- a/tests/golden/golden_settings_cases.py
+++ b/tests/golden/golden_settings_cases.py
@@ -13,7 +13,9 @@
     StartEvacuation,
 )
 from coveport.serving.configuration.state import AppliedChange, ControlState
+from coveport.serving.duties.commands import AcquireDuties, FixUsageReports, RecordFleetOrders
 from coveport.serving.duties.kinds import DutyKind
+from coveport.serving.duties.state import DutyHolder, DutyState, FleetOrder, UsageReport
 from coveport.serving.model.configuration import (
     ClientLimits,
     Configuration,
@@ -23,6 +25,7 @@
     Service,
     WeightedService,
 )
+from coveport.serving.model.telemetry import TenantCount
 from coveport.serving.settings.boot import (
     BootSettings,
     Bounds,
@@ -254,6 +257,19 @@
     "patch without an edition": PatchConfiguration(None, b"{}"),
     "start an evacuation": StartEvacuation("hall"),
     "end an evacuation": EndEvacuation("mill"),
+    "acquire the duties": AcquireDuties(DutyHolder("counter-hall-1", "7f3a91c2"), 11),
+    "fix no usage reports": FixUsageReports(12, (), ()),
+    "fix usage reports": FixUsageReports(
+        12,
+        (
+            UsageReport(353_445_120, (TenantCount("nowu640", 412), TenantCount("größe", 0))),
+            UsageReport(353_445_121, ()),
+        ),
+        (353_445_118, 353_445_119),
+    ),
+    "record fleet orders": RecordFleetOrders(
+        12, (FleetOrder("model", "hall", 6), FleetOrder("model", "mill", 300))
+    ),
 }
 STATES: dict[str, ControlState] = {
     "initial": ControlState(),
@@ -263,4 +279,23 @@
         frozenset({"mill", "hall"}),
         (AppliedChange(6, bytes(range(16))), AppliedChange(7, b"\xff" * 16)),
     ),
+    "with a holder of the duties": ControlState(
+        duties=DutyState(DutyHolder("counter-hall-1", "7f3a91c2"), 12)
+    ),
+    "with everything and duties": ControlState(
+        CONFIGURATION_WRITTEN.encode(),
+        7,
+        frozenset({"mill"}),
+        (AppliedChange(7, b"\xff" * 16),),
+        DutyState(
+            DutyHolder("counter-hall-1", "7f3a91c2"),
+            12,
+            353_445_121,
+            (
+                UsageReport(353_445_120, (TenantCount("größe", 0), TenantCount("nowu640", 412))),
+                UsageReport(353_445_121, ()),
+            ),
+            (FleetOrder("model", "hall", 6), FleetOrder("model", "mill", 300)),
+        ),
+    ),
 }
--- a/tests/golden/test_golden_settings.py
+++ b/tests/golden/test_golden_settings.py
@@ -81,7 +81,7 @@
 
 def test_every_command_has_its_golden_bytes() -> None:
     assert COMMAND_BYTES.keys() == COMMANDS.keys()
-    assert {data[0] for data in COMMAND_BYTES.values()} == {0, 1, 2, 3}
+    assert {data[0] for data in COMMAND_BYTES.values()} == {0, 1, 2, 3, 4, 5, 6}
     assert STATE_BYTES.keys() == {*STATES, "with everything, without its digest", "after all commands"}
 
 
--- /dev/null
+++ b/tests/serving/coordinator/test_peer_versions.py
@@ -0,0 +1,33 @@
+"""Which announced versions hold commands of the duties back."""
+
+from __future__ import annotations
+
+import pytest
+
+from coveport.serving.coordinator.peer_versions import PeerVersions
+from coveport.serving.wire.versions import DUTIES_VERSION
+
+
+@pytest.mark.parametrize(
+    ("announced", "expected"),
+    [
+        ({}, True),
+        ({"a": DUTIES_VERSION, "b": DUTIES_VERSION + 1}, True),
+        ({"a": DUTIES_VERSION, "b": DUTIES_VERSION - 1}, False),
+        ({"a": DUTIES_VERSION, "elsewhere": DUTIES_VERSION - 1}, True),
+    ],
+)
+def test_an_older_coordinator_among_those_asked_about_is_found(
+    announced: dict[str, int], expected: bool
+) -> None:
+    versions = PeerVersions()
+    for address, version in announced.items():
+        versions.record_coordinator(address, version)
+    assert versions.all_read(DUTIES_VERSION, ("a", "b")) is expected
+
+
+def test_an_upgraded_coordinator_no_longer_holds_anything_back() -> None:
+    versions = PeerVersions()
+    versions.record_coordinator("a", DUTIES_VERSION - 1)
+    versions.record_coordinator("a", DUTIES_VERSION)
+    assert versions.all_read(DUTIES_VERSION, ("a",))
--- a/tests/serving/coordinator/test_state_history.py
+++ b/tests/serving/coordinator/test_state_history.py
@@ -44,3 +44,24 @@
     history.advance(sequence, b"snapshot", command)
     assert history.changes_since(3) is None
     assert (history.sequence, history.encoded_state) == (sequence, b"snapshot")
+
+
+def test_changes_of_the_duties_alone_are_left_out() -> None:
+    history = history_of(2)
+    history.advance_duties()
+    history.advance(4, b"state 4", b"command 4")
+    history.advance_duties()
+    assert history.sequence == 5
+    changes = history.changes_since(1)
+    assert changes is not None
+    assert [change.sequence for change in changes] == [2, 4]
+    assert history.changes_since(4) == ()
+    assert history.encoded_state == b"state 4"
+
+
+def test_complete_state_is_needed_when_too_many_changes_of_the_duties_are_missing() -> None:
+    history = history_of(1)
+    for _ in range(MAX_CHANGES):
+        history.advance_duties()
+    assert history.changes_since(0) is None
+    assert history.changes_since(1) == ()
--- /dev/null
+++ b/tests/serving/duties/test_duty_state_machine.py
@@ -0,0 +1,161 @@
+"""Commands of the duty holder, applied to their state."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coveport.serving.duties import state_machine
+from coveport.serving.duties.commands import AcquireDuties, DutyCommand, FixUsageReports, RecordFleetOrders
+from coveport.serving.duties.state import DutyHolder, DutyState, FleetOrder, UsageReport
+from coveport.serving.duties.state_machine import DutyRefusal, RefusalReason, apply_duty_command
+from coveport.serving.model.telemetry import TenantCount
+
+FIRST, SECOND = DutyHolder("one", "a"), DutyHolder("two", "b")
+
+
+def report(window: int, requests: int = 1) -> UsageReport:
+    return UsageReport(window, (TenantCount("tenant", requests),))
+
+
+def run(state: DutyState, *commands: DutyCommand) -> DutyState:
+    """Return the state after commands that must be taken."""
+    for command in commands:
+        after = apply_duty_command(state, command)
+        assert isinstance(after, DutyState), after
+        state = after
+    return state
+
+
+def held(fence: int = 1) -> DutyState:
+    return DutyState(FIRST, fence)
+
+
+def test_the_fence_rises_with_every_acquisition() -> None:
+    state = run(DutyState(), AcquireDuties(FIRST, 0), AcquireDuties(SECOND, 1), AcquireDuties(SECOND, 2))
+    assert (state.holder, state.fence) == (SECOND, 3)
+
+
+@pytest.mark.parametrize("previous_fence", [0, 2])
+def test_a_second_acquisition_on_one_fence_is_refused(previous_fence: int) -> None:
+    command = AcquireDuties(SECOND, previous_fence)
+    assert apply_duty_command(held(), command) == DutyRefusal(RefusalReason.FENCE_CHANGED, 1)
+
+
+@pytest.mark.parametrize(
+    "command", [FixUsageReports(1, (report(5),), ()), RecordFleetOrders(1, (FleetOrder("s", "z", 3),))]
+)
+def test_a_command_under_an_older_fence_is_refused(command: DutyCommand) -> None:
+    state = run(held(), AcquireDuties(SECOND, 1))
+    assert apply_duty_command(state, command) == DutyRefusal(RefusalReason.FENCE_CHANGED, 2)
+
+
+def test_a_window_that_is_fixed_keeps_its_counts() -> None:
+    state = run(held(), FixUsageReports(1, (report(5, 10), report(6, 20)), ()))
+    again = run(state, FixUsageReports(1, (report(5, 99), report(6, 99), report(7, 30)), ()))
+    assert again.unsent_reports == (report(5, 10), report(6, 20), report(7, 30))
+    assert again.last_fixed_window == 7
+
+
+def test_an_accepted_window_is_forgotten_and_never_fixed_anew() -> None:
+    state = run(held(), FixUsageReports(1, (report(5), report(6)), ()), FixUsageReports(1, (), (5, 6)))
+    assert state.unsent_reports == ()
+    again = run(state, FixUsageReports(1, (report(5, 9), report(6, 9)), ()))
+    assert again == state
+
+
+def test_reports_outlive_their_holder() -> None:
+    state = run(held(), FixUsageReports(1, (report(5, 10),), ()), AcquireDuties(SECOND, 1))
+    assert state.unsent_reports == (report(5, 10),)
+
+
+@pytest.mark.parametrize(
+    ("windows", "reason"),
+    [
+        ((6, 5), RefusalReason.WINDOWS_NOT_RISING),
+        ((5, 5), RefusalReason.WINDOWS_NOT_RISING),
+        ((-1,), RefusalReason.NEGATIVE_WINDOW),
+    ],
+)
+def test_malformed_windows_are_refused(windows: tuple[int, ...], reason: RefusalReason) -> None:
+    command = FixUsageReports(1, tuple(report(window) for window in windows), ())
+    assert apply_duty_command(held(), command) == DutyRefusal(reason, 1)
+
+
+def test_reports_beyond_the_bound_wait_unfixed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(state_machine, "MAX_UNSENT_COUNTS", 2)
+    offered = FixUsageReports(1, tuple(report(window) for window in (5, 6, 7)), ())
+    full = run(held(), offered)
+    assert ([one.window for one in full.unsent_reports], full.last_fixed_window) == ([5, 6], 6)
+    assert run(full, offered) == full
+    after = run(full, replace(offered, accepted_windows=(5,)))
+    assert [one.window for one in after.unsent_reports] == [6, 7]
+
+
+def test_a_single_report_above_the_bound_is_fixed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(state_machine, "MAX_UNSENT_COUNTS", 1)
+    large = UsageReport(5, (TenantCount("a", 1), TenantCount("b", 1)))
+    assert run(held(), FixUsageReports(1, (large, report(6)), ())).unsent_reports == (large,)
+
+
+def test_the_newest_order_of_each_service_and_zone_is_kept() -> None:
+    first = RecordFleetOrders(1, (FleetOrder("s", "z", 3), FleetOrder("s", "a", 4)))
+    second = RecordFleetOrders(1, (FleetOrder("s", "z", 5),))
+    assert run(held(), first, second).fleet_orders == (FleetOrder("s", "a", 4), FleetOrder("s", "z", 5))
+
+
+HOLDERS = st.sampled_from([FIRST, SECOND])
+FENCES = st.integers(0, 4)
+WINDOWS = st.integers(-1, 8)
+COMMANDS = st.one_of(
+    st.builds(AcquireDuties, HOLDERS, FENCES),
+    st.builds(
+        FixUsageReports,
+        FENCES,
+        st.lists(st.builds(report, WINDOWS, st.integers(0, 9)), max_size=4).map(tuple),
+        st.lists(WINDOWS, max_size=3).map(tuple),
+    ),
+    st.builds(
+        RecordFleetOrders,
+        FENCES,
+        st.lists(st.builds(FleetOrder, st.just("s"), st.just("z"), st.integers(0, 3))).map(tuple),
+    ),
+)
+
+
+@given(st.lists(COMMANDS, max_size=25))
+def test_no_fence_has_two_holders_and_no_window_has_two_counts(commands: list[DutyCommand]) -> None:
+    state = DutyState()
+    holders: dict[int, DutyHolder | None] = {}
+    counts: dict[int, UsageReport] = {}
+    for command in commands:
+        after = apply_duty_command(state, command)
+        if isinstance(after, DutyRefusal):
+            continue
+        assert after.fence >= state.fence and after.last_fixed_window >= state.last_fixed_window
+        assert holders.setdefault(after.fence, after.holder) == after.holder
+        windows = [one.window for one in after.unsent_reports]
+        assert windows == sorted(set(windows)) and all(
+            window <= after.last_fixed_window for window in windows
+        )
+        for one in after.unsent_reports:
+            assert counts.setdefault(one.window, one) == one
+        gone = {one.window for one in state.unsent_reports} - set(windows)
+        assert not gone or (isinstance(command, FixUsageReports) and gone <= set(command.accepted_windows))
+        state = after
+
+
+@given(st.lists(COMMANDS, max_size=8))
+def test_a_command_that_is_repeated_changes_nothing_more(commands: list[DutyCommand]) -> None:
+    """Its outcome may have been unclear; an acquisition is refused then."""
+    state = DutyState()
+    for command in commands:
+        after = apply_duty_command(state, command)
+        if isinstance(after, DutyRefusal):
+            continue
+        again = apply_duty_command(after, command)
+        assert again == after if not isinstance(command, AcquireDuties) else isinstance(again, DutyRefusal)
+        state = after
--- a/tests/serving/proxy/test_subscription.py
+++ b/tests/serving/proxy/test_subscription.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 
@@ -13,6 +14,8 @@
 from coveport.serving.configuration.commands import PutConfiguration, StartEvacuation, encode_command
 from coveport.serving.configuration.state import ControlState
 from coveport.serving.configuration.state_codec import encode_state
+from coveport.serving.duties.commands import AcquireDuties
+from coveport.serving.duties.state import DutyHolder
 from coveport.serving.membership.leases import ProxyLease
 from coveport.serving.model.view import ControlView
 from coveport.serving.proxy.coordinator_selection import CoordinatorSelector
@@ -75,6 +78,22 @@
     assert subscription._request(()).state_sequence == 4
 
 
+@pytest.mark.parametrize("commands", [(), (encode_command(AcquireDuties(DutyHolder("one", "a"), 0)),)])
+def test_changes_of_the_duties_alone_wake_nobody(commands: tuple[bytes, ...]) -> None:
+    subscription, view, log = make_subscription()
+    subscription._apply(update(3, SNAPSHOT))
+    subscription._apply(update(3, None))
+    woken: list[int] = []
+    view.listeners.append(lambda: woken.append(1))
+    unchanged = replace(update(4, None, *commands), node_revision=0)
+    subscription._apply(unchanged)
+    assert (woken, log.events) == ([], [])
+    assert subscription._request(()).state_sequence == 4
+    subscription._apply(update(5, None, encode_command(StartEvacuation("b"))))
+    assert woken == [1]
+    assert view.evacuated_zones == {"a", "b"}
+
+
 def test_snapshot_that_cannot_be_decoded_changes_nothing() -> None:
     subscription, view, log = make_subscription()
     subscription._apply(update(3, SNAPSHOT))
