Move the HTTP client of the verbs to the web package

Cause: the coordinator is to call the platform, and may not import the verbs. Change: the file moves from cli to web, and its importers follow.

--- a/coveport/serving/cli/configuration.py
+++ b/coveport/serving/cli/configuration.py
@@ -13,10 +13,10 @@
 from coveport.serving.cli.core_options import DEFAULT_WITHIN_S, AsJson, Core, Within
 from coveport.serving.cli.core_requests import decode_body, report_rejection, request_core
 from coveport.serving.cli.exit_codes import ExitCode
-from coveport.serving.cli.http_client import HttpRequest
 from coveport.serving.cli.input_files import ConfigurationFile, read_text
 from coveport.serving.cli.output import print_error, print_findings, print_json
 from coveport.serving.model.findings import Refusal
+from coveport.serving.web.http_client import HttpRequest
 from coveport.serving.wire.names import Config
 from coveport.serving.wire.names import Path as WirePath
 
--- a/coveport/serving/cli/core_client.py
+++ b/coveport/serving/cli/core_client.py
@@ -15,7 +15,7 @@
 from coveport.http1 import Response
 from coveport.net.address import Address, parse_address
 from coveport.net.transport import Net
-from coveport.serving.cli.http_client import HttpRequest, RequestFailure, send_request
+from coveport.serving.web.http_client import HttpRequest, RequestFailure, send_request
 
 MAX_REDIRECTS: Final = 2  # of one attempt
 RESPONSE_TIMEOUT_S: Final = 1.0  # of one request, before another coordinator is asked ...
--- a/coveport/serving/cli/core_requests.py
+++ b/coveport/serving/cli/core_requests.py
@@ -13,8 +13,8 @@
 from coveport.serving.cli.core_options import core_addresses
 from coveport.serving.cli.errors import CoreAddressError
 from coveport.serving.cli.exit_codes import ExitCode
-from coveport.serving.cli.http_client import HttpRequest
 from coveport.serving.cli.output import print_error
+from coveport.serving.web.http_client import HttpRequest
 from coveport.serving.wire.names import ERROR
 
 
--- a/coveport/serving/cli/evacuate.py
+++ b/coveport/serving/cli/evacuate.py
@@ -11,7 +11,7 @@
 from coveport.serving.cli.core_options import DEFAULT_WITHIN_S, Core, Within
 from coveport.serving.cli.core_requests import report_rejection, request_core
 from coveport.serving.cli.exit_codes import ExitCode
-from coveport.serving.cli.http_client import HttpRequest
+from coveport.serving.web.http_client import HttpRequest
 from coveport.serving.wire.names import Path
 
 
--- a/coveport/serving/cli/show.py
+++ b/coveport/serving/cli/show.py
@@ -8,9 +8,9 @@
 from coveport.serving.cli.core_options import DEFAULT_WITHIN_S, AsJson, Core, Within
 from coveport.serving.cli.core_requests import decode_body, report_rejection, request_core
 from coveport.serving.cli.exit_codes import ExitCode
-from coveport.serving.cli.http_client import HttpRequest
 from coveport.serving.cli.output import print_error, print_json, print_table
 from coveport.serving.cli.status_document import StatusDocument
+from coveport.serving.web.http_client import HttpRequest
 from coveport.serving.wire.names import Path
 
 _NODE_FIELDS: Final = ("incarnation", "service", "address", "zone", "state", "silent_s")
--- a/coveport/serving/scale/machines.py
+++ b/coveport/serving/scale/machines.py
@@ -11,7 +11,6 @@
 
 from coveport.net.address import Address
 from coveport.net.transport import Net
-from coveport.serving.cli.http_client import HttpRequest, RequestFailure, send_request
 from coveport.serving.scale.load import service_name
 from coveport.serving.scale.measures import CoordinatorReading, Counts, Reading
 from coveport.serving.scale.processes import RoleProcess, Worker
@@ -33,6 +32,7 @@
     coordinator_settings,
     proxy_settings,
 )
+from coveport.serving.web.http_client import HttpRequest, RequestFailure, send_request
 from coveport.serving.wire.names import Path as WirePath
 
 HOLLOW_PROXIES = "coveport.serving.scale.hollow_proxies"
--- a/coveport/serving/scale/run.py
+++ b/coveport/serving/scale/run.py
@@ -12,7 +12,6 @@
 from coveport.net.address import Address, parse_address
 from coveport.net.transport import Net
 from coveport.serving.cli.core_client import CoreClient, CoreResponse
-from coveport.serving.cli.http_client import HttpRequest, RequestFailure, send_request
 from coveport.serving.scale.faults import plan_day
 from coveport.serving.scale.load import change_of_edition, first_configuration
 from coveport.serving.scale.machines import Machines
@@ -21,6 +20,7 @@
 from coveport.serving.scale.processes import RoleProcess, Worker
 from coveport.serving.scale.results import FaultCounts, ScaleResult
 from coveport.serving.scale.sizes import ZONES, ScaleSize
+from coveport.serving.web.http_client import HttpRequest, RequestFailure, send_request
 from coveport.serving.wire.names import Path
 
 READY_WITHIN_S = 60.0
--- a/tests/serving/cli/test_core_client.py
+++ b/tests/serving/cli/test_core_client.py
@@ -11,9 +11,9 @@
 
 from coveport.http1 import Request, RequestParser, write_response
 from coveport.serving.cli.core_client import CoreClient, CoreResponse, CoreUnavailable
-from coveport.serving.cli.http_client import HttpRequest
 from coveport.serving.simulation.topology import ZoneDelayModel
 from coveport.serving.simulation.zones import Delays
+from coveport.serving.web.http_client import HttpRequest
 from coveport.testbed.simulated_network.network import Network
 from coveport.testbed.simulated_network.wires import VirtualNet
 from coveport.testbed.simulated_network.world import Process, World
