--- a/coveport/serving/model/telemetry.py
+++ b/coveport/serving/model/telemetry.py
@@ -8,6 +8,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import floor
+
+
+def usage_window_at(unix_s: float, window_s: float) -> int:
+    """Return the number of the usage window at a moment; windows are `window_s` long."""
+    return floor(unix_s / window_s)
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ProxyTelemetry:
-    """A report of one proxy. `windows` are those that changed since the last report on this connection."""
+    """A report of one proxy: what changed since its last report on this connection."""
 
     proxy: str  # name of its machine
     incarnation: int  # rises with every start of the process: Unix milliseconds
@@ -47,5 +53,5 @@
     open_window: (
         int  # the window in which the proxy is now; all earlier ones are final up to late first tokens
     )
-    windows: tuple[WindowCounts, ...] = ()
-    loads: tuple[ServiceLoad, ...] = ()
+    windows: tuple[WindowCounts, ...] = ()  # the counts that changed
+    loads: tuple[ServiceLoad, ...] = ()  # empty: those of the report before still hold
