Messages of version 5: telemetry of proxies, also between coordinators

Cause: coordinators need what proxies count and carry. Change: UpdateRequest.telemetry and TelemetryShared. The golden bytes of update requests end in one byte more (no telemetry); those of version 4 are kept and must still be read and be a prefix. The test of all labels lists the new one. Measured: golden, codec, label and version tests pass.

--- a/coveport/serving/wire/message_labels.py
+++ b/coveport/serving/wire/message_labels.py
@@ -20,6 +20,7 @@
     messages.Update: "Update",
     messages.Unsubscribe: "AsksElsewhere",
     messages.VersionRejected: "VersionRejected",
+    messages.TelemetryShared: "TelemetryShared",
     replication.Ping: "Ping",
     replication.Prepare: "Prepare",
     replication.Promise: "Promise",
--- a/coveport/serving/wire/messages.py
+++ b/coveport/serving/wire/messages.py
@@ -12,6 +12,7 @@
 
 from coveport.serving.membership.leases import ProxyLease
 from coveport.serving.model.node import Node
+from coveport.serving.model.telemetry import ProxyTelemetry
 from coveport.serving.replication.identity import Epoch
 from coveport.serving.replication.messages import MESSAGES as REPLICATION_MESSAGES
 from coveport.serving.wire.codec import MessageCodec
@@ -73,6 +74,7 @@
     request_number: int
     deregistered: tuple[str, ...] = ()  # incarnations known to be gone for good; sent once a connection
     protocol_version: int = added_in(4, UNANNOUNCED_VERSION)  # of the proxy's program
+    telemetry: ProxyTelemetry | None = added_in(5, None)  # noqa: RUF009  # None: nothing new
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +126,13 @@
     frame_version: int  # that the sender reads
 
 
+@dataclass(frozen=True, slots=True)
+class TelemetryShared:
+    """What proxies have reported to the sender, or what has changed of it since its last such message."""
+
+    reports: tuple[ProxyTelemetry, ...]
+
+
 Message = object
 MESSAGES: Final[tuple[type, ...]] = (  # the order gives each kind its number on the wire
     Hello,
@@ -136,5 +145,6 @@
     Unsubscribe,
     *REPLICATION_MESSAGES,
     VersionRejected,  # since version 4
+    TelemetryShared,  # since version 5
 )
 CODEC: MessageCodec[Message] = MessageCodec(MESSAGES)
--- a/tests/golden/golden_wire_cases.py
+++ b/tests/golden/golden_wire_cases.py
@@ -7,6 +7,7 @@
 
 from coveport.serving.membership.leases import ProxyLease
 from coveport.serving.model.node import Node, NodeState, deregistration
+from coveport.serving.model.telemetry import ProxyTelemetry, ServiceLoad, TenantCount, WindowCounts
 from coveport.serving.replication import messages as core
 from coveport.serving.replication import records
 from coveport.serving.replication.identity import NO_EPOCH, Epoch, Locality, MemberId, View
@@ -37,6 +38,18 @@
 )
 LEASE = ProxyLease("proxy-1", "10.2.0.1:80", "north-a", "north", True, 12, 1_700_000_000_123)
 UNREADY_LEASE = ProxyLease("proxy-2", "10.2.0.2:80", "south-a", "south", False, 0, 1)
+TELEMETRY = ProxyTelemetry(
+    "proxy-1",
+    1_700_000_000_123,
+    7,
+    353_445_121,
+    (
+        WindowCounts(353_445_120, (TenantCount("first tenant", 412), TenantCount("größe", 1))),
+        WindowCounts(353_445_121, (TenantCount("first tenant", 1 << 20),)),
+    ),
+    (ServiceLoad("model", "north-a", 12, 3, 98_765),),
+)
+IDLE_TELEMETRY = ProxyTelemetry("proxy-2", 1, 1, 353_445_121)
 
 
 def _update(**changed: object) -> wire.Update:
@@ -85,6 +98,9 @@
     "announced hello": wire.Hello("10.0.0.1:7000", "aa01", 4),
     "complete table": wire.NodeReports(0, (ACCEPTING_NODE,), True),
     "announced update request": wire.UpdateRequest(LEASE, "table-1", 44, 9, 5, (), 4),
+    "update request with telemetry": wire.UpdateRequest(LEASE, "table-1", 44, 9, 5, (), 5, TELEMETRY),
+    "telemetry shared": wire.TelemetryShared((TELEMETRY, IDLE_TELEMETRY)),
+    "no telemetry shared": wire.TelemetryShared(()),
     "ping": core.Ping(
         counter=1000,
         echo=999,
--- a/tests/golden/test_golden_wire.py
+++ b/tests/golden/test_golden_wire.py
@@ -21,6 +21,7 @@
 FRAME_BYTES = read_cases("frames.json")
 RECORD_BYTES = read_cases("stored_records.json")
 BYTES_OF_VERSION_3 = read_cases("messages_version_3.json")  # of messages that have got fields since
+BYTES_OF_VERSION_4 = read_cases("messages_version_4.json")
 
 
 def known_numbers(codec: MessageCodec[Any]) -> set[int]:
@@ -43,7 +44,7 @@
 
 
 def test_every_kind_of_message_and_record_has_a_case() -> None:
-    assert known_numbers(CODEC) == set(range(28)) == {data[0] for data in MESSAGE_BYTES.values()}
+    assert known_numbers(CODEC) == set(range(29)) == {data[0] for data in MESSAGE_BYTES.values()}
     assert known_numbers(RECORD_CODEC) == set(range(6)) == {data[0] for data in RECORD_BYTES.values()}
 
 
@@ -64,6 +65,17 @@
     assert MESSAGE_BYTES[case].startswith(BYTES_OF_VERSION_3[case])
 
 
+@pytest.mark.parametrize("case", BYTES_OF_VERSION_4)
+def test_a_message_of_version_4_is_read_with_the_defaults_of_what_it_lacks(case: str) -> None:
+    assert CODEC.decode(BYTES_OF_VERSION_4[case]) == MESSAGES[case]
+
+
+@pytest.mark.parametrize("case", BYTES_OF_VERSION_4)
+def test_a_message_begins_with_the_bytes_that_version_4_reads(case: str) -> None:
+    """Programs of version 4 ignore what stands behind the fields that they know."""
+    assert MESSAGE_BYTES[case].startswith(BYTES_OF_VERSION_4[case])
+
+
 @pytest.mark.parametrize("case", MESSAGES)
 def test_a_frame_is_read_and_written_as_before(case: str) -> None:
     assert list(FrameReader().feed(FRAME_BYTES[case])) == [MESSAGE_BYTES[case]]
--- a/tests/serving/wire/test_traffic.py
+++ b/tests/serving/wire/test_traffic.py
@@ -19,7 +19,7 @@
     labels = """
         Hello NodeReports NodeReportsTaken TableRequest LeasesRenewed UpdateRequest Update AsksElsewhere
         Ping Prepare Promise Fenced Fetch Fetched Install Installed Accept Accepted Settled Append Appended
-        Confirm Confirmed Committed Learn LearnState TakeOver VersionRejected
+        Confirm Confirmed Committed Learn LearnState TakeOver VersionRejected TelemetryShared
     """
     assert [MESSAGE_LABELS[kind] for kind in MESSAGES] == labels.split()
     assert len(MESSAGE_LABELS) == len(MESSAGES)
