Coordinators replicate what proxies report

Cause: whoever holds the duties next must have the counts. Measured: its tests pass; sizes on the wire are not measured yet.

--- a/coveport/serving/coordinator/coordinator.py
+++ b/coveport/serving/coordinator/coordinator.py
@@ -28,10 +28,12 @@
 from coveport.serving.coordinator.state_history import StateHistory
 from coveport.serving.coordinator.status_report import StatusReporter
 from coveport.serving.coordinator.subscriptions import Subscriptions
+from coveport.serving.coordinator.telemetry_replication import TelemetryReplicator
 from coveport.serving.log import EventLogger
 from coveport.serving.membership.leases import LeaseTable
 from coveport.serving.membership.node_table import NodeTable
 from coveport.serving.model.node import Node
+from coveport.serving.model.true_clock import TrueClock
 from coveport.serving.replication.events import CommittedState
 from coveport.serving.replication.identity import Locality, MemberId
 from coveport.serving.replication.messages import Message as ReplicationMessage
@@ -50,6 +52,7 @@
     NodeReports,
     NodeReportsAck,
     TableRequest,
+    TelemetryShared,
     Unsubscribe,
     UpdateRequest,
 )
@@ -115,6 +118,8 @@
         )
         self._quorum_status = self._make_quorum_status()
         self._lease_replicator = LeaseReplicator(self.leases, self._peers, net.now_s)
+        self.telemetry = TelemetryReplicator(self._peers, self._versions, net.now_s)
+        self.clock = TrueClock()
         self._subscriptions = self._make_subscriptions(f"{random_source.getrandbits(64):016x}")
         self._reports = self._make_report_replicator(len(seeds), random_source.getrandbits(48))
         self._liveness = CoordinatorLiveness(self._endpoint)
@@ -279,6 +284,8 @@
             case UpdateRequest():
                 self._versions.record_proxy(message.lease.name, message.protocol_version)
                 self._reports.receive_departed(message.deregistered)
+                if message.telemetry is not None:
+                    self.telemetry.receive_from_proxy(message.telemetry)
                 self._subscriptions.receive(connection, message)
             case Unsubscribe():
                 self._subscriptions.unsubscribe(connection)
@@ -295,6 +302,8 @@
                 self._reports.receive_ack(MemberId(hello.address, hello.disk), message)
             case LeasesRenewed():
                 self._lease_replicator.receive(message)
+            case TelemetryShared():
+                self.telemetry.receive_shared(message)
             case TableRequest():
                 self._send_tables(hello.address)
             case _ if isinstance(message, ReplicationMessage):
@@ -307,6 +316,7 @@
     def _on_peer_connected(self, address: str) -> None:
         # The tables go before our first ping: once the peer counts us as live, it has our node table.
         self._send_tables(address)
+        self.telemetry.record_connected(address)
         self._runtime.record_connected(address)
         self._peers.send(address, TableRequest())
 
@@ -345,6 +355,8 @@
         self._peers.set_addresses(self._replica.peer_addresses)
         self._peers.maintain()
         self._lease_replicator.send_renewed_if_due()
+        self.clock.observe(now_s, self._net.unix_s())
+        self.telemetry.send_if_due()
 
     def _refresh_quorum(self, now_s: float) -> None:
         had_quorum = self._quorum_status.has_quorum()
--- a/coveport/serving/coordinator/peer_versions.py
+++ b/coveport/serving/coordinator/peer_versions.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from coveport.serving.wire.versions import PROTOCOL_VERSION
+from coveport.serving.wire.versions import PROTOCOL_VERSION, UNANNOUNCED_VERSION
 
 
 class PeerVersions:
@@ -20,6 +20,10 @@
         """Record what a coordinator announced when it connected."""
         self._of_coordinators[address] = version
 
+    def of_coordinator(self, address: str) -> int:
+        """Return what a coordinator announced; the lowest version where it hasn't connected yet."""
+        return self._of_coordinators.get(address, UNANNOUNCED_VERSION)
+
     def record_proxy(self, name: str, version: int) -> None:
         """Record what a proxy announced with a request."""
         self._of_proxies[name] = version
--- /dev/null
+++ b/tests/serving/coordinator/test_telemetry_replication.py
@@ -0,0 +1,139 @@
+"""Reports of proxies on their way between coordinators."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from coveport.serving.coordinator.peer_versions import PeerVersions
+from coveport.serving.coordinator.telemetry_replication import REPLICATION_INTERVAL_S, TelemetryReplicator
+from coveport.serving.duties.telemetry_table import RETENTION_S
+from coveport.serving.duties.usage_ledger import ReportSource
+from coveport.serving.model.telemetry import ProxyTelemetry, ServiceLoad, TenantCount, WindowCounts
+from coveport.serving.wire.messages import TelemetryShared
+from coveport.serving.wire.versions import TELEMETRY_VERSION
+
+WINDOW = 340_000_000
+LOADS = (ServiceLoad("s", "z", 1, 2, 3),)
+
+
+class FakePeers:
+    """Peers that are live until a test says otherwise; keeps what is sent."""
+
+    def __init__(self, *addresses: str) -> None:
+        self.addresses = list(addresses)
+        self.sent: list[tuple[str, TelemetryShared]] = []
+
+    def live(self) -> list[str]:
+        return list(self.addresses)
+
+    def send(self, address: str, message: Any) -> None:
+        assert isinstance(message, TelemetryShared)
+        self.sent.append((address, message))
+
+    def take(self) -> list[tuple[str, TelemetryShared]]:
+        """Return what was sent since the last call."""
+        sent, self.sent = self.sent, []
+        return sent
+
+
+class Clock:
+    """A time that goes on by one interval at each call of `pass_interval`."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def pass_interval(self, replicator: TelemetryReplicator) -> None:
+        self.now_s += REPLICATION_INTERVAL_S
+        replicator.send_if_due()
+
+
+def make_replicator(*new_peers: str) -> tuple[TelemetryReplicator, FakePeers, Clock]:
+    peers, versions, clock = FakePeers(*new_peers), PeerVersions(), Clock()
+    for address in new_peers:
+        versions.record_coordinator(address, TELEMETRY_VERSION)
+    replicator = TelemetryReplicator(peers, versions, lambda: clock.now_s)  # type: ignore[arg-type]
+    return replicator, peers, clock
+
+
+def report(sequence: int, proxy: str = "p1", window: int = WINDOW, **counts: int) -> ProxyTelemetry:
+    tenants = tuple(TenantCount(tenant, requests) for tenant, requests in counts.items())
+    windows = (WindowCounts(window, tenants),) if tenants else ()
+    return ProxyTelemetry(proxy, 1, sequence, window, windows, LOADS)
+
+
+def test_peers_get_the_changes_of_an_interval_in_one_report_a_proxy() -> None:
+    replicator, peers, clock = make_replicator("c2", "c3")
+    replicator.receive_from_proxy(report(1, a=1, b=1))
+    replicator.receive_from_proxy(report(2, a=2))
+    replicator.receive_from_proxy(report(1, "p2", c=1))
+    replicator.send_if_due()
+    clock.pass_interval(replicator)
+    message = TelemetryShared((report(2, a=2, b=1), report(1, "p2", c=1)))
+    assert peers.take() == [("c2", message), ("c3", message)]
+    replicator.receive_from_proxy(report(3, a=2, b=2))
+    clock.pass_interval(replicator)
+    assert peers.take()[0] == ("c2", TelemetryShared((report(3, b=2),)))
+    clock.pass_interval(replicator)
+    assert peers.take() == []
+
+
+def test_what_a_peer_shared_is_kept_and_not_passed_on() -> None:
+    replicator, peers, clock = make_replicator("c2", "c3")
+    replicator.receive_shared(TelemetryShared((report(1, a=4),)))
+    clock.pass_interval(replicator)
+    assert peers.take() == []
+    assert replicator.ledger.counts(WINDOW) == (TenantCount("a", 4),)
+    entry = replicator.table.find(ReportSource("p1", 1))
+    assert entry is not None and entry.loads == LOADS
+
+
+def test_a_peer_that_connects_gets_everything_whoever_received_it() -> None:
+    replicator, peers, clock = make_replicator("c2", "c3")
+    replicator.receive_shared(TelemetryShared((report(1, a=4),)))
+    replicator.receive_from_proxy(report(1, "p2", b=1))
+    clock.pass_interval(replicator)
+    peers.take()
+    replicator.record_connected("c3")
+    clock.pass_interval(replicator)
+    ((address, message),) = peers.take()
+    assert address == "c3"
+    assert sorted(message.reports, key=lambda one: one.proxy) == [report(1, a=4), report(1, "p2", b=1)]
+
+
+def test_counts_of_a_proxy_that_is_long_gone_reach_a_peer_that_connects() -> None:
+    replicator, _, clock = make_replicator("c2")
+    replicator.receive_from_proxy(report(1, a=4))
+    clock.now_s += RETENTION_S
+    clock.pass_interval(replicator)
+    other, _, _ = make_replicator()
+    replicator.record_connected("c2")
+    clock.pass_interval(replicator)
+    peers = replicator._peers
+    assert isinstance(peers, FakePeers)
+    other.receive_shared(peers.take()[-1][1])
+    assert other.ledger.counts(WINDOW) == (TenantCount("a", 4),)
+    assert other.table.find(ReportSource("p1", 1)) is None, "it is no sign of a live proxy"
+
+
+def test_coordinators_of_older_versions_get_none() -> None:
+    replicator, peers, clock = make_replicator("c2")
+    peers.addresses.append("c3")
+    replicator._versions.record_coordinator("c3", TELEMETRY_VERSION - 1)
+    peers.addresses.append("c4")  # it hasn't said its version yet
+    replicator.record_connected("c4")
+    replicator.receive_from_proxy(report(1, a=1))
+    clock.pass_interval(replicator)
+    assert [address for address, _ in peers.take()] == ["c2"]
+    replicator._versions.record_coordinator("c4", TELEMETRY_VERSION)
+    clock.pass_interval(replicator)
+    assert peers.take() == [("c4", TelemetryShared((report(1, a=1),)))]
+
+
+def test_a_late_report_without_news_is_not_passed_on() -> None:
+    replicator, peers, clock = make_replicator("c2")
+    replicator.receive_from_proxy(report(2, a=2))
+    clock.pass_interval(replicator)
+    peers.take()
+    replicator.receive_from_proxy(report(1, a=1))
+    clock.pass_interval(replicator)
+    assert peers.take() == []
