Usage schedule: which windows are fixed and which reports are sent when

Cause: a report must have one body for ever, be in time, and survive holders, cut proxies and a platform that is down.

--- /dev/null
+++ b/coveport/serving/duties/retry_pause.py
@@ -0,0 +1,32 @@
+"""How long a duty pauses after calls that the platform did not take. Pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import inf
+from typing import Final
+
+MIN_PAUSE_S: Final = 0.1  # a burst over the platform's rate is over
+MAX_PAUSE_S: Final = 1.0  # of the delay that a platform that is back still adds
+
+
+@dataclass(slots=True)
+class RetryPause:
+    """Doubles with each failure in a row; one holder calls, so it needs no jitter."""
+
+    _next_s: float = MIN_PAUSE_S
+    _until_s: float = -inf
+
+    def lasts(self, now_s: float) -> bool:
+        """Return whether nothing may be called yet."""
+        return now_s < self._until_s
+
+    def record_failure(self, now_s: float) -> None:
+        """Begin a pause."""
+        self._until_s = now_s + self._next_s
+        self._next_s = min(2 * self._next_s, MAX_PAUSE_S)
+
+    def reset(self) -> None:
+        """End the pause: the platform has answered, or another holder begins."""
+        self._next_s = MIN_PAUSE_S
+        self._until_s = -inf
--- a/coveport/serving/wire/names.py
+++ b/coveport/serving/wire/names.py
@@ -51,6 +51,7 @@
     CONFIG: Final = "/coveport/config"
     EVACUATION: Final = "/coveport/evacuation/"  # + zone
     REPORT: Final = "/coveport/report"
+    USAGE: Final = "/usage"  # of the platform
     STATUS: Final = "/coveport/status"  # beyond the protocol: the state of the core, for people
 
 
@@ -99,6 +100,13 @@
     NAME: Final = "Name"
 
 
+class Usage:
+    """Fields of a usage report to the platform."""
+
+    WINDOW: Final = "WindowNo"
+    COUNTS: Final = "Counts"
+
+
 class Report:
     """Fields of a node's load report."""
 
