Proxies count requests of tenants that begin to run, and report them with update requests

Cause: only proxies see which tenant's request a node has begun to answer. The subscription takes what a proxy reports of itself as one value. Proxy reports nothing until its settings name the window.

--- a/coveport/serving/proxy/connection_pool.py
+++ b/coveport/serving/proxy/connection_pool.py
@@ -23,6 +23,7 @@
         self._region = region
         self._idle: dict[str, list[NodeConnection]] = {}
         self._in_use: dict[str, set[NodeConnection]] = {}
+        self._shortest_connects_s: dict[str, float] = {}  # by zone of the nodes
         self.connects = 0
 
     def has_capacity(self, incarnation: str, max_connections: int) -> bool:
@@ -72,11 +73,19 @@
         self.connects += 1
         is_local = node.region == self._region
         timeout_s = LOCAL_CONNECT_TIMEOUT_S if is_local else REMOTE_CONNECT_TIMEOUT_S
+        began_s = self._net.now_s()
         try:
             async with asyncio.timeout(timeout_s):
                 await self._net.dial(lambda: connection, parse_address(node.address))
         except (OSError, TimeoutError, ValueError) as error:
             raise ConnectFailedError(node.address, timeout_s, error) from None
+        connection.one_way_s = self._one_way_s(node.zone, self._net.now_s() - began_s)
+
+    def _one_way_s(self, zone: str, connect_s: float) -> float:
+        """Return half of the shortest connect to a zone: delays on the machines lengthen most of them."""
+        shortest_s = min(connect_s, self._shortest_connects_s.get(zone, connect_s))
+        self._shortest_connects_s[zone] = shortest_s
+        return shortest_s / 2
 
     def release(self, node: Node, connection: NodeConnection) -> None:
         """Return a connection whose response is complete, for reuse if it can carry another request."""
--- a/coveport/serving/proxy/data_path.py
+++ b/coveport/serving/proxy/data_path.py
@@ -34,6 +34,7 @@
 from coveport.serving.proxy.retry_budget import RetryBudget
 from coveport.serving.proxy.slow_start import SlowStartLimiter
 from coveport.serving.proxy.startup_gate import StartupGate
+from coveport.serving.proxy.telemetry_reporter import TelemetryReporter
 from coveport.serving.settings.boot import BootSettings, Bounds
 from coveport.serving.wire.names import CanonicalHeader, Header
 
@@ -45,8 +46,18 @@
         {"bounds.retry_ratio", "bounds.retry_slack", "bounds.warm_up_overshoot", "bounds.warm_up_slack"}
     )
 
-    def __init__(self, net: Net, settings: BootSettings, view: ControlView, random: Random) -> None:
-        """`random` is the source of every draw of the data path."""
+    def __init__(
+        self,
+        net: Net,
+        settings: BootSettings,
+        view: ControlView,
+        random: Random,
+        telemetry: TelemetryReporter | None = None,
+    ) -> None:
+        """Create a data path.
+
+        `random` is the source of every draw of the data path. `telemetry` is told of requests of tenants.
+        """
         self._net = net
         self._settings = settings
         self._view = view
@@ -55,6 +66,7 @@
         self._listener = ClientListener(net, self._handle, self._limits)
         self._counters = Counters()
         self._context = _make_context(net, settings, self._router, random, self._counters)
+        self._context.telemetry = telemetry
         self._maintenance = NodeMaintenance(
             net, view, self._context.pool, self._context.observations, self._counters
         )
--- a/coveport/serving/proxy/exchange.py
+++ b/coveport/serving/proxy/exchange.py
@@ -9,6 +9,7 @@
 from coveport.serving.proxy.headers import first
 from coveport.serving.proxy.in_flight_request import InFlightRequest
 from coveport.serving.proxy.node_acquisition import acquire_node
+from coveport.serving.proxy.node_connection import NodeConnection
 from coveport.serving.proxy.proxy_context import ProxyContext
 from coveport.serving.proxy.request_forwarder import RequestForwarder
 from coveport.serving.proxy.request_routing import RoutingFailure
@@ -35,6 +36,7 @@
             request.routed.route.resumable,
             self.context.counters,
             request.sequence,
+            self._record_begun,
         )
         self._retries = RetryPolicy(self.context, request)
         self._forwarder = RequestForwarder(self.context, request, self._retries, self._relay)
@@ -49,6 +51,15 @@
             self.context.counters.add("deadline")
             send_failure(self.context, self.request, at_deadline=True)
 
+    def _record_begun(self, connection: NodeConnection) -> None:
+        """Count the request for its tenant: once, also where a second node resumes its stream."""
+        request = self.request
+        tenant = request.routed.tenant
+        telemetry = self.context.telemetry
+        if telemetry is not None and tenant is not None and not request.has_begun_running:
+            telemetry.record_begun(tenant, connection.last_received_s - connection.one_way_s)
+        request.has_begun_running = True
+
     async def _attempt_until_complete(self) -> bool:
         """Try nodes and return True when the client has a response, False when no retry is left."""
         try:
--- a/coveport/serving/proxy/in_flight_request.py
+++ b/coveport/serving/proxy/in_flight_request.py
@@ -22,6 +22,7 @@
     attempts: int = 0  # requests written to nodes
     failed_connects: int = 0
     may_have_run: bool = False
+    has_begun_running: bool = False  # a node has begun to answer it with success
     failed_nodes: set[str] = field(
         default_factory=set
     )  # incarnations whose response broke off or was an error
--- a/coveport/serving/proxy/node_connection.py
+++ b/coveport/serving/proxy/node_connection.py
@@ -37,6 +37,7 @@
         self.is_desynchronized = False  # it carried a response to another request: not reused
         self.idle_since_s = 0.0
         self.last_received_s = 0.0
+        self.one_way_s = 0.0  # from the node to here, without delays on either machine
         self.on_received: Callable[[], None] | None = None  # called for bytes of the current response
 
     # The callbacks of asyncio.Protocol.
--- a/coveport/serving/proxy/process.py
+++ b/coveport/serving/proxy/process.py
@@ -12,7 +12,8 @@
 from coveport.serving.proxy.coordinator_selection import CoordinatorSelector
 from coveport.serving.proxy.data_path import DataPath
 from coveport.serving.proxy.readiness import ReadinessApi
-from coveport.serving.proxy.subscription import Subscription
+from coveport.serving.proxy.subscription import SelfReports, Subscription
+from coveport.serving.proxy.telemetry_reporter import TelemetryReporter
 from coveport.serving.role_process import run_process
 from coveport.serving.settings.boot import BootSettings
 from coveport.serving.web.router import Router
@@ -27,17 +28,27 @@
 
     reloadable = frozenset({"seeds", "bounds.grace_s", *DataPath.reloadable})
 
-    def __init__(self, net: Net, settings: BootSettings, random: Random, log: EventLogger) -> None:
+    def __init__(
+        self,
+        net: Net,
+        settings: BootSettings,
+        random: Random,
+        log: EventLogger,
+        usage_window_s: float | None = None,
+    ) -> None:
+        """`usage_window_s`: length of the windows in which usage is reported; None: it isn't."""
         assert settings.clients is not None
         self._net = net
         self._settings = settings
         self._log = log
         self.view = ControlView()
-        self.data_path = DataPath(net, settings, self.view, random)
         self._incarnation = int(net.unix_s() * 1000)
+        self._telemetry = _make_telemetry(net, settings, self._incarnation, usage_window_s)
+        self.data_path = DataPath(net, settings, self.view, random, self._telemetry)
         self._random = random
         self._selector = CoordinatorSelector(settings.zone, settings.region, self._shuffled_seeds())
-        self.subscription = Subscription(net, self.view, self._selector, self._make_lease, log, random)
+        reports = SelfReports(self._make_lease, self._telemetry)
+        self.subscription = Subscription(net, self.view, self._selector, reports, log, random)
         self._readiness: HttpServer | None = None
         if settings.readiness is not None:
             router = Router(ReadinessApi(self.is_ready))
@@ -110,6 +121,14 @@
         self._log.info("proxy_metrics", **self.data_path.metrics())
 
 
+def _make_telemetry(
+    net: Net, settings: BootSettings, incarnation: int, usage_window_s: float | None
+) -> TelemetryReporter | None:
+    if usage_window_s is None:
+        return None
+    return TelemetryReporter(net, settings.name, incarnation, usage_window_s)
+
+
 def run(settings_path: str) -> int:
     """Run a proxy until a signal stops it, and return the exit code."""
     return run_process(settings_path, ("clients",), _make)
--- a/coveport/serving/proxy/proxy_context.py
+++ b/coveport/serving/proxy/proxy_context.py
@@ -14,6 +14,7 @@
 from coveport.serving.proxy.node_selection import NodeSelector
 from coveport.serving.proxy.request_routing import RequestRouter
 from coveport.serving.proxy.retry_budget import RetryBudget
+from coveport.serving.proxy.telemetry_reporter import TelemetryReporter
 
 
 @dataclass(slots=True)
@@ -30,3 +31,4 @@
     queues: AdmissionQueues
     counters: Counters
     router: RequestRouter
+    telemetry: TelemetryReporter | None = None  # None: nobody wants to know
--- a/coveport/serving/proxy/response_relay.py
+++ b/coveport/serving/proxy/response_relay.py
@@ -41,6 +41,7 @@
     is_resumable: bool
     counters: Counters
     sequence: EventSequence
+    on_begun: Callable[[NodeConnection], None]  # called where a node begins to answer with success
     splitter: EventSplitter = field(default_factory=EventSplitter)
 
     async def relay(
@@ -107,6 +108,7 @@
             raise BrokenResponseError("head", "the node's stamp", "none")
         if "content-encoding" in response.headers:
             raise BrokenResponseError("head", "no content encoding", response.headers["content-encoding"][0])
+        self.on_begun(connection)
         if self.is_resumable:
             await self._forward_events(connection, response, stall)
         else:
--- a/coveport/serving/proxy/subscription.py
+++ b/coveport/serving/proxy/subscription.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from math import inf
 from random import Random
 
@@ -16,6 +17,7 @@
 from coveport.serving.membership.leases import ProxyLease
 from coveport.serving.model.view import ControlView
 from coveport.serving.proxy.coordinator_selection import CoordinatorSelector
+from coveport.serving.proxy.telemetry_reporter import TelemetryReporter
 from coveport.serving.proxy.view_updater import ViewUpdater
 from coveport.serving.wire.connection import Connection, connect
 from coveport.serving.wire.errors import RemoteProtocolError
@@ -30,6 +32,14 @@
 MAX_BACKOFF_S = 0.25  # a new primary is found within this and its jitter; not measured
 
 
+@dataclass(frozen=True, slots=True)
+class SelfReports:
+    """What a proxy reports of itself with its requests."""
+
+    make_lease: Callable[[int], ProxyLease]  # for a request number
+    telemetry: TelemetryReporter | None = None  # None: nobody wants to know
+
+
 class Subscription:
     """One proxy's requests for updates."""
 
@@ -38,14 +48,13 @@
         net: Net,
         view: ControlView,
         selector: CoordinatorSelector,
-        make_lease: Callable[[int], ProxyLease],
+        reports: SelfReports,
         log: EventLogger,
         random: Random,
     ) -> None:
-        """`make_lease` returns the lease for a request number."""
         self._net = net
         self._selector = selector
-        self._make_lease = make_lease
+        self._reports = reports
         self._log = log
         self._random = random
         self._updater = ViewUpdater(view, log)
@@ -109,6 +118,8 @@
         """Ask on one connection; return a nearer coordinator to move to, or None where this one failed."""
         while not self._updates.empty():
             self._updates.get_nowait()
+        if self._reports.telemetry is not None:
+            self._reports.telemetry.begin_connection()
         deregistered = self._updater.recently_deregistered(self._net.now_s())
         while connection.is_open:
             self._request_number += 1
@@ -130,8 +141,10 @@
         return None
 
     def _request(self, deregistered: tuple[str, ...]) -> UpdateRequest:
-        lease = self._make_lease(self._request_number)
-        return self._updater.request(lease, self._request_number, deregistered)
+        lease = self._reports.make_lease(self._request_number)
+        reporter = self._reports.telemetry
+        telemetry = reporter.next_report() if reporter is not None else None
+        return self._updater.request(lease, self._request_number, deregistered, telemetry)
 
     async def _wait_for_update(self, connection: Connection) -> Update | None:
         """Return the answer to the current request; None where no byte came for `ANSWER_TIMEOUT_S`."""
--- a/coveport/serving/proxy/view_updater.py
+++ b/coveport/serving/proxy/view_updater.py
@@ -13,6 +13,7 @@
 from coveport.serving.log import EventLogger
 from coveport.serving.membership.leases import ProxyLease
 from coveport.serving.model.findings import Refusal
+from coveport.serving.model.telemetry import ProxyTelemetry
 from coveport.serving.model.view import ControlView
 from coveport.serving.proxy.node_directory import NodeDirectory
 from coveport.serving.replication.state_machine import Applied
@@ -53,7 +54,13 @@
         """Return the incarnations to name in the first request to a coordinator."""
         return self._directory.recently_deregistered(now_s)
 
-    def request(self, lease: ProxyLease, request_number: int, deregistered: tuple[str, ...]) -> UpdateRequest:
+    def request(
+        self,
+        lease: ProxyLease,
+        request_number: int,
+        deregistered: tuple[str, ...],
+        telemetry: ProxyTelemetry | None,
+    ) -> UpdateRequest:
         """Return the request for what is newer than the versions here."""
         sequence = NO_STATE_SEQUENCE if self.needs_full_state else self._sequence
         return UpdateRequest(
@@ -64,6 +71,7 @@
             request_number,
             deregistered,
             PROTOCOL_VERSION,
+            telemetry,
         )
 
     def apply(self, update: Update, now_s: float) -> None:
--- a/coveport/serving/scale/hollow_proxies.py
+++ b/coveport/serving/scale/hollow_proxies.py
@@ -14,7 +14,7 @@
 from coveport.serving.model.node import NodeState
 from coveport.serving.model.view import ControlView
 from coveport.serving.proxy.coordinator_selection import CoordinatorSelector
-from coveport.serving.proxy.subscription import Subscription
+from coveport.serving.proxy.subscription import SelfReports, Subscription
 from coveport.serving.scale.worker_messages import Message, read_messages, write_message
 
 CLIENTS_PORT = 8263
@@ -61,7 +61,9 @@
                 incarnation=incarnation,
             )
 
-        self._subscription = Subscription(self._net, self.view, selector, make_lease, self._log, rng)
+        self._subscription = Subscription(
+            self._net, self.view, selector, SelfReports(make_lease), self._log, rng
+        )
         self._subscription.start()
 
     def stop(self) -> None:
--- a/coveport/serving/wire/versions.py
+++ b/coveport/serving/wire/versions.py
@@ -20,6 +20,7 @@
 # 4: announcements, complete node tables marked as such, refusals by version; 5: duties and telemetry
 PROTOCOL_VERSION: Final = 5
 DUTIES_VERSION: Final = 5  # older coordinators can't read the commands of the duties
+TELEMETRY_VERSION: Final = 5  # since which peers read `TelemetryShared`
 
 _ADDED_IN: Final = "added_in"
 
--- a/tests/serving/proxy/test_subscription.py
+++ b/tests/serving/proxy/test_subscription.py
@@ -19,7 +19,7 @@
 from coveport.serving.membership.leases import ProxyLease
 from coveport.serving.model.view import ControlView
 from coveport.serving.proxy.coordinator_selection import CoordinatorSelector
-from coveport.serving.proxy.subscription import ANSWER_TIMEOUT_S, Subscription
+from coveport.serving.proxy.subscription import ANSWER_TIMEOUT_S, SelfReports, Subscription
 from coveport.serving.wire.messages import StateChange, Update
 from coveport.testbed.simulated_network.world import Process, World
 
@@ -51,7 +51,8 @@
     def make_lease(request_number: int) -> ProxyLease:
         return ProxyLease("p", "10.0.0.9:80", "z", "r", True, request_number, 1)
 
-    return Subscription(FrozenNet(), view, selector, make_lease, log, random.Random(1)), view, log
+    reports = SelfReports(make_lease)
+    return Subscription(FrozenNet(), view, selector, reports, log, random.Random(1)), view, log
 
 
 def update(sequence: int, state: bytes | None, *changes: bytes) -> Update:
