--- a/tests/serving/proxy/test_subscription.py
+++ b/tests/serving/proxy/test_subscription.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from dataclasses import replace
 from types import SimpleNamespace
@@ -20,6 +21,7 @@
 from coveport.serving.model.view import ControlView
 from coveport.serving.proxy.coordinator_selection import CoordinatorSelector
 from coveport.serving.proxy.subscription import ANSWER_TIMEOUT_S, SelfReports, Subscription
+from coveport.serving.proxy.telemetry_reporter import TelemetryReporter
 from coveport.serving.wire.messages import StateChange, Update
 from coveport.testbed.simulated_network.world import Process, World
 
@@ -33,6 +35,9 @@
     def now_s(self) -> float:
         return 100.0
 
+    def unix_s(self) -> float:
+        return 1_700_000_000.0
+
 
 class Log:
     """Records the names of events."""
@@ -129,6 +134,20 @@
     assert subscription._request(()).state_sequence == 5
 
 
+def test_another_coordinator_is_told_all_counts_of_tenants_again() -> None:
+    subscription, _, _ = make_subscription()
+    reporter = TelemetryReporter(FrozenNet(), "p", 1, 5.0)
+    subscription._reports = replace(subscription._reports, telemetry=reporter)
+    reporter.record_begun("acme", 100.0)
+    first = subscription._request(()).telemetry
+    assert first is not None and len(first.windows) == 1
+    assert subscription._request(()).telemetry is None
+    closed: Any = SimpleNamespace(is_open=False)
+    asyncio.run(subscription._ask_until_failure(closed, "10.0.0.2:7300"))
+    second = subscription._request(()).telemetry
+    assert second is not None and second.windows == first.windows
+
+
 def wait_for_answer(received_every_s: float, answered_at_s: float) -> tuple[Update | None, float]:
     """Return the update of a wait in simulated time, and how many seconds it took."""
     subscription, _, _ = make_subscription()
--- /dev/null
+++ b/tests/serving/simulation/test_telemetry_days.py
@@ -0,0 +1,105 @@
+"""Days with tenants: what all coordinators have counted is what the nodes began to run."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+import pytest
+
+from coveport import http1
+from coveport.serving.coordinator.coordinator import Coordinator
+from coveport.serving.model.telemetry import usage_window_at
+from coveport.serving.proxy.process import Proxy
+from coveport.serving.proxy.routed_request import RoutedRequest
+from coveport.serving.simulation.deployment import Deployment, proxy_settings
+from coveport.serving.simulation.events import AttemptStarted, RequestRan
+from coveport.serving.simulation.faults import FaultInjector
+from coveport.serving.simulation.machines import Machine
+from coveport.serving.simulation.world import SimulatedDeployment
+
+WINDOW_S = 5.0
+LENGTH_S = 12.0
+
+
+class TenantDeployment(SimulatedDeployment):
+    """A deployment whose requests are of the tenant that their route is named for."""
+
+    def _run_proxy(self, machine: Machine, first_boot: bool, log: Any, rng: Random) -> Proxy:
+        super()._run_proxy(machine, first_boot, log, rng)  # it notes the start
+        settings = proxy_settings(self.deployment, machine.spot, self.seeds, first_boot)
+        proxy = Proxy(machine.net, settings, rng, log, WINDOW_S)
+        router = proxy.data_path._router
+        route = router.route
+
+        def route_for_tenant(message: http1.Request) -> RoutedRequest | None:
+            routed = route(message)
+            return replace(routed, tenant=routed.route.name) if routed is not None else None
+
+        router.route = route_for_tenant  # type: ignore[method-assign]
+        return proxy
+
+    def _window(self, at_s: float) -> int:
+        return usage_window_at(self.world.unix_s() + at_s - self.world.now, WINDOW_S)
+
+    def truth(self) -> Counter[tuple[int, str]]:
+        """Return how many requests began to run, by window and tenant."""
+        kinds = {started.attempt_id: started.kind for started in self.event_log.of(AttemptStarted)}
+        first_runs: dict[str, float] = {}
+        for ran in self.event_log.of(RequestRan):
+            first_runs.setdefault(ran.attempt_id, ran.at_s)
+        return Counter((self._window(at_s), f"r-{kinds[attempt]}") for attempt, at_s in first_runs.items())
+
+    def counted(self, machine: Machine) -> Counter[tuple[int, str]]:
+        """Return what a coordinator has counted."""
+        coordinator = machine.program
+        assert isinstance(coordinator, Coordinator)
+        ledger = coordinator.telemetry.ledger
+        windows = {counts.window for source in ledger.by_source().values() for counts in source}
+        return Counter(
+            {(window, count.tenant): count.requests for window in windows for count in ledger.counts(window)}
+        )
+
+
+def play(trouble: Callable[[TenantDeployment, FaultInjector], object], seed: int) -> TenantDeployment:
+    """Play a day and return its deployment."""
+    day = TenantDeployment(Deployment(), seed)
+    trouble(day, FaultInjector(day))
+    result = day.play(LENGTH_S)
+    assert list(result.problems) == []
+    assert [str(breach) for breach in result.breaches] == []
+    return day
+
+
+def off_by(day: TenantDeployment, machine: Machine) -> int:
+    """Return by how many requests a coordinator's counts differ from the truth, over all windows."""
+    truth, counted = day.truth(), day.counted(machine)
+    assert truth.total() > 50
+    return ((truth - counted) + (counted - truth)).total()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_on_a_calm_day_all_coordinators_count_what_ran(seed: int) -> None:
+    day = play(lambda day, faults: None, seed)
+    assert [off_by(day, machine) for machine in day.coordinators] == [0, 0, 0]
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_coordinator_that_restarts_has_all_counts_again(seed: int) -> None:
+    day = play(lambda day, faults: faults.kill(6.0, day.coordinators[0]), seed)
+    assert [off_by(day, machine) for machine in day.coordinators] == [0, 0, 0]
+
+
+def test_a_coordinator_that_was_frozen_has_all_counts_again() -> None:
+    day = play(lambda day, faults: faults.freeze(4.0, day.coordinators[1], 4.0), 1)
+    assert [off_by(day, machine) for machine in day.coordinators] == [0, 0, 0]
+
+
+def test_a_proxy_that_is_killed_loses_what_it_has_not_reported() -> None:
+    day = play(lambda day, faults: faults.kill(6.0, day.proxies[0]), 1)
+    differences = [off_by(day, machine) for machine in day.coordinators]
+    assert max(differences) <= 5, "what ran for it within one interval"
+    assert len(set(differences)) == 1
