--- a/tests/serving/proxy/test_api_keys.py
+++ b/tests/serving/proxy/test_api_keys.py
@@ -199,6 +199,23 @@
     environment.check()
 
 
+def test_empty_key_counts_as_none_on_a_public_route(
+    environment: ProxyEnvironment, node: ScriptedNode
+) -> None:
+    assert request(environment, (KEY, ""), path="/public/x").status == 200
+    assert tenants_of(node) == [None]
+    environment.check()
+
+
+def test_unknown_key_is_rejected_on_a_public_route_too(
+    environment: ProxyEnvironment, node: ScriptedNode
+) -> None:
+    for headers in ([(KEY, UNKNOWN_KEY)], [(KEY, UNKNOWN_KEY), (TENANT, "alpha")]):
+        assert request(environment, *headers, path="/public/x").status == 401
+    assert node.arrivals == []
+    environment.check()
+
+
 def test_configuration_without_tenants_needs_no_key(
     environment: ProxyEnvironment, node: ScriptedNode
 ) -> None:
