Names of tenants and incarnations that can't be a header's value are refused; a public route refuses unknown keys

Found by the traces: a tenant's name with a line end was acknowledged and would have gone to nodes as a header of its own, and a node's heartbeat could name itself so (its id goes into the header by which it is addressed). Both are findings now; other names go as UTF-8.

--- a/coveport/serving/configuration/tenant_reader.py
+++ b/coveport/serving/configuration/tenant_reader.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+import re
+from typing import Any, Final
 
 from coveport.serving.configuration.raw_types import RawTenant
 from coveport.serving.configuration.type_checker import Checked, TypeChecker
@@ -10,6 +11,8 @@
 from coveport.serving.model.findings import Findings
 from coveport.serving.wire.configuration import CONFIGURATION, TENANT
 
+_CONTROL: Final = re.compile(r"[\x00-\x1f\x7f]")  # names go to nodes as the value of a header
+
 
 class TenantReader:
     """Reads all tenants of one configuration."""
@@ -44,8 +47,8 @@
         )
 
     def _check_name(self, name: str, location: str) -> None:
-        if not name:
-            self._findings.add(location, "is empty")
+        if not name or name != name.strip() or _CONTROL.search(name):
+            self._findings.add(location, "must be a text without control characters and spaces around it")
         elif name in self._names:
             self._findings.add(location, f"another tenant is named {name!r} too")
         self._names.add(name)
--- a/coveport/serving/coordinator/heartbeat.py
+++ b/coveport/serving/coordinator/heartbeat.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Mapping
 from typing import Any, Final
 
@@ -12,6 +13,8 @@
 from coveport.serving.wire.names import Heartbeat
 
 _STATES: Final = {Heartbeat.ACCEPTING: NodeState.ACCEPTING, Heartbeat.CLOSING: NodeState.DRAINING}
+_INCARNATION: Final = re.compile(r"[!-~]+")  # it goes to nodes as the value of a header
+_INCARNATION_LOCATION: Final = "path"
 _NUMBER_LIMIT: Final = 1e15  # numbers below it are exact as floats
 
 
@@ -27,6 +30,8 @@
     if not isinstance(fields, dict):
         return Refusal("the body is not an object")
     findings = Findings()
+    if not _INCARNATION.fullmatch(incarnation):
+        findings.add(_INCARNATION_LOCATION, "must be visible ASCII")
     service = _text(fields, Heartbeat.SERVICE, findings)
     address = _text(fields, Heartbeat.ADDRESS, findings)
     zone = _text(fields, Heartbeat.ZONE, findings)
--- a/coveport/serving/proxy/forwarded_request.py
+++ b/coveport/serving/proxy/forwarded_request.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 
 from coveport import http1
-from coveport.serving.proxy.headers import end_to_end_headers
+from coveport.serving.proxy.headers import end_to_end_headers, utf8_value
 from coveport.serving.proxy.in_flight_request import InFlightRequest
 from coveport.serving.proxy.prefix_cache import PrefixCacheIndex
 from coveport.serving.proxy.request_priority import request_priority
@@ -41,7 +41,7 @@
     yield CanonicalHeader.TIME_LEFT, str(max(1, int((request.deadline_s - now_s) * 1000)))
     yield CanonicalHeader.EXPECT_INCARNATION, incarnation
     if request.routed.tenant is not None:
-        yield CanonicalHeader.TENANT, request.routed.tenant
+        yield CanonicalHeader.TENANT, utf8_value(request.routed.tenant)
     if request.routed.segments:
         yield CanonicalHeader.PRIORITY, str(_priority(request, incarnation, prefix_cache, now_s))
 
--- a/coveport/serving/proxy/headers.py
+++ b/coveport/serving/proxy/headers.py
@@ -47,6 +47,11 @@
     return values[0] if values else None
 
 
+def utf8_value(text: str) -> str:
+    """Return a text as the value of a header whose bytes are its UTF-8: the codec writes latin-1."""
+    return text.encode().decode("latin-1")
+
+
 def keep_alive_s(headers: Headers) -> float | None:
     """Return how many seconds the peer keeps an idle connection, if it says so."""
     for parameters in headers.get("keep-alive", ()):
--- a/coveport/serving/proxy/request_routing.py
+++ b/coveport/serving/proxy/request_routing.py
@@ -52,7 +52,7 @@
         if route is None:
             return RoutingFailure.NO_ROUTE
         tenant = table.tenants.find(message.headers) if table.tenants is not None else None
-        if table.tenants is not None and tenant is None and not route.is_public:
+        if table.tenants is not None and not table.tenants.admits(route, message.headers, tenant):
             return RoutingFailure.UNAUTHORIZED
         service = table.services.get(choose_service(route, self._random) or "")
         if service is None:
--- a/coveport/serving/proxy/tenant_index.py
+++ b/coveport/serving/proxy/tenant_index.py
@@ -34,6 +34,10 @@
         keys = headers.get(Header.API_KEY, ())
         return self.tenants_by_key.get(keys[0]) if len(keys) == 1 else None
 
+    def admits(self, route: Route, headers: Headers, tenant: Tenant | None) -> bool:
+        """Return whether a route takes a request: by its tenant or, where it is public, without any key."""
+        return tenant is not None or (route.is_public and not any(headers.get(Header.API_KEY, ())))
+
 
 def route_for_tenant(route: Route, tenant: Tenant | None) -> Route:
     """Return the route with the tenant's priority, and with the home regions that both allow."""
--- a/tests/serving/configuration/test_tenants.py
+++ b/tests/serving/configuration/test_tenants.py
@@ -217,3 +217,11 @@
         state, _ = run(state, PatchConfiguration(state.edition, body))
         held = Counter(key for one in stored(state)["Senders"] for key in one["ApiKeys"])
         assert all(count == 1 for count in held.values())
+
+
+@pytest.mark.parametrize("name", ["", " a", "a ", "a\r\nX-Evil: 1", "a\tb", "a\x7f", "\u2003a"])
+def test_a_name_that_can_not_be_sent_as_a_header_is_a_finding(name: str) -> None:
+    raw = make_configuration(7, Senders=[{"Name": name, "ApiKeys": ["k"]}])
+    read = read_configuration(encode_json(raw))
+    assert isinstance(read, Refusal)
+    assert [finding.location for finding in read.findings] == ["Senders[0].Name"]
--- a/tests/serving/coordinator/test_node_api.py
+++ b/tests/serving/coordinator/test_node_api.py
@@ -97,3 +97,10 @@
     refusal = read_heartbeat("i-1", b'{"State": "odd", "Zone": "z9"}', REGIONS)
     assert isinstance(refusal, Refusal)
     assert len(refusal.findings) >= 4
+
+
+@pytest.mark.parametrize("incarnation", ["", "i-1\r\nX-Evil: 1", "i 1", "i-\u00e9"])
+def test_heartbeat_whose_incarnation_can_not_be_sent_as_a_header_is_rejected(incarnation: str) -> None:
+    refusal = read_heartbeat(incarnation, json.dumps(HEARTBEAT).encode(), REGIONS)
+    assert isinstance(refusal, Refusal)
+    assert [finding.location for finding in refusal.findings] == ["path"]
--- a/tests/serving/proxy/test_telemetry_reporter.py
+++ b/tests/serving/proxy/test_telemetry_reporter.py
@@ -12,6 +12,7 @@
 from coveport import http1
 from coveport.net.transport import Net
 from coveport.serving.model.telemetry import ProxyTelemetry, ServiceLoad, TenantCount, WindowCounts
+from coveport.serving.proxy.request_routing import RoutingFailure
 from coveport.serving.proxy.routed_request import RoutedRequest
 from coveport.serving.proxy.telemetry_reporter import MIN_INTERVAL_S, TelemetryReporter
 
@@ -112,9 +113,9 @@
         router = self.data_path._router
         route = router.route
 
-        def route_for_tenant(message: http1.Request) -> RoutedRequest | None:
+        def route_for_tenant(message: http1.Request) -> RoutedRequest | RoutingFailure:
             routed = route(message)
-            return replace(routed, tenant=tenant) if routed is not None else None
+            return replace(routed, tenant=tenant) if isinstance(routed, RoutedRequest) else routed
 
         router.route = route_for_tenant  # type: ignore[method-assign]
 
--- a/tests/serving/simulation/test_telemetry_days.py
+++ b/tests/serving/simulation/test_telemetry_days.py
@@ -4,54 +4,44 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import replace
 from random import Random
 from typing import Any
 
 import pytest
 
-from coveport import http1
 from coveport.serving.coordinator.coordinator import Coordinator
+from coveport.serving.model.configuration import Tenant
 from coveport.serving.model.telemetry import usage_window_at
 from coveport.serving.proxy.process import Proxy
-from coveport.serving.proxy.routed_request import RoutedRequest
 from coveport.serving.simulation.deployment import Deployment, proxy_settings
-from coveport.serving.simulation.events import AttemptStarted, RequestRan
+from coveport.serving.simulation.events import RequestArrived, RequestRan
 from coveport.serving.simulation.faults import FaultInjector
 from coveport.serving.simulation.machines import Machine
 from coveport.serving.simulation.world import SimulatedDeployment
 
 WINDOW_S = 5.0
+TENANTS = tuple(Tenant(name, (f"{name}-key",)) for name in ("north", "south", "west"))
 LENGTH_S = 12.0
 
 
 class TenantDeployment(SimulatedDeployment):
-    """A deployment whose requests are of the tenant that their route is named for."""
+    """A deployment with tenants whose proxies count their requests."""
 
     def _run_proxy(self, machine: Machine, first_boot: bool, log: Any, rng: Random) -> Proxy:
         super()._run_proxy(machine, first_boot, log, rng)  # it notes the start
         settings = proxy_settings(self.deployment, machine.spot, self.seeds, first_boot)
-        proxy = Proxy(machine.net, settings, rng, log, WINDOW_S)
-        router = proxy.data_path._router
-        route = router.route
-
-        def route_for_tenant(message: http1.Request) -> RoutedRequest | None:
-            routed = route(message)
-            return replace(routed, tenant=routed.route.name) if routed is not None else None
-
-        router.route = route_for_tenant  # type: ignore[method-assign]
-        return proxy
+        return Proxy(machine.net, settings, rng, log, WINDOW_S)
 
     def _window(self, at_s: float) -> int:
         return usage_window_at(self.world.unix_s() + at_s - self.world.now, WINDOW_S)
 
     def truth(self) -> Counter[tuple[int, str]]:
         """Return how many requests began to run, by window and tenant."""
-        kinds = {started.attempt_id: started.kind for started in self.event_log.of(AttemptStarted)}
+        tenants = {arrived.attempt_id: arrived.tenant for arrived in self.event_log.of(RequestArrived)}
         first_runs: dict[str, float] = {}
         for ran in self.event_log.of(RequestRan):
             first_runs.setdefault(ran.attempt_id, ran.at_s)
-        return Counter((self._window(at_s), f"r-{kinds[attempt]}") for attempt, at_s in first_runs.items())
+        return Counter((self._window(at_s), tenants[attempt]) for attempt, at_s in first_runs.items())
 
     def counted(self, machine: Machine) -> Counter[tuple[int, str]]:
         """Return what a coordinator has counted."""
@@ -66,7 +56,7 @@
 
 def play(trouble: Callable[[TenantDeployment, FaultInjector], object], seed: int) -> TenantDeployment:
     """Play a day and return its deployment."""
-    day = TenantDeployment(Deployment(), seed)
+    day = TenantDeployment(Deployment(tenants=TENANTS), seed)
     trouble(day, FaultInjector(day))
     result = day.play(LENGTH_S)
     assert list(result.problems) == []
