--- a/coveport/serving/simulation/client.py
+++ b/coveport/serving/simulation/client.py
@@ -57,6 +57,7 @@
     ttl_most_s: float = 5.0
     honours_retry_after: bool = True
     api_key: str = ""  # none: its requests carry no key
+    claimed_tenant: str = ""  # the name of a tenant that its requests carry, as no client should
 
 
 @dataclass(slots=True)
@@ -192,6 +193,8 @@
             headers.append((Header.LAST_EVENT_ID, str(resumes_after)))
         if api_key:
             headers.append((Header.API_KEY, api_key))
+        if self.figures.claimed_tenant:
+            headers.append((Header.TENANT, self.figures.claimed_tenant))
         return write_request("POST", target, headers, body)
 
     def _draw_prompt(self, kind: RequestKind) -> list[tuple[str, int]]:
--- a/coveport/serving/simulation/deployment.py
+++ b/coveport/serving/simulation/deployment.py
@@ -81,6 +81,12 @@
         service = Service(self.service, "/health", 370, self.warm_up_s, self.warm_up_rate, engine)
         return Configuration(edition, (*routes, *extra), (service,), tenants=self.tenants)
 
+    def claimed_tenant(self, client: int) -> str:
+        """Return the tenant that a client claims to be: every third one names another than its own."""
+        if not self.tenants or client % 3:
+            return ""
+        return self.tenants[(client + 1) % len(self.tenants)].name
+
     def api_key(self, client: int) -> str:
         """Return the key of a client by its number: the first one of its tenant; none without tenants."""
         if not self.tenants:
--- a/coveport/serving/simulation/local_deployment.py
+++ b/coveport/serving/simulation/local_deployment.py
@@ -64,7 +64,13 @@
 
     def client(self, zone: Zone, number: int) -> Client:
         """Create a client; every third one opens a connection for each request."""
-        figures = ClientFigures(zone.name, zone.region, keeps_connections=number % 3 != 0)
+        figures = ClientFigures(
+            zone.name,
+            zone.region,
+            keeps_connections=number % 3 != 0,
+            api_key=self._deployment.api_key(number),
+            claimed_tenant=self._deployment.claimed_tenant(number),
+        )
         rng = Random(f"client {zone.name} {number} {self._seed}")
         return Client(self._net, figures, lambda: self.lookups(zone), self._event_log, rng)
 
--- a/coveport/serving/simulation/model_server.py
+++ b/coveport/serving/simulation/model_server.py
@@ -54,6 +54,11 @@
     return tuple(PrefixSegment(name.strip(), int(tokens)) for name, _, tokens in pairs)
 
 
+def _all_values(request: Request, name: str) -> str:
+    """Return the values of a header that may stand more than once, joined."""
+    return ",".join(request.headers.get(name, ()))
+
+
 class ModelServer:
     """One incarnation of a node."""
 
@@ -182,7 +187,7 @@
         host = request.get("host") or ""
         arrival = RequestArrived(
             now, self.incarnation, attempt_id, request.method, request.target, host, body, resumes_after,
-            request.get(Header.TENANT) or "", request.get(Header.API_KEY) or "",
+            _all_values(request, Header.TENANT), _all_values(request, Header.API_KEY),
         )  # fmt: skip
         self._event_log.write(arrival)
         named = request.get(Header.EXPECT_INCARNATION)
--- a/coveport/serving/simulation/planned_steps.py
+++ b/coveport/serving/simulation/planned_steps.py
@@ -50,10 +50,7 @@
             route = self._route(f"race-{at}-{self._rng.randrange(1000)}")
 
             def begin(operator: Operator = operator, route: Route = route) -> None:
-                base = max(
-                    (candidate.configuration for candidate in self._day.operators),
-                    key=lambda candidate: candidate.edition,
-                )
+                base = self._newest_configuration()
                 change = Change(self._day.editions.next(), routes=(route,))
 
                 async def patch() -> None:
@@ -90,7 +87,7 @@
 
         async def patch() -> None:
             change = Change(self._day.editions.next(), tenants=tenants)
-            await operator.patch(change, operator.configuration)
+            await operator.patch(change, self._newest_configuration())
             for later_s in (0.5, self._day.deployment.bounds.config_apply_ms / 1000 + 0.2):
                 for key in checked_keys:
                     check = partial(self.check_proxies, path_prefix, key)
@@ -111,6 +108,11 @@
 
         self._day.at(at_s, lambda: self._day.run_operator(operator, send))
 
+    def _newest_configuration(self) -> Configuration:
+        """Return the newest configuration that was acknowledged to any operator."""
+        acknowledged = (operator.configuration for operator in self._day.operators)
+        return max(acknowledged, key=lambda configuration: configuration.edition)
+
     def _route(self, name: str, path_prefix: str = "") -> Route:
         return self._day.deployment.added_route(name, path_prefix or f"/{name}/")
 
--- a/coveport/serving/simulation/schedules.py
+++ b/coveport/serving/simulation/schedules.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Final
 
+from coveport.serving.model.configuration import Tenant
 from coveport.serving.simulation.deployment import Deployment
 from coveport.serving.simulation.faults import FaultInjector
 from coveport.serving.simulation.world import DayResult, SimulatedDeployment
@@ -206,6 +207,32 @@
     return tuple(sorted(found, key=lambda drawn: drawn.at_s))
 
 
+def _change_keys(
+    day: SimulatedDeployment, faults: FaultInjector, at_s: float, rng: Random, pair: tuple[Tenant, Tenant]
+) -> None:
+    """Take a key from the first of two tenants, move it to the second, or add one."""
+    giver, taker = pair
+    key, *kept = giver.api_keys
+    without = replace(giver, api_keys=tuple(kept))
+    added = f"{giver.name}-added"
+    changed, checked = rng.choice(
+        [
+            ((without,), (key, *kept)),
+            ((without, replace(taker, api_keys=(*taker.api_keys, key))), (key,)),
+            ((replace(giver, api_keys=(*giver.api_keys, added)),), (key, added)),
+        ]
+    )
+    faults.change_tenants(at_s, *changed, checked_keys=checked)
+
+
+def _schedule_key_changes(day: SimulatedDeployment, faults: FaultInjector) -> None:
+    """Change the keys of each pair of tenants once; a deployment without tenants has none."""
+    rng = Random(f"keys {day.seed}")
+    tenants = day.deployment.tenants or ()
+    for pair in zip(tenants[::2], tenants[1::2], strict=False):
+        _change_keys(day, faults, rng.uniform(0.5, LAST_FAULT_S), rng, pair)
+
+
 def play_drawn(seed: int, deployment: Deployment | None = None) -> tuple[DayResult, SimulatedDeployment]:
     """Play the day of a seed; return its result and the deployment."""
     day = SimulatedDeployment(deployment or Deployment(), seed)
@@ -213,5 +240,6 @@
     for at, drawn in enumerate(draw_faults(seed)):
         draw = DRAWS.get(drawn.name) or CLOSINGS[drawn.name]
         draw(day, faults, drawn.at_s, Random(f"trouble {seed} {at}"))
+    _schedule_key_changes(day, faults)
     day.quiet_s = QUIET_S
     return day.play(LENGTH_S), day
--- a/coveport/serving/simulation/world.py
+++ b/coveport/serving/simulation/world.py
@@ -169,6 +169,7 @@
             zone.name, zone.region, keeps_connections=number % 3 != 0,
             holds_answers=3.0 if number % 4 == 0 else 1.0, ttl_most_s=self.deployment.bounds.ttl_max_s,
             honours_retry_after=number % 5 != 0, api_key=self.deployment.api_key(number),
+            claimed_tenant=self.deployment.claimed_tenant(number),
         )  # fmt: skip
         client = Client(
             machine.net, client_figures, partial(self.listed_lookups, zone), self.event_log, rng,
--- a/tests/serving/simulation/test_drawn_days.py
+++ b/tests/serving/simulation/test_drawn_days.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from coveport.serving.model.configuration import Tenant
+from coveport.serving.simulation.deployment import Deployment
 from coveport.serving.simulation.schedules import CLOSINGS, DRAWS, LENGTH_S, draw_faults, play_drawn
 
 
@@ -15,6 +17,15 @@
     assert result.served_fraction > 0.75
 
 
+def test_drawn_days_with_changes_of_keys_break_no_rule() -> None:
+    names = ("a", "b", "c", "d", "e", "f")
+    tenants = tuple(Tenant(name, (f"{name}-1", f"{name}-2")) for name in names)
+    for seed in (3, 17, 101, 105):
+        result, _ = play_drawn(seed, Deployment(tenants=tenants))
+        assert list(result.problems) == []
+        assert [str(breach) for breach in result.breaches] == []
+
+
 def test_a_seed_always_draws_the_same_day() -> None:
     assert draw_faults(7) == draw_faults(7)
     assert len({draw_faults(seed) for seed in range(50)}) == 50
