--- a/coveport/serving/coordinator/coordinator.py
+++ b/coveport/serving/coordinator/coordinator.py
@@ -99,6 +99,7 @@
         self.table = NodeTable(NODE_TIMEOUT_HEARTBEATS * settings.heartbeat_ms / 1000)
         self.leases = LeaseTable()
         self.history = StateHistory()
+        self._committed_edition = 0  # the newest that was logged
         self.traffic = Traffic()
         self._versions = PeerVersions()
         self._rejections = RejectionThrottle(net.now_s)
@@ -327,6 +328,7 @@
         self._lease_replicator.send_all(address)
 
     def _on_committed(self, effect: CommittedState) -> None:
+        self._log_edition(effect)
         self._quorum_status.refresh()
         is_of_duties = effect.command is not None and is_duty_command(effect.command)
         if is_of_duties and self.history.is_next(effect.sequence):
@@ -336,6 +338,12 @@
         self.history.advance(effect.sequence, state, effect.command)
         self._subscriptions.notify()
 
+    def _log_edition(self, effect: CommittedState) -> None:
+        edition = effect.state.edition
+        if edition != self._committed_edition:
+            self._committed_edition = edition
+            self._log.info("configuration_committed", edition=edition, sequence=effect.sequence)
+
     def _on_stall(self, stall_s: float) -> None:
         """Discard what may be stale: bytes in our connections, time-outs of nodes, tables of peers."""
         self._quorum_status.reset()
--- a/tests/serving/simulation/test_control_days.py
+++ b/tests/serving/simulation/test_control_days.py
@@ -608,6 +608,7 @@
 # -- The way of a configuration to the proxies, and their readiness --
 
 ACTIVATED = re.compile(r"^at=([0-9.]+) .*event=configuration_activated edition=([0-9]+)")
+COMMITTED = re.compile(r"event=configuration_committed edition=([0-9]+)")
 FRESH_WEIGHTS_S = 1.5  # from then on an older version costs worth
 
 
@@ -639,6 +640,18 @@
             assert active_s - at_s <= FRESH_WEIGHTS_S, f"{proxy.spot.name}, edition {edition}"
 
 
+def test_every_coordinator_logs_each_committed_edition_once() -> None:
+    told = ControlDay(2)
+    for number in range(3):
+        told.faults.add_route(AT_S + number, f"added-{number}")
+    result = told.play(AT_S + 4.0)
+    editions = [one.edition for one in result.event_log.of(OrderStarted) if one.edition]
+    assert len(editions) == 4
+    for coordinator in told.day.coordinators:
+        logged = [int(match[1]) for line in coordinator.log_lines if (match := COMMITTED.search(line))]
+        assert logged == editions, coordinator.spot.name
+
+
 @pytest.mark.parametrize("trouble", ["kill", "power", "cut", "freeze", "burst"])
 def test_proxies_stay_ready_through_a_lost_coordinator_and_a_burst(trouble: str) -> None:
     told = ControlDay(1)
