--- a/tests/serving/simulation/test_key_changes.py
+++ b/tests/serving/simulation/test_key_changes.py
@@ -6,7 +6,14 @@
 
 from coveport.serving.model.configuration import Tenant
 from coveport.serving.simulation.deployment import Deployment
-from coveport.serving.simulation.events import AttemptEnded, AttemptStarted
+from coveport.serving.simulation.events import (
+    AttemptEnded,
+    AttemptStarted,
+    Order,
+    OrderEnded,
+    OrderStarted,
+    Verdict,
+)
 from coveport.serving.simulation.faults import FaultInjector
 from coveport.serving.simulation.world import DayResult, SimulatedDeployment
 
@@ -91,7 +98,12 @@
     assert last_statuses(result, "never-held") + last_statuses(result, "") == [401] * 6
 
 
-def test_a_configuration_with_a_shared_key_is_not_taken() -> None:
+def test_a_configuration_with_a_shared_key_is_not_taken_and_the_next_change_is() -> None:
     day = KeyDay()
     day.faults.send_shared_key(CHANGED_AT_S)
-    assert breaches(day.play(), "CONFIG") == []
+    day.faults.change_tenants(CHANGED_AT_S + 1.0, Tenant("west"))
+    result = day.play()
+    assert breaches(result, "CONFIG") == []
+    patches = [one.number for one in result.event_log.of(OrderStarted) if one.order is Order.PATCH]
+    verdicts = [one.verdict for one in result.event_log.of(OrderEnded) if one.number in patches]
+    assert verdicts == [Verdict.ACKNOWLEDGED]
