--- a/coveport/serving/cli/show.py
+++ b/coveport/serving/cli/show.py
@@ -29,6 +29,7 @@
         return ExitCode.DONE
     rows = [(name, _format(value)) for name, value in document.scalars().items()]
     rows += [(f"core {name}", _format(value)) for name, value in document.core().items()]
+    rows += [(f"duties {name}", _format(value)) for name, value in document.duties().items()]
     rows.append(("proxies", str(len(document.proxies()))))
     rows.append(("nodes", str(len(document.nodes()))))
     print_table(("what", "value"), rows)
--- a/coveport/serving/cli/status_document.py
+++ b/coveport/serving/cli/status_document.py
@@ -11,6 +11,7 @@
 _NODES: Final = "nodes"
 _PROXIES: Final = "proxies"
 _CORE: Final = "core"
+_DUTIES: Final = "duties"
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,14 +33,20 @@
     fields: dict[str, Any]
 
     def scalars(self) -> dict[str, Any]:
-        """Return the fields beside the core, the proxies and the nodes."""
-        return {name: value for name, value in self.fields.items() if name not in (_NODES, _PROXIES, _CORE)}
+        """Return the fields beside the core, the duties, the proxies and the nodes."""
+        apart = (_NODES, _PROXIES, _CORE, _DUTIES)
+        return {name: value for name, value in self.fields.items() if name not in apart}
 
     def core(self) -> dict[str, Any]:
         """Return the state of the replication core."""
         core = self.fields.get(_CORE)
         return core if isinstance(core, dict) else {}
 
+    def duties(self) -> dict[str, Any]:
+        """Return what the coordinator knows of the duties; empty where there are none."""
+        duties = self.fields.get(_DUTIES)
+        return duties if isinstance(duties, dict) else {}
+
     def proxies(self) -> list[dict[str, Any]]:
         """Return the proxies that hold a lease."""
         return self._entries(_PROXIES)
--- a/coveport/serving/coordinator/coordinator.py
+++ b/coveport/serving/coordinator/coordinator.py
@@ -14,6 +14,7 @@
 from coveport.serving.coordinator.control_service import ControlService
 from coveport.serving.coordinator.control_state_machine import STATE_MACHINE
 from coveport.serving.coordinator.coordinator_liveness import CoordinatorLiveness
+from coveport.serving.coordinator.duty_factory import make_duty_runner
 from coveport.serving.coordinator.inner_listener import InnerListener
 from coveport.serving.coordinator.lease_replication import LeaseReplicator
 from coveport.serving.coordinator.lookup_api import LookupApi
@@ -117,6 +118,7 @@
         self._runtime = ReplicaRuntime(
             net, self._replica, opened.writer, self._stall_detector, callbacks, log
         )
+        self._duties = make_duty_runner(net, settings, self._runtime, self._versions, random_source, log)
         self._quorum_status = self._make_quorum_status()
         self._lease_replicator = LeaseReplicator(self.leases, self._peers, net.now_s)
         self.telemetry = TelemetryReplicator(
@@ -228,6 +230,7 @@
             self._versions,
             self.leases,
             self.table,
+            self._duties.describe,
         )
 
     async def start(self) -> None:
@@ -250,11 +253,13 @@
     async def stop(self) -> None:
         """Hand over to another primary and to other replicas, respond to what was received, and close."""
         self._log.info("coordinator_stopping")
+        self._duties.stop()
         self._runtime.request_shutdown()
         await self._wait_for_handover()
         for server in self._servers:
             server.stop()
         self._listener.close()
+        self._duties.close()
         self._runtime.stop()
         self._peers.close()
         if self._maintenance_timer is not None:
@@ -330,6 +335,7 @@
     def _on_committed(self, effect: CommittedState) -> None:
         self._log_edition(effect)
         self._quorum_status.refresh()
+        self._duties.record_committed(effect.state)
         is_of_duties = effect.command is not None and is_duty_command(effect.command)
         if is_of_duties and self.history.is_next(effect.sequence):
             self.history.advance_duties()
@@ -347,6 +353,7 @@
     def _on_stall(self, stall_s: float) -> None:
         """Discard what may be stale: bytes in our connections, time-outs of nodes, tables of peers."""
         self._quorum_status.reset()
+        self._duties.record_stall()
         self.table.reset_timeouts(self._net.now_s())
         for server in self._servers:
             server.reset_all()
@@ -367,6 +374,7 @@
         self._lease_replicator.send_renewed_if_due()
         self.clock.observe(now_s, self._net.unix_s())
         self.telemetry.send_if_due()
+        self._duties.tick()
 
     def _refresh_quorum(self, now_s: float) -> None:
         had_quorum = self._quorum_status.has_quorum()
--- a/coveport/serving/coordinator/status_report.py
+++ b/coveport/serving/coordinator/status_report.py
@@ -28,6 +28,7 @@
     versions: PeerVersions
     leases: LeaseTable
     table: NodeTable
+    describe_duties: Callable[[], dict[str, Any]]
 
     def describe(self) -> dict[str, Any]:
         """Return the body of the status call; its keys are fixed, see the operators' pages."""
@@ -43,6 +44,7 @@
             "coordinators": coordinators,
             "proxies": self._describe_proxies(),
             "nodes": self._describe_nodes(),
+            "duties": self.describe_duties(),
         }
 
     def _describe_proxies(self) -> list[dict[str, Any]]:
--- a/coveport/serving/simulation/deployment.py
+++ b/coveport/serving/simulation/deployment.py
@@ -14,7 +14,7 @@
     Tenant,
     WeightedService,
 )
-from coveport.serving.settings.boot import BootSettings, Bounds, FaultTolerance
+from coveport.serving.settings.boot import BootSettings, Bounds, FaultTolerance, PlatformSettings
 from coveport.serving.simulation.client import RequestKind
 from coveport.serving.simulation.engine import EngineFigures
 from coveport.serving.simulation.figures import Objective
@@ -72,6 +72,7 @@
     warm_up_s: float = 3.0
     warm_up_rate: float = 9.8
     ports: Ports = field(default_factory=Ports)
+    platform: PlatformSettings | None = None
     lead_s: float = 8.0  # from the machines' start to the traffic's
 
     def configuration(self, edition: int, extra: tuple[Route, ...] = ()) -> Configuration:
@@ -200,4 +201,5 @@
         lookups=lookups,
         tolerated=deployment.tolerated,
         bounds=deployment.bounds,
+        platform=deployment.platform,
     )
--- a/coveport/serving/simulation/world.py
+++ b/coveport/serving/simulation/world.py
@@ -37,6 +37,7 @@
 from coveport.serving.simulation.machines import Machine
 from coveport.serving.simulation.model_server import ModelServer
 from coveport.serving.simulation.operator import EditionNumbers, Operator, OrderNumbers
+from coveport.serving.simulation.platform import SimulatedPlatform
 from coveport.serving.simulation.registration import Registration
 from coveport.serving.simulation.stand_in_programs import (
     ClientProgram,
@@ -105,6 +106,7 @@
         self._numbers = OrderNumbers()
         self._operator_machines: dict[Operator, Machine] = {}
         self.operators = [self.make_operator(at) for at in range(2)]
+        self.platform = self._make_platform()
         self.traffic_until_s = self.began_s  # set by `play`
         self.quiet_s = 1.0  # simulated in any case after the traffic
         self._listed: list[tuple[float, list[str]]] = []  # coordinators' IPs that ran, by time
@@ -196,6 +198,20 @@
         self._operator_machines[operator] = machine
         return operator
 
+    def _make_platform(self) -> SimulatedPlatform | None:
+        """Start the platform, on a machine of its own, where the deployment has one."""
+        if self.deployment.platform is None:
+            return None
+        address = self.deployment.platform.address
+        spot = MachineSpot("platform", address[0], self.deployment.zones[0])
+        machine = Machine(
+            self.network, spot, self.network.place(spot.ip, OUTSIDE), run_nothing, f"{self.seed}"
+        )
+        machine.start()
+        platform = SimulatedPlatform(machine.net, address)
+        machine.run(platform.start)
+        return platform
+
     def run_operator(self, operator: Operator, work: Callable[[], object]) -> None:
         """Run a call or coroutine on an operator's machine."""
         self._operator_machines[operator].run(work)
--- a/coveport/serving/web/http_client.py
+++ b/coveport/serving/web/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -31,10 +32,17 @@
 
 
 async def send_request(
-    net: Net, address: Address, request: HttpRequest, timeout_s: float
+    net: Net,
+    address: Address,
+    request: HttpRequest,
+    timeout_s: float,
+    may_send: Callable[[], bool] = lambda: True,
 ) -> Response | RequestFailure:
-    """Send a request and wait for its response; connecting counts toward the time-out."""
-    exchange = _Exchange(net, request, f"{address[0]}:{address[1]}")
+    """Send a request and wait for its response; connecting counts toward the time-out.
+
+    `may_send`: asked once it is connected, right before the request is written.
+    """
+    exchange = _Exchange(net, request, f"{address[0]}:{address[1]}", may_send)
     try:
         async with asyncio.timeout(timeout_s):
             await net.dial(lambda: exchange, address)
@@ -50,17 +58,24 @@
 class _Exchange(asyncio.Protocol):
     """Writes one request and reads its response; `outcome` is done by then."""
 
-    def __init__(self, net: Net, request: HttpRequest, host: str) -> None:
+    def __init__(self, net: Net, request: HttpRequest, host: str, may_send: Callable[[], bool]) -> None:
         headers = (("Host", host), ("Connection", "close"), *request.headers)
         self._request = write_request(request.method, request.path, headers, request.body)
         self._parser = ResponseParser(MAX_RESPONSE_BYTES)
+        self._net = net
+        self._may_send = may_send
         self._transport: asyncio.Transport | None = None
         self.outcome: asyncio.Future[Response | RequestFailure] = net.loop.create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        transport.write(self._request)
+        if self.outcome.done():  # given up while it was being connected
+            return
+        if self._may_send():
+            transport.write(self._request)
+        else:
+            self._finish(RequestFailure("it was no longer to be sent"))
 
     def data_received(self, data: bytes) -> None:
         self._parser.feed(data)
@@ -88,6 +103,12 @@
             self.outcome.set_result(outcome)
 
     def close(self) -> None:
-        """Close the connection at once."""
-        if self._transport is not None:
+        """End the connection at once; where no response has come, what is on its way is lost."""
+        is_over = self.outcome.done() and not self.outcome.cancelled()
+        self.outcome.cancel()
+        if self._transport is None:
+            return
+        if is_over:
             self._transport.abort()
+        else:
+            self._net.reset(self._transport)
--- a/coveport/serving/wire/names.py
+++ b/coveport/serving/wire/names.py
@@ -40,6 +40,8 @@
     PRIORITY: Final = "Priority"
     TENANT: Final = "Coveport-Sender"
     AUTHENTICATE: Final = "WWW-Authenticate"
+    HOLDER: Final = "Coveport-Holder"  # of a duty, in calls to the platform
+    FENCE: Final = "Coveport-Fence"
 
 
 class Path:
--- /dev/null
+++ b/tests/serving/simulation/test_duty_days.py
@@ -0,0 +1,246 @@
+"""Duties on days with faults: real coordinators, and a platform that refuses lower fences and records all."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+
+from coveport.serving.coordinator import duty_factory
+from coveport.serving.coordinator.coordinator import Coordinator
+from coveport.serving.duties.commands import DutyCommand, FixUsageReports
+from coveport.serving.duties.duty import CallOutcome, PlatformCall
+from coveport.serving.duties.kinds import DutyKind
+from coveport.serving.duties.lease import DutyLease
+from coveport.serving.duties.state import DutyState, UsageReport
+from coveport.serving.model.telemetry import TenantCount
+from coveport.serving.settings.boot import PlatformSettings
+from coveport.serving.simulation.deployment import BOUNDS, Deployment
+from coveport.serving.simulation.faults import FaultInjector
+from coveport.serving.simulation.machines import Machine
+from coveport.serving.simulation.platform import SimulatedPlatform, judge_platform_calls
+from coveport.serving.simulation.world import SimulatedDeployment
+
+PLATFORM = PlatformSettings(("10.250.0.1", 8346), frozenset(DutyKind), 50.0)
+WINDOW_S = 0.5
+RETRY_S = 0.3
+LEASE_S = BOUNDS.lease_ms / 1000
+
+
+class WindowDuty:
+    """Fixes a report of each short window, with counts of its own, and sends the oldest."""
+
+    def __init__(self) -> None:
+        self.accepted: set[int] = set()
+        self.takeovers = 0
+        self.retry_at_s = 0.0
+
+    def take_over(self, state: DutyState, now_s: float) -> None:
+        self.takeovers += 1
+        self.accepted = set()
+
+    def next_command(self, state: DutyState, fence: int, now_s: float) -> DutyCommand | None:
+        window = int(now_s / WINDOW_S)
+        known = self.accepted & {report.window for report in state.unsent_reports}
+        if window <= state.last_fixed_window:
+            return None
+        report = UsageReport(window, (TenantCount("tenant", id(self) % 1000),))
+        return FixUsageReports(fence, (report,), tuple(sorted(known)))
+
+    def next_call(self, state: DutyState, now_s: float) -> PlatformCall | None:
+        waiting = [report for report in state.unsent_reports if report.window not in self.accepted]
+        if not waiting or now_s < self.retry_at_s:
+            return None
+        counts = {count.tenant: count.requests for count in waiting[0].counts}
+        body = json.dumps({"WindowNo": waiting[0].window, "Counts": counts}).encode()
+        return PlatformCall("/usage", body)
+
+    def record_outcome(self, call: PlatformCall, outcome: CallOutcome, now_s: float) -> None:
+        if outcome is CallOutcome.ACCEPTED:
+            self.accepted.add(json.loads(call.body)["WindowNo"])
+        else:
+            self.retry_at_s = now_s + RETRY_S
+
+
+class DutyDay:
+    """A day without clients, whose faults are written here."""
+
+    def __init__(self, seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(duty_factory, "make_duties", lambda *_: (WindowDuty(),))
+        deployment = replace(Deployment(), platform=PLATFORM, proxies=(0, 0, 0), nodes=(0, 0, 0), clients=())
+        self.day = SimulatedDeployment(deployment, seed)
+        self.faults = FaultInjector(self.day)
+        assert self.day.platform is not None
+        self.platform: SimulatedPlatform = self.day.platform
+        self.from_s = self.day.traffic_from_s
+
+    def play(self, length_s: float) -> None:
+        for machine in self.day.coordinators:
+            self.day.world.at(self.day.began_s, machine.start, True)
+        self.day.world.run(self.from_s + length_s)
+        problems = [problem for machine in self.day.coordinators for problem in machine.problems]
+        assert problems == []
+        assert judge_platform_calls(self.platform.calls, LEASE_S) == []
+
+    def at(self, at_s: float, step: Callable[[], object]) -> None:
+        self.day.at(at_s, step)
+
+    def program(self, machine: Machine) -> Coordinator:
+        assert isinstance(machine.program, Coordinator)
+        return machine.program
+
+    def primary(self) -> Machine:
+        return next(
+            one for one in self.day.coordinators if one.is_up and self.program(one)._replica.is_primary
+        )
+
+    def accepted(self, from_s: float = -1e9, until_s: float = 1e9) -> list[int]:
+        """Return the windows that the platform accepted within a time after the start, in order."""
+        return [
+            call.body["WindowNo"]
+            for call in self.platform.calls
+            if call.status == 200 and from_s <= call.at_s - self.from_s <= until_s
+        ]
+
+    def machines(self) -> list[str]:
+        """Return the machines that acted, in the order in which they took over."""
+        callers = [call.machine for call in self.platform.calls if call.status == 200]
+        return [one for at, one in enumerate(callers) if at == 0 or callers[at - 1] != one]
+
+    def logged(self, event: str) -> int:
+        lines = [line for machine in self.day.coordinators for line in machine.log_lines]
+        return sum(f"event={event} " in f"{line} " for line in lines)
+
+
+def assert_all_windows_are_sent(day: DutyDay, slack: int) -> None:
+    """Every window that was fixed has reached the platform, but for the newest."""
+    primary = day.program(day.primary())
+    state: DutyState = primary._replica._context.committed_log.state.duties
+    fixed = state.last_fixed_window
+    sent = set(day.accepted())
+    assert len(state.unsent_reports) <= slack + 1
+    assert all(report.window in sent or report.window > fixed - slack for report in state.unsent_reports)
+
+
+def test_on_a_quiet_day_one_coordinator_acts_from_the_start(monkeypatch: pytest.MonkeyPatch) -> None:
+    day = DutyDay(1, monkeypatch)
+    day.play(10.0)
+    assert len(day.machines()) == 1
+    assert {call.fence for call in day.platform.calls} == {1}
+    windows = day.accepted()
+    assert windows == sorted(windows) and len(windows) == len(set(windows))
+    first_s = day.platform.calls[0].at_s - day.day.began_s
+    assert first_s < LEASE_S, "the first fence needs no wait"
+    assert_all_windows_are_sent(day, 2)
+
+
+def kill(day: DutyDay) -> None:
+    day.primary().kill()
+
+
+def lose_power(day: DutyDay) -> None:
+    machine = day.primary()
+    machine.place.silent = True
+    machine.kill()
+
+
+def freeze(day: DutyDay) -> None:
+    day.primary().freeze(6.0)
+
+
+def cut_off(day: DutyDay) -> None:
+    """Cut the holder off from the core; it still reaches the platform."""
+    holder = day.primary().spot.ip
+    others = [one.spot.ip for one in day.day.coordinators if one.spot.ip != holder]
+    pairs = {(holder, one) for one in others} | {(one, holder) for one in others}
+    day.day.network.partition(7, frozenset(pairs))
+    day.at(12.0, lambda: day.day.network.heal(7))
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("fault", [kill, lose_power, freeze, cut_off])
+def test_another_takes_over_after_a_lease_and_sends_what_was_fixed(
+    fault: Callable[[DutyDay], None], seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    day = DutyDay(seed, monkeypatch)
+    day.at(5.0, lambda: fault(day))
+    day.play(20.0)
+    assert len(day.machines()) == 2
+    assert day.accepted(0.0, 5.0) and day.accepted(11.0, 20.0)
+    assert day.logged("duties_acquired") >= 2
+    assert_all_windows_are_sent(day, 2)
+
+
+def test_a_holder_that_is_cut_off_stops_within_its_lease(monkeypatch: pytest.MonkeyPatch) -> None:
+    day = DutyDay(3, monkeypatch)
+    day.at(5.0, lambda: cut_off(day))
+    day.play(20.0)
+    first = day.machines()[0]
+    newest = max(call.at_s for call in day.platform.calls if call.machine == first) - day.from_s
+    assert newest < 5.0 + LEASE_S
+    assert day.logged("duties_lost") == 1
+
+
+def test_a_restarted_holder_acts_under_another_fence(monkeypatch: pytest.MonkeyPatch) -> None:
+    day = DutyDay(4, monkeypatch)
+    for machine in day.day.coordinators:
+        day.faults.kill(5.0, machine, 0.5)
+    day.play(20.0)
+    assert {call.fence for call in day.platform.calls} == {1, 2}
+    later = [call.at_s - day.from_s for call in day.platform.calls if call.fence == 2]
+    assert 5.0 + LEASE_S < min(later) < 5.0 + 3 * LEASE_S
+
+
+def test_a_platform_that_is_silent_gets_every_window_in_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    day = DutyDay(5, monkeypatch)
+
+    def set_silent(silent: bool) -> None:
+        day.platform.is_silent = silent
+
+    day.at(3.0, lambda: set_silent(True))
+    day.at(9.0, lambda: set_silent(False))
+    day.play(20.0)
+    assert day.accepted(9.0)
+    windows = day.accepted()
+    assert windows == sorted(windows)
+    assert set(range(min(windows), max(windows) + 1)) == set(windows)
+    assert day.logged("platform_call_failed") >= 1
+
+
+def test_a_fence_that_the_platform_refused_is_laid_down_for_the_next(monkeypatch: pytest.MonkeyPatch) -> None:
+    day = DutyDay(6, monkeypatch)
+    day.platform._highest_fences[("/usage",)] = 3
+    day.play(20.0)
+    refused = [call.fence for call in day.platform.calls if call.status == 409]
+    assert refused == [1, 2]
+    assert day.accepted()
+
+
+def test_holders_change_again_and_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    day = DutyDay(7, monkeypatch)
+    for round_number in range(5):
+        day.at(3.0 + 5.0 * round_number, lambda: day.primary().freeze(2.0))
+    day.play(32.0)
+    assert len(day.machines()) >= 4
+
+
+def any_fence(lease: DutyLease, state: DutyState) -> bool:
+    return state.holder is not None
+
+
+def test_a_holder_that_takes_anothers_fence_is_seen_by_the_platform(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(DutyLease, "_is_holder", any_fence)
+    with pytest.raises(AssertionError, match="sent by two machines"):
+        test_another_takes_over_after_a_lease_and_sends_what_was_fixed(kill, 1, monkeypatch)
+
+
+def never_refused(lease: DutyLease, fence: int, now_s: float) -> DutyLease:
+    return lease
+
+
+def test_a_holder_that_keeps_a_refused_fence_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(DutyLease, "refuse", never_refused)
+    with pytest.raises(AssertionError):
+        test_a_fence_that_the_platform_refused_is_laid_down_for_the_next(monkeypatch)
