--- a/coveport/serving/simulation/control_rules.py
+++ b/coveport/serving/simulation/control_rules.py
@@ -156,7 +156,7 @@
     def fits(self, version: Version) -> bool:
         """Return whether a version allows the effect."""
         route = version.route(self.started.host, self.started.target)
-        if route is None or not version.admits(self.started.api_key):
+        if route is None or not version.admits(self.started):
             return not self.services
         return not self.denied_with and self.services <= route.services
 
--- a/coveport/serving/simulation/deployment.py
+++ b/coveport/serving/simulation/deployment.py
@@ -114,7 +114,7 @@
         )
 
     def added_route(self, name: str, path_prefix: str) -> Route:
-        """Return a route that an operator adds during a day; all of its traffic goes to `service`."""
+        """Return a route that an operator adds during a day, to `service`; public where there are tenants."""
         return Route(
             name=f"r-{name}",
             host=HOST,
@@ -128,6 +128,7 @@
             session_affinity=True,
             resumable=True,
             inter_token_target_ms=400.0,
+            is_public=self.tenants is not None,
         )
 
 
--- a/coveport/serving/simulation/documents.py
+++ b/coveport/serving/simulation/documents.py
@@ -182,5 +182,5 @@
     streaming = route.kind is RouteKind.STREAMING
     return JudgedRoute(
         route.host, route.path_prefix, services, route.is_idempotent, streaming, route.home_regions,
-        route.timeout_ms / 1000,
+        route.timeout_ms / 1000, route.is_public,
     )  # fmt: skip
--- a/coveport/serving/simulation/events.py
+++ b/coveport/serving/simulation/events.py
@@ -190,6 +190,7 @@
     streaming: bool
     homes: frozenset[str]
     timeout_s: float = 0.0
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/coveport/serving/simulation/history.py
+++ b/coveport/serving/simulation/history.py
@@ -76,13 +76,16 @@
         holders = (tenant for tenant in self.started.tenants or () if api_key in tenant.api_keys)
         return next(holders, None)
 
-    def admits(self, api_key: str) -> bool:
-        """Return whether requests with a key may run in this version, as far as the key goes."""
-        return self.started.tenants is None or self.tenant(api_key) is not None
+    def admits(self, attempt: AttemptStarted) -> bool:
+        """Return whether a request may run in this version as far as its key goes."""
+        if self.started.tenants is None or self.tenant(attempt.api_key) is not None:
+            return True
+        route = self.route(attempt.host, attempt.target)
+        return route is not None and route.public and not attempt.api_key
 
     def allows(self, attempt: AttemptStarted) -> bool:
-        """Return whether a request has a route in this version, and its key a tenant."""
-        return self.route(attempt.host, attempt.target) is not None and self.admits(attempt.api_key)
+        """Return whether a request has a route in this version, and no need of a key or the right one."""
+        return self.route(attempt.host, attempt.target) is not None and self.admits(attempt)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/serving/configuration/test_configuration_reader.py
+++ b/tests/serving/configuration/test_configuration_reader.py
@@ -129,6 +129,7 @@
     "prefix without slash": (changed_route(PathPrefix="/a"), "Routes[0].PathPrefix"),
     "half an attempt": (changed_route(Tries=1.5), "Routes[0].Tries"),
     "no attempt": (changed_route(Tries=0), "Routes[0].Tries"),
+    "public as number": (changed_route(Public=1), "Routes[0].Public"),
     "pinned as number": (changed_route(Pinned=1), "Routes[0].Pinned"),
     "regions as numbers": (changed_route(HomeRegions=[1]), "Routes[0].HomeRegions"),
     "a route that is a list": (make_configuration(7, Routes=[[]]), "Routes[0]"),
--- a/tests/serving/simulation/test_key_changes.py
+++ b/tests/serving/simulation/test_key_changes.py
@@ -98,6 +98,14 @@
     assert last_statuses(result, "never-held") + last_statuses(result, "") == [401] * 6
 
 
+def test_a_public_route_that_is_added_is_served_without_a_key() -> None:
+    day = KeyDay()
+    day.faults.add_route(CHANGED_AT_S, "added")
+    result = day.play()
+    assert breaches(result, "CONFIG") + breaches(result, "DENIED") == []
+    assert last_statuses(result, "") == [200] * 3
+
+
 def test_a_configuration_with_a_shared_key_is_not_taken_and_the_next_change_is() -> None:
     day = KeyDay()
     day.faults.send_shared_key(CHANGED_AT_S)
