--- a/coveport/serving/proxy/admission.py
+++ b/coveport/serving/proxy/admission.py
@@ -96,5 +96,12 @@
         """Return the queue of requests that may go to the same nodes."""
         return self._queues.setdefault((service, home_regions), AdmissionQueue())
 
+    def lengths_by_service(self) -> dict[str, int]:
+        """Return how many requests wait for nodes of each service."""
+        lengths: dict[str, int] = {}
+        for (service, _), queue in self._queues.items():
+            lengths[service] = lengths.get(service, 0) + len(queue)
+        return lengths
+
     def __len__(self) -> int:
         return sum(map(len, self._queues.values()))
--- a/coveport/serving/proxy/data_path.py
+++ b/coveport/serving/proxy/data_path.py
@@ -25,6 +25,7 @@
 from coveport.serving.proxy.failure_response import RETRY_AFTER_S, send_routing_failure
 from coveport.serving.proxy.headers import first
 from coveport.serving.proxy.in_flight_request import InFlightRequest
+from coveport.serving.proxy.load_sampler import LoadSampler
 from coveport.serving.proxy.node_maintenance import NodeMaintenance
 from coveport.serving.proxy.node_observations import NodeObservations
 from coveport.serving.proxy.node_selection import NodeSelector
@@ -67,6 +68,8 @@
         self._counters = Counters()
         self._context = _make_context(net, settings, self._router, random, self._counters)
         self._context.telemetry = telemetry
+        if telemetry is not None:
+            telemetry.current_loads = self._make_load_sampler().next_loads
         self._maintenance = NodeMaintenance(
             net, view, self._context.pool, self._context.observations, self._counters
         )
@@ -111,6 +114,16 @@
             "connects": float(self._context.pool.connects),
         }
 
+    def _make_load_sampler(self) -> LoadSampler:
+        context = self._context
+        return LoadSampler(
+            self._view,
+            context.observations.loads,
+            context.queues.lengths_by_service,
+            self._settings.zone,
+            self._net.now_s,
+        )
+
     def _limits(self) -> ClientLimits:
         configuration = self._view.configuration
         return configuration.limits if configuration is not None else ClientLimits()
--- a/coveport/serving/proxy/node_observations.py
+++ b/coveport/serving/proxy/node_observations.py
@@ -6,6 +6,7 @@
 
 from coveport.serving.model.view import ControlView, KnownNode
 from coveport.serving.proxy.latency_estimate import LatencyEstimator
+from coveport.serving.proxy.load_sampler import LoadCounters
 from coveport.serving.proxy.outlier_ejection import OutlierDetector
 from coveport.serving.proxy.overload_estimate import OverloadEstimator, StreamGaps
 from coveport.serving.proxy.prefix_cache import PrefixCacheIndex
@@ -26,11 +27,13 @@
     overload: OverloadEstimator = field(default_factory=OverloadEstimator)
     prefix_cache: PrefixCacheIndex = field(default_factory=PrefixCacheIndex)
     in_flight: dict[str, int] = field(default_factory=dict)  # this proxy's requests
+    loads: LoadCounters = field(default_factory=LoadCounters)
 
     def record_selected(self, known: KnownNode, routed: RoutedRequest, now_s: float) -> None:
         """Record that an attempt at the node begins."""
         incarnation = known.node.incarnation
         self.in_flight[incarnation] = self.in_flight.get(incarnation, 0) + 1
+        self.loads.record_selected(known.node)
         self.outliers.record_attempt(incarnation, now_s)
         self.slow_start.record_send(known, routed.service, self.view, now_s)
 
@@ -56,6 +59,7 @@
 
     def record_finished(self, known: KnownNode) -> None:
         """Record that the attempt at the node has ended."""
+        self.loads.record_finished(known.node)
         incarnation = known.node.incarnation
         remaining = self.in_flight.get(incarnation, 0) - 1
         if remaining > 0:
