--- /dev/null
+++ b/coveport/serving/coordinator/fleet_duty.py
@@ -0,0 +1,70 @@
+"""The duty of ordering nodes, connected to this coordinator's tables; renders the platform's call."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from coveport.serving.duties.duty import PlatformCall
+from coveport.serving.duties.fleet_controller import FleetController
+from coveport.serving.duties.fleet_observation import FleetObserver, FleetSources, LiveProxy
+from coveport.serving.duties.fleet_sizing import ToleratedLosses
+from coveport.serving.duties.state import FleetOrder
+from coveport.serving.duties.telemetry_table import TelemetryTable
+from coveport.serving.duties.usage_ledger import ReportSource
+from coveport.serving.log import EventLogger
+from coveport.serving.membership.leases import LeaseTable
+from coveport.serving.membership.node_table import NodeTable
+from coveport.serving.model.configuration import Configuration, Service
+from coveport.serving.model.node import Node
+from coveport.serving.settings.boot import BootSettings
+from coveport.serving.wire.names import Fleet, Path
+
+
+@dataclass(frozen=True, slots=True)
+class FleetTables:
+    """The tables of a coordinator that tell of nodes, proxies and the configuration."""
+
+    telemetry: TelemetryTable
+    leases: LeaseTable
+    nodes: NodeTable
+    configuration: Callable[[], Configuration | None]  # the newest one
+    evacuated_zones: Callable[[], frozenset[str]]
+
+
+def make_fleet_duty(settings: BootSettings, tables: FleetTables, log: EventLogger) -> FleetController:
+    """Return the duty that keeps the nodes of services at their demand."""
+
+    def live_proxies(now_s: float) -> tuple[LiveProxy, ...]:
+        return tuple(
+            LiveProxy(ReportSource(lease.name, lease.incarnation), lease.zone)
+            for lease in tables.leases.active(now_s)
+        )
+
+    def nodes(now_s: float) -> Iterable[Node]:
+        return (entry.snapshot_at(now_s) for entry in tables.nodes.entries())
+
+    def services() -> tuple[Service, ...]:
+        configuration = tables.configuration()
+        return configuration.services if configuration is not None else ()
+
+    def log_rejection(order: FleetOrder) -> None:
+        log.error("fleet_order_rejected", service=order.service, zone=order.zone, wanted=order.wanted)
+
+    sources = FleetSources(
+        tables.telemetry,
+        live_proxies,
+        nodes,
+        services,
+        tables.evacuated_zones,
+        settings.regions,
+    )
+    tolerated = ToleratedLosses(settings.tolerated.zones, settings.tolerated.regions)
+    return FleetController(FleetObserver(sources).observe, tolerated, fleet_call, log_rejection)
+
+
+def fleet_call(order: FleetOrder) -> PlatformCall:
+    """Return the call for an order: the same bytes for equal orders."""
+    body = {Fleet.SERVICE: order.service, Fleet.ZONE: order.zone, Fleet.WANTED: order.wanted}
+    return PlatformCall(Path.FLEET, json.dumps(body, ensure_ascii=False, separators=(",", ":")).encode())
--- a/coveport/serving/duties/retry_pause.py
+++ b/coveport/serving/duties/retry_pause.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import inf
 from typing import Final
 
@@ -14,8 +14,13 @@
 class RetryPause:
     """Doubles with each failure in a row; one holder calls, so it needs no jitter."""
 
-    _next_s: float = MIN_PAUSE_S
-    _until_s: float = -inf
+    min_s: float = MIN_PAUSE_S
+    max_s: float = MAX_PAUSE_S
+    _next_s: float = field(init=False)
+    _until_s: float = field(init=False, default=-inf)
+
+    def __post_init__(self) -> None:
+        self._next_s = self.min_s
 
     def lasts(self, now_s: float) -> bool:
         """Return whether nothing may be called yet."""
@@ -24,9 +29,9 @@
     def record_failure(self, now_s: float) -> None:
         """Begin a pause."""
         self._until_s = now_s + self._next_s
-        self._next_s = min(2 * self._next_s, MAX_PAUSE_S)
+        self._next_s = min(2 * self._next_s, self.max_s)
 
     def reset(self) -> None:
         """End the pause: the platform has answered, or another holder begins."""
-        self._next_s = MIN_PAUSE_S
+        self._next_s = self.min_s
         self._until_s = -inf
--- a/coveport/serving/wire/names.py
+++ b/coveport/serving/wire/names.py
@@ -54,6 +54,7 @@
     EVACUATION: Final = "/coveport/evacuation/"  # + zone
     REPORT: Final = "/coveport/report"
     USAGE: Final = "/usage"  # of the platform
+    FLEET: Final = "/fleet"  # of the platform
     STATUS: Final = "/coveport/status"  # beyond the protocol: the state of the core, for people
 
 
@@ -109,6 +110,14 @@
     COUNTS: Final = "Counts"
 
 
+class Fleet:
+    """Fields of an order of nodes from the platform."""
+
+    SERVICE: Final = "Service"
+    ZONE: Final = "Zone"
+    WANTED: Final = "Wanted"
+
+
 class Report:
     """Fields of a node's load report."""
 
