The duty of fleet orders reads services and evacuations from the committed state

Cause: the duty needs the newest Scaling and the evacuated zones, which a coordinator keeps as text.

--- a/coveport/serving/coordinator/fleet_duty.py
+++ b/coveport/serving/coordinator/fleet_duty.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from coveport.serving.coordinator.committed_services import CommittedServices
 from coveport.serving.duties.duty import PlatformCall
 from coveport.serving.duties.fleet_controller import FleetController
 from coveport.serving.duties.fleet_observation import FleetObserver, FleetSources, LiveProxy
@@ -16,7 +17,6 @@
 from coveport.serving.log import EventLogger
 from coveport.serving.membership.leases import LeaseTable
 from coveport.serving.membership.node_table import NodeTable
-from coveport.serving.model.configuration import Configuration, Service
 from coveport.serving.model.node import Node
 from coveport.serving.settings.boot import BootSettings
 from coveport.serving.wire.names import Fleet, Path
@@ -24,13 +24,12 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetTables:
-    """The tables of a coordinator that tell of nodes, proxies and the configuration."""
+    """The tables of a coordinator that tell of proxies, nodes and services."""
 
     telemetry: TelemetryTable
     leases: LeaseTable
     nodes: NodeTable
-    configuration: Callable[[], Configuration | None]  # the newest one
-    evacuated_zones: Callable[[], frozenset[str]]
+    services: CommittedServices
 
 
 def make_fleet_duty(settings: BootSettings, tables: FleetTables, log: EventLogger) -> FleetController:
@@ -45,10 +44,6 @@
     def nodes(now_s: float) -> Iterable[Node]:
         return (entry.snapshot_at(now_s) for entry in tables.nodes.entries())
 
-    def services() -> tuple[Service, ...]:
-        configuration = tables.configuration()
-        return configuration.services if configuration is not None else ()
-
     def log_rejection(order: FleetOrder) -> None:
         log.error("fleet_order_rejected", service=order.service, zone=order.zone, wanted=order.wanted)
 
@@ -56,8 +51,8 @@
         tables.telemetry,
         live_proxies,
         nodes,
-        services,
-        tables.evacuated_zones,
+        tables.services.services,
+        tables.services.evacuated_zones,
         settings.regions,
     )
     tolerated = ToleratedLosses(settings.tolerated.zones, settings.tolerated.regions)
