Coordinators do the duties that the platform wants: usage reports and fleet orders

Cause: the runner, the usage schedule and the fleet controller were not connected. Change: make_duties picks by DutyKind from DutySources; proxies report where a platform is set.

--- a/coveport/serving/coordinator/coordinator.py
+++ b/coveport/serving/coordinator/coordinator.py
@@ -11,10 +11,12 @@
 from coveport.serving.configuration.commands import is_duty_command
 from coveport.serving.configuration.state import initial_state, without_duties
 from coveport.serving.configuration.state_codec import encode_state
+from coveport.serving.coordinator.committed_services import CommittedServices
 from coveport.serving.coordinator.control_service import ControlService
 from coveport.serving.coordinator.control_state_machine import STATE_MACHINE
 from coveport.serving.coordinator.coordinator_liveness import CoordinatorLiveness
-from coveport.serving.coordinator.duty_factory import make_duty_runner
+from coveport.serving.coordinator.duty_factory import DutySources, make_duty_runner
+from coveport.serving.coordinator.duty_runner import DutyRunner
 from coveport.serving.coordinator.inner_listener import InnerListener
 from coveport.serving.coordinator.lease_replication import LeaseReplicator
 from coveport.serving.coordinator.lookup_api import LookupApi
@@ -118,13 +120,14 @@
         self._runtime = ReplicaRuntime(
             net, self._replica, opened.writer, self._stall_detector, callbacks, log
         )
-        self._duties = make_duty_runner(net, settings, self._runtime, self._versions, random_source, log)
         self._quorum_status = self._make_quorum_status()
         self._lease_replicator = LeaseReplicator(self.leases, self._peers, net.now_s)
         self.telemetry = TelemetryReplicator(
             self._peers, self._versions, lambda: self._replica.primary_address, net.now_s
         )
         self.clock = TrueClock()
+        self._services = CommittedServices()
+        self._duties = self._make_duty_runner(random_source)
         self._subscriptions = self._make_subscriptions(f"{random_source.getrandbits(64):016x}")
         self._reports = self._make_report_replicator(len(seeds), random_source.getrandbits(48))
         self._liveness = CoordinatorLiveness(self._endpoint)
@@ -149,6 +152,12 @@
             self._net.now_s(),
         )
 
+    def _make_duty_runner(self, random_source: random.Random) -> DutyRunner:
+        sources = DutySources(self.telemetry, self.leases, self.table, self.clock, self._services)
+        return make_duty_runner(
+            self._net, self._settings, self._runtime, self._versions, sources, random_source, self._log
+        )
+
     def _make_quorum_status(self) -> QuorumStatus:
         return QuorumStatus(
             self._net.now_s,
@@ -335,6 +344,7 @@
     def _on_committed(self, effect: CommittedState) -> None:
         self._log_edition(effect)
         self._quorum_status.refresh()
+        self._services.record_committed(effect.state)
         self._duties.record_committed(effect.state)
         is_of_duties = effect.command is not None and is_duty_command(effect.command)
         if is_of_duties and self.history.is_next(effect.sequence):
--- a/coveport/serving/coordinator/duty_factory.py
+++ b/coveport/serving/coordinator/duty_factory.py
@@ -3,26 +3,64 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final
 
 from coveport.net.transport import Net
+from coveport.serving.coordinator.committed_services import CommittedServices
 from coveport.serving.coordinator.duty_runner import DutyRunner
+from coveport.serving.coordinator.fleet_duty import FleetTables, make_fleet_duty
 from coveport.serving.coordinator.peer_versions import PeerVersions
 from coveport.serving.coordinator.platform_client import PlatformClient
 from coveport.serving.coordinator.replica_runtime import ReplicaRuntime
+from coveport.serving.coordinator.telemetry_replication import TelemetryReplicator
+from coveport.serving.coordinator.usage_duty import make_usage_duty
 from coveport.serving.duties.duty import Duty
+from coveport.serving.duties.kinds import DutyKind
 from coveport.serving.duties.lease import DutyLease
 from coveport.serving.duties.state import DutyHolder
+from coveport.serving.duties.usage_schedule import UsageTimings
 from coveport.serving.log import EventLogger
+from coveport.serving.membership.leases import LeaseTable
+from coveport.serving.membership.node_table import NodeTable
+from coveport.serving.model.true_clock import TrueClock
 from coveport.serving.settings.boot import BootSettings, PlatformSettings
 from coveport.serving.wire.versions import DUTIES_VERSION
 
 NO_PLATFORM: Final = PlatformSettings(("", 0))  # it wants no duties
 
 
-def make_duties(settings: BootSettings, platform: PlatformSettings) -> tuple[Duty, ...]:
+@dataclass(frozen=True, slots=True)
+class DutySources:
+    """What the duties read of a coordinator."""
+
+    telemetry: TelemetryReplicator
+    leases: LeaseTable
+    nodes: NodeTable
+    clock: TrueClock
+    services: CommittedServices
+
+
+def make_duties(
+    settings: BootSettings, platform: PlatformSettings, sources: DutySources, log: EventLogger
+) -> tuple[Duty, ...]:
     """Return the duties that the platform wants."""
-    return ()
+    makers: dict[DutyKind, Callable[[], Duty]] = {
+        DutyKind.USAGE_REPORTS: lambda: _make_usage_duty(settings, sources, log),
+        DutyKind.FLEET_ORDERS: lambda: _make_fleet_duty(settings, sources, log),
+    }
+    return tuple(make() for kind, make in makers.items() if kind in platform.duties)
+
+
+def _make_usage_duty(settings: BootSettings, sources: DutySources, log: EventLogger) -> Duty:
+    timings = UsageTimings(settings.bounds.usage_window_s, settings.bounds.usage_delay_s)
+    return make_usage_duty(timings, sources.telemetry, sources.leases, sources.clock, log)
+
+
+def _make_fleet_duty(settings: BootSettings, sources: DutySources, log: EventLogger) -> Duty:
+    tables = FleetTables(sources.telemetry.table, sources.leases, sources.nodes, sources.services)
+    return make_fleet_duty(settings, tables, log)
 
 
 def make_duty_runner(
@@ -30,12 +68,13 @@
     settings: BootSettings,
     runtime: ReplicaRuntime,
     versions: PeerVersions,
+    sources: DutySources,
     random_source: random.Random,
     log: EventLogger,
 ) -> DutyRunner:
     """Return the runner of this run's duties; it does nothing where there are none."""
     platform = settings.platform or NO_PLATFORM
-    duties = make_duties(settings, platform)
+    duties = make_duties(settings, platform, sources, log)
     incarnation = f"{random_source.getrandbits(64):016x}" if duties else ""
     holder = DutyHolder(settings.name, incarnation)
 
--- a/coveport/serving/proxy/process.py
+++ b/coveport/serving/proxy/process.py
@@ -135,4 +135,9 @@
 
 
 def _make(net: Net, settings: BootSettings, log: EventLogger) -> Proxy:
-    return Proxy(net, settings, Random(), log)
+    return Proxy(net, settings, Random(), log, _usage_window_s(settings))
+
+
+def _usage_window_s(settings: BootSettings) -> float | None:
+    """Return the length of the windows in which usage is reported; None: no platform wants any duty."""
+    return settings.bounds.usage_window_s if settings.platform is not None else None
