--- a/coveport/serving/wire/configuration.py
+++ b/coveport/serving/wire/configuration.py
@@ -18,7 +18,6 @@
     "session_affinity": "Pinned",
     "resumable": "Resumable",
     "inter_token_target_ms": "gap_aim_ms",
-    "is_public": "Public",
     "home_regions": "HomeRegions",
     "is_public": "Public",
 }
