--- a/coveport/serving/coordinator/duty_factory.py
+++ b/coveport/serving/coordinator/duty_factory.py
@@ -9,6 +9,7 @@
 
 from coveport.net.transport import Net
 from coveport.serving.coordinator.committed_services import CommittedServices
+from coveport.serving.coordinator.duty_lease_keeper import DutyLeaseKeeper
 from coveport.serving.coordinator.duty_runner import DutyRunner
 from coveport.serving.coordinator.fleet_duty import FleetTables, make_fleet_duty
 from coveport.serving.coordinator.peer_versions import PeerVersions
@@ -81,13 +82,7 @@
     def may_submit() -> bool:
         return versions.all_read(DUTIES_VERSION, runtime.replica.peer_addresses)
 
-    return DutyRunner(
-        net,
-        runtime,
-        PlatformClient(net, platform.address),
-        DutyLease(holder, settings.bounds.lease_ms / 1000),
-        duties,
-        platform.calls_per_s,
-        may_submit,
-        log,
-    )
+    lease = DutyLease(holder, settings.bounds.lease_ms / 1000)
+    keeper = DutyLeaseKeeper(net, runtime, lease, may_submit, log)
+    client = PlatformClient(net, platform.address)
+    return DutyRunner(net, keeper, client, duties, platform.calls_per_s, log)
--- /dev/null
+++ b/coveport/serving/coordinator/duty_lease_keeper.py
@@ -0,0 +1,160 @@
+"""Keeps the lease of the duties: watches who leads, confirms, acquires, and commits commands under its fence.
+
+`duties.lease` decides; here are time and the replica. What may have changed during an await is looked at
+again after it: leadership before the lease is used.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from coveport.net.transport import Net
+from coveport.serving.configuration.commands import encode_command
+from coveport.serving.configuration.state import ControlState
+from coveport.serving.coordinator.replica_runtime import ReplicaRuntime
+from coveport.serving.duties.commands import AcquireDuties, DutyCommand
+from coveport.serving.duties.lease import DutyLease, LeasePhase, LeaseStep
+from coveport.serving.log import EventLogger
+from coveport.serving.replication.events import Done, Newest, Outcome, OutcomeUnknown
+from coveport.serving.replication.identity import Epoch
+from coveport.serving.replication.state_machine import Refused
+
+COMMAND_TIMEOUT_S: Final = 4.0  # of a command without an outcome, as of operators' commands
+
+
+@dataclass(frozen=True, slots=True)
+class Tenure:
+    """A time during which this run holds the duties without a break."""
+
+    number: int  # rises with each
+    holder: str  # as the platform is told
+    fence: int
+
+
+class DutyLeaseKeeper:
+    """Owns the lease of this run."""
+
+    def __init__(
+        self,
+        net: Net,
+        runtime: ReplicaRuntime,
+        lease: DutyLease,
+        may_submit: Callable[[], bool],
+        log: EventLogger,
+    ) -> None:
+        """Create a keeper that follows; `may_submit`: whether all coordinators read the commands."""
+        self._net = net
+        self._runtime = runtime
+        self._lease = lease
+        self._may_submit = may_submit
+        self._log = log
+        self._view: Epoch | None = None  # that is led; None: as a follower
+        self._tenure: Tenure | None = None
+        self._tenures = 0
+
+    # -- queries --
+
+    @property
+    def phase(self) -> LeasePhase:
+        """What this coordinator is to the duties."""
+        return self._lease.phase(self._net.now_s())
+
+    def left_s(self) -> float:
+        """Return for how long a call may go on from now."""
+        return self._lease.left_s(self._net.now_s())
+
+    def current_tenure(self) -> Tenure | None:
+        """Return the tenure under which a call may begin right now; None: none may."""
+        self._observe()
+        return self._tenure
+
+    def is_step_due(self) -> bool:
+        """Whether `advance` has something to do."""
+        self._observe()
+        return self._lease.next_step(self._net.now_s()) is not LeaseStep.WAIT and self._may_submit()
+
+    # -- inputs --
+
+    def record_stall(self) -> None:
+        """Trust nothing from before a stall: this run acts again once it is confirmed anew."""
+        self._lease = self._lease.void(self._net.now_s())
+        self._end_tenure("stalled")
+
+    def record_refusal(self, fence: int) -> None:
+        """Lay a fence down that the platform has refused."""
+        self._lease = self._lease.refuse(fence, self._net.now_s())
+        self._end_tenure("the platform refused the fence")
+
+    async def advance(self) -> None:
+        """Confirm or acquire the lease, if that is due."""
+        self._observe()
+        match self._lease.next_step(self._net.now_s()):
+            case LeaseStep.CONFIRM:
+                await self._confirm()
+            case LeaseStep.ACQUIRE:
+                await self._acquire()
+            case LeaseStep.WAIT:
+                pass
+
+    async def submit(self, command: DutyCommand) -> bool:
+        """Commit a command; return whether that is certain."""
+        if not self._may_submit():
+            return False
+        outcome = await self._outcome_of(command)
+        if isinstance(outcome, Refused):
+            reason = outcome.result.reason.name.lower()
+            self._log.warning("duty_command_refused", command=type(command).__name__, reason=reason)
+            self._lease = self._lease.acquired()  # what was read no longer holds
+        return isinstance(outcome, Done)
+
+    # -- leadership and tenure --
+
+    def _observe(self) -> None:
+        """Find out whether this coordinator leads, under which view, and whether it may act."""
+        replica = self._runtime.replica
+        view = replica.view_epoch if replica.is_primary else None
+        now_s = self._net.now_s()
+        if view != self._view:
+            self._view = view
+            self._lease = self._lease.lose() if view is None else self._lease.lead(now_s)
+        if not self._lease.may_act(now_s):
+            self._end_tenure("no longer primary" if view is None else "not confirmed")
+        elif self._tenure is None or self._tenure.fence != self._lease.held_fence:
+            self._begin_tenure()
+
+    def _begin_tenure(self) -> None:
+        self._tenures += 1
+        self._tenure = Tenure(self._tenures, self._lease.own.name, self._lease.held_fence)
+        self._log.info("duties_acquired", holder=self._tenure.holder, fence=self._tenure.fence)
+
+    def _end_tenure(self, reason: str) -> None:
+        if self._tenure is not None:
+            self._log.warning("duties_lost", fence=self._tenure.fence, reason=reason)
+            self._tenure = None
+
+    # -- the replica --
+
+    async def _confirm(self) -> None:
+        asked_at_s = self._net.now_s()
+        self._lease = self._lease.ask(asked_at_s)
+        outcome = await self._runtime.read_newest()
+        self._observe()
+        if isinstance(outcome, Newest):
+            state: ControlState = outcome.state
+            self._lease = self._lease.confirm(asked_at_s, state.duties)
+
+    async def _acquire(self) -> None:
+        read = self._lease.read
+        assert read is not None  # or the step would have been to confirm
+        await self.submit(AcquireDuties(self._lease.own, read.fence))
+        self._lease = self._lease.acquired()
+
+    async def _outcome_of(self, command: DutyCommand) -> Outcome:
+        try:
+            async with asyncio.timeout(COMMAND_TIMEOUT_S):
+                return await self._runtime.submit(encode_command(command))
+        except TimeoutError:
+            return OutcomeUnknown()
