--- a/coveport/serving/cli/show.py
+++ b/coveport/serving/cli/show.py
@@ -95,8 +95,11 @@
 
 def _format(value: Any) -> str:
     """Return a value as a cell of a table; `-` where there is none."""
+    if isinstance(value, dict):
+        return " ".join(f"{name}={_format(field)}" for name, field in value.items()) or "-"
     if isinstance(value, list):
-        return " ".join(map(str, value)) or "-"
+        separator = "; " if any(isinstance(item, dict) for item in value) else " "
+        return separator.join(map(_format, value)) or "-"
     if isinstance(value, bool):
         return "yes" if value else "no"
     return "-" if value in ("", None) else str(value)
--- a/tests/serving/cli/loopback_core.py
+++ b/tests/serving/cli/loopback_core.py
@@ -29,6 +29,15 @@
         "members": ["10.0.0.1:7300", "10.0.0.2:7300", "10.0.0.3:7300"],
     },
     "coordinators": ["10.0.0.3:7300", "10.0.0.4:7300"],
+    "duties": {
+        "phase": "holding",
+        "fence": 12,
+        "last_call": {"path": "/usage", "outcome": "accepted", "ago_s": 1.5},
+        "fleet_orders": [
+            {"service": "model", "zone": "hall", "wanted": 6},
+            {"service": "model", "zone": "mill", "wanted": 2},
+        ],
+    },
     "proxies": [{"name": "p-1", "address": "10.0.1.1:80", "zone": "hall", "ready": True}],
     "nodes": [
         {
--- a/tests/serving/cli/test_operator_verbs.py
+++ b/tests/serving/cli/test_operator_verbs.py
@@ -153,7 +153,13 @@
 
 def test_status_members_and_nodes_are_tables_or_json(verbs: Verbs) -> None:
     assert verbs.run("status") == 0
-    assert "core primary   10.0.0.1:7300" in verbs.out.splitlines()
+    assert "core primary         10.0.0.1:7300" in verbs.out.splitlines()
+    assert [line for line in verbs.out.splitlines() if line.startswith("duties")] == [
+        "duties phase         holding",
+        "duties fence         12",
+        "duties last_call     path=/usage outcome=accepted ago_s=1.5",
+        "duties fleet_orders  service=model zone=hall wanted=6; service=model zone=mill wanted=2",
+    ]
     assert verbs.run("status", "--json") == 0
     assert json.loads(verbs.out) == STATUS
     assert verbs.run("members") == 0
