State of the duties as JSON: the deployment has no msgspec, and each process ended at its start

No test looked. A test holds that nothing that a serving process imports is missing from the deployment's requirements.

--- a/coveport/serving/configuration/duty_state_codec.py
+++ b/coveport/serving/configuration/duty_state_codec.py
@@ -1,10 +1,9 @@
-"""Encodes the state of the duties as MessagePack without names: it holds many small counts."""
+"""Encodes the state of the duties as JSON lists without names: it holds many small counts."""
 
 from __future__ import annotations
 
-from typing import Final
-
-import msgspec
+import json
+from typing import Any, Final
 
 from coveport.serving.duties.state import DutyHolder, DutyState, FleetOrder, UsageReport
 from coveport.serving.model.telemetry import TenantCount
@@ -12,26 +11,19 @@
 
 INITIAL_DUTIES: Final = DutyState()
 
-_Holder = tuple[str, str] | None
-_Report = tuple[int, tuple[tuple[str, int], ...]]
-_Order = tuple[str, str, int]
-_Stored = tuple[_Holder, int, int, tuple[_Report, ...], tuple[_Order, ...]]
-
-_ENCODER: Final = msgspec.msgpack.Encoder()
-_DECODER: Final = msgspec.msgpack.Decoder(_Stored)
-
 
 def encode_duties(state: DutyState) -> bytes:
-    """Return the state as bytes; none for the initial state."""
+    """Return the state as bytes; none for the initial state. Equal states give equal bytes."""
     if state == INITIAL_DUTIES:
         return b""
-    holder = (state.holder.name, state.holder.incarnation) if state.holder else None
+    holder = [state.holder.name, state.holder.incarnation] if state.holder else None
     reports = [
-        (report.window, [(count.tenant, count.requests) for count in report.counts])
+        [report.window, [[count.tenant, count.requests] for count in report.counts]]
         for report in state.unsent_reports
     ]
-    orders = [(order.service, order.zone, order.wanted) for order in state.fleet_orders]
-    return _ENCODER.encode((holder, state.fence, state.last_fixed_window, reports, orders))
+    orders = [[order.service, order.zone, order.wanted] for order in state.fleet_orders]
+    stored = [holder, state.fence, state.last_fixed_window, reports, orders]
+    return json.dumps(stored, ensure_ascii=True, separators=(",", ":")).encode("ascii")
 
 
 def decode_duties(data: bytes) -> DutyState:
@@ -39,15 +31,27 @@
     if not data:
         return INITIAL_DUTIES
     try:
-        holder, fence, last_fixed_window, reports, orders = _DECODER.decode(data)
-    except msgspec.DecodeError as error:
+        holder, *figures, reports, orders = json.loads(data)
+        fence, last_fixed_window = _fields(figures, int, int)
+        return DutyState(
+            None if holder is None else DutyHolder(*_fields(holder, str, str)),
+            fence,
+            last_fixed_window,
+            tuple(_report(report) for report in reports),
+            tuple(FleetOrder(*_fields(order, str, str, int)) for order in orders),
+        )
+    except (ValueError, TypeError) as error:
         raise MalformedMessageError(f"state of the duties: {error}") from error
-    return DutyState(
-        DutyHolder(*holder) if holder is not None else None,
-        fence,
-        last_fixed_window,
-        tuple(
-            UsageReport(window, tuple(TenantCount(*count) for count in counts)) for window, counts in reports
-        ),
-        tuple(FleetOrder(*order) for order in orders),
-    )
+
+
+def _report(stored: Any) -> UsageReport:
+    window, counts = _fields(stored, int, list)
+    return UsageReport(window, tuple(TenantCount(*_fields(count, str, int)) for count in counts))
+
+
+def _fields(values: Any, *kinds: type) -> list[Any]:
+    """Return a list whose values have exactly these types. Raises ValueError for another one."""
+    if not isinstance(values, list) or tuple(map(type, values)) != kinds:
+        names = ", ".join(kind.__name__ for kind in kinds)
+        raise ValueError(f"expected a list of {names}, got {values!r}")
+    return values
--- a/tests/serving/configuration/test_duty_state_codec.py
+++ b/tests/serving/configuration/test_duty_state_codec.py
@@ -60,7 +60,24 @@
     assert encode_state(without_duties(state))[1 + DIGEST_BYTES :] == before
 
 
-@pytest.mark.parametrize("data", [b"\x01", b"\x95", b"\xc0", encode_duties(DutyState(HOLDER, 1))[:-1]])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xff",
+        b"null",
+        b"{}",
+        b"[]",
+        encode_duties(DutyState(HOLDER, 1))[:-1],
+        b'[["one"],1,-1,[],[]]',
+        b'["one",1,-1,[],[]]',
+        b"[null,true,-1,[],[]]",
+        b"[null,1.0,-1,[],[]]",
+        b"[null,1,-1,[[5]],[]]",
+        b'[null,1,-1,[[5,[["tenant"]]]],[]]',
+        b'[null,1,-1,[],[["s","z","6"]]]',
+        b"[null,1,-1,5,[]]",
+    ],
+)
 def test_malformed_bytes_are_rejected(data: bytes) -> None:
     with pytest.raises(MalformedMessageError):
         decode_duties(data)
--- a/tests/serving/simulation/test_duty_days.py
+++ b/tests/serving/simulation/test_duty_days.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import replace
+from random import Random
 
 import pytest
 
@@ -26,6 +27,7 @@
 PLATFORM = PlatformSettings(("10.250.0.1", 8346), frozenset(DutyKind), 50.0)
 WINDOW_S = 0.5
 RETRY_S = 0.3
+QUIET_S = 14.0  # after drawn faults
 LEASE_S = BOUNDS.lease_ms / 1000
 
 
@@ -96,6 +98,10 @@
             one for one in self.day.coordinators if one.is_up and self.program(one)._replica.is_primary
         )
 
+    def leads(self) -> bool:
+        """Whether any coordinator leads."""
+        return any(one.is_up and self.program(one)._replica.is_primary for one in self.day.coordinators)
+
     def accepted(self, from_s: float = -1e9, until_s: float = 1e9) -> list[int]:
         """Return the windows that the platform accepted within a time after the start, in order."""
         return [
@@ -226,6 +232,39 @@
     assert len(day.machines()) >= 4
 
 
+ROUNDS = 8
+ROUND_S = 3.0
+
+
+def inject_drawn_fault(day: DutyDay, rng: Random, at_s: float) -> None:
+    machine = rng.choice(day.day.coordinators)
+    for_s = rng.uniform(0.3, 4.0)
+    match rng.randrange(6):
+        case 0:
+            day.faults.kill(at_s, machine, for_s)
+        case 1:
+            day.faults.lose_power(at_s, machine, for_s)
+        case 2:
+            day.faults.isolate(at_s, [machine], for_s, how=rng.choice(("both", "out", "in")))
+        case 3:
+            day.faults.slow_disk(at_s, machine, for_s, 1.0)
+        case 4:
+            day.faults.freeze(at_s, machine, for_s)
+        case _:
+            day.at(at_s, lambda: day.primary().freeze(for_s) if day.leads() else None)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_drawn_faults_break_no_rule(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    day = DutyDay(seed, monkeypatch)
+    rng = Random(f"duties {seed}")
+    for round_number in range(ROUNDS):  # which overlap
+        inject_drawn_fault(day, rng, 1.0 + ROUND_S * round_number + rng.random())
+    day.play(1.0 + ROUND_S * ROUNDS + QUIET_S)
+    assert day.accepted(ROUND_S * ROUNDS + QUIET_S / 2), "the duties are done again after the faults"
+    assert_all_windows_are_sent(day, 2)
+
+
 def any_fence(lease: DutyLease, state: DutyState) -> bool:
     return state.holder is not None
 
--- a/tests/serving/test_packaging.py
+++ b/tests/serving/test_packaging.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import ast
+import re
+import sys
 import tomllib
 from pathlib import Path
 
@@ -12,6 +14,7 @@
 PROJECT = tomllib.loads((ROOT / "pyproject.toml").read_text())
 SOURCES = sorted((ROOT / "coveport" / "serving").rglob("*.py"))
 # Where a process gets its randomness from the operating system; everything else is handed a `Random`.
+TOOLS = {"cli", "scale", "simulation"}  # packages that no serving process imports more than a part of
 OWN_RANDOMNESS = {
     "coordinator/process.py",
     "proxy/process.py",
@@ -34,6 +37,30 @@
     assert named == sorted(PROJECT["project"]["optional-dependencies"]["system"])
 
 
+def imported_roots(source: Path) -> set[str]:
+    """Return the packages that a file imports, by their first names."""
+    roots = set()
+    for node in ast.walk(ast.parse(source.read_text())):
+        if isinstance(node, ast.Import):
+            roots |= {name.name.partition(".")[0] for name in node.names}
+        if isinstance(node, ast.ImportFrom) and not node.level:
+            roots.add((node.module or "").partition(".")[0])
+    return roots
+
+
+def test_nothing_is_imported_that_the_deployment_does_not_install() -> None:
+    """A package that only the developers' environment has ended each process at its start."""
+    installed = {
+        re.split(r"[^a-z]", line)[0] for line in PROJECT["project"]["optional-dependencies"]["system"]
+    }
+    known = installed | set(sys.stdlib_module_names) | {"coveport"}
+    shared = [*(ROOT / "coveport" / "http1").rglob("*.py"), *(ROOT / "coveport" / "net").rglob("*.py")]
+    served = [source for source in SOURCES if not TOOLS & set(source.relative_to(ROOT).parts)]
+    assert len(served) > 100
+    used = {source: imported_roots(source) - known for source in (*served, *shared)}
+    assert {str(source): roots for source, roots in used.items() if roots} == {}
+
+
 def uses_of_random(source: Path) -> list[str]:
     """What is taken from the module `random` other than the class, and unseeded generators."""
     tree = ast.parse(source.read_text())
