--- a/tests/serving/simulation/test_telemetry_days.py
+++ b/tests/serving/simulation/test_telemetry_days.py
@@ -95,3 +95,27 @@
     differences = [off_by(day, machine) for machine in day.coordinators]
     assert max(differences) <= 5, "what ran for it within one interval"
     assert len(set(differences)) == 1
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_proxy_that_was_cut_off_reports_what_it_has_counted_meanwhile(seed: int) -> None:
+    def cut_off(day: TenantDeployment, faults: FaultInjector) -> None:
+        faults.isolate(4.0, [day.proxies[0]], 5.0, from_machines=day.coordinators)
+
+    day = play(cut_off, seed)
+    assert [off_by(day, machine) for machine in day.coordinators] == [0, 0, 0]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_coordinators_that_were_cut_from_each_other_have_the_same_counts(seed: int) -> None:
+    def cut_off(day: TenantDeployment, faults: FaultInjector) -> None:
+        faults.isolate(4.0, [day.coordinators[0]], 5.0, from_machines=day.coordinators[1:])
+
+    day = play(cut_off, seed)
+    assert [off_by(day, machine) for machine in day.coordinators] == [0, 0, 0]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_streams_that_another_node_resumes_after_a_crash_count_once(seed: int) -> None:
+    day = play(lambda day, faults: faults.crash_node(5.0, day.nodes[0]), seed)
+    assert [off_by(day, machine) for machine in day.coordinators] == [0, 0, 0]
