--- a/coveport/serving/coordinator/coordinator.py
+++ b/coveport/serving/coordinator/coordinator.py
@@ -346,6 +346,7 @@
         self._quorum_status.refresh()
         self._services.record_committed(effect.state)
         self._duties.record_committed(effect.state)
+        self.telemetry.ledger.drop_until(effect.state.duties.last_fixed_window)
         is_of_duties = effect.command is not None and is_duty_command(effect.command)
         if is_of_duties and self.history.is_next(effect.sequence):
             self.history.advance_duties()
--- a/coveport/serving/coordinator/platform_client.py
+++ b/coveport/serving/coordinator/platform_client.py
@@ -19,6 +19,11 @@
 
 CALL_TIMEOUT_S: Final = 4.0  # a slow platform answers within it; a silent one is asked again after it
 
+# The same body would be rejected again. Any other error may pass, and a report that was given up is lost.
+INVALID_CALL_STATUSES: Final = frozenset(
+    {HTTPStatus.BAD_REQUEST, HTTPStatus.REQUEST_ENTITY_TOO_LARGE, HTTPStatus.UNPROCESSABLE_ENTITY}
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Credentials:
@@ -66,4 +71,4 @@
         return CallOutcome.FENCED
     if status == HTTPStatus.TOO_MANY_REQUESTS:
         return CallOutcome.THROTTLED
-    return CallOutcome.REJECTED if 400 <= status < 500 else CallOutcome.UNKNOWN
+    return CallOutcome.REJECTED if status in INVALID_CALL_STATUSES else CallOutcome.UNKNOWN
