Headers: numbers are ASCII digits; any others ended the client's connection unanswered

Cause: str.isdigit takes superscripts of latin-1, which int refuses, and int refuses more than 4,300 digits: the handler of a request with such a Coveport-Time-Left or Coveport-Prompt-Prefix, or at a node with such a Keep-Alive, raised, and the client's connection ended without an answer. Change: one reader of whole numbers, at most 15 ASCII digits; anything else counts as absent.

--- a/coveport/serving/proxy/headers.py
+++ b/coveport/serving/proxy/headers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator, Mapping
+from typing import Final
 
 Headers = Mapping[str, list[str]]
 
@@ -24,6 +26,9 @@
 )
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
+# A header is decoded as latin-1, which has digits beyond ASCII; more digits than these are no number of use.
+_WHOLE_NUMBER: Final = re.compile(r"[0-9]{1,15}")
+
 
 def connection_options(headers: Headers) -> frozenset[str]:
     """Return the options that the `Connection` headers name, in lower case."""
@@ -47,6 +52,11 @@
     return values[0] if values else None
 
 
+def whole_number(text: str) -> int | None:
+    """Return the number that ASCII digits write; None for anything else."""
+    return int(text) if _WHOLE_NUMBER.fullmatch(text) else None
+
+
 def utf8_value(text: str) -> str:
     """Return a text as the value of a header whose bytes are its UTF-8: the codec writes latin-1."""
     return text.encode().decode("latin-1")
@@ -57,8 +67,9 @@
     for parameters in headers.get("keep-alive", ()):
         for parameter in parameters.split(","):
             name, _, value = parameter.strip().partition("=")
-            if name.lower() == "timeout" and value.strip().isdigit():
-                return float(value)
+            timeout_s = whole_number(value.strip())
+            if name.lower() == "timeout" and timeout_s is not None:
+                return float(timeout_s)
     return None
 
 
--- a/coveport/serving/proxy/prompt_segments.py
+++ b/coveport/serving/proxy/prompt_segments.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from coveport.serving.proxy.headers import whole_number
+
 
 @dataclass(frozen=True, slots=True)
 class PromptSegment:
@@ -19,8 +21,9 @@
         return ()
     segments = []
     for item in value.split(","):
-        segment_id, _, tokens = item.strip().partition(":")
-        if not segment_id or not tokens.isdigit():
+        segment_id, _, text = item.strip().partition(":")
+        tokens = whole_number(text)
+        if not segment_id or tokens is None:
             return ()
-        segments.append(PromptSegment(segment_id, int(tokens)))
+        segments.append(PromptSegment(segment_id, tokens))
     return tuple(segments)
--- a/coveport/serving/proxy/request_routing.py
+++ b/coveport/serving/proxy/request_routing.py
@@ -8,7 +8,7 @@
 from coveport import http1
 from coveport.serving.model.configuration import Route
 from coveport.serving.model.view import ControlView
-from coveport.serving.proxy.headers import first
+from coveport.serving.proxy.headers import first, whole_number
 from coveport.serving.proxy.prompt_segments import parse_segments
 from coveport.serving.proxy.route_table import RouteTable, choose_service
 from coveport.serving.proxy.routed_request import RoutedRequest
@@ -78,7 +78,7 @@
 def request_timeout_s(message: http1.Request, route: Route) -> float:
     """Return how many seconds the request may take: the least of the client's time left and the route's."""
     timeout_s = route.timeout_ms / 1000 if route.timeout_ms > 0 else DEFAULT_TIMEOUT_S
-    time_left_ms = first(message.headers, Header.TIME_LEFT)
-    if time_left_ms is not None and time_left_ms.isdigit():
-        timeout_s = min(timeout_s, int(time_left_ms) / 1000)
+    time_left_ms = whole_number(first(message.headers, Header.TIME_LEFT) or "")
+    if time_left_ms is not None:
+        timeout_s = min(timeout_s, time_left_ms / 1000)
     return timeout_s
