Proxy: a client's Expect-Version isn't forwarded; its 421 ejected sound nodes

Cause: a node answers 421 where a request expects other weights than it has; the proxy takes each 421 for another incarnation's and ejects the node for the longest time. Change: Expect-Version of clients is dropped. Measured: the new test fails without the change, and passes with it.

--- a/coveport/serving/proxy/forwarded_request.py
+++ b/coveport/serving/proxy/forwarded_request.py
@@ -17,6 +17,7 @@
         Header.EXPECT_INCARNATION,
         Header.LAST_EVENT_ID,
         Header.PRIORITY,
+        Header.EXPECT_VERSION,
         Header.API_KEY,
         Header.TENANT,
     }
--- a/coveport/serving/wire/names.py
+++ b/coveport/serving/wire/names.py
@@ -26,6 +26,7 @@
     TOKENS: Final = "coveport-tokens"
     PRIORITY: Final = "priority"
     VERSIONS: Final = "versions"
+    EXPECT_VERSION: Final = "expect-version"  # of the weights; a node with others answers 421
     API_KEY: Final = "x-api-key"
     TENANT: Final = "coveport-sender"
 
--- a/tests/serving/proxy/test_forwarding.py
+++ b/tests/serving/proxy/test_forwarding.py
@@ -77,6 +77,23 @@
     environment.check()
 
 
+def test_a_client_that_expects_other_weights_does_not_eject_the_nodes() -> None:
+    environment = ProxyEnvironment()
+    misdirected = [("Coveport-Instance", "i-0")]
+
+    def respond_by_version(arrival: Arrival) -> None:
+        if arrival.header("Expect-Version") is None:
+            arrival.respond()
+        else:
+            arrival.respond(b"", 421, *misdirected)
+
+    environment.node(respond_by_version)
+    for headers in ([("Expect-Version", "999")], []):
+        response = request_once(environment, "/u/x", *headers)
+        assert response is not None and response.status == 200
+    environment.check()
+
+
 def test_events_are_forwarded_as_they_come() -> None:
     environment = ProxyEnvironment()
     environment.node(five_events)
