Quotas: proxies that restart with the core learn sooner that they are more than they suppose

Cause: a proxy that knows no number supposes 32 proxies. Change: a coordinator that doesn't know all nodes yet names the proxies that it knows, once they are more than 32. The gap that is left: from a proxy's first nodes until the coordinators know of more than 32, not measured.

--- a/coveport/serving/coordinator/subscriptions.py
+++ b/coveport/serving/coordinator/subscriptions.py
@@ -12,6 +12,7 @@
 from coveport.serving.coordinator.update_cache import CurrentVersions, RequestedVersions, UpdateCache
 from coveport.serving.membership.leases import LeaseTable
 from coveport.serving.membership.node_table import NodeTable
+from coveport.serving.model.view import INITIAL_MAX_PROXIES
 from coveport.serving.wire.connection import Connection
 from coveport.serving.wire.messages import CoordinatorEndpoint, Update, UpdateRequest
 from coveport.serving.wire.shared_update import SharedUpdate
@@ -125,10 +126,15 @@
             return
         pending.timer.cancel()
         request = pending.request
-        max_proxies = self._leases.max_proxies() if self._status.knows_all_nodes() else 0
+        max_proxies = self._max_proxies()
         frame = self._shared_update(request).frame(request.request_number, max_proxies)
         connection.send_frame(Update, frame)
 
+    def _max_proxies(self) -> int:
+        """Return how many proxies there are at most; until that is known, 0 or more than they suppose."""
+        max_proxies = self._leases.max_proxies()
+        return max_proxies if self._status.knows_all_nodes() or max_proxies > INITIAL_MAX_PROXIES else 0
+
     def _shared_update(self, request: UpdateRequest) -> SharedUpdate:
         node_revision = request.node_revision if request.table_id == self._table_id else NO_VERSION
         requested = RequestedVersions(node_revision, request.state_sequence)
--- a/coveport/serving/model/view.py
+++ b/coveport/serving/model/view.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Final
 
 import immutables
 
@@ -21,6 +22,11 @@
     shutdown_at_s: float  # inf: not announced
 
 
+# The number of proxies that each of them supposes until a coordinator names one: quotas are small rather than
+# exceeded; not measured.
+INITIAL_MAX_PROXIES: Final = 32
+
+
 @dataclass(slots=True)
 class ControlView:
     """Replaced field by field by the subscription; read by the data path at any moment.
--- a/coveport/serving/proxy/view_updater.py
+++ b/coveport/serving/proxy/view_updater.py
@@ -14,16 +14,13 @@
 from coveport.serving.membership.leases import ProxyLease
 from coveport.serving.model.findings import Refusal
 from coveport.serving.model.telemetry import ProxyTelemetry
-from coveport.serving.model.view import ControlView
+from coveport.serving.model.view import INITIAL_MAX_PROXIES, ControlView
 from coveport.serving.proxy.node_directory import NodeDirectory
 from coveport.serving.replication.state_machine import Applied
 from coveport.serving.wire.errors import MalformedMessageError
 from coveport.serving.wire.messages import StateChange, Update, UpdateRequest
 from coveport.serving.wire.versions import PROTOCOL_VERSION
 
-INITIAL_MAX_PROXIES = (
-    32  # until a coordinator names a number: quotas are small rather than exceeded; not measured
-)
 NO_STATE_SEQUENCE = -1  # requests the complete state
 NO_TENANTS = -1  # in the log: requests need no API key
 NO_NODE_REVISION = -1  # requests the complete node table
--- a/coveport/serving/wire/messages.py
+++ b/coveport/serving/wire/messages.py
@@ -116,7 +116,7 @@
     state: bytes | None  # the whole acknowledged state ...
     changes: tuple[StateChange, ...]  # ... or what led there from the sequence asked with
     coordinators: tuple[CoordinatorEndpoint, ...]  # those that are alive, the sender included
-    max_proxies: int  # upper bound of the number of proxies; 0: not known yet
+    max_proxies: int  # upper bound of the number of proxies, or of those known by now; 0: not known yet
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/serving/coordinator/test_update_cache.py
+++ b/tests/serving/coordinator/test_update_cache.py
@@ -10,6 +10,7 @@
 from coveport.serving.membership.leases import LeaseTable, ProxyLease
 from coveport.serving.membership.node_table import NodeTable
 from coveport.serving.model.node import Node, NodeState
+from coveport.serving.model.view import INITIAL_MAX_PROXIES
 from coveport.serving.wire.messages import CoordinatorEndpoint, Update, UpdateRequest
 from coveport.serving.wire.shared_update import SharedUpdate
 
@@ -68,6 +69,13 @@
     assert len(encoded_updates) == 1
 
 
+def test_proxies_that_restart_with_the_core_learn_that_they_are_more_than_they_suppose() -> None:
+    coordinator = Coordinator()
+    coordinator.status.all_nodes = False
+    named = [coordinator.request(number).max_proxies for number in range(89)]
+    assert named == [0] * INITIAL_MAX_PROXIES + list(range(INITIAL_MAX_PROXIES + 1, 90))
+
+
 def test_request_after_a_change_gets_the_change(encoded_updates: list[Update]) -> None:
     coordinator = Coordinator()
     coordinator.table.apply_report(node(1), 100.0)
