Rules of the duties: a judge of its own, also of refused fences, counts and missing reports

Cause: the stand-in of the platform judged its own calls, by machine only, and nobody judged refused fences, counts against what nodes ran, or reports that never came.

--- a/coveport/serving/simulation/machines.py
+++ b/coveport/serving/simulation/machines.py
@@ -42,6 +42,7 @@
         self.log_lines: list[str] = []
         self.problems: list[dict[str, Any]] = []
         self.incarnations = 0
+        self.started_s: list[float] = []  # when each incarnation started
         self.own_ends = 0  # incarnations that ended by themselves
         self.is_gone = False  # removed for good
         self._network = network
@@ -63,10 +64,11 @@
         return self._process is not None and self._process.alive
 
     def start(self, first_boot: bool = False) -> None:
-        """Start an incarnation, unless one runs or the machine is removed."""
-        if self.is_up or self.is_gone:
+        """Start an incarnation, unless one runs, or the machine is removed or without power."""
+        if self.is_up or self.is_gone or self.place.silent:
             return
         self.incarnations += 1
+        self.started_s.append(self._network.world.now)
         process = SimulatedProcess.begin(self._network.world, f"{self.spot.name}#{self.incarnations}")
         process.problems = self.problems
         process.on_exit = lambda code: self.problems.append({"message": f"exit {code}"})
--- a/coveport/serving/simulation/platform.py
+++ b/coveport/serving/simulation/platform.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import json
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, replace
+from math import inf
 from typing import Any, Final
 
 from coveport.http1 import Request
@@ -16,6 +17,9 @@
 
 USAGE_PATH: Final = "/usage"
 FLEET_PATH: Final = "/fleet"
+ACCEPTED: Final = 200
+FENCED: Final = 409
+THROTTLED: Final = 429
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +43,7 @@
 
 
 class SimulatedPlatform:
-    """One platform; `delay_s` and `is_silent` may be set at any moment."""
+    """One platform; its troubles may be set at any moment."""
 
     def __init__(self, net: Net, address: Address) -> None:
         self._net = net
@@ -48,6 +52,9 @@
         self.calls: list[PlatformCallSeen] = []
         self.delay_s = 0.0  # of each answer
         self.is_silent = False  # takes no call, and answers nothing
+        self.is_down = False  # resets each connection
+        self.calls_per_s = inf  # further ones are throttled
+        self._taken_s: deque[float] = deque()  # of the last second
 
     async def start(self) -> None:
         """Listen for calls."""
@@ -64,6 +71,9 @@
     async def _handle(self, connection: ServerConnection, request: Request) -> None:
         if self.is_silent:
             await self._net.loop.create_future()
+        if self.is_down:
+            connection.break_off()
+            return
         assert connection.transport is not None
         machine, _ = connection.transport.get_extra_info("peername")
         status = self._take(machine, request)
@@ -76,40 +86,19 @@
         fence = int(request.get(CanonicalHeader.FENCE.lower()) or 0)
         body = json.loads(request.body)
         seen = PlatformCallSeen(self._net.now_s(), machine, holder, fence, request.target, body, 0)
-        highest = self._highest_fences.get(seen.subject, 0)
-        status = 409 if fence < highest else 200
-        self._highest_fences[seen.subject] = max(fence, highest)
-        self.calls.append(PlatformCallSeen(seen.at_s, machine, holder, fence, request.target, body, status))
+        status = THROTTLED if self._is_throttled(seen.at_s) else self._check_fence(seen)
+        self.calls.append(replace(seen, status=status))
         return status
 
-
-def judge_platform_calls(calls: Iterable[PlatformCallSeen], lease_s: float) -> list[str]:
-    """Return what breaks the rules of the duties: one line for each breach."""
-    breaches = []
-    holders: dict[tuple[tuple[str, ...], int], str] = {}
-    reports: dict[int, object] = {}
-    accepted: list[PlatformCallSeen] = []
-    for call in calls:
-        if holders.setdefault((call.subject, call.fence), call.machine) != call.machine:
-            breaches.append(f"{call.at_s:.2f}: fence {call.fence} is sent by two machines")
-        if call.status != 200:
-            continue
-        if call.path == USAGE_PATH:
-            window, counts = call.body["WindowNo"], call.body["Counts"]
-            if reports.setdefault(window, counts) != counts:
-                breaches.append(f"{call.at_s:.2f}: window {window} has two reports that differ")
-        accepted.append(call)
-    return breaches + _returns(accepted, lease_s)
-
-
-def _returns(accepted: list[PlatformCallSeen], lease_s: float) -> list[str]:
-    """Return where one machine acted, another, and the first again within a lease."""
-    breaches = []
-    newest: dict[str, float] = {}  # time of the newest call of each machine
-    last = ""
-    for call in accepted:
-        if call.machine != last and call.at_s - newest.get(call.machine, float("-inf")) < lease_s:
-            breaches.append(f"{call.at_s:.2f}: {call.machine} acts again within a lease")
-        newest[call.machine] = call.at_s
-        last = call.machine
-    return breaches
+    def _is_throttled(self, now_s: float) -> bool:
+        while self._taken_s and self._taken_s[0] <= now_s - 1.0:
+            self._taken_s.popleft()
+        if len(self._taken_s) >= self.calls_per_s:
+            return True
+        self._taken_s.append(now_s)
+        return False
+
+    def _check_fence(self, call: PlatformCallSeen) -> int:
+        highest = self._highest_fences.get(call.subject, 0)
+        self._highest_fences[call.subject] = max(call.fence, highest)
+        return FENCED if call.fence < highest else ACCEPTED
--- a/tests/serving/simulation/test_duty_days.py
+++ b/tests/serving/simulation/test_duty_days.py
@@ -19,9 +19,10 @@
 from coveport.serving.model.telemetry import TenantCount
 from coveport.serving.settings.boot import PlatformSettings
 from coveport.serving.simulation.deployment import BOUNDS, Deployment
+from coveport.serving.simulation.duty_rules import PlatformHistory, judge_calls
 from coveport.serving.simulation.faults import FaultInjector
 from coveport.serving.simulation.machines import Machine
-from coveport.serving.simulation.platform import SimulatedPlatform, judge_platform_calls
+from coveport.serving.simulation.platform import SimulatedPlatform
 from coveport.serving.simulation.world import SimulatedDeployment
 
 PLATFORM = PlatformSettings(("10.250.0.1", 8346), frozenset(DutyKind), 50.0)
@@ -84,7 +85,9 @@
         self.day.world.run(self.from_s + length_s)
         problems = [problem for machine in self.day.coordinators for problem in machine.problems]
         assert problems == []
-        assert judge_platform_calls(self.platform.calls, LEASE_S) == []
+        starts_s = {machine.spot.ip: machine.started_s for machine in self.day.coordinators}
+        history = PlatformHistory(self.platform.calls, BOUNDS, starts_s)
+        assert [str(breach) for breach in judge_calls(history)] == []
 
     def at(self, at_s: float, step: Callable[[], object]) -> None:
         self.day.at(at_s, step)
