--- a/coveport/serving/simulation/client.py
+++ b/coveport/serving/simulation/client.py
@@ -57,6 +57,7 @@
     ttl_most_s: float = 5.0
     honours_retry_after: bool = True
     api_key: str = ""  # none: its requests carry no key
+    reuses_open_connections: bool = False  # also to proxies that lookups no longer name
     claimed_tenant: str = ""  # the name of a tenant that its requests carry, as no client should
 
 
@@ -209,7 +210,7 @@
             await self._look_up()
             while self._idle_connections and not fresh:
                 known_address, connection = self._idle_connections.pop()
-                if connection.is_open and known_address in self._known:
+                if connection.is_open and self._may_reuse(known_address):
                     return known_address, connection
                 connection.close()
         address = self._pick() if proxy is None else proxy
@@ -222,6 +223,9 @@
             self._failed[address] = self._net.now_s()
             return None
 
+    def _may_reuse(self, address: Address) -> bool:
+        return self.figures.reuses_open_connections or address in self._known
+
     def _after(self, address: Address, connection: CallerConnection, entry: AttemptEnded) -> None:
         if entry.ending is not Ending.COMPLETE:
             self._failed[address] = self._net.now_s()
--- a/coveport/serving/simulation/deployment.py
+++ b/coveport/serving/simulation/deployment.py
@@ -10,6 +10,7 @@
     Engine,
     Route,
     RouteKind,
+    Scaling,
     Service,
     Tenant,
     WeightedService,
@@ -73,13 +74,17 @@
     warm_up_rate: float = 9.8
     ports: Ports = field(default_factory=Ports)
     platform: PlatformSettings | None = None
+    scaling: Scaling | None = None
+    clients_reuse_open_connections: bool = False  # also to proxies that lookups no longer name
     lead_s: float = 8.0  # from the machines' start to the traffic's
 
     def configuration(self, edition: int, extra: tuple[Route, ...] = ()) -> Configuration:
         """Return the configuration that all traffic needs, with further routes."""
         routes = tuple(self.route(kind) for kind, _ in self.rates)
         engine = Engine(self.engine.slots, self.engine.kv_cache_tokens, self.engine.tokens_per_event)
-        service = Service(self.service, "/health", 370, self.warm_up_s, self.warm_up_rate, engine)
+        service = Service(
+            self.service, "/health", 370, self.warm_up_s, self.warm_up_rate, engine, self.scaling
+        )
         return Configuration(edition, (*routes, *extra), (service,), tenants=self.tenants)
 
     def claimed_tenant(self, client: int) -> str:
--- a/coveport/serving/simulation/documents.py
+++ b/coveport/serving/simulation/documents.py
@@ -59,6 +59,11 @@
             wire.ENGINE[attribute.name]: getattr(service.engine, attribute.name)
             for attribute in fields(service.engine)
         }
+    if service.scaling is not None:
+        document[names["scaling"]] = {
+            wire.SCALING[attribute.name]: getattr(service.scaling, attribute.name)
+            for attribute in fields(service.scaling)
+        }
     return document
 
 
--- a/coveport/serving/simulation/faults.py
+++ b/coveport/serving/simulation/faults.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from functools import partial
+from math import inf
 from typing import Final
 
+from coveport.serving.coordinator.coordinator import Coordinator
+from coveport.serving.proxy.process import Proxy
+from coveport.serving.settings.boot import PlatformSettings
+from coveport.serving.simulation.deployment import coordinator_settings, proxy_settings
 from coveport.serving.simulation.events import FaultBegan, FaultEnded
 from coveport.serving.simulation.machines import RESTART_S, Machine
 from coveport.serving.simulation.planned_steps import PlannedSteps
@@ -84,17 +90,28 @@
         self._day.at(at_s, next_one)
 
     def _stop(self, machine: Machine, then: Callable[[], object]) -> None:
+        if not machine.is_up:
+            then()
+            return
         number = self._begin("term", [machine], planned=True)
+        grace_s = self._day.deployment.bounds.grace_s
+        world = self._day.world
+        is_back = False
 
         def ended() -> None:
-            self._day.world.at(self._day.world.now + RESTART_S, back)
+            world.at(world.now + RESTART_S, back)
 
         def back() -> None:
+            nonlocal is_back
+            if is_back:
+                return
+            is_back = True
             machine.start()
             self._end(number)
             then()
 
-        machine.terminate(self._day.deployment.bounds.grace_s, ended)
+        machine.terminate(grace_s, ended)
+        world.at(world.now + grace_s + 2 * RESTART_S, back)  # where another fault has killed it meanwhile
 
     def replace_coordinator(self, at_s: float, machine: Machine, after_s: float = 2.0) -> None:
         """Replace a machine for good by one with an empty disk at a new address."""
@@ -174,6 +191,73 @@
         day = self._day
         return [*day.coordinators, *day.proxies, *(node.machine for node in day.nodes)]
 
+    # The platform.
+
+    def cut_platform(
+        self, at_s: float, machines: Iterable[Machine], for_s: float, *, how: str = "both"
+    ) -> None:
+        """Partition machines from the platform. `how`: both, in (they get no answer) or out."""
+        platform_ip = self._platform_settings().address[0]
+        inside = {machine.spot.ip for machine in machines}
+        into = {(platform_ip, inner) for inner in inside}
+        out_of = {(inner, platform_ip) for inner in inside}
+        pairs = into if how == "in" else out_of if how == "out" else into | out_of
+        numbers: list[int] = []
+
+        def partition() -> None:
+            numbers.append(self._begin("cut platform", []))
+            self._day.network.partition(numbers[0], frozenset(pairs))
+
+        def heal() -> None:
+            self._day.network.heal(numbers[0])
+            self._end(numbers[0])
+
+        self._day.at(at_s, partition)
+        self._day.at(at_s + for_s, heal)
+
+    def trouble_platform(self, at_s: float, for_s: float, **attributes: float) -> None:
+        """Set attributes of the platform for `for_s`, and then what they are without any trouble."""
+        platform = self._day.platform
+        assert platform is not None
+        calm = {"delay_s": 0.0, "is_silent": False, "is_down": False, "calls_per_s": inf}
+
+        def set_all(values: dict[str, float]) -> None:
+            for name, value in values.items():
+                setattr(platform, name, value)
+
+        ended = {name: calm[name] for name in attributes}
+        self._do(at_s, for_s, "platform", [], partial(set_all, attributes), partial(set_all, ended))
+
+    def _platform_settings(self) -> PlatformSettings:
+        settings = self._day.deployment.platform
+        assert settings is not None
+        return settings
+
+    # Signals.
+
+    def hang_up(self, at_s: float, machines: Iterable[Machine], grace_s: float) -> None:
+        """Let processes take settings with another grace period, as SIGHUP does."""
+        hung_up = list(machines)
+
+        def apply() -> None:
+            for machine in hung_up:
+                if machine.is_up:
+                    machine.run(partial(self._apply_grace, machine, grace_s))
+
+        self._day.at(at_s, apply)
+
+    def _apply_grace(self, machine: Machine, grace_s: float) -> None:
+        program = machine.program
+        if not isinstance(program, Coordinator | Proxy):
+            return
+        deployment = self._day.deployment
+        changed = replace(deployment, bounds=replace(deployment.bounds, grace_s=grace_s))
+        seeds = self._day.seeds
+        if isinstance(program, Coordinator):
+            program.apply_settings(coordinator_settings(changed, machine.spot, seeds, "data", False))
+        else:
+            program.apply_settings(proxy_settings(changed, machine.spot, seeds, False))
+
     # Nodes.
 
     def crash_node(self, at_s: float, node: SimulatedNode, for_s: float = 4.0) -> None:
--- a/coveport/serving/simulation/schedules.py
+++ b/coveport/serving/simulation/schedules.py
@@ -225,7 +225,7 @@
     faults.change_tenants(at_s, *changed, checked_keys=checked)
 
 
-def _schedule_key_changes(day: SimulatedDeployment, faults: FaultInjector) -> None:
+def schedule_key_changes(day: SimulatedDeployment, faults: FaultInjector) -> None:
     """Change the keys of each pair of tenants once; a deployment without tenants has none."""
     rng = Random(f"keys {day.seed}")
     tenants = day.deployment.tenants or ()
@@ -240,6 +240,6 @@
     for at, drawn in enumerate(draw_faults(seed)):
         draw = DRAWS.get(drawn.name) or CLOSINGS[drawn.name]
         draw(day, faults, drawn.at_s, Random(f"trouble {seed} {at}"))
-    _schedule_key_changes(day, faults)
+    schedule_key_changes(day, faults)
     day.quiet_s = QUIET_S
     return day.play(LENGTH_S), day
--- a/coveport/serving/simulation/world.py
+++ b/coveport/serving/simulation/world.py
@@ -152,7 +152,8 @@
         address = f"{machine.spot.ip}:{ports.clients}"
         self.event_log.write(ProxyStarted(self.world.now, machine.spot.name, address))
         settings = proxy_settings(self.deployment, machine.spot, self.seeds, first_boot)
-        return Proxy(machine.net, settings, rng, log)
+        usage_window_s = None if settings.platform is None else settings.bounds.usage_window_s
+        return Proxy(machine.net, settings, rng, log, usage_window_s)
 
     def _run_node(self, machine: Machine, first_boot: bool, log: Any, rng: Random) -> NodeProgram:
         node = next(node for node in self.nodes if node.machine is machine)
@@ -172,6 +173,7 @@
             holds_answers=3.0 if number % 4 == 0 else 1.0, ttl_most_s=self.deployment.bounds.ttl_max_s,
             honours_retry_after=number % 5 != 0, api_key=self.deployment.api_key(number),
             claimed_tenant=self.deployment.claimed_tenant(number),
+            reuses_open_connections=self.deployment.clients_reuse_open_connections,
         )  # fmt: skip
         client = Client(
             machine.net, client_figures, partial(self.listed_lookups, zone), self.event_log, rng,
