--- a/coveport/serving/cli/configuration_diff.py
+++ b/coveport/serving/cli/configuration_diff.py
@@ -7,9 +7,11 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+from coveport.serving.wire.configuration import TENANT
 from coveport.serving.wire.names import Config
 
 _ABSENT: Final = object()
+_HIDDEN: Final = "***"  # stands for an API key
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +32,8 @@
     def as_json(self) -> dict[str, Any]:
         """Return the form for scripts, without the side that is absent."""
         sides = {"before": self.before, "after": self.after}
-        return {"place": self.path} | {name: value for name, value in sides.items() if value is not _ABSENT}
+        shown = {name: _without_keys(value) for name, value in sides.items() if value is not _ABSENT}
+        return {"place": self.path} | shown
 
 
 def find_differences(before: dict[str, Any], after: dict[str, Any]) -> list[Difference]:
@@ -43,7 +46,7 @@
     after_items = _items_by_key(after)
     if before_items is None or after_items is None:
         if before != after:
-            yield Difference(path, before, after)
+            yield Difference(path, _shown(path, before), _shown(path, after))
         return
     for key in before_items | after_items:
         inner_path = f"{path}.{key}" if path else key
@@ -62,5 +65,27 @@
     return dict(zip(texts, value, strict=True)) if are_all_named else None
 
 
+def _without_keys(value: Any) -> Any:
+    """Return a part of a configuration with its API keys hidden, to be shown to people."""
+    if isinstance(value, list):
+        return [_without_keys(item) for item in value]
+    if not isinstance(value, dict):
+        return value
+    return {
+        name: [_HIDDEN] * len(inner) if _is_key_list(name, inner) else _without_keys(inner)
+        for name, inner in value.items()
+    }
+
+
+def _shown(path: str, value: Any) -> Any:
+    """Return a value at a path with its API keys hidden, where the path ends at a list of them."""
+    name = path.rpartition(".")[2]
+    return _without_keys({name: value})[name] if _is_key_list(name, value) else value
+
+
+def _is_key_list(name: str, value: Any) -> bool:
+    return name == TENANT["api_keys"] and isinstance(value, list)
+
+
 def _compact_json(value: Any) -> str:
-    return json.dumps(value, ensure_ascii=False, separators=(",", ":"))
+    return json.dumps(_without_keys(value), ensure_ascii=False, separators=(",", ":"))
