--- a/coveport/serving/duties/fleet_planner.py
+++ b/coveport/serving/duties/fleet_planner.py
@@ -25,7 +25,8 @@
 from coveport.serving.duties.state import FleetOrder
 from coveport.serving.model.configuration import Scaling
 
-ORDERS_FEWER: Final = True  # whether nodes are ever let go
+# Whether nodes are ever let go. Two trials on small twins did not show that it pays (docs/policy.md).
+ORDERS_FEWER: Final = False
 TAKEOVER_GRACE_S: Final = 2.0  # in which the tables of a coordinator that has just taken over fill up
 UP_INTERVAL_S: Final = 2.0  # between two orders for one subject, where the second is for more
 DOWN_INTERVAL_S: Final = 3.0  # and where it is for less: the load of the step before is seen by then
--- a/tests/serving/duties/test_fleet_controller.py
+++ b/tests/serving/duties/test_fleet_controller.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from itertools import pairwise
 from math import pi, sin
 
@@ -39,6 +39,13 @@
     return lambda zone, now_s: 20 + max(0.0, now_s - 20) * per_s
 
 
+@pytest.fixture(scope="module", autouse=True)
+def _orders_fewer() -> Iterator[None]:
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(fleet_planner, "ORDERS_FEWER", True)
+        yield
+
+
 # -- load curves --
 
 
