--- a/coveport/serving/coordinator/fleet_duty.py
+++ b/coveport/serving/coordinator/fleet_duty.py
@@ -47,6 +47,10 @@
     def log_rejection(order: FleetOrder) -> None:
         log.error("fleet_order_rejected", service=order.service, zone=order.zone, wanted=order.wanted)
 
+    def call(order: FleetOrder) -> PlatformCall:
+        log.info("fleet_ordered", service=order.service, zone=order.zone, wanted=order.wanted)
+        return fleet_call(order)
+
     sources = FleetSources(
         tables.telemetry,
         live_proxies,
@@ -56,7 +60,7 @@
         settings.regions,
     )
     tolerated = ToleratedLosses(settings.tolerated.zones, settings.tolerated.regions)
-    return FleetController(FleetObserver(sources).observe, tolerated, fleet_call, log_rejection)
+    return FleetController(FleetObserver(sources).observe, tolerated, call, log_rejection)
 
 
 def fleet_call(order: FleetOrder) -> PlatformCall:
