--- a/review/stand_ins/server.py
+++ b/review/stand_ins/server.py
@@ -92,7 +92,8 @@
         return isinstance(answer, Message) and answer.status == 200
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        # A cancellation is the end of the case: asyncio's streams would report it as a fault.
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while (request := await read_message(reader)) is not None:
                 await self.answer(request, writer)
                 await writer.drain()
