--- a/review/1/case.py
+++ b/review/1/case.py
@@ -49,15 +49,24 @@
     async def answer(self, request: Message, writer: asyncio.StreamWriter) -> None:
         """Answer one request, behind the second copy that is owed on this connection."""
         if self.trouble_until_s and (copy := self._owed.pop(writer, b"")):
-            self.doubled += 1
-            self.record.write(f"server {self.instance} sends the second copy of an earlier rejection")
-            writer.write(copy)
+            self._send_copy(copy, writer)
         response = await self.respond(request)
         writer.write(response)
         is_rejection = response.startswith(b"HTTP/1.1 503")
         if is_rejection and self._may_double() and not self._owed:
             self._owed[writer] = response
 
+    def _send_copy(self, copy: bytes, writer: asyncio.StreamWriter) -> None:
+        """Send a second copy that is owed, if the trouble has not ended meanwhile."""
+        if time.monotonic() >= self.trouble_until_s:
+            return
+        self.doubled += 1
+        answers = self.answers - self._answers_before
+        self.record.write(
+            f"server {self.instance} sends second copy {self.doubled} of {answers} answers in trouble"
+        )
+        writer.write(copy)
+
 
 def configuration() -> dict[str, object]:
     """Return a configuration with one route whose requests may run once at most."""
