--- a/review/rig_2/client.py
+++ b/review/rig_2/client.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
+import time
 from collections import Counter
 
 from rig_2.configuration import HOST
-from rig_2.http import Address, BrokenError, ClientConnection, Message, write
+from rig_2.deployment import BOUNDS, DIRECTORY, ZONES, Deployment
+from rig_2.http import Address, BrokenError, ClientConnection, Message, call_once, write
 
 NO_ANSWER = 0
 
@@ -63,3 +66,34 @@
         tasks.add(task)
         task.add_done_callback(tasks.discard)
         await asyncio.sleep(1 / rate_s)
+
+
+class Directory:
+    """A client's look-ups: an answer is held for its TtlS, or for a multiple of it."""
+
+    def __init__(self, deployment: Deployment, zone: str, ttl_factor: float) -> None:
+        self._deployment = deployment
+        self._zone = zone
+        self._ttl_factor = ttl_factor
+        self._addresses: list[Address] = []
+        self._held_until_s = 0.0
+
+    async def choose(self) -> Address | None:
+        """Return one of the addresses that the directory named last; None before its first answer."""
+        if time.monotonic() >= self._held_until_s:
+            await self._look_up()
+        return random.choice(self._addresses) if self._addresses else None
+
+    async def _look_up(self) -> None:
+        path = f"/coveport/lookup?Name={HOST}&Region={ZONES[self._zone]}&Zone={self._zone}"
+        nearest_first = sorted(self._deployment.coordinators, key=lambda each: each.zone != self._zone)
+        for program in nearest_first:
+            answer = await call_once((program.ip, DIRECTORY), "GET", path)
+            if answer is None or answer.status != 200:
+                continue
+            body = json.loads(answer.body)
+            pairs = (address.rpartition(":") for address in body["Addresses"])
+            self._addresses = [(host, int(port)) for host, _, port in pairs]
+            ttl_s = min(body["TtlS"], BOUNDS["ttl_max_s"])
+            self._held_until_s = time.monotonic() + ttl_s * self._ttl_factor
+            return
--- a/review/rig_2/configuration.py
+++ b/review/rig_2/configuration.py
@@ -29,6 +29,12 @@
     }
 
 
+def stream_route(prefix: str, *, tries: int, homes: tuple[str, ...] = ()) -> dict[str, object]:
+    """Return a route whose streams may be resumed."""
+    stream = {"Kind": "streaming", "Resumable": True, "Pinned": True, "gap_aim_ms": 400}
+    return {**route(prefix, tries=tries, homes=homes), **stream}
+
+
 def configuration(
     *routes: dict[str, object], edition: int = 1, limits: dict[str, int] | None = None
 ) -> dict[str, object]:
--- a/review/rig_2/deployment.py
+++ b/review/rig_2/deployment.py
@@ -7,6 +7,7 @@
 import os
 import random
 import shutil
+import signal
 import socket
 import subprocess
 import tempfile
@@ -82,6 +83,7 @@
         self.zone = zone
         self._process: subprocess.Popen[bytes] | None = None
         self._starts = 0
+        self._changes = 0  # of the settings, while it runs
 
     @property
     def _is_core(self) -> bool:
@@ -98,7 +100,7 @@
             "Zone": self.zone,
             "Region": ZONES[self.zone],
             "InnerPortRange": [INNER, INNER + 15],
-            "SeedAddrs": [f"{host}:{port}" for host, port in deployment.control],
+            "SeedAddrs": self._seeds(),
             "FirstBoot": self._starts == 0,
             "LossCounted": self._is_core,
             "DiscoverySource": "register",
@@ -125,10 +127,25 @@
             lines += [f"[{table}]", *(f"{key} = {json.dumps(value)}" for key, value in fields.items())]
         return "\n".join(lines) + "\n"
 
-    def start(self) -> None:
-        """Start the process, with the settings of this moment."""
+    def _seeds(self) -> list[str]:
+        """Return the seeds, in another order after each change of the settings."""
+        seeds = [f"{host}:{port}" for host, port in self._deployment.control]
+        at = self._changes % len(seeds)
+        return [*seeds[at:], *seeds[:at]]
+
+    def change_settings(self) -> None:
+        """Change the settings file: the seeds stand in another order."""
+        self._changes += 1
+        self._write_settings()
+
+    def _write_settings(self) -> Path:
         file = self._deployment.folder / f"{self.name}.toml"
         file.write_text(self._settings(), encoding="utf-8")
+        return file
+
+    def start(self) -> None:
+        """Start the process, with the settings of this moment."""
+        file = self._write_settings()
         self._starts += 1
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         environment |= {"COVEPORT_NODE_FILE": str(file), "PYTHONPATH": str(ROOT / "target" / "deps")}
@@ -138,6 +155,11 @@
                 command, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log
             )
 
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if the process runs."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
     def kill(self) -> None:
         """Kill the process, if it runs."""
         if self._process is not None and self._process.poll() is None:
--- a/review/rig_2/node.py
+++ b/review/rig_2/node.py
@@ -41,6 +41,29 @@
         headers = {"Coveport-Try-Id": self.attempt, "Coveport-Not-Run": "1", "Keep-Alive": "timeout=5"}
         return self._send(write(f"HTTP/1.1 {status} Rejected", headers))
 
+    def begin_stream(self) -> None:
+        """Send the head of a stream of events."""
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"Coveport-Try-Id: {self.attempt}",
+            f"Coveport-Postmark: s.{self.attempt}",
+            "Keep-Alive: timeout=5",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        ]
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+
+    def send_event(self, number: int) -> None:
+        """Send one event."""
+        event = f"id: {number}\ndata: piece {number}\n\n".encode()
+        if not self.writer.is_closing():
+            self.writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+
+    def end_stream(self) -> None:
+        """End the stream."""
+        if not self.writer.is_closing():
+            self.writer.write(b"0\r\n\r\n")
+
     def _send(self, answer: bytes) -> bytes:
         self.writer.write(answer)
         return answer
