Local processes: pid and signals stand once, for scale runs and for tests

Change: LocalProcess has pid and send_signal; Worker.send is send_signal too, as run.py calls both. No behaviour changes.

--- a/coveport/serving/scale/processes.py
+++ b/coveport/serving/scale/processes.py
@@ -21,20 +21,10 @@
 class RoleProcess(LocalProcess):
     """A real coordinator or proxy."""
 
-    @property
-    def pid(self) -> int | None:
-        """The process id; None if it does not run."""
-        return self._process.pid if self._process is not None and self.is_up else None
-
     def usage(self) -> Usage | None:
         """Return the usage of the current incarnation; None if it does not run."""
         return None if self.pid is None else read_usage(self.pid)
 
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal to the process, if it runs."""
-        if self._process is not None and self.is_up:
-            self._process.send_signal(number)
-
 
 class Worker:
     """A process of hollow proxies or nodes; their observations are passed to `on_observation`."""
@@ -82,7 +72,7 @@
         usage = None if self._process is None else read_usage(self._process.pid)
         return usage or Usage(0.0, 0.0)
 
-    def send(self, number: signal.Signals) -> None:
+    def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
@@ -91,7 +81,7 @@
         """Close the process's pipe, which ends it; kill it if it does not exit in time."""
         if self._process is None:
             return
-        self.send(signal.SIGCONT)
+        self.send_signal(signal.SIGCONT)
         if self._process.stdin is not None:
             self._process.stdin.close()
         try:
--- a/coveport/serving/scale/run.py
+++ b/coveport/serving/scale/run.py
@@ -247,10 +247,10 @@
         coordinators = [self._machines.coordinators[n] for n in self._machines.coordinators_in(zones)]
         stopped: list[RoleProcess | Worker] = [*coordinators, *self._machines.workers_in(zones)]
         for process in stopped:
-            process.send(signal.SIGSTOP)
+            process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(STOPPED_S)
         for process in stopped:
-            process.send(signal.SIGCONT)
+            process.send_signal(signal.SIGCONT)
 
     async def _kill_primary(self) -> list[float]:
         """Return the time from the primary's kill to the next acknowledged change; empty if none."""
--- a/coveport/serving/simulation/local_processes.py
+++ b/coveport/serving/simulation/local_processes.py
@@ -71,15 +71,21 @@
             self._process.kill()
             await self._process.wait()
 
+    @property
+    def pid(self) -> int | None:
+        """The process id; None if it does not run."""
+        return self._process.pid if self._process is not None and self.is_up else None
+
     def suspend(self) -> None:
         """Suspend the process with SIGSTOP."""
-        self._signal(signal.SIGSTOP)
+        self.send_signal(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Resume the process with SIGCONT."""
-        self._signal(signal.SIGCONT)
+        self.send_signal(signal.SIGCONT)
 
-    def _signal(self, number: signal.Signals) -> None:
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
         if self._process is not None and self.is_up:
             self._process.send_signal(number)
 
