Proxy: a body is passed to a node in pieces, not copied whole twice

Cause: the head and the body were joined into one copy for the node, and what the kernel did not take of it was copied again into the transport's buffer, beside the body that is kept for a retry. Change: the connection to a node refers to the body and passes 64 KiB at a time to the transport, the next when the node has read it; a short body is written with its head, as before. An early rejection keeps its order: the rest of the body precedes the next request. At most 64 KiB are received at once (Net.limit_read), so that pausing a read holds less.

--- a/coveport/net/sockets.py
+++ b/coveport/net/sockets.py
@@ -29,6 +29,12 @@
     return not transport.is_closing() and is_quiet_socket(transport.get_extra_info("socket").fileno())
 
 
+def limit_read(transport: asyncio.Transport, max_bytes: int) -> None:
+    """Pass at most that many bytes to the transport's protocol at once, if the transport has such a limit."""
+    if hasattr(transport, "max_size"):
+        transport.max_size = max_bytes
+
+
 def read_now(transport: asyncio.Transport) -> None:
     """Pass waiting input to the transport's BufferedProtocol; leave an end of input to the loop."""
     loop_socket = transport.get_extra_info("socket")
--- a/coveport/net/transport.py
+++ b/coveport/net/transport.py
@@ -15,7 +15,7 @@
 
 from coveport.net.address import Address
 from coveport.net.listening import Listening, ProtocolFactory, SocketListening
-from coveport.net.sockets import has_peer_closed, is_quiet, read_now
+from coveport.net.sockets import has_peer_closed, is_quiet, limit_read, read_now
 
 __all__ = ["Listening", "Net", "ProtocolFactory"]
 
@@ -89,6 +89,10 @@
         """Return whether the peer has closed or reset the connection, even if earlier bytes are unread."""
         return has_peer_closed(transport)
 
+    def limit_read(self, transport: asyncio.Transport, max_bytes: int) -> None:
+        """Pass at most that many bytes to the protocol at once."""
+        limit_read(transport, max_bytes)
+
     def shut_down(self, transport: asyncio.Transport) -> None:
         """Shut down both directions now, before the transport is closed in a later turn."""
         with contextlib.suppress(OSError):
--- a/coveport/serving/proxy/forwarded_request.py
+++ b/coveport/serving/proxy/forwarded_request.py
@@ -24,13 +24,13 @@
 )
 
 
-def write_forwarded_request(
+def write_forwarded_head(
     request: InFlightRequest, incarnation: str, prefix_cache: PrefixCacheIndex, now_s: float
 ) -> bytes:
-    """Return the bytes of the request for one incarnation: head and body."""
+    """Return the head of the request for one incarnation; its body is sent as the client sent it."""
     message = request.message
     headers = _headers(request, incarnation, prefix_cache, now_s)
-    return http1.write_request(message.method, message.target, headers, message.body)
+    return http1.write_request_head(message.method, message.target, headers, len(message.body))
 
 
 def _headers(
--- a/coveport/serving/proxy/node_connection.py
+++ b/coveport/serving/proxy/node_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 
 from coveport import http1
@@ -11,6 +12,8 @@
 from coveport.serving.proxy.headers import is_unframed, keep_alive_s
 
 MAX_BUFFERED_BYTES = 64 * 1024  # bytes of a response buffered for a slow client; limits the memory used
+MAX_READ_BYTES = 64 * 1024  # bytes received at once, after which reading may be paused
+WRITE_BYTES = 64 * 1024  # bytes of a request that are passed to the transport at once; limits its copies
 MAX_RESPONSE_BYTES = 1 << 40  # no limit in practice, as responses are forwarded while they are received
 # TCP time-out: a peer that acknowledges nothing for this long is presumed unreachable.
 UNACKNOWLEDGED_TIMEOUT_MS = 2000
@@ -31,6 +34,9 @@
         self._is_reset = False
         self._is_reading_paused = False
         self._is_in_use = False
+        # What the transport has not taken yet; a request that was rejected early may precede the current one.
+        self._unsent: deque[memoryview] = deque()
+        self._is_writing_paused = False
         self._keeps_alive = True
         self._has_carried_response = False  # whether the connection carried a response before the current one
         self._unacknowledged_timeout_ms = 0  # as set on the socket; 0: the system's default
@@ -48,6 +54,17 @@
         """Store the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        transport.set_write_buffer_limits(high=0)
+        self._net.limit_read(transport, MAX_READ_BYTES)
+
+    def pause_writing(self) -> None:
+        """Write nothing more while the node doesn't read."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Write the rest of the request's body."""
+        self._is_writing_paused = False
+        self._write_rest()
 
     def data_received(self, data: bytes) -> None:
         """Buffer bytes for the reader. Runs for every read, so it makes few calls."""
@@ -77,6 +94,7 @@
         """Record that the connection is closed, and whether it was reset."""
         self._is_ended = True
         self._is_reset = self._is_reset or exc is not None
+        self._unsent.clear()
         self._wake()
 
     # Interface for `request_forwarder` and `response_relay`.
@@ -92,11 +110,14 @@
             and not self._net.has_peer_closed(transport)
         )
 
-    def send(self, request: bytes, *, ends_when_unacknowledged: bool) -> bool:
+    def send(self, head: bytes, body: bytes, *, ends_when_unacknowledged: bool) -> bool:
         """Write a complete request; return False if the connection was broken and no byte was sent.
 
+        A long body is written as fast as the node reads it; until then the connection refers to it.
+
         Args:
-            request: head and body.
+            head: head of the request.
+            body: body of the request.
             ends_when_unacknowledged: whether the connection ends when the node's machine stops acknowledging.
                 A request that can't be retried keeps waiting instead.
 
@@ -109,9 +130,34 @@
         self._is_in_use = True
         if not self.is_open:
             return False
-        self._transport.write(request)
+        first = len(body) if len(body) <= WRITE_BYTES else 0  # a short body is written with its head
+        self._unsent.append(memoryview(head + body[:first]))
+        self._write_next()
         # If the transport closes during the write, the connection was reset and the kernel accepted no byte.
-        return not self._transport.is_closing()
+        if self._transport.is_closing():
+            return False
+        if len(body) > first:
+            self._unsent.append(memoryview(body))
+            self._write_rest()
+        return True
+
+    def _write_next(self) -> None:
+        """Pass the next bytes to the transport, unless the node doesn't read."""
+        assert self._transport is not None
+        if self._is_writing_paused:
+            return
+        data = self._unsent.popleft()
+        if len(data) > WRITE_BYTES:
+            self._unsent.appendleft(data[WRITE_BYTES:])
+        self._transport.write(data[:WRITE_BYTES])
+
+    def _write_rest(self) -> None:
+        """Pass bytes to the transport until the node doesn't read, or nothing is left."""
+        transport = self._transport
+        while self._unsent and transport is not None and not self._is_writing_paused:
+            if transport.is_closing():
+                return
+            self._write_next()
 
     async def read_head(self) -> http1.Response:
         """Return the head of the next response.
@@ -195,6 +241,7 @@
     def close(self) -> None:
         """Abort the connection; the node then cancels a request that still runs for it."""
         self._is_ended = True
+        self._unsent.clear()
         if self._transport is not None:
             self._transport.abort()
         self._wake()
--- a/coveport/serving/proxy/request_forwarder.py
+++ b/coveport/serving/proxy/request_forwarder.py
@@ -6,7 +6,7 @@
 
 from coveport.serving.model.view import KnownNode
 from coveport.serving.proxy.errors import BrokenResponseError, ConnectFailedError
-from coveport.serving.proxy.forwarded_request import write_forwarded_request
+from coveport.serving.proxy.forwarded_request import write_forwarded_head
 from coveport.serving.proxy.in_flight_request import InFlightRequest
 from coveport.serving.proxy.node_connection import NodeConnection
 from coveport.serving.proxy.overload_estimate import StreamGaps
@@ -64,8 +64,9 @@
         if not context.selector.is_still_eligible(known_node, now_s):
             return False
         incarnation = known_node.node.incarnation
-        message = write_forwarded_request(request, incarnation, context.observations.prefix_cache, now_s)
-        if not connection.send(message, ends_when_unacknowledged=request.routed.route.is_idempotent):
+        head = write_forwarded_head(request, incarnation, context.observations.prefix_cache, now_s)
+        is_idempotent = request.routed.route.is_idempotent
+        if not connection.send(head, request.message.body, ends_when_unacknowledged=is_idempotent):
             return False
         context.observations.record_forwarded(known_node, request.routed, selected_s, now_s)
         if request.attempts:
--- a/tests/serving/proxy/test_forwarding.py
+++ b/tests/serving/proxy/test_forwarding.py
@@ -13,8 +13,11 @@
 from coveport import http1
 from coveport.serving.model.configuration import ClientLimits, Configuration, WeightedService
 from coveport.serving.model.node import NodeState
+from coveport.serving.proxy.node_connection import WRITE_BYTES
 from coveport.serving.settings.boot import Bounds
 
+LARGE_BODY_BYTES = 4 * 1024 * 1024
+
 
 def respond(arrival: Arrival) -> None:
     arrival.respond()
@@ -969,3 +972,25 @@
         assert response is not None and response.status == 200
     assert len(node.arrivals) == 30
     environment.check()
+
+
+def test_a_body_is_passed_to_a_node_that_does_not_read_in_small_pieces() -> None:
+    environment = ProxyEnvironment()
+    environment.add_node(lambda arrival: None)
+    client = environment.connect_client()
+    client.send_request("/u/x")  # opens the connection to the node
+    environment.run_until(lambda: environment.nodes[0].arrivals)
+    environment.nodes[0].arrivals[0].respond(b"", 200, ("Keep-Alive", "timeout=9"))
+    environment.run(client.response())
+    node_side = environment.nodes[0].connections[0].transport
+    assert node_side is not None
+    node_side.pause_reading()
+    client.send_request("/u/x", body=bytes(LARGE_BODY_BYTES))
+    environment.run_until(lambda: environment.metric("in_flight") == 1)
+    environment.sleep(0.5)
+    (proxy_side,) = next(iter(environment.data_path._context.pool._in_use.values()))
+    assert proxy_side._transport is not None
+    assert 0 < proxy_side._transport.get_write_buffer_size() <= WRITE_BYTES
+    node_side.resume_reading()
+    environment.run_until(lambda: len(environment.nodes[0].arrivals) == 2)
+    assert environment.nodes[0].arrivals[1].request.body == bytes(LARGE_BODY_BYTES)
