One account of memory and connections a process, kept at every accepting port

Callers saw: a process ended, out of memory, when many clients sent bodies of a legal size at once and stopped short of their end, whole or in pieces, with a length or in chunks, or sent bodies over the limit in chunks; more connections than MaxFds were accepted, so that nothing was left for nodes. Cause: MemoryMb and MaxFds were read and used by nothing. Each connection bounded itself at most (MaxBodyBytes, 8 MiB at the coordinators' ports and at Readiness, 48 MiB for a frame), nothing bounded their sum; a served request that was pipelined behind, a response that nobody read and a closing connection with unsent bytes were bounded by nothing but the peer. Change: coveport/serving/resource_budget.py is the account, one a process. Client connections of a proxy, connections of the HTTP servers (Control, Directory, Readiness) and accepted inner connections reserve before they hold. What doesn't fit is refused with 503 and Retry-After (it has not run) or closed; stalled, slow and far larger transfers give way, idle connections give way to new ones. A quarter of the memory is left to requests up to 64 KiB. A closing connection ends after IdleMs. Bodies at Directory and Readiness may have 64 KiB, where no call has one. MemoryMb under 78 and MaxFds under 232 are refused at the start.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 	$(BIN)/python -m coveport.serving try
 
 test: $(MADE)
-	$(BIN)/python -m pytest -q -n auto --dist worksteal --durations 10
+	$(BIN)/python -m pytest -q -n auto --dist worksteal --durations 10 -m 'not alone'
+	$(BIN)/python -m pytest -q --durations 10 -m alone
 	$(BIN)/behave --format progress features
 
 check: $(MADE)
--- a/coveport/serving/coordinator/coordinator.py
+++ b/coveport/serving/coordinator/coordinator.py
@@ -41,10 +41,11 @@
 from coveport.serving.replication.identity import Locality, MemberId
 from coveport.serving.replication.messages import Message as ReplicationMessage
 from coveport.serving.replication.replica import Replica
+from coveport.serving.resource_budget import ResourceBudget
 from coveport.serving.settings.boot import BootSettings
 from coveport.serving.storage.open_store import OpenedStorage
 from coveport.serving.web.router import Router
-from coveport.serving.web.server import HttpServer
+from coveport.serving.web.server import MAX_CONFIGURATION_BYTES, HttpServer
 from coveport.serving.wire.connection import Connection
 from coveport.serving.wire.errors import RemoteProtocolError
 from coveport.serving.wire.messages import (
@@ -134,6 +135,7 @@
         self._reports = self._make_report_replicator(len(seeds), random_source.getrandbits(48))
         self._liveness = CoordinatorLiveness(self._endpoint)
         self._lookup_api = LookupApi(self.leases, self._liveness, net.now_s, settings.bounds.ttl_max_s)
+        self._budget = ResourceBudget(settings.limits.capacity, net.now_s)
         self._listener = self._make_listener()
         self._servers = self._make_servers()
         self._maintenance_timer: asyncio.TimerHandle | None = None
@@ -208,6 +210,7 @@
             self.traffic,
             self._versions,
             self._on_protocol_error,
+            self._budget,
             self._log,
         )
 
@@ -221,12 +224,21 @@
             node_api = NodeApi(self._reports, self._quorum_status.has_quorum, settings.regions, self._log)
             router = Router(operator_api, node_api)
             servers.append(
-                HttpServer(self._net, settings.control, router.dispatch, self._stall_detector.check)
+                HttpServer(
+                    self._net,
+                    settings.control,
+                    router.dispatch,
+                    self._budget,
+                    self._stall_detector.check,
+                    max_body_bytes=MAX_CONFIGURATION_BYTES,
+                )
             )
         if settings.lookups is not None:
             router = Router(self._lookup_api)
             servers.append(
-                HttpServer(self._net, settings.lookups, router.dispatch, self._stall_detector.check)
+                HttpServer(
+                    self._net, settings.lookups, router.dispatch, self._budget, self._stall_detector.check
+                )
             )
         return servers
 
--- a/coveport/serving/coordinator/inner_listener.py
+++ b/coveport/serving/coordinator/inner_listener.py
@@ -10,6 +10,7 @@
 from coveport.serving.coordinator.peer_versions import PeerVersions
 from coveport.serving.coordinator.stall_detector import StallDetector
 from coveport.serving.log import EventLogger
+from coveport.serving.resource_budget import ResourceBudget
 from coveport.serving.wire.connection import Connection, ProtocolErrorHandler
 from coveport.serving.wire.messages import Hello, Message
 from coveport.serving.wire.traffic import Traffic
@@ -37,12 +38,14 @@
         traffic: Traffic,
         versions: PeerVersions,
         on_protocol_error: ProtocolErrorHandler,
+        budget: ResourceBudget,
         log: EventLogger,
     ) -> None:
         """Create a listener; `own_disk` is the identity of this coordinator's disk.
 
         `on_message` is called with every message but `Hello`, and `on_closed` with each closed connection.
-        `on_protocol_error` is called where another program, or an incompatible version, connected.
+        `on_protocol_error` is called where another program, or an incompatible version, connected. `budget`
+        is that of the process.
         """
         self._net = net
         self._own_disk = own_disk
@@ -52,6 +55,7 @@
         self._traffic = traffic
         self._versions = versions
         self._on_protocol_error = on_protocol_error
+        self._budget = budget
         self._log = log
         self._listening: Listening | None = None
 
@@ -67,7 +71,9 @@
             self._listening.close()
 
     def _make_connection(self) -> Connection:
-        return Connection(self._net, self._receive, self._on_closed, self._traffic, self._on_protocol_error)
+        return Connection(
+            self._net, self._receive, self._on_closed, self._traffic, self._on_protocol_error, self._budget
+        )
 
     def _receive(self, connection: Connection, message: Message) -> None:
         self._stall_detector.check()
--- a/coveport/serving/proxy/client_connection.py
+++ b/coveport/serving/proxy/client_connection.py
@@ -10,9 +10,13 @@
 from coveport.net.transport import Net
 from coveport.serving.model.configuration import ClientLimits
 from coveport.serving.proxy.response_writing import status_line, write_response
+from coveport.serving.resource_budget import STALL_S, Reservation, ResourceBudget, Shortage
+from coveport.serving.wire.names import CanonicalHeader
 
 MAX_PIPELINED_BYTES = 64 * 1024  # bytes of requests pipelined behind the current one; limits the memory used
-MAX_UNSENT_BYTES = 64 * 1024  # bytes of a response buffered for a slow client; limits the memory used
+MAX_READ_BYTES = 64 * 1024  # bytes received at once, before the memory for them is reserved
+RELAY_BYTES = 128 * 1024  # received from the node while the client doesn't read: buffered and just read
+RETRY_AFTER_S = STALL_S  # after it, stalled requests give way
 LINGER_S = 1.0  # time before the close in which a client that is still sending can read the rejection
 IDLE_MARGIN_S = 2.0  # the announced Keep-Alive time-out is this much shorter than the actual one
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"  # RFC 9110, 10.1.1
@@ -27,6 +31,10 @@
     def remove_connection(self, connection: ClientConnection) -> None:
         """Remove a connection that has ended."""
 
+    @property
+    def budget(self) -> ResourceBudget:
+        """The memory and the connections that all clients may use."""
+
     @property
     def handle(self) -> Callable[[http1.Request, ClientConnection], Coroutine[Any, Any, None]]:
         """The handler that answers a request on its connection."""
@@ -49,6 +57,8 @@
         self._limits = limits
         self._parser = http1.RequestParser(limits().body_bytes, max_head_bytes=limits().header_bytes)
         self._transport: asyncio.Transport | None = None
+        self._reservation: Reservation | None = None
+        self._request_bytes = 0  # bytes of the body of the request that is served
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
@@ -66,10 +76,18 @@
     # Callbacks of asyncio.Protocol.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start to read requests."""
+        """Start to read requests, unless there are too many connections."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
+        self._reservation = self._owner.budget.open(self._give_way)
+        if self._reservation is None:
+            self._is_rejected = True
+            transport.write(_overload_response())
+            transport.abort()
+            return
+        # `pause_writing` is called once anything is unsent, so that all unsent bytes are accounted for.
+        transport.set_write_buffer_limits(high=0)
+        self._net.limit_read(transport, MAX_READ_BYTES)
         self._owner.add_connection(self)
         self._wait_for_request()
 
@@ -80,13 +98,8 @@
         self._parser.feed(data)
         if self._task is None:
             self._advance()
-        elif (
-            len(self._parser.buffer) > MAX_PIPELINED_BYTES
-            and self._transport is not None
-            and not self._is_reading_paused
-        ):
-            self._is_reading_paused = True
-            self._transport.pause_reading()
+        else:
+            self._hold_pipelined()
 
     def pause_writing(self) -> None:
         """Make `wait_writable` wait, because the client reads more slowly than the node sends."""
@@ -95,12 +108,19 @@
     def resume_writing(self) -> None:
         """Let `wait_writable` return."""
         self._writable.set()
+        if self._task is not None:
+            self._account()
+        elif self._reservation is not None and not self._parser.is_mid_message:
+            self._reservation.wait()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in flight, as its client has disconnected."""
         self._stop_timer()
         self._transport = None
         self._writable.set()
+        self._parser.discard()
+        if self._reservation is not None:
+            self._reservation.close()
         if self._task is not None:
             self._task.cancel()
         self._owner.remove_connection(self)
@@ -115,9 +135,11 @@
             self._reject(error.status)
             return
         if request is None:
-            if self._parser.wants_continue and self._transport is not None:
-                self._transport.write(CONTINUE_RESPONSE)
-            self._wait_for_request()
+            self._wait_for_rest()
+            return
+        self._request_bytes = len(request.body)
+        if not self._account():
+            self._reject_overload()
             return
         self._stop_timer()
         self._has_begun = False
@@ -126,8 +148,59 @@
         self._task = self._net.loop.create_task(self._owner.handle(request, self))
         self._task.add_done_callback(self._on_handled)
 
+    def _wait_for_rest(self) -> None:
+        """Wait for the rest of a request, if its bytes can be held, or for the next request."""
+        assert self._reservation is not None
+        expected_bytes = self._parser.expected_bytes
+        if not expected_bytes and not self._parser.is_mid_message:
+            self._wait_idle()
+        elif not self._reservation.transfer(expected_bytes):
+            self._reject_overload()
+            return
+        elif self._parser.wants_continue and self._transport is not None:
+            self._transport.write(CONTINUE_RESPONSE)
+        self._wait_for_request()
+
+    def _wait_idle(self) -> None:
+        """Account for a connection that waits for a request; a response may still be unread."""
+        assert self._reservation is not None
+        unsent_bytes = self._unsent_bytes()
+        if not unsent_bytes:
+            self._reservation.wait()
+        elif not self._reservation.transfer(unsent_bytes):
+            self._close_now()
+
+    def _account(self) -> bool:
+        """Account for the request that is served, for those pipelined behind it, and for an unread response.
+
+        Return False if there is no room.
+        """
+        if self._reservation is None:
+            return False
+        held_bytes = self._request_bytes + len(self._parser.buffer)
+        if self._writable.is_set():
+            return self._reservation.serve(held_bytes)
+        return self._reservation.transfer(held_bytes + self._unsent_bytes() + RELAY_BYTES)
+
+    def _hold_pipelined(self) -> None:
+        """Account for pipelined requests; stop reading if there are many, drop them if there is no room."""
+        transport = self._transport
+        if transport is None or self._is_reading_paused:
+            return
+        if not self._account():
+            self._parser.discard()
+            self._keeps_alive = False
+        elif len(self._parser.buffer) <= MAX_PIPELINED_BYTES:
+            return
+        self._is_reading_paused = True
+        transport.pause_reading()
+
+    def _unsent_bytes(self) -> int:
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
     def _on_handled(self, task: asyncio.Task[None]) -> None:
         self._task = None
+        self._request_bytes = 0
         failed = not task.cancelled() and task.exception() is not None
         if failed:
             context = {"message": "request handler failed", "exception": task.exception()}
@@ -138,7 +211,7 @@
         if failed or not self._is_finished:
             self.abort()
         elif not self._keeps_alive or (self._owner.is_draining and not self._parser.is_mid_message):
-            transport.close()
+            self._close()
         else:
             if self._is_reading_paused:
                 self._is_reading_paused = False
@@ -147,15 +220,51 @@
 
     def _reject(self, status: int) -> None:
         """Respond to an invalid request, and close the connection."""
+        self._reject_with(write_response(status, [("Connection", "close")]))
+
+    def _reject_overload(self) -> None:
+        """Respond that the request was not read, as there is no memory for it, and close the connection."""
+        self._reject_with(_overload_response())
+
+    def _reject_with(self, response: bytes) -> None:
         transport = self._transport
         if transport is None:
             return
         self._is_rejected = True
-        transport.write(write_response(status, [("Connection", "close")]))
+        self._parser.discard()
+        if self._reservation is not None:
+            self._reservation.wait()
+        transport.write(response)
         if transport.can_write_eof():
             transport.write_eof()
+        self._stop_timer()
         self._start_timer(LINGER_S, self.abort)
 
+    def _give_way(self, shortage: Shortage) -> None:
+        """Give way to other connections; this one is idle, or is sending a request or reading a response."""
+        is_reading = self._task is None and self._parser.is_mid_message and not self._is_rejected
+        if is_reading and shortage is Shortage.MEMORY:
+            self._reject_overload()
+            return
+        if is_reading and self._transport is not None:
+            self._transport.write(_overload_response())
+        self._close_now()
+
+    def _close(self) -> None:
+        """Close the connection once the client has read the response, within the time it may be idle."""
+        if self._transport is None:
+            return
+        self._stop_timer()
+        if self._unsent_bytes():
+            self._wait_idle()
+            self._start_timer(self._limits().idle_ms / 1000, self._close_now)
+        self._transport.close()
+
+    def _close_now(self) -> None:
+        """Close the connection at once; unread bytes of a response are lost."""
+        if self._transport is not None:
+            self._transport.abort()
+
     # Time-outs.
 
     def _wait_for_request(self) -> None:
@@ -241,14 +350,21 @@
                 self._transport.write(http1.LAST_CHUNK)
             self._is_finished = True
 
+    def release_request_body(self) -> None:
+        """Return the memory of the body of the request that is served."""
+        self._request_bytes = 0
+        self._account()
+
     async def wait_writable(self) -> None:
-        """Wait until the client has read enough that more can be written."""
+        """Wait until the client has read what was written; close the connection if that can't be held."""
+        if not self._writable.is_set() and not self._account():
+            self._close_now()
         await self._writable.wait()
 
     def close_idle(self) -> None:
         """Close the connection unless a request is in flight on it."""
         if self._transport is not None and self._task is None:
-            self._transport.close()
+            self._close()
 
     def abort(self) -> None:
         """Close the connection in a way that makes the response look incomplete to the client.
@@ -264,3 +380,8 @@
             return
         transport.close()
         self._start_timer(LINGER_S, transport.abort)
+
+
+def _overload_response() -> bytes:
+    headers = [(CanonicalHeader.RETRY_AFTER, f"{RETRY_AFTER_S:g}"), ("Connection", "close")]
+    return write_response(503, headers)
--- a/coveport/serving/proxy/client_listener.py
+++ b/coveport/serving/proxy/client_listener.py
@@ -11,6 +11,7 @@
 from coveport.net.transport import Listening, Net
 from coveport.serving.model.configuration import ClientLimits
 from coveport.serving.proxy.client_connection import ClientConnection
+from coveport.serving.resource_budget import ResourceBudget
 
 MAX_ACCEPTS_PER_TURN = 64  # a burst of connects must not delay requests in flight
 ACCEPT_BACKLOG = 512  # connections queued in the kernel
@@ -23,9 +24,16 @@
 class ClientListener:
     """Owns the listening socket and the client connections."""
 
-    def __init__(self, net: Net, handle: RequestHandler, limits: Callable[[], ClientLimits]) -> None:
-        """`handle` responds to one request; `limits` returns the limits of the active configuration."""
+    def __init__(
+        self, net: Net, handle: RequestHandler, limits: Callable[[], ClientLimits], budget: ResourceBudget
+    ) -> None:
+        """Create a listener that does not listen yet.
+
+        `handle` responds to one request; `limits` returns the limits of the active configuration; `budget` is
+        that of the process.
+        """
         self._net = net
+        self.budget = budget
         self._limits = limits
         self._connections: set[ClientConnection] = set()
         self._listening: Listening | None = None
--- a/coveport/serving/proxy/data_path.py
+++ b/coveport/serving/proxy/data_path.py
@@ -36,6 +36,7 @@
 from coveport.serving.proxy.slow_start import SlowStartLimiter
 from coveport.serving.proxy.startup_gate import StartupGate
 from coveport.serving.proxy.telemetry_reporter import TelemetryReporter
+from coveport.serving.resource_budget import ResourceBudget
 from coveport.serving.settings.boot import BootSettings, Bounds
 from coveport.serving.wire.names import CanonicalHeader, Header
 
@@ -54,17 +55,20 @@
         view: ControlView,
         random: Random,
         telemetry: TelemetryReporter | None = None,
+        budget: ResourceBudget | None = None,
     ) -> None:
         """Create a data path.
 
         `random` is the source of all random choices of the data path. `telemetry` counts tenants' requests.
+        `budget` is that of the process; None: one for this data path alone.
         """
         self._net = net
         self._settings = settings
         self._view = view
         self._startup_gate = StartupGate(net, view)
         self._router = RequestRouter(view, random)
-        self._listener = ClientListener(net, self._handle, self._limits)
+        self._resources = budget or ResourceBudget(settings.limits.capacity, net.now_s)
+        self._listener = ClientListener(net, self._handle, self._limits, self._resources)
         self._counters = Counters()
         self._context = _make_context(net, settings, self._router, random, self._counters)
         self._context.telemetry = telemetry
@@ -112,6 +116,8 @@
             "in_flight": float(self._requests_in_flight),
             "waiting": float(len(self._context.queues)),
             "connects": float(self._context.pool.connects),
+            "held_bytes": float(self._resources.used_bytes),
+            "sheds": float(self._resources.sheds),
         }
 
     def _make_load_sampler(self) -> LoadSampler:
--- a/coveport/serving/proxy/process.py
+++ b/coveport/serving/proxy/process.py
@@ -14,6 +14,7 @@
 from coveport.serving.proxy.readiness import ReadinessApi
 from coveport.serving.proxy.subscription import SelfReports, Subscription
 from coveport.serving.proxy.telemetry_reporter import TelemetryReporter
+from coveport.serving.resource_budget import ResourceBudget
 from coveport.serving.role_process import run_process
 from coveport.serving.settings.boot import BootSettings
 from coveport.serving.web.router import Router
@@ -45,7 +46,8 @@
         self.view = ControlView()
         self._incarnation = int(net.unix_s() * 1000)
         self._telemetry = _make_telemetry(net, settings, self._incarnation, usage_window_s)
-        self.data_path = DataPath(net, settings, self.view, random, self._telemetry)
+        budget = ResourceBudget(settings.limits.capacity, net.now_s)
+        self.data_path = DataPath(net, settings, self.view, random, self._telemetry, budget)
         self._random = random
         self._selector = CoordinatorSelector(settings.zone, settings.region, self._shuffled_seeds())
         reports = SelfReports(self._make_lease, self._telemetry)
@@ -53,7 +55,7 @@
         self._readiness: HttpServer | None = None
         if settings.readiness is not None:
             router = Router(ReadinessApi(self.is_ready))
-            self._readiness = HttpServer(net, settings.readiness, router.dispatch)
+            self._readiness = HttpServer(net, settings.readiness, router.dispatch, budget)
         self._is_serving = False
         self._is_stopping = False
         self._metrics_timer: asyncio.TimerHandle | None = None
--- a/coveport/serving/settings/boot.py
+++ b/coveport/serving/settings/boot.py
@@ -10,6 +10,7 @@
 
 from coveport.net.address import Address
 from coveport.serving.duties.kinds import SingletonTaskKind
+from coveport.serving.resource_budget import Capacity, capacity_of
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,11 +26,16 @@
 class ProcessLimits:
     """Limits on the machine's resources that this process may use."""
 
-    memory_mb: float = 0.0
+    memory_mb: float = 0.0  # 0: not limited
     descriptors: int = 1024  # open files and sockets together
     link_mbps: float = 1000.0  # network bandwidth, megabits a second
     disk_mb: float = 0.0
 
+    @property
+    def capacity(self) -> Capacity:
+        """What these limits leave for the connections that the process accepts."""
+        return capacity_of(self.memory_mb, self.descriptors)
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
--- a/coveport/serving/settings/reader.py
+++ b/coveport/serving/settings/reader.py
@@ -13,6 +13,7 @@
 
 from coveport.net.address import Address, parse_address
 from coveport.serving.model.findings import Finding, Findings, Refusal
+from coveport.serving.resource_budget import MIN_DESCRIPTORS, MIN_MEMORY_MB
 from coveport.serving.settings.boot import (
     BootSettings,
     Bounds,
@@ -105,6 +106,7 @@
             platform=self._platform(),
         )
         self._check_locality(settings)
+        self._check_limits(settings.limits)
         return settings
 
     def _ip(self) -> str:
@@ -172,6 +174,14 @@
         if region is not None and settings.region and region != settings.region:
             self._findings.add(Boot.REGION, f"{Boot.REGIONS} has {region!r} for this zone")
 
+    def _check_limits(self, limits: ProcessLimits) -> None:
+        """Check that the process can serve a single request within its limits."""
+        names = wire.LIMITS
+        if 0 < limits.memory_mb < MIN_MEMORY_MB:
+            self._findings.add(f"{Boot.LIMITS}.{names['memory_mb']}", f"must be at least {MIN_MEMORY_MB}")
+        if 0 <= limits.descriptors < MIN_DESCRIPTORS:
+            self._findings.add(f"{Boot.LIMITS}.{names['descriptors']}", f"must be at least {MIN_DESCRIPTORS}")
+
     def _platform(self) -> PlatformSettings | None:
         """Return the platform's API; None where the file has none. Ignore unknown duties."""
         if Boot.PLATFORM not in self._data:
--- a/coveport/serving/wire/connection.py
+++ b/coveport/serving/wire/connection.py
@@ -8,6 +8,7 @@
 
 from coveport.net.address import Address
 from coveport.net.transport import Net
+from coveport.serving.resource_budget import Reservation, ResourceBudget
 from coveport.serving.wire.errors import RemoteProtocolError, UnsupportedVersionError, VersionRejectedError
 from coveport.serving.wire.frames import HEADER_BYTES, FrameReader, write_frame
 from coveport.serving.wire.messages import CODEC, Message, VersionRejected
@@ -17,6 +18,9 @@
 # If more bytes are unsent than this, the connection is aborted: a frozen peer must not exhaust the memory.
 MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
 
+# Bytes received at once on an accepted connection, before the memory for them is reserved.
+MAX_READ_BYTES: Final = 64 * 1024
+
 MessageHandler = Callable[["Connection", Message], None]
 CloseHandler = Callable[["Connection"], None]
 ProtocolErrorHandler = Callable[["Connection", RemoteProtocolError], None]
@@ -32,13 +36,15 @@
         on_closed: CloseHandler | None = None,
         traffic: Traffic | None = None,
         on_protocol_error: ProtocolErrorHandler | None = None,
+        budget: ResourceBudget | None = None,
     ) -> None:
         """Create one end, for a listener or for `connect`.
 
         `on_message`: called for each message. `on_closed`: called once, when the connection is closed.
         `traffic`: counts the messages; several connections may share it. `on_protocol_error`: called before
         the connection is closed because the peer sent an invalid message, or can't read this program's
-        messages.
+        messages. `budget`: accounts for an accepted connection; until its first message it may give way to
+        others.
         """
         self._net = net
         self._on_message = on_message
@@ -46,6 +52,9 @@
         self._on_protocol_error = on_protocol_error
         self._traffic = traffic if traffic is not None else Traffic()
         self._reader = FrameReader()
+        self._budget = budget
+        self._reservation: Reservation | None = None
+        self._has_received_message = False
         self._transport: asyncio.Transport | None = None
         self.last_received_s = 0.0  # by the net's clock; at first, the time of connecting
         self.peer: object = None  # data that the owner attaches to the connection
@@ -66,10 +75,18 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self.last_received_s = self._net.now_s()
+        if self._budget is not None:
+            self._net.limit_read(transport, MAX_READ_BYTES)
+            self._reservation = self._budget.open(lambda _: self.abort())
+            if self._reservation is None:
+                self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the owner that the connection is closed."""
         self._transport = None
+        self._reader = FrameReader()
+        if self._reservation is not None:
+            self._reservation.close()
         if self._on_closed is not None:
             self._on_closed(self)
 
@@ -79,6 +96,7 @@
         try:
             for payload in self._reader.feed(data):
                 message = CODEC.decode(payload)
+                self._has_received_message = True
                 self._traffic.record_received(type(message), HEADER_BYTES + len(payload))
                 if isinstance(message, VersionRejected):
                     raise VersionRejectedError(message.frame_version)
@@ -90,6 +108,15 @@
         except RemoteProtocolError as error:
             self._notify_protocol_error(error)
             self.abort()
+        self._account_for_received()
+
+    def _account_for_received(self) -> None:
+        """Account for the start of a frame; close the connection if it can't be held."""
+        if self._reservation is None or self._reservation.is_closed:
+            return
+        reserve = self._reservation.serve if self._has_received_message else self._reservation.transfer
+        if not reserve(self._reader.buffered_bytes):
+            self.abort()
 
     def _notify_protocol_error(self, error: RemoteProtocolError) -> None:
         if self._on_protocol_error is not None:
--- a/coveport/serving/wire/frames.py
+++ b/coveport/serving/wire/frames.py
@@ -37,6 +37,11 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of a frame that is not complete yet."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> Iterator[bytes]:
         """Add bytes of the stream, and yield the payloads that are complete.
 
--- a/tests/serving/cli/loopback_core.py
+++ b/tests/serving/cli/loopback_core.py
@@ -13,9 +13,11 @@
 from coveport.serving.configuration.state_machine import apply
 from coveport.serving.coordinator.operator_api import OperatorApi
 from coveport.serving.replication.state_machine import Applied
+from coveport.serving.resource_budget import ResourceBudget
+from coveport.serving.settings.boot import ProcessLimits
 from coveport.serving.web.messages import ApiResponse, json_response
 from coveport.serving.web.router import Router
-from coveport.serving.web.server import HttpServer
+from coveport.serving.web.server import MAX_CONFIGURATION_BYTES, HttpServer
 
 HOST = "127.0.0.1"
 STATUS = {
@@ -93,7 +95,8 @@
     loop = asyncio.new_event_loop()
     net = Net(loop)
     router = Router(OperatorApi(core, 0, frozenset({"hall"})))
-    server = HttpServer(net, (HOST, 0), router.dispatch)
+    budget = ResourceBudget(ProcessLimits().capacity, net.now_s)
+    server = HttpServer(net, (HOST, 0), router.dispatch, budget, max_body_bytes=MAX_CONFIGURATION_BYTES)
     loop.run_until_complete(server.start())
     assert server._listening is not None
     port = server._listening.port
--- a/tests/serving/coordinator/test_disconnected_callers.py
+++ b/tests/serving/coordinator/test_disconnected_callers.py
@@ -15,6 +15,8 @@
 from coveport.serving.coordinator.replica_runtime import ReplicaCallbacks, ReplicaRuntime
 from coveport.serving.coordinator.stall_detector import STALL_THRESHOLD_S, TICK_INTERVAL_S, StallDetector
 from coveport.serving.replication.events import Answer, CancelCall, Done, Effect, Event, Submit, Tick
+from coveport.serving.resource_budget import ResourceBudget
+from coveport.serving.settings.boot import ProcessLimits
 from coveport.serving.web.router import Router
 from coveport.serving.web.server import HttpServer, _Connection
 from coveport.testbed.simulated_network.world import Process, World
@@ -33,6 +35,15 @@
     def write(self, data: bytes | bytearray | memoryview) -> None:
         self.written += bytes(data)
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Everything is written at once."""
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def write_eof(self) -> None:
+        """The end of the output is not recorded."""
+
     def is_closing(self) -> bool:
         return self.is_closed
 
@@ -76,7 +87,9 @@
         self.process = Process.start(self.world, "coordinator")
         self.replica = ScriptedReplica()
         self.stalls_s: list[float] = []
-        net: Any = SimpleNamespace(now_s=lambda: self.world.now, loop=self.process)
+        net: Any = SimpleNamespace(
+            now_s=lambda: self.world.now, loop=self.process, limit_read=lambda *_: None
+        )
         callbacks = ReplicaCallbacks(lambda address, message: None, lambda effect: None)
         log = SimpleNamespace(info=lambda *_, **__: None, warning=lambda *_, **__: None)
         detector = StallDetector(net.now_s, self.on_stall, log)
@@ -85,7 +98,8 @@
         self.runtime = ReplicaRuntime(net, replica, writer, detector, callbacks, log)
         control_service = ControlService(net, self.runtime, dict)
         router = Router(OperatorApi(control_service, 7000, frozenset({"hall"})))
-        self.http_server = HttpServer(net, ("10.0.0.1", 7000), router.dispatch, detector.check)
+        budget = ResourceBudget(ProcessLimits().capacity, net.now_s)
+        self.http_server = HttpServer(net, ("10.0.0.1", 7000), router.dispatch, budget, detector.check)
 
     def on_stall(self, stall_s: float) -> None:
         self.stalls_s.append(stall_s)
--- a/tests/serving/proxy/proxy_environment.py
+++ b/tests/serving/proxy/proxy_environment.py
@@ -13,7 +13,7 @@
 from coveport.serving.model.node import Node, NodeState
 from coveport.serving.model.view import ControlView, KnownNode
 from coveport.serving.proxy.data_path import DataPath
-from coveport.serving.settings.boot import BootSettings, Bounds
+from coveport.serving.settings.boot import BootSettings, Bounds, ProcessLimits
 from coveport.testbed.day import Day
 from coveport.testbed.network_model import CLIENT, Ways
 from coveport.testbed.scenario import Scenario
@@ -61,7 +61,12 @@
 class ProxyEnvironment:
     """A simulated network with one proxy, and a process that runs its nodes and clients."""
 
-    def __init__(self, bounds: Bounds | None = None, routes: tuple[Route, ...] = ()) -> None:
+    def __init__(
+        self,
+        bounds: Bounds | None = None,
+        routes: tuple[Route, ...] = (),
+        limits: ProcessLimits | None = None,
+    ) -> None:
         self.time = World()
         self.network = Network(self.time, Ways(DAY))
         self.peer_process = Process.start(self.time, "lab")
@@ -86,6 +91,7 @@
             regions={"z": "r", "y": "q"},
             clients=(PROXY_IP, PORT),
             bounds=bounds or Bounds(retry_slack=58, warm_up_overshoot=1.5, warm_up_slack=5),
+            limits=limits or ProcessLimits(),
         )
         self.data_path = DataPath(self.net, settings, self.view, Random(1))
         self.nodes: list[ScriptedNode] = []
--- a/tests/serving/settings/test_boot_settings_reader.py
+++ b/tests/serving/settings/test_boot_settings_reader.py
@@ -13,6 +13,7 @@
 
 from coveport.serving.duties.kinds import SingletonTaskKind
 from coveport.serving.model.findings import Refusal
+from coveport.serving.resource_budget import MIN_DESCRIPTORS, MIN_MEMORY_MB
 from coveport.serving.settings.boot import Bounds, PlatformSettings
 from coveport.serving.settings.reader import parse_boot_settings, read_boot_settings
 
@@ -123,6 +124,8 @@
         ('mill = "north"', "mill = 3", "Zones.mill"),
         ('Readiness = "10.1.0.10:8268"', 'Readiness = "10.1.0.10:99999"', "Listen.Readiness"),
         ("MaxFds = 4100", "MaxFds = -1", "Limits.MaxFds"),
+        ("MaxFds = 4100", f"MaxFds = {MIN_DESCRIPTORS - 1}", "Limits.MaxFds"),
+        ("MemoryMb = 300", f"MemoryMb = {MIN_MEMORY_MB - 1}", "Limits.MemoryMb"),
         ("MachineLosses = 1", 'MachineLosses = "1"', "Tolerate.MachineLosses"),
         ("MachineLosses = 1", "MachineLosses = 0.5", "Tolerate.MachineLosses"),
         ("DrainMs = 2500", "DrainMs = nan", "Bounds.DrainMs"),
@@ -133,6 +136,18 @@
     assert fault_locations(PROXY.replace(line, bad)) == [location]
 
 
+@pytest.mark.parametrize(
+    ("line", "other"),
+    [
+        ("MaxFds = 4100", f"MaxFds = {MIN_DESCRIPTORS}"),
+        ("MemoryMb = 300", f"MemoryMb = {MIN_MEMORY_MB}"),
+        ("MemoryMb = 300", "MemoryMb = 0"),
+    ],
+)
+def test_the_least_limits_are_taken(line: str, other: str) -> None:
+    read_valid(PROXY.replace(line, other))
+
+
 def test_an_empty_data_dir_is_a_fault() -> None:
     assert fault_locations(COORDINATOR.replace('"/data/x"', '""')) == ["DataDir"]
 
--- a/tests/serving/web/mutated_requests.py
+++ b/tests/serving/web/mutated_requests.py
@@ -14,6 +14,8 @@
 from typing import Any
 
 from coveport import http1
+from coveport.serving.resource_budget import ResourceBudget
+from coveport.serving.settings.boot import ProcessLimits
 from coveport.serving.web.messages import ApiResponse
 from coveport.serving.web.server import HttpServer, _Connection
 
@@ -82,6 +84,15 @@
         assert not self.is_done, "no bytes may be written after the close"
         self.written += data
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Everything is written at once."""
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def write_eof(self) -> None:
+        """The end of the output is not recorded."""
+
     def close(self) -> None:
         self.is_done = True
 
@@ -107,8 +118,9 @@
     def __init__(self, seed: int) -> None:
         self.random_source = Random(seed)
         self.loop = FakeLoop()
-        net = SimpleNamespace(loop=self.loop)
-        self.server = HttpServer(net, ("x", 80), self._answer)  # type: ignore[arg-type]
+        net: Any = SimpleNamespace(loop=self.loop, limit_read=lambda *_: None)
+        budget = ResourceBudget(ProcessLimits().capacity, lambda: 0.0)
+        self.server = HttpServer(net, ("x", 80), self._answer, budget)
         self.clients = [
             self._make_client(f"c{seed}-{number}", number > 0)
             for number in range(self.random_source.choice((2, 3)))
