Proxy: an event of a resumable stream without an end is given up at 256 KiB

Callers saw: nothing until the proxy's memory was gone: a node that sent an event without its blank line was read on for ever. Cause: events of resumable streams are held until they are complete, and nothing bounded an event. Change: an incomplete event over 256 KiB is a broken response, which another node may go on with. Evidence: test_an_event_without_an_end_is_given_up fails without the check, and passes with it.

--- a/coveport/serving/proxy/response_relay.py
+++ b/coveport/serving/proxy/response_relay.py
@@ -22,6 +22,7 @@
 REJECTION_STATUSES = frozenset({408, 421, 429, 503})  # statuses that clients may take to mean "did not run"
 MISDIRECTED_STATUS = 421
 RETRIABLE_ERROR_STATUSES = frozenset({500, 502})  # the request ran and failed; another node may succeed
+MAX_EVENT_BYTES = 256 * 1024  # of an event of a resumable stream, which is held until it is complete
 MAX_STALE_RESPONSES = 2  # responses to other requests that are skipped before the expected response
 
 
@@ -148,6 +149,8 @@
                 data, is_last = await read_or_abandon(connection.read_data, timeouts, timeouts.event_s)
             for event in self.splitter.feed(data):
                 self._forward_event(event)
+            if len(self.splitter.incomplete) > MAX_EVENT_BYTES:
+                raise BrokenResponseError("body", f"an event of at most {MAX_EVENT_BYTES} bytes", "more")
             await self.client.wait_writable()
         self.client.write(bytes(self.splitter.incomplete))
         self.client.finish()
--- a/tests/serving/proxy/test_forwarding.py
+++ b/tests/serving/proxy/test_forwarding.py
@@ -14,6 +14,7 @@
 from coveport.serving.model.configuration import ClientLimits, Configuration, WeightedService
 from coveport.serving.model.node import NodeState
 from coveport.serving.proxy.node_connection import WRITE_BYTES
+from coveport.serving.proxy.response_relay import MAX_EVENT_BYTES
 from coveport.serving.settings.boot import Bounds
 
 LARGE_BODY_BYTES = 4 * 1024 * 1024
@@ -994,3 +995,20 @@
     node_side.resume_reading()
     environment.run_until(lambda: len(environment.nodes[0].arrivals) == 2)
     assert environment.nodes[0].arrivals[1].request.body == bytes(LARGE_BODY_BYTES)
+
+
+def test_an_event_without_an_end_is_given_up() -> None:
+    environment = ProxyEnvironment()
+
+    def send_endless_event(arrival: Arrival) -> None:
+        arrival.begin_events()
+        arrival.connection.write(http1.write_chunk(b"id: 1\ndata: " + bytes(MAX_EVENT_BYTES)))
+
+    for _ in range(2):
+        environment.add_node(send_endless_event)
+    client = environment.connect_client()
+    client.send_request("/a/x")
+    environment.run(client.wait_closed())
+    assert client.responses == []
+    assert environment.metric("broken") == 2
+    environment.check()
