Proxy: the next request waits until the response before it is read

Callers saw: a client that sent request after request and read nothing was answered on and on, into the proxy's memory, and its connection stayed past IdleMs with every byte that it sent. Cause: after a response the next request was read, whether or not the client had read that response. The last piece of a response is not waited for, so that the node is free again.

--- a/coveport/serving/proxy/client_connection.py
+++ b/coveport/serving/proxy/client_connection.py
@@ -96,7 +96,7 @@
         if self._is_rejected:
             return
         self._parser.feed(data)
-        if self._task is None:
+        if self._task is None and self._writable.is_set():
             self._advance()
         else:
             self._hold_pipelined()
@@ -106,12 +106,12 @@
         self._writable.clear()
 
     def resume_writing(self) -> None:
-        """Let `wait_writable` return."""
+        """Let `wait_writable` return, or read the next request."""
         self._writable.set()
         if self._task is not None:
             self._account()
-        elif self._reservation is not None and not self._parser.is_mid_message:
-            self._reservation.wait()
+        elif self._transport is not None and not (self._is_rejected or self._transport.is_closing()):
+            self._read_next()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in flight, as its client has disconnected."""
@@ -151,25 +151,15 @@
     def _wait_for_rest(self) -> None:
         """Wait for the rest of a request, if its bytes can be held, or for the next request."""
         assert self._reservation is not None
-        expected_bytes = self._parser.expected_bytes
-        if not expected_bytes and not self._parser.is_mid_message:
-            self._wait_idle()
-        elif not self._reservation.transfer(expected_bytes):
+        if not self._parser.is_mid_message:
+            self._reservation.wait()
+        elif not self._reservation.transfer(self._parser.expected_bytes):
             self._reject_overload()
             return
         elif self._parser.wants_continue and self._transport is not None:
             self._transport.write(CONTINUE_RESPONSE)
         self._wait_for_request()
 
-    def _wait_idle(self) -> None:
-        """Account for a connection that waits for a request; a response may still be unread."""
-        assert self._reservation is not None
-        unsent_bytes = self._unsent_bytes()
-        if not unsent_bytes:
-            self._reservation.wait()
-        elif not self._reservation.transfer(unsent_bytes):
-            self._close_now()
-
     def _account(self) -> bool:
         """Account for the request that is served, for those pipelined behind it, and for an unread response.
 
@@ -213,10 +203,25 @@
         elif not self._keeps_alive or (self._owner.is_draining and not self._parser.is_mid_message):
             self._close()
         else:
-            if self._is_reading_paused:
-                self._is_reading_paused = False
-                transport.resume_reading()
-            self._advance()
+            self._read_next()
+
+    def _read_next(self) -> None:
+        """Read the next request once the client has read the response before it."""
+        assert self._transport is not None
+        if not self._writable.is_set():
+            self._wait_unread()
+            return
+        if self._is_reading_paused:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+        self._advance()
+
+    def _wait_unread(self) -> None:
+        """Wait until the client has read the response, within the time that it may be idle."""
+        self._stop_timer()
+        self._start_timer(self._limits().idle_ms / 1000, self._close_now)
+        if not self._account():
+            self._close_now()
 
     def _reject(self, status: int) -> None:
         """Respond to an invalid request, and close the connection."""
@@ -255,9 +260,8 @@
         if self._transport is None:
             return
         self._stop_timer()
-        if self._unsent_bytes():
-            self._wait_idle()
-            self._start_timer(self._limits().idle_ms / 1000, self._close_now)
+        if not self._writable.is_set():
+            self._wait_unread()
         self._transport.close()
 
     def _close_now(self) -> None:
--- a/coveport/serving/proxy/response_relay.py
+++ b/coveport/serving/proxy/response_relay.py
@@ -130,7 +130,8 @@
         while not is_last:
             data, is_last = await connection.read_data()
             self.client.write(data)
-            await self.client.wait_writable()
+            if not is_last:  # the node need not wait for a client that is slow to read the end
+                await self.client.wait_writable()
         self.client.finish()
 
     async def _forward_events(
@@ -151,7 +152,8 @@
                 self._forward_event(event)
             if len(self.splitter.incomplete) > MAX_EVENT_BYTES:
                 raise BrokenResponseError("body", f"an event of at most {MAX_EVENT_BYTES} bytes", "more")
-            await self.client.wait_writable()
+            if not is_last:
+                await self.client.wait_writable()
         self.client.write(bytes(self.splitter.incomplete))
         self.client.finish()
 
--- a/tests/serving/proxy/test_client_limits.py
+++ b/tests/serving/proxy/test_client_limits.py
@@ -2,17 +2,26 @@
 
 from __future__ import annotations
 
+import pytest
 from proxy_environment import ProxyEnvironment
 from scripted_node import Arrival, ScriptedClient, event_bytes
 
 from coveport.serving.proxy.client_connection import RETRY_AFTER_S
-from coveport.serving.resource_budget import MIN_ACCEPTED, MIN_DESCRIPTORS, MIN_MEMORY_MB, STALL_S
+from coveport.serving.resource_budget import (
+    CONNECTION_BYTES,
+    MIN_ACCEPTED,
+    MIN_DESCRIPTORS,
+    MIN_MEMORY_MB,
+    STALL_S,
+)
 from coveport.serving.settings.boot import ProcessLimits
 
 BODY_BYTES = 4 * 1024 * 1024  # the largest body within the default limits
 LEAST = ProcessLimits(memory_mb=MIN_MEMORY_MB, descriptors=MIN_DESCRIPTORS)
 IDLE_S = 15.0  # default of IdleMs
 UNREAD_BYTES = 8 * 1024 * 1024
+UNROUTED = b"GET / HTTP/1.1\r\nHost: no\r\n\r\n"
+UNROUTED_REQUESTS = 10_000  # whose responses together are more than the simulated network holds
 HEAD = b"POST /safe/x HTTP/1.1\r\nHost: one.example\r\nCoveport-Try-Id: t\r\n"
 
 
@@ -133,14 +142,31 @@
     assert any(len(client.responses) == 1 for client in clients), "none was dropped"
 
 
-def test_an_unread_response_is_given_up_after_the_idle_time() -> None:
+def test_requests_wait_while_the_responses_before_them_are_unread() -> None:
     environment = ProxyEnvironment()
-    environment.add_node(lambda arrival: arrival.respond(bytes(UNREAD_BYTES)))
     client = environment.connect_client()
     assert client.transport is not None
     client.transport.pause_reading()
-    client.send_request("/safe/x", ("Connection", "close"))
-    environment.run_until(lambda: environment.metric("clients") == 0, 2 * IDLE_S)
+    client.send(UNROUTED * UNROUTED_REQUESTS)
+    environment.sleep(1.0)
+    answered = environment.metric("requests")
+    assert 0 < answered < UNROUTED_REQUESTS
+    assert environment.metric("held_bytes") < UNREAD_BYTES / 16
+    client.transport.resume_reading()
+    environment.run_until(lambda: len(client.responses) == UNROUTED_REQUESTS)
+    environment.check()
+
+
+@pytest.mark.parametrize("last", [b"", b"GET / HTTP/1.1\r\nHost: no\r\nConnection: close\r\n\r\n"])
+def test_responses_that_are_not_read_are_given_up_after_the_idle_time(last: bytes) -> None:
+    environment = ProxyEnvironment()
+    client = environment.connect_client()
+    assert client.transport is not None
+    client.transport.pause_reading()
+    client.send(UNROUTED * UNROUTED_REQUESTS + last)
+    environment.sleep(1.0)
+    assert environment.metric("held_bytes") > CONNECTION_BYTES
+    environment.run_until(lambda: environment.metric("clients") == 0, IDLE_S + 1)
     assert environment.metric("held_bytes") == 0
     environment.check()
 
--- a/tests/serving/web/test_server_limits.py
+++ b/tests/serving/web/test_server_limits.py
@@ -168,6 +168,24 @@
     run(scenario)
 
 
+def test_pipelined_calls_are_handled_one_after_the_other() -> None:
+    async def scenario(environment: Environment) -> None:
+        reader, writer = await environment.connect()
+        writer.write(get("/wait"))
+        await environment.run_until(lambda: environment.handled == ["/wait"])
+        writer.write(get("/second"))
+        for _ in range(1000):
+            await asyncio.sleep(0)
+        assert environment.handled == ["/wait"]
+        environment.may_respond.set()
+        for _ in range(2):
+            assert await environment.status(reader) == 200
+            await reader.readuntil(b"\r\n\r\n")
+        assert environment.handled == ["/wait", "/second"]
+
+    run(scenario)
+
+
 def test_the_end_of_a_caller_is_noticed_while_its_call_is_handled() -> None:
     async def scenario(environment: Environment) -> None:
         _, writer = await environment.connect()
