Coordinator: a configuration of many objects or faults neither hangs nor fills the process

Cause: every fault of a body was collected, and nothing bounded how many objects a text of 8 MiB becomes once it is read. Change: at Control a text with over 250,000 objects and lists gets 413 before it is read; reading stops after 1,000 faults. What is accepted by the state machine, and so by replicas of another version, is as before.

--- a/coveport/serving/configuration/patch.py
+++ b/coveport/serving/configuration/patch.py
@@ -6,10 +6,11 @@
 from typing import Any, Final
 
 from coveport.serving.configuration.json_text import JsonObject
-from coveport.serving.model.findings import Findings, Refusal
+from coveport.serving.model.findings import Findings, Refusal, TooManyFindingsError
 from coveport.serving.wire.names import Config
 
 INVALID_PATCH: Final = "invalid patch"
+MAX_FINDINGS: Final = 1000  # as in a whole configuration
 
 
 def apply_patch(current: Mapping[str, Any], change: Mapping[str, Any]) -> JsonObject | Refusal:
@@ -18,7 +19,16 @@
     Removals are applied first, then upserts: an item replaces the item with its name at the same position, or
     is appended. The limits are replaced as a whole. Removing an unknown name has no effect.
     """
-    findings = Findings()
+    findings = Findings(max_items=MAX_FINDINGS)
+    try:
+        result = _apply(current, change, findings)
+    except TooManyFindingsError:
+        return Refusal(INVALID_PATCH, tuple(findings))
+    return Refusal(INVALID_PATCH, tuple(findings)) if findings else result
+
+
+def _apply(current: Mapping[str, Any], change: Mapping[str, Any], findings: Findings) -> JsonObject:
+    """Return the configuration after a change; it is invalid where there are findings."""
     upserts = _section(change, Config.UPSERT, findings)
     removals = _section(change, Config.REMOVE, findings)
     result = dict(current)
@@ -32,7 +42,7 @@
         _upsert(result, key, items, findings)
     if Config.LIMITS in change:
         result[Config.LIMITS] = change[Config.LIMITS]
-    return Refusal(INVALID_PATCH, tuple(findings)) if findings else result
+    return result
 
 
 def _section(change: Mapping[str, Any], key: str, findings: Findings) -> Mapping[str, Any]:
--- a/coveport/serving/configuration/reader.py
+++ b/coveport/serving/configuration/reader.py
@@ -13,10 +13,11 @@
 from coveport.serving.configuration.tenant_reader import TenantReader
 from coveport.serving.configuration.type_checker import TypeChecker
 from coveport.serving.model.configuration import ClientLimits, Configuration
-from coveport.serving.model.findings import Findings, Refusal
+from coveport.serving.model.findings import Findings, Refusal, TooManyFindingsError
 from coveport.serving.wire.configuration import CONFIGURATION
 
 INVALID: Final = "invalid configuration"
+MAX_FINDINGS: Final = 1000  # more than anyone reads; the time and the memory for all could end the process
 
 _CACHE: Final = DocumentCache()
 
@@ -53,7 +54,16 @@
 
 
 def _validate(data: JsonObject) -> Configuration | Refusal:
-    findings = Findings()
+    findings = Findings(max_items=MAX_FINDINGS)
+    try:
+        configuration = _read(data, findings)
+    except TooManyFindingsError:
+        return Refusal(INVALID, tuple(findings))
+    return Refusal(INVALID, tuple(findings)) if findings else configuration
+
+
+def _read(data: JsonObject, findings: Findings) -> Configuration:
+    """Return the configuration; it is invalid where there are findings."""
     checker = TypeChecker(findings)
     checked = checker.check(RawConfiguration, data, "")
     assert checked is not None  # the checked value is an object
@@ -67,8 +77,6 @@
     if raw.tenants is None and CONFIGURATION["tenants"] in data:
         findings.add(CONFIGURATION["tenants"], "must be a list")
     tenants = None if raw.tenants is None else TenantReader(checker, findings).read(raw.tenants)
-    if findings:
-        return Refusal(INVALID, tuple(findings))
     return Configuration(raw.edition, routes, services, limits, tenants)
 
 
--- a/coveport/serving/coordinator/operator_api.py
+++ b/coveport/serving/coordinator/operator_api.py
@@ -26,6 +26,9 @@
 from coveport.serving.web.router import route
 from coveport.serving.wire.names import ERROR, Header, Path
 
+# Objects and lists of a configuration, which take many times the memory of their text once they are read. The
+# largest configuration that fits into a body, 29,600 routes, has about half as many.
+MAX_CONTAINERS: Final = 250_000
 _TEMPORARY_REDIRECT: Final = 307  # the caller repeats method and body at the new URL (RFC 9110, 15.4.8)
 
 
@@ -99,6 +102,8 @@
         expected_edition = _expected_edition(request)
         if isinstance(expected_edition, ApiResponse):
             return expected_edition
+        if _container_count(request.body) > MAX_CONTAINERS:
+            return json_response(413, {ERROR: f"more than {MAX_CONTAINERS} objects and lists"})
         other_primary = await self._control_plane.find_other_primary()
         if other_primary is not None:
             return self._redirect(request, other_primary)
@@ -123,6 +128,11 @@
         return ApiResponse(_TEMPORARY_REDIRECT, b"", (("Location", location),))
 
 
+def _container_count(body: bytes) -> int:
+    """Return the number of objects and lists in a JSON text, or more if strings contain braces."""
+    return body.count(b"{") + body.count(b"[")
+
+
 def _expected_edition(request: ApiRequest) -> int | ApiResponse | None:
     """Return the edition in `If-Match`; None without this header; for an invalid edition, the response."""
     value = request.header(Header.IF_MATCH)
--- a/coveport/serving/model/findings.py
+++ b/coveport/serving/model/findings.py
@@ -17,15 +17,30 @@
         return f"{self.location}: {self.message}" if self.location else self.message
 
 
+class TooManyFindingsError(Exception):
+    """An input has so many faults that reading it to its end would help nobody."""
+
+
 @dataclass(slots=True)
 class Findings:
-    """All faults of one input, in the order in which they were found."""
+    """All faults of one input, in the order in which they were found.
+
+    `max_items`: the number of faults after which reading stops; None: it goes on to the end.
+    """
 
     items: list[Finding] = field(default_factory=list)
+    max_items: int | None = field(default=None, kw_only=True)
 
     def add(self, location: str, message: str) -> None:
-        """Add a fault."""
+        """Add a fault.
+
+        Raises:
+            TooManyFindingsError: there are `max_items` faults now.
+
+        """
         self.items.append(Finding(location, message))
+        if self.max_items is not None and len(self.items) >= self.max_items:
+            raise TooManyFindingsError
 
     def __bool__(self) -> bool:
         return bool(self.items)
--- a/tests/serving/configuration/test_configuration_patch.py
+++ b/tests/serving/configuration/test_configuration_patch.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from coveport.serving.configuration.patch import apply_patch
+from coveport.serving.configuration.patch import MAX_FINDINGS, apply_patch
 from coveport.serving.model.findings import Refusal
 
 NAMES = st.sampled_from("abcdef")
@@ -85,3 +85,9 @@
     patched = apply_patch(make_configuration(7), change)
     assert isinstance(patched, Refusal)
     assert [finding.location for finding in patched.findings] == locations
+
+
+def test_reading_a_patch_stops_after_many_faults() -> None:
+    refusal = apply_patch({}, {"Edition": 1, "Upsert": {"Routes": [{}] * (MAX_FINDINGS + 1)}})
+    assert isinstance(refusal, Refusal)
+    assert len(refusal.findings) == MAX_FINDINGS
--- a/tests/serving/configuration/test_configuration_reader.py
+++ b/tests/serving/configuration/test_configuration_reader.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from coveport.serving.configuration.raw_types import RawRoute
-from coveport.serving.configuration.reader import read_configuration
+from coveport.serving.configuration.reader import MAX_FINDINGS, read_configuration
 from coveport.serving.model.configuration import Configuration, RouteKind, WeightedService
 from coveport.serving.model.findings import Refusal
 
@@ -310,3 +310,9 @@
     assert len(read_valid(encode_json(make_configuration(7, *similar, *weighted))).routes) == 600
     assert calls.count(RawRoute) == 2
     assert len(calls) <= 8
+
+
+def test_reading_stops_after_many_faults() -> None:
+    refusal = read_configuration(b'{"Edition":1,"Services":[],"Routes":[' + b"{}," * MAX_FINDINGS + b"{}]}")
+    assert isinstance(refusal, Refusal)
+    assert len(refusal.findings) == MAX_FINDINGS
--- a/tests/serving/resource_limits/misbehaving_clients.py
+++ b/tests/serving/resource_limits/misbehaving_clients.py
@@ -106,7 +106,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self.received = bytearray()
-        self.closed = asyncio.Event()
+        self.answered = asyncio.Event()  # set when bytes arrive, and when the connection ends
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -117,6 +117,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.received += data
+        self.answered.set()
 
     def pause_writing(self) -> None:
         self._writable.clear()
@@ -127,7 +128,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._writable.set()
-        self.closed.set()
+        self.answered.set()
 
     async def write(self, data: bytes) -> None:
         """Send bytes, and wait until the kernel has them or the connection is closed."""
--- a/tests/serving/resource_limits/test_misbehaving_clients.py
+++ b/tests/serving/resource_limits/test_misbehaving_clients.py
@@ -15,7 +15,7 @@
 from misbehaving_clients import Crowd, Kind, Pace, Request, crowd_size, head
 from ordinary_clients import KeptConnection, Target, ordinary_answer
 from process_meter import check_bounds
-from small_deployment import LARGE_RESPONSE_PATH, SILENT_PATH, LoweredLimits, SmallDeployment
+from small_deployment import CALL_TIMEOUT_S, LARGE_RESPONSE_PATH, SILENT_PATH, LoweredLimits, SmallDeployment
 from soak import play_seed
 
 from coveport.net.transport import Net
@@ -30,6 +30,8 @@
 RELOADS = 3
 CHANGES = 2
 PIPELINED_BYTES = 256 * 1024  # behind each request that is still served
+PUT_CONFIGURATION = b"PUT /coveport/config HTTP/1.1\r\nHost: c\r\nIf-Match: 1\r\nContent-Length: %d\r\n\r\n"
+FAULTY_CONFIGURATION = b'{"Edition":3,"Routes":[%b]}'
 Misbehave = Callable[[SmallDeployment, Crowd], Awaitable[None]]
 
 
@@ -151,6 +153,20 @@
     asyncio.run(play(tmp_path, LIMITS, Target.INNER, misbehave))
 
 
+@pytest.mark.parametrize("route", [b"{}", b'{"Name":"a-faulty-route"}'], ids=["empty", "named"])
+def test_a_configuration_of_faulty_routes(tmp_path: Path, route: bytes) -> None:
+    async def misbehave(_: SmallDeployment, crowd: Crowd) -> None:
+        await crowd.connect(1)
+        count = (LIMITS.clients.body_bytes - len(FAULTY_CONFIGURATION)) // (len(route) + 1)
+        body = FAULTY_CONFIGURATION % b",".join([route] * count)
+        request = Request(PUT_CONFIGURATION % len(body), lambda: iter([body]))
+        await crowd.send(request, Pace.WHOLE)
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            await crowd.clients[0].answered.wait()
+
+    asyncio.run(play(tmp_path, LIMITS, Target.CONTROL, misbehave))
+
+
 @pytest.mark.parametrize("seed", range(1, 6))
 def test_crowds_at_once_beside_restarts_and_changes(tmp_path: Path, seed: int) -> None:
     asyncio.run(play_seed(seed, tmp_path))
