Proxy: count connections to nodes that bytes close while no request is under way

Operators could see second copies of answers only where they came in front of the next answer with another id (`surplus`). Change: `unsolicited`, counted by the pool where the connection is closed. Behaviour is unchanged.

--- a/coveport/serving/proxy/connection_pool.py
+++ b/coveport/serving/proxy/connection_pool.py
@@ -25,6 +25,7 @@
         self._in_use: dict[str, set[NodeConnection]] = {}
         self._shortest_connect_s_by_zone: dict[str, float] = {}
         self.connects = 0  # connection attempts so far
+        self.unsolicited = 0  # connections closed so far because bytes arrived without a request
 
     def has_capacity(self, incarnation: str, max_connections: int) -> bool:
         """Return whether one more connection stays within `max_connections` of the node; 0: no limit."""
@@ -50,7 +51,7 @@
                 self._add_to_use(node, connection)
                 return connection
             connection.close()
-        connection = NodeConnection(self._net)
+        connection = NodeConnection(self._net, self._count_unsolicited)
         self._add_to_use(node, connection)
         try:
             await self._connect(node, connection)
@@ -61,7 +62,7 @@
 
     async def check_connect(self, node: Node) -> bool:
         """Return whether a new connection to the node can be established; keep it for the next request."""
-        connection = NodeConnection(self._net)
+        connection = NodeConnection(self._net, self._count_unsolicited)
         try:
             await self._connect(node, connection)
         except ConnectFailedError:
@@ -69,6 +70,9 @@
         self._add_to_idle(node, connection)
         return True
 
+    def _count_unsolicited(self) -> None:
+        self.unsolicited += 1
+
     async def _connect(self, node: Node, connection: NodeConnection) -> None:
         self.connects += 1
         is_local = node.region == self._region
--- a/coveport/serving/proxy/data_path.py
+++ b/coveport/serving/proxy/data_path.py
@@ -116,6 +116,7 @@
             "in_flight": float(self._requests_in_flight),
             "waiting": float(len(self._context.queues)),
             "connects": float(self._context.pool.connects),
+            "unsolicited": float(self._context.pool.unsolicited),
             "held_bytes": float(self._resources.used_bytes),
             "sheds": float(self._resources.sheds),
         }
--- a/coveport/serving/proxy/node_connection.py
+++ b/coveport/serving/proxy/node_connection.py
@@ -25,8 +25,13 @@
 class NodeConnection(asyncio.Protocol):
     """Sends a request and reads its response."""
 
-    def __init__(self, net: Net) -> None:
+    def __init__(self, net: Net, on_unsolicited: Callable[[], None] = lambda: None) -> None:
+        """Create a connection that is not established yet.
+
+        `on_unsolicited` is called when bytes arrive without a request, which closes the connection.
+        """
         self._net = net
+        self._on_unsolicited = on_unsolicited
         self._transport: asyncio.Transport | None = None
         self._parser = http1.ResponseParser(MAX_RESPONSE_BYTES, 0)
         self._waiter: asyncio.Future[None] | None = None
@@ -69,6 +74,7 @@
     def data_received(self, data: bytes) -> None:
         """Buffer bytes for the reader. Runs for every read, so it makes few calls."""
         if not self._is_in_use:  # the bytes belong to no request
+            self._on_unsolicited()
             self.close()
             return
         self.last_received_s = self._net.now_s()
--- a/tests/serving/proxy/test_forwarding.py
+++ b/tests/serving/proxy/test_forwarding.py
@@ -492,6 +492,22 @@
     environment.check()
 
 
+def test_bytes_on_an_idle_connection_to_a_node_close_it_and_are_counted() -> None:
+    environment = ProxyEnvironment()
+    node = environment.add_node(lambda arrival: arrival.respond(b"x", 200, ("Keep-Alive", "timeout=9")))
+    client = environment.connect_client()
+    for number in range(2):
+        client.send_request("/u/x", attempt_id=f"t-{number}")
+        assert environment.run(client.response(number)) is not None
+        environment.sleep(0.1)
+        node.connections[-1].write(b"HTTP/1.1 200 OK\r\n")
+        environment.sleep(0.1)
+        assert node.connections[-1].is_closed
+    assert len(node.connections) == 2
+    assert environment.metric("unsolicited") == 2 and environment.metric("surplus") == 0
+    environment.check()
+
+
 def test_stale_response_to_another_request_is_skipped() -> None:
     environment = ProxyEnvironment()
 
