Proxy: a request is sent at most once on a connection to a node

Cause: a response was known to belong to an attempt by the id alone, and all attempts of one client's try have one id. A rejection put its connection back into the pool, the next attempt took it, and a late second copy of the rejection was read as that attempt's response. Evidence: a trial that printed each attempt's connection: in every request that ran twice the second attempt went out on the connection of the first, was "rejected" 1 ms later while the server's record has it running, and `surplus` stayed 0. Ruled out by it: retries after a broken write (none), a second try of the client (one request a try), another proxy (one each). Change: a request remembers the connections that carried it, and the pool gives it another idle one or a new one; the rejected one serves other requests, where a copy has another id and is skipped. So a retry opens a connection only where none is idle; it closes the longest idle one where this proxy's quota of MaxConns would be exceeded.

--- a/coveport/serving/proxy/connection_pool.py
+++ b/coveport/serving/proxy/connection_pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from coveport.net.address import parse_address
 from coveport.net.transport import Net
@@ -36,21 +36,25 @@
         in_use = self._in_use.get(incarnation, ())
         return max((connection.last_received_s for connection in in_use), default=0.0)
 
-    async def acquire(self, node: Node) -> NodeConnection:
+    async def acquire(
+        self, node: Node, *, excluded: Collection[NodeConnection] = (), max_connections: int = 0
+    ) -> NodeConnection:
         """Return a connection to the node, idle or new.
 
+        Args:
+            node: the node.
+            excluded: connections that are not returned.
+            max_connections: limit of this proxy's connections to the node, idle ones included; 0: no limit.
+
         Raises:
             ConnectFailedError: no new connection could be established.
 
         """
-        now_s = self._net.now_s()
-        idle = self._idle.get(node.incarnation, [])
-        while idle:
-            connection = idle.pop()
-            if connection.is_open and not connection.is_expiring(now_s):
-                self._add_to_use(node, connection)
-                return connection
-            connection.close()
+        connection = self._take_idle(node, excluded)
+        if connection is not None:
+            self._add_to_use(node, connection)
+            return connection
+        self._close_excess_idle(node.incarnation, max_connections, opening=1)
         connection = NodeConnection(self._net, self._count_unsolicited)
         self._add_to_use(node, connection)
         try:
@@ -60,6 +64,30 @@
             raise
         return connection
 
+    def _take_idle(self, node: Node, excluded: Collection[NodeConnection]) -> NodeConnection | None:
+        """Remove and return the last used idle connection that is usable; close those that are not."""
+        now_s = self._net.now_s()
+        idle = self._idle.get(node.incarnation, [])
+        for index in reversed(range(len(idle))):
+            connection = idle[index]
+            if connection in excluded:
+                continue
+            del idle[index]
+            if connection.is_open and not connection.is_expiring(now_s):
+                return connection
+            connection.close()
+        return None
+
+    def _close_excess_idle(self, incarnation: str, max_connections: int, *, opening: int = 0) -> None:
+        """Close the longest idle connections until all, and those being opened, are within the limit."""
+        idle = self._idle.get(incarnation)
+        if not idle or max_connections <= 0:
+            return
+        excess = len(idle) + len(self._in_use.get(incarnation, ())) + opening - max_connections
+        for connection in idle[: max(0, excess)]:
+            connection.close()
+        del idle[: max(0, excess)]
+
     async def check_connect(self, node: Node) -> bool:
         """Return whether a new connection to the node can be established; keep it for the next request."""
         connection = NodeConnection(self._net, self._count_unsolicited)
--- a/coveport/serving/proxy/exchange.py
+++ b/coveport/serving/proxy/exchange.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 
 from coveport.serving.proxy.failure_response import send_failure, send_routing_failure
-from coveport.serving.proxy.headers import first_value
 from coveport.serving.proxy.in_flight_request import InFlightRequest
 from coveport.serving.proxy.node_acquisition import acquire_node
 from coveport.serving.proxy.node_connection import NodeConnection
@@ -15,7 +14,6 @@
 from coveport.serving.proxy.request_routing import RoutingFailure
 from coveport.serving.proxy.response_relay import ResponseRelay
 from coveport.serving.proxy.retry_policy import AttemptOutcome, RetryPolicy
-from coveport.serving.wire.names import Header
 
 
 @dataclass(slots=True)
@@ -32,7 +30,7 @@
         request = self.request
         self._relay = ResponseRelay(
             request.client,
-            first_value(request.message.headers, Header.ATTEMPT_ID),
+            request.attempt_id,
             request.routed.route.resumable,
             self.context.counters,
             request.sequence,
--- a/coveport/serving/proxy/in_flight_request.py
+++ b/coveport/serving/proxy/in_flight_request.py
@@ -7,7 +7,10 @@
 from coveport import http1
 from coveport.serving.proxy.client_connection import ClientConnection
 from coveport.serving.proxy.event_stream import EventSequence
+from coveport.serving.proxy.headers import first_value
+from coveport.serving.proxy.node_connection import NodeConnection
 from coveport.serving.proxy.routed_request import RoutedRequest
+from coveport.serving.wire.names import Header
 
 
 @dataclass(slots=True)
@@ -25,6 +28,14 @@
     has_success_started: bool = False  # whether a node has started a successful response
     # Incarnations whose response broke off or was an error.
     failed_nodes: set[str] = field(default_factory=set)
+    # Connections that carried an attempt. All attempts have one id, so on these a late copy of a response to
+    # an earlier attempt couldn't be told from the response to a new one.
+    used_connections: list[NodeConnection] = field(default_factory=list)
+
+    @property
+    def attempt_id(self) -> str | None:
+        """The id that the client gave the request; None if it has none."""
+        return first_value(self.message.headers, Header.ATTEMPT_ID) or None
 
     def release_body(self) -> None:
         """Drop the body, as the request will not be sent again."""
--- a/coveport/serving/proxy/node_selection.py
+++ b/coveport/serving/proxy/node_selection.py
@@ -128,11 +128,11 @@
     def _has_capacity(self, known: KnownNode, service: Service, now_s: float) -> bool:
         return (
             self.observations.outliers.at_capacity_until_s(known.node.incarnation) <= now_s
-            and self.pool.has_capacity(known.node.incarnation, self._max_connections(service))
+            and self.pool.has_capacity(known.node.incarnation, self.max_connections(service))
             and self.observations.slow_start.may_send(known, service, self.view, now_s)
         )
 
-    def _max_connections(self, service: Service) -> int:
+    def max_connections(self, service: Service) -> int:
         """Return how many connections this proxy may have to one node; 0: no limit."""
         if service.max_connections <= 0:
             return 0
--- a/coveport/serving/proxy/request_forwarder.py
+++ b/coveport/serving/proxy/request_forwarder.py
@@ -32,7 +32,11 @@
         selected_s = context.net.now_s()
         context.observations.record_selected(known_node, self.request.routed, selected_s)
         try:
-            connection = await context.pool.acquire(node)
+            connection = await context.pool.acquire(
+                node,
+                excluded=self.request.used_connections,
+                max_connections=context.selector.max_connections(self.request.routed.service),
+            )
         except ConnectFailedError:
             context.observations.record_finished(known_node)
             context.counters.add("connects_failed")
@@ -46,7 +50,9 @@
             if not self._write(known_node, connection, selected_s):
                 return AttemptOutcome.NOT_SENT
             outcome = await self._relay(known_node, connection)
-            is_reusable = outcome in (AttemptOutcome.COMPLETE, AttemptOutcome.NOT_RUN)
+            is_complete = outcome in (AttemptOutcome.COMPLETE, AttemptOutcome.NOT_RUN)
+            # Without an id, a late copy of this response would be taken for that to another such request.
+            is_reusable = is_complete and self.request.attempt_id is not None
             return outcome
         finally:
             context.observations.record_finished(known_node)
@@ -73,6 +79,7 @@
             self.retries.spend(now_s)
             context.counters.add("resumed" if request.client.has_begun else "retries")
         request.attempts += 1
+        request.used_connections.append(connection)
         return True
 
     def _observe_event_gaps(self, known_node: KnownNode, connection: NodeConnection) -> None:
--- a/coveport/serving/proxy/response_relay.py
+++ b/coveport/serving/proxy/response_relay.py
@@ -1,6 +1,12 @@
 """Relays a node's response to the client.
 
 A response to another request is never forwarded, and a truncated response never looks complete.
+
+A node in trouble may send a second copy of a response, which may arrive in the place of the next response on
+its connection. A response belongs to the attempt that is in flight on its connection if it contains the id of
+the request. All attempts of a request have that id, so two rules make it unique on a connection: a request is
+sent at most once on a connection (`InFlightRequest.used_connections`), and a connection that carried a
+request without an id carries no other request (`RequestForwarder`). A response with another id is skipped.
 """
 
 from __future__ import annotations
@@ -86,7 +92,7 @@
                 response = await connection.read_head()
             else:
                 response = await read_or_abandon(connection.read_head, timeouts, timeouts.head_s)
-            attempt_id = first_value(response.headers, Header.ATTEMPT_ID)
+            attempt_id = first_value(response.headers, Header.ATTEMPT_ID) or None
             if attempt_id == self.attempt_id:
                 return response
             if attempt_id is None:
--- a/tests/serving/proxy/test_hostile_nodes.py
+++ b/tests/serving/proxy/test_hostile_nodes.py
@@ -7,19 +7,22 @@
 
 import asyncio
 import re
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from proxy_environment import ProxyEnvironment
-from scripted_node import Arrival, ScriptedClient
+from proxy_environment import RESUMABLE, SAFE, UNSAFE_STREAM, ProxyEnvironment
+from scripted_node import Arrival, Connection, ScriptedClient
 
 from coveport import http1
 
 EVENT_COUNT = 6
 PATHS = ("/a/x", "/u/x", "/safe/x")
+MANY_ATTEMPTS = tuple(
+    replace(route, max_attempts=4, latency_target_ms=2500) for route in (RESUMABLE, UNSAFE_STREAM, SAFE)
+)
 
 
 @dataclass
@@ -27,7 +30,9 @@
     """Nodes with randomly drawn faults; every body that they send names the attempt it belongs to."""
 
     random: Random
+    copies_rejections: bool = False  # whether rejections come once more, before the connection's next answer
     runs: dict[str, int] = field(default_factory=dict)  # number of runs by attempt id
+    owed: dict[Connection, bytes] = field(default_factory=dict)  # copies that are still to be sent
 
     def event(self, attempt_id: str, number: int) -> bytes:
         return b"id: %d\ndata: %s part %d\n\n" % (number, attempt_id.encode(), number)
@@ -43,15 +48,17 @@
     async def respond(self, arrival: Arrival) -> None:
         """Respond correctly, or with a randomly drawn fault."""
         random, attempt_id = self.random, arrival.header("Coveport-Try-Id") or ""
+        if owed := self.owed.pop(arrival.connection, b""):
+            arrival.connection.write(owed)
         fault = random.choice(
             ["good"] * 3 + ["refuse", "misdirect", "reset", "close", "cut", "cut", "garble", "mangle"]
         )
         fault = random.choice([fault, fault, "late surplus", "extra"])
         if fault == "refuse":
-            arrival.reject(random.choice([503, 429]))
+            self._reject(arrival, random.choice([503, 429]))
             return
         if fault == "misdirect":
-            arrival.reject(421)
+            self._reject(arrival, 421)
             return
         self.runs[attempt_id] = self.runs.get(attempt_id, 0) + 1
         if fault == "reset":
@@ -64,6 +71,12 @@
         else:
             await self._stream(arrival, attempt_id, fault)
 
+    def _reject(self, arrival: Arrival, status: int) -> None:
+        arrival.reject(status)
+        if self.copies_rejections:
+            headers = [("Coveport-Not-Run", "1"), ("Keep-Alive", "timeout=5"), ("Content-Length", "0")]
+            self.owed[arrival.connection] = arrival.head(status, *headers)
+
     async def _stream(self, arrival: Arrival, attempt_id: str, fault: str) -> None:
         random = self.random
         if fault == "late surplus":
@@ -89,11 +102,11 @@
             random.choice([arrival.connection.close, arrival.connection.abort])()
 
 
-def run_exchanges(seed: int) -> int:
+def run_exchanges(seed: int, *, copies_rejections: bool = False) -> int:
     """Run some clients against hostile nodes; return the number of complete successful responses."""
     random = Random(seed)
-    environment = ProxyEnvironment()
-    nodes = HostileNodes(random)
+    environment = ProxyEnvironment(routes=MANY_ATTEMPTS if copies_rejections else ())
+    nodes = HostileNodes(random, copies_rejections)
     for _ in range(random.randrange(1, 5)):
         environment.add_node(nodes.respond)
     sent_requests: list[tuple[ScriptedClient, int, str, str]] = []
@@ -166,6 +179,11 @@
     assert sum(run_exchanges(seed) for seed in range(first_seed, first_seed + 20)) > 10
 
 
+def test_late_copies_of_rejections_let_nothing_run_twice() -> None:
+    """Guards against TWICE and REFUSED: a rejection that comes twice counts for no other attempt."""
+    assert sum(run_exchanges(seed, copies_rejections=True) for seed in range(300)) > 100
+
+
 def test_late_byte_after_a_response_is_not_read_into_the_next() -> None:
     """A stray byte follows 20 ms after a complete response; by then the connection carries a new request."""
     run_exchanges(204398)
