Sidecar: a late copy of a rejection is not taken for the answer to a later operation

Cause: answers of ledger nodes contain no id; a connection was kept after each rejection, and reused 10 ms later by any operation. Change: a connection is closed at its second rejection, which may be a copy of the first (what answers it owes ends with it), and an operation that must not run twice is not sent on a connection that carried a rejection. Others go on using it, so that overload costs one connection for two rejections at the most.

--- a/coveport/sidecar/reducer/operation.py
+++ b/coveport/sidecar/reducer/operation.py
@@ -27,6 +27,11 @@
     upload: Upload | None = None  # a streamed body; `body` is empty then
     prior_attempts: tuple[PriorAttempt, ...] = ()  # attempts that other instances have made
 
+    @property
+    def runs_at_most_once(self) -> bool:
+        """Whether the operation must never run twice: its class is neither safe (GET) nor keyed."""
+        return self.method != "GET" and self.key is None
+
 
 @dataclass(slots=True)
 class Answer:
--- a/coveport/sidecar/upstream/connection_pool.py
+++ b/coveport/sidecar/upstream/connection_pool.py
@@ -116,7 +116,7 @@
         `began`, `sent` and `fence`: see `Attempt`.
         """
         attempt = Attempt(self, operation, timeout_s, done, began, sent, fence)
-        while idle := self._idle.get(number):
+        while idle := self._usable(number, operation):
             # Guards against a close right after an answer, which would be noticed only by a reset, and
             # against a second answer right after the first, which would be taken for the next operation's.
             now = self.net.now_s()
@@ -136,6 +136,18 @@
         self._open(number, attempt)
         return attempt
 
+    def _usable(self, number: int, operation: Operation | None) -> list[Connection]:
+        """Return the idle connections that may carry an operation, the last used one last.
+
+        Answers contain no id, so a late second copy of a rejection would be taken for the answer to the next
+        operation on its connection. An operation that must not run twice is not sent there: it would be
+        retried, although it runs.
+        """
+        idle = self._idle.get(number, [])
+        if operation is None or not operation.runs_at_most_once:
+            return idle
+        return [connection for connection in idle if not connection.has_carried_rejection]
+
     def _reuse(self, connection: Connection, attempt: Attempt) -> bool:
         """Send an attempt on an idle connection; close the connection and return False if it is unusable."""
         if self.net.now_s() - connection.idle_since < self._idle_s and connection.is_quiet:
--- a/coveport/sidecar/upstream/http1_connection.py
+++ b/coveport/sidecar/upstream/http1_connection.py
@@ -47,6 +47,7 @@
         self._transport: asyncio.Transport | None = None
         self._write_paused = False
         self.idle_since = 0.0
+        self.has_carried_rejection = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the attempt that the connection was opened for."""
@@ -185,8 +186,18 @@
                 # Guards against a success for an operation that the node has not received completely.
                 attempt.fail_malformed()
                 return
-            keep = response.keep_alive and attempt.sent and not self._parser.is_mid_message
-            attempt.end(self._result(response), keep)
+            self._end_attempt(attempt, response)
+
+    def _end_attempt(self, attempt: Attempt, response: http1.Response) -> None:
+        """End the attempt with a complete answer; keep the connection if its next answer can be matched."""
+        result = self._result(response)
+        keep = response.keep_alive and attempt.sent and not self._parser.is_mid_message
+        if result.outcome is Outcome.FULL:
+            # The second rejection may be a late copy of the first: then the answer to this attempt is still
+            # to come, and would be taken for that to the next one.
+            keep = keep and not self.has_carried_rejection
+            self.has_carried_rejection = True
+        attempt.end(result, keep)
 
     def _begin_answer(self, attempt: Attempt, response: http1.Response) -> None:
         """Begin a streamed answer, whose head was received."""
--- a/coveport/sidecar/upstream/protocol.py
+++ b/coveport/sidecar/upstream/protocol.py
@@ -15,6 +15,7 @@
 class Connection(AttemptConnection, Protocol):
     """One connection to a destination, or a stream of a connection; it carries one attempt at a time."""
 
+    has_carried_rejection: bool  # whether an answer on it said that its operation did not run
     idle_since: float  # when the connection returned to the pool, in seconds of the event loop's clock
 
     def carry(self, attempt: Attempt) -> None:
--- a/tests/sidecar/upstream/test_connection_pool.py
+++ b/tests/sidecar/upstream/test_connection_pool.py
@@ -37,6 +37,7 @@
 
 class _Connection:
     is_quiet, is_waiting_for_client = True, False
+    has_carried_rejection = False
 
     def __init__(self, name: str, endpoint: EndpointAddress) -> None:
         self.name = name
