Proxy: limits of a new configuration hold on open connections, raised and lowered

A timer that was running took IdleMs or HeaderReadMs at its start and kept it. Change: DataPath applies changed limits to all client connections: their parsers' sizes and, in client_timeout.py, the rest of the time-out that is running, which counts from the beginning of its wait. Nothing is read per request; connections are visited when limits change. Besides: the time-out of a connection is one object, in which the next one always replaces the last (abort() left one running).

--- a/coveport/serving/proxy/client_connection.py
+++ b/coveport/serving/proxy/client_connection.py
@@ -9,6 +9,7 @@
 from coveport import http1
 from coveport.net.transport import Net
 from coveport.serving.model.configuration import ClientLimits
+from coveport.serving.proxy.client_timeout import ClientTimeout, ClientWait
 from coveport.serving.proxy.response_writing import status_line, write_response
 from coveport.serving.resource_budget import STALL_S, Reservation, ResourceBudget, Shortage
 from coveport.serving.wire.names import CanonicalHeader
@@ -60,7 +61,7 @@
         self._reservation: Reservation | None = None
         self._request_bytes = 0  # bytes of the body of the request that is served
         self._task: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._timeout = ClientTimeout(net, limits, self._on_timeout)
         self._writable = asyncio.Event()
         self._writable.set()
         self._is_rejected = False  # whether a request was rejected; all bytes received after it are discarded
@@ -71,7 +72,6 @@
         # Whether the response has a length or is chunked, so that its end is not the close.
         self._is_framed = False
         self._keeps_alive = False
-        self._is_reading_head = False  # whether the running timer limits the time to read a head
 
     # Callbacks of asyncio.Protocol.
 
@@ -115,7 +115,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in flight, as its client has disconnected."""
-        self._stop_timer()
+        self._timeout.close()
         self._transport = None
         self._writable.set()
         self._parser.discard()
@@ -141,7 +141,7 @@
         if not self._account():
             self._reject_overload()
             return
-        self._stop_timer()
+        self._timeout.stop()
         self._has_begun = False
         self._is_finished = False
         self._keeps_alive = request.keep_alive
@@ -218,8 +218,7 @@
 
     def _wait_unread(self) -> None:
         """Wait until the client has read the response, within the time that it may be idle."""
-        self._stop_timer()
-        self._start_timer(self._limits().idle_ms / 1000, self._close_now)
+        self._timeout.begin(ClientWait.READER)
         if not self._account():
             self._close_now()
 
@@ -242,8 +241,7 @@
         transport.write(response)
         if transport.can_write_eof():
             transport.write_eof()
-        self._stop_timer()
-        self._start_timer(LINGER_S, self.abort)
+        self._timeout.call_later(LINGER_S, self.abort)
 
     def _give_way(self, shortage: Shortage) -> None:
         """Give way to other connections; this one is idle, or is sending a request or reading a response."""
@@ -259,7 +257,7 @@
         """Close the connection once the client has read the response, within the time it may be idle."""
         if self._transport is None:
             return
-        self._stop_timer()
+        self._timeout.stop()
         if not self._writable.is_set():
             self._wait_unread()
         self._transport.close()
@@ -269,34 +267,34 @@
         if self._transport is not None:
             self._transport.abort()
 
-    # Time-outs.
+    # Time-outs and limits.
 
-    def _wait_for_request(self) -> None:
+    def apply_limits(self) -> None:
+        """Apply the limits of a new configuration, to the request that is being read too.
+
+        A body whose length was accepted is still read completely.
+        """
         limits = self._limits()
+        self._parser.max_head_bytes = limits.header_bytes
+        self._parser.max_body_bytes = limits.body_bytes
+        self._timeout.apply_limits()
+
+    def _wait_for_request(self) -> None:
         if not self._parser.is_mid_message:
-            self._stop_timer()
-            self._start_timer(limits.idle_ms / 1000, self.close_idle)
+            self._timeout.begin(ClientWait.REQUEST)
         elif self._parser.received_body_bytes:
             # A body may take any time while bytes keep coming.
-            self._stop_timer()
-            self._start_timer(limits.idle_ms / 1000, self._on_read_timeout)
-        elif self._timer is None or not self._is_reading_head:
-            self._stop_timer()
-            self._start_timer(limits.header_read_ms / 1000, self._on_read_timeout)
-            self._is_reading_head = True
-
-    def _on_read_timeout(self) -> None:
-        self._timer = None
-        self._reject(408)
-
-    def _start_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
-        self._timer = self._net.loop.call_later(delay_s, callback)
-
-    def _stop_timer(self) -> None:
-        self._is_reading_head = False
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+            self._timeout.begin(ClientWait.BODY)
+        else:
+            self._timeout.begin_head()
+
+    def _on_timeout(self, wait: ClientWait) -> None:
+        if wait is ClientWait.REQUEST:
+            self.close_idle()
+        elif wait is ClientWait.READER:
+            self._close_now()
+        else:
+            self._reject(408)
 
     # Responses.
 
@@ -383,7 +381,7 @@
             self._net.reset(transport)
             return
         transport.close()
-        self._start_timer(LINGER_S, transport.abort)
+        self._timeout.call_later(LINGER_S, transport.abort)
 
 
 def _overload_response() -> bytes:
--- a/coveport/serving/proxy/client_listener.py
+++ b/coveport/serving/proxy/client_listener.py
@@ -65,6 +65,11 @@
         """Remove a connection that has ended."""
         self._connections.discard(connection)
 
+    def apply_limits(self) -> None:
+        """Apply the limits of a new configuration to the open connections."""
+        for connection in list(self._connections):
+            connection.apply_limits()
+
     async def drain(self, until_s: float) -> None:
         """Respond to accepted requests, and stop accepting connections after `DRAIN_ACCEPT_S`.
 
--- a/coveport/serving/proxy/data_path.py
+++ b/coveport/serving/proxy/data_path.py
@@ -75,9 +75,22 @@
         if telemetry is not None:
             telemetry.current_loads = self._make_load_sampler().next_loads
         self._maintenance = NodeMaintenance(
-            net, view, self._context.pool, self._context.observations, self._counters
+            net,
+            view,
+            self._context.pool,
+            self._context.observations,
+            self._counters,
         )
         self._requests_in_flight = 0
+        self._applied_limits = self._limits()
+        view.listeners.append(self._apply_limits)
+
+    def _apply_limits(self) -> None:
+        """Apply the limits on clients to the connections that were opened under others."""
+        limits = self._limits()
+        if limits != self._applied_limits:
+            self._applied_limits = limits
+            self._listener.apply_limits()
 
     def apply_bounds(self, bounds: Bounds) -> None:
         """Apply the bounds that can change while the data path runs (`reloadable`)."""
--- /dev/null
+++ b/tests/serving/proxy/test_configuration_changes.py
@@ -0,0 +1,222 @@
+"""A change of the configuration reaches what was begun under the configuration before it.
+
+Guards against CONFIG and DENIED: a connection, time-out, queue or quota that keeps a value which it took from
+a configuration. Values are raised and lowered alike.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+from proxy_environment import UNSAFE_STREAM, ProxyEnvironment
+from scripted_node import Arrival, ScriptedClient
+
+from coveport.serving.model.configuration import ClientLimits
+
+CONFIG_APPLY_S = 2.5  # `ConfigApplyMs` of the deployments
+LOW = ClientLimits(header_bytes=2000, body_bytes=1000, header_read_ms=1000, idle_ms=1000)
+HIGH = ClientLimits(header_bytes=40_000, body_bytes=100_000, header_read_ms=10_000, idle_ms=10_000)
+LARGE_BODY = bytes(50_000)
+UNROUTED_REQUESTS = 10_000  # whose responses together are more than the simulated network holds
+LONG_HEADER = ("X-Long", "y" * 20_000)
+HEAD = b"POST /safe/x HTTP/1.1\r\nHost: one.example\r\nCoveport-Try-Id: t\r\n"
+
+
+def respond(arrival: Arrival) -> None:
+    arrival.respond(b"x", 200, ("Keep-Alive", "timeout=9"))
+
+
+def configure(
+    environment: ProxyEnvironment,
+    limits: ClientLimits | None = None,
+) -> None:
+    """Put a configuration with a higher edition in force."""
+    before = environment.view.configuration
+    assert before is not None
+    environment.view.configuration = replace(
+        before,
+        edition=before.edition + 1,
+        limits=limits or before.limits,
+    )
+    environment.view.notify_listeners()
+
+
+def environment_with(limits: ClientLimits) -> ProxyEnvironment:
+    environment = ProxyEnvironment()
+    environment.add_node(respond)
+    configure(environment, limits)
+    return environment
+
+
+def used_client(environment: ProxyEnvironment) -> ScriptedClient:
+    """Return a client whose kept connection has carried a request."""
+    client = environment.connect_client()
+    client.send_request("/safe/x")
+    response = environment.run(client.response())
+    assert response is not None and response.status == 200
+    return client
+
+
+def send_large_body(client: ScriptedClient) -> None:
+    client.send_request("/safe/x", body=LARGE_BODY)
+
+
+def send_large_body_in_chunks(client: ScriptedClient) -> None:
+    chunk = b"%x\r\n%b\r\n" % (len(LARGE_BODY), LARGE_BODY)
+    client.send(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunk + b"0\r\n\r\n")
+
+
+def send_long_head(client: ScriptedClient) -> None:
+    client.send_request("/safe/x", LONG_HEADER, body=b"")
+
+
+@pytest.mark.parametrize(
+    ("send", "too_large"), [(send_large_body, 413), (send_large_body_in_chunks, 413), (send_long_head, 431)]
+)
+@pytest.mark.parametrize(("before", "after"), [(LOW, HIGH), (HIGH, LOW)])
+def test_size_limits_of_a_new_configuration_hold_on_kept_connections(
+    send: Callable[[ScriptedClient], None], too_large: int, before: ClientLimits, after: ClientLimits
+) -> None:
+    environment = environment_with(before)
+    client = used_client(environment)
+    configure(environment, after)
+    send(client)
+    response = environment.run(client.response(1))
+    assert response is not None and response.status == (200 if after is HIGH else too_large)
+    environment.check()
+
+
+@pytest.mark.parametrize(("before", "after"), [(LOW, HIGH), (HIGH, LOW)])
+def test_body_limit_of_a_new_configuration_holds_for_a_body_that_arrives_in_chunks(
+    before: ClientLimits, after: ClientLimits
+) -> None:
+    environment = environment_with(before)
+    client = environment.connect_client()
+    client.send(HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+    environment.sleep(0.1)
+    configure(environment, after)
+    client.send(b"%x\r\n%b\r\n0\r\n\r\n" % (len(LARGE_BODY), LARGE_BODY))
+    response = environment.run(client.response())
+    assert response is not None and response.status == (200 if after is HIGH else 413)
+    environment.check()
+
+
+def test_limits_of_the_first_configuration_hold_on_connections_that_came_before_it() -> None:
+    environment = ProxyEnvironment()
+    environment.add_node(respond)
+    configuration = environment.view.configuration
+    environment.view.configuration = None
+    environment.view.notify_listeners()
+    client = environment.connect_client()
+    environment.sleep(0.1)
+    environment.view.configuration = configuration
+    configure(environment, LOW)
+    send_large_body(client)
+    response = environment.run(client.response())
+    assert response is not None and response.status == 413
+    environment.check()
+
+
+def wait_idle(client: ScriptedClient) -> None:
+    """Send nothing further."""
+
+
+def begin_head(client: ScriptedClient) -> None:
+    client.send(HEAD)
+
+
+def begin_body(client: ScriptedClient) -> None:
+    client.send(HEAD + b"Content-Length: 500\r\n\r\nx")
+
+
+WAITS = [(wait_idle, []), (begin_head, [408]), (begin_body, [408])]
+
+
+@pytest.mark.parametrize(("begin", "statuses"), WAITS)
+def test_lowered_times_end_what_has_waited_for_longer(
+    begin: Callable[[ScriptedClient], None], statuses: list[int]
+) -> None:
+    environment = environment_with(HIGH)
+    client = used_client(environment)
+    begin(client)
+    environment.sleep(3.0)
+    configure(environment, LOW)
+    began_s = environment.time.now
+    environment.run(client.wait_closed())
+    assert environment.time.now - began_s < CONFIG_APPLY_S
+    assert [response.status for response in client.responses[1:]] == statuses
+    environment.check()
+
+
+@pytest.mark.parametrize(("begin", "statuses"), WAITS)
+def test_lowered_times_count_from_the_beginning_of_the_wait(
+    begin: Callable[[ScriptedClient], None], statuses: list[int]
+) -> None:
+    environment = environment_with(HIGH)
+    client = used_client(environment)
+    begin(client)
+    began_s = environment.time.now
+    environment.sleep(0.5)
+    configure(environment, LOW)
+    environment.run(client.wait_closed())
+    assert 0.9 < environment.time.now - began_s < 1.3
+    assert [response.status for response in client.responses[1:]] == statuses
+    environment.check()
+
+
+@pytest.mark.parametrize(("begin", "statuses"), WAITS)
+def test_raised_times_count_from_the_beginning_of_the_wait(
+    begin: Callable[[ScriptedClient], None], statuses: list[int]
+) -> None:
+    environment = environment_with(LOW)
+    client = used_client(environment)
+    begin(client)
+    began_s = environment.time.now
+    environment.sleep(0.5)
+    configure(environment, HIGH)
+    environment.run(client.wait_closed())
+    assert 9.9 < environment.time.now - began_s < 10.3
+    assert [response.status for response in client.responses[1:]] == statuses
+    environment.check()
+
+
+@pytest.mark.parametrize(("before", "after"), [(LOW, HIGH), (HIGH, LOW)])
+def test_time_for_reading_a_response_follows_the_configuration(
+    before: ClientLimits, after: ClientLimits
+) -> None:
+    environment = environment_with(before)
+    client = environment.connect_client()
+    assert client.transport is not None
+    client.transport.pause_reading()
+    client.send(b"GET / HTTP/1.1\r\nHost: no\r\n\r\n" * UNROUTED_REQUESTS)
+    environment.sleep(0.5)
+    configure(environment, after)
+    began_s = environment.time.now
+    environment.run_until(lambda: environment.metric("clients") == 0)
+    assert environment.time.now - began_s == pytest.approx(after.idle_ms / 1000 - 0.5, abs=0.6)
+    environment.check()
+
+
+def test_an_unchanged_time_out_is_not_extended_by_other_changes() -> None:
+    environment = environment_with(LOW)
+    client = used_client(environment)
+    began_s = environment.time.now
+    for _ in range(8):
+        environment.sleep(0.1)
+        configure(environment)
+    environment.run(client.wait_closed())
+    assert environment.time.now - began_s < 1.2
+    environment.check()
+
+
+def test_keep_alive_announces_the_new_idle_time_on_kept_connections() -> None:
+    environment = environment_with(HIGH)
+    client = used_client(environment)
+    configure(environment, replace(HIGH, idle_ms=6000))
+    client.send_request("/u/x")
+    response = environment.run(client.response(1))
+    assert response is not None and response.headers["keep-alive"] == ["timeout=4"]
+    assert UNSAFE_STREAM.path_prefix == "/u/"
+    environment.check()
