Proxy: a request that is routed anew gets the time-out of its new route

Change: Exchange computes the deadline anew, from the arrival, and reschedules its time-out. Requests of which an attempt was sent stay with the route that sent it, as before. Result: test_a_waiting_request_gets_the_time_out_of_the_configuration_that_routes_it, raised and lowered, failed before and passes, with all of tests/serving/proxy.

--- a/coveport/serving/proxy/data_path.py
+++ b/coveport/serving/proxy/data_path.py
@@ -164,7 +164,7 @@
                 return
             deadline_s = arrived_s + request_timeout_s(message, routed.route)
             sequence = EventSequence(first_value(message.headers, Header.LAST_EVENT_ID))
-            request = InFlightRequest(message, client, routed, deadline_s, sequence)
+            request = InFlightRequest(message, client, routed, arrived_s, deadline_s, sequence)
             self._context.budget.record_request(routed.service.name, arrived_s)
             await Exchange(self._context, request).run()
         finally:
--- a/coveport/serving/proxy/exchange.py
+++ b/coveport/serving/proxy/exchange.py
@@ -11,7 +11,7 @@
 from coveport.serving.proxy.node_connection import NodeConnection
 from coveport.serving.proxy.proxy_context import ProxyContext
 from coveport.serving.proxy.request_forwarder import RequestForwarder
-from coveport.serving.proxy.request_routing import RoutingFailure
+from coveport.serving.proxy.request_routing import RoutingFailure, request_timeout_s
 from coveport.serving.proxy.response_relay import ResponseRelay
 from coveport.serving.proxy.retry_policy import AttemptOutcome, RetryPolicy
 
@@ -25,6 +25,7 @@
     _relay: ResponseRelay = field(init=False)
     _retries: RetryPolicy = field(init=False)
     _forwarder: RequestForwarder = field(init=False)
+    _timeout: asyncio.Timeout = field(init=False)  # ends the exchange at the request's deadline
 
     def __post_init__(self) -> None:
         request = self.request
@@ -38,11 +39,12 @@
         )
         self._retries = RetryPolicy(self.context, request)
         self._forwarder = RequestForwarder(self.context, request, self._retries, self._relay)
+        self._timeout = asyncio.timeout_at(request.deadline_s)
 
     async def run(self) -> None:
         """Respond with a node's response or with a failure, by the deadline at the latest."""
         try:
-            async with asyncio.timeout_at(self.request.deadline_s):
+            async with self._timeout:
                 if not await self._attempt_until_complete():
                     send_failure(self.context, self.request)
         except TimeoutError:
@@ -87,12 +89,17 @@
         return self.request.attempts > 0 or self.context.router.is_current(self.request.routed)
 
     def _reroute(self) -> bool:
-        """Route the request by the newest configuration; if that fails, send the failure and return False."""
+        """Route the request by the newest configuration, whose time-out it gets too.
+
+        If that fails, send the failure and return False.
+        """
         request = self.request
         routed = self.context.router.route(request.message)
         if isinstance(routed, RoutingFailure):
             send_routing_failure(request.client, self.context.counters, routed)
             return False
         request.routed = routed
+        request.deadline_s = request.arrived_s + request_timeout_s(request.message, routed.route)
+        self._timeout.reschedule(request.deadline_s)
         self._relay.is_resumable = routed.route.resumable
         return True
--- a/coveport/serving/proxy/in_flight_request.py
+++ b/coveport/serving/proxy/in_flight_request.py
@@ -20,7 +20,8 @@
     message: http1.Request
     client: ClientConnection
     routed: RoutedRequest
-    deadline_s: float  # on the clock of `Net.now_s`
+    arrived_s: float  # on the clock of `Net.now_s`, as all times here
+    deadline_s: float
     sequence: EventSequence  # ids of the events that the client has received
     attempts: int = 0  # number of times that the request was written to a node
     failed_connects: int = 0
--- a/tests/serving/proxy/test_configuration_changes.py
+++ b/tests/serving/proxy/test_configuration_changes.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 
 import pytest
-from proxy_environment import UNSAFE_STREAM, ProxyEnvironment
+from proxy_environment import SAFE, UNSAFE_STREAM, ProxyEnvironment
 from scripted_node import Arrival, ScriptedClient
 
 from coveport.serving.model.configuration import ClientLimits
@@ -31,13 +31,18 @@
 def configure(
     environment: ProxyEnvironment,
     limits: ClientLimits | None = None,
+    timeout_ms: float | None = None,
 ) -> None:
     """Put a configuration with a higher edition in force."""
     before = environment.view.configuration
     assert before is not None
+    routes = before.routes
+    if timeout_ms is not None:
+        routes = tuple(replace(route, timeout_ms=timeout_ms) for route in routes)
     environment.view.configuration = replace(
         before,
         edition=before.edition + 1,
+        routes=routes,
         limits=limits or before.limits,
     )
     environment.view.notify_listeners()
@@ -211,6 +216,27 @@
     environment.check()
 
 
+@pytest.mark.parametrize(("before_ms", "after_ms"), [(400, 3000), (3000, 400)])
+def test_a_waiting_request_gets_the_time_out_of_the_configuration_that_routes_it(
+    before_ms: float, after_ms: float
+) -> None:
+    route = replace(SAFE, latency_target_ms=2500, timeout_ms=before_ms)
+    environment = ProxyEnvironment(routes=(route,))
+    node = environment.add_node(lambda _: None)  # never answers
+    client = environment.connect_client()
+    now_s = environment.time.now
+    environment.data_path._context.observations.outliers.record_at_capacity("i-0", now_s)
+    client.send_request("/safe/x")
+    environment.sleep(0.02)
+    assert node.arrivals == []  # the request waits for capacity
+    configure(environment, timeout_ms=after_ms)
+    response = environment.run(client.response())
+    assert response is not None and response.status == 504
+    assert environment.time.now - now_s == pytest.approx(after_ms / 1000, abs=0.1)
+    assert len(node.arrivals) == 1
+    environment.check()
+
+
 def test_keep_alive_announces_the_new_idle_time_on_kept_connections() -> None:
     environment = environment_with(HIGH)
     client = used_client(environment)
