Slow start: a proxy's turn follows the configuration's rate while it is waited for

After a raise from 0.01 to 5 requests a second a proxy could wait for minutes; after a cut it sent one request too early, and all proxies together more than the bound of FAILBACK. Change: the random share of the mean time between turns is kept, and the turn computed from the rate that is in force; so it follows ColdOvershoot and ColdSlack at a SIGHUP as well. The draws are the same. Result: test_turns_in_slow_start_follow_the_rate, raised and lowered, failed before and passes, with all of tests/serving/proxy.

--- a/coveport/serving/proxy/slow_start.py
+++ b/coveport/serving/proxy/slow_start.py
@@ -40,7 +40,14 @@
 @dataclass(slots=True)
 class _NodeQuota:
     sends: SlidingWindow = field(default_factory=lambda: SlidingWindow(WINDOW_S))
-    turn_at_s: float | None = None  # time of this proxy's next turn; None unless proxies take turns
+    # When the wait for this proxy's next turn began; None unless proxies take turns.
+    turn_since_s: float | None = None
+    turn_share: float = 0.0  # the random length of that wait, as a multiple of the mean time between turns
+
+    def is_turn(self, quota: float, now_s: float) -> bool:
+        """Return whether this proxy's turn has come, by the quota that is now in force."""
+        assert self.turn_since_s is not None
+        return now_s >= self.turn_since_s + self.turn_share * _turn_interval_s(quota)
 
 
 @dataclass(slots=True)
@@ -58,14 +65,15 @@
             return True
         node = self._quotas.setdefault(known.node.incarnation, _NodeQuota())
         if not is_warming_up(known, service, view, now_s):
-            node.turn_at_s = None
+            node.turn_since_s = None
             return True
         quota = self._quota(service, view)
         if quota >= 1:
             return node.sends.count(now_s) < floor(quota)
-        if node.turn_at_s is None:
-            node.turn_at_s = now_s + self.random.random() * _turn_interval_s(quota)
-        return now_s >= node.turn_at_s
+        if node.turn_since_s is None:
+            node.turn_since_s = now_s
+            node.turn_share = self.random.random()
+        return node.is_turn(quota, now_s)
 
     def record_send(self, known: KnownNode, service: Service, view: ControlView, now_s: float) -> None:
         """Record that a request is sent to the node."""
@@ -75,8 +83,9 @@
         node.sends.add(now_s)
         node.sends.count(now_s)  # drops the sends before the window
         quota = self._quota(service, view)
-        if quota < 1 and node.turn_at_s is not None:
-            node.turn_at_s = now_s + _turn_interval_s(quota) * (0.5 + self.random.random())
+        if quota < 1 and node.turn_since_s is not None:
+            node.turn_since_s = now_s
+            node.turn_share = 0.5 + self.random.random()
 
     def _quota(self, service: Service, view: ControlView) -> float:
         """Return how many requests this proxy may send in a window; may be a fraction of one."""
--- a/tests/serving/proxy/test_configuration_changes.py
+++ b/tests/serving/proxy/test_configuration_changes.py
@@ -8,12 +8,16 @@
 
 from collections.abc import Callable
 from dataclasses import replace
+from random import Random
 
 import pytest
-from proxy_environment import SAFE, UNSAFE_STREAM, ProxyEnvironment
+from proxy_environment import SAFE, SERVICE, UNSAFE_STREAM, ProxyEnvironment
 from scripted_node import Arrival, ScriptedClient
 
 from coveport.serving.model.configuration import ClientLimits
+from coveport.serving.model.node import Node, NodeState
+from coveport.serving.model.view import ControlView, KnownNode
+from coveport.serving.proxy.slow_start import SlowStartLimiter
 
 CONFIG_APPLY_S = 2.5  # `ConfigApplyMs` of the deployments
 LOW = ClientLimits(header_bytes=2000, body_bytes=1000, header_read_ms=1000, idle_ms=1000)
@@ -237,6 +241,40 @@
     environment.check()
 
 
+def slow_start_view() -> tuple[ControlView, KnownNode]:
+    node = Node(
+        incarnation="i",
+        sequence=1,
+        service="s",
+        address="10.0.1.1:80",
+        zone="z",
+        region="r",
+        slots=64,
+        state=NodeState.ACCEPTING,
+    )
+    view = ControlView()
+    view.max_proxies = 10
+    return view, KnownNode(node, 0.0, 1e9, 1e9)
+
+
+def first_send_s(limiter: SlowStartLimiter, known: KnownNode, view: ControlView, rate: float) -> float:
+    """Return the first time from 1 s on, in steps of 0.1 s, at which a send is allowed at this rate."""
+    service = replace(SERVICE, warm_up_rate=rate)
+    return next(
+        step / 10 for step in range(10, 10_000_000) if limiter.may_send(known, service, view, step / 10)
+    )
+
+
+@pytest.mark.parametrize(("before", "after"), [(0.01, 5.0), (5.0, 0.01)])
+def test_turns_in_slow_start_follow_the_rate(before: float, after: float) -> None:
+    view, known = slow_start_view()
+    changed = SlowStartLimiter(1.5, 0.0, Random(7))
+    assert not changed.may_send(known, replace(SERVICE, warm_up_rate=before), view, 0.0)
+    unchanged = SlowStartLimiter(1.5, 0.0, Random(7))
+    assert not unchanged.may_send(known, replace(SERVICE, warm_up_rate=after), view, 0.0)
+    assert first_send_s(changed, known, view, after) == first_send_s(unchanged, known, view, after)
+
+
 def test_keep_alive_announces_the_new_idle_time_on_kept_connections() -> None:
     environment = environment_with(HIGH)
     client = used_client(environment)
