Proxy: idle connections to a node beyond a lowered MaxConns are closed

Idle ones that were opened under a higher MaxConns, or before other proxies joined, stayed for as long as the node kept them, so that all proxies together held more connections than the node takes, which resets the rest.

--- a/coveport/serving/proxy/connection_pool.py
+++ b/coveport/serving/proxy/connection_pool.py
@@ -142,10 +142,15 @@
         if not in_use:
             self._in_use.pop(node.incarnation, None)
 
-    def sweep(self, is_known: Callable[[str], bool]) -> None:
-        """Close idle connections that the nodes would close soon, and those to unknown nodes."""
+    def sweep(self, is_known: Callable[[str], bool], max_connections: Callable[[str], int]) -> None:
+        """Close idle connections in excess, to unknown nodes, or that the nodes would close soon.
+
+        `max_connections` returns the limit of this proxy's connections to a known node; 0: no limit.
+        """
         now_s = self._net.now_s()
         for incarnation in list(self._idle):
+            if is_known(incarnation):
+                self._close_excess_idle(incarnation, max_connections(incarnation))
             reusable = []
             for connection in self._idle[incarnation]:
                 if is_known(incarnation) and connection.is_open and not connection.is_expiring(now_s):
@@ -159,4 +164,4 @@
 
     def close(self) -> None:
         """Close all idle connections."""
-        self.sweep(lambda _: False)
+        self.sweep(lambda _: False, lambda _: 0)
--- a/coveport/serving/proxy/data_path.py
+++ b/coveport/serving/proxy/data_path.py
@@ -80,6 +80,7 @@
             self._context.pool,
             self._context.observations,
             self._counters,
+            self._max_node_connections,
         )
         self._requests_in_flight = 0
         self._applied_limits = self._limits()
@@ -148,6 +149,12 @@
         configuration = self._view.configuration
         return configuration.limits if configuration is not None else ClientLimits()
 
+    def _max_node_connections(self, incarnation: str) -> int:
+        """Return this proxy's quota of connections to a node by the active configuration; 0: no limit."""
+        known = self._view.nodes.get(incarnation)
+        service = self._router.service(known.node.service) if known is not None else None
+        return self._context.selector.max_connections(service) if service is not None else 0
+
     async def _handle(self, message: http1.Request, client: ClientConnection) -> None:
         """Respond to a request."""
         arrived_s = self._net.now_s()
--- a/coveport/serving/proxy/node_maintenance.py
+++ b/coveport/serving/proxy/node_maintenance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from coveport.net.transport import Net
 from coveport.serving.model.view import ControlView
@@ -23,8 +24,14 @@
         pool: ConnectionPool,
         observations: NodeObservations,
         counters: Counters,
+        max_connections: Callable[[str], int],
     ) -> None:
+        """Create a sweep that is not scheduled yet.
+
+        `max_connections` returns this proxy's quota of connections to a known node; 0: no limit.
+        """
         self._net = net
+        self._max_connections = max_connections
         self._view = view
         self._pool = pool
         self._observations = observations
@@ -49,7 +56,7 @@
 
     def _forget_gone_nodes(self) -> None:
         known = frozenset(self._view.nodes)
-        self._pool.sweep(known.__contains__)
+        self._pool.sweep(known.__contains__, self._max_connections)
         self._observations.forget_all_but(known)
 
     def _eject_unresponsive_nodes(self) -> None:
--- a/coveport/serving/proxy/request_routing.py
+++ b/coveport/serving/proxy/request_routing.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from coveport import http1
-from coveport.serving.model.configuration import Route
+from coveport.serving.model.configuration import Route, Service
 from coveport.serving.model.view import ControlView
 from coveport.serving.proxy.headers import first_value, whole_number
 from coveport.serving.proxy.prompt_segments import parse_segments
@@ -67,6 +67,11 @@
             table.configuration.edition,
         )
 
+    def service(self, name: str) -> Service | None:
+        """Return a service of the active configuration; None if there is no such service."""
+        table = self._current_table()
+        return table.services.get(name) if table is not None else None
+
     def _current_table(self) -> RouteTable | None:
         configuration = self.view.configuration
         if configuration is None:
--- a/tests/serving/proxy/test_configuration_changes.py
+++ b/tests/serving/proxy/test_configuration_changes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import replace
 from random import Random
@@ -14,7 +15,7 @@
 from proxy_environment import SAFE, SERVICE, UNSAFE_STREAM, ProxyEnvironment
 from scripted_node import Arrival, ScriptedClient
 
-from coveport.serving.model.configuration import ClientLimits
+from coveport.serving.model.configuration import ClientLimits, Service
 from coveport.serving.model.node import Node, NodeState
 from coveport.serving.model.view import ControlView, KnownNode
 from coveport.serving.proxy.slow_start import SlowStartLimiter
@@ -35,6 +36,7 @@
 def configure(
     environment: ProxyEnvironment,
     limits: ClientLimits | None = None,
+    service: Service | None = None,
     timeout_ms: float | None = None,
 ) -> None:
     """Put a configuration with a higher edition in force."""
@@ -47,6 +49,7 @@
         before,
         edition=before.edition + 1,
         routes=routes,
+        services=before.services if service is None else (service,),
         limits=limits or before.limits,
     )
     environment.view.notify_listeners()
@@ -241,6 +244,29 @@
     environment.check()
 
 
+@pytest.mark.parametrize(("max_connections", "kept"), [(2, 2), (0, 6), (300, 6)])
+def test_idle_connections_to_a_node_beyond_a_lowered_quota_are_closed(
+    max_connections: int, kept: int
+) -> None:
+    environment = ProxyEnvironment()
+
+    async def respond_later(arrival: Arrival) -> None:
+        await asyncio.sleep(0.1)
+        respond(arrival)
+
+    node = environment.add_node(respond_later)
+    clients = [environment.connect_client() for _ in range(6)]
+    for client in clients:
+        client.send_request("/safe/x")
+    for client in clients:
+        assert environment.run(client.response()) is not None
+    assert len(node.connections) == 6
+    configure(environment, service=replace(SERVICE, max_connections=max_connections))
+    environment.sleep(CONFIG_APPLY_S)
+    assert sum(not connection.is_closed for connection in node.connections) == kept
+    environment.check()
+
+
 def slow_start_view() -> tuple[ControlView, KnownNode]:
     node = Node(
         incarnation="i",
