Proxy: a retry on the connection of a rejection confirms a second one, and opens no connection

Change: a retry avoids the connections of its earlier attempts while another is idle; else it goes out on one of them. A rejection there may be a copy, so a health check is sent behind the attempt. Responses come in the order of the requests: if that to the health check comes first, the attempt was rejected; if the attempt's own does, the rejection was a copy, and it is relayed. A node that answers neither leaves it open: 502 or 504, no retry of an unsafe request.

--- a/coveport/serving/proxy/connection_pool.py
+++ b/coveport/serving/proxy/connection_pool.py
@@ -36,25 +36,17 @@
         in_use = self._in_use.get(incarnation, ())
         return max((connection.last_received_s for connection in in_use), default=0.0)
 
-    async def acquire(
-        self, node: Node, *, excluded: Collection[NodeConnection] = (), max_connections: int = 0
-    ) -> NodeConnection:
-        """Return a connection to the node, idle or new.
-
-        Args:
-            node: the node.
-            excluded: connections that are not returned.
-            max_connections: limit of this proxy's connections to the node, idle ones included; 0: no limit.
+    async def acquire(self, node: Node, avoided: Collection[NodeConnection] = ()) -> NodeConnection:
+        """Return a connection to the node: an idle one, if possible one that is not avoided, or a new one.
 
         Raises:
             ConnectFailedError: no new connection could be established.
 
         """
-        connection = self._take_idle(node, excluded)
+        connection = self._take_idle(node, avoided) or self._take_idle(node, ())
         if connection is not None:
             self._add_to_use(node, connection)
             return connection
-        self._close_excess_idle(node.incarnation, max_connections, opening=1)
         connection = NodeConnection(self._net, self._count_unsolicited)
         self._add_to_use(node, connection)
         try:
@@ -64,13 +56,13 @@
             raise
         return connection
 
-    def _take_idle(self, node: Node, excluded: Collection[NodeConnection]) -> NodeConnection | None:
+    def _take_idle(self, node: Node, avoided: Collection[NodeConnection]) -> NodeConnection | None:
         """Remove and return the last used idle connection that is usable; close those that are not."""
         now_s = self._net.now_s()
         idle = self._idle.get(node.incarnation, [])
         for index in reversed(range(len(idle))):
             connection = idle[index]
-            if connection in excluded:
+            if connection in avoided:
                 continue
             del idle[index]
             if connection.is_open and not connection.is_expiring(now_s):
@@ -78,16 +70,6 @@
             connection.close()
         return None
 
-    def _close_excess_idle(self, incarnation: str, max_connections: int, *, opening: int = 0) -> None:
-        """Close the longest idle connections until all, and those being opened, are within the limit."""
-        idle = self._idle.get(incarnation)
-        if not idle or max_connections <= 0:
-            return
-        excess = len(idle) + len(self._in_use.get(incarnation, ())) + opening - max_connections
-        for connection in idle[: max(0, excess)]:
-            connection.close()
-        del idle[: max(0, excess)]
-
     async def check_connect(self, node: Node) -> bool:
         """Return whether a new connection to the node can be established; keep it for the next request."""
         connection = NodeConnection(self._net, self._count_unsolicited)
@@ -142,6 +124,16 @@
         if not in_use:
             self._in_use.pop(node.incarnation, None)
 
+    def _close_excess_idle(self, incarnation: str, max_connections: int) -> None:
+        """Close the longest idle connections until those to the node are within the limit; 0: no limit."""
+        idle = self._idle.get(incarnation)
+        if not idle or max_connections <= 0:
+            return
+        excess = max(0, len(idle) + len(self._in_use.get(incarnation, ())) - max_connections)
+        for connection in idle[:excess]:
+            connection.close()
+        del idle[:excess]
+
     def sweep(self, is_known: Callable[[str], bool], max_connections: Callable[[str], int]) -> None:
         """Close idle connections in excess, to unknown nodes, or that the nodes would close soon.
 
--- a/coveport/serving/proxy/in_flight_request.py
+++ b/coveport/serving/proxy/in_flight_request.py
@@ -29,9 +29,7 @@
     has_success_started: bool = False  # whether a node has started a successful response
     # Incarnations whose response broke off or was an error.
     failed_nodes: set[str] = field(default_factory=set)
-    # Connections that carried an attempt. All attempts have one id, so on these a late copy of a response to
-    # an earlier attempt couldn't be told from the response to a new one.
-    used_connections: list[NodeConnection] = field(default_factory=list)
+    used_connections: list[NodeConnection] = field(default_factory=list)  # of the attempts, in their order
 
     @property
     def attempt_id(self) -> str | None:
--- a/coveport/serving/proxy/node_connection.py
+++ b/coveport/serving/proxy/node_connection.py
@@ -46,8 +46,8 @@
         self._has_carried_response = False  # whether the connection carried a response before the current one
         self._unacknowledged_timeout_ms = 0  # as set on the socket; 0: the system's default
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S  # idle time after which the node closes the connection
-        # Whether a response to another request was received; if so, the connection must not be reused.
-        self.is_desynchronized = False
+        # Whether the connection must carry no other request: a late response could be taken for that to it.
+        self.must_close = False
         self.idle_since_s = 0.0
         self.last_received_s = 0.0
         self.one_way_delay_s = 0.0  # network delay from the node, without delays on either machine
@@ -147,6 +147,13 @@
             self._write_rest()
         return True
 
+    def send_health_check(self, path: str) -> None:
+        """Write a health check behind the request; the node responds to them in this order."""
+        assert self._transport is not None
+        host = "{}:{}".format(*self._transport.get_extra_info("peername")[:2])
+        self._unsent.append(memoryview(http1.write_request("GET", path, [("Host", host)])))
+        self._write_rest()
+
     def _write_next(self) -> None:
         """Pass the next bytes to the transport, unless the node doesn't read."""
         assert self._transport is not None
@@ -232,7 +239,7 @@
         self.on_received = None
         self.idle_since_s = now_s
         is_broken = (
-            self._is_ended or self._is_reading_paused or self._parser.is_mid_message or self.is_desynchronized
+            self._is_ended or self._is_reading_paused or self._parser.is_mid_message or self.must_close
         )
         if is_broken or not self._keeps_alive:
             self.close()
--- a/coveport/serving/proxy/request_forwarder.py
+++ b/coveport/serving/proxy/request_forwarder.py
@@ -11,7 +11,7 @@
 from coveport.serving.proxy.node_connection import NodeConnection
 from coveport.serving.proxy.overload_estimate import StreamGaps
 from coveport.serving.proxy.proxy_context import ProxyContext
-from coveport.serving.proxy.response_relay import RelayOutcome, ResponseRelay
+from coveport.serving.proxy.response_relay import REJECTIONS, RelayOutcome, ResponseRelay
 from coveport.serving.proxy.retry_policy import AttemptOutcome, RetryPolicy
 from coveport.serving.proxy.stall_policy import stall_timeouts
 
@@ -32,11 +32,7 @@
         selected_s = context.net.now_s()
         context.observations.record_selected(known_node, self.request.routed, selected_s)
         try:
-            connection = await context.pool.acquire(
-                node,
-                excluded=self.request.used_connections,
-                max_connections=context.selector.max_connections(self.request.routed.service),
-            )
+            connection = await context.pool.acquire(node, avoided=self.request.used_connections)
         except ConnectFailedError:
             context.observations.record_finished(known_node)
             context.counters.add("connects_failed")
@@ -50,9 +46,7 @@
             if not self._write(known_node, connection, selected_s):
                 return AttemptOutcome.NOT_SENT
             outcome = await self._relay(known_node, connection)
-            is_complete = outcome in (AttemptOutcome.COMPLETE, AttemptOutcome.NOT_RUN)
-            # Without an id, a late copy of this response would be taken for that to another such request.
-            is_reusable = is_complete and self.request.attempt_id is not None
+            is_reusable = outcome in (AttemptOutcome.COMPLETE, AttemptOutcome.NOT_RUN)
             return outcome
         finally:
             context.observations.record_finished(known_node)
@@ -80,6 +74,8 @@
             context.counters.add("resumed" if request.client.has_begun else "retries")
         request.attempts += 1
         request.used_connections.append(connection)
+        if request.attempt_id is None:
+            connection.must_close = True
         return True
 
     def _observe_event_gaps(self, known_node: KnownNode, connection: NodeConnection) -> None:
@@ -106,8 +102,15 @@
         self._observe_event_gaps(known_node, connection)
         is_idempotent = request.routed.route.is_idempotent
         timeouts = stall_timeouts(self.context, request, self.retries, known_node) if is_idempotent else None
+        may_retry = self.retries.may_retry_after_error
         try:
-            outcome = await self.relay.relay(connection, timeouts, self.retries.may_retry_after_error)
+            outcome = await self.relay.relay(connection, timeouts, may_retry)
+            if outcome in REJECTIONS and request.used_connections.count(connection) > 1:
+                self.context.counters.add("rejection_checks")
+                health_path = request.routed.service.health_path
+                outcome = await self.relay.confirm_rejection(
+                    connection, outcome, health_path, timeouts, may_retry
+                )
         except BrokenResponseError:
             self._record_broken_response(incarnation)
             return AttemptOutcome.FAILED
--- a/coveport/serving/proxy/response_relay.py
+++ b/coveport/serving/proxy/response_relay.py
@@ -3,10 +3,11 @@
 A response to another request is never forwarded, and a truncated response never looks complete.
 
 A node in trouble may send a second copy of a response, which may arrive in the place of the next response on
-its connection. A response belongs to the attempt that is in flight on its connection if it contains the id of
-the request. All attempts of a request have that id, so two rules make it unique on a connection: a request is
-sent at most once on a connection (`InFlightRequest.used_connections`), and a connection that carried a
-request without an id carries no other request (`RequestForwarder`). A response with another id is skipped.
+its connection. Responses contain the id of their request, so one with another id is skipped. The id doesn't
+tell the attempts of one request apart: if an attempt goes out on the connection on which an earlier one was
+rejected, a rejection may be a copy of the earlier one. A health check behind the attempt then tells, as
+responses come in the order of the requests (`confirm_rejection`). A connection that carried a request without
+an id, or a health check, carries no other request (`NodeConnection.must_close`).
 """
 
 from __future__ import annotations
@@ -42,6 +43,9 @@
     SERVER_ERROR = "the node ran the request and failed, and another node may be tried"
 
 
+REJECTIONS = frozenset({RelayOutcome.REJECTED, RelayOutcome.MISDIRECTED})
+
+
 @dataclass(slots=True)
 class ResponseRelay:
     """Relays the responses to one request, from all nodes that it is sent to."""
@@ -71,6 +75,48 @@
         response = await self._matching_head(connection, timeouts)
         if response.status in REJECTION_STATUSES:
             return await self._read_rejection(connection, response)
+        return await self._relay_run(connection, response, timeouts, may_retry)
+
+    async def confirm_rejection(
+        self,
+        connection: NodeConnection,
+        rejection: RelayOutcome,
+        health_path: str,
+        timeouts: StallTimeouts | None,
+        may_retry: Callable[[], bool],
+    ) -> RelayOutcome:
+        """Return the outcome of a rejected attempt whose rejection may be a copy of an earlier one.
+
+        A health check is sent behind the attempt. Its response, which has no attempt id, comes behind the
+        response to the attempt; so if a response that is not a rejection comes first, that is the response
+        to the attempt, and the rejection was a copy. `timeouts` and `may_retry` are as in `relay`.
+
+        Raises:
+            BrokenResponseError: a response broke off, or neither of the two came.
+
+        """
+        connection.must_close = True  # the response to the health check has no id
+        connection.send_health_check(health_path)
+        for _ in range(MAX_STALE_RESPONSES + 1):
+            response = await self._read_head(connection, timeouts)
+            attempt_id = first_value(response.headers, Header.ATTEMPT_ID) or None
+            if attempt_id is None:
+                await self._skip_body(connection, response)
+                return rejection
+            self.counters.add("surplus")
+            if attempt_id == self.attempt_id and response.status not in REJECTION_STATUSES:
+                return await self._relay_run(connection, response, timeouts, may_retry)
+            await self._skip_body(connection, response)
+        raise BrokenResponseError("head", "the response to a health check", "others only")
+
+    async def _relay_run(
+        self,
+        connection: NodeConnection,
+        response: http1.Response,
+        timeouts: StallTimeouts | None,
+        may_retry: Callable[[], bool],
+    ) -> RelayOutcome:
+        """Relay the response of a node that ran the request, and return the outcome."""
         if 200 <= response.status < 300:
             await self._forward_success(connection, response, timeouts)
             return RelayOutcome.FORWARDED
@@ -83,22 +129,24 @@
         is_server_error = response.status in RETRIABLE_ERROR_STATUSES
         return RelayOutcome.SERVER_ERROR_FORWARDED if is_server_error else RelayOutcome.FORWARDED
 
+    async def _read_head(self, connection: NodeConnection, timeouts: StallTimeouts | None) -> http1.Response:
+        if timeouts is None:
+            return await connection.read_head()
+        return await read_or_abandon(connection.read_head, timeouts, timeouts.head_s)
+
     async def _matching_head(
         self, connection: NodeConnection, timeouts: StallTimeouts | None
     ) -> http1.Response:
         """Return the head of the response to this attempt; skip complete responses to other requests."""
         for _ in range(MAX_STALE_RESPONSES + 1):
-            if timeouts is None:
-                response = await connection.read_head()
-            else:
-                response = await read_or_abandon(connection.read_head, timeouts, timeouts.head_s)
+            response = await self._read_head(connection, timeouts)
             attempt_id = first_value(response.headers, Header.ATTEMPT_ID) or None
             if attempt_id == self.attempt_id:
                 return response
             if attempt_id is None:
                 break
             self.counters.add("surplus")
-            connection.is_desynchronized = True
+            connection.must_close = True
             await self._skip_body(connection, response)
         raise BrokenResponseError("head", f"attempt id {self.attempt_id!r}", f"{attempt_id!r}")
 
--- a/tests/serving/proxy/test_hostile_nodes.py
+++ b/tests/serving/proxy/test_hostile_nodes.py
@@ -13,7 +13,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from proxy_environment import RESUMABLE, SAFE, UNSAFE_STREAM, ProxyEnvironment
+from proxy_environment import RESUMABLE, SAFE, SERVICE, UNSAFE_STREAM, ProxyEnvironment
 from scripted_node import Arrival, Connection, ScriptedClient
 
 from coveport import http1
@@ -50,6 +50,9 @@
         random, attempt_id = self.random, arrival.header("Coveport-Try-Id") or ""
         if owed := self.owed.pop(arrival.connection, b""):
             arrival.connection.write(owed)
+        if arrival.request.target == SERVICE.health_path:
+            arrival.connection.write(http1.write_response(200, [("Coveport-Instance", "i-0")]))
+            return
         fault = random.choice(
             ["good"] * 3 + ["refuse", "misdirect", "reset", "close", "cut", "cut", "garble", "mangle"]
         )
