A SIGHUP during the start of a process is held back until it can be handled

Cause: the handler is installed once the imports are done, the settings are read and the loop runs; until then the default action holds. The same on related paths: the fleet's supervisor; the sidecar ignored the signal from its main on, so it ended it during the imports, and a change between the reading of the file and the handler was missed. Change: net/reload_signal.py blocks SIGHUP first thing in the entry points and unblocks it behind the handler; one that came meanwhile is then handled as a reload. What remains is the time that the interpreter needs to its first line. test_a_reload_before_the_configuration_is_read_is_survived asked that the sidecar serve after such a signal; it asks now that the reload be done as well. The list of the sidecar's modules has the new one.

--- a/coveport/__main__.py
+++ b/coveport/__main__.py
@@ -4,6 +4,8 @@
 
 import sys
 
+from coveport.net.reload_signal import hold_reload_signal
+
 
 def main() -> int:
     """Start the platform's sidecar, or hand the arguments to the command line; the exit code."""
@@ -11,6 +13,7 @@
         from coveport.cli.main import main as command_line
 
         return command_line()
+    hold_reload_signal()
     from coveport.sidecar.service import main as run
 
     return run()
--- a/coveport/serving/__main__.py
+++ b/coveport/serving/__main__.py
@@ -4,7 +4,9 @@
 
 import sys
 
-from coveport.serving.cli.roles import ROLES, run_role
+from coveport.net.reload_signal import hold_reload_signal
+
+ROLES = ("coordinator", "proxy")
 
 
 def main() -> int:
@@ -12,7 +14,11 @@
 
     A role without options runs without the command-line library, which would stay in memory.
     """
+    if len(sys.argv) > 1 and sys.argv[1] in ROLES:
+        hold_reload_signal()
     if len(sys.argv) == 2 and sys.argv[1] in ROLES:
+        from coveport.serving.cli.roles import run_role
+
         return run_role(sys.argv[1], None)
     from coveport.serving.cli.app import main as command_line
 
--- a/coveport/serving/cli/roles.py
+++ b/coveport/serving/cli/roles.py
@@ -7,7 +7,6 @@
 
 from coveport.serving.wire.names import SETTINGS_VARIABLE
 
-ROLES = ("coordinator", "proxy")
 NO_SETTINGS_EXIT_CODE = 2
 
 
--- a/coveport/serving/role_process.py
+++ b/coveport/serving/role_process.py
@@ -1,6 +1,7 @@
 """Runs a role as a process: reads and checks its settings, handles signals, and returns an exit code.
 
-SIGTERM and SIGINT start the graceful shutdown; SIGHUP reads the settings file again (`settings.reload`).
+SIGTERM and SIGINT start the graceful shutdown; SIGHUP reads the settings file again (`settings.reload`). A
+SIGHUP before that is possible is held back (`net.reload_signal`).
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 from collections.abc import Callable
 from typing import Final, Protocol
 
+from coveport.net.reload_signal import release_reload_signal
 from coveport.net.transport import Net
 from coveport.serving.log import EventLogger, create_logger
 from coveport.serving.model.findings import Refusal
@@ -68,6 +70,7 @@
         loop.add_signal_handler(signal_number, shutdown_requested.set)
     reloader = SettingsReloader(settings_path, settings, role)
     loop.add_signal_handler(signal.SIGHUP, reload_settings, reloader, log)
+    release_reload_signal()
     log_tight_bounds(settings, log)
     await role.start()
     await shutdown_requested.wait()
--- a/coveport/sidecar/daemon.py
+++ b/coveport/sidecar/daemon.py
@@ -20,6 +20,7 @@
 import structlog
 
 from coveport import balancing
+from coveport.net.reload_signal import hold_reload_signal
 from coveport.net.transport import Net
 from coveport.sidecar.config import platform as configuration
 from coveport.sidecar.config.errors import PlatformFileError
@@ -478,7 +479,7 @@
 
     `name`: the instance's name if it belongs to the file's fleet.
     """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    hold_reload_signal()
     if not name:
         return _run(operator_file, Log(time.monotonic), None)
     # Guards against a SIGTERM before its handler is installed: it would end the process like a crash.
--- a/coveport/sidecar/service.py
+++ b/coveport/sidecar/service.py
@@ -12,6 +12,7 @@
 
 from coveport import balancing
 from coveport.net.address import Address
+from coveport.net.reload_signal import hold_reload_signal, release_reload_signal
 from coveport.net.transport import Net
 from coveport.sidecar.admin.codec import Command
 from coveport.sidecar.admin.server import AdminServer, CommandResult
@@ -143,6 +144,7 @@
     loop.add_signal_handler(signal.SIGTERM, terminate)
     loop.add_signal_handler(signal.SIGINT, terminate)
     loop.add_signal_handler(signal.SIGHUP, reload)
+    release_reload_signal()
     loop.add_signal_handler(signal.SIGUSR1, log_counters)
     lifecycle.listen(lambda phase: log.write(f"{config.name}: {phase.value}"))
     lifecycle.listen(lambda phase: listener.drain(on=phase is Phase.LAMEDUCK))
@@ -224,8 +226,7 @@
 
 def main() -> int:
     """Run the platform's sidecar as the environment configures it; return 2 if the configuration is wrong."""
-    # Guards against a SIGHUP before its handler is installed: it would end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    hold_reload_signal()
     log = Log(time.monotonic)
     try:
         config = configuration.load(os.environ)
--- a/coveport/sidecar/supervisor/daemon.py
+++ b/coveport/sidecar/supervisor/daemon.py
@@ -11,6 +11,7 @@
 import uuid
 from pathlib import Path
 
+from coveport.net.reload_signal import hold_reload_signal, release_reload_signal
 from coveport.sidecar.config import platform
 from coveport.sidecar.config.errors import OperatorFileError, PlatformFileError
 from coveport.sidecar.config.operator_file import OperatorFile, load
@@ -128,6 +129,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload, supervisor, processes)
+        release_reload_signal()
         loop.add_signal_handler(signal.SIGUSR2, self._stop_without_instances)
 
     def _log(self, event: str, **fields: object) -> None:
@@ -221,6 +223,7 @@
 
 def main(operator_file: OperatorFile, config: Path, standby: bool) -> int:
     """Supervise the fleet of an operator's file until SIGTERM; return the exit code."""
+    hold_reload_signal()
     fault = check_files(operator_file, config)
     if fault:
         _print_error(fault)
--- a/tests/sidecar/test_plain_start.py
+++ b/tests/sidecar/test_plain_start.py
@@ -24,7 +24,8 @@
 coveport.http1 coveport.http1.errors coveport.http1.fields coveport.http1.message_parser
 coveport.http1.messages coveport.http1.request_parser coveport.http1.response_parser
 coveport.http1.writers coveport.net coveport.net.address coveport.net.clock
-coveport.net.errors coveport.net.listening coveport.net.sockets coveport.net.transport coveport.sidecar
+coveport.net.errors coveport.net.listening coveport.net.reload_signal coveport.net.sockets
+coveport.net.transport coveport.sidecar
 coveport.sidecar.admin
 coveport.sidecar.admin.codec coveport.sidecar.admin.errors coveport.sidecar.admin.server
 coveport.sidecar.config
--- a/tests/sidecar/test_process.py
+++ b/tests/sidecar/test_process.py
@@ -97,14 +97,17 @@
     assert result.returncode == 2 and len(result.stderr.splitlines()) == 1
 
 
-def test_a_reload_before_the_configuration_is_read_is_survived(tmp_path: Path) -> None:
+def test_a_reload_before_the_configuration_is_read_is_survived_and_done(tmp_path: Path) -> None:
     discovery, path = Discovery(), tmp_path / "config.json"
     os.mkfifo(path)
     with program(path) as (process, log):
         with path.open("w") as file:  # blocks until the process opens it for reading
             process.send_signal(signal.SIGHUP)
+            path.unlink()
+            path.write_text(configuration(discovery, discovery.server.address))  # which the reload reads
             file.write(configuration(discovery, discovery.server.address))
         wait_for(lambda: "serving" in log.read_text())
+        assert "configuration read anew" in log.read_text()
         process.send_signal(signal.SIGINT)
         assert process.wait(10) == 0
     discovery.server.close()
