--- a/coveport/serving/proxy/client_connection.py
+++ b/coveport/serving/proxy/client_connection.py
@@ -8,6 +8,7 @@
 
 from coveport import http1
 from coveport.net.transport import Net
+from coveport.serving.accepted_connection import reserve_connection
 from coveport.serving.model.configuration import ClientLimits
 from coveport.serving.proxy.client_timeout import ClientTimeout, ClientWait
 from coveport.serving.proxy.response_writing import status_line, write_response
@@ -15,7 +16,6 @@
 from coveport.serving.wire.names import CanonicalHeader
 
 MAX_PIPELINED_BYTES = 64 * 1024  # bytes of requests pipelined behind the current one; limits the memory used
-MAX_READ_BYTES = 64 * 1024  # bytes received at once, before the memory for them is reserved
 RELAY_BYTES = 128 * 1024  # received from the node while the client doesn't read: buffered and just read
 RETRY_AFTER_S = STALL_S  # after it, stalled requests give way
 LINGER_S = 1.0  # time before the close in which a client that is still sending can read the rejection
@@ -79,15 +79,12 @@
         """Start to read requests, unless there are too many connections."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._reservation = self._owner.budget.open(self._give_way)
+        self._reservation = reserve_connection(
+            self._net, self._owner.budget, transport, self._give_way, _overload_response()
+        )
         if self._reservation is None:
             self._is_rejected = True
-            transport.write(_overload_response())
-            transport.abort()
             return
-        # `pause_writing` is called once anything is unsent, so that all unsent bytes are accounted for.
-        transport.set_write_buffer_limits(high=0)
-        self._net.limit_read(transport, MAX_READ_BYTES)
         self._owner.add_connection(self)
         self._wait_for_request()
 
--- a/coveport/serving/web/server.py
+++ b/coveport/serving/web/server.py
@@ -9,12 +9,12 @@
 from coveport import http1
 from coveport.net.address import Address
 from coveport.net.transport import Listening, Net
+from coveport.serving.accepted_connection import reserve_connection
 from coveport.serving.resource_budget import STALL_S, Reservation, ResourceBudget, Shortage
 from coveport.serving.web.messages import ApiResponse
 
 MAX_CONFIGURATION_BYTES: Final = 8 * 1024 * 1024  # body limit of a server for operators: 4 MiB, twice
 MAX_BODY_BYTES: Final = 64 * 1024  # body limit of a server for callers that send no configuration
-MAX_READ_BYTES: Final = 64 * 1024  # bytes received at once, before the memory for them is reserved
 MAX_PIPELINED_BYTES: Final = 64 * 1024  # bytes of requests pipelined behind the current one
 LINGER_S: Final = 1.0  # time before the close in which a client that is still sending can read the rejection
 IDLE_TIMEOUT_S: Final = 60.0
@@ -93,15 +93,13 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._reservation = self._server.budget.open(self._give_way)
+        server = self._server
+        self._reservation = reserve_connection(
+            server.net, server.budget, transport, self._give_way, _overload_response()
+        )
         if self._reservation is None:
             self._is_closing = True
-            transport.write(_overload_response())
-            transport.abort()
             return
-        # `pause_writing` is called once anything is unsent, so that all unsent bytes are accounted for.
-        transport.set_write_buffer_limits(high=0)
-        self._server.net.limit_read(transport, MAX_READ_BYTES)
         self._server.connections.add(self)
         self._restart_timer(IDLE_TIMEOUT_S)
 
--- a/tests/serving/proxy/proxy_environment.py
+++ b/tests/serving/proxy/proxy_environment.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import Any, TypeVar
 
+from empty_day import empty_day
 from scripted_node import Script, ScriptedClient, ScriptedNode
 
 from coveport.serving.model.configuration import Configuration, Route, RouteKind, Service, WeightedService
@@ -14,30 +15,13 @@
 from coveport.serving.model.view import ControlView, KnownNode
 from coveport.serving.proxy.data_path import DataPath
 from coveport.serving.settings.boot import BootSettings, Bounds, ProcessLimits
-from coveport.testbed.day import Day
 from coveport.testbed.network_model import CLIENT, Ways
-from coveport.testbed.scenario import Scenario
 from coveport.testbed.simulated_network.network import Network
 from coveport.testbed.simulated_network.wires import VirtualNet
 from coveport.testbed.simulated_network.world import Process, World
 
 T = TypeVar("T")
-DAY = Day(
-    scenario=Scenario(title="t"),
-    seed=1,
-    nodes=(),
-    sidecars=(),
-    wishes=(),
-    changes=(),
-    spans=(),
-    same_ms=0.1,
-    cross_ms=((0.1, 1.0), (1.0, 0.1)),
-    client_ms=1.0,
-    jitter=0.0,
-    notice_ms=0,
-    add_ms=0,
-    capacity=1.0,
-)
+DAY = empty_day(same_ms=0.1, cross_ms=((0.1, 1.0), (1.0, 0.1)), client_ms=1.0)
 PROXY_IP, CLIENT_IP, PORT = "10.0.0.1", "10.0.9.1", 8000
 FOREVER = float("inf")
 
--- a/tests/simulated.py
+++ b/tests/simulated.py
@@ -20,14 +20,13 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
+from empty_day import empty_day
 from world import SILENT, Message, Pool, Seen, configuration, receive, request, take_message
 
 from coveport.sidecar.config import platform
 from coveport.sidecar.service import serve
 from coveport.sidecar.telemetry.log import Log
-from coveport.testbed.day import Day
 from coveport.testbed.network_model import CLIENT, Ways
-from coveport.testbed.scenario import Scenario
 from coveport.testbed.simulated_network import wires
 from coveport.testbed.simulated_network.network import Network
 from coveport.testbed.simulated_network.world import Process
@@ -36,22 +35,7 @@
 T = TypeVar("T")
 HOST = "127.0.0.1"
 # Messages take 50 us each way, as on loopback.
-DAY = Day(
-    scenario=Scenario(title="t"),
-    seed=1,
-    nodes=(),
-    sidecars=(),
-    wishes=(),
-    changes=(),
-    spans=(),
-    same_ms=0.05,
-    cross_ms=((0.05,),),
-    client_ms=0.05,
-    jitter=0.0,
-    notice_ms=0,
-    add_ms=0,
-    capacity=1.0,
-)
+DAY = empty_day(same_ms=0.05, cross_ms=((0.05,),), client_ms=0.05)
 BELOW = 6  # descriptors that a process has open before any connection: standard ones, poll, its own signals
 HELD_MOST = 64 * 1024  # what a client takes in before its test reads it
 STOPPED_S = 1.0
--- a/tests/testbed/test_simulated_network.py
+++ b/tests/testbed/test_simulated_network.py
@@ -9,10 +9,10 @@
 from typing import Any
 
 import pytest
+from empty_day import empty_day
 
-from coveport.testbed.day import Change, Day
+from coveport.testbed.day import Change
 from coveport.testbed.network_model import Ways
-from coveport.testbed.scenario import Scenario
 from coveport.testbed.schema import Network as Figures
 from coveport.testbed.simulated_network.harsh import Harsh
 from coveport.testbed.simulated_network.network import Network
@@ -21,22 +21,7 @@
 from coveport.testbed.simulated_network.wires import VirtualNet
 from coveport.testbed.simulated_network.world import Process, World
 
-DAY = Day(
-    scenario=Scenario(title="t"),
-    seed=1,
-    nodes=(),
-    sidecars=(),
-    wishes=(),
-    changes=(),
-    spans=(),
-    same_ms=1.0,
-    cross_ms=((1.0, 10.0), (10.0, 1.0)),
-    client_ms=0.05,
-    jitter=0.0,
-    notice_ms=0,
-    add_ms=0,
-    capacity=1.0,
-)
+DAY = empty_day(same_ms=1.0, cross_ms=((1.0, 10.0), (10.0, 1.0)), client_ms=0.05)
 SERVER = ("10.0.0.2", 80)
 
 
--- a/tests/testbed/timeless.py
+++ b/tests/testbed/timeless.py
@@ -6,10 +6,10 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, TypeVar
 
+from empty_day import empty_day
+
 from coveport.net.address import Address
-from coveport.testbed.day import Day
 from coveport.testbed.network_model import Ways
-from coveport.testbed.scenario import Scenario
 from coveport.testbed.simulated_network.network import Network
 from coveport.testbed.simulated_network.wires import VirtualNet
 from coveport.testbed.simulated_network.world import Process, World
@@ -17,22 +17,7 @@
 T = TypeVar("T")
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
-_NEAR = Day(
-    scenario=Scenario(title="t"),
-    seed=1,
-    nodes=(),
-    sidecars=(),
-    wishes=(),
-    changes=(),
-    spans=(),
-    same_ms=0.02,
-    cross_ms=((0.02,),),
-    client_ms=0.02,
-    jitter=0.0,
-    notice_ms=0,
-    add_ms=0,
-    capacity=1.0,
-)
+_NEAR = empty_day(same_ms=0.02, cross_ms=((0.02,),), client_ms=0.02)
 
 
 def run(work: Coroutine[Any, Any, T], most_s: float = 600.0) -> T:
