--- a/coveport/serving/proxy/client_connection.py
+++ b/coveport/serving/proxy/client_connection.py
@@ -86,6 +86,7 @@
             self._is_rejected = True
             return
         self._owner.add_connection(self)
+        self.apply_limits()  # they may have changed since the connection was accepted
         self._wait_for_request()
 
     def data_received(self, data: bytes) -> None:
--- a/coveport/serving/proxy/request_forwarder.py
+++ b/coveport/serving/proxy/request_forwarder.py
@@ -14,6 +14,7 @@
 from coveport.serving.proxy.response_relay import REJECTIONS, RelayOutcome, ResponseRelay
 from coveport.serving.proxy.retry_policy import AttemptOutcome, RetryPolicy
 from coveport.serving.proxy.stall_policy import stall_timeouts
+from coveport.serving.proxy.stall_timeouts import StallTimeouts
 
 
 @dataclass(slots=True)
@@ -102,15 +103,10 @@
         self._observe_event_gaps(known_node, connection)
         is_idempotent = request.routed.route.is_idempotent
         timeouts = stall_timeouts(self.context, request, self.retries, known_node) if is_idempotent else None
-        may_retry = self.retries.may_retry_after_error
         try:
-            outcome = await self.relay.relay(connection, timeouts, may_retry)
+            outcome = await self.relay.relay(connection, timeouts, self.retries.may_retry_after_error)
             if outcome in REJECTIONS and request.used_connections.count(connection) > 1:
-                self.context.counters.add("rejection_checks")
-                health_path = request.routed.service.health_path
-                outcome = await self.relay.confirm_rejection(
-                    connection, outcome, health_path, timeouts, may_retry
-                )
+                outcome = await self._confirm_rejection(known_node, connection, outcome, timeouts)
         except BrokenResponseError:
             self._record_broken_response(incarnation)
             return AttemptOutcome.FAILED
@@ -126,6 +122,26 @@
         request.may_have_run = may_have_run_before
         return AttemptOutcome.NOT_RUN
 
+    async def _confirm_rejection(
+        self,
+        known_node: KnownNode,
+        connection: NodeConnection,
+        rejection: RelayOutcome,
+        timeouts: StallTimeouts | None,
+    ) -> RelayOutcome:
+        """Return the outcome of an attempt that was rejected on a connection that carried an earlier one.
+
+        The health check that is sent counts against the node's slow start as a request does.
+        """
+        context = self.context
+        service = self.request.routed.service
+        context.counters.add("rejection_checks")
+        context.observations.slow_start.record_send(known_node, service, context.view, context.net.now_s())
+        may_retry = self.retries.may_retry_after_error
+        return await self.relay.confirm_rejection(
+            connection, rejection, service.health_path, timeouts, may_retry
+        )
+
     def _record_broken_response(self, incarnation: str) -> None:
         self.context.counters.add("broken")
         self.context.observations.outliers.record_broken_response(incarnation, self.context.net.now_s())
