Test of a reload at the start: bounded if the event never comes

Read again: the test waited for a line of the log without a bound, so a process that served and never logged the reload would have hung the run. A timer ends the process after 60 s, and the assertions then fail as before. Result: the file's 11 tests pass; ruff and mypy clean.

--- a/tests/serving/test_reload_signal.py
+++ b/tests/serving/test_reload_signal.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from threading import Timer
 
 import pytest
 
@@ -18,6 +19,7 @@
 from coveport.serving.simulation.settings_file import settings_text
 from coveport.serving.wire.names import SETTINGS_VARIABLE
 
+START_LIMIT_S = 60.0
 # Runs a program, and sends it SIGHUP when it begins to import a module.
 PROGRAM = """
 import os, runpy, signal, sys
@@ -91,6 +93,8 @@
     process = start(["coveport.serving", "proxy"], "asyncio", {SETTINGS_VARIABLE: str(file)})
     assert process.stderr is not None
     events = []
+    watchdog = Timer(START_LIMIT_S, process.kill)  # ends the loop below if the event never comes
+    watchdog.start()
     try:
         for line in process.stderr:
             events.append(line)
@@ -99,6 +103,7 @@
         process.send_signal(signal.SIGTERM)
         assert process.wait(60) == 0, events
     finally:
+        watchdog.cancel()
         process.kill()
         process.wait()
         process.stderr.close()
