--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import signal
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -19,6 +21,14 @@
     return read_known_red(ROOT / "KNOWN-RED.txt")
 
 
+@pytest.fixture(autouse=True)
+def default_reload_signal() -> Iterator[None]:
+    """Let children start with the default action of SIGHUP; a shell may have left it ignored (`nohup`)."""
+    previous = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    yield
+    signal.signal(signal.SIGHUP, previous)
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Tests on the list are run, and their failures don't count."""
     listed = known_red()
