Command line: run and fleet run hold SIGHUP back from their first line on

Cause: with arguments, `python -m coveport` and the script `coveport` import the whole command line before the command's own main, where the signal was first blocked. Change: the entry point of the command line blocks it for the two commands that serve. Commands that don't serve keep the default action.

--- a/coveport/cli/main.py
+++ b/coveport/cli/main.py
@@ -3,10 +3,18 @@
 from __future__ import annotations
 
 import sys
+from typing import Final
+
+from coveport.net.reload_signal import hold_reload_signal
+
+SERVING_COMMANDS: Final = (["run"], ["fleet", "run"])  # which reload their file at SIGHUP
 
 
 def main() -> int:
     """Run `sys.argv` and exit with its code; return 2 only where click isn't installed."""
+    words = [argument for argument in sys.argv[1:] if not argument.startswith("-")]
+    if any(words[: len(command)] == command for command in SERVING_COMMANDS):
+        hold_reload_signal()
     try:
         from coveport.cli.root import root
     except ModuleNotFoundError as error:
--- a/tests/serving/test_reload_signal.py
+++ b/tests/serving/test_reload_signal.py
@@ -68,6 +68,28 @@
     assert process.returncode == 2, errors
 
 
+@pytest.mark.parametrize(
+    "command",
+    [["run", "--config"], ["fleet", "run"], ["--debug", "fleet", "run"]],
+    ids=["run", "fleet run", "with an option"],
+)
+@pytest.mark.parametrize("module", ["click", "coveport.cli.operator_options"])
+def test_sighup_during_the_start_does_not_end_a_command_that_serves(
+    command: list[str], module: str, tmp_path: Path
+) -> None:
+    file = tmp_path / "operator.toml"
+    file.write_text("[unknown]\n", encoding="utf-8")
+    process = start(["coveport", *command, str(file)], module, {})
+    _, errors = process.communicate(timeout=START_LIMIT_S)
+    assert process.returncode == 2, errors
+
+
+def test_sighup_still_ends_a_command_that_does_not_serve(tmp_path: Path) -> None:
+    process = start(["coveport", "check", str(tmp_path / "missing.toml")], "click", {})
+    process.communicate(timeout=START_LIMIT_S)
+    assert process.returncode == -signal.SIGHUP
+
+
 def proxy_settings() -> BootSettings:
     return BootSettings(
         name="p",
