Supervisor: instances start with SIGHUP blocked, so an early one ends none

Cause: until the interpreter runs the program's first line the default action holds, and nothing of the program can change that; the launcher can, as the set of blocked signals survives exec. Change: the supervisor's spawn blocks SIGHUP around the start of an instance, which releases it once its handler is installed.

--- a/coveport/serving/simulation/local_processes.py
+++ b/coveport/serving/simulation/local_processes.py
@@ -7,10 +7,12 @@
 import signal
 import sys
 from collections.abc import Callable
+from contextlib import nullcontext
 from pathlib import Path
 from typing import Final
 
 import coveport
+from coveport.net.reload_signal import reload_signal_held_for_children
 from coveport.serving.settings.boot import BootSettings
 from coveport.serving.simulation.settings_file import settings_text
 from coveport.serving.wire.names import SETTINGS_VARIABLE
@@ -31,9 +33,20 @@
 class LocalProcess:
     """A process of one role that can be restarted."""
 
-    def __init__(self, role: str, folder: Path, settings: Callable[[bool], BootSettings]) -> None:
-        """Create a stopped process; `settings(first_boot)` returns its settings."""
+    def __init__(
+        self,
+        role: str,
+        folder: Path,
+        settings: Callable[[bool], BootSettings],
+        *,
+        is_reload_signal_held: bool = False,
+    ) -> None:
+        """Create a stopped process; `settings(first_boot)` returns its settings.
+
+        `is_reload_signal_held`: start it with SIGHUP blocked, so that one right after the start can't end it.
+        """
         self._role = role
+        self._is_reload_signal_held = is_reload_signal_held
         self._settings = settings
         first_settings = settings(True)
         self.name = first_settings.name
@@ -59,7 +72,8 @@
         self._file.write_text(settings_text(self._settings(self._incarnations == 0)), encoding="utf-8")
         self._incarnations += 1
         variables = {**child_environment(self.source), SETTINGS_VARIABLE: str(self._file)}
-        with self._log.open("ab") as log:
+        held = reload_signal_held_for_children() if self._is_reload_signal_held else nullcontext()
+        with self._log.open("ab") as log, held:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "coveport.serving", self._role, env=variables, stdout=log, stderr=log,
                 stdin=asyncio.subprocess.DEVNULL, cwd=self.source,
--- a/coveport/sidecar/supervisor/process_control.py
+++ b/coveport/sidecar/supervisor/process_control.py
@@ -16,6 +16,7 @@
 from typing import Protocol
 
 from coveport.net.address import parse_address
+from coveport.net.reload_signal import reload_signal_held_for_children
 from coveport.sidecar.config.operator_file import OperatorFile
 from coveport.sidecar.supervisor import locks
 from coveport.sidecar.supervisor.instance_state import ExitReason
@@ -170,7 +171,8 @@
             "WATCHDOG_USEC": str(int(self._operator_file.fleet.hung_s * 1e6)),
         }
         environ.pop("WATCHDOG_PID", None)  # set by the service manager for the supervisor only
-        with open(self._folder / "log" / f"{name}.out", "ab") as out:
+        log = self._folder / "log" / f"{name}.out"
+        with open(log, "ab") as out, reload_signal_held_for_children():
             return subprocess.Popen(
                 [sys.executable, "-m", "coveport", "run", "--config", str(self._config), "--as", name],
                 stdin=subprocess.DEVNULL,
--- a/tests/serving/resource_limits/small_deployment.py
+++ b/tests/serving/resource_limits/small_deployment.py
@@ -132,7 +132,9 @@
 class SmallDeployment:
     """The processes, the node and the operator of one test."""
 
-    def __init__(self, net: Net, folder: Path, limits: LoweredLimits) -> None:
+    def __init__(
+        self, net: Net, folder: Path, limits: LoweredLimits, *, is_reload_signal_held: bool = False
+    ) -> None:
         self.net = net
         self.limits = limits
         block = Random(f"{getpid()} {id(self)}")
@@ -145,8 +147,15 @@
             bounds=Bounds(grace_s=GRACE_S),
             tolerated=FaultTolerance(),
         )
-        self.coordinator = LocalProcess("coordinator", folder, self._coordinator_settings(folder))
-        self.proxy = LocalProcess("proxy", folder, self._proxy_settings)
+        self.coordinator = LocalProcess(
+            "coordinator",
+            folder,
+            self._coordinator_settings(folder),
+            is_reload_signal_held=is_reload_signal_held,
+        )
+        self.proxy = LocalProcess(
+            "proxy", folder, self._proxy_settings, is_reload_signal_held=is_reload_signal_held
+        )
         self.node = EchoNode(
             net, self._address(NODE_HOST, PORTS.node), self.control, limits.clients.body_bytes
         )
--- a/tests/serving/resource_limits/soak.py
+++ b/tests/serving/resource_limits/soak.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import signal
 import sys
 import tempfile
 from collections.abc import Awaitable
@@ -40,7 +41,7 @@
 class SoakRun:
     """One seed: its limits, crowds and events."""
 
-    def __init__(self, seed: int, folder: Path) -> None:
+    def __init__(self, seed: int, folder: Path, *, is_reload_signal_held: bool) -> None:
         self.random = Random(seed)
         self.folder = folder
         random = self.random
@@ -51,7 +52,12 @@
             replace(ClientLimits(), body_bytes=random.randint(*BODY_BYTES)),
         )
         self.is_full = random.random() < FULL_SHARE
-        self.deployment = SmallDeployment(Net(asyncio.get_running_loop()), folder, self.limits)
+        self.deployment = SmallDeployment(
+            Net(asyncio.get_running_loop()),
+            folder,
+            self.limits,
+            is_reload_signal_held=is_reload_signal_held,
+        )
         self.processes = (self.deployment.proxy, self.deployment.coordinator)
         self.crowds: list[Crowd] = []
         self.summary = ""
@@ -128,9 +134,12 @@
                 await kept.check(RESTART_TRIES)
 
 
-async def play_seed(seed: int, folder: Path) -> str:
-    """Play one seed and return a summary; raise AssertionError where something doesn't hold."""
-    run = SoakRun(seed, folder)
+async def play_seed(seed: int, folder: Path, *, is_reload_signal_held: bool = False) -> str:
+    """Play one seed and return a summary; raise AssertionError where something doesn't hold.
+
+    `is_reload_signal_held`: start the processes with SIGHUP blocked.
+    """
+    run = SoakRun(seed, folder, is_reload_signal_held=is_reload_signal_held)
     await run.play()
     return run.summary
 
@@ -139,12 +148,16 @@
     """Play the seeds, one after the other; return 1 where one failed."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1-50", help="first and last seed")
-    first, _, last = parser.parse_args().seeds.partition("-")
+    parser.add_argument("--held", action="store_true", help="start the processes with SIGHUP blocked")
+    arguments = parser.parse_args()
+    first, _, last = arguments.seeds.partition("-")
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)  # a shell may have left it ignored (`nohup`)
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
         with tempfile.TemporaryDirectory() as folder:
             try:
-                summary = asyncio.run(play_seed(seed, Path(folder)))
+                played = play_seed(seed, Path(folder), is_reload_signal_held=arguments.held)
+                summary = asyncio.run(played)
                 print(f"seed {seed}: good: {summary}", flush=True)
             except Exception as error:  # noqa: BLE001  # each seed gets its line
                 failed += 1
--- a/tests/serving/resource_limits/test_misbehaving_clients.py
+++ b/tests/serving/resource_limits/test_misbehaving_clients.py
@@ -167,6 +167,12 @@
     asyncio.run(play(tmp_path, LIMITS, Target.CONTROL, misbehave))
 
 
+# Guards against a reload right after a restart that ends a process whose launcher holds the signal back.
+@pytest.mark.parametrize("seed", [13, 22, 24, 25, 33])
+def test_crowds_beside_reloads_right_after_a_start(tmp_path: Path, seed: int) -> None:
+    asyncio.run(play_seed(seed, tmp_path, is_reload_signal_held=True))
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 13, 22, 24, 25, 33])
 def test_crowds_at_once_beside_restarts_and_changes(tmp_path: Path, seed: int) -> None:
     asyncio.run(play_seed(seed, tmp_path))
