Testbed: measures.py is three modules; its request table has a reader of rows

Change: request_table.py and time_series.py; the private names _Wishes, _Worth, _rows_of and _of are RequestTable, WorthIndex, rows_by_kind and rows_of_kind; the table's constructor of 65 statements hands rows to a reader with a method a kind. No behaviour is meant to change.

--- a/coveport/testbed/outcome.py
+++ b/coveport/testbed/outcome.py
@@ -64,7 +64,7 @@
 
 
 class Answers(Struct, frozen=True):
-    """How wishes ended, counted by kind (see `measures.KINDS`); all kinds together make all wishes."""
+    """How wishes ended, counted by kind (see `request_table.KINDS`); all kinds together make all wishes."""
 
     all: dict[str, int]
     by_class: dict[str, dict[str, int]]
--- a/coveport/testbed/report/page.py
+++ b/coveport/testbed/report/page.py
@@ -12,11 +12,13 @@
 
 from coveport.testbed import event_log
 from coveport.testbed.day import Span
-from coveport.testbed.measures import ENDS, KINDS, Series, faults, is_mended, series
+from coveport.testbed.measures import ENDS, faults, is_mended
 from coveport.testbed.outcome import Outcome
 from coveport.testbed.playing import Played
 from coveport.testbed.report.plots import KIND_COLOURS, draw
 from coveport.testbed.report.text import expectation, millis, percent, verdict
+from coveport.testbed.request_table import KINDS
+from coveport.testbed.time_series import Series, series
 
 MOST_BREACHES = 200
 _MOST_EVENTS = 200
--- a/coveport/testbed/report/plots.py
+++ b/coveport/testbed/report/plots.py
@@ -19,7 +19,8 @@
 from matplotlib.figure import Figure
 
 from coveport.testbed.day import Day, Span
-from coveport.testbed.measures import KINDS, Floats, Series
+from coveport.testbed.request_table import KINDS, Floats
+from coveport.testbed.time_series import Series
 
 INK, GRID, CARD, FAULT = "ink", "grid", "card", "fault"
 KIND_COLOURS = dict(
--- a/tests/testbed/test_measures.py
+++ b/tests/testbed/test_measures.py
@@ -13,9 +13,11 @@
 from coveport.testbed import event_log
 from coveport.testbed.day import Wish
 from coveport.testbed.faults import Crash
-from coveport.testbed.measures import KINDS, faults, is_mended, judge_expectations, measure, series
+from coveport.testbed.measures import faults, is_mended, judge_expectations, measure
 from coveport.testbed.outcome import Broken, decode, encode
+from coveport.testbed.request_table import KINDS
 from coveport.testbed.schema import Expect
+from coveport.testbed.time_series import series
 
 
 def wish(op: str, due: float) -> Wish:
