--- a/benchmarks/overload_cost.py
+++ b/benchmarks/overload_cost.py
@@ -12,7 +12,7 @@
 import multiprocessing
 import sys
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from multiprocessing.connection import Connection as Pipe
 from random import Random
 
@@ -25,7 +25,9 @@
 from coveport.serving.model.view import ControlView, KnownNode
 from coveport.serving.proxy.data_path import DataPath
 from coveport.serving.settings.boot import BootSettings, Bounds
+from coveport.serving.simulation.deployment import Deployment, MachineSpot, proxy_settings
 from coveport.serving.simulation.exchange import ServerConnection
+from coveport.serving.simulation.zones import Zone
 from coveport.serving.wire.names import Header
 
 BLOCK = "127.91.7"
@@ -135,24 +137,12 @@
     return view
 
 
-def proxy_settings() -> BootSettings:
-    """Return settings whose retry budget limits nothing here."""
-    return BootSettings(
-        name="p",
-        ip=PROXY[0],
-        zone="z",
-        region="r",
-        inner_ports=(1, 2),
-        seeds=(),
-        first_boot=True,
-        loss_counted=False,
-        data_dir=None,
-        serves=("counter",),
-        heartbeat_ms=1200,
-        regions={"z": "r"},
-        clients=PROXY,
-        bounds=Bounds(retry_ratio=10.0, retry_slack=1000, retry_window_s=10.0),
-    )
+def unlimited_retries() -> BootSettings:
+    """Return settings of a proxy whose retry budget limits nothing here."""
+    spot = MachineSpot("p", PROXY[0], Zone("z", "r"))
+    bounds = Bounds(retry_ratio=10.0, retry_slack=1000, retry_window_s=10.0)
+    deployment = Deployment(zones=(spot.zone,), proxies=(1,), nodes=(1,), clients=(1,), bounds=bounds)
+    return replace(proxy_settings(deployment, spot, (), True), clients=PROXY)
 
 
 async def measure(seconds: float) -> list[str]:
@@ -162,7 +152,7 @@
     peers.start()
     await asyncio.to_thread(pipe.recv)
     net = Net(asyncio.get_running_loop())
-    data_path = DataPath(net, proxy_settings(), proxy_view(net.now_s()), Random(1))
+    data_path = DataPath(net, unlimited_retries(), proxy_view(net.now_s()), Random(1))
     await data_path.start()
     pipe.send("the proxy serves")
     await asyncio.sleep(WARM_UP_S)
--- a/tests/serving/test_reload_signal.py
+++ b/tests/serving/test_reload_signal.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 from threading import Timer
 
@@ -15,8 +16,10 @@
 
 from coveport.serving.role_process import EXIT_INVALID_SETTINGS
 from coveport.serving.settings.boot import BootSettings
+from coveport.serving.simulation.deployment import Deployment, MachineSpot, proxy_settings
 from coveport.serving.simulation.local_processes import child_environment
 from coveport.serving.simulation.settings_file import settings_text
+from coveport.serving.simulation.zones import Zone
 from coveport.serving.wire.names import SETTINGS_VARIABLE
 
 START_LIMIT_S = 60.0
@@ -90,28 +93,17 @@
     assert process.returncode == -signal.SIGHUP
 
 
-def proxy_settings() -> BootSettings:
-    return BootSettings(
-        name="p",
-        ip="127.0.0.1",
-        zone="z",
-        region="r",
-        inner_ports=(1, 2),
-        seeds=(),
-        first_boot=True,
-        loss_counted=False,
-        data_dir=None,
-        serves=("counter",),
-        heartbeat_ms=1200,
-        regions={"z": "r"},
-        clients=("127.0.0.1", 0),
-        readiness=("127.0.0.1", 0),
-    )
+def settings_on_free_ports() -> BootSettings:
+    """Return the settings of a proxy without coordinators."""
+    spot = MachineSpot("p", "127.0.0.1", Zone("z", "r"))
+    deployment = Deployment(zones=(spot.zone,), proxies=(1,), nodes=(1,), clients=(1,))
+    settings = proxy_settings(deployment, spot, (), True)
+    return replace(settings, clients=(spot.ip, 0), readiness=(spot.ip, 0))
 
 
 def test_sighup_during_the_start_is_followed_by_a_reload(tmp_path: Path) -> None:
     file = tmp_path / "proxy.toml"
-    file.write_text(settings_text(proxy_settings()), encoding="utf-8")
+    file.write_text(settings_text(settings_on_free_ports()), encoding="utf-8")
     process = start(["coveport.serving", "proxy"], "asyncio", {SETTINGS_VARIABLE: str(file)})
     assert process.stderr is not None
     events = []
